--- /dev/null
+++ b/decision/manifest/duration.go
@@ -0,0 +1,35 @@
+package manifest
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Duration is a time span written with its unit, such as "250ms" or "5s".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
+// MarshalJSON writes the span with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a span with its unit and refuses bare numbers.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		return errors.Newf("duration %s has no unit; write it as a string such as \"250ms\" or \"5s\"", data)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return errors.Newf("duration %q is not valid; write a number and a unit such as \"250ms\" or \"5s\"", s)
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/decision/position/position_test.go
@@ -0,0 +1,37 @@
+package position
+
+import "testing"
+
+// Guards against a read being answered from a log that has dropped the session's write.
+func TestHistoryContains(t *testing.T) {
+	h := History{{Term: 1, Start: 0}, {Term: 3, Start: 100}, {Term: 4, Start: 150}}
+	cases := []struct {
+		name string
+		p    Position
+		want bool
+	}{
+		{"zero", Position{}, true},
+		{"before the first branch point", Position{1, 100}, true},
+		{"past the branch point of a later term", Position{1, 101}, false},
+		{"in the middle term", Position{3, 150}, true},
+		{"rewound in the middle term", Position{3, 151}, false},
+		{"newest term", Position{4, 900}, true},
+		{"term that this history skipped", Position{2, 90}, false},
+		{"term not reached yet", Position{5, 90}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := h.Contains(c.p); got != c.want {
+				t.Errorf("Contains(%v) = %v, want %v", c.p, got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a floor from an older term being taken for the later one.
+func TestMaxPrefersTheHigherTerm(t *testing.T) {
+	got := Max(Position{2, 10}, Position{1, 90})
+	if got != (Position{2, 10}) {
+		t.Errorf("Max = %v, want 2/10", got)
+	}
+}
--- /dev/null
+++ b/proxy/dbgroup/dbgroup.go
@@ -0,0 +1,22 @@
+// Package dbgroup is the adapter to the servers of a database group: probing, fencing and
+// promoting over the PostgreSQL protocol.
+package dbgroup
+
+import (
+	"context"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+// Server is the control side of one server of a database group. All three calls are idempotent
+// for the same arguments; a call that fails may have taken effect.
+type Server interface {
+	// Probe returns the server's present state.
+	Probe(ctx context.Context) (authority.ServerState, error)
+	// Fence makes the server refuse writes and replicated log of terms below term, in the name
+	// of owner. It fails if the server has accepted this term for another owner, or a higher one.
+	Fence(ctx context.Context, term uint64, owner string) (authority.ServerState, error)
+	// Promote makes the server the primary of term. It fails unless the server is fenced at
+	// exactly (term, owner).
+	Promote(ctx context.Context, term uint64, owner string) (authority.ServerState, error)
+}
--- /dev/null
+++ b/proxy/engine/deps.go
@@ -0,0 +1,104 @@
+// Package engine runs client sessions: it takes PostgreSQL messages from a caller, asks the
+// decision packages where each statement may run, forwards it and returns the answer.
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+// Target is a server chosen for a statement, as known when it was chosen.
+type Target struct {
+	Server      authority.ServerID
+	Address     string // IP:port
+	Term        uint64
+	Incarnation uint64
+	Primary     bool
+}
+
+// ReadRequest asks for a server that may answer a read.
+type ReadRequest struct {
+	Floor        position.Position // the answer must include everything up to here
+	Sample       bool              // raise the floor to a majority sample begun after the call
+	MaxStaleness time.Duration     // above 0: data of this age is accepted beyond the floor
+	Wait         time.Duration     // for a replica to reach the floor before the primary is taken
+	Exclude      []authority.ServerID
+}
+
+// Database is the view of one database group that the engine needs. All errors are
+// *outcome.Error. All methods are safe for concurrent use.
+type Database interface {
+	// Read chooses a server for a read: a replica, or the primary once a majority has shown
+	// that its term is not superseded. It returns outcome.LostWrite when the floor is not part
+	// of the present primary's history.
+	Read(ctx context.Context, r ReadRequest) (Target, error)
+	// Primary returns the present primary and waits for one within ctx during a failover.
+	Primary(ctx context.Context) (Target, error)
+	// Confirm returns nil error and the session's new floor once the writes that t had answered
+	// before the call are confirmed in mode; otherwise outcome.Unknown.
+	Confirm(ctx context.Context, t Target, mode manifest.Acknowledge) (position.Position, error)
+	// ReportFailure tells that a connection to t failed, so that its health is checked now.
+	ReportFailure(t Target, err error)
+}
+
+// Conn is a connection to a server, owned by one caller until it is released.
+type Conn interface {
+	// Frontend sends to and receives from the server.
+	Frontend() *pgproto3.Frontend
+	// SetDeadline bounds pending and later reads and writes; the zero time removes the bound.
+	SetDeadline(t time.Time) error
+	// Cancel asks the server to cancel the running statement, over a separate connection.
+	Cancel(ctx context.Context) error
+	// Release gives the connection back. With reuse false it is closed; a connection must be
+	// idle and outside a transaction to be reused.
+	Release(reuse bool)
+}
+
+// AcquireRequest asks for a connection to a server.
+type AcquireRequest struct {
+	Target  Target
+	Account string
+	Weight  int
+	Timeout time.Duration // in the queue
+}
+
+// Pool lends connections. Acquire returns *outcome.Error of kind NotRun when it can't in time.
+// A connection of another incarnation than the target's is never returned.
+type Pool interface {
+	Acquire(ctx context.Context, r AcquireRequest) (Conn, error)
+}
+
+// Quota admits statements against an account's rate and burst over all instances. Admit returns
+// nil, or *outcome.Error of kind NotRun with a retry-after at once.
+type Quota interface {
+	Admit(ctx context.Context, account string) error
+}
+
+// Login is an authenticated caller.
+type Login struct {
+	Route   manifest.Route // with defaults filled in
+	Account manifest.Account
+	KeyID   string
+	// Withdrawn is closed when the key, the account or its right to the route is withdrawn.
+	Withdrawn <-chan struct{}
+}
+
+// Directory authenticates callers against the manifest in force. Authenticate returns
+// *outcome.Error of kind Denied for a wrong route, account or key, and NotRun when this instance can't
+// know whether keys are still valid.
+type Directory interface {
+	// NeedsKey reports whether the route exists and whether it asks for a key.
+	NeedsKey(route string) (needsKey bool, err error)
+	// Authenticate checks key for account on route; account and key are ignored on open routes.
+	Authenticate(route, account, key string) (Login, error)
+	// Check reports whether statements of this login may run now.
+	Check(l Login) error
+	// Database returns the view of a database by its manifest name.
+	Database(name string) (Database, error)
+}
