--- /dev/null
+++ b/decision/fairqueue/queue.go
@@ -0,0 +1,308 @@
+package fairqueue
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// initialHold is the slot time that a statement is charged until its account has finished one.
+const initialHold = 2 * time.Millisecond
+
+// holdSmoothing is the weight of the newest hold time in the moving average.
+const holdSmoothing = 0.1
+
+// idleAccounts is the number of idle accounts above which their tags are forgotten.
+const idleAccounts = 1024
+
+// Config holds the limits of one server's queue.
+type Config struct {
+	Slots           int // statements in execution
+	Connections     int // connections in use
+	QueuePerAccount int // waiting requests of one account
+}
+
+// RequestID identifies a request; the caller chooses it and never uses it twice.
+type RequestID uint64
+
+// Request asks for a slot.
+type Request struct {
+	ID       RequestID
+	Account  string
+	Weight   int           // relative to other accounts; below 1 counts as 1
+	Deadline time.Duration // time since the caller's origin after which the grant is of no use
+	HasConn  bool          // the request goes on with a connection that it holds already
+}
+
+// Verdict is the answer to a submitted request.
+type Verdict int
+
+const (
+	// Granted: the request holds a slot, and a connection unless it had one.
+	Granted Verdict = iota + 1
+	// Queued: the request waits and is granted, expired or cancelled later.
+	Queued
+	// Refused: the request can't be granted before its deadline, or the account's queue is full.
+	Refused
+)
+
+// Decision is a verdict; RetryAfter tells a refused caller when its turn could come.
+type Decision struct {
+	Verdict    Verdict
+	RetryAfter time.Duration
+}
+
+type waiting struct {
+	Request
+	start float64 // virtual time at which service begins
+	cost  float64 // seconds of slot time charged in advance, divided by the weight
+}
+
+type account struct {
+	queue  []waiting
+	finish float64       // virtual finish time of the last request
+	hold   time.Duration // moving average of the slot time of one statement
+	held   int           // slots held now
+}
+
+type running struct {
+	account string
+	weight  float64
+	cost    float64
+	since   time.Duration
+}
+
+// Queue is the state machine. Times are durations since one origin that never goes back.
+type Queue struct {
+	cfg      Config
+	virtual  float64
+	accounts map[string]*account
+	running  map[RequestID]running
+	conns    int
+	waiting  int
+	hold     time.Duration // moving average over all accounts
+}
+
+// New returns an empty queue.
+func New(cfg Config) *Queue {
+	return &Queue{
+		cfg:      cfg,
+		accounts: make(map[string]*account),
+		running:  make(map[RequestID]running),
+		hold:     initialHold,
+	}
+}
+
+// Resize changes the limits. Requests that hold more than the new limits keep what they have.
+func (q *Queue) Resize(cfg Config) {
+	q.cfg = cfg
+}
+
+// Submit grants, queues or refuses r.
+func (q *Queue) Submit(now time.Duration, r Request) Decision {
+	a := q.account(r.Account)
+	w := q.stamp(a, r)
+	if q.fits(r) && (q.waiting == 0 || q.next(now) == nil) {
+		a.finish = w.start + w.cost
+		q.grant(now, a, w)
+		return Decision{Verdict: Granted}
+	}
+	wait := q.estimate(w)
+	if len(a.queue) >= q.cfg.QueuePerAccount || now+wait > r.Deadline {
+		return Decision{Verdict: Refused, RetryAfter: max(wait, q.hold)}
+	}
+	a.finish = w.start + w.cost
+	a.queue = append(a.queue, w)
+	q.waiting++
+	return Decision{Verdict: Queued}
+}
+
+// ReleaseSlot ends the execution of a granted request, charges its account for the time that it
+// took, and returns the requests that are granted now.
+func (q *Queue) ReleaseSlot(now time.Duration, id RequestID) []RequestID {
+	r, ok := q.running[id]
+	if !ok {
+		return nil
+	}
+	delete(q.running, id)
+	a := q.account(r.account)
+	a.held--
+	used := now - r.since
+	a.hold = smooth(a.hold, used)
+	q.hold = smooth(q.hold, used)
+	// Waiting requests of the account move by the difference between the estimate and the use,
+	// so that long statements are paid for by the account that sends them.
+	correction := used.Seconds()/r.weight - r.cost
+	a.finish += correction
+	for i := range a.queue {
+		a.queue[i].start += correction
+	}
+	return q.Grant(now)
+}
+
+// ReleaseConnection returns a connection and returns the requests that are granted now.
+func (q *Queue) ReleaseConnection(now time.Duration) []RequestID {
+	q.conns--
+	return q.Grant(now)
+}
+
+// Cancel removes a waiting request, for example when its caller has gone. It reports whether the
+// request was still waiting.
+func (q *Queue) Cancel(name string, id RequestID) bool {
+	a, ok := q.accounts[name]
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(a.queue, func(w waiting) bool { return w.ID == id })
+	if i < 0 {
+		return false
+	}
+	a.queue = slices.Delete(a.queue, i, i+1)
+	q.waiting--
+	return true
+}
+
+// Expire removes and returns the waiting requests whose deadline has passed.
+func (q *Queue) Expire(now time.Duration) []RequestID {
+	var expired []RequestID
+	for _, name := range q.names() {
+		a := q.accounts[name]
+		a.queue = slices.DeleteFunc(a.queue, func(w waiting) bool {
+			if w.Deadline > now {
+				return false
+			}
+			expired = append(expired, w.ID)
+			return true
+		})
+	}
+	q.waiting -= len(expired)
+	return expired
+}
+
+// Grant gives free slots and connections to waiting requests in the order of their start tags and
+// returns them. A request that needs a connection does not hold up one that has its own.
+func (q *Queue) Grant(now time.Duration) []RequestID {
+	var granted []RequestID
+	for {
+		a := q.next(now)
+		if a == nil {
+			return granted
+		}
+		w := a.queue[0]
+		a.queue = slices.Delete(a.queue, 0, 1)
+		q.waiting--
+		q.grant(now, a, w)
+		granted = append(granted, w.ID)
+	}
+}
+
+// Waiting returns the number of queued requests.
+func (q *Queue) Waiting() int {
+	return q.waiting
+}
+
+// InUse returns the slots and connections held.
+func (q *Queue) InUse() (slots, connections int) {
+	return len(q.running), q.conns
+}
+
+func (q *Queue) account(name string) *account {
+	a, ok := q.accounts[name]
+	if !ok {
+		q.forgetIdle()
+		a = &account{hold: q.hold}
+		q.accounts[name] = a
+	}
+	return a
+}
+
+// forgetIdle drops accounts whose tags no longer matter, to bound memory.
+func (q *Queue) forgetIdle() {
+	if len(q.accounts) < idleAccounts {
+		return
+	}
+	for name, a := range q.accounts {
+		if len(a.queue) == 0 && a.held == 0 && a.finish <= q.virtual {
+			delete(q.accounts, name)
+		}
+	}
+}
+
+// stamp gives r its place in virtual time.
+func (q *Queue) stamp(a *account, r Request) waiting {
+	r.Weight = max(r.Weight, 1)
+	return waiting{
+		Request: r,
+		start:   max(q.virtual, a.finish),
+		cost:    a.hold.Seconds() / float64(r.Weight),
+	}
+}
+
+func (q *Queue) fits(r Request) bool {
+	if len(q.running) >= q.cfg.Slots {
+		return false
+	}
+	return r.HasConn || q.conns < q.cfg.Connections
+}
+
+func (q *Queue) grant(now time.Duration, a *account, w waiting) {
+	q.virtual = max(q.virtual, w.start)
+	a.held++
+	q.running[w.ID] = running{account: w.Account, weight: float64(w.Weight), cost: w.cost, since: now}
+	if !w.HasConn {
+		q.conns++
+	}
+}
+
+// next returns the account whose first request fits, is in time and has the smallest start tag.
+func (q *Queue) next(now time.Duration) *account {
+	var best *account
+	for _, name := range q.names() {
+		a := q.accounts[name]
+		if len(a.queue) == 0 || a.queue[0].Deadline <= now || !q.fits(a.queue[0].Request) {
+			continue
+		}
+		if best == nil || a.queue[0].start < best.queue[0].start {
+			best = a
+		}
+	}
+	return best
+}
+
+// estimate returns how long w would wait: the slot time of the requests ahead of it, shared by
+// all slots, plus what is left of one statement in execution.
+func (q *Queue) estimate(w waiting) time.Duration {
+	var ahead time.Duration
+	for _, a := range q.accounts {
+		ahead += time.Duration(a.ahead(w.start)) * a.hold
+	}
+	return (ahead + q.hold) / time.Duration(max(q.cfg.Slots, 1))
+}
+
+// ahead counts the account's waiting requests that start before the given virtual time.
+func (a *account) ahead(start float64) int {
+	i, _ := slices.BinarySearchFunc(a.queue, start, func(w waiting, s float64) int {
+		if w.start < s {
+			return -1
+		}
+		return 1
+	})
+	return i
+}
+
+// names lists the accounts in a fixed order, so that equal inputs give equal grants.
+func (q *Queue) names() []string {
+	names := make([]string, 0, len(q.accounts))
+	for name, a := range q.accounts {
+		if len(a.queue) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func smooth(average, sample time.Duration) time.Duration {
+	v := (1-holdSmoothing)*float64(average) + holdSmoothing*float64(sample)
+	return time.Duration(math.Max(v, float64(time.Microsecond)))
+}
