Add the local connection pool and checkout of connections from home instances

Cause: a server has 3 to 5 slots and 20 to 50 connections, fewer than there are instances at the design size, so shares per instance can't work. Change: a pool with one fair queue per server; one home instance per server lends its connections over a drpc stream.

--- /dev/null
+++ b/proxy/home/server.go
@@ -0,0 +1,176 @@
+package home
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
+)
+
+// chunkBytes is the size of the pieces in which answers are sent on; TCP and drpc flow control
+// bound what is under way.
+const chunkBytes = 32 << 10
+
+// cancelTimeout bounds a cancel request to a server.
+const cancelTimeout = 2 * time.Second
+
+// LocalConn is a connection of the local pool that can be lent to another instance.
+type LocalConn interface {
+	engine.Conn
+	// Raw returns the connection's byte stream. It is used only between statements' messages, when
+	// the frontend holds no bytes.
+	Raw() net.Conn
+	EndStatement()
+	BeginStatement(ctx context.Context, timeout time.Duration) error
+}
+
+// Server implements the Homes service on the local pool.
+type Server struct {
+	homepb.DRPCHomesUnimplementedServer
+	local engine.Pool
+}
+
+// NewServer returns the service for connections of the local pool.
+func NewServer(local engine.Pool) *Server {
+	return &Server{local: local}
+}
+
+// Checkout lends one connection until the stream ends.
+func (s *Server) Checkout(stream homepb.DRPCHomes_CheckoutStream) error {
+	m, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	open := m.GetOpen()
+	if open == nil {
+		return errors.New("the first message of a checkout must be Open; run the same release on all instances")
+	}
+	conn, err := s.local.Acquire(stream.Context(), engine.AcquireRequest{
+		Target: engine.Target{
+			Server:      authority.ServerID(open.GetServer()),
+			Incarnation: open.GetIncarnation(),
+		},
+		Account: open.GetAccount(),
+		Weight:  int(open.GetWeight()),
+		Timeout: time.Duration(open.GetTimeoutUs()) * time.Microsecond,
+	})
+	if err != nil {
+		return sendRefused(stream, err)
+	}
+	local, ok := conn.(LocalConn)
+	if !ok {
+		conn.Release(true)
+		return errors.New("local pool can't lend its connections")
+	}
+	l := &loan{stream: stream, conn: local, done: make(chan struct{})}
+	return l.run()
+}
+
+// loan is one connection lent over a stream.
+type loan struct {
+	stream homepb.DRPCHomes_CheckoutStream
+	conn   LocalConn
+	done   chan struct{} // closed when the answers' goroutine has ended
+}
+
+// run carries messages until the borrower releases the connection or is gone.
+func (l *loan) run() error {
+	if err := l.stream.Send(granted()); err != nil {
+		l.conn.Release(true)
+		return err
+	}
+	go l.sendAnswers()
+	reuse, err := l.receive()
+	// A deadline in the past ends the read of the answers' goroutine. The borrower releases a
+	// connection for reuse only after it has the whole answer, so no bytes are lost.
+	_ = l.conn.SetDeadline(time.Unix(1, 0))
+	<-l.done
+	if l.conn.SetDeadline(time.Time{}) != nil {
+		reuse = false
+	}
+	l.conn.Release(reuse)
+	return err
+}
+
+// receive handles the borrower's messages and reports whether the connection may be reused.
+func (l *loan) receive() (reuse bool, err error) {
+	for {
+		m, err := l.stream.Recv()
+		if err != nil {
+			return false, nil // the borrower is gone: the connection is in doubt
+		}
+		if release := m.GetRelease(); release != nil {
+			return release.GetReuse(), nil
+		}
+		if err := l.handle(m); err != nil {
+			return false, err
+		}
+	}
+}
+
+func (l *loan) handle(m *homepb.ToHome) error {
+	switch {
+	case m.GetEndStatement() != nil:
+		l.conn.EndStatement()
+	case m.GetBeginStatement() != nil:
+		timeout := time.Duration(m.GetBeginStatement().GetTimeoutUs()) * time.Microsecond
+		if err := l.conn.BeginStatement(l.stream.Context(), timeout); err != nil {
+			return sendRefused(l.stream, err)
+		}
+		return l.stream.Send(granted())
+	case m.GetCancel() != nil:
+		ctx, cancel := context.WithTimeout(l.stream.Context(), cancelTimeout)
+		defer cancel()
+		_ = l.conn.Cancel(ctx)
+	default:
+		_, err := l.conn.Raw().Write(m.GetData())
+		return err
+	}
+	return nil
+}
+
+// sendAnswers sends on what the server answers. When the server's connection breaks it ends the
+// stream, so that the borrower learns of it at once.
+func (l *loan) sendAnswers() {
+	defer close(l.done)
+	buf := make([]byte, chunkBytes)
+	for {
+		n, err := l.conn.Raw().Read(buf)
+		if n > 0 {
+			if l.stream.Send(&homepb.FromHome{Body: &homepb.FromHome_Data{Data: buf[:n]}}) != nil {
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() {
+			_ = l.stream.CloseSend()
+		}
+		return
+	}
+}
+
+func granted() *homepb.FromHome {
+	return &homepb.FromHome{Body: &homepb.FromHome_Granted{Granted: &homepb.Granted{}}}
+}
+
+func sendRefused(stream homepb.DRPCHomes_CheckoutStream, err error) error {
+	e := outcome.As(err)
+	if e == nil {
+		return err
+	}
+	return stream.Send(&homepb.FromHome{Body: &homepb.FromHome_Refused{Refused: &homepb.Refused{
+		Code:         e.Code,
+		Message:      e.Message,
+		Remedy:       e.Remedy,
+		RetryAfterUs: e.RetryAfter.Microseconds(),
+	}}})
+}
--- /dev/null
+++ b/proxy/pool/conn.go
@@ -0,0 +1,166 @@
+package pool
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
+)
+
+// upstream is one connection to a server.
+type upstream struct {
+	conn        net.Conn
+	frontend    *pgproto3.Frontend
+	pid         uint32
+	secret      []byte
+	incarnation uint64
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	since       time.Time // last use
+}
+
+// connect opens a connection with the proxy's own credentials and learns the server's incarnation.
+func connect(ctx context.Context, cfg Config, address string) (*upstream, error) {
+	pc, err := pgconn.ParseConfig("postgres://" + address + "/postgres?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	pc.User = cfg.User
+	pc.Password = cfg.Password
+	pc.DialFunc = cfg.Dial
+	pc.Fallbacks = nil
+	c, err := pgconn.ConnectConfig(ctx, pc)
+	if err != nil {
+		return nil, err
+	}
+	incarnation, err := cfg.Identify(ctx, c)
+	if err != nil {
+		_ = c.Close(ctx)
+		return nil, err
+	}
+	h, err := c.Hijack()
+	if err != nil {
+		_ = c.Close(ctx)
+		return nil, err
+	}
+	return &upstream{
+		conn: h.Conn, frontend: h.Frontend, pid: h.PID, secret: h.SecretKey,
+		incarnation: incarnation, dial: cfg.Dial, since: time.Now(),
+	}, nil
+}
+
+func (u *upstream) close() {
+	_ = u.conn.Close()
+}
+
+// usable checks a connection that has rested: an empty query must be answered in time. This finds
+// a path that swallows packets before a statement is sent over it.
+func (u *upstream) usable(checkAfter, timeout time.Duration) bool {
+	if time.Since(u.since) < checkAfter {
+		return true
+	}
+	_ = u.conn.SetDeadline(time.Now().Add(timeout))
+	defer func() { _ = u.conn.SetDeadline(time.Time{}) }()
+	u.frontend.Send(&pgproto3.Query{})
+	if u.frontend.Flush() != nil {
+		return false
+	}
+	for {
+		m, err := u.frontend.Receive()
+		if err != nil {
+			return false
+		}
+		if ready, ok := m.(*pgproto3.ReadyForQuery); ok {
+			return ready.TxStatus == 'I'
+		}
+	}
+}
+
+// cancel sends a cancel request for the running statement over a connection of its own.
+func (u *upstream) cancel(ctx context.Context) error {
+	c, err := u.dial(ctx, "tcp", u.conn.RemoteAddr().String())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(deadline)
+	}
+	request := pgproto3.CancelRequest{ProcessID: u.pid, SecretKey: u.secret}
+	buf, err := request.Encode(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := c.Write(buf); err != nil {
+		return err
+	}
+	_, _ = c.Read(make([]byte, 1)) // the server closes once it has handled the request
+	return nil
+}
+
+// lease is a connection lent to one caller. It implements engine.Conn.
+type lease struct {
+	server   *server
+	upstream *upstream
+	request  fairqueue.RequestID // 0 while the slot is given back
+	account  string
+	weight   int
+}
+
+// Frontend implements engine.Conn.
+func (l *lease) Frontend() *pgproto3.Frontend {
+	return l.upstream.frontend
+}
+
+// SetDeadline implements engine.Conn.
+func (l *lease) SetDeadline(t time.Time) error {
+	return l.upstream.conn.SetDeadline(t)
+}
+
+// Cancel implements engine.Conn.
+func (l *lease) Cancel(ctx context.Context) error {
+	return l.upstream.cancel(ctx)
+}
+
+// EndStatement gives the slot back and keeps the connection, between two statements of a
+// transaction.
+func (l *lease) EndStatement() {
+	if l.request == 0 {
+		return
+	}
+	l.server.release(l.request, false)
+	l.request = 0
+}
+
+// BeginStatement takes a slot again, in the fair order of the queue.
+func (l *lease) BeginStatement(ctx context.Context, timeout time.Duration) error {
+	if l.request != 0 {
+		return nil
+	}
+	id, err := l.server.wait(ctx, l.account, l.weight, timeout, true)
+	l.request = id
+	return err
+}
+
+// Release implements engine.Conn.
+func (l *lease) Release(reuse bool) {
+	if reuse {
+		l.server.putIdle(l.upstream)
+	} else {
+		l.upstream.close()
+	}
+	s := l.server
+	now := s.pool.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake(s.queue.ReleaseSlot(now, l.request))
+	s.wake(s.queue.ReleaseConnection(now))
+}
+
+// Raw returns the connection's byte stream, for lending it to another instance.
+func (l *lease) Raw() net.Conn {
+	return l.upstream.conn
+}
--- /dev/null
+++ b/proxy/pool/pool.go
@@ -0,0 +1,156 @@
+// Package pool lends connections to the servers of all databases. Each server has one fair queue
+// that shares its execution slots and connections between client accounts.
+package pool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+// Defaults of Config.
+const (
+	DefaultConnectTimeout  = 2 * time.Second
+	DefaultCheckAfter      = 5 * time.Second
+	DefaultCheckTimeout    = time.Second
+	DefaultOpenAtOnce      = 2
+	DefaultQueuePerAccount = 256
+)
+
+// Config holds what a Pool needs. Zero values take the defaults.
+type Config struct {
+	User     string // upstream credentials of the proxy
+	Password string
+
+	ConnectTimeout  time.Duration // of one new connection
+	CheckAfter      time.Duration // idle time after which a connection is checked before use
+	CheckTimeout    time.Duration // of that check; a silent path shows here
+	OpenAtOnce      int           // connections being opened to one server at a time
+	QueuePerAccount int           // waiting statements of one account for one server
+
+	// Identify returns the incarnation of the server behind a fresh connection.
+	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
+	// Dial opens a TCP connection; nil uses a net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Divisor is the number of instances that share the servers' limits, at least 1.
+	Divisor int
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&c.CheckAfter, DefaultCheckAfter)
+	setDefault(&c.CheckTimeout, DefaultCheckTimeout)
+	setDefault(&c.OpenAtOnce, DefaultOpenAtOnce)
+	setDefault(&c.QueuePerAccount, DefaultQueuePerAccount)
+	setDefault(&c.Divisor, 1)
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{KeepAlive: 5 * time.Second}).DialContext
+	}
+	return c
+}
+
+func setDefault[T comparable](value *T, def T) {
+	var zero T
+	if *value == zero {
+		*value = def
+	}
+}
+
+// Pool implements engine.Pool for the servers that this instance connects to itself.
+type Pool struct {
+	cfg    Config
+	origin time.Time
+
+	mu      sync.Mutex
+	servers map[authority.ServerID]*server
+	closed  bool
+}
+
+// New returns a pool without servers.
+func New(cfg Config) *Pool {
+	return &Pool{
+		cfg:     cfg.withDefaults(),
+		origin:  time.Now(),
+		servers: make(map[authority.ServerID]*server),
+	}
+}
+
+// SetServers replaces the servers and their limits. Idle connections to servers that are gone or
+// have moved are closed; connections in use end with their statement or transaction.
+func (p *Pool) SetServers(servers []manifest.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.servers
+	p.servers = make(map[authority.ServerID]*server, len(servers))
+	for _, s := range servers {
+		id := authority.ServerID(s.ID)
+		if have, ok := old[id]; ok && have.address == s.Address {
+			have.resize(p.limits(s))
+			p.servers[id] = have
+			delete(old, id)
+			continue
+		}
+		p.servers[id] = newServer(p, s.Address, p.limits(s))
+	}
+	for _, gone := range old {
+		gone.close()
+	}
+}
+
+// SetDivisor changes the number of instances that share the servers' limits.
+func (p *Pool) SetDivisor(n int, servers []manifest.Server) {
+	p.mu.Lock()
+	p.cfg.Divisor = max(n, 1)
+	p.mu.Unlock()
+	p.SetServers(servers)
+}
+
+func (p *Pool) limits(s manifest.Server) fairqueue.Config {
+	return fairqueue.Config{
+		Slots:           max(s.Slots/p.cfg.Divisor, 1),
+		Connections:     max(s.MaxConnections/p.cfg.Divisor, 1),
+		QueuePerAccount: p.cfg.QueuePerAccount,
+	}
+}
+
+// Acquire implements engine.Pool.
+func (p *Pool) Acquire(ctx context.Context, r engine.AcquireRequest) (engine.Conn, error) {
+	p.mu.Lock()
+	s, ok := p.servers[r.Target.Server]
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		return nil, outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+			"this instance is stopping", "connect again to reach another instance")
+	}
+	if !ok {
+		return nil, outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
+			"server "+string(r.Target.Server)+" is not part of the configuration in force",
+			"retry; the statement is routed by the new configuration")
+	}
+	return s.acquire(ctx, r)
+}
+
+// Close closes idle connections and refuses further requests.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, s := range p.servers {
+		s.close()
+	}
+}
+
+// now returns the time since the pool was made, on the monotonic clock.
+func (p *Pool) now() time.Duration {
+	return time.Since(p.origin)
+}
--- /dev/null
+++ b/proxy/pool/server.go
@@ -0,0 +1,214 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+// requestIDs numbers requests over all servers, so that an ID is never used twice.
+var requestIDs atomic.Uint64
+
+// server holds the queue and the idle connections of one server.
+type server struct {
+	pool    *Pool
+	address string
+	opening chan struct{} // one token for each connection being opened
+
+	mu      sync.Mutex
+	queue   *fairqueue.Queue
+	waiters map[fairqueue.RequestID]chan struct{}
+	idle    []*upstream // the most recently used last
+	closed  bool
+}
+
+func newServer(p *Pool, address string, limits fairqueue.Config) *server {
+	return &server{
+		pool:    p,
+		address: address,
+		opening: make(chan struct{}, p.cfg.OpenAtOnce),
+		queue:   fairqueue.New(limits),
+		waiters: make(map[fairqueue.RequestID]chan struct{}),
+	}
+}
+
+func (s *server) resize(limits fairqueue.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Resize(limits)
+	s.wake(s.queue.Grant(s.pool.now()))
+}
+
+func (s *server) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, u := range s.idle {
+		u.close()
+	}
+	s.idle = nil
+}
+
+// acquire waits for a slot and a connection, then takes an idle connection or opens one.
+func (s *server) acquire(ctx context.Context, r engine.AcquireRequest) (engine.Conn, error) {
+	id, err := s.wait(ctx, r.Account, r.Weight, r.Timeout, false)
+	if err != nil {
+		return nil, err
+	}
+	u, err := s.connection(ctx, r)
+	if err != nil {
+		s.release(id, true)
+		return nil, err
+	}
+	return &lease{server: s, upstream: u, request: id, account: r.Account, weight: r.Weight}, nil
+}
+
+// wait takes a slot, and a connection unless hasConn, in the fair order of the queue.
+func (s *server) wait(ctx context.Context, account string, weight int, timeout time.Duration, hasConn bool) (fairqueue.RequestID, error) {
+	id := fairqueue.RequestID(requestIDs.Add(1))
+	now := s.pool.now()
+	s.mu.Lock()
+	s.queue.Expire(now)
+	d := s.queue.Submit(now, fairqueue.Request{
+		ID: id, Account: account, Weight: weight, Deadline: now + timeout, HasConn: hasConn,
+	})
+	if d.Verdict == fairqueue.Granted {
+		s.mu.Unlock()
+		return id, nil
+	}
+	if d.Verdict == fairqueue.Refused {
+		s.mu.Unlock()
+		return 0, busy(d.RetryAfter)
+	}
+	granted := make(chan struct{})
+	s.waiters[id] = granted
+	s.mu.Unlock()
+
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-granted:
+		return id, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return s.giveUp(id, account, granted, !hasConn)
+}
+
+// giveUp ends a wait. A grant that came at the same moment is given back.
+func (s *server) giveUp(id fairqueue.RequestID, account string, granted chan struct{}, withConn bool) (fairqueue.RequestID, error) {
+	s.mu.Lock()
+	s.queue.Cancel(account, id)
+	delete(s.waiters, id)
+	s.mu.Unlock()
+	select {
+	case <-granted:
+		s.release(id, withConn)
+	default:
+	}
+	return 0, busy(0)
+}
+
+// release gives back a slot, and with it the right to a connection if withConn.
+func (s *server) release(id fairqueue.RequestID, withConn bool) {
+	now := s.pool.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake(s.queue.ReleaseSlot(now, id))
+	if withConn {
+		s.wake(s.queue.ReleaseConnection(now))
+	}
+}
+
+// wake tells waiting callers that they were granted. The lock is held.
+func (s *server) wake(ids []fairqueue.RequestID) {
+	for _, id := range ids {
+		close(s.waiters[id])
+		delete(s.waiters, id)
+	}
+}
+
+// connection returns an idle connection of the wanted incarnation, or a new one.
+func (s *server) connection(ctx context.Context, r engine.AcquireRequest) (*upstream, error) {
+	for {
+		u := s.takeIdle(r.Target.Incarnation)
+		if u == nil {
+			return s.open(ctx, r)
+		}
+		if u.usable(s.pool.cfg.CheckAfter, s.pool.cfg.CheckTimeout) {
+			return u, nil
+		}
+		u.close()
+	}
+}
+
+// takeIdle returns the most recently used idle connection and closes those of other incarnations:
+// the server has closed its end of them.
+func (s *server) takeIdle(incarnation uint64) *upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.idle) > 0 {
+		u := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		if u.incarnation == incarnation {
+			return u
+		}
+		u.close()
+	}
+	return nil
+}
+
+// putIdle keeps u for the next statement.
+func (s *server) putIdle(u *upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		u.close()
+		return
+	}
+	u.since = time.Now()
+	s.idle = append(s.idle, u)
+}
+
+// open makes a new connection. Few are opened at a time, so that a failover or a restart of the
+// server is not met by a storm of connections.
+func (s *server) open(ctx context.Context, r engine.AcquireRequest) (*upstream, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.pool.cfg.ConnectTimeout)
+	defer cancel()
+	select {
+	case s.opening <- struct{}{}:
+		defer func() { <-s.opening }()
+	case <-ctx.Done():
+		return nil, unreachable(r, ctx.Err())
+	}
+	u, err := connect(ctx, s.pool.cfg, s.address)
+	if err != nil {
+		return nil, unreachable(r, err)
+	}
+	if u.incarnation != r.Target.Incarnation {
+		// The server restarted or rewound its log since it was chosen: what was known of its
+		// position does not hold for this connection.
+		s.putIdle(u)
+		return nil, outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
+			"server "+string(r.Target.Server)+" restarted while the statement was routed", "retry")
+	}
+	return u, nil
+}
+
+func busy(retryAfter time.Duration) *outcome.Error {
+	e := outcome.New(outcome.NotRun, outcome.CodeInsufficient,
+		"all slots of the server are taken until after the statement's queue timeout",
+		"retry later, send less at once or raise queueTimeout of the route")
+	return e.WithRetryAfter(max(retryAfter, 10*time.Millisecond))
+}
+
+func unreachable(r engine.AcquireRequest, err error) *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
+		"no connection to server "+string(r.Target.Server)+": "+err.Error(),
+		"retry; see whether the server is up").WithRetryAfter(50 * time.Millisecond)
+}
