--- /dev/null
+++ b/proxy/daemon/config.go
@@ -0,0 +1,123 @@
+// Package daemon assembles one instance: it starts the listeners, follows the manifest and the
+// instance list, and connects the engine, pools, group views, quota and peers.
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Defaults of Config.
+const (
+	DefaultDrainTimeout    = 30 * time.Second
+	DefaultMaxMessageBytes = 16 << 20
+	DefaultListPoll        = 5 * time.Second
+)
+
+// Config holds the settings of one instance.
+type Config struct {
+	InstanceID    string
+	Region        string
+	FailureDomain string
+
+	Listen     string // IP:port for callers
+	PeerListen string // IP:port for other instances
+	OpsListen  string // IP:port for metrics, health and readiness
+	StoreURL   string // http://IP:port of the platform's store
+
+	TLS        *tls.Config // towards callers
+	AllowPlain bool        // accept callers without TLS
+	PeerServer *tls.Config // between instances, nil for plain TCP
+	PeerClient *tls.Config
+
+	UpstreamUser     string
+	UpstreamPassword string
+
+	DrainTimeout    time.Duration
+	MaxMessageBytes int
+	ListPoll        time.Duration // of the platform's instance list
+
+	Log logrus.FieldLogger
+	// Listener, PeerListener and OpsListener are used in place of the addresses when set.
+	Listener, PeerListener, OpsListener net.Listener
+}
+
+// SettingError is one fault of the settings.
+type SettingError struct {
+	Setting string
+	Problem string
+	Remedy  string
+}
+
+// Error names the setting, the problem and the remedy.
+func (e *SettingError) Error() string {
+	return "--" + e.Setting + ": " + e.Problem + "; " + e.Remedy
+}
+
+// Validate reports all faults of the settings at once.
+func (c Config) Validate() error {
+	var faults []error
+	fault := func(setting, problem, remedy string) {
+		faults = append(faults, &SettingError{setting, problem, remedy})
+	}
+	for _, s := range []struct{ name, value string }{
+		{"instance-id", c.InstanceID},
+		{"region", c.Region},
+		{"failure-domain", c.FailureDomain},
+		{"upstream-user", c.UpstreamUser},
+	} {
+		if s.value == "" {
+			fault(s.name, "is not set", "give a name")
+		}
+	}
+	for _, s := range []struct {
+		name, value string
+		listener    net.Listener
+	}{
+		{"listen", c.Listen, c.Listener},
+		{"peer-listen", c.PeerListen, c.PeerListener},
+		{"ops-listen", c.OpsListen, c.OpsListener},
+	} {
+		if s.listener != nil {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(s.value); err != nil {
+			fault(s.name, "is not an IP address with a port: "+quote(s.value), "write it like 127.0.0.1:6432")
+		}
+	}
+	if problem := storeProblem(c.StoreURL); problem != "" {
+		fault("store", problem, "write it like http://127.0.0.1:7000")
+	}
+	if c.TLS == nil && !c.AllowPlain {
+		fault("tls-cert", "is not set and plain connections are not allowed",
+			"give --tls-cert and --tls-key, or --allow-plain for a trusted network")
+	}
+	if c.DrainTimeout <= 0 {
+		fault("drain-timeout", "must be above zero", "give a time such as 30s")
+	}
+	if c.MaxMessageBytes < 1024 {
+		fault("max-message-bytes", "must be 1024 or more", "give the size of the largest statement")
+	}
+	return errors.Join(faults...)
+}
+
+func storeProblem(s string) string {
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return "is not an http or https address: " + quote(s)
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		return "does not name the store by IP address and port: " + quote(s)
+	}
+	return ""
+}
+
+func quote(s string) string {
+	return `"` + s + `"`
+}
