Add the stand-in for a database group and its control client

standin/database serves PostgreSQL protocol 3 over TCP with one table, transactions, row locks, slots, connection limits, asynchronous replication with lag, fencing, promotion and rewind.

proxy/dbgroup gains Client, which implements Server through pgconn with one kept connection.

--- /dev/null
+++ b/proxy/dbgroup/client.go
@@ -0,0 +1,271 @@
+package dbgroup
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+// ControlParameter is the start-up parameter that marks a connection as a control connection.
+// A server gives it none of its client connections and runs only control functions on it.
+const ControlParameter = "cyclamenstile.control"
+
+// Errors of a Client, to be tested with errors.Is.
+var (
+	// ErrRefused: the server answered and did not do what was asked.
+	ErrRefused = errors.New("the server refused the control call; probe it and compare its fence")
+	// ErrNoListener: nothing listens on the server's address, which proves that its process ended.
+	ErrNoListener = errors.New("no process listens on the server's address; start the server")
+)
+
+const (
+	probeStatement   = "SELECT * FROM cyclamenstile.probe()"
+	fenceStatement   = "SELECT * FROM cyclamenstile.fence($1, $2)"
+	promoteStatement = "SELECT * FROM cyclamenstile.promote($1, $2)"
+)
+
+const (
+	defaultDatabase = "postgres"
+	keepAliveIdle   = 5 * time.Second
+	closeTimeout    = time.Second
+)
+
+// Config tells how a Client reaches its server.
+type Config struct {
+	Server   authority.ServerID
+	Address  string // IP:port
+	User     string
+	Password string // empty where the server trusts the caller
+	Database string // defaults to "postgres"
+	// Parameters are further start-up parameters.
+	Parameters map[string]string
+	// Dial opens the TCP connection; nil stands for a plain dialer with keepalive.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Client implements Server over the PostgreSQL protocol. It keeps one idle connection and opens a
+// further one when the kept connection is missing, broken or busy. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	conf *pgconn.Config
+
+	mu     sync.Mutex
+	kept   *pgconn.PgConn
+	closed bool
+}
+
+var _ Server = (*Client)(nil)
+
+// NewClient returns a client of the server at c.Address. It does not connect yet.
+func NewClient(c Config) (*Client, error) {
+	conf, err := ConnConfig(c)
+	if err != nil {
+		return nil, err
+	}
+	conf.RuntimeParams[ControlParameter] = "on"
+	return &Client{cfg: c, conf: conf}, nil
+}
+
+// ConnConfig returns the pgconn configuration of a plain connection to the server of c.
+func ConnConfig(c Config) (*pgconn.Config, error) {
+	host, portText, err := net.SplitHostPort(c.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "server address %q is not IP:port; correct it in the manifest", c.Address)
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, errors.Wrapf(err, "port of server address %q is not a number; correct it in the manifest", c.Address)
+	}
+	conf, err := pgconn.ParseConfig("host=127.0.0.1 sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrap(err, "prepare connection settings; check the PG* environment variables")
+	}
+	conf.Host, conf.Port = host, uint16(port)
+	conf.User, conf.Password = c.User, c.Password
+	conf.Database = c.Database
+	if conf.Database == "" {
+		conf.Database = defaultDatabase
+	}
+	conf.DialFunc = c.Dial
+	if c.Dial == nil {
+		conf.DialFunc = (&net.Dialer{KeepAlive: keepAliveIdle}).DialContext
+	}
+	conf.Fallbacks = nil
+	maps.Copy(conf.RuntimeParams, c.Parameters)
+	return conf, nil
+}
+
+// Probe returns the server's present state over the kept connection.
+func (c *Client) Probe(ctx context.Context) (authority.ServerState, error) {
+	return c.call(ctx, probeStatement)
+}
+
+// ProbeFresh probes over a new connection, which tells a silent connection from a silent server.
+func (c *Client) ProbeFresh(ctx context.Context) (authority.ServerState, error) {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return authority.ServerState{}, err
+	}
+	defer c.release(conn)
+	return c.run(ctx, conn, probeStatement)
+}
+
+// Fence places the fence (term, owner); see Server.
+func (c *Client) Fence(ctx context.Context, term uint64, owner string) (authority.ServerState, error) {
+	return c.call(ctx, fenceStatement, strconv.FormatUint(term, 10), owner)
+}
+
+// Promote makes the server the primary of term; see Server.
+func (c *Client) Promote(ctx context.Context, term uint64, owner string) (authority.ServerState, error) {
+	return c.call(ctx, promoteStatement, strconv.FormatUint(term, 10), owner)
+}
+
+// Close closes the kept connection. Later calls use a connection each.
+func (c *Client) Close() {
+	c.mu.Lock()
+	conn := c.kept
+	c.kept, c.closed = nil, true
+	c.mu.Unlock()
+	closeConn(conn)
+}
+
+// call runs a control statement. All of them are idempotent, so a kept connection that turns out
+// to be broken is replaced once.
+func (c *Client) call(ctx context.Context, statement string, args ...string) (authority.ServerState, error) {
+	if conn := c.takeKept(); conn != nil {
+		state, err := c.run(ctx, conn, statement, args...)
+		c.release(conn)
+		if err == nil || errors.Is(err, ErrRefused) || ctx.Err() != nil {
+			return state, err
+		}
+	}
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return authority.ServerState{}, err
+	}
+	defer c.release(conn)
+	return c.run(ctx, conn, statement, args...)
+}
+
+func (c *Client) run(ctx context.Context, conn *pgconn.PgConn, statement string, args ...string) (authority.ServerState, error) {
+	values := make([][]byte, len(args))
+	for i, a := range args {
+		values[i] = []byte(a)
+	}
+	result := conn.ExecParams(ctx, statement, values, nil, nil, nil).Read()
+	if result.Err != nil {
+		return authority.ServerState{}, c.wrap(result.Err, "control call")
+	}
+	if len(result.Rows) != 1 {
+		return authority.ServerState{}, errors.Newf("server %s answered a control call with %d rows instead of 1; check its version", c.cfg.Server, len(result.Rows))
+	}
+	state, err := ParseState(result.Rows[0])
+	if err == nil && c.cfg.Server != "" {
+		state.Server = c.cfg.Server
+	}
+	return state, err
+}
+
+func (c *Client) connect(ctx context.Context) (*pgconn.PgConn, error) {
+	conn, err := pgconn.ConnectConfig(ctx, c.conf)
+	if err != nil {
+		return nil, c.wrap(err, "connect")
+	}
+	return conn, nil
+}
+
+func (c *Client) wrap(err error, step string) error {
+	wrapped := errors.Wrapf(err, "%s to server %s at %s", step, c.cfg.Server, c.cfg.Address)
+	var refusal *pgconn.PgError
+	if errors.As(err, &refusal) {
+		return errors.Mark(wrapped, ErrRefused)
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Mark(wrapped, ErrNoListener)
+	}
+	return wrapped
+}
+
+func (c *Client) takeKept() *pgconn.PgConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.kept
+	c.kept = nil
+	return conn
+}
+
+func (c *Client) release(conn *pgconn.PgConn) {
+	c.mu.Lock()
+	if !c.closed && c.kept == nil && !conn.IsClosed() {
+		c.kept, conn = conn, nil
+	}
+	c.mu.Unlock()
+	closeConn(conn)
+}
+
+func closeConn(conn *pgconn.PgConn) {
+	if conn == nil || conn.IsClosed() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = conn.Close(ctx)
+}
+
+// StateColumns are the columns of the row that every control function returns, in order, with
+// all values in text format. history is a JSON list of {term, start}; the age is in microseconds.
+var StateColumns = []string{
+	"server", "incarnation", "role", "term", "fence_term", "fence_owner", "lsn", "history", "primary_contact_age_us",
+}
+
+// ParseState decodes a row of StateColumns.
+func ParseState(row [][]byte) (authority.ServerState, error) {
+	if len(row) != len(StateColumns) {
+		return authority.ServerState{}, errors.Newf("server state has %d columns instead of %d; check the server's version", len(row), len(StateColumns))
+	}
+	p := stateParser{row: row}
+	s := authority.ServerState{
+		Server:            authority.ServerID(row[0]),
+		Incarnation:       p.number(1),
+		Role:              authority.Role(row[2]),
+		Term:              p.number(3),
+		FenceTerm:         p.number(4),
+		FenceOwner:        string(row[5]),
+		LSN:               p.number(6),
+		PrimaryContactAge: time.Duration(p.number(8)) * time.Microsecond,
+	}
+	p.decode(7, &s.History)
+	return s, p.err
+}
+
+// stateParser keeps the first error of a row.
+type stateParser struct {
+	row [][]byte
+	err error
+}
+
+func (p *stateParser) number(column int) uint64 {
+	n, err := strconv.ParseUint(string(p.row[column]), 10, 64)
+	p.keep(column, err)
+	return n
+}
+
+func (p *stateParser) decode(column int, v any) {
+	p.keep(column, json.Unmarshal(p.row[column], v))
+}
+
+func (p *stateParser) keep(column int, err error) {
+	if p.err == nil && err != nil {
+		p.err = errors.Wrapf(err, "column %s of the server state; check the server's version", StateColumns[column])
+	}
+}
--- /dev/null
+++ b/standin/database/execute.go
@@ -0,0 +1,393 @@
+package database
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+)
+
+// Limits of SELECT repeat(...) FROM generate_series(...).
+const (
+	maxRepeat = 1 << 20
+	maxSeries = 1 << 30
+)
+
+// execute runs a bound statement, sends its rows and returns its command tag.
+func (s *session) execute(p *portal) (string, error) {
+	select {
+	case <-s.interrupt: // meant for an earlier statement
+	default:
+	}
+	s.busy.Store(true)
+	defer s.busy.Store(false)
+
+	if p.stmt.control() {
+		return s.executeControl(p)
+	}
+	if s.control {
+		return "", newError(codeInsufficientRights, "a control connection runs control functions only")
+	}
+	switch p.stmt.kind {
+	case stmtCommit, stmtRollback:
+		return s.endTransaction(p.stmt.kind)
+	}
+	if s.failed {
+		return "", errFailed
+	}
+	switch p.stmt.kind {
+	case stmtBegin:
+		return s.beginTransaction(p.stmt)
+	case stmtShowReadOnly:
+		return "SHOW", s.sendRow(p, s.readOnlySetting())
+	}
+	return s.executeInSlot(p)
+}
+
+func (s *session) beginTransaction(stmt *statement) (string, error) {
+	if s.txn == nil {
+		s.txn = &transaction{}
+	}
+	s.txn.implicit = false
+	s.txn.readOnly = stmt.readOnly
+	return "BEGIN", nil
+}
+
+func (s *session) endTransaction(kind statementKind) (string, error) {
+	if s.failed || kind == stmtRollback {
+		s.failed = false
+		s.abort()
+		return "ROLLBACK", nil
+	}
+	if s.txn == nil {
+		return "COMMIT", nil
+	}
+	return "COMMIT", s.commitInSlot()
+}
+
+// commitInSlot commits the transaction block. A failure ends the block.
+func (s *session) commitInSlot() error {
+	s.txn.implicit = true
+	if len(s.txn.ops) > 0 {
+		if err := s.enterSlot(); err != nil {
+			return err
+		}
+		defer s.server.leaveSlot()
+	}
+	return s.commit()
+}
+
+func (s *session) readOnlySetting() string {
+	if s.txn != nil && s.txn.readOnly || s.server.state.checkWritable() != nil {
+		return "on"
+	}
+	return "off"
+}
+
+func (s *session) executeInSlot(p *portal) (string, error) {
+	if p.stmt.writes() {
+		if err := s.prepareWrite(p); err != nil {
+			return "", err
+		}
+	}
+	if !p.stmt.usesSlot() {
+		return s.run(p)
+	}
+	if err := s.enterSlot(); err != nil {
+		return "", err
+	}
+	defer s.server.leaveSlot()
+	return s.run(p)
+}
+
+// enterSlot waits for a slot and spends the service time in it.
+func (s *session) enterSlot() error {
+	srv := s.server
+	if srv.slots != nil {
+		select {
+		case srv.slots <- struct{}{}:
+		case <-s.interrupt:
+			return errCanceled
+		case <-srv.stop:
+			return errStopped
+		}
+	}
+	err := s.sleep(srv.cfg.ServiceTime)
+	if err == nil && !srv.pause.wait(srv.stop) {
+		err = errStopped
+	}
+	if err != nil {
+		srv.leaveSlot()
+	}
+	return err
+}
+
+func (s *session) sleep(d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-s.interrupt:
+		return errCanceled
+	case <-s.server.stop:
+		return errStopped
+	}
+}
+
+// prepareWrite checks that the session may write and locks the rows. Locks are taken outside a
+// slot, so that waiting for a lock can't keep its holder from a slot.
+func (s *session) prepareWrite(p *portal) error {
+	if s.txn != nil && s.txn.readOnly {
+		return errReadOnly
+	}
+	if err := s.server.state.checkWritable(); err != nil {
+		return err
+	}
+	if s.txn == nil {
+		s.txn = &transaction{implicit: true}
+	}
+	for _, key := range p.writtenKeys() {
+		err := s.server.locks.acquire(s.txn, key, s.server.cfg.LockTimeout, s.interrupt, s.server.stop)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *portal) writtenKeys() []string {
+	if p.stmt.kind != stmtInsert {
+		return p.args[len(p.args)-1:]
+	}
+	var keys []string
+	for i := 0; i < len(p.args); i += 2 {
+		keys = append(keys, p.args[i])
+	}
+	return keys
+}
+
+func (s *session) run(p *portal) (string, error) {
+	switch p.stmt.kind {
+	case stmtSelectOne:
+		return "SELECT 1", s.sendRow(p, "1")
+	case stmtSelectValue:
+		return s.selectValue(p)
+	case stmtSelectAll:
+		return s.selectAll(p)
+	case stmtSleep:
+		return s.selectSleep(p)
+	case stmtRepeat:
+		return s.selectRepeat(p)
+	case stmtInsert:
+		return s.insert(p)
+	case stmtUpdate:
+		return s.update(p)
+	case stmtDelete:
+		return s.delete(p)
+	}
+	return "", errors.Newf("statement kind %d has no execution", p.stmt.kind)
+}
+
+// read returns the value of key as the session's transaction sees it.
+func (s *session) read(key string) (string, bool) {
+	if s.txn != nil {
+		if v, ok := s.txn.view[key]; ok {
+			if v == nil {
+				return "", false
+			}
+			return *v, true
+		}
+	}
+	return s.server.state.get(key)
+}
+
+func (s *session) selectValue(p *portal) (string, error) {
+	v, ok := s.read(p.args[0])
+	if !ok {
+		return "SELECT 0", nil
+	}
+	return "SELECT 1", s.sendRow(p, v)
+}
+
+func (s *session) selectAll(p *portal) (string, error) {
+	rows := s.server.Rows()
+	if s.txn != nil {
+		for key, v := range s.txn.view {
+			delete(rows, key)
+			if v != nil {
+				rows[key] = *v
+			}
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		if err := s.sendRow(p, key, rows[key]); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("SELECT %d", len(rows)), nil
+}
+
+func (s *session) selectSleep(p *portal) (string, error) {
+	seconds, err := strconv.ParseFloat(p.args[0], 64)
+	if err != nil {
+		return "", newError(codeInvalidParameter, "pg_sleep takes a number of seconds")
+	}
+	if err := s.sleep(time.Duration(seconds * float64(time.Second))); err != nil {
+		return "", err
+	}
+	return "SELECT 1", s.sendRow(p, "")
+}
+
+func (s *session) selectRepeat(p *portal) (string, error) {
+	var numbers [3]int // repetitions, first and last of the series
+	for i, limit := range []int{maxRepeat, maxSeries, maxSeries} {
+		n, err := parseLimited(p.args[i+1], limit)
+		if err != nil {
+			return "", err
+		}
+		numbers[i] = n
+	}
+	n, from, to := numbers[0], numbers[1], numbers[2]
+	text := strings.Repeat(p.args[0], n)
+	for i := from; i <= to; i++ {
+		if err := s.sendRow(p, text); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("SELECT %d", max(0, to-from+1)), nil
+}
+
+func parseLimited(text string, limit int) (int, error) {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > limit {
+		return 0, newError(codeInvalidParameter, fmt.Sprintf("%q is not a number from 0 to %d", text, limit))
+	}
+	return n, nil
+}
+
+func (s *session) insert(p *portal) (string, error) {
+	for i := 0; i < len(p.args); i += 2 {
+		result, err := s.insertRow(p.stmt.onConflict, p.args[i], p.args[i+1])
+		if err != nil {
+			return "", err
+		}
+		if err := s.returnValue(p, result); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("INSERT 0 %d", len(p.args)/2), nil
+}
+
+func (s *session) insertRow(onConflict conflictAction, key, value string) (string, error) {
+	old, exists := s.read(key)
+	switch {
+	case exists && onConflict == conflictFails:
+		return "", newError(codeUniqueViolation, "duplicate key value violates unique constraint \"kv_pkey\"")
+	case exists && onConflict == conflictAppends:
+		return s.writeAppend(key, old, value), nil
+	}
+	return s.writeSet(key, value), nil
+}
+
+func (s *session) update(p *portal) (string, error) {
+	value, key := p.args[0], p.args[1]
+	old, exists := s.read(key)
+	if !exists {
+		return "UPDATE 0", nil
+	}
+	if p.stmt.appends {
+		value = s.writeAppend(key, old, value)
+	} else {
+		value = s.writeSet(key, value)
+	}
+	return "UPDATE 1", s.returnValue(p, value)
+}
+
+func (s *session) delete(p *portal) (string, error) {
+	key := p.args[0]
+	old, exists := s.read(key)
+	if !exists {
+		return "DELETE 0", nil
+	}
+	s.txn.write(op{Kind: opDelete, Key: key}, nil)
+	return "DELETE 1", s.returnValue(p, old)
+}
+
+func (s *session) writeSet(key, value string) string {
+	s.txn.write(op{Kind: opSet, Key: key, Value: value}, &value)
+	return value
+}
+
+func (s *session) writeAppend(key, old, value string) string {
+	result := old + value
+	s.txn.write(op{Kind: opAppend, Key: key, Value: value}, &result)
+	return result
+}
+
+func (s *session) returnValue(p *portal, value string) error {
+	if !p.stmt.returning {
+		return nil
+	}
+	return s.sendRow(p, value)
+}
+
+var stateColumns = func() []column {
+	list := make([]column, len(dbgroup.StateColumns))
+	for i, name := range dbgroup.StateColumns {
+		list[i] = column{name, oidText}
+	}
+	return list
+}()
+
+// executeControl runs a control function. It needs no slot.
+func (s *session) executeControl(p *portal) (string, error) {
+	if p.stmt.kind == stmtProbe {
+		return "SELECT 1", s.sendState(p, s.server.state.snapshot())
+	}
+	term, err := strconv.ParseUint(p.args[0], 10, 64)
+	if err != nil {
+		return "", newError(codeInvalidParameter, "the term is not a number")
+	}
+	if p.stmt.kind == stmtLog {
+		return s.sendLog(p, term)
+	}
+	change := s.server.state.placeFence
+	if p.stmt.kind == stmtPromote {
+		change = s.server.state.promote
+	}
+	state, err := change(term, p.args[1])
+	if err != nil {
+		return "", err
+	}
+	return "SELECT 1", s.sendState(p, state)
+}
+
+func (s *session) sendState(p *portal, v authority.ServerState) error {
+	history, err := json.Marshal(v.History)
+	if err != nil {
+		return errors.Wrap(err, "encode the history")
+	}
+	return s.sendRow(p,
+		string(v.Server),
+		strconv.FormatUint(v.Incarnation, 10),
+		string(v.Role),
+		strconv.FormatUint(v.Term, 10),
+		strconv.FormatUint(v.FenceTerm, 10),
+		v.FenceOwner,
+		strconv.FormatUint(v.LSN, 10),
+		string(history),
+		strconv.FormatInt(v.PrimaryContactAge.Microseconds(), 10),
+	)
+}
--- /dev/null
+++ b/standin/database/gate.go
@@ -0,0 +1,34 @@
+package database
+
+import "sync/atomic"
+
+// gate holds back those who pass while it is shut.
+type gate struct {
+	shut atomic.Pointer[chan struct{}]
+}
+
+func (g *gate) close() {
+	ch := make(chan struct{})
+	g.shut.CompareAndSwap(nil, &ch)
+}
+
+func (g *gate) open() {
+	if ch := g.shut.Swap(nil); ch != nil {
+		close(*ch)
+	}
+}
+
+// wait returns true once the gate is open, false when stop is closed first.
+func (g *gate) wait(stop <-chan struct{}) bool {
+	for {
+		ch := g.shut.Load()
+		if ch == nil {
+			return true
+		}
+		select {
+		case <-*ch:
+		case <-stop:
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/standin/database/locks.go
@@ -0,0 +1,85 @@
+package database
+
+import (
+	"sync"
+	"time"
+)
+
+// lockTable holds the row locks of open transactions by key. Deadlocks end by the timeout.
+type lockTable struct {
+	mu    sync.Mutex
+	locks map[string]*rowLock
+}
+
+type rowLock struct {
+	owner *transaction
+	freed chan struct{}
+}
+
+// acquire locks key for t. It fails after the timeout, or when interrupt or stop delivers.
+func (l *lockTable) acquire(t *transaction, key string, timeout time.Duration, interrupt, stop <-chan struct{}) error {
+	var expired <-chan time.Time
+	for {
+		freed := l.try(t, key)
+		if freed == nil {
+			return nil
+		}
+		if expired == nil {
+			timer := time.NewTimer(timeout)
+			defer timer.Stop()
+			expired = timer.C
+		}
+		select {
+		case <-freed:
+		case <-expired:
+			return errLock
+		case <-interrupt:
+			return errCanceled
+		case <-stop:
+			return errStopped
+		}
+	}
+}
+
+// try locks key for t and returns nil, or a channel that is closed when the holder frees it.
+func (l *lockTable) try(t *transaction, key string) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.locks[key]
+	if held == nil {
+		l.locks[key] = &rowLock{owner: t, freed: make(chan struct{})}
+		t.locked = append(t.locked, key)
+		return nil
+	}
+	if held.owner == t {
+		return nil
+	}
+	return held.freed
+}
+
+func (l *lockTable) release(t *transaction) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, key := range t.locked {
+		close(l.locks[key].freed)
+		delete(l.locks, key)
+	}
+	t.locked = nil
+}
+
+// transaction collects the writes of an open transaction and shows them to its own reads.
+type transaction struct {
+	implicit bool // ends at the next Sync or at the end of the query message
+	readOnly bool
+	ops      []op
+	view     map[string]*string // keys written here; nil for a deleted one
+	locked   []string
+}
+
+func (t *transaction) write(o op, result *string) {
+	if t.view == nil {
+		t.view = make(map[string]*string)
+	}
+	t.ops = append(t.ops, o)
+	t.view[o.Key] = result
+}
--- /dev/null
+++ b/standin/database/session.go
@@ -0,0 +1,415 @@
+package database
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// flushBytes is the amount of row data after which a result is written to the client. The write
+// blocks while the client doesn't read, which is the back pressure of large results.
+const flushBytes = 32 << 10
+
+// session serves one client connection.
+type session struct {
+	server  *Server
+	conn    net.Conn
+	backend *pgproto3.Backend
+	pid     uint32
+	secret  uint32
+	control bool // runs control functions only and isn't counted
+	peer    bool // replication link of another server of the group
+
+	busy      atomic.Bool
+	interrupt chan struct{} // takes one cancel request
+
+	txn      *transaction
+	failed   bool // the transaction block has failed and waits for its end
+	skipping bool // an extended message has failed; messages are skipped up to Sync
+	unsent   int  // bytes of rows since the last flush
+
+	statements map[string]*statement
+	portals    map[string]*portal
+}
+
+// portal is a bound statement.
+type portal struct {
+	stmt    *statement
+	args    []string
+	formats []int16
+}
+
+func newSession(s *Server, conn net.Conn) *session {
+	return &session{
+		server:     s,
+		conn:       conn,
+		backend:    pgproto3.NewBackend(conn, conn),
+		interrupt:  make(chan struct{}, 1),
+		statements: make(map[string]*statement),
+		portals:    make(map[string]*portal),
+	}
+}
+
+// cancel interrupts the statement in execution, if there is one.
+func (s *session) cancel() {
+	if !s.busy.Load() {
+		return
+	}
+	select {
+	case s.interrupt <- struct{}{}:
+	default:
+	}
+}
+
+// serve handles messages until the connection ends.
+func (s *session) serve() error {
+	defer s.abort()
+	for {
+		msg, err := s.backend.Receive()
+		if err != nil {
+			return err
+		}
+		if !s.server.pause.wait(s.server.stop) {
+			return errStopped
+		}
+		if _, ok := msg.(*pgproto3.Terminate); ok {
+			return io.EOF
+		}
+		if err := s.handle(msg); err != nil {
+			return err
+		}
+	}
+}
+
+// handle returns an error only if the connection must end.
+func (s *session) handle(msg pgproto3.FrontendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		return s.simpleQuery(m.String)
+	case *pgproto3.Sync:
+		return s.sync()
+	case *pgproto3.Flush:
+		return s.flush()
+	}
+	if s.skipping {
+		return nil
+	}
+	err := s.extended(msg)
+	if err == nil || fatal(err) {
+		return err
+	}
+	s.skipping = true
+	s.sendError(err)
+	return nil
+}
+
+func (s *session) extended(msg pgproto3.FrontendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.Parse:
+		return s.parse(m)
+	case *pgproto3.Bind:
+		return s.bind(m)
+	case *pgproto3.Describe:
+		return s.describe(m)
+	case *pgproto3.Execute:
+		return s.executePortal(m)
+	case *pgproto3.Close:
+		return s.closeObject(m)
+	}
+	return newError(codeFeatureNotSupported, "message type is not supported by the stand-in")
+}
+
+// fatal reports whether err ends the connection instead of the statement.
+func fatal(err error) bool {
+	var e *sqlError
+	return !errors.As(err, &e)
+}
+
+func (s *session) flush() error {
+	if !s.server.pause.wait(s.server.stop) {
+		return errStopped
+	}
+	s.unsent = 0
+	return s.backend.Flush()
+}
+
+func (s *session) sendError(err error) {
+	s.rollbackOnError()
+	s.backend.Send(errorResponse(err, "ERROR"))
+}
+
+// rollbackOnError ends an implicit transaction and fails an explicit one.
+func (s *session) rollbackOnError() {
+	if s.txn == nil {
+		return
+	}
+	s.failed = !s.txn.implicit
+	s.discard()
+}
+
+// discard drops the transaction's writes and locks. A failed block keeps an empty transaction.
+func (s *session) discard() {
+	s.server.locks.release(s.txn)
+	s.txn = nil
+}
+
+func (s *session) abort() {
+	if s.txn != nil {
+		s.discard()
+	}
+}
+
+func (s *session) ready() error {
+	status := byte('I')
+	switch {
+	case s.failed:
+		status = 'E'
+	case s.txn != nil:
+		status = 'T'
+	}
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	return s.flush()
+}
+
+func (s *session) simpleQuery(sql string) error {
+	s.skipping = false
+	err := s.runSimple(sql)
+	if err == nil {
+		err = s.settle()
+	}
+	if err != nil {
+		if fatal(err) {
+			return err
+		}
+		s.sendError(err)
+	}
+	return s.ready()
+}
+
+func (s *session) runSimple(sql string) error {
+	list, err := parseAll(sql)
+	if err != nil {
+		return newError(codeSyntax, err.Error())
+	}
+	if len(list) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for i, stmt := range list {
+		if err := s.runSimpleStatement(stmt, len(list) > 1, i == len(list)-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) runSimpleStatement(stmt *statement, several, last bool) error {
+	if len(stmt.params) > 0 {
+		return newError(codeSyntax, "there is no parameter $1 in a simple query")
+	}
+	if several && s.txn == nil && !s.failed && stmt.kind != stmtBegin {
+		s.txn = &transaction{implicit: true}
+	}
+	args, err := stmt.bindArgs(nil)
+	if err != nil {
+		return err
+	}
+	p := &portal{stmt: stmt, args: args}
+	if len(stmt.columns) > 0 {
+		s.backend.Send(describeRows(stmt.columns, nil))
+	}
+	tag, err := s.execute(p)
+	if err != nil {
+		return err
+	}
+	if last {
+		// A write outside a transaction block commits before its answer.
+		if err := s.settle(); err != nil {
+			return err
+		}
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+// settle commits an implicit transaction.
+func (s *session) settle() error {
+	if s.txn == nil || !s.txn.implicit {
+		return nil
+	}
+	return s.commit()
+}
+
+func (s *session) commit() error {
+	if !s.server.pause.wait(s.server.stop) {
+		return errStopped
+	}
+	defer s.discard()
+	if len(s.txn.ops) == 0 {
+		return nil
+	}
+	return s.server.state.commit(s.txn.ops)
+}
+
+func (s *session) sync() error {
+	s.skipping = false
+	if err := s.settle(); err != nil {
+		if fatal(err) {
+			return err
+		}
+		s.sendError(err)
+	}
+	clear(s.portals)
+	return s.ready()
+}
+
+func (s *session) parse(m *pgproto3.Parse) error {
+	list, err := parseAll(m.Query)
+	if err != nil {
+		return newError(codeSyntax, err.Error())
+	}
+	if len(list) > 1 {
+		return newError(codeSyntax, "cannot insert multiple commands into a prepared statement")
+	}
+	stmt := &statement{}
+	if len(list) == 1 {
+		stmt = list[0]
+	}
+	if err := s.server.checkParams(stmt); err != nil {
+		return err
+	}
+	s.statements[m.Name] = stmt
+	s.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	stmt, ok := s.statements[m.PreparedStatement]
+	if !ok {
+		return newError(codeUnknownStatement, "prepared statement \""+m.PreparedStatement+"\" does not exist")
+	}
+	if len(m.Parameters) != len(stmt.params) {
+		return newError(codeProtocolViolation, "bind message supplies a wrong number of parameters")
+	}
+	values := make([]string, len(m.Parameters))
+	for i, raw := range m.Parameters {
+		v, err := decodeParam(raw, stmt.params[i], formatOf(m.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		values[i] = v
+	}
+	args, err := stmt.bindArgs(values)
+	if err != nil {
+		return err
+	}
+	formats := append([]int16(nil), m.ResultFormatCodes...)
+	s.portals[m.DestinationPortal] = &portal{stmt: stmt, args: args, formats: formats}
+	s.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+// bindArgs replaces parameters by their values, in the order of the statement's operands.
+func (s *statement) bindArgs(values []string) ([]string, error) {
+	if len(s.args) == 0 {
+		return nil, nil
+	}
+	args := make([]string, len(s.args))
+	for i, a := range s.args {
+		switch {
+		case a.param == 0:
+			args[i] = a.literal
+		case a.param <= len(values):
+			args[i] = values[a.param-1]
+		default:
+			return nil, newError(codeProtocolViolation, "a parameter has no value")
+		}
+	}
+	return args, nil
+}
+
+func (s *session) describe(m *pgproto3.Describe) error {
+	var stmt *statement
+	var formats []int16
+	if m.ObjectType == 'S' {
+		stmt = s.statements[m.Name]
+		if stmt == nil {
+			return newError(codeUnknownStatement, "prepared statement \""+m.Name+"\" does not exist")
+		}
+		s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: stmt.params})
+	} else {
+		p := s.portals[m.Name]
+		if p == nil {
+			return newError(codeUnknownPortal, "portal \""+m.Name+"\" does not exist")
+		}
+		stmt, formats = p.stmt, p.formats
+	}
+	if len(stmt.columns) == 0 {
+		s.backend.Send(&pgproto3.NoData{})
+		return nil
+	}
+	s.backend.Send(describeRows(stmt.columns, formats))
+	return nil
+}
+
+func (s *session) executePortal(m *pgproto3.Execute) error {
+	p := s.portals[m.Portal]
+	if p == nil {
+		return newError(codeUnknownPortal, "portal \""+m.Portal+"\" does not exist")
+	}
+	if m.MaxRows > 0 {
+		return newError(codeFeatureNotSupported, "row limits are not supported by the stand-in; fetch all rows")
+	}
+	if p.stmt.kind == stmtEmpty {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	tag, err := s.execute(p)
+	if err != nil {
+		return err
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+func (s *session) closeObject(m *pgproto3.Close) error {
+	if m.ObjectType == 'S' {
+		delete(s.statements, m.Name)
+	} else {
+		delete(s.portals, m.Name)
+	}
+	s.backend.Send(&pgproto3.CloseComplete{})
+	return nil
+}
+
+// sendRow sends one row whose values are given as text.
+func (s *session) sendRow(p *portal, values ...string) error {
+	row := make([][]byte, len(values))
+	for i, v := range values {
+		raw, err := encodeValue(v, p.stmt.columns[i].oid, formatOf(p.formats, i))
+		if err != nil {
+			return err
+		}
+		row[i] = raw
+		s.unsent += len(raw)
+	}
+	s.backend.Send(&pgproto3.DataRow{Values: row})
+	if s.unsent < flushBytes {
+		return nil
+	}
+	if err := s.interrupted(); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+func (s *session) interrupted() error {
+	select {
+	case <-s.interrupt:
+		return errCanceled
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/database/state.go
@@ -0,0 +1,277 @@
+package database
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+// firstTerm is the term in which a group begins.
+const firstTerm = 1
+
+// state is a server's data, log and promises. Its journal is written before a change is visible.
+type state struct {
+	id      authority.ServerID
+	storage storage
+	// drop closes all client connections; it is called before a new incarnation is visible.
+	drop func()
+
+	mu          sync.RWMutex
+	rows        map[string]string
+	log         []*record // log[i] has LSN i+1
+	history     position.History
+	incarnation uint64
+	fence       fence
+	promoted    uint64 // term that this server is the primary of, 0 none
+	contact     time.Time
+	stopped     bool
+	changed     chan struct{} // closed at the next change; nil while nobody waits
+}
+
+func openState(id authority.ServerID, s storage, primary bool, drop func()) (*state, error) {
+	st := &state{id: id, storage: s, drop: drop, contact: time.Now()}
+	st.reset()
+	entries, err := s.load()
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		st.replay(e)
+	}
+	if len(entries) == 0 && primary {
+		if err := st.setPromoted(firstTerm); err != nil {
+			return nil, err
+		}
+	}
+	return st, st.nextIncarnation()
+}
+
+func (s *state) reset() {
+	s.rows = make(map[string]string)
+	s.log = nil
+	s.history = position.History{{Term: firstTerm}}
+}
+
+func (s *state) replay(e entry) {
+	switch {
+	case e.Record != nil:
+		s.apply(e.Record)
+	case e.Fence != nil:
+		s.fence = *e.Fence
+	case e.Promoted != nil:
+		s.promoted = *e.Promoted
+	case e.Rewind != nil:
+		s.cutLog(*e.Rewind)
+	case e.Incarnation != 0:
+		s.incarnation = e.Incarnation
+	}
+}
+
+// apply adds a record to the log and the rows.
+func (s *state) apply(r *record) {
+	s.log = append(s.log, r)
+	if r.Begin {
+		s.history = append(s.history, position.Branch{Term: r.Term, Start: r.LSN - 1})
+	}
+	for _, o := range r.Ops {
+		switch o.Kind {
+		case opSet:
+			s.rows[o.Key] = o.Value
+		case opAppend:
+			s.rows[o.Key] += o.Value
+		case opDelete:
+			delete(s.rows, o.Key)
+		}
+	}
+}
+
+func (s *state) cutLog(lsn uint64) {
+	kept := s.log[:lsn:lsn]
+	s.reset()
+	for _, r := range kept {
+		s.apply(r)
+	}
+}
+
+func (s *state) lsn() uint64 { return uint64(len(s.log)) }
+
+func (s *state) role() authority.Role {
+	switch {
+	case s.fence.Term > s.history.Term():
+		return authority.RoleFenced
+	case s.promoted == s.history.Term():
+		return authority.RolePrimary
+	}
+	return authority.RoleReplica
+}
+
+// notify wakes those who wait for a change. The caller holds mu.
+func (s *state) notify() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// nextChange returns a channel that is closed at the next change. The caller holds mu for writing.
+func (s *state) nextChange() <-chan struct{} {
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+func (s *state) nextIncarnation() error {
+	if err := s.storage.append(entry{Incarnation: s.incarnation + 1}); err != nil {
+		return err
+	}
+	s.incarnation++
+	return nil
+}
+
+func (s *state) setPromoted(term uint64) error {
+	if err := s.storage.append(entry{Promoted: &term}); err != nil {
+		return err
+	}
+	s.promoted = term
+	return nil
+}
+
+// appendRecord writes a record of the given term to the journal and applies it.
+func (s *state) appendRecord(r *record) error {
+	if err := s.storage.append(entry{Record: r}); err != nil {
+		return err
+	}
+	s.apply(r)
+	s.notify()
+	return nil
+}
+
+// snapshot returns the state that a probe shows.
+func (s *state) snapshot() authority.ServerState {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.view()
+}
+
+func (s *state) view() authority.ServerState {
+	v := authority.ServerState{
+		Server:      s.id,
+		Incarnation: s.incarnation,
+		Role:        s.role(),
+		Term:        s.history.Term(),
+		FenceTerm:   s.fence.Term,
+		FenceOwner:  s.fence.Owner,
+		LSN:         s.lsn(),
+		History:     slices.Clone(s.history),
+	}
+	if v.Role != authority.RolePrimary {
+		v.PrimaryContactAge = time.Since(s.contact)
+	}
+	return v
+}
+
+func (s *state) get(key string) (string, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.rows[key]
+	return v, ok
+}
+
+// checkWritable returns errReadOnly unless the server is an unfenced primary.
+func (s *state) checkWritable() error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.writable()
+}
+
+func (s *state) writable() error {
+	if s.stopped {
+		return errStopped
+	}
+	if s.role() != authority.RolePrimary {
+		return errReadOnly
+	}
+	return nil
+}
+
+// commit makes ops one record of the log, or fails without any effect.
+func (s *state) commit(ops []op) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.writable(); err != nil {
+		return err
+	}
+	return s.appendRecord(&record{
+		LSN:  s.lsn() + 1,
+		Term: s.history.Term(),
+		Time: time.Now().UnixNano(),
+		Ops:  ops,
+	})
+}
+
+// placeFence accepts a fence above the present one and the log's term, or the present one again.
+func (s *state) placeFence(term uint64, owner string) (authority.ServerState, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := fence{term, owner}
+	if s.stopped {
+		return authority.ServerState{}, errStopped
+	}
+	if s.fence == wanted {
+		return s.view(), nil
+	}
+	if term <= s.fence.Term || term <= s.history.Term() {
+		return authority.ServerState{}, s.refusal("fence", wanted)
+	}
+	if err := s.storage.append(entry{Fence: &wanted}); err != nil {
+		return authority.ServerState{}, err
+	}
+	s.fence = wanted
+	s.notify()
+	return s.view(), nil
+}
+
+// promote makes the server the primary of term if it is fenced at exactly (term, owner).
+func (s *state) promote(term uint64, owner string) (authority.ServerState, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := fence{term, owner}
+	if s.stopped {
+		return authority.ServerState{}, errStopped
+	}
+	if s.fence == wanted && s.promoted == term && s.history.Term() == term {
+		return s.view(), nil
+	}
+	if s.fence != wanted || s.history.Term() >= term {
+		return authority.ServerState{}, s.refusal("promotion", wanted)
+	}
+	// The journal names the promotion first: without its record the server stays fenced and
+	// accepts the promotion again.
+	if err := s.setPromoted(term); err != nil {
+		return authority.ServerState{}, err
+	}
+	r := &record{LSN: s.lsn() + 1, Term: term, Time: time.Now().UnixNano(), Begin: true}
+	if err := s.appendRecord(r); err != nil {
+		return authority.ServerState{}, err
+	}
+	return s.view(), nil
+}
+
+func (s *state) refusal(what string, f fence) error {
+	return newError(codeWrongState, fmt.Sprintf(
+		"%s at term %d by %q refused: log term %d, fence %d by %q, role %s",
+		what, f.Term, f.Owner, s.history.Term(), s.fence.Term, s.fence.Owner, s.role()))
+}
+
+// stop refuses every later change.
+func (s *state) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	s.notify()
+}
