Add the checker of recorded histories

decision/history reports typed violations: stale reads, lost and doubled writes, false "not run" refusals, acknowledgements after supersession, mixed results and admissions above rate and burst. Admissions with exact times are checked in one pass with a draining bucket; admissions known only as intervals are counted where they lie within a window for certain, with a segment tree.

--- /dev/null
+++ b/decision/history/admissions.go
@@ -0,0 +1,158 @@
+package history
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// roundingSlack absorbs rounding errors of the sums of rates and times, in statements.
+const roundingSlack = 1e-6
+
+// admission is one admitted statement. It took effect at some moment from sent to answered.
+type admission struct {
+	sent, answered time.Duration
+}
+
+func (c *checker) checkAdmissions(h History) {
+	byAccount := make(map[string][]admission)
+	for _, e := range h.Events {
+		if e.Kind == Admitted {
+			byAccount[e.Account] = append(byAccount[e.Account], admission{e.Sent, e.At})
+		}
+	}
+	for _, account := range slices.Sorted(maps.Keys(h.Limits)) {
+		worst, ok := worstWindow(byAccount[account], h.Limits[account])
+		if ok {
+			worst.Account = account
+			c.found = append(c.found, worst)
+		}
+	}
+}
+
+// worstWindow returns the window with the largest excess over the limit, false if there is none.
+func worstWindow(list []admission, limit Limit) (OverAdmitted, bool) {
+	slices.SortFunc(list, func(a, b admission) int { return cmp.Compare(a.answered, b.answered) })
+	points := !slices.ContainsFunc(list, func(a admission) bool { return a.sent != a.answered })
+	if points {
+		return worstOfPoints(list, limit)
+	}
+	return worstOfIntervals(list, limit)
+}
+
+// worstOfPoints takes admissions with exact times, sorted. The level of a bucket that drains at
+// the rate is the largest count minus rate*window over all windows that end now, so one pass
+// covers all windows.
+func worstOfPoints(list []admission, limit Limit) (OverAdmitted, bool) {
+	var worst OverAdmitted
+	excess := roundingSlack
+	level, last, start, first := 0.0, time.Duration(0), time.Duration(0), 0
+	for i, a := range list {
+		level -= limit.Rate * (a.answered - last).Seconds()
+		if i == 0 || level <= 0 {
+			level, start, first = 0, a.answered, i
+		}
+		level++
+		last = a.answered
+		if level-limit.Burst > excess {
+			excess = level - limit.Burst
+			worst = limit.window(start, last, i-first+1)
+		}
+	}
+	return worst, excess > roundingSlack
+}
+
+func (l Limit) window(from, to time.Duration, admitted int) OverAdmitted {
+	return OverAdmitted{From: from, To: to, Admitted: admitted, Allowed: l.Burst + l.Rate*(to-from).Seconds()}
+}
+
+// worstOfIntervals takes admissions sorted by answer, each at an unknown moment from sent to
+// answered. It counts only those that lie within a window for certain: for each end of a window
+// in turn, a tree holds the count plus rate*start of every start.
+func worstOfIntervals(list []admission, limit Limit) (OverAdmitted, bool) {
+	starts := make([]time.Duration, len(list))
+	for i, a := range list {
+		starts[i] = a.sent
+	}
+	slices.Sort(starts)
+	starts = slices.Compact(starts)
+	values := make([]float64, len(starts))
+	for i, start := range starts {
+		values[i] = limit.Rate * start.Seconds()
+	}
+	tree := newMaxTree(values)
+
+	var worst OverAdmitted
+	excess := roundingSlack
+	for _, a := range list {
+		i, _ := slices.BinarySearch(starts, a.sent)
+		tree.addUpTo(i)
+		from, top := tree.max()
+		over := top - limit.Rate*a.answered.Seconds() - limit.Burst
+		if over > excess {
+			excess = over
+			admitted := int(math.Round(top - limit.Rate*starts[from].Seconds()))
+			worst = limit.window(starts[from], a.answered, admitted)
+		}
+	}
+	return worst, excess > roundingSlack
+}
+
+// maxTree is a segment tree over a list of numbers that adds 1 to a prefix and finds the maximum,
+// both in logarithmic time. A number takes part in the maximum once it was the end of a prefix.
+type maxTree struct {
+	size   int       // number of leaves, a power of two
+	values []float64 // numbers without additions
+	top    []float64 // maximum below each node without the additions above it
+	added  []float64 // additions that hold for the whole node
+	at     []int     // leaf of the maximum
+}
+
+func newMaxTree(values []float64) *maxTree {
+	size := 1
+	for size < len(values) {
+		size *= 2
+	}
+	t := &maxTree{size: size, values: values, top: make([]float64, 2*size), added: make([]float64, 2*size), at: make([]int, 2*size)}
+	for node := range t.top {
+		t.top[node] = math.Inf(-1)
+	}
+	for i := range size {
+		t.at[size+i] = i
+	}
+	return t
+}
+
+func (t *maxTree) update(node int) {
+	best := 2 * node
+	if t.top[best+1] > t.top[best] {
+		best++
+	}
+	t.top[node] = t.top[best] + t.added[node]
+	t.at[node] = t.at[best]
+}
+
+// addUpTo adds 1 to the numbers 0 to i.
+func (t *maxTree) addUpTo(i int) {
+	node := t.size + i
+	t.add(node)
+	t.top[node] = t.values[i] + t.added[node]
+	for node > 1 {
+		if node%2 == 1 {
+			t.add(node - 1)
+		}
+		node /= 2
+		t.update(node)
+	}
+}
+
+func (t *maxTree) add(node int) {
+	t.top[node]++
+	t.added[node]++
+}
+
+func (t *maxTree) max() (leaf int, value float64) {
+	return t.at[1], t.top[1]
+}
--- /dev/null
+++ b/decision/history/check.go
@@ -0,0 +1,207 @@
+package history
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Check returns the violations of h, at most one of a type for each written value, read or
+// account. A history without violations gives an empty result.
+func Check(h History) []Violation {
+	c := &checker{writes: make(map[string]*write), reported: make(map[reportKey]bool)}
+	c.collect(h.Events)
+	c.checkPlaces(places(h))
+	c.checkReads(h.Events)
+	c.checkSupersession(h.Events)
+	if h.Final != nil {
+		c.checkLost(h.Final)
+	}
+	c.checkAdmissions(h)
+	return c.found
+}
+
+type reportKey struct {
+	kind  string
+	value string
+}
+
+type checker struct {
+	writes   map[string]*write // by value
+	ordered  []*write          // in order of first event
+	reported map[reportKey]bool
+	found    []Violation
+}
+
+// report adds v unless a violation of this kind was reported for value.
+func (c *checker) report(kind, value string, v Violation) {
+	key := reportKey{kind, value}
+	if c.reported[key] {
+		return
+	}
+	c.reported[key] = true
+	c.found = append(c.found, v)
+}
+
+func (c *checker) collect(events []Event) {
+	for _, e := range events {
+		switch e.Kind {
+		case WriteSent:
+			w := c.write(e)
+			w.session, w.key, w.sent = e.Session, e.Key, e.At
+		case WriteAcknowledged:
+			c.answer(e, outcomeAcknowledged)
+			c.write(e).term = e.Term
+		case WriteNotRun:
+			c.answer(e, outcomeNotRun)
+		case WriteUnknown:
+			c.answer(e, outcomeUnknown)
+		case WriteReportedLost:
+			c.reportedLost(e)
+		}
+	}
+}
+
+func (c *checker) write(e Event) *write {
+	w := c.writes[e.Value]
+	if w == nil {
+		w = &write{session: e.Session, key: e.Key, value: e.Value}
+		c.writes[e.Value] = w
+		c.ordered = append(c.ordered, w)
+	}
+	return w
+}
+
+func (c *checker) answer(e Event, o outcome) {
+	w := c.write(e)
+	w.answered = e.At
+	if w.outcome != outcomeReportedLost {
+		w.outcome = o
+	}
+}
+
+func (c *checker) reportedLost(e Event) {
+	w := c.write(e)
+	w.outcome, w.lostAt = outcomeReportedLost, e.At
+}
+
+// places lists every key content that was seen.
+func places(h History) []place {
+	var list []place
+	for _, e := range h.Events {
+		if e.Kind == ReadReturned {
+			list = append(list, place{key: e.Key, values: e.Values, at: e.At})
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(h.Final)) {
+		list = append(list, place{key: key, values: h.Final[key], final: true})
+	}
+	return list
+}
+
+func (c *checker) checkPlaces(list []place) {
+	for _, p := range list {
+		for value, times := range count(p.values) {
+			if w := c.writes[value]; w != nil {
+				c.checkPresent(p, w, times)
+			}
+		}
+	}
+	slices.SortStableFunc(c.found, func(a, b Violation) int { return cmp.Compare(a.String(), b.String()) })
+}
+
+func (c *checker) checkPresent(p place, w *write, times int) {
+	if p.key != w.key {
+		c.report("mixed", w.value, MixedResult{Key: p.key, Value: w.value, WrittenKey: w.key})
+		return
+	}
+	if times > 1 {
+		c.report("twice", w.value, ExecutedTwice{Session: w.session, Key: w.key, Value: w.value, Times: times})
+	}
+	if w.outcome == outcomeNotRun {
+		c.report("not run", w.value, RanAfterNotRun{Session: w.session, Key: w.key, Value: w.value, Refused: w.answered})
+	}
+}
+
+func count(values []string) map[string]int {
+	n := make(map[string]int, len(values))
+	for _, v := range values {
+		n[v]++
+	}
+	return n
+}
+
+// sessionKey names the writes of one session to one key.
+type sessionKey struct {
+	session, key string
+}
+
+func (c *checker) checkReads(events []Event) {
+	acknowledged := make(map[sessionKey][]*write)
+	for _, w := range c.ordered {
+		if w.outcome == outcomeAcknowledged || w.outcome == outcomeReportedLost && w.answered > 0 {
+			k := sessionKey{w.session, w.key}
+			acknowledged[k] = append(acknowledged[k], w)
+		}
+	}
+	for _, e := range events {
+		if e.Kind == ReadReturned {
+			c.checkRead(e, acknowledged[sessionKey{e.Session, e.Key}])
+		}
+	}
+}
+
+func (c *checker) checkRead(e Event, own []*write) {
+	if len(own) == 0 {
+		return
+	}
+	seen := count(e.Values)
+	for _, w := range own {
+		if w.answered > e.Sent || seen[w.value] > 0 || w.lostBefore(e.At) {
+			continue
+		}
+		c.report("stale", w.value, StaleRead{Session: e.Session, Key: e.Key, Value: w.value, Acknowledged: w.answered, Sent: e.Sent})
+	}
+}
+
+// lostBefore reports whether the session was told by then that the write is lost.
+func (w *write) lostBefore(at time.Duration) bool {
+	return w.outcome == outcomeReportedLost && w.lostAt <= at
+}
+
+func (c *checker) checkLost(final map[string][]string) {
+	present := make(map[string]bool)
+	for _, values := range final {
+		for _, v := range values {
+			present[v] = true
+		}
+	}
+	for _, w := range c.ordered {
+		if w.outcome == outcomeAcknowledged && !present[w.value] {
+			c.report("lost", w.value, LostWrite{Session: w.session, Key: w.key, Value: w.value, Acknowledged: w.answered})
+		}
+	}
+}
+
+func (c *checker) checkSupersession(events []Event) {
+	var terms []Event
+	for _, e := range events {
+		if e.Kind == Superseded {
+			terms = append(terms, e)
+		}
+	}
+	for _, w := range c.ordered {
+		if w.outcome != outcomeAcknowledged || w.term == 0 {
+			continue
+		}
+		for _, t := range terms {
+			if t.Term > w.term && w.sent > t.At {
+				c.report("superseded", w.value, AcknowledgedAfterSupersession{
+					Session: w.session, Key: w.key, Value: w.value, Sent: w.sent,
+					Term: w.term, NewerTerm: t.Term, Superseded: t.At,
+				})
+			}
+		}
+	}
+}
