--- /dev/null
+++ b/standin/store/handler.go
@@ -0,0 +1,182 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+)
+
+// MaxWatchWait is the store's own limit of a watch without changes.
+const MaxWatchWait = 30 * time.Second
+
+// Handler serves the store over HTTP. It is safe for concurrent use.
+type Handler struct {
+	memory *memory
+	faults faults
+	mux    *http.ServeMux
+}
+
+// NewHandler returns an empty store.
+func NewHandler() *Handler {
+	h := &Handler{memory: newMemory(), mux: http.NewServeMux()}
+	object := httpstore.ObjectsPath + "/{key...}"
+	h.handle("GET "+object, func(c *Calls) { c.Get++ }, h.get)
+	h.handle("PUT "+object, func(c *Calls) { c.Put++ }, h.put)
+	h.handle("DELETE "+object, func(c *Calls) { c.Delete++ }, h.delete)
+	h.handle("GET "+httpstore.ObjectsPath, func(c *Calls) { c.List++ }, h.list)
+	h.handle("GET "+httpstore.WatchPath, func(c *Calls) { c.Watch++ }, h.watch)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+// handle registers serve behind the call counter and the faults that hit every kind of call.
+func (h *Handler) handle(pattern string, count func(*Calls), serve http.HandlerFunc) {
+	h.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		fate := h.faults.begin(count)
+		if fate.unavailable {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !pause(r.Context(), fate.delay) {
+			return
+		}
+		serve(w, r)
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (h *Handler) get(w http.ResponseWriter, r *http.Request) {
+	var obj httpstore.Change
+	var ok bool
+	h.readFrom(func(s snapshot) { obj, ok = s.get(r.PathValue("key")) })
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("ETag", httpstore.FormatETag(obj.Version))
+	_, _ = w.Write(obj.Value)
+}
+
+func (h *Handler) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	h.write(w, r, value, false)
+}
+
+func (h *Handler) delete(w http.ResponseWriter, r *http.Request) {
+	h.write(w, r, nil, true)
+}
+
+func (h *Handler) write(w http.ResponseWriter, r *http.Request, value []byte, deleted bool) {
+	ifVersion, err := condition(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusPreconditionRequired)
+		return
+	}
+	version, err := h.memory.write(r.PathValue("key"), value, deleted, ifVersion)
+	if err != nil {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	if !deleted && h.faults.takeLostAnswer() {
+		panic(http.ErrAbortHandler) // net/http closes the connection without an answer
+	}
+	w.Header().Set("ETag", httpstore.FormatETag(version))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func condition(r *http.Request) (uint64, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	if tag := r.Header.Get("If-Match"); tag != "" {
+		return httpstore.ParseETag(tag)
+	}
+	return 0, errors.New("write has no condition; send If-Match with the version read, or If-None-Match: *")
+}
+
+func (h *Handler) list(w http.ResponseWriter, r *http.Request) {
+	var body httpstore.Changes
+	h.readFrom(func(s snapshot) { body = s.list(r.URL.Query().Get(httpstore.ParamPrefix)) })
+	writeJSON(w, body)
+}
+
+func (h *Handler) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get(httpstore.ParamAfter), 10, 64)
+	wait, err2 := time.ParseDuration(query.Get(httpstore.ParamWait))
+	if err != nil || err2 != nil {
+		http.Error(w, "watch needs after as a revision and wait as a duration such as 3s", http.StatusBadRequest)
+		return
+	}
+	limit := time.NewTimer(min(wait, MaxWatchWait))
+	defer limit.Stop()
+	for {
+		body, changed := h.since(query.Get(httpstore.ParamPrefix), after)
+		if len(body.Objects) > 0 {
+			writeJSON(w, body)
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			writeJSON(w, body)
+			return
+		case <-r.Context().Done():
+			return
+		}
+		if h.faults.isUnavailable() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+}
+
+func (h *Handler) since(prefix string, after uint64) (httpstore.Changes, <-chan struct{}) {
+	var body httpstore.Changes
+	changed := h.readFrom(func(s snapshot) { body = s.since(prefix, after) })
+	return body, changed
+}
+
+// readFrom runs f on the present content, or on an old copy while reads are stale.
+func (h *Handler) readFrom(f func(snapshot)) <-chan struct{} {
+	if old, ok := h.faults.takeStale(); ok {
+		f(old)
+		return h.memory.read(func(snapshot) {})
+	}
+	return h.memory.read(f)
+}
+
+func writeJSON(w http.ResponseWriter, body httpstore.Changes) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/store/memory.go
@@ -0,0 +1,105 @@
+package store
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+)
+
+// snapshot is the store's content at one revision. Values are never changed in place.
+type snapshot struct {
+	revision uint64
+	objects  map[string]httpstore.Change // with tombstones
+}
+
+func (s snapshot) get(key string) (httpstore.Change, bool) {
+	o, ok := s.objects[key]
+	return o, ok && !o.Deleted
+}
+
+// version is 0 for an absent object.
+func (s snapshot) version(key string) uint64 {
+	o, _ := s.get(key)
+	if o.Deleted {
+		return 0
+	}
+	return o.Version
+}
+
+func (s snapshot) list(prefix string) httpstore.Changes {
+	return s.collect(func(o httpstore.Change) bool {
+		return !o.Deleted && strings.HasPrefix(o.Key, prefix)
+	})
+}
+
+func (s snapshot) since(prefix string, after uint64) httpstore.Changes {
+	return s.collect(func(o httpstore.Change) bool {
+		return o.Version > after && strings.HasPrefix(o.Key, prefix)
+	})
+}
+
+func (s snapshot) collect(keep func(httpstore.Change) bool) httpstore.Changes {
+	out := httpstore.Changes{Revision: s.revision, Objects: []httpstore.Change{}}
+	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
+		if o := s.objects[key]; keep(o) {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	return out
+}
+
+func (s snapshot) clone() snapshot {
+	return snapshot{revision: s.revision, objects: maps.Clone(s.objects)}
+}
+
+// memory is the present content and a signal of its changes.
+type memory struct {
+	mu      sync.Mutex
+	now     snapshot
+	changed chan struct{} // closed and replaced at every change
+}
+
+func newMemory() *memory {
+	return &memory{
+		now:     snapshot{objects: map[string]httpstore.Change{}},
+		changed: make(chan struct{}),
+	}
+}
+
+// write applies a put, or a delete when deleted is set, if the object has version ifVersion.
+func (m *memory) write(key string, value []byte, deleted bool, ifVersion uint64) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := m.now.version(key)
+	if present != ifVersion || (deleted && present == 0) {
+		return 0, platform.ErrConflict
+	}
+	m.now.revision++
+	m.now.objects[key] = httpstore.Change{Key: key, Value: value, Version: m.now.revision, Deleted: deleted}
+	m.wakeLocked()
+	return m.now.revision, nil
+}
+
+// read runs f on the present content and returns a channel that is closed at the next change.
+func (m *memory) read(f func(snapshot)) <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.now)
+	return m.changed
+}
+
+// wake ends the waits of all watches.
+func (m *memory) wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wakeLocked()
+}
+
+func (m *memory) wakeLocked() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
--- /dev/null
+++ b/standin/store/server.go
@@ -0,0 +1,78 @@
+package store
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server is a Handler behind a TCP listener.
+type Server struct {
+	*Handler
+
+	address string
+	mu      sync.Mutex
+	http    *http.Server // nil while connections are refused
+}
+
+// Start listens on address, such as 127.0.0.1:0, and serves an empty store.
+func Start(address string) (*Server, error) {
+	s := &Server{Handler: NewHandler(), address: address}
+	return s, s.Resume()
+}
+
+// Address returns the IP and port of the listener.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// URL returns the base URL for a client.
+func (s *Server) URL() string {
+	return "http://" + s.Address()
+}
+
+// Refuse closes the listener and all connections: new connections are refused until Resume. The
+// content is kept.
+func (s *Server) Refuse() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http == nil {
+		return nil
+	}
+	err := s.http.Close()
+	s.http = nil
+	return err
+}
+
+// Resume listens again on the same address.
+func (s *Server) Resume() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s; choose a free port", s.address)
+	}
+	s.address = listener.Addr().String()
+	s.http = &http.Server{
+		Handler:           s.Handler,
+		ReadHeaderTimeout: 5 * time.Second,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	go func(server *http.Server) { _ = server.Serve(listener) }(s.http)
+	return nil
+}
+
+// Close ends the server.
+func (s *Server) Close() error {
+	return s.Refuse()
+}
