Add decoding, validation, diff and adoption of the manifest

Cause: a faulty, stale or half adopted configuration must never go into force, and operators need every fault of a document at once.

--- /dev/null
+++ b/decision/manifest/adoption.go
@@ -0,0 +1,268 @@
+package manifest
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// DefaultContactTimeout is how long keyed work goes on without contact to the store or to a
+// majority of the listed instances. It bounds how long a cut-off instance honours a withdrawn key.
+const DefaultContactTimeout = 5 * time.Second
+
+// ErrSameVersion reports two different manifests of one version.
+var ErrSameVersion = errors.New("a different manifest has the same version; apply the intended one with a higher version")
+
+// AdoptionConfig configures an Adoption.
+type AdoptionConfig struct {
+	Self           string        // this instance's id in the list
+	ContactTimeout time.Duration // 0: DefaultContactTimeout
+}
+
+// Adoption decides which manifest is in force and whether keyed work may go on. All times are
+// spans since one monotonic origin. It is not safe for concurrent use.
+type Adoption struct {
+	cfg       AdoptionConfig
+	current   *Snapshot // nil before the first adoption
+	revision  uint64    // highest store revision of the manifest object seen
+	store     contact
+	confirmed contact            // latest state of the store that this instance is known to have
+	peers     map[string]contact // by instance id
+	listed    []string           // without Self
+}
+
+// contact is the time of the latest contact, if there was one.
+type contact struct {
+	at   time.Duration
+	seen bool
+}
+
+func (c *contact) raise(at time.Duration) {
+	if !c.seen || at > c.at {
+		*c = contact{at: at, seen: true}
+	}
+}
+
+// NewAdoption returns an instance without any manifest.
+func NewAdoption(cfg AdoptionConfig) *Adoption {
+	if cfg.ContactTimeout <= 0 {
+		cfg.ContactTimeout = DefaultContactTimeout
+	}
+	return &Adoption{cfg: cfg, peers: map[string]contact{}}
+}
+
+// Current returns the manifest in force, or nil.
+func (a *Adoption) Current() *Snapshot {
+	return a.current
+}
+
+// Version returns the version in force, 0 before the first adoption.
+func (a *Adoption) Version() uint64 {
+	if a.current == nil {
+		return 0
+	}
+	return a.current.Version()
+}
+
+// RouteAccount is an account's right to use a route.
+type RouteAccount struct {
+	Route, Account string
+}
+
+// KeyRef names a key.
+type KeyRef struct {
+	Account, ID string
+}
+
+// Withdrawals lists what an adoption took away.
+type Withdrawals struct {
+	Keys     []KeyRef // also keys whose hash was replaced under the same id
+	Accounts []string
+	Routes   []string
+	Rights   []RouteAccount // of accounts and routes that remain
+}
+
+// Empty reports whether nothing was taken away.
+func (w Withdrawals) Empty() bool {
+	return len(w.Keys)+len(w.Accounts)+len(w.Routes)+len(w.Rights) == 0
+}
+
+// Offer adopts m if it is valid and newer than the manifest in force, and tells what it took
+// away. An older or equal manifest is not adopted and is no error.
+func (a *Adoption) Offer(m Manifest) (adopted bool, withdrawn Withdrawals, err error) {
+	if m.Version < a.Version() {
+		return false, Withdrawals{}, nil
+	}
+	if m.Version == a.Version() && a.current != nil {
+		return false, Withdrawals{}, a.checkSame(m)
+	}
+	next, err := NewSnapshot(m)
+	if err != nil {
+		return false, Withdrawals{}, err
+	}
+	withdrawn = withdrawals(a.current, next)
+	a.current = next
+	return true, withdrawn, nil
+}
+
+func (a *Adoption) checkSame(m Manifest) error {
+	if m.Digest() != a.current.digest {
+		return errors.Wrapf(ErrSameVersion, "version %d", m.Version)
+	}
+	return nil
+}
+
+// StoreAnswered records an answer of the store to a request sent at the given time, after what
+// it brought was offered. Revision is that of the manifest object, 0 if the answer brought no
+// change. An answer older than one already seen is a stale read and proves nothing.
+func (a *Adoption) StoreAnswered(sent time.Duration, revision uint64) {
+	if revision != 0 && revision < a.revision {
+		return
+	}
+	a.revision = max(a.revision, revision)
+	a.store.raise(sent)
+	a.confirmed.raise(sent)
+}
+
+// PeerState is what a peer tells about its own adoption.
+type PeerState struct {
+	Instance   string
+	Version    uint64
+	StoreKnown bool          // the peer has a confirmation
+	StoreAge   time.Duration // since that confirmation, when the peer answered
+}
+
+// PeerAnswered records a peer's answer to a request sent at the given time. It returns true if
+// the peer has a newer manifest, which is then to be fetched: until it is adopted, the peer's
+// answers prove only that this instance is behind.
+func (a *Adoption) PeerAnswered(sent time.Duration, p PeerState) (newer bool) {
+	if p.Version > a.Version() {
+		return true
+	}
+	c := a.peers[p.Instance]
+	c.raise(sent)
+	a.peers[p.Instance] = c
+	if p.Version == a.Version() && p.StoreKnown {
+		a.confirmed.raise(sent - p.StoreAge)
+	}
+	return false
+}
+
+// SetInstances replaces the list of instances. Contacts of instances no longer listed are dropped.
+func (a *Adoption) SetInstances(ids []string) {
+	listed := slices.Compact(slices.Sorted(slices.Values(ids)))
+	a.listed = slices.DeleteFunc(listed, func(id string) bool { return id == a.cfg.Self })
+	for id := range a.peers {
+		if _, ok := slices.BinarySearch(a.listed, id); !ok {
+			delete(a.peers, id)
+		}
+	}
+}
+
+// ConfirmedAge tells how long ago the store, or a peer by its own contact with the store,
+// showed that the version in force is the newest.
+func (a *Adoption) ConfirmedAge(now time.Duration) (time.Duration, bool) {
+	return max(now-a.confirmed.at, 0), a.confirmed.seen
+}
+
+// KeyedUntil returns until when keyed work may go on without further contact. It is false
+// before the first adoption and before the first contact.
+func (a *Adoption) KeyedUntil() (time.Duration, bool) {
+	latest := a.store
+	if m := a.majorityContact(); m.seen {
+		latest.raise(m.at)
+	}
+	if a.current == nil || !latest.seen {
+		return 0, false
+	}
+	return latest.at + a.cfg.ContactTimeout, true
+}
+
+// KeyedAllowed reports whether keyed work may go on now.
+func (a *Adoption) KeyedAllowed(now time.Duration) bool {
+	until, ok := a.KeyedUntil()
+	return ok && now <= until
+}
+
+// majorityContact returns the latest time at which this instance and the peers that answered
+// since then were a majority of the listed instances. An instance that is listed alone has no
+// majority: nothing would distinguish its isolation from an outage of the store.
+func (a *Adoption) majorityContact() contact {
+	need := max((len(a.listed)+1)/2, 1)
+	times := make([]time.Duration, 0, len(a.listed))
+	for _, id := range a.listed {
+		if c := a.peers[id]; c.seen {
+			times = append(times, c.at)
+		}
+	}
+	if len(times) < need {
+		return contact{}
+	}
+	slices.Sort(times)
+	return contact{at: times[len(times)-need], seen: true}
+}
+
+func withdrawals(from, to *Snapshot) Withdrawals {
+	var w Withdrawals
+	if from == nil {
+		return w
+	}
+	for _, account := range from.manifest.Accounts {
+		w.addAccount(account, to)
+	}
+	for _, route := range from.manifest.Routes {
+		w.addRoute(route, to)
+	}
+	return w
+}
+
+func (w *Withdrawals) addAccount(account Account, to *Snapshot) {
+	if _, ok := to.Account(account.Name); !ok {
+		w.Accounts = append(w.Accounts, account.Name)
+	}
+	sums := decodeSums(account.Keys)
+	for i, key := range account.Keys {
+		if _, ok := to.FindKey(account.Name, sums[i]); !ok {
+			w.Keys = append(w.Keys, KeyRef{Account: account.Name, ID: key.ID})
+		}
+	}
+}
+
+func (w *Withdrawals) addRoute(route Route, to *Snapshot) {
+	next, ok := to.Route(route.Name)
+	if !ok {
+		w.Routes = append(w.Routes, route.Name)
+		return
+	}
+	for _, account := range route.Accounts {
+		if _, ok := to.Account(account); ok && !slices.Contains(next.Accounts, account) {
+			w.Rights = append(w.Rights, RouteAccount{Route: route.Name, Account: account})
+		}
+	}
+}
+
+// ConflictError tells that a manifest was made from another version than the stored one.
+type ConflictError struct {
+	Stored, Document, IfVersion uint64
+}
+
+// Error names the versions and the remedy.
+func (e *ConflictError) Error() string {
+	if e.Stored != e.IfVersion {
+		return fmt.Sprintf("stored manifest has version %d, but the change was made from version %d; read the stored one and repeat the change on top of it",
+			e.Stored, e.IfVersion)
+	}
+	return fmt.Sprintf("document has version %d, but version %d is stored; give it version %d or higher",
+		e.Document, e.Stored, e.Stored+1)
+}
+
+// CheckSuccessor returns a *ConflictError unless a document may replace the stored manifest:
+// the change was made from the stored version, and its own is higher. No manifest is version 0.
+func CheckSuccessor(stored, document, ifVersion uint64) error {
+	if stored != ifVersion || document <= stored {
+		return &ConflictError{Stored: stored, Document: document, IfVersion: ifVersion}
+	}
+	return nil
+}
--- /dev/null
+++ b/decision/manifest/adoption_test.go
@@ -0,0 +1,265 @@
+package manifest
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func mustOffer(t *testing.T, a *Adoption, m Manifest) Withdrawals {
+	t.Helper()
+	adopted, withdrawn, err := a.Offer(m)
+	if err != nil || !adopted {
+		t.Fatalf("Offer of version %d = %v, %v, want adoption", m.Version, adopted, err)
+	}
+	return withdrawn
+}
+
+// Guards against a reverted, half adopted or silently replaced manifest.
+func TestOfferAdoptsOnlyHigherVersions(t *testing.T) {
+	a := NewAdoption(AdoptionConfig{Self: "i1"})
+	mustOffer(t, a, testManifest(5))
+	if adopted, _, err := a.Offer(testManifest(4)); adopted || err != nil {
+		t.Errorf("older version: %v, %v, want it passed over", adopted, err)
+	}
+	if adopted, _, err := a.Offer(testManifest(5)); adopted || err != nil {
+		t.Errorf("same content: %v, %v, want it passed over", adopted, err)
+	}
+	other := testManifest(5)
+	other.Accounts[0].Rate++
+	if _, _, err := a.Offer(other); !errors.Is(err, ErrSameVersion) {
+		t.Errorf("other content of one version: %v, want ErrSameVersion", err)
+	}
+	faulty := testManifest(6)
+	faulty.Routes[1].Database = "none"
+	var faults Faults
+	if _, _, err := a.Offer(faulty); !errors.As(err, &faults) || a.Version() != 5 {
+		t.Errorf("faulty manifest: %v, version %d, want Faults and version 5", err, a.Version())
+	}
+}
+
+// Guards against a withdrawal that goes unnoticed.
+func TestOfferTellsWithdrawals(t *testing.T) {
+	a := NewAdoption(AdoptionConfig{Self: "i1"})
+	first := testManifest(1)
+	first.Accounts = append(first.Accounts, Account{Name: "c", Weight: 1, Rate: 1, Burst: 1})
+	first.Routes[0].Accounts = []string{"a", "b", "c"}
+	if w := mustOffer(t, a, first); !w.Empty() {
+		t.Errorf("first adoption withdraws %+v", w)
+	}
+	next := testManifest(2)
+	next.Accounts[0].Keys[0].SHA256 = SumKey("replaced").String()
+	next.Routes = next.Routes[:1]
+	next.Routes[0].Accounts = []string{"a"}
+	want := Withdrawals{
+		Keys:     []KeyRef{{"a", "a-1"}},
+		Accounts: []string{"c"},
+		Routes:   []string{"public"},
+		Rights:   []RouteAccount{{"orders", "b"}},
+	}
+	if got := mustOffer(t, a, next); !reflect.DeepEqual(got, want) {
+		t.Errorf("withdrawals = %+v, want %+v", got, want)
+	}
+}
+
+// Guards against a cut-off instance that honours withdrawn keys, and against an outage of the
+// store alone stopping keyed work.
+func TestKeyedWork(t *testing.T) {
+	const s = time.Second
+	type step func(a *Adoption)
+	store := func(at time.Duration, revision uint64) step {
+		return func(a *Adoption) { a.StoreAnswered(at, revision) }
+	}
+	peer := func(at time.Duration, id string, version uint64) step {
+		return func(a *Adoption) { a.PeerAnswered(at, PeerState{Instance: id, Version: version}) }
+	}
+	listed := func(ids ...string) step { return func(a *Adoption) { a.SetInstances(ids) } }
+	cases := []struct {
+		name  string
+		steps []step
+		now   time.Duration
+		want  bool
+	}{
+		{"no contact at all", nil, 0, false},
+		{"store just now", []step{store(10*s, 7)}, 15 * s, true},
+		{"store too long ago", []step{store(10*s, 7)}, 15*s + 1, false},
+		{"stale read of the store", []step{store(10*s, 7), store(14*s, 6)}, 16 * s, false},
+		{"watch without change", []step{store(10*s, 7), store(14*s, 0)}, 16 * s, true},
+		{"majority of five", []step{listed("i1", "a", "b", "c", "d"), peer(9*s, "a", 3), peer(10*s, "b", 3)}, 14 * s, true},
+		{"majority of five, one too old", []step{listed("i1", "a", "b", "c", "d"), peer(9*s, "a", 3), peer(10*s, "b", 3)}, 15 * s, false},
+		{"half of four", []step{listed("i1", "a", "b", "c"), peer(10*s, "a", 3)}, 11 * s, false},
+		{"peer not listed", []step{listed("i1", "a", "b"), peer(10*s, "x", 3)}, 11 * s, false},
+		{"peer no longer listed", []step{listed("i1", "a"), peer(10*s, "a", 3), listed("i1", "b"), listed("i1", "a")}, 11 * s, false},
+		{"peer with a newer manifest", []step{listed("i1", "a"), peer(10*s, "a", 4)}, 11 * s, false},
+		{"listed alone", []step{listed("i1")}, 1 * s, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := NewAdoption(AdoptionConfig{Self: "i1"})
+			mustOffer(t, a, testManifest(3))
+			for _, step := range c.steps {
+				step(a)
+			}
+			if got := a.KeyedAllowed(c.now); got != c.want {
+				t.Errorf("KeyedAllowed(%s) = %v, want %v", c.now, got, c.want)
+			}
+		})
+	}
+	empty := NewAdoption(AdoptionConfig{Self: "i1"})
+	empty.StoreAnswered(10*s, 0)
+	if empty.KeyedAllowed(10 * s) {
+		t.Error("keyed work is allowed without a manifest")
+	}
+}
+
+// Guards against an age that hides how old a peer's own confirmation is.
+func TestConfirmedAgeThroughPeer(t *testing.T) {
+	const s = time.Second
+	a := NewAdoption(AdoptionConfig{Self: "i1"})
+	mustOffer(t, a, testManifest(3))
+	if _, ok := a.ConfirmedAge(s); ok {
+		t.Error("confirmed before any contact")
+	}
+	a.StoreAnswered(10*s, 7)
+	a.PeerAnswered(30*s, PeerState{Instance: "a", Version: 3, StoreKnown: true, StoreAge: 4 * s})
+	a.PeerAnswered(40*s, PeerState{Instance: "b", Version: 3})
+	a.PeerAnswered(40*s, PeerState{Instance: "c", Version: 2, StoreKnown: true})
+	if age, ok := a.ConfirmedAge(40 * s); !ok || age != 14*s {
+		t.Errorf("ConfirmedAge = %s, %v, want 14s", age, ok)
+	}
+}
+
+// model is a store with its past, operators that race on it, and instances that adopt from it.
+type model struct {
+	past      []Manifest // past[0] is the first; the last is stored now
+	instances []*Adoption
+	floor     []uint64           // per instance: highest version in force since its restart
+	gone      map[string]uint64  // key -> version that withdrew it
+	next      int                // number of the next key
+	pending   []operatorDocument // documents made, not applied yet
+}
+
+type operatorDocument struct {
+	doc       Manifest
+	ifVersion uint64
+	withdraws string
+}
+
+func (m *model) stored() Manifest {
+	return m.past[len(m.past)-1]
+}
+
+func (m *model) prepare(t *rapid.T) {
+	base := m.stored().Clone()
+	change := operatorDocument{ifVersion: base.Version}
+	base.Version += uint64(rapid.IntRange(0, 2).Draw(t, "step"))
+	account := &base.Accounts[rapid.IntRange(0, 1).Draw(t, "account")]
+	if len(account.Keys) > 0 && rapid.Bool().Draw(t, "withdraw") {
+		change.withdraws = account.Keys[0].SHA256
+		account.Keys = account.Keys[1:]
+	} else {
+		m.next++
+		id := fmt.Sprintf("k%d", m.next)
+		account.Keys = append(account.Keys, Key{ID: id, SHA256: SumKey(id).String()})
+	}
+	change.doc = base
+	m.pending = append(m.pending, change)
+}
+
+// apply is one operator's conditional put; with a lost answer the operator applies it again.
+func (m *model) apply(t *rapid.T) {
+	if len(m.pending) == 0 {
+		t.Skip("nothing to apply")
+	}
+	i := rapid.IntRange(0, len(m.pending)-1).Draw(t, "document")
+	p := m.pending[i]
+	lost := rapid.Bool().Draw(t, "lost answer")
+	if !lost {
+		m.pending = append(m.pending[:i:i], m.pending[i+1:]...)
+	}
+	if CheckSuccessor(m.stored().Version, p.doc.Version, p.ifVersion) != nil {
+		return
+	}
+	m.past = append(m.past, p.doc)
+	if p.withdraws != "" {
+		m.gone[p.withdraws] = p.doc.Version
+	}
+}
+
+func (m *model) instance(t *rapid.T) int {
+	return rapid.IntRange(0, len(m.instances)-1).Draw(t, "instance")
+}
+
+func (m *model) offer(t *rapid.T, i int, doc Manifest) {
+	if _, _, err := m.instances[i].Offer(doc); err != nil {
+		t.Fatalf("instance %d, version %d: %v", i, doc.Version, err)
+	}
+}
+
+// read may be stale: it returns any manifest that was ever stored.
+func (m *model) read(t *rapid.T) {
+	doc := m.past[rapid.IntRange(0, len(m.past)-1).Draw(t, "revision")]
+	m.offer(t, m.instance(t), doc)
+}
+
+func (m *model) fetchFromPeer(t *rapid.T) {
+	to, from := m.instance(t), m.instance(t)
+	if m.instances[from].Current() == nil {
+		t.Skip("peer has no manifest")
+	}
+	m.offer(t, to, m.instances[from].Current().Manifest())
+}
+
+func (m *model) restart(t *rapid.T) {
+	i := m.instance(t)
+	m.instances[i] = NewAdoption(AdoptionConfig{Self: fmt.Sprint(i)})
+	m.floor[i] = 0
+}
+
+func (m *model) check(t *rapid.T) {
+	for i, a := range m.instances {
+		if a.Version() < m.floor[i] {
+			t.Fatalf("instance %d went from version %d back to %d", i, m.floor[i], a.Version())
+		}
+		m.floor[i] = a.Version()
+		m.checkKeys(t, i, a)
+	}
+}
+
+func (m *model) checkKeys(t *rapid.T, i int, a *Adoption) {
+	if a.Current() == nil {
+		return
+	}
+	for hash, version := range m.gone {
+		sum := decodeSums([]Key{{SHA256: hash}})[0]
+		for _, account := range []string{"a", "b"} {
+			_, refusal := a.Current().Authorize("orders", account, sum)
+			if refusal == Granted && a.Version() >= version {
+				t.Fatalf("instance %d at version %d accepts a key withdrawn by version %d", i, a.Version(), version)
+			}
+		}
+	}
+}
+
+// Guards against a version that goes down, and against a withdrawn key that is accepted after
+// adoption, under stale reads, restarts, lost answers, late peers and racing operators.
+func TestAdoptionNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{past: []Manifest{testManifest(1)}, gone: map[string]uint64{}, floor: make([]uint64, 3)}
+		for i := range m.floor {
+			m.instances = append(m.instances, NewAdoption(AdoptionConfig{Self: fmt.Sprint(i)}))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"prepare": m.prepare,
+			"apply":   m.apply,
+			"read":    m.read,
+			"fetch":   m.fetchFromPeer,
+			"restart": m.restart,
+			"":        m.check,
+		})
+	})
+}
--- /dev/null
+++ b/decision/manifest/fault.go
@@ -0,0 +1,57 @@
+package manifest
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	Path    string `json:"path"` // such as databases[0].servers[1].slots; empty for the whole document
+	Problem string `json:"problem"`
+	Remedy  string `json:"remedy"`
+}
+
+// String renders the fault in one line.
+func (f Fault) String() string {
+	if f.Path == "" {
+		return f.Problem + "; " + f.Remedy
+	}
+	return f.Path + ": " + f.Problem + "; " + f.Remedy
+}
+
+// Faults is everything wrong with a document. It is an error when it is not empty.
+type Faults []Fault
+
+// Error renders one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f)+1)
+	lines = append(lines, fmt.Sprintf("manifest has %d fault(s); correct them and apply it again", len(f)))
+	for _, fault := range f {
+		lines = append(lines, "  "+fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns f as an error, or nil when it is empty.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+func (f *Faults) add(path, problem, remedy string) {
+	*f = append(*f, Fault{Path: path, Problem: problem, Remedy: remedy})
+}
+
+func index(path string, i int) string {
+	return fmt.Sprintf("%s[%d]", path, i)
+}
+
+func field(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/decision/manifest/manifest_test.go
@@ -0,0 +1,251 @@
+package manifest
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+)
+
+// testManifest returns a valid manifest with one group, two accounts with a key each and two routes.
+func testManifest(version uint64) Manifest {
+	m := Manifest{
+		APIVersion: APIVersion,
+		Version:    version,
+		Databases:  []Database{{Name: "orders"}},
+		Routes: []Route{
+			{Name: "orders", Database: "orders", Accounts: []string{"a", "b"}},
+			{Name: "public", Database: "orders", Open: true},
+		},
+	}
+	for i := range MinServers {
+		m.Databases[0].Servers = append(m.Databases[0].Servers, Server{
+			ID: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:5432", i+1),
+			Region: "sask", FailureDomain: "sask-a", MaxConnections: 20, Slots: 3,
+		})
+	}
+	for _, name := range []string{"a", "b"} {
+		key := Key{ID: name + "-1", SHA256: SumKey("key of " + name).String()}
+		m.Accounts = append(m.Accounts, Account{Name: name, Weight: 1, Rate: 10, Burst: 20, Keys: []Key{key}})
+	}
+	return m
+}
+
+func mustSnapshot(t *testing.T, m Manifest) *Snapshot {
+	t.Helper()
+	s, err := NewSnapshot(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a faulty manifest going into force, and against faults reported elsewhere than they are.
+func TestValidateFindsFault(t *testing.T) {
+	server := func(m *Manifest) *Server { return &m.Databases[0].Servers[1] }
+	account := func(m *Manifest) *Account { return &m.Accounts[1] }
+	route := func(m *Manifest) *Route { return &m.Routes[0] }
+	cases := []struct {
+		name, path string
+		spoil      func(m *Manifest)
+	}{
+		{"format", "apiVersion", func(m *Manifest) { m.APIVersion = "v0" }},
+		{"version 0", "version", func(m *Manifest) { m.Version = 0 }},
+		{"database without name", "databases[0].name", func(m *Manifest) { m.Databases[0].Name = "" }},
+		{"repeated database", "databases[1].name", func(m *Manifest) {
+			m.Databases = append(m.Databases, Database{Name: "orders", Servers: testManifest(1).Databases[0].Servers})
+		}},
+		{"two servers", "databases[0].servers", func(m *Manifest) { m.Databases[0].Servers = m.Databases[0].Servers[:2] }},
+		{"four servers", "databases[0].servers", func(m *Manifest) {
+			extra := *server(m)
+			extra.ID, extra.Address = "s9", "10.0.0.9:5432"
+			m.Databases[0].Servers = append(m.Databases[0].Servers, extra)
+		}},
+		{"all leaving", "databases[0].servers", func(m *Manifest) {
+			for i := range m.Databases[0].Servers {
+				m.Databases[0].Servers[i].Leaving = true
+			}
+		}},
+		{"repeated server", "databases[0].servers[1].id", func(m *Manifest) { server(m).ID = "s0" }},
+		{"host name", "databases[0].servers[1].address", func(m *Manifest) { server(m).Address = "db.example:5432" }},
+		{"address without port", "databases[0].servers[1].address", func(m *Manifest) { server(m).Address = "10.0.0.2" }},
+		{"port 0", "databases[0].servers[1].address", func(m *Manifest) { server(m).Address = "10.0.0.2:0" }},
+		{"unspecified address", "databases[0].servers[1].address", func(m *Manifest) { server(m).Address = "0.0.0.0:5432" }},
+		{"repeated address", "databases[0].servers[1].address", func(m *Manifest) { server(m).Address = "10.0.0.1:5432" }},
+		{"no region", "databases[0].servers[1].region", func(m *Manifest) { server(m).Region = "" }},
+		{"no failure domain", "databases[0].servers[1].failureDomain", func(m *Manifest) { server(m).FailureDomain = "" }},
+		{"no connections", "databases[0].servers[1].maxConnections", func(m *Manifest) { server(m).MaxConnections = 0 }},
+		{"negative slots", "databases[0].servers[1].slots", func(m *Manifest) { server(m).Slots = -1 }},
+		{"more slots than connections", "databases[0].servers[1].slots", func(m *Manifest) { server(m).Slots = 21 }},
+		{"repeated account", "accounts[1].name", func(m *Manifest) { account(m).Name = "a"; route(m).Accounts = []string{"a"} }},
+		{"weight 0", "accounts[1].weight", func(m *Manifest) { account(m).Weight = 0 }},
+		{"rate 0", "accounts[1].rate", func(m *Manifest) { account(m).Rate = 0 }},
+		{"rate is no number", "accounts[1].rate", func(m *Manifest) { account(m).Rate = math.NaN() }},
+		{"burst below one", "accounts[1].burst", func(m *Manifest) { account(m).Burst = 0.5 }},
+		{"key without id", "accounts[1].keys[0].id", func(m *Manifest) { account(m).Keys[0].ID = "" }},
+		{"short hash", "accounts[1].keys[0].sha256", func(m *Manifest) { account(m).Keys[0].SHA256 = "abcd" }},
+		{"upper-case hash", "accounts[1].keys[0].sha256", func(m *Manifest) {
+			account(m).Keys[0].SHA256 = strings.ToUpper(account(m).Keys[0].SHA256)
+		}},
+		{"shared key", "accounts[1].keys[0].sha256", func(m *Manifest) { account(m).Keys[0].SHA256 = m.Accounts[0].Keys[0].SHA256 }},
+		{"repeated route", "routes[1].name", func(m *Manifest) { m.Routes[1].Name = "orders" }},
+		{"unknown database", "routes[0].database", func(m *Manifest) { route(m).Database = "sheets" }},
+		{"unknown account", "routes[0].accounts[1]", func(m *Manifest) { route(m).Accounts[1] = "c" }},
+		{"repeated account of a route", "routes[0].accounts[1]", func(m *Manifest) { route(m).Accounts[1] = "a" }},
+		{"open with accounts", "routes[0].accounts", func(m *Manifest) { route(m).Open = true }},
+		{"nobody may use it", "routes[0].accounts", func(m *Manifest) { route(m).Accounts = nil }},
+		{"acknowledge", "routes[0].acknowledge", func(m *Manifest) { route(m).Acknowledge = "all" }},
+		{"session scope", "routes[0].sessionScope", func(m *Manifest) { route(m).SessionScope = "user" }},
+		{"negative span", "routes[0].readWait", func(m *Manifest) { route(m).ReadWait = -5 }},
+		{"span in nanoseconds", "routes[0].queueTimeout", func(m *Manifest) { route(m).QueueTimeout = 500 }},
+		{"span too long", "routes[0].confirmTimeout", func(m *Manifest) { route(m).ConfirmTimeout = Duration(MaxConfirm + 1) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := testManifest(1)
+			c.spoil(&m)
+			for _, f := range m.Validate() {
+				if f.Path == c.path && f.Problem != "" && f.Remedy != "" {
+					return
+				}
+			}
+			t.Errorf("faults = %v, want one at %s", m.Validate(), c.path)
+		})
+	}
+	if faults := testManifest(1).Validate(); len(faults) != 0 {
+		t.Errorf("valid manifest has faults %v", faults)
+	}
+}
+
+// Guards against operators having to correct a document one fault at a time.
+func TestAllFaultsAtOnce(t *testing.T) {
+	m := testManifest(0)
+	m.Databases[0].Servers[0].Slots = 0
+	m.Accounts[0].Rate = -1
+	m.Routes[0].Database = "none"
+	if faults := m.Validate(); len(faults) != 4 {
+		t.Errorf("faults = %v, want 4", faults)
+	}
+}
+
+// Guards against a misspelt or mistyped setting that is silently ignored.
+func TestDecodeIsStrict(t *testing.T) {
+	doc := `
+apiVersion: cyclamenstile/v1
+version: -1
+databases:
+  - nmae: orders
+    servers: {}
+accounts:
+  - Name: a
+    rate: fast
+routes:
+  - name: 7
+    readWait: 50
+    queueTimeout: "10"
+    open: "yes"
+`
+	_, err := Decode([]byte(doc))
+	var faults Faults
+	if !errors.As(err, &faults) {
+		t.Fatalf("Decode = %v, want Faults", err)
+	}
+	want := []string{
+		"accounts[0].Name", "accounts[0].rate", "databases[0].nmae", "databases[0].servers",
+		"routes[0].name", "routes[0].open", "routes[0].queueTimeout", "routes[0].readWait", "version",
+	}
+	for i, f := range faults {
+		if i >= len(want) || f.Path != want[i] {
+			t.Errorf("fault %d is %v, want paths %v", i, f, want)
+		}
+	}
+	if len(faults) != len(want) {
+		t.Errorf("%d faults, want %d", len(faults), len(want))
+	}
+	for _, doc := range []string{"version: 1\nversion: 2\n", "version: 1\n---\nversion: 2\n", "[]", "version: [", "1"} {
+		if _, err := Decode([]byte(doc)); !errors.As(err, &faults) {
+			t.Errorf("Decode(%q) = %v, want Faults", doc, err)
+		}
+	}
+}
+
+// Guards against a document that changes its content on the way through the store.
+func TestEncodeRoundTrip(t *testing.T) {
+	m := testManifest(3)
+	m.Routes[0].ReadWait = Duration(DefaultReadWait)
+	doc, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Parse(append([]byte("# comment\n---\n"), doc...))
+	if err != nil || again.Digest() != m.Digest() {
+		t.Errorf("Parse = %+v, %v, want %+v", again, err, m)
+	}
+	if again.Digest() != testManifest(3).Digest() {
+		t.Error("an explicit default changes the digest")
+	}
+	var generic map[string]any
+	if err := json.Unmarshal(doc, &generic); err != nil {
+		t.Errorf("stored document is not JSON: %v", err)
+	}
+}
+
+// Guards against a review that misses a change, or shows a reordering as one.
+func TestDiff(t *testing.T) {
+	from, to := testManifest(1), testManifest(2)
+	to.Databases[0].Servers[2].Leaving = true
+	to.Accounts = to.Accounts[:1]
+	to.Accounts[0].Keys = append(to.Accounts[0].Keys, Key{ID: "a-2", SHA256: SumKey("x").String()})
+	to.Routes[0].Accounts = []string{"a"}
+	to.Routes[0].ReadWait = Duration(2 * DefaultReadWait)
+	to.Routes[0], to.Routes[1] = to.Routes[1], to.Routes[0]
+	want := []string{
+		"changed version: 1 -> 2",
+		"changed databases[orders].servers[s2].leaving: false -> true",
+		"added accounts[a].keys[a-2]",
+		"removed accounts[b]",
+		"removed routes[orders].accounts[b]",
+		"changed routes[orders].readWait: 50ms -> 100ms",
+	}
+	got := Diff(from, to)
+	for i, c := range got {
+		if i >= len(want) || c.String() != want[i] {
+			t.Errorf("change %d = %s, want %v", i, c, want)
+		}
+	}
+	if len(got) != len(want) {
+		t.Errorf("%d changes, want %d", len(got), len(want))
+	}
+}
+
+// Guards against a key that opens another account, a route it is not listed on, or nothing at all.
+func TestAuthorize(t *testing.T) {
+	m := testManifest(1)
+	m.Routes = append(m.Routes, Route{Name: "only-a", Database: "orders", Accounts: []string{"a"}})
+	s := mustSnapshot(t, m)
+	cases := []struct {
+		route, account, key string
+		want                Refusal
+	}{
+		{"orders", "a", "key of a", Granted},
+		{"orders", "a", "key of b", WrongKey},
+		{"orders", "c", "key of a", WrongKey},
+		{"orders", "", "", WrongKey},
+		{"only-a", "b", "key of b", NotOnRoute},
+		{"only-a", "b", "key of a", WrongKey},
+		{"none", "a", "key of a", UnknownRoute},
+		{"public", "", "", Granted},
+		{"public", "c", "wrong", Granted},
+	}
+	for _, c := range cases {
+		grant, got := s.Authorize(c.route, c.account, SumKey(c.key))
+		if got != c.want {
+			t.Errorf("Authorize(%s, %s, %q) = %v, want %v", c.route, c.account, c.key, got, c.want)
+		}
+		if got == Granted && !s.Holds(grant) {
+			t.Errorf("grant %+v is not held by its own snapshot", grant)
+		}
+	}
+}
