Add the directory that adopts manifests and authenticates callers

Cause: each instance needs the manifest in force, the keys in it and proof that no withdrawal was missed, without a store call on the statement path. Change: proxy/directory watches the store with jitter and capped full-jitter back-off, takes documents from peers, closes the Withdrawn channels of grants that an adoption took away, and reports its status. The store client refuses a watch that was answered from an older revision, since such an answer is no proof that nothing changed. Conclusion: unit tests and tests against the stand-in store, with outages, delays, stale reads and lost answers, pass with the race detector.

--- /dev/null
+++ b/proxy/directory/config.go
@@ -0,0 +1,99 @@
+package directory
+
+import (
+	"cmp"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+// Defaults of Config.
+const (
+	// DefaultWatchWait is how long a watch may wait at the store. It is below the contact
+	// timeout, so that an instance without peers keeps proof of contact.
+	DefaultWatchWait = 3 * time.Second
+	// DefaultCallTimeout is the time for an answer, on top of the wait of a watch.
+	DefaultCallTimeout = 2 * time.Second
+	// DefaultBackoffBase and DefaultBackoffCap bound the full-jitter delay after failures.
+	DefaultBackoffBase = 100 * time.Millisecond
+	DefaultBackoffCap  = 30 * time.Second
+	// DefaultWatchSpread delays the next watch, since a change wakes all instances at once. It
+	// also bounds the rate of watches at a store that answers without waiting.
+	DefaultWatchSpread = 200 * time.Millisecond
+	// DefaultStatusInterval is the time between two status writes without an adoption.
+	DefaultStatusInterval = time.Minute
+	// DefaultStatusSpread spreads the status writes of all instances after an adoption.
+	DefaultStatusSpread = 5 * time.Second
+	// DefaultStatusGap is the least time between two status writes. With 2,100 instances and a
+	// change every 16 s it allows 140 writes/s of the several hundred that the store handles.
+	DefaultStatusGap = 15 * time.Second
+)
+
+// Config configures a Directory. Instance, Store and Database are needed; zero values of the
+// others take defaults.
+type Config struct {
+	Instance string
+	Store    platform.Store
+	// Database returns the view of a database by its manifest name.
+	Database func(name string) (engine.Database, error)
+	// OnAdopt is called for every adoption, in order, before Offer returns. It must not block
+	// and must not call Offer.
+	OnAdopt func(*manifest.Snapshot, manifest.Withdrawals)
+	// Health adds entries to the status object.
+	Health func() map[string]string
+	Log    logrus.FieldLogger
+	// Rand is used under a lock of the directory.
+	Rand *rand.Rand
+	// Now returns the time since a monotonic origin.
+	Now func() time.Duration
+	// WallClock stamps the status object.
+	WallClock func() time.Time
+
+	ContactTimeout time.Duration
+	WatchWait      time.Duration
+	CallTimeout    time.Duration
+	BackoffBase    time.Duration
+	BackoffCap     time.Duration
+	WatchSpread    time.Duration
+	StatusInterval time.Duration
+	StatusSpread   time.Duration
+	StatusGap      time.Duration
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.Instance == "" || c.Store == nil || c.Database == nil {
+		return c, errors.New("directory needs an instance id, a store and a database lookup; set all three in its Config")
+	}
+	if c.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		c.Log = silent
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if c.Now == nil {
+		start := time.Now()
+		c.Now = func() time.Duration { return time.Since(start) }
+	}
+	if c.WallClock == nil {
+		c.WallClock = time.Now
+	}
+	c.ContactTimeout = cmp.Or(c.ContactTimeout, manifest.DefaultContactTimeout)
+	c.WatchWait = cmp.Or(c.WatchWait, DefaultWatchWait)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.BackoffBase = cmp.Or(c.BackoffBase, DefaultBackoffBase)
+	c.BackoffCap = cmp.Or(c.BackoffCap, DefaultBackoffCap)
+	c.WatchSpread = cmp.Or(c.WatchSpread, DefaultWatchSpread)
+	c.StatusInterval = cmp.Or(c.StatusInterval, DefaultStatusInterval)
+	c.StatusSpread = cmp.Or(c.StatusSpread, DefaultStatusSpread)
+	c.StatusGap = cmp.Or(c.StatusGap, DefaultStatusGap)
+	return c, nil
+}
--- /dev/null
+++ b/proxy/directory/directory_test.go
@@ -0,0 +1,531 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/standin/store"
+)
+
+const (
+	keyOfA       = "key-of-a-that-must-not-be-logged"
+	keyOfB       = "key-of-b-that-must-not-be-logged"
+	testDeadline = 20 * time.Second
+)
+
+// testDocument has the accounts a and b, the keyed route orders and the open route public.
+// Spoil may change it before it is encoded.
+func testDocument(t *testing.T, version uint64, spoil ...func(*manifest.Manifest)) []byte {
+	t.Helper()
+	m := manifest.Manifest{
+		APIVersion: manifest.APIVersion,
+		Version:    version,
+		Databases:  []manifest.Database{{Name: "orders"}},
+		Accounts:   []manifest.Account{testAccount("a", keyOfA), testAccount("b", keyOfB)},
+		Routes: []manifest.Route{
+			{Name: "orders", Database: "orders", Accounts: []string{"a", "b"}},
+			{Name: "only-a", Database: "orders", Accounts: []string{"a"}},
+			{Name: "public", Database: "orders", Open: true},
+		},
+	}
+	for i := range 3 {
+		m.Databases[0].Servers = append(m.Databases[0].Servers, manifest.Server{
+			ID: fmt.Sprint("s", i), Address: fmt.Sprintf("127.0.0.1:%d", 5432+i),
+			Region: "sask", FailureDomain: "sask-a", MaxConnections: 20, Slots: 3,
+		})
+	}
+	for _, change := range spoil {
+		change(&m)
+	}
+	doc, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+func testAccount(name, key string) manifest.Account {
+	hash := manifest.Key{ID: name + "-1", SHA256: manifest.SumKey(key).String()}
+	return manifest.Account{Name: name, Weight: 1, Rate: 10, Burst: 10, Keys: []manifest.Key{hash}}
+}
+
+func withoutKeyOfA(m *manifest.Manifest) { m.Accounts[0].Keys = nil }
+
+// clock is a monotonic clock that a test moves.
+type clock struct{ at atomic.Int64 }
+
+func (c *clock) now() time.Duration              { return time.Duration(c.at.Load()) }
+func (c *clock) advance(d time.Duration)         { c.at.Add(int64(d)) }
+func noDatabase(string) (engine.Database, error) { return nil, errors.New("no database in this test") }
+
+// logBuffer collects log lines of several goroutines.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+type fixture struct {
+	*Directory
+	clock  *clock
+	server *store.Server
+	client *httpstore.Client
+	logs   *logBuffer
+}
+
+// newFixture starts a store and a directory that is not running yet.
+func newFixture(t *testing.T, change ...func(*Config)) fixture {
+	t.Helper()
+	f := fixture{clock: &clock{}, logs: &logBuffer{}}
+	var err error
+	if f.server, err = store.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	if f.client, err = httpstore.New(httpstore.Config{BaseURL: f.server.URL()}); err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(f.logs)
+	log.SetLevel(logrus.TraceLevel)
+	cfg := Config{
+		Instance: "i1", Store: f.client, Database: noDatabase, Log: log,
+		Rand: rand.New(rand.NewPCG(1, 2)), Now: f.clock.now,
+		BackoffCap: 50 * time.Millisecond, WatchSpread: time.Millisecond,
+	}
+	for _, c := range change {
+		c(&cfg)
+	}
+	if f.Directory, err = New(cfg); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.client.Close()
+		_ = f.server.Close()
+	})
+	return f
+}
+
+func (f fixture) run(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// offer adopts a document and records contact with the store at the present time.
+func (f fixture) offer(t *testing.T, doc []byte, version uint64) {
+	t.Helper()
+	if err := f.Offer(doc, version); err != nil {
+		t.Fatal(err)
+	}
+	f.storeAnswered(f.clock.now(), 0)
+}
+
+func (f fixture) put(t *testing.T, doc []byte, ifVersion uint64) uint64 {
+	t.Helper()
+	version, err := f.client.Put(context.Background(), manifest.StoreKey, doc, ifVersion)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testDeadline); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached within %s: %s", testDeadline, what)
+		}
+	}
+}
+
+func isWithdrawn(l engine.Login) bool {
+	select {
+	case <-l.Withdrawn:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against a caller let in with another account's key, on another route, or without proof
+// that its key is still valid; and against keys in the log.
+func TestAuthenticate(t *testing.T) {
+	f := newFixture(t)
+	if _, err := f.Authenticate("orders", "a", keyOfA); !outcome.Is(err, outcome.NotRun) {
+		t.Errorf("without a manifest: %v, want not run", err)
+	}
+	if err := f.Offer(testDocument(t, 1), 1); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Authenticate("orders", "a", keyOfA); !outcome.Is(err, outcome.NotRun) {
+		t.Errorf("without contact: %v, want not run", err)
+	}
+	f.storeAnswered(0, 0)
+	cases := []struct{ route, account, key, code string }{
+		{"orders", "a", keyOfA, ""},
+		{"orders", "a", keyOfB, outcome.CodeInvalidPassword},
+		{"orders", "none", keyOfA, outcome.CodeInvalidPassword},
+		{"only-a", "b", keyOfB, outcome.CodeInvalidAuthorization},
+		{"none", "a", keyOfA, outcome.CodeUndefinedDatabase},
+		{"public", "whoever", "", ""},
+	}
+	for _, c := range cases {
+		login, err := f.Authenticate(c.route, c.account, c.key)
+		if c.code == "" {
+			if err != nil || login.Route.Name != c.route || login.Route.QueueTimeout == 0 {
+				t.Errorf("%s as %s: %+v, %v, want a login with defaults", c.route, c.account, login, err)
+			}
+			continue
+		}
+		if e := outcome.As(err); e == nil || e.Kind != outcome.Denied || e.Code != c.code {
+			t.Errorf("%s as %s: %v, want denied with %s", c.route, c.account, err, c.code)
+		}
+	}
+	f.clock.advance(manifest.DefaultContactTimeout + 1)
+	if _, err := f.Authenticate("orders", "a", keyOfA); !outcome.Is(err, outcome.NotRun) {
+		t.Errorf("after the contact timeout: %v, want not run", err)
+	}
+	if _, err := f.Authenticate("public", "", ""); err != nil {
+		t.Errorf("open route after the contact timeout: %v", err)
+	}
+	if logs := f.logs.String(); strings.Contains(logs, keyOfA) || strings.Contains(logs, keyOfB) {
+		t.Errorf("log holds a key:\n%s", logs)
+	}
+}
+
+// Guards against a withdrawn key that keeps working on a live connection, and against closing others.
+func TestWithdrawal(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*manifest.Manifest)
+		closed map[string]bool // by account and route
+	}{
+		{"key", withoutKeyOfA, map[string]bool{"a orders": true, "a only-a": true}},
+		{"right", func(m *manifest.Manifest) { m.Routes[0].Accounts = []string{"a"} }, map[string]bool{"b orders": true}},
+		{"route", func(m *manifest.Manifest) { m.Routes = m.Routes[:2] }, map[string]bool{" public": true}},
+		{"setting", func(m *manifest.Manifest) { m.Routes[0].ReadOnly = true; m.Accounts[0].Weight = 9 }, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.offer(t, testDocument(t, 1), 1)
+			logins := map[string]engine.Login{}
+			for _, l := range []struct{ account, route, key string }{
+				{"a", "orders", keyOfA}, {"a", "only-a", keyOfA}, {"b", "orders", keyOfB}, {"", "public", ""},
+			} {
+				login, err := f.Authenticate(l.route, l.account, l.key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				logins[l.account+" "+l.route] = login
+			}
+			f.offer(t, testDocument(t, 2, c.change), 2)
+			for name, login := range logins {
+				if got := isWithdrawn(login); got != c.closed[name] {
+					t.Errorf("%s: withdrawn = %v, want %v", name, got, c.closed[name])
+				}
+				if err := f.Check(login); outcome.Is(err, outcome.Denied) != c.closed[name] {
+					t.Errorf("%s: Check = %v", name, err)
+				}
+			}
+			if refreshed, err := f.Refresh(logins["a orders"]); err == nil && c.name == "setting" && (!refreshed.Route.ReadOnly || refreshed.Account.Weight != 9) {
+				t.Errorf("Refresh = %+v, want the settings in force", refreshed)
+			}
+		})
+	}
+}
+
+// Guards against a login that slips in between the check of its key and its registration, and
+// then never learns of the withdrawal.
+func TestWithdrawalRacesWithLogins(t *testing.T) {
+	f := newFixture(t)
+	f.offer(t, testDocument(t, 1), 1)
+	var logins sync.WaitGroup
+	granted := make(chan engine.Login, 8*200)
+	for range 8 {
+		logins.Go(func() {
+			for range 200 {
+				if l, err := f.Authenticate("orders", "a", keyOfA); err == nil {
+					granted <- l
+				}
+			}
+		})
+	}
+	f.offer(t, testDocument(t, 2, withoutKeyOfA), 2)
+	logins.Wait()
+	close(granted)
+	for l := range granted {
+		if !isWithdrawn(l) {
+			t.Fatal("a login outlived its key")
+		}
+	}
+	if _, err := f.Authenticate("orders", "a", keyOfA); !outcome.Is(err, outcome.Denied) {
+		t.Errorf("login after the withdrawal: %v, want denied", err)
+	}
+}
+
+// Guards against changes that don't arrive, a version that goes down on stale reads, and a
+// faulty or deleted object that takes the configuration away.
+func TestFollowsTheStore(t *testing.T) {
+	var adopted []uint64
+	f := newFixture(t, func(c *Config) {
+		c.OnAdopt = func(s *manifest.Snapshot, _ manifest.Withdrawals) { adopted = append(adopted, s.Version()) }
+	})
+	version := f.put(t, testDocument(t, 1), 0)
+	f.run(t)
+	inForce := func(want uint64) func() bool {
+		return func() bool { return f.State().Version == want }
+	}
+	eventually(t, "version 1 in force", inForce(1))
+	f.server.SetStaleReads(2)
+	version = f.put(t, testDocument(t, 2), version)
+	eventually(t, "version 2 in force", inForce(2))
+	f.server.SetStaleReads(0)
+	version = f.put(t, testDocument(t, 3, func(m *manifest.Manifest) { m.Routes[0].Database = "none" }), version)
+	eventually(t, "refusal logged", func() bool { return strings.Contains(f.logs.String(), EventRejected) })
+	if err := f.client.Delete(context.Background(), manifest.StoreKey, version); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "deletion logged", func() bool { return strings.Contains(f.logs.String(), EventDeleted) })
+	if got := f.State().Version; got != 2 {
+		t.Errorf("version %d in force, want 2", got)
+	}
+	f.put(t, testDocument(t, 4), 0)
+	eventually(t, "version 4 in force", inForce(4))
+	f.offers.Lock()
+	defer f.offers.Unlock()
+	if fmt.Sprint(adopted) != "[1 2 4]" {
+		t.Errorf("adopted %v, want [1 2 4]", adopted)
+	}
+}
+
+// Guards against an outage that stops peers' manifests, keeps withdrawn keys working, blocks the
+// statement path or never ends.
+func TestStoreOutage(t *testing.T) {
+	f := newFixture(t)
+	version := f.put(t, testDocument(t, 1), 0)
+	f.run(t)
+	eventually(t, "keyed work", f.keyedAllowed)
+	login, err := f.Authenticate("orders", "a", keyOfA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.server.Refuse(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "outage noticed", func() bool { return strings.Contains(f.logs.String(), EventStoreLost) })
+	if err := f.Check(login); err != nil {
+		t.Errorf("Check at the start of the outage: %v", err)
+	}
+	f.clock.advance(manifest.DefaultContactTimeout + 1)
+	if err := f.Check(login); !outcome.Is(err, outcome.NotRun) {
+		t.Errorf("Check after the contact timeout: %v, want not run", err)
+	}
+	f.SetInstances([]string{"i1", "i2", "i3"})
+	if newer := f.PeerAnswered(f.Now(), manifest.PeerState{Instance: "i2", Version: 2}); !newer {
+		t.Error("a peer's newer manifest was not noticed")
+	}
+	if err := f.Check(login); !outcome.Is(err, outcome.NotRun) {
+		t.Errorf("Check while behind a peer: %v, want not run", err)
+	}
+	if err := f.Offer(testDocument(t, 2, withoutKeyOfA), 2); err != nil {
+		t.Fatal(err)
+	}
+	f.PeerAnswered(f.Now(), manifest.PeerState{Instance: "i2", Version: 2})
+	if err := f.Check(login); !outcome.Is(err, outcome.Denied) {
+		t.Errorf("Check after the peer's withdrawal: %v, want denied", err)
+	}
+	if _, err := f.Authenticate("orders", "b", keyOfB); err != nil {
+		t.Errorf("login with a majority of peers: %v", err)
+	}
+	if err := f.server.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	f.put(t, testDocument(t, 3), version)
+	eventually(t, "version 3 in force", func() bool { return f.State().Version == 3 })
+}
+
+// Guards against a slow store that holds up logins or statements.
+func TestSlowStoreDoesNotBlockTheStatementPath(t *testing.T) {
+	f := newFixture(t)
+	f.offer(t, testDocument(t, 1), 1)
+	f.server.SetDelay(time.Hour)
+	f.run(t)
+	eventually(t, "a call is held by the store", func() bool { return f.server.Calls().Watch > 0 })
+	before := f.server.Calls()
+	login, err := f.Authenticate("orders", "a", keyOfA)
+	if err == nil {
+		err = f.Check(login)
+	}
+	if err != nil {
+		t.Errorf("login while the store is slow: %v", err)
+	}
+	if after := f.server.Calls(); after.Get != before.Get || after.List != before.List {
+		t.Errorf("login called the store: %+v, then %+v", before, after)
+	}
+}
+
+// Guards against peers that pass on another document than they name, or an older one.
+func TestFetchAndOffer(t *testing.T) {
+	f, peer := newFixture(t), newFixture(t)
+	if _, _, ok := f.Fetch(1); ok {
+		t.Error("Fetch without a manifest returned one")
+	}
+	f.offer(t, testDocument(t, 4), 4)
+	if _, _, ok := f.Fetch(5); ok {
+		t.Error("Fetch of a newer version than in force returned a document")
+	}
+	doc, version, ok := f.Fetch(2)
+	if !ok || version != 4 {
+		t.Fatalf("Fetch = version %d, %v, want 4", version, ok)
+	}
+	if err := peer.Offer(doc, 5); err == nil {
+		t.Error("a document was accepted under another version")
+	}
+	if err := peer.Offer(doc, version); err != nil || peer.State().Version != 4 {
+		t.Errorf("Offer = %v, version %d in force, want 4", err, peer.State().Version)
+	}
+	other := testDocument(t, 4, withoutKeyOfA)
+	if err := peer.Offer(other, 4); !errors.Is(err, manifest.ErrSameVersion) {
+		t.Errorf("another document of the same version: %v, want ErrSameVersion", err)
+	}
+}
+
+// Guards against a status that is late after an adoption, lost with an answer, or blocked by the
+// object of a predecessor with the same id.
+func TestStatusIsReported(t *testing.T) {
+	f := newFixture(t, func(c *Config) {
+		c.Now = nil
+		c.StatusSpread, c.StatusGap = time.Millisecond, time.Millisecond
+		c.Health = func() map[string]string { return map[string]string{"orders": "ok"} }
+	})
+	if _, err := f.client.Put(context.Background(), StatusPrefix+"i1", []byte("{}"), 0); err != nil {
+		t.Fatal(err)
+	}
+	f.run(t)
+	var version uint64
+	for want := uint64(1); want <= 3; want++ {
+		f.server.LoseAnswers(1)
+		version = f.put2(t, testDocument(t, want), version)
+		eventually(t, fmt.Sprintf("status with version %d", want), func() bool {
+			status, err := f.readStatus()
+			return err == nil && status.Version == want && status.Health["orders"] == "ok"
+		})
+	}
+}
+
+// put2 resolves a lost answer by reading back.
+func (f fixture) put2(t *testing.T, doc []byte, ifVersion uint64) uint64 {
+	t.Helper()
+	_, _ = f.client.Put(context.Background(), manifest.StoreKey, doc, ifVersion)
+	obj, err := f.client.Get(context.Background(), manifest.StoreKey)
+	if err != nil || !bytes.Equal(obj.Value, doc) {
+		t.Fatalf("put did not take effect: %v", err)
+	}
+	return obj.Version
+}
+
+func (f fixture) readStatus() (Status, error) {
+	var status Status
+	obj, err := f.client.Get(context.Background(), StatusPrefix+"i1")
+	if err != nil {
+		return status, err
+	}
+	return status, json.Unmarshal(obj.Value, &status)
+}
+
+// Guards against instances that write their status too often, all at once or never.
+func TestStatusSchedule(t *testing.T) {
+	j := &jitter{rand: rand.New(rand.NewPCG(3, 4))}
+	s := statusSchedule{interval: time.Minute, spread: 5 * time.Second, gap: 15 * time.Second}
+	for range 1000 {
+		s.wrote(100*time.Second, j)
+		if s.due < 160*time.Second || s.due > 166*time.Second {
+			t.Fatalf("regular write due at %s, want a minute later with jitter", s.due)
+		}
+		s.adopted(102*time.Second, j)
+		if s.due != 115*time.Second {
+			t.Fatalf("write after an adoption due at %s, want the gap after the last one", s.due)
+		}
+		s.wrote(100*time.Second, j)
+		s.adopted(120*time.Second, j)
+		if s.due < 120*time.Second || s.due > 125*time.Second {
+			t.Fatalf("write after a later adoption due at %s, want within the spread", s.due)
+		}
+		s.failed(200*time.Second, time.Second)
+		if s.due != 215*time.Second {
+			t.Fatalf("write after a failure due at %s, want the gap later", s.due)
+		}
+	}
+}
+
+// Guards against a thundering herd after an outage: delays must be spread and capped.
+func TestBackoffIsFullJitter(t *testing.T) {
+	j := &jitter{rand: rand.New(rand.NewPCG(5, 6))}
+	for failures, ceiling := range map[int]time.Duration{1: 100, 2: 200, 5: 1600, 9: 25600, 10: 30000, 1000: 30000} {
+		ceiling *= time.Millisecond
+		var low, high int
+		for range 1000 {
+			d := j.backoff(failures, DefaultBackoffBase, DefaultBackoffCap)
+			if d < 0 || d > ceiling {
+				t.Fatalf("delay %s after %d failures, want up to %s", d, failures, ceiling)
+			}
+			if d < ceiling/2 {
+				low++
+			} else {
+				high++
+			}
+		}
+		if low < 400 || high < 400 {
+			t.Errorf("after %d failures %d delays are in the lower half and %d in the upper", failures, low, high)
+		}
+	}
+}
+
+// Guards against a watch whose answer comes after the proof of contact ran out.
+func TestWatchWaitLeavesMargin(t *testing.T) {
+	f := newFixture(t)
+	if got := f.watchWait(0); got != DefaultWatchWait {
+		t.Errorf("wait before any contact = %s, want %s", got, DefaultWatchWait)
+	}
+	f.offer(t, testDocument(t, 1), 1)
+	for now, want := range map[time.Duration]time.Duration{0: 3000, 1500: 2000, 4000: 0, 9000: 0} {
+		if got := f.watchWait(now * time.Millisecond); got != want*time.Millisecond {
+			t.Errorf("wait %dms after contact = %s, want %dms", now, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/proxy/directory/jitter.go
@@ -0,0 +1,44 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// jitter draws random delays. It is safe for concurrent use.
+type jitter struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+// upTo returns a delay from 0 to limit.
+func (j *jitter) upTo(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return time.Duration(j.rand.Int64N(int64(limit) + 1))
+}
+
+// backoff returns the full-jitter delay after a number of failures in a row: up to base doubled
+// with every failure, at most limit.
+func (j *jitter) backoff(failures int, base, limit time.Duration) time.Duration {
+	ceiling := base
+	for i := 1; i < failures && ceiling < limit; i++ {
+		ceiling *= 2
+	}
+	return j.upTo(min(ceiling, limit))
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/proxy/directory/watch.go
@@ -0,0 +1,93 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+)
+
+// watchMarginShare is the part of the contact timeout that is left when the answer of a watch is
+// due, for the way back and the start of the next watch.
+const watchMarginShare = 0.3
+
+// watchStore follows the manifest object until ctx ends.
+func (d *Directory) watchStore(ctx context.Context) {
+	var after uint64
+	failures := 0
+	for ctx.Err() == nil {
+		next, err := d.watchOnce(ctx, after)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			failures++
+			d.logStoreLost(failures, err)
+			sleep(ctx, d.jitter.backoff(failures, d.cfg.BackoffBase, d.cfg.BackoffCap))
+			continue
+		}
+		d.logStoreBack(failures)
+		failures = 0
+		after = next
+		sleep(ctx, d.jitter.upTo(d.cfg.WatchSpread))
+	}
+}
+
+func (d *Directory) watchOnce(ctx context.Context, after uint64) (next uint64, err error) {
+	sent := d.cfg.Now()
+	wait := d.watchWait(sent)
+	ctx, cancel := context.WithTimeout(ctx, wait+d.cfg.CallTimeout)
+	defer cancel()
+	changes, next, err := d.cfg.Store.Watch(ctx, manifest.StoreKey, after)
+	if err != nil {
+		return after, err
+	}
+	revision := d.takeChanges(changes)
+	if len(changes) == 0 {
+		// The store has seen no change for the whole wait. The wait bounds what counts, since
+		// a pause of this process may lie between the answer and now.
+		sent += min(d.cfg.Now()-sent, wait)
+	}
+	d.storeAnswered(sent, revision)
+	return max(next, after), nil
+}
+
+// watchWait lets the answer arrive before the proof of contact runs out.
+func (d *Directory) watchWait(now time.Duration) time.Duration {
+	until := d.keyedUntil.Load()
+	if until == neverKeyed {
+		return d.cfg.WatchWait
+	}
+	margin := time.Duration(watchMarginShare * float64(d.cfg.ContactTimeout))
+	return max(min(time.Duration(until)-now-margin, d.cfg.WatchWait), 0)
+}
+
+// takeChanges offers the manifest among the changes and returns its revision. A refused
+// manifest is logged and doesn't hold up the watch.
+func (d *Directory) takeChanges(changes []platform.Object) (revision uint64) {
+	for _, object := range changes {
+		if object.Key != manifest.StoreKey {
+			continue
+		}
+		revision = object.Version
+		if object.Deleted {
+			event(d.cfg.Log, EventDeleted).Warn("manifest object was deleted; the one in force stays, apply one with a higher version")
+			continue
+		}
+		_ = d.offerStored(object.Value) // logged by reject
+	}
+	return revision
+}
+
+func (d *Directory) logStoreLost(failures int, err error) {
+	if failures == 1 {
+		event(d.cfg.Log, EventStoreLost).WithError(err).Warn("store does not answer; retrying with back-off, the manifest in force stays")
+	}
+}
+
+func (d *Directory) logStoreBack(failures int) {
+	if failures > 0 {
+		event(d.cfg.Log, EventStoreBack).WithField("failures", failures).Info("store answers again")
+	}
+}
--- a/standin/store/contract_test.go
+++ b/standin/store/contract_test.go
@@ -219,8 +219,8 @@
 		}
 	}
 	_, after, err := client.Watch(ctx, testKey, second)
-	if err != nil || after < second {
-		t.Errorf("stale Watch continues from %d, %v, want at least %d", after, err, second)
+	if !errors.Is(err, httpstore.ErrStale) || after != second {
+		t.Errorf("stale Watch = continue from %d, %v, want ErrStale and %d", after, err, second)
 	}
 }
 
