Add session floors, tokens and statement classification

The engine needs to know where a statement may run and what its session has to see. decision/statement classifies by first words with a small tokenizer, and decision/session keeps the floor, the token and the lost-write notice. Both are pure and are tested with tables and fuzz seeds.

--- /dev/null
+++ b/decision/session/session_test.go
@@ -0,0 +1,97 @@
+package session
+
+import (
+	"testing"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+// Guards against a read below the session's own writes.
+func TestFloorNeverFalls(t *testing.T) {
+	s := New("sheets", manifest.ScopeAny)
+	s.Confirmed(position.Position{Term: 2, LSN: 10})
+	s.Confirmed(position.Position{Term: 2, LSN: 7})
+	if err := s.Accept("cyc1:sheets:1/99"); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Need().Floor; got != (position.Position{Term: 2, LSN: 10}) {
+		t.Errorf("floor = %v, want 2/10", got)
+	}
+}
+
+// Guards against a session without a token missing the writes of its other connections.
+func TestSampling(t *testing.T) {
+	anyScope := New("sheets", manifest.ScopeAny)
+	anyScope.Served(1, position.Position{Term: 1, LSN: 5})
+	if !anyScope.Need().Sample {
+		t.Error("scope any does not sample on each read")
+	}
+	connection := New("sheets", manifest.ScopeConnection)
+	connection.Served(1, position.Position{})
+	if !connection.Need().Sample {
+		t.Error("scope connection stopped sampling before the sample was known")
+	}
+	connection.Served(1, position.Position{Term: 1, LSN: 5})
+	if need := connection.Need(); need.Sample || need.Floor.LSN != 5 {
+		t.Errorf("scope connection needs %+v after its sample, want floor 1/5 and no sample", need)
+	}
+	if err := anyScope.Accept("cyc1:sheets:1/7"); err != nil || anyScope.Need().Sample {
+		t.Errorf("a session with a token still samples (error %v)", err)
+	}
+}
+
+// Guards against a forged token leaving its session without any answer.
+func TestRejectedTokenRestoresTheFloor(t *testing.T) {
+	s := New("sheets", manifest.ScopeAny)
+	s.Confirmed(position.Position{Term: 1, LSN: 4})
+	_ = s.Accept("cyc1:sheets:9/9")
+	if !s.RejectToken() || s.Need().Floor.LSN != 4 {
+		t.Errorf("floor = %v after the token was refused, want 1/4", s.Need().Floor)
+	}
+	if s.RejectToken() {
+		t.Error("a proven floor was dropped as a token")
+	}
+}
+
+// Guards against a lost write being hidden by a write in the next term, or reported twice.
+func TestLostWrite(t *testing.T) {
+	s := New("sheets", manifest.ScopeAny)
+	s.Confirmed(position.Position{Term: 1, LSN: 100})
+	if !s.MustCheck(2) || s.MustCheck(1) {
+		t.Error("the floor is to be checked before a write in term 2, and not in term 1")
+	}
+	if e := s.Lost(); e.Kind != outcome.LostWrite {
+		t.Errorf("notice is %v, want lost_write", e.Kind)
+	}
+	if s.MustCheck(2) || !s.Need().Floor.IsZero() {
+		t.Error("the floor is still there after the notice")
+	}
+}
+
+// Guards against tokens of other databases and malformed ones being taken as a floor.
+func TestParseTokenRefuses(t *testing.T) {
+	for _, text := range []string{"", "cyc1", "cyc1:sheets", "cyc2:sheets:1/2", "cyc1:other:1/2",
+		"cyc1:sheets:1/", "cyc1:sheets:+1/2", "cyc1:sheets:01/2", "cyc1:sheets:1/2/3",
+		"cyc1:sheets:1/99999999999999999999"} {
+		if p, err := ParseToken("sheets", text); !outcome.Is(err, outcome.Invalid) {
+			t.Errorf("ParseToken(%q) = %v, %v; want an invalid error", text, p, err)
+		}
+	}
+}
+
+// Guards against a token being read as another position than the one it was made from, and
+// against panics on arbitrary text.
+func FuzzParseToken(f *testing.F) {
+	for _, s := range []string{"cyc1:db:1/2", "cyc1:a:b:3/4", "cyc1::0/0", "::/", "cyc1:db:1/-2"} {
+		f.Add("db", s)
+		f.Add("a:b", s)
+	}
+	f.Fuzz(func(t *testing.T, database, text string) {
+		p, err := ParseToken(database, text)
+		if err == nil && Token(database, p) != text {
+			t.Errorf("token %q was read as %v", text, p)
+		}
+	})
+}
--- /dev/null
+++ b/decision/statement/setting.go
@@ -0,0 +1,106 @@
+package statement
+
+import "strings"
+
+// set reads SET and tells session settings, which the proxy answers itself, from settings of one
+// transaction, which go to its connection.
+func (p *parser) set() Class {
+	p.advance()
+	switch p.word {
+	case "local", "constraints":
+		return p.consume(Class{Kind: InTransaction})
+	case "transaction":
+		return p.setTransaction()
+	case "role", "authorization":
+		return p.refuse(sessionRole)
+	case "session":
+		p.advance()
+	}
+	if p.word == "characteristics" {
+		return p.refuse(characteristics)
+	}
+	if p.word == "authorization" || p.word == "role" {
+		return p.refuse(sessionRole)
+	}
+	return p.assignment()
+}
+
+func (p *parser) setTransaction() Class {
+	mode := p.access()
+	return Class{Kind: InTransaction, Access: mode}
+}
+
+func (p *parser) assignment() Class {
+	c := Class{Kind: Setting, Name: p.settingName()}
+	switch {
+	case c.Name == "names":
+		c.Name = "client_encoding"
+	case c.Name == "time" && p.word == "zone":
+		c.Name = "timezone"
+		p.advance()
+	case p.symbol('=') || p.word == "to":
+		p.advance()
+	}
+	c.Reset = p.word == "default"
+	c.Value = p.settingValue()
+	if c.Reset {
+		c.Value = ""
+	}
+	return c
+}
+
+// settingName reads a parameter name of one or two parts, in lower case.
+func (p *parser) settingName() string {
+	start := p.tok.start
+	end := start
+	for isName(p.tok.kind) {
+		end = p.tok.end
+		p.advance()
+		if !p.symbol('.') {
+			break
+		}
+		p.advance()
+	}
+	name := p.sql[start:end]
+	return strings.ToLower(strings.ReplaceAll(name, `"`, ""))
+}
+
+// settingValue reads the rest of the statement. A single constant loses its quotes.
+func (p *parser) settingValue() string {
+	if p.finished() {
+		return ""
+	}
+	start, first := p.tok.start, p.text()
+	p.advance()
+	if p.finished() {
+		return unquote(first)
+	}
+	for !p.finished() {
+		p.advance()
+	}
+	return p.sql[start:p.end]
+}
+
+func (p *parser) reset() Class {
+	p.advance()
+	if p.word == "role" || p.word == "session" {
+		return p.refuse(sessionRole)
+	}
+	c := Class{Kind: Setting, Reset: true, Name: p.settingName()}
+	return p.consume(c)
+}
+
+func (p *parser) discard(first string) Class {
+	p.advance()
+	if p.word == "prepare" {
+		p.advance()
+	}
+	c := Class{Kind: Discard, Name: first}
+	if !p.finished() && first == "deallocate" {
+		c.Value = unquote(p.text())
+		if p.tok.kind == tokenWord {
+			c.Value = strings.ToLower(p.text())
+		}
+	}
+	return p.consume(c)
+}
