--- a/decision/session/session.go
+++ b/decision/session/session.go
@@ -87,6 +87,10 @@
 
 // Confirmed raises the floor after a confirmed write.
 func (s *State) Confirmed(p position.Position) {
+	if s.unproven && p.Less(s.floor) {
+		s.proven = position.Max(s.proven, p)
+		return
+	}
 	s.floor = position.Max(s.floor, p)
 	s.prove(p.Term)
 }
--- a/decision/statement/class.go
+++ b/decision/statement/class.go
@@ -56,8 +56,8 @@
 	// of them is, Read if all are reads, and Write otherwise.
 	Kind  Kind
 	Count int // statements in the text
-	// Commits is true when one of several statements may end a transaction.
-	Commits bool
+	// Control is true when one of several statements opens or ends a transaction.
+	Control bool
 	// Certain is true when a Write can't be a read: its first word says so.
 	Certain bool
 	// Taints is true when the statement runs code that may change the connection's settings, so
--- a/decision/statement/classify.go
+++ b/decision/statement/classify.go
@@ -27,7 +27,7 @@
 		return next
 	}
 	m := Class{Kind: Write, Count: whole.Count + 1}
-	m.Commits = whole.ends() || next.ends()
+	m.Control = whole.controls() || next.controls()
 	m.Certain = whole.Certain || next.Certain
 	m.Taints = whole.Taints || next.Taints
 	switch {
@@ -44,8 +44,8 @@
 	return m
 }
 
-func (c Class) ends() bool {
-	return c.Commits || c.Kind == Commit || c.Kind == Rollback
+func (c Class) controls() bool {
+	return c.Control || c.Kind == Begin || c.Kind == Commit || c.Kind == Rollback
 }
 
 func local(k Kind) bool {
--- /dev/null
+++ b/proxy/engine/autocommit.go
@@ -0,0 +1,176 @@
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+)
+
+const (
+	// retryBackoffMin and retryBackoffMax bound the wait before the second and later retries. The
+	// wait has full jitter, so that sessions that failed together don't come back together.
+	retryBackoffMin = 5 * time.Millisecond
+	retryBackoffMax = 200 * time.Millisecond
+	// readOnlyRetry is the time after which a write may be tried again when the primary is read-only.
+	readOnlyRetry = time.Second
+)
+
+// attempt is the progress of one autocommit unit over several servers.
+type attempt struct {
+	plan
+	number  int
+	moved   bool // goes to the primary because it turned out to be a write
+	exclude []authority.ServerID
+}
+
+// runAutocommit runs a unit outside a transaction, on another server if the first fails in a way
+// that allows it.
+func (n *session) runAutocommit(ctx context.Context, u *unit, report *Statement, started time.Time) (*outcome.Error, error) {
+	p, e := n.plan(u)
+	if e != nil {
+		return e, nil
+	}
+	a := &attempt{plan: p}
+	for {
+		a.number++
+		report.Attempts = a.number
+		up, e, again := n.connect(ctx, a)
+		if e != nil && again && n.mayRetry(ctx, a) {
+			continue
+		}
+		if e != nil {
+			return e, nil
+		}
+		n.reportTarget(report, up, started)
+		r := n.relay(ctx, up, u, a.plan)
+		report.Run = time.Since(started) - report.Wait
+		e, again, err := n.settle(ctx, up, u, a, &r, report)
+		if err != nil {
+			return nil, err
+		}
+		if again && n.mayRetry(ctx, a) {
+			n.out.dropAll()
+			u.done = 0
+			continue
+		}
+		return e, nil
+	}
+}
+
+func (n *session) reportTarget(report *Statement, up *upstream, started time.Time) {
+	report.Wait = time.Since(started)
+	report.Server = up.target.Server
+	report.Primary = up.target.Primary
+}
+
+// mayRetry counts an attempt and waits before the next one.
+func (n *session) mayRetry(ctx context.Context, a *attempt) bool {
+	if a.moved {
+		a.moved = false
+		return ctx.Err() == nil
+	}
+	if a.number >= n.srv.cfg.MaxAttempts || ctx.Err() != nil {
+		return false
+	}
+	if allow := n.srv.cfg.AllowRetry; allow != nil && !allow(n.login.Route.Name) {
+		return false
+	}
+	if a.number == 1 {
+		return true
+	}
+	limit := min(retryBackoffMin<<a.number, retryBackoffMax)
+	timer := time.NewTimer(rand.N(limit))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// connect chooses a server and gets a connection to it. again tells that another try may help.
+func (n *session) connect(ctx context.Context, a *attempt) (up *upstream, e *outcome.Error, again bool) {
+	target, e := n.choose(ctx, a)
+	if e != nil {
+		return nil, e, false
+	}
+	conn, err := n.srv.cfg.Pool.Acquire(ctx, AcquireRequest{
+		Target:  target,
+		Account: n.login.Account.Name,
+		Weight:  n.login.Account.Weight,
+		Timeout: n.login.Route.QueueTimeout.Std(),
+	})
+	if err != nil {
+		e := n.waitError(ctx, err)
+		a.exclude = append(a.exclude, target.Server)
+		return nil, e, e.Kind == outcome.NotRun && (a.read || isConnectionFailure(e))
+	}
+	return newUpstream(conn, target, &n.srv.cfg), nil, false
+}
+
+// isConnectionFailure tells a server that can't be reached, where another target may help, from a
+// full queue, where a repeated write would only add to the load.
+func isConnectionFailure(e *outcome.Error) bool {
+	return e.Code == outcome.CodeConnectionFailure || e.Code == outcome.CodeCannotConnectNow
+}
+
+func (n *session) choose(ctx context.Context, a *attempt) (Target, *outcome.Error) {
+	if a.read {
+		return n.chooseRead(ctx, a.exclude)
+	}
+	return n.choosePrimary(ctx)
+}
+
+func (n *session) chooseRead(ctx context.Context, exclude []authority.ServerID) (Target, *outcome.Error) {
+	route := &n.login.Route
+	need := n.state.Need()
+	stale := route.MaxStaleness.Std()
+	t, err := n.db.Read(ctx, ReadRequest{
+		Floor:        need.Floor,
+		Sample:       need.Sample && stale == 0,
+		MaxStaleness: stale,
+		Wait:         route.ReadWait.Std(),
+		Exclude:      exclude,
+	})
+	if err != nil {
+		return Target{}, n.floorError(ctx, err)
+	}
+	n.state.Served(t.Term, t.Floor)
+	return t, nil
+}
+
+// floorError notes what an error of Database.Read says about the session's floor.
+func (n *session) floorError(ctx context.Context, err error) *outcome.Error {
+	e := n.waitError(ctx, err)
+	switch e.Kind {
+	case outcome.LostWrite:
+		return n.state.Lost()
+	case outcome.Invalid:
+		n.state.RejectToken()
+	}
+	return e
+}
+
+// choosePrimary waits for a primary. When its term is new to the session, the floor is checked
+// first, since a write in the new term would hide that an earlier one was lost.
+func (n *session) choosePrimary(ctx context.Context) (Target, *outcome.Error) {
+	wait, done := context.WithTimeout(ctx, n.srv.cfg.PrimaryWait)
+	defer done()
+	t, err := n.db.Primary(wait)
+	if err != nil {
+		return Target{}, n.waitError(ctx, err)
+	}
+	if !n.state.MustCheck(t.Term) {
+		return t, nil
+	}
+	checked, err := n.db.Read(wait, ReadRequest{Floor: n.state.Need().Floor})
+	if err != nil {
+		return Target{}, n.floorError(ctx, err)
+	}
+	n.state.Served(checked.Term, checked.Floor)
+	return t, nil
+}
--- /dev/null
+++ b/proxy/engine/config.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxSessions              = 100_000
+	DefaultMaxStartupSize           = 10_000    // bytes, as PostgreSQL
+	DefaultMaxMessageSize           = 1 << 20   // bytes
+	DefaultMaxPipelineSize          = 4 << 20   // bytes
+	DefaultMaxResultMessageSize     = 64 << 20  // bytes
+	DefaultMaxHeldSize              = 256 << 10 // bytes
+	DefaultMaxPreparedStatements    = 1000
+	DefaultUpstreamStatements       = 64
+	DefaultStartupTimeout           = 10 * time.Second
+	DefaultWriteTimeout             = 10 * time.Second
+	DefaultPrimaryWait              = 5 * time.Second
+	DefaultIdleInTransactionTimeout = 60 * time.Second
+	DefaultDrainTimeout             = 30 * time.Second
+	DefaultMaxAttempts              = 3
+)
+
+// Config holds the collaborators and limits of a Server. Directory, Pool and Quota are required,
+// and TLS unless AllowPlain is set. A zero limit means its default.
+type Config struct {
+	Directory Directory
+	Pool      Pool
+	Quota     Quota
+	Observer  Observer // may be nil
+
+	TLS        *tls.Config
+	AllowPlain bool // accept callers without TLS; their keys cross the network in clear text
+
+	// ServerVersion is announced to callers as server_version.
+	ServerVersion string
+
+	MaxSessions           int // callers connected at once, those in start-up included
+	MaxStartupSize        int // bytes of a start-up packet or password message
+	MaxMessageSize        int // bytes of one message of a caller
+	MaxPipelineSize       int // bytes of the messages up to Sync
+	MaxResultMessageSize  int // bytes of one message of a server, such as a row
+	MaxHeldSize           int // bytes held back until a write is confirmed
+	MaxPreparedStatements int // prepared statements, and portals, of one session
+	UpstreamStatements    int // prepared statements kept on one upstream connection
+
+	StartupTimeout           time.Duration // from accept to the first ReadyForQuery
+	WriteTimeout             time.Duration // of one write to a caller that doesn't read
+	PrimaryWait              time.Duration // for a primary during a failover
+	IdleInTransactionTimeout time.Duration
+	DrainTimeout             time.Duration // for open transactions on Shutdown
+	MaxAttempts              int           // servers tried for one statement
+
+	// AllowRetry takes one retry from the route's retry budget; nil allows every retry within
+	// MaxAttempts.
+	AllowRetry func(route string) bool
+}
+
+func (c *Config) validate() error {
+	if c.Directory == nil || c.Pool == nil || c.Quota == nil {
+		return errors.New("engine: Directory, Pool and Quota are required")
+	}
+	if c.TLS == nil && !c.AllowPlain {
+		return errors.New("engine: no TLS configuration; set TLS, or AllowPlain for tests")
+	}
+	return nil
+}
+
+func (c Config) withDefaults() Config {
+	if c.Observer == nil {
+		c.Observer = noObserver{}
+	}
+	if c.ServerVersion == "" {
+		c.ServerVersion = "16.0"
+	}
+	orInt(&c.MaxSessions, DefaultMaxSessions)
+	orInt(&c.MaxStartupSize, DefaultMaxStartupSize)
+	orInt(&c.MaxMessageSize, DefaultMaxMessageSize)
+	orInt(&c.MaxPipelineSize, DefaultMaxPipelineSize)
+	orInt(&c.MaxResultMessageSize, DefaultMaxResultMessageSize)
+	orInt(&c.MaxHeldSize, DefaultMaxHeldSize)
+	orInt(&c.MaxPreparedStatements, DefaultMaxPreparedStatements)
+	orInt(&c.UpstreamStatements, DefaultUpstreamStatements)
+	orInt(&c.MaxAttempts, DefaultMaxAttempts)
+	orDuration(&c.StartupTimeout, DefaultStartupTimeout)
+	orDuration(&c.WriteTimeout, DefaultWriteTimeout)
+	orDuration(&c.PrimaryWait, DefaultPrimaryWait)
+	orDuration(&c.IdleInTransactionTimeout, DefaultIdleInTransactionTimeout)
+	orDuration(&c.DrainTimeout, DefaultDrainTimeout)
+	return c
+}
+
+func orInt(v *int, standard int) {
+	if *v <= 0 {
+		*v = standard
+	}
+}
+
+func orDuration(v *time.Duration, standard time.Duration) {
+	if *v <= 0 {
+		*v = standard
+	}
+}
--- a/proxy/engine/deps.go
+++ b/proxy/engine/deps.go
@@ -20,6 +20,8 @@
 	Term        uint64
 	Incarnation uint64
 	Primary     bool
+	// Floor is the floor that Read applied, with the sample if one was asked for; zero if unknown.
+	Floor position.Position
 }
 
 // ReadRequest asks for a server that may answer a read.
--- /dev/null
+++ b/proxy/engine/extended.go
@@ -0,0 +1,201 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/statement"
+)
+
+const (
+	// upstreamPrefix begins the names of prepared statements on servers.
+	upstreamPrefix = "cyc_"
+	// hashBytes of SHA-256 make two statements with the same name impossible in practice.
+	hashBytes = 16
+)
+
+// prepared is a prepared statement of a caller.
+type prepared struct {
+	sql   string
+	oids  []uint32
+	class statement.Class
+	// name is the statement's name on servers, made from its content; empty for the unnamed one.
+	name string
+}
+
+func newPrepared(named bool, sql string, oids []uint32, class statement.Class) *prepared {
+	p := &prepared{sql: sql, oids: slices.Clone(oids), class: class}
+	if named {
+		p.name = upstreamName(sql, oids)
+	}
+	return p
+}
+
+func upstreamName(sql string, oids []uint32) string {
+	h := sha256.New()
+	_, _ = h.Write([]byte(sql))
+	for _, o := range oids {
+		var b [5]byte // a zero byte, which SQL can't contain, and the OID
+		binary.BigEndian.PutUint32(b[1:], o)
+		_, _ = h.Write(b[:])
+	}
+	return upstreamPrefix + hex.EncodeToString(h.Sum(nil)[:hashBytes])
+}
+
+func (p *prepared) parse() *pgproto3.Parse {
+	return &pgproto3.Parse{Name: p.name, Query: p.sql, ParameterOIDs: p.oids}
+}
+
+func (n *session) bufferParse(u *unit, m *pgproto3.Parse) (*outcome.Error, error) {
+	if m.Name != "" && n.statement(u, m.Name) != nil {
+		return invalid(codeDuplicatePrepared, "prepared statement "+strconv.Quote(m.Name)+" already exists",
+			"close it first or use another name"), nil
+	}
+	if m.Name != "" && len(n.statements) >= n.srv.cfg.MaxPreparedStatements {
+		return invalid(codeProgramLimitExceeded, "the session has too many prepared statements",
+			"close statements that are no longer used"), nil
+	}
+	class := statement.Classify(m.Query)
+	if class.Kind == statement.Refused {
+		return errRefused(class), nil
+	}
+	sql := n.adaptBegin(m.Query, &class)
+	p := newPrepared(m.Name != "", sql, m.ParameterOIDs, class)
+	u.mention(class)
+	return nil, u.add(op{kind: opParse, stmt: p, name: m.Name}, p.parse())
+}
+
+func (n *session) bufferBind(u *unit, m *pgproto3.Bind) (*outcome.Error, error) {
+	p := n.statement(u, m.PreparedStatement)
+	if p == nil {
+		return errNoStatement(m.PreparedStatement), nil
+	}
+	if m.DestinationPortal != "" && len(n.portals) >= n.srv.cfg.MaxPreparedStatements {
+		return invalid(codeProgramLimitExceeded, "the transaction has too many portals",
+			"close portals that are no longer used"), nil
+	}
+	u.mention(p.class)
+	m.PreparedStatement = p.name
+	return nil, u.add(op{kind: opBind, stmt: p, name: m.DestinationPortal}, m)
+}
+
+func (n *session) bufferDescribe(u *unit, m *pgproto3.Describe) (*outcome.Error, error) {
+	if m.ObjectType != 'S' {
+		p := n.portal(u, m.Name)
+		if p == nil {
+			return errNoPortal(m.Name), nil
+		}
+		return nil, u.add(op{kind: opDescribePortal, stmt: p}, m)
+	}
+	p := n.statement(u, m.Name)
+	if p == nil {
+		return errNoStatement(m.Name), nil
+	}
+	u.mention(p.class)
+	m.Name = p.name
+	return nil, u.add(op{kind: opDescribeStatement, stmt: p}, m)
+}
+
+func (n *session) bufferExecute(u *unit, m *pgproto3.Execute) (*outcome.Error, error) {
+	p := n.portal(u, m.Portal)
+	if p == nil {
+		return errNoPortal(m.Portal), nil
+	}
+	u.executed(p.class)
+	return nil, u.add(op{kind: opExecute, stmt: p}, m)
+}
+
+func (n *session) bufferClose(u *unit, m *pgproto3.Close) (*outcome.Error, error) {
+	kind := opCloseStatement
+	if m.ObjectType != 'S' {
+		kind = opClosePortal
+	}
+	return nil, u.add(op{kind: kind, name: m.Name}, m)
+}
+
+// statement finds a prepared statement as it will be when the unit has run up to here.
+func (n *session) statement(u *unit, name string) *prepared {
+	for i := len(u.ops) - 1; i >= 0 && u.redefines; i-- {
+		o := &u.ops[i]
+		if o.name != name {
+			continue
+		}
+		switch o.kind {
+		case opParse:
+			return o.stmt
+		case opCloseStatement:
+			return nil
+		}
+	}
+	return n.statements[name]
+}
+
+// portal finds a portal as it will be when the unit has run up to here.
+func (n *session) portal(u *unit, name string) *prepared {
+	for i := len(u.ops) - 1; i >= 0; i-- {
+		o := &u.ops[i]
+		if o.name != name {
+			continue
+		}
+		switch o.kind {
+		case opBind:
+			return o.stmt
+		case opClosePortal:
+			return nil
+		}
+	}
+	return n.portals[name]
+}
+
+// keepPrepared applies the answered part of the unit to the caller's statements and portals. Prepared
+// statements outlive a failed transaction; portals end with theirs.
+func (n *session) keepPrepared(u *unit) {
+	for _, o := range u.ops[:u.done] {
+		switch o.kind {
+		case opParse:
+			n.keepStatement(o.name, o.stmt)
+		case opCloseStatement:
+			delete(n.statements, o.name)
+		case opBind:
+			n.keepPortal(o.name, o.stmt)
+		case opClosePortal:
+			delete(n.portals, o.name)
+		}
+	}
+	if !n.tx.active() {
+		n.portals = nil
+	}
+}
+
+func (n *session) keepStatement(name string, p *prepared) {
+	if n.statements == nil {
+		n.statements = make(map[string]*prepared)
+	}
+	n.statements[name] = p
+}
+
+func (n *session) keepPortal(name string, p *prepared) {
+	if !n.tx.active() {
+		return
+	}
+	if n.portals == nil {
+		n.portals = make(map[string]*prepared)
+	}
+	n.portals[name] = p
+}
+
+func errNoStatement(name string) *outcome.Error {
+	return invalid(codeInvalidStatementName, "prepared statement "+strconv.Quote(name)+" does not exist",
+		"prepare it on this connection first")
+}
+
+func errNoPortal(name string) *outcome.Error {
+	return invalid(codeInvalidCursorName, "portal "+strconv.Quote(name)+" does not exist",
+		"bind it first; portals end with their transaction")
+}
--- /dev/null
+++ b/proxy/engine/outbound.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	// flushSize is the amount of an answer that is collected before it is written, in bytes.
+	flushSize = 16 << 10
+	// keepSize is the largest output buffer that is kept for other sessions, in bytes.
+	keepSize = 64 << 10
+)
+
+var outBuffers = sync.Pool{New: func() any {
+	b := make([]byte, 0, 4096)
+	return &b
+}}
+
+// outbound collects messages for a caller and writes them with a time limit. What is not yet
+// written can be taken back, which lets a read move to another server unnoticed.
+type outbound struct {
+	conn    net.Conn
+	timeout time.Duration
+	buf     *[]byte // nil while idle
+	held    int     // offset from which the answer is held back; -1 when none of it is
+	written bool    // part of the present answer has reached the caller
+}
+
+// begin starts an answer.
+func (o *outbound) begin() {
+	o.held = -1
+	o.written = false
+}
+
+func (o *outbound) send(m pgproto3.BackendMessage) error {
+	if o.buf == nil {
+		o.buf = outBuffers.Get().(*[]byte)
+	}
+	b, err := m.Encode(*o.buf)
+	if err != nil {
+		return err
+	}
+	*o.buf = b
+	return nil
+}
+
+func (o *outbound) size() int {
+	if o.buf == nil {
+		return 0
+	}
+	return len(*o.buf)
+}
+
+// hold keeps back everything from here on until release.
+func (o *outbound) hold() {
+	if o.held < 0 {
+		o.held = o.size()
+	}
+}
+
+func (o *outbound) heldSize() int {
+	if o.held < 0 {
+		return 0
+	}
+	return o.size() - o.held
+}
+
+// release ends a hold without writing.
+func (o *outbound) release() {
+	o.held = -1
+}
+
+// dropHeld takes back everything that is held.
+func (o *outbound) dropHeld() {
+	if o.held >= 0 {
+		*o.buf = (*o.buf)[:o.held]
+	}
+	o.held = -1
+}
+
+// dropAll takes back everything that was not written.
+func (o *outbound) dropAll() {
+	if o.buf != nil {
+		*o.buf = (*o.buf)[:0]
+	}
+	o.held = -1
+}
+
+// spill writes what is not held back, if it has grown large.
+func (o *outbound) spill() error {
+	ready := o.size()
+	if o.held >= 0 {
+		ready = o.held
+	}
+	if ready < flushSize {
+		return nil
+	}
+	return o.write(ready)
+}
+
+// flush writes everything and gives the buffer back.
+func (o *outbound) flush() error {
+	o.release()
+	err := o.write(o.size())
+	o.giveBack()
+	return err
+}
+
+func (o *outbound) write(n int) error {
+	if n == 0 {
+		return nil
+	}
+	o.written = true
+	if err := o.conn.SetWriteDeadline(time.Now().Add(o.timeout)); err != nil {
+		return err
+	}
+	if _, err := o.conn.Write((*o.buf)[:n]); err != nil {
+		return err
+	}
+	rest := copy(*o.buf, (*o.buf)[n:])
+	*o.buf = (*o.buf)[:rest]
+	if o.held >= 0 {
+		o.held -= n
+	}
+	return nil
+}
+
+func (o *outbound) giveBack() {
+	if o.buf == nil {
+		return
+	}
+	if cap(*o.buf) <= keepSize {
+		*o.buf = (*o.buf)[:0]
+		outBuffers.Put(o.buf)
+	}
+	o.buf = nil
+}
--- /dev/null
+++ b/proxy/engine/receive.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"io"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/statement"
+)
+
+// handle takes one message of the caller. An error ends the session.
+func (n *session) handle(m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		return n.query(m)
+	case *pgproto3.Sync:
+		return n.sync()
+	case *pgproto3.Terminate:
+		return io.EOF
+	case *pgproto3.Flush:
+		return n.flushRequest()
+	case *pgproto3.FunctionCall:
+		return n.functionCall()
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil // as PostgreSQL, which ignores them outside COPY
+	}
+	return n.extended(m)
+}
+
+func (n *session) query(m *pgproto3.Query) error {
+	if n.unit != nil {
+		return errProtocol("a simple query came before the Sync of an extended one")
+	}
+	u := newUnit()
+	u.simple = true
+	class := statement.Classify(m.String)
+	u.sql = n.adaptBegin(m.String, &class)
+	u.executed(class)
+	if class.Kind == statement.Refused {
+		u.fail(errRefused(class))
+	}
+	return n.run(u)
+}
+
+// adaptBegin makes a transaction read-only where the session or the route asks for it.
+func (n *session) adaptBegin(sql string, c *statement.Class) string {
+	if c.Kind != statement.Begin || c.Access != statement.AccessDefault || !n.onlyReads() {
+		return sql
+	}
+	c.Access = statement.ReadOnly
+	return sql[:c.End] + " READ ONLY"
+}
+
+func (n *session) onlyReads() bool {
+	return n.readOnly || n.login.Route.ReadOnly
+}
+
+// sync runs the pipeline received so far.
+func (n *session) sync() error {
+	u := n.unit
+	n.unit = nil
+	if u == nil {
+		u = newUnit()
+	}
+	return n.run(u)
+}
+
+// flushRequest refuses a Flush that asks for answers before the pipeline's Sync: the pipeline is
+// run as one unit, so that it can be repeated on another server.
+func (n *session) flushRequest() error {
+	if n.unit != nil {
+		n.unit.fail(invalid(codeFeatureNotSupported, "Flush within a pipeline is not supported",
+			"send Sync to get the answers"))
+		return n.earlyError(n.unit)
+	}
+	return nil
+}
+
+// earlyError answers a unit's error before its Sync, for a caller that waits for it.
+func (n *session) earlyError(u *unit) error {
+	n.out.begin()
+	if err := n.out.send(errorResponse(severityError, u.err)); err != nil {
+		return err
+	}
+	u.err = errReported
+	return n.out.flush()
+}
+
+// errReported stands for an error that the caller was told before Sync.
+var errReported = &outcome.Error{Kind: outcome.Invalid}
+
+func (n *session) functionCall() error {
+	u := newUnit()
+	u.fail(invalid(codeFeatureNotSupported, "the function call message is not supported",
+		"call the function with SELECT"))
+	return n.run(u)
+}
+
+// extended buffers one message of a pipeline. After an error the rest up to Sync is ignored.
+func (n *session) extended(m pgproto3.FrontendMessage) error {
+	if n.unit == nil {
+		n.unit = newUnit()
+	}
+	u := n.unit
+	if u.err != nil {
+		return nil
+	}
+	e, err := n.buffer(u, m)
+	if err != nil {
+		return err
+	}
+	if limit := n.srv.cfg.MaxPipelineSize; e == nil && len(u.raw) > limit {
+		e = errPipelineTooLarge(limit)
+	}
+	if e != nil {
+		u.fail(e)
+	}
+	return nil
+}
+
+func (n *session) buffer(u *unit, m pgproto3.FrontendMessage) (*outcome.Error, error) {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		return n.bufferParse(u, m)
+	case *pgproto3.Bind:
+		return n.bufferBind(u, m)
+	case *pgproto3.Describe:
+		return n.bufferDescribe(u, m)
+	case *pgproto3.Execute:
+		return n.bufferExecute(u, m)
+	case *pgproto3.Close:
+		return n.bufferClose(u, m)
+	}
+	return nil, errProtocol("unexpected message")
+}
+
+func errRefused(c statement.Class) *outcome.Error {
+	return invalid(codeFeatureNotSupported, c.Message, c.Remedy)
+}
--- /dev/null
+++ b/proxy/engine/relay.go
@@ -0,0 +1,227 @@
+package engine
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/statement"
+)
+
+// progressSteps is how often the progress deadline is renewed within one statement timeout at most;
+// setting it for each message would cost more than the message.
+const progressSteps = 8
+
+// result is what became of a unit on one server.
+type result struct {
+	status    byte  // transaction status after the unit, as the server said
+	err       error // the connection failed before the end
+	sent      bool  // something may have reached the server
+	callerErr error // the caller's connection failed
+	code      string
+	message   string // of the server's error
+	committed bool   // a COMMIT was answered
+	// staleStatement means that the error concerns a prepared statement kept from an earlier unit.
+	staleStatement bool
+}
+
+// needsConfirm reports whether the unit may have committed a write.
+func (r *result) needsConfirm(u *unit, inTransaction bool) bool {
+	if r.committed {
+		return true
+	}
+	if inTransaction && u.sole(statement.Commit) {
+		return false // answered with ROLLBACK
+	}
+	return r.code == "" && r.status == statusIdle
+}
+
+// relay sends the unit to the server and its answer to the caller, up to ReadyForQuery, which is
+// left to the session. The answer's last part is held back if the plan says so.
+func (n *session) relay(ctx context.Context, up *upstream, u *unit, p plan) result {
+	x := &exchange{session: n, ctx: ctx, up: up, u: u, plan: p}
+	x.guarded = p.guard && up.target.Primary
+	n.attach(up)
+	defer n.detach()
+	x.transmit()
+	x.receive()
+	x.joinSender()
+	x.forgetStatements()
+	return x.result
+}
+
+// exchange is one unit on its way through one server.
+type exchange struct {
+	*session
+	result
+	ctx     context.Context
+	up      *upstream
+	u       *unit
+	plan    plan
+	guarded bool
+	steps   []step
+	at      int  // next step to be answered
+	cached  bool // a statement prepared in an earlier unit is used
+	hide    bool // the answer belongs to the guard
+	sender  chan error
+}
+
+// receive takes the server's answer.
+func (x *exchange) receive() {
+	if x.err != nil {
+		return
+	}
+	rounds := 1
+	if x.guarded {
+		rounds = 3
+	}
+	for round := range rounds {
+		x.hide = x.guarded && round != 1
+		for !x.receiveOne() {
+			if x.err != nil || x.callerErr != nil {
+				return
+			}
+		}
+	}
+}
+
+// receiveOne takes one message and reports whether it was ReadyForQuery.
+func (x *exchange) receiveOne() bool {
+	if x.err = x.extendDeadline(); x.err != nil {
+		return false
+	}
+	m, err := x.up.frontend.Receive()
+	if err != nil {
+		x.err = err
+		return false
+	}
+	switch m := m.(type) {
+	case *pgproto3.ReadyForQuery:
+		x.status = m.TxStatus
+		return true
+	case *pgproto3.ParameterStatus:
+		// A setting of the shared connection has changed.
+		x.up.tainted.Store(true)
+	case *pgproto3.NotificationResponse:
+	case *pgproto3.ErrorResponse:
+		x.serverError(m)
+	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
+		x.err = errors.New("the server started a COPY")
+	default:
+		x.pass(m)
+	}
+	return false
+}
+
+func (x *exchange) serverError(m *pgproto3.ErrorResponse) {
+	if m.Severity == severityFatal || m.SeverityUnlocalized == severityFatal {
+		x.err = errors.Newf("the server closed the connection: %s (%s)", m.Message, m.Code)
+		return
+	}
+	if x.code == "" {
+		x.code, x.message = m.Code, m.Message
+		x.staleStatement = x.cached && isStaleStatement(m)
+	}
+	x.at = len(x.steps)
+	x.forward(m)
+}
+
+// isStaleStatement recognises a statement that another user of the connection has closed, or whose
+// result changed with its tables.
+func isStaleStatement(m *pgproto3.ErrorResponse) bool {
+	return m.Code == codeInvalidStatementName ||
+		(m.Code == outcome.CodeFeatureNotSupported && strings.Contains(m.Message, "cached plan"))
+}
+
+// pass relays a message that belongs to the present step.
+func (x *exchange) pass(m pgproto3.BackendMessage) {
+	ends := endsStep(m)
+	if !x.u.simple && !x.hide {
+		hidden := x.at < len(x.steps) && x.steps[x.at].hidden
+		if ends {
+			x.answered()
+		}
+		if hidden {
+			x.synthesize()
+			return
+		}
+	}
+	if ends {
+		x.mark(m)
+	}
+	x.forward(m)
+	if !x.u.simple && !x.hide && ends {
+		x.synthesize()
+	}
+}
+
+// endsStep reports whether m is the last message that answers a message of a pipeline.
+func endsStep(m pgproto3.BackendMessage) bool {
+	switch m.(type) {
+	case *pgproto3.DataRow, *pgproto3.ParameterDescription, *pgproto3.NoticeResponse:
+		return false
+	}
+	return true
+}
+
+// mark starts the hold at the first message that could be taken for an acknowledgement.
+func (x *exchange) mark(m pgproto3.BackendMessage) {
+	switch m := m.(type) {
+	case *pgproto3.CommandComplete:
+		x.committed = x.committed || string(m.CommandTag) == "COMMIT"
+	case *pgproto3.PortalSuspended, *pgproto3.EmptyQueryResponse:
+	default:
+		return
+	}
+	if x.plan.hold {
+		x.out.hold()
+	}
+}
+
+// forward adds a message to the answer.
+func (x *exchange) forward(m pgproto3.BackendMessage) {
+	if x.hide || x.callerErr != nil {
+		return
+	}
+	if x.callerErr = x.out.send(m); x.callerErr != nil {
+		return
+	}
+	if x.callerErr = x.out.spill(); x.callerErr != nil {
+		return
+	}
+	if x.out.heldSize() > x.srv.cfg.MaxHeldSize {
+		x.confirmEarly()
+	}
+}
+
+// confirmEarly bounds the held part of a long answer: what was committed so far is confirmed and
+// may go out. The end of the answer is confirmed again.
+func (x *exchange) confirmEarly() {
+	if e := x.confirm(x.ctx, x.up.target); e != nil {
+		x.out.dropHeld()
+		x.err = e
+		return
+	}
+	x.out.release()
+	x.callerErr = x.out.spill()
+}
+
+// extendDeadline renews the progress deadline.
+func (x *exchange) extendDeadline() error {
+	timeout := x.login.Route.StatementTimeout.Std()
+	now := time.Now()
+	if now.Sub(x.up.extended) < timeout/progressSteps {
+		return nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.killed != nil {
+		return x.killed
+	}
+	x.up.extended = now
+	return x.up.SetDeadline(now.Add(timeout))
+}
--- /dev/null
+++ b/proxy/engine/server.go
@@ -0,0 +1,199 @@
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// acceptBackoffMin and acceptBackoffMax bound the wait after a failed accept, which usually
+	// means that the process has no file descriptor left.
+	acceptBackoffMin = 5 * time.Millisecond
+	acceptBackoffMax = time.Second
+
+	// startupReserve is the number of connections in start-up beyond MaxSessions, so that cancel
+	// requests and the refusal itself still get through when all sessions are taken.
+	startupReserve = 64
+
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find callers that went silent within
+	// about 30 s.
+	keepAliveIdle     = 15 * time.Second
+	keepAliveInterval = 5 * time.Second
+	keepAliveCount    = 3
+)
+
+// Server runs client sessions. Use New.
+type Server struct {
+	cfg         Config
+	ctx         context.Context // ends when the sessions are cut off
+	stop        context.CancelFunc
+	withdrawals withdrawals
+
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	starting  map[net.Conn]struct{} // connections before the end of start-up
+	sessions  map[uint32]*session   // by the process id given to the caller
+	draining  bool
+	drained   chan struct{} // closed when draining and the last session has ended
+	open      int           // connections, in start-up or later
+}
+
+// New returns a server. It fails when a required part of the configuration is missing.
+func New(cfg Config) (*Server, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Server{
+		cfg:       cfg.withDefaults(),
+		ctx:       ctx,
+		stop:      stop,
+		listeners: make(map[net.Listener]struct{}),
+		starting:  make(map[net.Conn]struct{}),
+		sessions:  make(map[uint32]*session),
+		drained:   make(chan struct{}),
+	}, nil
+}
+
+// Serve accepts callers on ln until ctx ends or Shutdown is called, and closes ln. Sessions
+// already open go on until Shutdown.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	if !s.addListener(ln) {
+		return ln.Close()
+	}
+	defer s.removeListener(ln)
+	release := context.AfterFunc(ctx, func() { s.removeListener(ln) })
+	defer release()
+	backoff := acceptBackoffMin
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(backoff)
+			backoff = min(2*backoff, acceptBackoffMax)
+			continue
+		}
+		backoff = acceptBackoffMin
+		s.accept(conn)
+	}
+}
+
+func (s *Server) addListener(ln net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.listeners[ln] = struct{}{}
+	return true
+}
+
+func (s *Server) removeListener(ln net.Listener) {
+	s.mu.Lock()
+	delete(s.listeners, ln)
+	s.mu.Unlock()
+	_ = ln.Close()
+}
+
+func (s *Server) accept(conn net.Conn) {
+	setKeepAlive(conn)
+	if !s.admitConnection(conn) {
+		_ = conn.Close()
+		return
+	}
+	go s.serveConnection(conn)
+}
+
+func setKeepAlive(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	})
+}
+
+func (s *Server) admitConnection(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || s.open >= s.cfg.MaxSessions+startupReserve {
+		return false
+	}
+	s.open++
+	s.starting[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) serveConnection(conn net.Conn) {
+	defer s.connectionDone()
+	session := s.start(conn)
+	if session == nil {
+		return
+	}
+	session.serve()
+}
+
+// start runs the start-up in a frame of its own, so that its stack is free while the session idles.
+func (s *Server) start(conn net.Conn) *session {
+	session, err := s.startup(conn)
+	s.mu.Lock()
+	delete(s.starting, conn)
+	s.mu.Unlock()
+	if err != nil {
+		_ = conn.Close()
+		return nil
+	}
+	return session
+}
+
+func (s *Server) connectionDone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	s.checkDrained()
+}
+
+func (s *Server) checkDrained() {
+	if !s.draining || s.open > 0 {
+		return
+	}
+	select {
+	case <-s.drained:
+	default:
+		close(s.drained)
+	}
+}
+
+// register gives the session a process id that no other session has.
+func (s *Server) register(n *session) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return errShutdown()
+	}
+	if len(s.sessions) >= s.cfg.MaxSessions {
+		return errTooManySessions()
+	}
+	for n.pid == 0 || s.sessions[n.pid] != nil {
+		n.pid = rand.Uint32()
+	}
+	s.sessions[n.pid] = n
+	return nil
+}
+
+func (s *Server) unregister(n *session) {
+	s.mu.Lock()
+	delete(s.sessions, n.pid)
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/proxy/engine/session.go
@@ -0,0 +1,253 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	decide "github.com/cyclamenstile/cyclamenstile/decision/session"
+)
+
+const (
+	// withdrawGrace is how long a statement in flight may go on after its key was withdrawn.
+	withdrawGrace = 2 * time.Second
+	// lingerTimeout bounds the wait for a caller to read the last message before the connection
+	// is closed. Closing with unread input would reset the connection and lose that message.
+	lingerTimeout = 500 * time.Millisecond
+)
+
+// longAgo as a deadline wakes a blocked read.
+var longAgo = time.Unix(1, 0)
+
+// stopReason tells why a session is to end; a higher one takes precedence.
+type stopReason int
+
+const (
+	stopNone     stopReason = iota
+	stopDrain               // once no transaction is open
+	stopDrainNow            // between two statements
+	stopWithdrawn
+)
+
+// session is one caller's connection after start-up. One goroutine runs it; the fields under mu are
+// shared with cancel requests, key withdrawal and shutdown.
+type session struct {
+	srv    *Server
+	conn   net.Conn
+	login  Login
+	db     Database
+	state  decide.State
+	opened time.Time
+
+	out   outbound
+	in    *inbound // nil while idle
+	first [1]byte  // read while idle
+	unit  *unit    // messages received since the last ReadyForQuery; nil while idle
+
+	statements map[string]*prepared // the caller's prepared statements
+	portals    map[string]*prepared // the caller's portals of the open transaction
+	tx         transaction
+	readOnly   bool // default_transaction_read_only
+
+	pid    uint32
+	secret [4]byte
+
+	cancelMu    sync.Mutex // held while a cancel request is delivered
+	mu          sync.Mutex
+	stop        stopReason
+	inTx        bool
+	killed      *outcome.Error // why the statement in flight was ended
+	running     *upstream      // connection of the statement in execution
+	transmitted bool           // a statement of the present unit was sent
+	stopWaiting context.CancelCauseFunc
+}
+
+// serve runs the session until the caller leaves or the session is ended.
+func (n *session) serve() {
+	info := n.info()
+	n.srv.cfg.Observer.SessionOpened(info)
+	n.srv.withdrawals.add(n)
+	err := n.loop()
+	n.srv.withdrawals.remove(n)
+	n.srv.unregister(n)
+	n.abandonTransaction()
+	if e := outcome.As(err); e != nil {
+		n.farewell(e)
+	}
+	_ = n.conn.Close()
+	n.out.giveBack()
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	n.srv.cfg.Observer.SessionClosed(info, err)
+}
+
+func (n *session) info() Session {
+	return Session{
+		Account: n.login.Account.Name,
+		Route:   n.login.Route.Name,
+		KeyID:   n.login.KeyID,
+		Remote:  n.conn.RemoteAddr().String(),
+		Opened:  n.opened,
+	}
+}
+
+// loop returns io.EOF when the caller has left, an *outcome.Error that is still to be told to the
+// caller, or another error of the connection.
+func (n *session) loop() error {
+	for {
+		if err := n.awaitMessage(); err != nil {
+			return n.readFailed(err)
+		}
+		m, err := n.in.receive()
+		if err != nil {
+			return n.readFailed(err)
+		}
+		if err := n.handle(m); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitMessage waits for the first byte of the next message. Between two units the session holds no
+// buffer meanwhile.
+func (n *session) awaitMessage() error {
+	if n.unit != nil {
+		return nil
+	}
+	if n.in != nil && !n.in.atBoundary() {
+		return n.stopNow()
+	}
+	if n.in != nil {
+		n.in.giveBack()
+		n.in = nil
+	}
+	if err := n.prepareToIdle(); err != nil {
+		return err
+	}
+	if _, err := n.conn.Read(n.first[:]); err != nil {
+		return err
+	}
+	n.in = borrowInbound(n.conn, n.first[0], n.srv.cfg.MaxMessageSize)
+	return nil
+}
+
+// stopNow returns the reason to end the session before the next unit, or nil.
+func (n *session) stopNow() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.stopError(); e != nil {
+		return e
+	}
+	return nil
+}
+
+// prepareToIdle sets the read deadline for the time until the next message.
+func (n *session) prepareToIdle() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.stopError(); e != nil {
+		return e
+	}
+	var deadline time.Time
+	if n.inTx {
+		deadline = time.Now().Add(n.srv.cfg.IdleInTransactionTimeout)
+	}
+	return n.conn.SetReadDeadline(deadline)
+}
+
+// stopError returns why the session is to end now, or nil. The caller holds mu.
+func (n *session) stopError() *outcome.Error {
+	switch {
+	case n.stop == stopWithdrawn:
+		return errWithdrawn()
+	case n.stop == stopDrainNow, n.stop == stopDrain && !n.inTx:
+		return errShutdown()
+	}
+	return nil
+}
+
+// readFailed translates an error from the caller's connection.
+func (n *session) readFailed(err error) error {
+	n.mu.Lock()
+	stop, inTx := n.stopError(), n.inTx
+	n.mu.Unlock()
+	var tooLarge *pgproto3.ExceededMaxBodyLenErr
+	var timeout net.Error
+	switch {
+	case stop != nil:
+		return stop
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return io.EOF
+	case errors.As(err, &tooLarge):
+		return errMessageTooLarge(tooLarge.MaxExpectedBodyLen)
+	case errors.As(err, &timeout) && timeout.Timeout() && inTx:
+		return errIdleInTransaction()
+	case errors.As(err, &timeout):
+		return err
+	}
+	return errProtocol("malformed message: " + err.Error())
+}
+
+// interrupt ends the session as soon as r allows.
+func (n *session) interrupt(r stopReason) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stop = max(n.stop, r)
+	if n.stopError() != nil {
+		_ = n.conn.SetReadDeadline(longAgo)
+	}
+}
+
+// withdraw ends the session because its key was withdrawn. A statement in flight is ended after
+// withdrawGrace.
+func (n *session) withdraw() {
+	n.interrupt(stopWithdrawn)
+	time.AfterFunc(withdrawGrace, func() { n.kill(errWithdrawn()) })
+}
+
+// kill ends the statement in flight.
+func (n *session) kill(cause *outcome.Error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.killed = cause
+	if n.running != nil {
+		_ = n.running.SetDeadline(longAgo)
+	}
+	if n.stopWaiting != nil {
+		n.stopWaiting(cause)
+	}
+}
+
+// farewell sends a last error and waits for the caller to take it.
+func (n *session) farewell(e *outcome.Error) {
+	n.out.dropAll()
+	if n.out.send(errorResponse(severityFatal, e)) != nil {
+		return
+	}
+	if n.out.flush() == nil {
+		linger(n.conn)
+	}
+}
+
+// linger closes the sending side and reads until the caller has closed its own.
+func linger(conn net.Conn) {
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+func errIdleInTransaction() *outcome.Error {
+	return outcome.New(outcome.NotRun, codeIdleInTransaction,
+		"the transaction was idle for too long and was rolled back",
+		"send the statements of a transaction without long pauses")
+}
--- /dev/null
+++ b/proxy/engine/settings.go
@@ -0,0 +1,148 @@
+package engine
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+)
+
+// tokenParameter carries the session token in both directions.
+const tokenParameter = "cyclamenstile.session_token"
+
+// firstParameters lists the parameters announced at start-up, by name and value.
+func (s *Server) firstParameters(n *session) [][2]string {
+	readOnly := "off"
+	if n.readOnly {
+		readOnly = "on"
+	}
+	return [][2]string{
+		{"server_version", s.cfg.ServerVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"IntervalStyle", "postgres"},
+		{"TimeZone", "UTC"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+		{"default_transaction_read_only", readOnly},
+		{tokenParameter, n.state.Token()},
+	}
+}
+
+// applyStartup applies the parameters of the start-up message.
+func (n *session) applyStartup(parameters map[string]string) error {
+	for name, value := range parameters {
+		switch {
+		case name == "user" || name == "database" || strings.HasPrefix(name, "_pq_."):
+			continue
+		case name == "options":
+			if err := n.applyOptions(value); err != nil {
+				return err
+			}
+			continue
+		}
+		if e := n.applySetting(name, value); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// applyOptions reads "-c name=value" and "--name=value".
+func (n *session) applyOptions(options string) error {
+	for _, field := range strings.Fields(options) {
+		field = strings.TrimPrefix(field, "--")
+		field = strings.TrimPrefix(field, "-c")
+		if field == "" {
+			continue
+		}
+		name, value, found := strings.Cut(field, "=")
+		if !found {
+			return invalid(codeInvalidParameter, "the option "+strconv.Quote(field)+" is malformed",
+				"write options as -c name=value")
+		}
+		if e := n.applySetting(name, value); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// applySetting applies one setting of the session. Settings are answered here and never sent to
+// a server, because its connection is shared.
+func (n *session) applySetting(name, value string) *outcome.Error {
+	switch strings.ToLower(name) {
+	case tokenParameter:
+		return n.acceptToken(value)
+	case "default_transaction_read_only":
+		return n.setReadOnly(value)
+	case "application_name":
+		return nil
+	case "client_encoding":
+		return require(name, value, "UTF8", "utf8", "utf-8", "unicode")
+	case "datestyle":
+		return requireISO(value)
+	case "timezone":
+		return require(name, value, "UTC", "utc", "etc/utc", "gmt")
+	case "intervalstyle":
+		return require(name, value, "postgres", "postgres")
+	case "standard_conforming_strings":
+		return require(name, value, "on", "on", "true", "1")
+	case "extra_float_digits":
+		return require(name, value, "1, 2 or 3", "1", "2", "3")
+	case "bytea_output":
+		return require(name, value, "hex", "hex")
+	}
+	return invalid(codeCantChangeParameter,
+		"the session setting "+strconv.Quote(name)+" can't be changed, because connections are shared",
+		"use SET LOCAL inside a transaction, or leave the setting out")
+}
+
+func (n *session) acceptToken(value string) *outcome.Error {
+	if err := n.state.Accept(value); err != nil {
+		return asOutcome(err)
+	}
+	return nil
+}
+
+func (n *session) setReadOnly(value string) *outcome.Error {
+	switch strings.ToLower(value) {
+	case "on", "true", "yes", "1":
+		n.readOnly = true
+	case "off", "false", "no", "0":
+		n.readOnly = false
+	default:
+		return invalid(codeInvalidParameter, "default_transaction_read_only is not a boolean", "use on or off")
+	}
+	return nil
+}
+
+// resetSetting returns a setting to its start value. The token can't be taken back.
+func (n *session) resetSetting(name string) {
+	if name == "default_transaction_read_only" || name == "all" {
+		n.readOnly = false
+	}
+}
+
+func requireISO(value string) *outcome.Error {
+	if strings.HasPrefix(strings.ToLower(value), "iso") {
+		return nil
+	}
+	return badValue("DateStyle", value, "ISO")
+}
+
+func require(name, value, remedy string, accepted ...string) *outcome.Error {
+	v := strings.ToLower(value)
+	for _, a := range accepted {
+		if v == a {
+			return nil
+		}
+	}
+	return badValue(name, value, remedy)
+}
+
+func badValue(name, value, accepted string) *outcome.Error {
+	return invalid(codeInvalidParameter,
+		strconv.Quote(value)+" is not supported for the setting "+name, "use "+accepted)
+}
--- /dev/null
+++ b/proxy/engine/settle.go
@@ -0,0 +1,147 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+)
+
+// settle decides what a relayed autocommit unit means for the caller: its answer stands, it runs
+// again elsewhere, or it failed. It takes over the connection.
+func (n *session) settle(ctx context.Context, up *upstream, u *unit, a *attempt, r *result, report *Statement) (e *outcome.Error, again bool, err error) {
+	switch {
+	case r.callerErr != nil:
+		up.abort()
+		return nil, false, r.callerErr
+	case r.err != nil:
+		e, again = n.settleFailure(up, a, r)
+		return e, again, nil
+	case n.out.written:
+	case r.code == outcome.CodeReadOnly && a.read && !up.target.Primary && !a.guard && !n.onlyReads():
+		// A replica's refusal proves that the statement did not run: it is a write.
+		up.giveBack()
+		a.plan = plan{hold: true, retry: a.retry && n.login.Route.Idempotent}
+		a.number--
+		a.moved = true
+		return n.serverError(r), true, nil
+	case r.code == outcome.CodeReadOnly && a.hold && !u.ends:
+		n.db.ReportFailure(up.target, errReadOnlyPrimary())
+		up.giveBack()
+		return errReadOnlyPrimary(), true, nil
+	case r.code == codeSerializationFailure && a.read && !up.target.Primary:
+		// A replica cancels reads that conflict with replication.
+		up.giveBack()
+		a.exclude = append(a.exclude, up.target.Server)
+		return n.serverError(r), true, nil
+	case r.staleStatement && !u.ends:
+		up.giveBack()
+		return n.serverError(r), true, nil
+	}
+	e, err = n.finish(ctx, up, u, a.plan, r, report)
+	return e, false, err
+}
+
+// serverError keeps a server's error for the case that the statement is not tried again.
+func (n *session) serverError(r *result) *outcome.Error {
+	return outcome.New(outcome.NotRun, r.code, r.message, "repeat the statement")
+}
+
+// settleFailure handles a connection that failed before the end of the answer.
+func (n *session) settleFailure(up *upstream, a *attempt, r *result) (*outcome.Error, bool) {
+	killed := n.killedBy()
+	if killed == nil {
+		n.db.ReportFailure(up.target, r.err)
+	}
+	a.exclude = append(a.exclude, up.target.Server)
+	if !r.sent {
+		up.drop()
+		return errNotSent(r.err), true
+	}
+	up.abort()
+	if killed != nil {
+		return errUnknown("the statement was ended: " + killed.Message), false
+	}
+	return errUnknown("the server's answer is missing: " + r.err.Error()), a.retry && !n.out.written
+}
+
+func (n *session) killedBy() *outcome.Error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.killed
+}
+
+// finish takes a complete answer: it keeps or releases the connection and waits for the confirmation
+// of a write.
+func (n *session) finish(ctx context.Context, up *upstream, u *unit, p plan, r *result, report *Statement) (*outcome.Error, error) {
+	report.Outcome = OutcomeOK
+	if r.code != "" {
+		report.Outcome = OutcomeServerError
+		report.Code = r.code
+	}
+	if u.taints {
+		up.tainted.Store(true)
+	}
+	wasOpen := n.tx.active()
+	if r.status == statusIdle {
+		n.endTransaction()
+		up.giveBack()
+	} else {
+		n.bindTransaction(up, r.status)
+	}
+	if !p.hold || !r.needsConfirm(u, wasOpen) {
+		return nil, nil
+	}
+	started := time.Now()
+	e := n.confirm(ctx, up.target)
+	report.Confirm = time.Since(started)
+	if e != nil {
+		n.out.dropHeld()
+		n.leaveUnconfirmed()
+		return e, nil
+	}
+	token := &pgproto3.ParameterStatus{Name: tokenParameter, Value: n.state.Token()}
+	return nil, n.out.send(token)
+}
+
+// leaveUnconfirmed drops a transaction that was opened behind a commit that is not confirmed.
+func (n *session) leaveUnconfirmed() {
+	if n.tx.up == nil {
+		return
+	}
+	n.tx.up.drop()
+	n.loseTransaction()
+}
+
+// confirm waits until the writes that target has answered are confirmed.
+func (n *session) confirm(ctx context.Context, target Target) *outcome.Error {
+	wait, done := context.WithTimeout(ctx, n.login.Route.ConfirmTimeout.Std())
+	defer done()
+	p, err := n.db.Confirm(wait, target, n.login.Route.Acknowledge)
+	if err != nil {
+		return errUnconfirmed(err)
+	}
+	n.state.Confirmed(p)
+	return nil
+}
+
+func errUnconfirmed(cause error) *outcome.Error {
+	e := errUnknown("the write was executed but not confirmed: " + asOutcome(cause).Message)
+	if c := outcome.As(cause); c != nil {
+		e.RetryAfter = c.RetryAfter
+	}
+	return e
+}
+
+func errNotSent(cause error) *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
+		"the statement could not be sent: "+cause.Error(), "repeat the statement")
+}
+
+func errReadOnlyPrimary() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeReadOnly,
+		"the primary is read-only, because it is being replaced", "repeat the statement").
+		WithRetryAfter(readOnlyRetry)
+}
--- /dev/null
+++ b/proxy/engine/shutdown.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"context"
+	"time"
+)
+
+// Shutdown stops the server gracefully. It closes the listeners, ends idle sessions with 57P01,
+// lets statements in flight finish and open transactions go on for the drain timeout; these are
+// then ended between two statements. When ctx ends first, the remaining connections are closed and
+// the error of ctx is returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.beginDrain()
+	s.interruptAll(stopDrain)
+	timer := time.NewTimer(s.cfg.DrainTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.drained:
+			s.stop()
+			return nil
+		case <-timer.C:
+			s.interruptAll(stopDrainNow)
+		case <-ctx.Done():
+			s.cutOff()
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Server) beginDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for ln := range s.listeners {
+		_ = ln.Close()
+	}
+	for conn := range s.starting {
+		_ = conn.SetDeadline(longAgo)
+	}
+	s.checkDrained()
+}
+
+func (s *Server) interruptAll(r stopReason) {
+	for _, n := range s.allSessions() {
+		n.interrupt(r)
+	}
+}
+
+func (s *Server) allSessions() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*session, 0, len(s.sessions))
+	for _, n := range s.sessions {
+		all = append(all, n)
+	}
+	return all
+}
+
+func (s *Server) cutOff() {
+	s.stop()
+	for _, n := range s.allSessions() {
+		n.kill(errShutdown())
+		_ = n.conn.Close()
+	}
+}
--- /dev/null
+++ b/proxy/engine/startup.go
@@ -0,0 +1,310 @@
+package engine
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	decide "github.com/cyclamenstile/cyclamenstile/decision/session"
+)
+
+// Codes of the packets that may come first on a connection. Source: PostgreSQL documentation,
+// section "Message Formats".
+const (
+	codeCancelRequest = 80877102
+	codeSSLRequest    = 80877103
+	codeGSSRequest    = 80877104
+	protocolMajor     = 3
+	minStartupBody    = 4 // bytes
+)
+
+// maxStartupPackets bounds the encryption requests and the start-up message of one connection.
+const maxStartupPackets = 3
+
+// errStartupDone means that the connection is to be closed without an error, as after a cancel
+// request.
+var errStartupDone = errors.New("connection served")
+
+// startup runs the start-up of one connection: encryption, authentication, first parameters.
+type startup struct {
+	srv       *Server
+	conn      net.Conn
+	encrypted bool
+}
+
+// startup returns a session that is ready for its first query. Its errors were told to the caller.
+func (s *Server) startup(conn net.Conn) (*session, error) {
+	if err := conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)); err != nil {
+		return nil, err
+	}
+	st := &startup{srv: s, conn: conn}
+	m, err := st.firstMessage()
+	if err != nil {
+		return nil, st.fail(err)
+	}
+	n, err := st.open(m)
+	if err != nil {
+		return nil, st.fail(err)
+	}
+	return n, nil
+}
+
+// fail tells the caller err if it is an outcome.
+func (st *startup) fail(err error) error {
+	e := outcome.As(err)
+	if e == nil {
+		return err
+	}
+	_ = st.send(errorResponse(severityFatal, e))
+	linger(st.conn)
+	return err
+}
+
+func (st *startup) send(messages ...pgproto3.BackendMessage) error {
+	var b []byte
+	for _, m := range messages {
+		var err error
+		if b, err = m.Encode(b); err != nil {
+			return err
+		}
+	}
+	_, err := st.conn.Write(b)
+	return err
+}
+
+// firstMessage answers encryption and cancel requests until the start-up message arrives.
+func (st *startup) firstMessage() (*pgproto3.StartupMessage, error) {
+	for range maxStartupPackets {
+		body, err := st.readBody()
+		if err != nil {
+			return nil, err
+		}
+		m, err := st.dispatch(body)
+		if m != nil || err != nil {
+			return m, err
+		}
+	}
+	return nil, errProtocol("too many encryption requests")
+}
+
+// readBody reads exactly one packet, so that nothing sent in clear text is taken for a part of the
+// encrypted stream.
+func (st *startup) readBody() ([]byte, error) {
+	var header [4]byte
+	if _, err := io.ReadFull(st.conn, header[:]); err != nil {
+		return nil, err
+	}
+	size := int(binary.BigEndian.Uint32(header[:])) - len(header)
+	if size < minStartupBody || size > st.srv.cfg.MaxStartupSize {
+		return nil, errProtocol("invalid length of startup packet")
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(st.conn, body)
+	return body, err
+}
+
+func (st *startup) dispatch(body []byte) (*pgproto3.StartupMessage, error) {
+	switch binary.BigEndian.Uint32(body) {
+	case codeSSLRequest:
+		return nil, st.encrypt()
+	case codeGSSRequest:
+		_, err := st.conn.Write([]byte{'N'})
+		return nil, err
+	case codeCancelRequest:
+		return nil, st.cancel(body)
+	}
+	return st.decode(body)
+}
+
+func (st *startup) cancel(body []byte) error {
+	var r pgproto3.CancelRequest
+	if err := r.Decode(body); err == nil {
+		st.srv.cancel(&r)
+	}
+	return errStartupDone
+}
+
+func (st *startup) encrypt() error {
+	if st.encrypted {
+		return errProtocol("the connection is encrypted already")
+	}
+	if st.srv.cfg.TLS == nil {
+		_, err := st.conn.Write([]byte{'N'})
+		return err
+	}
+	if _, err := st.conn.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	secure := tls.Server(st.conn, st.srv.cfg.TLS)
+	if err := secure.HandshakeContext(st.srv.ctx); err != nil {
+		return err
+	}
+	st.conn = secure
+	st.encrypted = true
+	return nil
+}
+
+// decode reads the start-up message of any minor version of protocol 3.
+func (st *startup) decode(body []byte) (*pgproto3.StartupMessage, error) {
+	version := binary.BigEndian.Uint32(body)
+	if version>>16 != protocolMajor {
+		return nil, errProtocol("unsupported protocol version")
+	}
+	if !st.encrypted && !st.srv.cfg.AllowPlain {
+		return nil, outcome.New(outcome.Denied, outcome.CodeInvalidAuthorization,
+			"the connection is not encrypted", "connect with TLS (sslmode=require or stricter)")
+	}
+	binary.BigEndian.PutUint32(body, pgproto3.ProtocolVersion30)
+	var m pgproto3.StartupMessage
+	if err := m.Decode(body); err != nil {
+		return nil, errProtocol("malformed startup packet")
+	}
+	m.ProtocolVersion = version
+	return &m, nil
+}
+
+// open authenticates the caller and announces the session.
+func (st *startup) open(m *pgproto3.StartupMessage) (*session, error) {
+	user := m.Parameters["user"]
+	route := m.Parameters["database"]
+	if route == "" {
+		route = user
+	}
+	if err := st.negotiate(m); err != nil {
+		return nil, err
+	}
+	login, err := st.authenticate(route, user)
+	if err != nil {
+		return nil, err
+	}
+	n, err := st.newSession(login)
+	if err != nil {
+		return nil, err
+	}
+	if err := n.applyStartup(m.Parameters); err != nil {
+		return nil, err
+	}
+	return n, st.announce(n)
+}
+
+// negotiate tells a caller of a later minor version which version and options are understood.
+func (st *startup) negotiate(m *pgproto3.StartupMessage) error {
+	var unknown []string
+	for name := range m.Parameters {
+		if strings.HasPrefix(name, "_pq_.") {
+			unknown = append(unknown, name)
+		}
+	}
+	if m.ProtocolVersion == pgproto3.ProtocolVersion30 && len(unknown) == 0 {
+		return nil
+	}
+	return st.send(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: unknown})
+}
+
+func (st *startup) authenticate(route, user string) (Login, error) {
+	needsKey, err := st.srv.cfg.Directory.NeedsKey(route)
+	if err != nil {
+		return Login{}, asOutcome(err)
+	}
+	key := ""
+	if needsKey {
+		if key, err = st.readKey(); err != nil {
+			return Login{}, err
+		}
+	}
+	login, err := st.srv.cfg.Directory.Authenticate(route, user, key)
+	if err != nil {
+		return Login{}, asOutcome(err)
+	}
+	return login, nil
+}
+
+func (st *startup) readKey() (string, error) {
+	if err := st.send(&pgproto3.AuthenticationCleartextPassword{}); err != nil {
+		return "", err
+	}
+	var header [1]byte
+	if _, err := io.ReadFull(st.conn, header[:]); err != nil {
+		return "", err
+	}
+	if header[0] != 'p' {
+		return "", errProtocol("expected a password message")
+	}
+	body, err := st.readBodyOrEmpty()
+	if err != nil {
+		return "", err
+	}
+	var m pgproto3.PasswordMessage
+	if err := m.Decode(body); err != nil {
+		return "", errProtocol("malformed password message")
+	}
+	return m.Password, nil
+}
+
+// readBodyOrEmpty reads a message body that may be as short as one byte.
+func (st *startup) readBodyOrEmpty() ([]byte, error) {
+	var header [4]byte
+	if _, err := io.ReadFull(st.conn, header[:]); err != nil {
+		return nil, err
+	}
+	size := int(binary.BigEndian.Uint32(header[:])) - len(header)
+	if size < 1 || size > st.srv.cfg.MaxStartupSize {
+		return nil, errProtocol("invalid length of password message")
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(st.conn, body)
+	return body, err
+}
+
+func (st *startup) newSession(login Login) (*session, error) {
+	db, err := st.srv.cfg.Directory.Database(login.Route.Database)
+	if err != nil {
+		return nil, asOutcome(err)
+	}
+	n := &session{
+		srv:    st.srv,
+		conn:   st.conn,
+		login:  login,
+		db:     db,
+		state:  decide.New(login.Route.Database, login.Route.SessionScope),
+		opened: time.Now(),
+	}
+	n.out = outbound{conn: st.conn, timeout: st.srv.cfg.WriteTimeout, held: -1}
+	_, err = rand.Read(n.secret[:])
+	return n, err
+}
+
+// announce registers the session and sends everything up to the first ReadyForQuery.
+func (st *startup) announce(n *session) error {
+	if err := st.srv.register(n); err != nil {
+		return err
+	}
+	messages := []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}}
+	for _, p := range st.srv.firstParameters(n) {
+		messages = append(messages, &pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	messages = append(messages,
+		&pgproto3.BackendKeyData{ProcessID: n.pid, SecretKey: n.secret[:]},
+		&pgproto3.ReadyForQuery{TxStatus: statusIdle})
+	err := st.send(messages...)
+	if err == nil {
+		err = n.conn.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		st.srv.unregister(n)
+	}
+	return err
+}
+
+func errProtocol(message string) *outcome.Error {
+	return outcome.New(outcome.Invalid, outcome.CodeProtocolViolation, message,
+		"use a client that speaks PostgreSQL protocol 3")
+}
--- /dev/null
+++ b/proxy/engine/stmtcache.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"runtime"
+	"sync"
+	"weak"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// upstreamStatements knows which prepared statements each upstream connection has.
+var upstreamStatements connectionStatements
+
+// connectionStatements keeps a cache for each connection, known by its Frontend, for as long as that
+// is in use. A pool that wraps the same connection in a new Frontend starts with an empty cache,
+// which is safe: a statement is closed before it is prepared.
+type connectionStatements struct {
+	mu     sync.Mutex
+	caches map[weak.Pointer[pgproto3.Frontend]]*statementCache
+}
+
+func (c *connectionStatements) of(f *pgproto3.Frontend, limit int) *statementCache {
+	key := weak.Make(f)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if found := c.caches[key]; found != nil {
+		return found
+	}
+	if c.caches == nil {
+		c.caches = make(map[weak.Pointer[pgproto3.Frontend]]*statementCache)
+	}
+	fresh := &statementCache{limit: limit}
+	c.caches[key] = fresh
+	runtime.AddCleanup(f, c.remove, key)
+	return fresh
+}
+
+func (c *connectionStatements) forget(f *pgproto3.Frontend) {
+	c.remove(weak.Make(f))
+}
+
+func (c *connectionStatements) remove(key weak.Pointer[pgproto3.Frontend]) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.caches, key)
+}
+
+// statementCache holds the names of the statements prepared on one connection, oldest first. It is
+// used by the connection's present holder only.
+type statementCache struct {
+	limit int
+	names map[string]struct{}
+	order []string
+}
+
+func (c *statementCache) has(name string) bool {
+	_, found := c.names[name]
+	return found
+}
+
+// add notes a statement and returns the name of one that has to make room, if any.
+func (c *statementCache) add(name string) (evicted string) {
+	if c.names == nil {
+		c.names = make(map[string]struct{})
+	}
+	if len(c.order) >= c.limit {
+		evicted = c.order[0]
+		c.order = append(c.order[:0], c.order[1:]...)
+		delete(c.names, evicted)
+	}
+	c.names[name] = struct{}{}
+	c.order = append(c.order, name)
+	return evicted
+}
+
+// clear forgets all statements after an error, since it is not known then which of them exist or
+// are still valid. The next use closes and prepares them again.
+func (c *statementCache) clear() {
+	c.names = nil
+	c.order = nil
+}
--- /dev/null
+++ b/proxy/engine/upstream_test.go
@@ -0,0 +1,291 @@
+package engine
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+const oidText = 25
+
+// fakeServer is a small server that speaks pgproto3. Its statements are:
+//
+//	insert...    a write, refused with 25006 while readOnly or in a read-only transaction
+//	select rows N  N rows of one text column
+//	select $1    the parameter; any other select gives the connection's id
+//	fail, hang, die  an error, no answer until cancelled, a closed connection
+type fakeServer struct {
+	id       authority.ServerID
+	addr     string
+	readOnly atomic.Bool
+	writes   atomic.Uint64
+	parses   atomic.Int64
+	running  chan string // receives "hang" when one begins
+
+	mu    sync.Mutex
+	conns map[uint32]*fakeSession
+	log   []string
+}
+
+type fakeSession struct {
+	srv      *fakeServer
+	pid      uint32
+	b        *pgproto3.Backend
+	conn     net.Conn
+	stmts    map[string]string
+	portals  map[string]boundFake
+	status   byte
+	readOnly bool
+	skip     bool
+	canceled chan struct{}
+}
+
+type boundFake struct {
+	sql    string
+	params [][]byte
+}
+
+var (
+	fakesMu  sync.Mutex
+	fakes    = make(map[string]*fakeServer)
+	fakePIDs atomic.Uint32
+	dollar   = regexp.MustCompile(`\$\d+`)
+)
+
+func startFake(t testing.TB, id authority.ServerID) *fakeServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fakeServer{id: id, addr: ln.Addr().String(), running: make(chan string, 100), conns: make(map[uint32]*fakeSession)}
+	fakesMu.Lock()
+	fakes[s.addr] = s
+	fakesMu.Unlock()
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func cancelFake(addr string, pid uint32) {
+	fakesMu.Lock()
+	s := fakes[addr]
+	fakesMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.conns[pid]; c != nil {
+		select {
+		case c.canceled <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (s *fakeServer) lsn() uint64 { return s.writes.Load() }
+
+// executed lists the statements that succeeded.
+func (s *fakeServer) executed() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.log...)
+}
+
+func (s *fakeServer) serve(conn net.Conn) {
+	c := &fakeSession{srv: s, pid: fakePIDs.Add(1), conn: conn, b: pgproto3.NewBackend(conn, conn),
+		stmts: make(map[string]string), portals: make(map[string]boundFake), status: 'I',
+		canceled: make(chan struct{}, 1)}
+	s.mu.Lock()
+	s.conns[c.pid] = c
+	s.mu.Unlock()
+	defer conn.Close()
+	c.b.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: []byte{0, 0, 0, 0}})
+	for {
+		if c.b.Flush() != nil {
+			return
+		}
+		if !c.batch() {
+			return
+		}
+	}
+}
+
+// batch handles messages up to the next ReadyForQuery.
+func (c *fakeSession) batch() bool {
+	for {
+		m, err := c.b.Receive()
+		if err != nil {
+			return false
+		}
+		switch m := m.(type) {
+		case *pgproto3.Query:
+			for _, sql := range strings.Split(m.String, ";") {
+				if !c.skip && strings.TrimSpace(sql) != "" && !c.execute(strings.TrimSpace(sql), nil, true) {
+					return false
+				}
+			}
+			return c.ready()
+		case *pgproto3.Sync:
+			return c.ready()
+		default:
+			if !c.skip && !c.extended(m) {
+				return false
+			}
+		}
+	}
+}
+
+func (c *fakeSession) ready() bool {
+	c.skip = false
+	if c.status == 'I' {
+		clear(c.portals)
+	}
+	c.b.Send(&pgproto3.ReadyForQuery{TxStatus: c.status})
+	return true
+}
+
+func (c *fakeSession) extended(m pgproto3.FrontendMessage) bool {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		c.srv.parses.Add(1)
+		if _, found := c.stmts[m.Name]; found && m.Name != "" {
+			c.error("42P05", "exists")
+			return true
+		}
+		c.stmts[m.Name] = m.Query
+		c.b.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		sql, found := c.stmts[m.PreparedStatement]
+		if !found {
+			c.error("26000", "no statement "+m.PreparedStatement)
+			return true
+		}
+		p := boundFake{sql: sql}
+		for _, v := range m.Parameters {
+			p.params = append(p.params, append([]byte(nil), v...))
+		}
+		c.portals[m.DestinationPortal] = p
+		c.b.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		sql := c.portals[m.Name].sql
+		if m.ObjectType == 'S' {
+			sql = c.stmts[m.Name]
+			oids := make([]uint32, len(dollar.FindAllString(sql, -1)))
+			for i := range oids {
+				oids[i] = oidText
+			}
+			c.b.Send(&pgproto3.ParameterDescription{ParameterOIDs: oids})
+		}
+		c.describe(sql)
+	case *pgproto3.Execute:
+		p := c.portals[m.Portal]
+		return c.execute(p.sql, p.params, false)
+	case *pgproto3.Close:
+		delete(c.stmts, m.Name)
+		c.b.Send(&pgproto3.CloseComplete{})
+	}
+	return true
+}
+
+func (c *fakeSession) describe(sql string) {
+	if !strings.HasPrefix(sql, "select") {
+		c.b.Send(&pgproto3.NoData{})
+		return
+	}
+	c.b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+		{Name: []byte("v"), DataTypeOID: oidText, DataTypeSize: -1, TypeModifier: -1}}})
+}
+
+func (c *fakeSession) error(code, message string) {
+	c.skip = true
+	if c.status == 'T' {
+		c.status = 'E'
+	}
+	c.b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+}
+
+// execute returns false when the connection is to be closed.
+func (c *fakeSession) execute(sql string, params [][]byte, simple bool) bool {
+	low := strings.ToLower(sql)
+	word, _, _ := strings.Cut(low, " ")
+	if c.status == 'E' && word != "rollback" && word != "commit" {
+		c.error("25P02", "current transaction is aborted")
+		return true
+	}
+	switch word {
+	case "begin":
+		c.status = 'T'
+		c.readOnly = strings.Contains(low, "read only")
+	case "commit", "rollback":
+		if strings.HasPrefix(low, "rollback to") {
+			c.status = 'T'
+			break
+		}
+		if c.status == 'E' {
+			word = "rollback"
+		}
+		c.status = 'I'
+		c.readOnly = false
+	case "insert":
+		if c.srv.readOnly.Load() || c.readOnly {
+			c.error("25006", "cannot execute INSERT in a read-only transaction")
+			return true
+		}
+		c.srv.writes.Add(1)
+		word = "insert 0 1"
+	case "fail":
+		c.error("22012", "division by zero")
+		return true
+	case "hang":
+		c.srv.running <- "hang"
+		<-c.canceled
+		c.error("57014", "canceling statement due to user request")
+		return true
+	case "die":
+		return false
+	case "select":
+		if simple {
+			c.describe(low)
+		}
+		word = "select " + strconv.Itoa(c.rows(low, params))
+	}
+	c.srv.mu.Lock()
+	c.srv.log = append(c.srv.log, low)
+	c.srv.mu.Unlock()
+	c.b.Send(&pgproto3.CommandComplete{CommandTag: []byte(strings.ToUpper(word))})
+	return true
+}
+
+func (c *fakeSession) rows(sql string, params [][]byte) int {
+	if len(params) > 0 {
+		c.b.Send(&pgproto3.DataRow{Values: params[:1]})
+		return 1
+	}
+	var n int
+	if _, err := fmt.Sscanf(sql, "select rows %d", &n); err != nil {
+		c.b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(strconv.Itoa(int(c.pid)))}})
+		return 1
+	}
+	for i := range n {
+		c.b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(strings.Repeat("x", 1000) + strconv.Itoa(i))}})
+		if c.b.Flush() != nil {
+			return i
+		}
+	}
+	return n
+}
