Add the authority, routing and group packages

The primary of a database group has to be known, replaced when it fails and proven before a write is acknowledged. decision/authority holds the state machines for this, decision/routing places reads, and proxy/group drives both over the server adapters and implements engine.Database.

Waiters are resolved only from probes that were ordered after they arrived; this is tracked by sequence numbers, so no clock takes part in a proof.

--- /dev/null
+++ b/decision/authority/doc.go
@@ -0,0 +1,29 @@
+// Package authority decides, for one database group as one instance sees it, which server is the
+// primary, when to fence and promote, and when a write or a floor is proven by a majority.
+//
+// A Machine turns probe results into a View and into Probe, Fence and Promote actions. A
+// Confirmations resolves waiters from the same probe results. Both are pure: the driver executes
+// the actions and feeds the answers back. Times are durations since a monotonic origin. Clocks
+// decide only when to act; every proof rests on probe sequence numbers and on what servers show.
+//
+// Rules that the servers of a group keep:
+//
+//   - A server accepts Fence(T, O) when T exceeds its term and its fence, or its fence is (T, O).
+//     From then on it takes no write and no replicated log of a term below T.
+//   - A server accepts Promote(T, O) only when its fence is exactly (T, O) and no log of term T or
+//     above has reached it; a repeat by the same owner after success is accepted too.
+//   - A server shows term T only when its log contains the point at which T began, and its
+//     (term, LSN) never goes down.
+//
+// Invariants:
+//
+//   - An owner names one run of one process. An owner promotes at most one server in a term, so
+//     a term has at most one primary.
+//   - The promoted server has the highest (term, LSN) of a fenced majority, so it contains every
+//     write confirmed in mode ModeMajority.
+//   - A waiter is resolved only from probes whose sequence number was given out after the waiter
+//     arrived.
+//   - A write of term T is confirmed only after a majority showed term T and no higher fence,
+//     each in a probe sent after the write was answered.
+//   - A sampled floor is at or past every write confirmed before the sample began.
+package authority
--- /dev/null
+++ b/decision/authority/machine.go
@@ -0,0 +1,289 @@
+package authority
+
+import (
+	"math/rand"
+	"slices"
+	"time"
+)
+
+// Default timings of a Machine.
+const (
+	// DefaultIdleInterval is the time between probes of a server while nothing waits.
+	DefaultIdleInterval = 100 * time.Millisecond
+	// DefaultDemandInterval keeps waiters from probing a server in a busy loop while they wait
+	// for replication; it is small against the round trip between failure domains (1 ms).
+	DefaultDemandInterval = 500 * time.Microsecond
+	// DefaultHedgeAfter is the silence after which a probe is repeated over a fresh connection.
+	DefaultHedgeAfter = 100 * time.Millisecond
+	// DefaultSuspectAfter is how long a primary must have been silent, and how long replicas
+	// must have had no contact with it.
+	DefaultSuspectAfter = time.Second
+	// DefaultUnreachableAfter replaces DefaultSuspectAfter while replicas still hear the primary.
+	DefaultUnreachableAfter = 8 * time.Second
+	// DefaultSuspectProbes is how many probes over fresh connections must have failed in a row.
+	DefaultSuspectProbes = 3
+	// DefaultDamping is the time after a promotion in which only refused connections lead to
+	// another one.
+	DefaultDamping = 10 * time.Second
+	// DefaultJitter bounds the random delay before an attempt, so that instances that see the
+	// same failure seldom fence at the same moment.
+	DefaultJitter = 150 * time.Millisecond
+	// DefaultBackoff is the longest first delay after a lost attempt; it doubles up to MaxBackoff.
+	DefaultBackoff = 400 * time.Millisecond
+	// DefaultMaxBackoff bounds the doubling.
+	DefaultMaxBackoff = 4 * time.Second
+	// DefaultAttemptTimeout bounds one attempt from its first fence on.
+	DefaultAttemptTimeout = time.Second
+	// DefaultFenceGrace is how long an attempt waits for reachable servers beyond the majority,
+	// one of which may be further advanced.
+	DefaultFenceGrace = 50 * time.Millisecond
+	// DefaultStrandedAfter is how long a fence above the term of a healthy primary is left. A
+	// server below such a fence follows nobody until a later term begins.
+	DefaultStrandedAfter = 10 * time.Second
+)
+
+// Timings are the durations of a Machine; zero fields take the defaults.
+type Timings struct {
+	IdleInterval     time.Duration
+	DemandInterval   time.Duration
+	HedgeAfter       time.Duration
+	SuspectAfter     time.Duration
+	UnreachableAfter time.Duration
+	Damping          time.Duration
+	Jitter           time.Duration
+	Backoff          time.Duration
+	MaxBackoff       time.Duration
+	AttemptTimeout   time.Duration
+	FenceGrace       time.Duration
+	StrandedAfter    time.Duration
+}
+
+// DefaultTimings returns the timings of the design.
+func DefaultTimings() Timings {
+	return Timings{
+		IdleInterval:     DefaultIdleInterval,
+		DemandInterval:   DefaultDemandInterval,
+		HedgeAfter:       DefaultHedgeAfter,
+		SuspectAfter:     DefaultSuspectAfter,
+		UnreachableAfter: DefaultUnreachableAfter,
+		Damping:          DefaultDamping,
+		Jitter:           DefaultJitter,
+		Backoff:          DefaultBackoff,
+		MaxBackoff:       DefaultMaxBackoff,
+		AttemptTimeout:   DefaultAttemptTimeout,
+		FenceGrace:       DefaultFenceGrace,
+		StrandedAfter:    DefaultStrandedAfter,
+	}
+}
+
+// Config describes the group and the instance that a Machine acts for.
+type Config struct {
+	Servers []ServerID
+	// Owner is the name under which fences are placed. It must never be used by another run of
+	// any process: a restarted process with its predecessor's owner could promote a second
+	// server in the same term.
+	Owner string
+	// Rand decides the jitter. It must be seeded differently in every instance.
+	Rand *rand.Rand
+	// Timings default to DefaultTimings when they are all zero.
+	Timings Timings
+}
+
+// Machine watches one database group and decides when to fence and promote.
+type Machine struct {
+	owner          string
+	rand           *rand.Rand
+	t              Timings
+	view           View
+	seq            Seq
+	demand         bool
+	probing        []probing // by server
+	noPrimarySince time.Duration
+	noPrimary      bool
+	due            due
+	rival          rival
+	attempt        *attempt
+	lastTerm       uint64        // of the newest attempt; a term is never used for two attempts
+	losses         int           // attempts lost in a row
+	retryAt        time.Duration // no attempt before this time
+	stranded       bool
+	strandedSince  time.Duration
+}
+
+// probing is what a machine knows about its own probes of one server.
+type probing struct {
+	inFlight int
+	lastSent time.Duration
+	urgent   bool // probe as soon as none is in flight
+	suspect  bool // probe over a fresh connection
+	started  bool
+}
+
+// due is an attempt that waits for its jitter to pass.
+type due struct {
+	reason Reason
+	at     time.Duration
+}
+
+// rival is a fence above the present term, which may soon lead to a promotion.
+type rival struct {
+	term  uint64
+	until time.Duration
+}
+
+// NewMachine returns a Machine that knows nothing about the group yet.
+func NewMachine(now time.Duration, c Config) *Machine {
+	t := c.Timings
+	if t == (Timings{}) {
+		t = DefaultTimings()
+	}
+	return &Machine{
+		owner:          c.Owner,
+		rand:           c.Rand,
+		t:              t,
+		view:           NewView(c.Servers),
+		probing:        make([]probing, len(c.Servers)),
+		noPrimary:      true,
+		noPrimarySince: now,
+	}
+}
+
+// View returns what the machine knows. It must not be changed and is valid until the next Step.
+func (m *Machine) View() *View {
+	return &m.view
+}
+
+// Seq returns the last probe sequence number given out.
+func (m *Machine) Seq() Seq {
+	return m.seq
+}
+
+// SetDemand tells whether waiters need probes sent as fast as they are answered.
+func (m *Machine) SetDemand(demand bool) {
+	m.demand = demand
+}
+
+// SetLeaving marks servers that are to be emptied.
+func (m *Machine) SetLeaving(leaving []ServerID) {
+	for i := range m.view.Servers {
+		s := &m.view.Servers[i]
+		s.Leaving = slices.Contains(leaving, s.ID)
+	}
+}
+
+// Step takes one event and returns what the driver has to do.
+func (m *Machine) Step(now time.Duration, e Event) []Action {
+	switch e := e.(type) {
+	case ProbeResult:
+		m.ended(e.State.Server)
+		m.view.observe(now, e.Sent, e.Seq, e.State)
+	case ProbeFailure:
+		m.ended(e.Server)
+		m.view.fail(e)
+	case Suspicion:
+		m.suspect(e.Server)
+	case FenceAnswer:
+		m.fenceAccepted(now, e)
+	case FenceFailure:
+		m.fenceFailed(now, e)
+	case PromoteAnswer:
+		m.promoteAccepted(now, e)
+	case PromoteFailure:
+		m.promoteFailed(now, e)
+	}
+	actions := m.decide(now)
+	return append(actions, m.probes(now)...)
+}
+
+func (m *Machine) index(id ServerID) int {
+	return slices.IndexFunc(m.view.Servers, func(s ServerView) bool { return s.ID == id })
+}
+
+func (m *Machine) ended(id ServerID) {
+	if i := m.index(id); i >= 0 && m.probing[i].inFlight > 0 {
+		m.probing[i].inFlight--
+	}
+}
+
+func (m *Machine) suspect(id ServerID) {
+	if i := m.index(id); i >= 0 {
+		m.probing[i].urgent, m.probing[i].suspect = true, true
+	}
+}
+
+func (m *Machine) markUrgent(id ServerID) {
+	if i := m.index(id); i >= 0 {
+		m.probing[i].urgent = true
+	}
+}
+
+// probes orders the probes that are due.
+func (m *Machine) probes(now time.Duration) []Action {
+	var out []Action
+	for i := range m.probing {
+		at, fresh, ok := m.nextProbe(i)
+		if !ok || at > now {
+			continue
+		}
+		out = append(out, m.order(now, i, fresh))
+	}
+	return out
+}
+
+func (m *Machine) order(now time.Duration, i int, fresh bool) Action {
+	m.seq++
+	p := &m.probing[i]
+	p.inFlight++
+	p.lastSent, p.started = now, true
+	p.urgent, p.suspect = false, false
+	return Probe{Server: m.view.Servers[i].ID, Seq: m.seq, Fresh: fresh}
+}
+
+// maxInFlight bounds the probes of one server: the regular one and its repeat over a fresh
+// connection.
+const maxInFlight = 2
+
+// nextProbe returns when the next probe of server i is due.
+func (m *Machine) nextProbe(i int) (at time.Duration, fresh, ok bool) {
+	p := &m.probing[i]
+	failing := m.view.Servers[i].Failing
+	switch {
+	case !p.started:
+		return 0, false, true
+	case p.inFlight >= maxInFlight:
+		return 0, false, false
+	case p.inFlight > 0:
+		return p.lastSent + m.t.HedgeAfter, true, true
+	case p.urgent:
+		return p.lastSent, p.suspect || failing, true
+	case failing && m.view.Servers[i].Failures == 0:
+		return p.lastSent, true, true
+	case failing:
+		return p.lastSent + m.t.HedgeAfter, true, true
+	case m.demand:
+		return p.lastSent + m.t.DemandInterval, false, true
+	default:
+		return p.lastSent + m.t.IdleInterval, false, true
+	}
+}
+
+// NextTick returns when the machine wants a Tick if nothing else happens before.
+func (m *Machine) NextTick(now time.Duration) time.Duration {
+	next := now + m.t.IdleInterval
+	for i := range m.probing {
+		if at, _, ok := m.nextProbe(i); ok {
+			next = min(next, at)
+		}
+	}
+	for _, at := range m.deadlines() {
+		if at > now {
+			next = min(next, at)
+		}
+	}
+	return max(next, now)
+}
+
+// Owner returns the name under which fences are placed; it never changes.
+func (m *Machine) Owner() string {
+	return m.owner
+}
--- /dev/null
+++ b/decision/authority/view.go
@@ -0,0 +1,169 @@
+package authority
+
+import (
+	"slices"
+	"time"
+)
+
+// ServerView is one server as this instance sees it.
+type ServerView struct {
+	ID      ServerID
+	Leaving bool
+	// Known is false until the first answer; the fields from State to Received are then unset.
+	Known    bool
+	State    ServerState
+	Seq      Seq
+	Sent     time.Duration
+	Received time.Duration
+	// Failures counts consecutive failed probes over fresh connections, Refused those of them
+	// that ended in a refused connection. FailingSince is when the first failed probe was sent.
+	Failing      bool
+	FailingSince time.Duration
+	Failures     int
+	Refused      int
+}
+
+// View is a database group as this instance sees it.
+type View struct {
+	Servers []ServerView
+	// Term is the highest term seen on any server.
+	Term uint64
+	// Primary says that it is the primary of Term and was not seen fenced; empty if none does.
+	Primary ServerID
+	// PrimarySince is when Primary was first seen in Term.
+	PrimarySince time.Duration
+	// Succeeded tells that Term replaced an older term while this instance watched.
+	Succeeded bool
+}
+
+// NewView returns the view of a group before any answer.
+func NewView(servers []ServerID) View {
+	v := View{Servers: make([]ServerView, len(servers))}
+	for i, id := range servers {
+		v.Servers[i].ID = id
+	}
+	return v
+}
+
+// Majority returns how many servers of a group of n form a majority.
+func Majority(n int) int {
+	return n/2 + 1
+}
+
+// Server returns the view of one server, or nil if it is not a member of the group.
+func (v *View) Server(id ServerID) *ServerView {
+	for i := range v.Servers {
+		if v.Servers[i].ID == id {
+			return &v.Servers[i]
+		}
+	}
+	return nil
+}
+
+// PrimaryView returns the present primary, or nil.
+func (v *View) PrimaryView() *ServerView {
+	if v.Primary == "" {
+		return nil
+	}
+	return v.Server(v.Primary)
+}
+
+// Clone returns a copy that shares no memory that a Machine changes.
+func (v *View) Clone() View {
+	c := *v
+	c.Servers = slices.Clone(v.Servers)
+	return c
+}
+
+// Reachable reports whether the server's last probe was answered and was sent within window.
+func (s *ServerView) Reachable(now, window time.Duration) bool {
+	return s.Known && !s.Failing && now-s.Sent <= window
+}
+
+// observe takes over a server's state unless an answer to a later probe is known.
+func (v *View) observe(now, sent time.Duration, seq Seq, state ServerState) {
+	s := v.Server(state.Server)
+	if s == nil {
+		return
+	}
+	s.Failing, s.Failures, s.Refused = false, 0, 0
+	if s.Known && seq < s.Seq {
+		return
+	}
+	s.Known, s.State, s.Seq = true, state, seq
+	s.Sent, s.Received = sent, now
+	v.derive(now)
+}
+
+// fail counts a failed probe.
+func (v *View) fail(f ProbeFailure) {
+	s := v.Server(f.Server)
+	if s == nil || (s.Known && f.Seq < s.Seq) {
+		return
+	}
+	if !s.Failing {
+		s.Failing, s.FailingSince = true, f.Sent
+	}
+	s.FailingSince = min(s.FailingSince, f.Sent)
+	if !f.Fresh {
+		return
+	}
+	s.Failures++
+	if f.Class == FailureRefused {
+		s.Refused++
+	}
+}
+
+// derive finds the highest term and its primary.
+func (v *View) derive(now time.Duration) {
+	for i := range v.Servers {
+		v.raiseTerm(v.Servers[i].State.Term)
+	}
+	primary := v.findPrimary()
+	if primary != "" && primary != v.Primary {
+		v.PrimarySince = now
+	}
+	v.Primary = primary
+}
+
+func (v *View) raiseTerm(term uint64) {
+	if term <= v.Term {
+		return
+	}
+	v.Succeeded = v.Term > 0
+	v.Term = term
+	v.Primary = ""
+}
+
+func (v *View) findPrimary() ServerID {
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		if s.Known && s.State.Role == RolePrimary && s.State.Term == v.Term && !s.State.Fenced() {
+			return s.ID
+		}
+	}
+	return ""
+}
+
+// highestFence returns the highest fence seen and a server that shows it.
+func (v *View) highestFence() (uint64, *ServerView) {
+	var fence uint64
+	var at *ServerView
+	for i := range v.Servers {
+		if f := v.Servers[i].State.FenceTerm; f > fence {
+			fence, at = f, &v.Servers[i]
+		}
+	}
+	return fence, at
+}
+
+// fencedAbove counts the servers that show a fence above term.
+func (v *View) fencedAbove(term uint64) int {
+	n := 0
+	for i := range v.Servers {
+		if v.Servers[i].State.FenceTerm > term {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/proxy/group/calls.go
@@ -0,0 +1,167 @@
+package group
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+// perform starts the calls that the machine orders.
+func (g *Group) perform(actions []authority.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case authority.Probe:
+			go g.probe(a)
+		case authority.Fence:
+			g.logServer(EventFenceOrdered, a.Server, a.Term).Info("fencing the server to begin a new term")
+			go g.fence(a)
+		case authority.Promote:
+			g.logServer(EventPromoteOrdered, a.Server, a.Term).WithField("reason", a.Reason).Info("promoting the server")
+			g.cfg.Observer.PromotionAttempted(a.Server, a.Term, a.Reason)
+			go g.promote(a)
+		}
+	}
+}
+
+func (g *Group) logServer(event string, id authority.ServerID, term uint64) logrus.FieldLogger {
+	return g.log.WithFields(logrus.Fields{"event": event, "server": id, "term": term})
+}
+
+// errWrongServer tells that an address leads to a server of another name.
+var errWrongServer = errors.New("address answers with another server's name; correct the server's address in the manifest")
+
+func (g *Group) probe(a authority.Probe) {
+	ctx, cancel := context.WithTimeout(g.run, g.cfg.ProbeTimeout)
+	defer cancel()
+	adapter := g.adapter[a.Server].Kept
+	if a.Fresh {
+		adapter = g.adapter[a.Server].Fresh
+	}
+	sent := g.now()
+	state, err := adapter.Probe(ctx)
+	if err == nil && state.Server != a.Server {
+		g.logServer(EventWrongServer, a.Server, state.Term).WithField("answered", state.Server).Error(errWrongServer)
+		err = errWrongServer
+	}
+	if err != nil {
+		class := classify(err)
+		g.deliver(func() {
+			g.probeFailed(authority.ProbeFailure{Server: a.Server, Seq: a.Seq, Sent: sent, Class: class, Fresh: a.Fresh})
+		})
+		return
+	}
+	g.cfg.Observer.ProbeRoundTrip(a.Server, g.now()-sent)
+	g.deliver(func() { g.probed(authority.ProbeResult{Seq: a.Seq, Sent: sent, State: state}) })
+}
+
+// deliver posts an answer; once the group has stopped it is dropped.
+func (g *Group) deliver(f func()) {
+	g.post(g.run, f)
+}
+
+func (g *Group) probed(r authority.ProbeResult) {
+	now := g.now()
+	actions := g.machine.Step(now, r)
+	g.finish(g.confirm.Observe(now, r))
+	g.perform(actions)
+}
+
+func (g *Group) probeFailed(f authority.ProbeFailure) {
+	now := g.now()
+	actions := g.machine.Step(now, f)
+	g.finish(g.confirm.Failed(now, f.Server))
+	g.perform(actions)
+}
+
+func (g *Group) fence(a authority.Fence) {
+	ctx, cancel := context.WithTimeout(g.run, g.cfg.OrderTimeout)
+	defer cancel()
+	state, err := g.adapter[a.Server].Fresh.Fence(ctx, a.Term, g.machine.Owner())
+	if err != nil {
+		g.logServer(EventFenceFailed, a.Server, a.Term).WithError(err).Warn("fence was refused or not answered")
+		g.step(authority.FenceFailure{Server: a.Server, Term: a.Term})
+		return
+	}
+	g.step(authority.FenceAnswer{Server: a.Server, Term: a.Term, State: state})
+}
+
+func (g *Group) promote(a authority.Promote) {
+	ctx, cancel := context.WithTimeout(g.run, g.cfg.OrderTimeout)
+	defer cancel()
+	state, err := g.adapter[a.Server].Fresh.Promote(ctx, a.Term, g.machine.Owner())
+	if err != nil {
+		g.logServer(EventPromoteFailed, a.Server, a.Term).WithError(err).Warn("promotion was refused or not answered")
+		g.step(authority.PromoteFailure{Server: a.Server, Term: a.Term})
+		return
+	}
+	g.logServer(EventPromoteAccepted, a.Server, a.Term).Info("server accepted its promotion")
+	g.step(authority.PromoteAnswer{Server: a.Server, Term: a.Term, State: state})
+}
+
+func (g *Group) step(e authority.Event) {
+	g.deliver(func() { g.perform(g.machine.Step(g.now(), e)) })
+}
+
+// classify tells how a call failed. A refused connection proves that no server process listens;
+// everything else leaves open whether the server is alive.
+func classify(err error) authority.FailureClass {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return authority.FailureRefused
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		return authority.FailureTimeout
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return authority.FailureTimeout
+	}
+	return authority.FailureOther
+}
+
+// knownState is what was last reported to the log and the observer.
+type knownState struct {
+	primary authority.ServerID
+	term    uint64
+	failing map[authority.ServerID]bool
+}
+
+// report tells the log and the observer what has changed.
+func (g *Group) report() {
+	v := g.machine.View()
+	if g.known.failing == nil {
+		g.known.failing = map[authority.ServerID]bool{}
+	}
+	for i := range v.Servers {
+		g.reportServer(&v.Servers[i])
+	}
+	if v.Primary == g.known.primary && v.Term == g.known.term {
+		return
+	}
+	g.known.primary, g.known.term = v.Primary, v.Term
+	g.cfg.Observer.PrimaryChanged(v.Primary, v.Term)
+	if v.Primary == "" {
+		g.log.WithFields(logrus.Fields{"event": EventPrimaryLost, "term": v.Term}).Warn("no primary of the highest term is known")
+		return
+	}
+	g.logServer(EventPrimaryChanged, v.Primary, v.Term).Info("server is the primary")
+}
+
+func (g *Group) reportServer(s *authority.ServerView) {
+	failing := s.Failures > 0
+	if failing == g.known.failing[s.ID] {
+		return
+	}
+	g.known.failing[s.ID] = failing
+	if failing {
+		since := (g.now() - s.FailingSince).Round(time.Millisecond)
+		g.logServer(EventServerFailing, s.ID, s.State.Term).WithField("silent_for", since).Warn("server does not answer probes")
+		return
+	}
+	g.logServer(EventServerAnswers, s.ID, s.State.Term).Info("server answers probes again")
+}
--- /dev/null
+++ b/proxy/group/errors.go
@@ -0,0 +1,51 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+// retryAfterFailover is what callers are told during a failover; the target for one is 3 s.
+const retryAfterFailover = time.Second
+
+func errUnconfirmed(superseded bool) *outcome.Error {
+	message := "the write was sent but not confirmed in time"
+	if superseded {
+		message = "the write was sent to a primary that was superseded before the write was confirmed"
+	}
+	return outcome.New(outcome.Unknown, outcome.CodeStatementUnknown, message,
+		"check whether the write took effect before repeating it").WithRetryAfter(retryAfterFailover)
+}
+
+func errNoPrimary() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"no primary is known for the database",
+		"repeat the statement after the delay").WithRetryAfter(retryAfterFailover)
+}
+
+func errNoServer() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"no server of the database could be shown to include the session's writes",
+		"repeat the read after the delay").WithRetryAfter(retryAfterFailover)
+}
+
+func errNoAuthority() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"a majority of the database's servers did not confirm the primary",
+		"repeat the read after the delay").WithRetryAfter(retryAfterFailover)
+}
+
+func (g *Group) errNoSample() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"a majority of the database's servers did not answer",
+		"repeat the read after the delay, or hand back the session token so that no majority is needed").WithRetryAfter(retryAfterFailover)
+}
+
+func errLostWrite(floor position.Position, term uint64) *outcome.Error {
+	return outcome.New(outcome.LostWrite, outcome.CodeLostWrite,
+		fmt.Sprintf("the session's write at %s is not part of the database since term %d", floor, term),
+		"check and repeat the session's recent writes; use a route with acknowledge majority to exclude this")
+}
--- /dev/null
+++ b/proxy/group/group.go
@@ -0,0 +1,314 @@
+package group
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/routing"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+// Group is one database group as this instance sees and uses it.
+type Group struct {
+	cfg     Config
+	log     logrus.FieldLogger
+	servers map[authority.ServerID]manifest.Server
+	adapter map[authority.ServerID]Adapter
+	origin  time.Time
+	inbox   chan func()
+	stopped chan struct{}
+
+	// The fields below belong to the goroutine of Run.
+
+	machine    *authority.Machine
+	confirm    *authority.Confirmations
+	places     routing.Config
+	marks      routing.Marks
+	lastID     authority.WaiterID
+	proofs     map[authority.WaiterID]func(authority.Resolution)
+	placements []*placement
+	primaries  []*primaryWait
+	marking    bool // a passive waiter for the next mark is present
+	known      knownState
+	run        context.Context
+}
+
+var _ engine.Database = (*Group)(nil)
+
+// inboxSize lets answers of servers be posted while the owner is busy.
+const inboxSize = 64
+
+// New returns a group that does nothing until Run.
+func New(cfg Config) (*Group, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	cfg.fill()
+	g := &Group{
+		cfg:     cfg,
+		log:     cfg.Logger.WithField("database", cfg.Database),
+		servers: map[authority.ServerID]manifest.Server{},
+		adapter: map[authority.ServerID]Adapter{},
+		origin:  time.Now(),
+		inbox:   make(chan func(), inboxSize),
+		stopped: make(chan struct{}),
+		proofs:  map[authority.WaiterID]func(authority.Resolution){},
+	}
+	g.assemble()
+	return g, nil
+}
+
+func (g *Group) assemble() {
+	ids := make([]authority.ServerID, 0, len(g.cfg.Servers))
+	places := map[authority.ServerID]routing.Place{}
+	for _, s := range g.cfg.Servers {
+		id := authority.ServerID(s.ID)
+		ids = append(ids, id)
+		g.servers[id] = s
+		g.adapter[id] = g.cfg.Connect(s)
+		places[id] = routing.Place{Region: s.Region, FailureDomain: s.FailureDomain}
+	}
+	seed := g.cfg.Seed
+	if seed == 0 {
+		seed = randomSeed()
+	}
+	g.machine = authority.NewMachine(0, authority.Config{
+		Servers: ids,
+		Owner:   g.cfg.Instance + "/" + crand.Text(),
+		Rand:    rand.New(rand.NewSource(seed)),
+		Timings: g.cfg.Timings,
+	})
+	g.machine.SetLeaving(leaving(g.cfg.Servers))
+	g.confirm = authority.NewConfirmations(ids)
+	g.confirm.CoverPrimary = g.cfg.CoverPrimary
+	g.places = routing.Config{
+		Here:        routing.Place{Region: g.cfg.Region, FailureDomain: g.cfg.FailureDomain},
+		Places:      places,
+		Outstanding: g.cfg.Outstanding,
+	}
+}
+
+func randomSeed() int64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // never fails, see crypto/rand
+	return int64(binary.LittleEndian.Uint64(b[:]))
+}
+
+func leaving(servers []manifest.Server) []authority.ServerID {
+	var out []authority.ServerID
+	for _, s := range servers {
+		if s.Leaving {
+			out = append(out, authority.ServerID(s.ID))
+		}
+	}
+	return out
+}
+
+func (g *Group) now() time.Duration {
+	return time.Since(g.origin)
+}
+
+// Run probes and promotes until ctx ends. It is called once.
+func (g *Group) Run(ctx context.Context) error {
+	defer close(g.stopped)
+	g.run = ctx
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-g.inbox:
+			f()
+			g.drainInbox()
+		case <-timer.C:
+		}
+		timer.Reset(g.advance())
+	}
+}
+
+// drainInbox takes what else is posted, so that one pass serves all of it.
+func (g *Group) drainInbox() {
+	for range inboxSize {
+		select {
+		case f := <-g.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// advance brings everything up to the present time and returns when to be called again.
+func (g *Group) advance() time.Duration {
+	now := g.now()
+	g.finish(g.confirm.Advance(now))
+	g.addMark(now)
+	g.servePlacements(now)
+	g.servePrimaries(now)
+	g.machine.SetDemand(g.demand())
+	g.perform(g.machine.Step(now, authority.Tick{}))
+	g.report()
+	return g.nextWake(now) - now
+}
+
+func (g *Group) demand() bool {
+	waiting := g.confirm.Waiting()
+	if g.marking {
+		waiting--
+	}
+	return waiting > 0 || len(g.placements) > 0 || len(g.primaries) > 0
+}
+
+func (g *Group) nextWake(now time.Duration) time.Duration {
+	next := g.machine.NextTick(now)
+	if at, ok := g.confirm.NextDeadline(); ok {
+		next = min(next, at)
+	}
+	for _, p := range g.placements {
+		if p.until > now {
+			next = min(next, p.until)
+		}
+	}
+	return max(next, now)
+}
+
+// post hands f to the owner; it returns false when the group has stopped or ctx has ended.
+func (g *Group) post(ctx context.Context, f func()) bool {
+	select {
+	case g.inbox <- f:
+		return true
+	case <-g.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// SetServers takes over the leaving marks of a new manifest. A change of membership or addresses
+// needs a new Group.
+func (g *Group) SetServers(ctx context.Context, servers []manifest.Server) {
+	g.post(ctx, func() { g.machine.SetLeaving(leaving(servers)) })
+}
+
+// SetCoverPrimary takes over whether a route acknowledges in primary mode, see Config.
+func (g *Group) SetCoverPrimary(ctx context.Context, cover bool) {
+	g.post(ctx, func() { g.confirm.CoverPrimary = cover })
+}
+
+// ReportFailure probes the server of t at once over a fresh connection.
+func (g *Group) ReportFailure(t engine.Target, _ error) {
+	g.post(g.background(), func() {
+		g.perform(g.machine.Step(g.now(), authority.Suspicion{Server: t.Server}))
+	})
+}
+
+func (g *Group) background() context.Context {
+	return context.Background()
+}
+
+// addMark keeps one passive waiter that turns regular probes into a mark of the primary's position.
+func (g *Group) addMark(now time.Duration) {
+	primary := g.machine.View().PrimaryView()
+	if g.marking || primary == nil {
+		return
+	}
+	g.marking = true
+	w := authority.Waiter{
+		Mode:        authority.ModePrimary,
+		Server:      primary.ID,
+		Term:        primary.State.Term,
+		Incarnation: primary.State.Incarnation,
+	}
+	g.wait(w, func(r authority.Resolution) {
+		g.marking = false
+		if r.Proven {
+			g.marks.Add(now, r.Position)
+		}
+	})
+}
+
+// wait begins a wait that done ends; it returns the waiter's name.
+func (g *Group) wait(w authority.Waiter, done func(authority.Resolution)) authority.WaiterID {
+	g.lastID++
+	w.ID, w.After = g.lastID, g.machine.Seq()
+	g.proofs[w.ID] = done
+	g.finish(g.confirm.Add(w))
+	return w.ID
+}
+
+func (g *Group) finish(resolved []authority.Resolution) {
+	for _, r := range resolved {
+		done := g.proofs[r.ID]
+		delete(g.proofs, r.ID)
+		done(r)
+	}
+}
+
+// prove waits for a proof on behalf of a caller; ok is false when ctx ended or the group stopped.
+func (g *Group) prove(ctx context.Context, w authority.Waiter) (r authority.Resolution, ok bool) {
+	result := make(chan authority.Resolution, 1)
+	var id authority.WaiterID
+	begun := g.post(ctx, func() {
+		id = g.wait(w, func(r authority.Resolution) { result <- r })
+	})
+	if !begun {
+		return r, false
+	}
+	select {
+	case r = <-result:
+		return r, true
+	case <-g.stopped:
+		return r, false
+	case <-ctx.Done():
+		g.post(g.background(), func() { g.cancel(id) })
+		return r, false
+	}
+}
+
+func (g *Group) cancel(id authority.WaiterID) {
+	delete(g.proofs, id)
+	g.confirm.Cancel(id)
+}
+
+// target describes a server to the engine.
+func (g *Group) target(id authority.ServerID, term, incarnation uint64, primary bool) engine.Target {
+	return engine.Target{
+		Server:      id,
+		Address:     g.servers[id].Address,
+		Term:        term,
+		Incarnation: incarnation,
+		Primary:     primary,
+	}
+}
+
+// Confirm proves that the writes which t answered before the call are kept.
+func (g *Group) Confirm(ctx context.Context, t engine.Target, mode manifest.Acknowledge) (position.Position, error) {
+	begun := time.Now()
+	w := authority.Waiter{Mode: confirmMode(mode), Server: t.Server, Term: t.Term, Incarnation: t.Incarnation}
+	r, ok := g.prove(ctx, w)
+	confirmed := ok && r.Proven
+	g.cfg.Observer.ConfirmLatency(mode, time.Since(begun), confirmed)
+	if confirmed {
+		return r.Position, nil
+	}
+	g.log.WithFields(logrus.Fields{
+		"event": EventConfirmUnknown, "server": t.Server, "term": t.Term, "superseded": ok,
+	}).Warn("write was answered by its primary but not confirmed")
+	return position.Position{}, errUnconfirmed(ok)
+}
+
+func confirmMode(mode manifest.Acknowledge) authority.Mode {
+	if mode == manifest.AcknowledgePrimary {
+		return authority.ModePrimary
+	}
+	return authority.ModeMajority
+}
