Add the peer service between instances

Instances need calls for gossip, manifests and quota. The service runs over drpc with kept connections; a call that passes its deadline closes its connection, and gossip repeats a failed attempt on a fresh one, so a restarted peer or a silent connection costs no heartbeat. The peer set contacts every peer each second up to 16 peers and three random ones beyond.

--- /dev/null
+++ b/proxy/peer/client.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+const (
+	// idleExpiry closes kept connections that no call has used. It is above the heartbeat
+	// period, so that heartbeats don't open connections.
+	idleExpiry = 30 * time.Second
+	// keptPerPeer bounds the idle connections to one peer; calls in progress may use more.
+	keptPerPeer = 4
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find silent connections that no call uses.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+	// userTimeout closes a connection whose sent data stays unacknowledged.
+	userTimeout = 5 * time.Second
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	TLS     *tls.Config // nil: plain TCP
+	Traffic *Traffic    // nil: not counted
+}
+
+// Client calls other instances. A call uses a kept idle connection or opens one. A call that
+// passes its deadline closes its connection, so a silent connection serves one failed call only.
+// A Client is safe for concurrent use.
+type Client struct {
+	cfg  ClientConfig
+	pool *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+// NewClient returns a client without connections.
+func NewClient(cfg ClientConfig) *Client {
+	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: keptPerPeer}
+	return &Client{cfg: cfg, pool: drpcpool.New[string, *drpcconn.Conn](options)}
+}
+
+// Close closes the kept connections.
+func (c *Client) Close() error {
+	return errors.Wrap(c.pool.Close(), "close peer connections")
+}
+
+// Conn returns a drpc connection to a peer, for services other than Peer. It opens a connection
+// only when a call needs one.
+func (c *Client) Conn(ctx context.Context, address string) drpc.Conn {
+	return c.pool.Get(ctx, address, c.dial)
+}
+
+// Peer returns the Peer service of the instance at address. Every call needs a deadline in its
+// context.
+func (c *Client) Peer(ctx context.Context, address string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(c.Conn(ctx, address))
+}
+
+// Gossip sends a digest. It tries a second time when the first attempt, which may have used a
+// kept connection that the peer has closed, fails within half of the time left.
+func (c *Client) Gossip(ctx context.Context, address string, in *peerpb.Digest) (*peerpb.Digest, error) {
+	out, err := c.gossipOnce(ctx, address, in)
+	if err == nil || ctx.Err() != nil {
+		return out, err
+	}
+	return c.Peer(ctx, address).Gossip(ctx, in)
+}
+
+func (c *Client) gossipOnce(ctx context.Context, address string, in *peerpb.Digest) (*peerpb.Digest, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		half, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+		defer cancel()
+		ctx = half
+	}
+	return c.Peer(ctx, address).Gossip(ctx, in)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	conn, err := c.dialTCP(ctx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to peer %s; check that the instance runs and its peer address is right", address)
+	}
+	return drpcconn.New(conn), nil
+}
+
+func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if c.cfg.Traffic != nil {
+		conn = countingConn{conn, c.cfg.Traffic}
+	}
+	if c.cfg.TLS == nil {
+		return conn, nil
+	}
+	return c.handshake(ctx, conn, address)
+}
+
+func (c *Client) handshake(ctx context.Context, conn net.Conn, address string) (net.Conn, error) {
+	cfg := c.cfg.TLS.Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(address)
+	}
+	secure := tls.Client(conn, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, errors.CombineErrors(err, conn.Close())
+	}
+	return secure, nil
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, optErr)
+}
--- /dev/null
+++ b/proxy/peer/peer_test.go
@@ -0,0 +1,305 @@
+package peer
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"math/big"
+	"math/rand"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+// waitLimit is generous, since the machine may be busy.
+const waitLimit = 20 * time.Second
+
+type testHandler struct {
+	QuotaHandler
+	version uint64
+}
+
+func (h testHandler) Gossip(context.Context, *peerpb.Digest) (*peerpb.Digest, error) {
+	return &peerpb.Digest{ManifestVersion: h.version}, nil
+}
+
+func (h testHandler) FetchManifest(context.Context, *peerpb.ManifestRequest) (*peerpb.Manifest, error) {
+	return &peerpb.Manifest{Version: h.version}, nil
+}
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// startServer serves on address until the returned function is called.
+func startServer(t *testing.T, address string, config *tls.Config) (string, func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := testHandler{version: 7}
+	server, err := NewServer(ServerConfig{Config: h, Quota: h, TLS: config, Log: quietLog()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, listener)
+	}()
+	stop := sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(stop)
+	return listener.Addr().String(), stop
+}
+
+func newTestClient(t *testing.T, cfg ClientConfig) *Client {
+	client := NewClient(cfg)
+	t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+func gossip(client *Client, address string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	out, err := client.Gossip(ctx, address, &peerpb.Digest{})
+	if err == nil && out.ManifestVersion != 7 {
+		return fmt.Errorf("version %d, want 7", out.ManifestVersion)
+	}
+	return err
+}
+
+// Guards against a restarted peer staying unreachable because of the kept connection.
+func TestGossipReconnectsAfterRestart(t *testing.T) {
+	address, stop := startServer(t, "127.0.0.1:0", nil)
+	client := newTestClient(t, ClientConfig{})
+	for range 2 {
+		if err := gossip(client, address, waitLimit); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	if err := gossip(client, address, waitLimit); err == nil {
+		t.Fatal("call to a stopped peer succeeded")
+	}
+	startServer(t, address, nil)
+	if err := gossip(client, address, waitLimit); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// silentProxy forwards the connections of a client; mute makes the present ones silent.
+type silentProxy struct {
+	mu    sync.Mutex
+	muted map[net.Conn]bool
+}
+
+func (p *silentProxy) serve(listener net.Listener, target string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		upstream, err := net.Dial("tcp", target)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.muted[conn] = false
+		p.mu.Unlock()
+		go p.copy(conn, conn, upstream)
+		go p.copy(conn, upstream, conn)
+	}
+}
+
+func (p *silentProxy) copy(key, from, to net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		p.mu.Lock()
+		muted := p.muted[key]
+		p.mu.Unlock()
+		if !muted {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+func (p *silentProxy) mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.muted {
+		p.muted[conn] = true
+	}
+}
+
+// Guards against a kept connection that went silent being used again and again: the second
+// attempt within the same call opens a fresh one.
+func TestGossipLeavesSilentConnection(t *testing.T) {
+	target, _ := startServer(t, "127.0.0.1:0", nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	proxy := &silentProxy{muted: map[net.Conn]bool{}}
+	go proxy.serve(listener, target)
+	client := newTestClient(t, ClientConfig{})
+	if err := gossip(client, listener.Addr().String(), waitLimit); err != nil {
+		t.Fatal(err)
+	}
+	proxy.mute()
+	if err := gossip(client, listener.Addr().String(), 4*time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func testTLS(t *testing.T) (server, client *tls.Config) {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(rand.New(rand.NewSource(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(nil, template, template, public, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(parsed)
+	certificate := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}
+	server = &tls.Config{Certificates: []tls.Certificate{certificate}}
+	return server, &tls.Config{RootCAs: roots}
+}
+
+// Guards against calls in clear text reaching a server that asks for TLS.
+func TestCallsOverTLS(t *testing.T) {
+	serverTLS, clientTLS := testTLS(t)
+	address, _ := startServer(t, "127.0.0.1:0", serverTLS)
+	if err := gossip(newTestClient(t, ClientConfig{TLS: clientTLS}), address, waitLimit); err != nil {
+		t.Fatal(err)
+	}
+	if err := gossip(newTestClient(t, ClientConfig{}), address, time.Second); err == nil {
+		t.Fatal("call without TLS succeeded")
+	}
+}
+
+type fixedList []platform.Instance
+
+func (l fixedList) Instances(context.Context) ([]platform.Instance, error) {
+	return l, nil
+}
+
+func newTestSet(t *testing.T, list platform.InstanceList) *Set {
+	t.Helper()
+	set, err := NewSet(SetConfig{
+		Self: "127.0.0.1:1", List: list, Client: newTestClient(t, ClientConfig{}), Config: testHandler{},
+		Digest:    func() *peerpb.Digest { return &peerpb.Digest{} },
+		Heartbeat: 200 * time.Millisecond, Rand: rand.New(rand.NewSource(1)), Log: quietLog(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(waitLimit); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("did not happen: %s", what)
+		}
+	}
+}
+
+// Guards against a dead peer counting as live, and against it staying dead after its restart.
+func TestSetMarksPeers(t *testing.T) {
+	first, stop := startServer(t, "127.0.0.1:0", nil)
+	second, _ := startServer(t, "127.0.0.1:0", nil)
+	set := newTestSet(t, fixedList{{PeerAddress: "127.0.0.1:1"}, {PeerAddress: first}, {PeerAddress: second}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); set.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+
+	reachable := func(want int) func() bool {
+		return func() bool {
+			got := 0
+			for _, p := range set.Peers() {
+				if p.Reachable {
+					got++
+				}
+			}
+			return got == want
+		}
+	}
+	waitFor(t, "both peers reachable", reachable(2))
+	stop()
+	waitFor(t, "first peer unreachable", reachable(1))
+	if live := set.Live(); len(live) != 2 || !set.MajorityReachable() {
+		t.Errorf("live = %v, majority = %v, want two live and a majority", live, set.MajorityReachable())
+	}
+	startServer(t, first, nil)
+	waitFor(t, "first peer reachable again", reachable(2))
+}
+
+// Guards against gossip that grows with the number of instances.
+func TestSetSamplesLargeSets(t *testing.T) {
+	for _, size := range []int{16, 17, 2100} {
+		list := make(fixedList, size)
+		for i := range list {
+			list[i].PeerAddress = fmt.Sprintf("127.0.0.1:%d", 10+i)
+		}
+		set := newTestSet(t, list)
+		set.refresh(context.Background())
+		want := 3
+		if size <= 16 {
+			want = size
+		}
+		if got := len(set.choose()); got != want {
+			t.Errorf("%d peers: %d contacted per period, want %d", size, got, want)
+		}
+	}
+}
+
+// Guards against ownership moving between instances that stay when another one leaves.
+func TestRendezvousMovesOnlyTheLeaversKeys(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	counts := map[string]int{}
+	for i := range 5000 {
+		key := fmt.Sprint(i)
+		before := Rendezvous(key, names)
+		counts[before]++
+		if after := Rendezvous(key, names[1:]); before != "a" && after != before {
+			t.Fatalf("key %s moved from %s to %s", key, before, after)
+		}
+	}
+	for name, n := range counts {
+		if n < 800 || n > 1200 {
+			t.Errorf("%s owns %d of 5000 keys, want about 1000", name, n)
+		}
+	}
+}
--- /dev/null
+++ b/proxy/peer/rendezvous.go
@@ -0,0 +1,25 @@
+package peer
+
+import "github.com/cespare/xxhash/v2"
+
+// Rendezvous returns the name that is highest for key in rendezvous order, "" without names.
+// Removing another name never changes the choice, and the order of names does not matter.
+func Rendezvous(key string, names []string) string {
+	best, bestScore := "", uint64(0)
+	for _, name := range names {
+		score := rendezvousScore(key, name)
+		if best == "" || score > bestScore || score == bestScore && name > best {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+func rendezvousScore(key, name string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(name)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(key)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/proxy/peer/server.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+// ConfigHandler answers the calls that spread configuration.
+type ConfigHandler interface {
+	// Gossip takes a peer's digest and returns the own one.
+	Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error)
+	// FetchManifest returns the manifest in force, or an error if its version is another one
+	// than the request names.
+	FetchManifest(ctx context.Context, in *peerpb.ManifestRequest) (*peerpb.Manifest, error)
+}
+
+// QuotaHandler answers the calls that move fractions and tokens.
+type QuotaHandler interface {
+	Lend(ctx context.Context, in *peerpb.LoanRequest) (*peerpb.Loan, error)
+	Grant(ctx context.Context, in *peerpb.GrantRequest) (*peerpb.Grants, error)
+	HandBack(ctx context.Context, in *peerpb.HandBackRequest) (*peerpb.HandBackReply, error)
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Config  ConfigHandler
+	Quota   QuotaHandler
+	TLS     *tls.Config // nil: plain TCP
+	Traffic *Traffic    // nil: not counted
+	Log     logrus.FieldLogger
+}
+
+// Server answers the calls of other instances.
+type Server struct {
+	cfg ServerConfig
+	mux *drpcmux.Mux
+}
+
+// handler joins the two handlers into the generated interface.
+type handler struct {
+	ConfigHandler
+	QuotaHandler
+}
+
+// NewServer returns a server that passes calls to the handlers of cfg.
+func NewServer(cfg ServerConfig) (*Server, error) {
+	if cfg.Config == nil || cfg.Quota == nil || cfg.Log == nil {
+		return nil, errors.New("peer server lacks a handler or a log; set Config, Quota and Log")
+	}
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, handler{cfg.Config, cfg.Quota}); err != nil {
+		return nil, errors.Wrap(err, "register the peer service")
+	}
+	return &Server{cfg: cfg, mux: mux}, nil
+}
+
+// Mux returns the multiplexer, so that the daemon can register further services.
+func (s *Server) Mux() *drpcmux.Mux {
+	return s.mux
+}
+
+// Serve accepts connections until ctx ends, then closes the listener and the connections.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	s.cfg.Log.WithFields(logrus.Fields{FieldEvent: EventListening, "address": listener.Addr()}).
+		Info("accepting connections from peers")
+	if s.cfg.Traffic != nil {
+		listener = countingListener{listener, s.cfg.Traffic}
+	}
+	if s.cfg.TLS != nil {
+		listener = tls.NewListener(listener, s.cfg.TLS)
+	}
+	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{Log: s.logConnection})
+	return errors.Wrap(server.Serve(ctx, listener), "accept peer connections")
+}
+
+func (s *Server) logConnection(err error) {
+	s.cfg.Log.WithField(FieldEvent, EventConnectionError).WithError(err).
+		Debug("connection from a peer ended with an error")
+}
--- /dev/null
+++ b/proxy/peer/set.go
@@ -0,0 +1,246 @@
+package peer
+
+import (
+	"context"
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+const (
+	// DefaultHeartbeat is the period of gossip with each chosen peer.
+	DefaultHeartbeat = time.Second
+	// DefaultRefresh is the period of reading the instance list.
+	DefaultRefresh = 5 * time.Second
+	// fullMeshPeers is the largest number of peers that are all contacted in every period.
+	fullMeshPeers = 16
+	// sampledPeers is the number of random peers contacted per period in larger sets.
+	sampledPeers = 3
+	// jitterFraction spreads periods by up to this part, so that instances don't act together.
+	jitterFraction = 0.2
+)
+
+// SetConfig configures a Set.
+type SetConfig struct {
+	Self      string // own peer address
+	List      platform.InstanceList
+	Client    *Client
+	Config    ConfigHandler // receives the digests of peers
+	Digest    func() *peerpb.Digest
+	Heartbeat time.Duration // 0: DefaultHeartbeat
+	Refresh   time.Duration // 0: DefaultRefresh
+	Rand      *rand.Rand
+	Log       logrus.FieldLogger
+}
+
+// Set knows the peers from the instance list and which of them answer. It is safe for
+// concurrent use.
+type Set struct {
+	cfg SetConfig
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	instances []platform.Instance // without the own one
+	listed    bool                // the list was read at least once
+	peers     map[string]*peerState
+}
+
+type peerState struct {
+	tried     bool
+	reachable bool
+	calling   bool
+}
+
+// Status is a peer and what the heartbeat has found.
+type Status struct {
+	Instance  platform.Instance
+	Tried     bool // at least one heartbeat has ended
+	Reachable bool
+}
+
+// NewSet returns a set without peers; Run fills it.
+func NewSet(cfg SetConfig) (*Set, error) {
+	if cfg.Self == "" || cfg.List == nil || cfg.Client == nil || cfg.Config == nil || cfg.Digest == nil || cfg.Rand == nil || cfg.Log == nil {
+		return nil, errors.New("peer set is incomplete; set Self, List, Client, Config, Digest, Rand and Log")
+	}
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = DefaultHeartbeat
+	}
+	if cfg.Refresh == 0 {
+		cfg.Refresh = DefaultRefresh
+	}
+	return &Set{cfg: cfg, random: cfg.Rand, peers: map[string]*peerState{}}, nil
+}
+
+// Run reads the list and contacts peers until ctx ends.
+func (s *Set) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	s.refresh(ctx)
+	wg.Go(func() { s.every(ctx, s.cfg.Refresh, s.refresh) })
+	s.beat(ctx, &wg)
+	s.every(ctx, s.cfg.Heartbeat, func(ctx context.Context) { s.beat(ctx, &wg) })
+}
+
+func (s *Set) every(ctx context.Context, period time.Duration, step func(context.Context)) {
+	for {
+		timer := time.NewTimer(s.jittered(period))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		step(ctx)
+	}
+}
+
+func (s *Set) jittered(period time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return period + time.Duration(jitterFraction*(s.random.Float64()-0.5)*float64(period))
+}
+
+func (s *Set) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Refresh)
+	defer cancel()
+	instances, err := s.cfg.List.Instances(ctx)
+	if err != nil {
+		s.cfg.Log.WithField(FieldEvent, EventListFailed).WithError(err).
+			Warn("instance list can't be read; the last list stays in use")
+		return
+	}
+	instances = slices.DeleteFunc(slices.Clone(instances), func(i platform.Instance) bool { return i.PeerAddress == s.cfg.Self })
+	if s.adopt(instances) {
+		s.cfg.Log.WithFields(logrus.Fields{FieldEvent: EventPeersChanged, "peers": len(instances)}).
+			Info("instance list names other peers than before")
+	}
+}
+
+func (s *Set) adopt(instances []platform.Instance) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peers := make(map[string]*peerState, len(instances))
+	for _, instance := range instances {
+		peers[instance.PeerAddress] = s.peers[instance.PeerAddress]
+		if peers[instance.PeerAddress] == nil {
+			peers[instance.PeerAddress] = &peerState{}
+			changed = true
+		}
+	}
+	changed = changed || len(peers) != len(s.peers)
+	s.instances, s.peers, s.listed = instances, peers, true
+	return changed
+}
+
+// beat contacts the peers of this period, spread over half of it.
+func (s *Set) beat(ctx context.Context, wg *sync.WaitGroup) {
+	for _, address := range s.choose() {
+		delay := s.jittered(s.cfg.Heartbeat / 4)
+		wg.Go(func() { s.contact(ctx, address, delay) })
+	}
+}
+
+// choose returns the peers to contact and marks them, so that a slow call is not doubled.
+func (s *Set) choose() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make([]string, 0, len(s.instances))
+	for _, instance := range s.instances {
+		if !s.peers[instance.PeerAddress].calling {
+			addresses = append(addresses, instance.PeerAddress)
+		}
+	}
+	if len(s.instances) > fullMeshPeers {
+		s.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:min(sampledPeers, len(addresses))]
+	}
+	for _, address := range addresses {
+		s.peers[address].calling = true
+	}
+	return addresses
+}
+
+func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
+	defer cancel()
+	digest, err := s.cfg.Client.Gossip(callCtx, address, s.cfg.Digest())
+	if ctx.Err() != nil {
+		return
+	}
+	s.mark(address, err)
+	if err == nil {
+		_, _ = s.cfg.Config.Gossip(ctx, digest)
+	}
+}
+
+func (s *Set) mark(address string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peers[address]
+	if p == nil {
+		return
+	}
+	changed := !p.tried || p.reachable != (err == nil)
+	p.tried, p.reachable, p.calling = true, err == nil, false
+	if !changed {
+		return
+	}
+	log := s.cfg.Log.WithField("peer", address)
+	if err != nil {
+		log.WithField(FieldEvent, EventPeerUnreachable).WithError(err).Warn("peer does not answer the heartbeat")
+		return
+	}
+	log.WithField(FieldEvent, EventPeerReachable).Info("peer answers the heartbeat")
+}
+
+// Peers returns all listed peers in list order.
+func (s *Set) Peers() []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Status, 0, len(s.instances))
+	for _, instance := range s.instances {
+		p := s.peers[instance.PeerAddress]
+		out = append(out, Status{Instance: instance, Tried: p.tried, Reachable: p.reachable})
+	}
+	return out
+}
+
+// Live returns the peer addresses of this instance and of the listed peers that neither leave
+// nor failed their last heartbeat. Peers that were not tried yet count as live.
+func (s *Set) Live() []string {
+	out := []string{s.cfg.Self}
+	for _, p := range s.Peers() {
+		if !p.Instance.Leaving && (p.Reachable || !p.Tried) {
+			out = append(out, p.Instance.PeerAddress)
+		}
+	}
+	return out
+}
+
+// MajorityReachable reports whether this instance reaches a majority of the listed instances,
+// itself included. It is false until the list was read.
+func (s *Set) MajorityReachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reached := 1
+	for _, p := range s.peers {
+		if p.reachable {
+			reached++
+		}
+	}
+	return s.listed && 2*reached > len(s.peers)+1
+}
