Assemble the daemon

Cause: the parts exist; a request has to travel the whole path. Change: proxy/daemon connects directory, groups, pool, homes, peers and engine, with metrics, readiness and a graceful stop.

--- a/proxy/daemon/config.go
+++ b/proxy/daemon/config.go
@@ -3,7 +3,9 @@
 package daemon
 
 import (
+	"cmp"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/netip"
 	"net/url"
@@ -48,6 +50,18 @@
 	Listener, PeerListener, OpsListener net.Listener
 }
 
+// fill sets the defaults.
+func (c *Config) fill() {
+	c.DrainTimeout = cmp.Or(c.DrainTimeout, DefaultDrainTimeout)
+	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.ListPoll = cmp.Or(c.ListPoll, DefaultListPoll)
+	if c.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		c.Log = silent
+	}
+}
+
 // SettingError is one fault of the settings.
 type SettingError struct {
 	Setting string
--- /dev/null
+++ b/proxy/daemon/daemon.go
@@ -0,0 +1,240 @@
+package daemon
+
+import (
+	"context"
+	"math/rand"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/home"
+	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
+)
+
+// cutOffAllowance is the time beyond the drain timeout after which a stop cuts connections.
+const cutOffAllowance = 10 * time.Second
+
+// Daemon is one instance. Use New, then Run.
+type Daemon struct {
+	cfg       Config
+	log       logrus.FieldLogger
+	listeners listeners
+
+	metrics   *telemetry.Metrics
+	store     *httpstore.Client
+	directory *directory.Directory
+	groups    *groups
+	pool      *pool.Pool
+	homes     *home.Client
+	locator   *locator
+	peers     *peer.Set
+	peerCalls *peer.Client
+	peerPort  *peer.Server
+	engine    *engine.Server
+	quota     quotaService
+
+	stopping atomic.Bool
+}
+
+// New checks the settings, listens and assembles the instance.
+func New(cfg Config) (*Daemon, error) {
+	cfg.fill()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	d := &Daemon{cfg: cfg, log: cfg.Log.WithField("instance", cfg.InstanceID)}
+	for _, step := range []func() error{
+		d.listen, d.openStore, d.assembleDatabases, d.assemblePeers, d.assembleQuota, d.assembleEngine,
+	} {
+		if err := step(); err != nil {
+			d.listeners.close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// Addresses returns where callers, peers and operators connect.
+func (d *Daemon) Addresses() (callers, peers, ops string) {
+	return d.listeners.callers.Addr().String(), d.listeners.peers.Addr().String(), d.listeners.ops.Addr().String()
+}
+
+// Run serves until ctx ends and then stops gracefully: it cuts no request in flight.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer stop()
+	d.start(background, &tasks)
+	event(d.log, EventStarted).WithFields(d.addressFields()).Info("instance serves callers")
+
+	failed := make(chan error, 1)
+	go func() { failed <- d.engine.Serve(background, d.listeners.callers) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "listener for callers ended")
+	case <-ctx.Done():
+	}
+	return d.shutdown(background)
+}
+
+// start runs everything but the listener for callers.
+func (d *Daemon) start(ctx context.Context, tasks *sync.WaitGroup) {
+	tasks.Go(func() { d.directory.Run(ctx) })
+	tasks.Go(func() { d.peers.Run(ctx) })
+	tasks.Go(func() { d.locator.run(ctx) })
+	tasks.Go(func() { d.quota.Run(ctx) })
+	tasks.Go(func() { d.reportEnd("peer listener", d.peerPort.Serve(ctx, d.listeners.peers)) })
+	tasks.Go(func() {
+		handler := d.metrics.Handler(d.ready, nil)
+		d.reportEnd("operations listener", telemetry.Serve(ctx, d.listeners.ops, handler))
+	})
+	d.groups.start(ctx, tasks)
+}
+
+func (d *Daemon) reportEnd(what string, err error) {
+	if err != nil && !d.stopping.Load() {
+		event(d.log, EventListenerEnded).WithError(err).Error(what + " ended; restart the instance")
+	}
+}
+
+// shutdown drains callers first, hands back what this instance holds, and then closes the rest.
+func (d *Daemon) shutdown(ctx context.Context) error {
+	d.stopping.Store(true)
+	event(d.log, EventStopping).WithField("drain_timeout", d.cfg.DrainTimeout).Info("instance stops taking callers and drains")
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout+cutOffAllowance)
+	defer cancel()
+	err := d.engine.Shutdown(ctx)
+	if err := d.quota.Drain(ctx); err != nil {
+		event(d.log, EventHandBackFailed).WithError(err).Warn("quota could not be handed back; it is free again when its time has passed")
+	}
+	d.pool.Close()
+	_ = d.homes.Close()
+	_ = d.peerCalls.Close()
+	d.store.Close()
+	_ = d.metrics.Close()
+	event(d.log, EventStopped).Info("instance stopped")
+	return errors.Wrap(err, "drain callers")
+}
+
+// ready reports why the balancer should not send callers here.
+func (d *Daemon) ready() error {
+	if d.stopping.Load() {
+		return errors.New("instance is stopping")
+	}
+	if d.directory.Snapshot() == nil {
+		return errors.New("no manifest is in force yet; see whether the store answers")
+	}
+	return nil
+}
+
+func (d *Daemon) openStore() error {
+	store, err := httpstore.New(httpstore.Config{BaseURL: d.cfg.StoreURL})
+	d.store = store
+	return errors.Wrap(err, "open the platform's store")
+}
+
+// assemblePeers connects this instance with the others.
+func (d *Daemon) assemblePeers() error {
+	d.peerCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient})
+	d.homes = home.NewClient(d.cfg.PeerClient)
+	seed := rand.Int63()
+	g := &gossip{daemon: d}
+	set, err := peer.NewSet(peer.SetConfig{
+		Self:    d.listeners.peers.Addr().String(),
+		List:    &watchedList{InstanceList: httpstore.InstanceList{Store: d.store}, daemon: d},
+		Client:  d.peerCalls,
+		Config:  replies{g},
+		Digest:  g.digest,
+		Refresh: d.cfg.ListPoll,
+		Rand:    rand.New(rand.NewSource(seed)),
+		Log:     d.log,
+	})
+	if err != nil {
+		return err
+	}
+	d.peers = set
+	d.locator = newLocator(set, d.listeners.peers.Addr().String())
+	return nil
+}
+
+func (d *Daemon) assembleEngine() error {
+	server, err := peer.NewServer(peer.ServerConfig{
+		Config: &gossip{daemon: d},
+		Quota:  d.quota,
+		TLS:    d.cfg.PeerServer,
+		Log:    d.log,
+	})
+	if err != nil {
+		return err
+	}
+	if err := homepb.DRPCRegisterHomes(server.Mux(), home.NewServer(d.pool)); err != nil {
+		return errors.Wrap(err, "register the homes service")
+	}
+	d.peerPort = server
+	retries := newRetryBudgets()
+	d.engine, err = engine.New(engine.Config{
+		Directory:      d.directory,
+		Pool:           &home.Router{Locator: d.locator, Local: d.pool, Remote: d.homes},
+		Quota:          d.quota,
+		Observer:       newStatementMetrics(d.metrics.Scope, retries),
+		TLS:            d.cfg.TLS,
+		AllowPlain:     d.cfg.AllowPlain,
+		MaxMessageSize: d.cfg.MaxMessageBytes,
+		DrainTimeout:   d.cfg.DrainTimeout,
+		AllowRetry:     retries.allow,
+	})
+	return err
+}
+
+func (d *Daemon) addressFields() logrus.Fields {
+	callers, peers, ops := d.Addresses()
+	return logrus.Fields{"callers": callers, "peers": peers, "ops": ops}
+}
+
+// listeners are the ports of an instance.
+type listeners struct {
+	callers, peers, ops net.Listener
+}
+
+func (l *listeners) close() {
+	for _, each := range []net.Listener{l.callers, l.peers, l.ops} {
+		if each != nil {
+			_ = each.Close()
+		}
+	}
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		to      *net.Listener
+		given   net.Listener
+		address string
+		setting string
+	}{
+		{&d.listeners.callers, d.cfg.Listener, d.cfg.Listen, "listen"},
+		{&d.listeners.peers, d.cfg.PeerListener, d.cfg.PeerListen, "peer-listen"},
+		{&d.listeners.ops, d.cfg.OpsListener, d.cfg.OpsListen, "ops-listen"},
+	} {
+		*l.to = l.given
+		if l.given != nil {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "--%s: can't listen; choose an address of this instance that is free", l.setting)
+		}
+		*l.to = listener
+	}
+	return nil
+}
--- /dev/null
+++ b/proxy/daemon/databases.go
@@ -0,0 +1,206 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/group"
+	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
+)
+
+// groups holds the view of every database of the manifest.
+type groups struct {
+	cfg     Config
+	log     logrus.FieldLogger
+	metrics *telemetry.Metrics
+
+	mu      sync.Mutex
+	run     context.Context // nil before start
+	tasks   *sync.WaitGroup
+	members map[string]*member
+	pending *manifest.Manifest // adopted before start
+}
+
+type member struct {
+	group *group.Group
+	stop  context.CancelFunc
+}
+
+func newGroups(cfg Config, log logrus.FieldLogger, m *telemetry.Metrics) *groups {
+	return &groups{cfg: cfg, log: log, metrics: m, members: make(map[string]*member)}
+}
+
+// start runs the groups, those adopted earlier included, until ctx ends.
+func (g *groups) start(ctx context.Context, tasks *sync.WaitGroup) {
+	g.mu.Lock()
+	g.run, g.tasks = ctx, tasks
+	pending := g.pending
+	g.pending = nil
+	g.mu.Unlock()
+	if pending != nil {
+		g.set(*pending)
+	}
+}
+
+// set follows the databases of an adopted manifest.
+func (g *groups) set(m manifest.Manifest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.run == nil {
+		g.pending = &m
+		return
+	}
+	g.stopOthers(m.Databases)
+	for _, d := range m.Databases {
+		cover := acknowledgesOnPrimary(m.Routes, d.Name)
+		have, ok := g.members[d.Name]
+		if !ok {
+			g.add(d, cover)
+			continue
+		}
+		have.group.SetServers(g.run, d.Servers)
+		have.group.SetCoverPrimary(g.run, cover)
+	}
+}
+
+// stopOthers ends the groups of databases that are gone.
+func (g *groups) stopOthers(databases []manifest.Database) {
+	for name, m := range g.members {
+		if !slices.ContainsFunc(databases, func(d manifest.Database) bool { return d.Name == name }) {
+			m.stop()
+			delete(g.members, name)
+		}
+	}
+}
+
+func (g *groups) add(d manifest.Database, cover bool) {
+	group, err := group.New(group.Config{
+		Database:      d.Name,
+		Servers:       d.Servers,
+		Instance:      g.cfg.InstanceID,
+		Region:        g.cfg.Region,
+		FailureDomain: g.cfg.FailureDomain,
+		Connect:       g.connect,
+		Logger:        g.log,
+		Observer:      newGroupMetrics(g.metrics.Scope, d.Name),
+		CoverPrimary:  cover,
+	})
+	if err != nil {
+		event(g.log, EventDatabaseSkipped).WithError(err).WithField("database", d.Name).
+			Error("database is not served; correct it in the manifest")
+		return
+	}
+	ctx, stop := context.WithCancel(g.run)
+	g.members[d.Name] = &member{group: group, stop: stop}
+	g.tasks.Go(func() { _ = group.Run(ctx) })
+}
+
+func acknowledgesOnPrimary(routes []manifest.Route, database string) bool {
+	return slices.ContainsFunc(routes, func(r manifest.Route) bool {
+		return r.Database == database && r.Acknowledge == manifest.AcknowledgePrimary
+	})
+}
+
+// connect returns the control adapters of a server.
+func (g *groups) connect(s manifest.Server) group.Adapter {
+	client, err := dbgroup.NewClient(dbgroup.Config{
+		Server:   authority.ServerID(s.ID),
+		Address:  s.Address,
+		User:     g.cfg.UpstreamUser,
+		Password: g.cfg.UpstreamPassword,
+	})
+	if err != nil {
+		return group.Adapter{Kept: unusable{err}, Fresh: unusable{err}}
+	}
+	return group.Adapter{Kept: client, Fresh: freshServer{client}}
+}
+
+// freshServer probes over a new connection each time.
+type freshServer struct{ *dbgroup.Client }
+
+func (f freshServer) Probe(ctx context.Context) (authority.ServerState, error) {
+	return f.ProbeFresh(ctx)
+}
+
+// unusable stands for a server whose address can't be used.
+type unusable struct{ err error }
+
+func (u unusable) Probe(context.Context) (authority.ServerState, error) {
+	return authority.ServerState{}, u.err
+}
+
+func (u unusable) Fence(context.Context, uint64, string) (authority.ServerState, error) {
+	return authority.ServerState{}, u.err
+}
+
+func (u unusable) Promote(context.Context, uint64, string) (authority.ServerState, error) {
+	return authority.ServerState{}, u.err
+}
+
+// database implements the lookup of directory.Config.
+func (g *groups) database(name string) (engine.Database, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m, ok := g.members[name]; ok {
+		return m.group, nil
+	}
+	return nil, outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"database "+name+" is not served by this instance yet", "retry; see whether the manifest names it")
+}
+
+// assembleDatabases creates the directory, the group views and the pool that follow the manifest.
+func (d *Daemon) assembleDatabases() error {
+	d.metrics = telemetry.New()
+	d.groups = newGroups(d.cfg, d.log, d.metrics)
+	d.pool = pool.New(pool.Config{
+		User:     d.cfg.UpstreamUser,
+		Password: d.cfg.UpstreamPassword,
+		Identify: identify,
+	})
+	var err error
+	d.directory, err = directory.New(directory.Config{
+		Instance: d.cfg.InstanceID,
+		Store:    d.store,
+		Database: d.groups.database,
+		OnAdopt:  d.adopt,
+		Log:      d.log,
+	})
+	return err
+}
+
+// adopt puts an adopted manifest in force in all parts.
+func (d *Daemon) adopt(s *manifest.Snapshot, _ manifest.Withdrawals) {
+	m := s.Manifest()
+	var servers []manifest.Server
+	for _, db := range m.Databases {
+		servers = append(servers, db.Servers...)
+	}
+	d.pool.SetServers(servers)
+	d.groups.set(m)
+	d.quota.SetAccounts(m.Accounts)
+}
+
+// identify returns the incarnation of the server behind a connection.
+func identify(ctx context.Context, c *pgconn.PgConn) (uint64, error) {
+	results, err := c.Exec(ctx, "SELECT * FROM cyclamenstile.probe()").ReadAll()
+	if err != nil {
+		return 0, err
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return 0, errors.New("probe answered no row; see whether the server has the control functions")
+	}
+	state, err := dbgroup.ParseState(results[0].Rows[0])
+	return state.Incarnation, err
+}
--- /dev/null
+++ b/proxy/daemon/events.go
@@ -0,0 +1,25 @@
+package daemon
+
+import "github.com/sirupsen/logrus"
+
+// Numbers of the events that this package logs, in the field "event".
+const (
+	// EventStarted: the instance serves callers.
+	EventStarted = "CYC-1001"
+	// EventStopping: the instance stops taking callers and drains.
+	EventStopping = "CYC-1002"
+	// EventStopped: the instance stopped.
+	EventStopped = "CYC-1003"
+	// EventListenerEnded: a listener ended although the instance does not stop.
+	EventListenerEnded = "CYC-1004"
+	// EventDatabaseSkipped: a database of the manifest can't be served.
+	EventDatabaseSkipped = "CYC-1005"
+	// EventFetchFailed: a newer manifest could not be taken from a peer.
+	EventFetchFailed = "CYC-1006"
+	// EventHandBackFailed: quota could not be handed back at a stop.
+	EventHandBackFailed = "CYC-1007"
+)
+
+func event(log logrus.FieldLogger, number string) *logrus.Entry {
+	return log.WithField("event", number)
+}
--- /dev/null
+++ b/proxy/daemon/peers.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+const (
+	// fetchTimeout bounds the transfer of a manifest of up to 1 MB from a peer.
+	fetchTimeout = 5 * time.Second
+	// unknownAge is sent when an instance has no confirmed contact with the store.
+	unknownAge = ^uint64(0)
+	// locatorRefresh is how often the homes follow the reachable peers.
+	locatorRefresh = 200 * time.Millisecond
+)
+
+// gossip answers the peers' calls about configuration.
+type gossip struct {
+	daemon *Daemon
+}
+
+// Gossip implements peer.ConfigHandler for calls of peers. Their digests prove no contact, since
+// the age of the call is not known, but they show a newer manifest.
+func (g *gossip) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
+	if in.GetManifestVersion() > g.daemon.directory.State().Version {
+		g.fetch(ctx, in)
+	}
+	return g.digest(), nil
+}
+
+// FetchManifest implements peer.ConfigHandler.
+func (g *gossip) FetchManifest(_ context.Context, in *peerpb.ManifestRequest) (*peerpb.Manifest, error) {
+	document, version, ok := g.daemon.directory.Fetch(in.GetVersion())
+	if !ok {
+		return nil, errors.Newf("manifest version %d is not in force here; fetch it from another peer", in.GetVersion())
+	}
+	return &peerpb.Manifest{Version: version, Document: document}, nil
+}
+
+func (g *gossip) digest() *peerpb.Digest {
+	state := g.daemon.directory.State()
+	age := unknownAge
+	if state.StoreKnown {
+		age = uint64(state.StoreAge.Milliseconds())
+	}
+	return &peerpb.Digest{
+		From:              g.daemon.listeners.peers.Addr().String(),
+		ManifestVersion:   state.Version,
+		StoreContactAgeMs: age,
+	}
+}
+
+// fetch takes a newer manifest from the peer that announced it.
+func (g *gossip) fetch(ctx context.Context, from *peerpb.Digest) {
+	d := g.daemon
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchTimeout)
+	go func() {
+		defer cancel()
+		request := &peerpb.ManifestRequest{Version: from.GetManifestVersion()}
+		m, err := d.peerCalls.Peer(ctx, from.GetFrom()).FetchManifest(ctx, request)
+		if err == nil {
+			err = d.directory.Offer(m.GetDocument(), m.GetVersion())
+		}
+		if err != nil {
+			event(d.log, EventFetchFailed).WithError(err).WithField("peer", from.GetFrom()).
+				Warn("newer manifest could not be taken from a peer; the next gossip tries again")
+		}
+	}()
+}
+
+// replies takes the peers' answers to this instance's own gossip.
+type replies struct {
+	*gossip
+}
+
+// Gossip implements peer.ConfigHandler for answers. An answer is at most one heartbeat old,
+// because the call's deadline is.
+func (r replies) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
+	d := r.daemon
+	sent := d.directory.Now() - peer.DefaultHeartbeat
+	newer := d.directory.PeerAnswered(sent, manifest.PeerState{
+		Instance:   in.GetFrom(),
+		Version:    in.GetManifestVersion(),
+		StoreKnown: in.GetStoreContactAgeMs() != unknownAge,
+		StoreAge:   time.Duration(in.GetStoreContactAgeMs()) * time.Millisecond,
+	})
+	if newer {
+		r.fetch(ctx, in)
+	}
+	return nil, nil
+}
+
+// watchedList tells the directory which instances are listed, by peer address, whenever the list
+// is read.
+type watchedList struct {
+	platform.InstanceList
+	daemon *Daemon
+}
+
+// Instances implements platform.InstanceList.
+func (l *watchedList) Instances(ctx context.Context) ([]platform.Instance, error) {
+	list, err := l.InstanceList.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	self := l.daemon.listeners.peers.Addr().String()
+	addresses := make([]string, 0, len(list))
+	for _, i := range list {
+		if i.PeerAddress != self {
+			addresses = append(addresses, i.PeerAddress)
+		}
+	}
+	l.daemon.directory.SetInstances(addresses)
+	return list, nil
+}
+
+// locator implements home.Locator by rendezvous hashing over the reachable instances.
+type locator struct {
+	self string
+	set  *peer.Set
+	live atomic.Pointer[[]string]
+}
+
+func newLocator(set *peer.Set, self string) *locator {
+	l := &locator{self: self, set: set}
+	l.live.Store(&[]string{self})
+	return l
+}
+
+func (l *locator) run(ctx context.Context) {
+	ticker := time.NewTicker(locatorRefresh)
+	defer ticker.Stop()
+	for {
+		live := l.set.Live()
+		l.live.Store(&live)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Home implements home.Locator.
+func (l *locator) Home(server authority.ServerID) (string, bool) {
+	address := peer.Rendezvous(string(server), *l.live.Load())
+	return address, address == l.self
+}
--- /dev/null
+++ b/proxy/daemon/retries.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/retry"
+)
+
+// retryBudgets holds one retry budget for each route.
+type retryBudgets struct {
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+func newRetryBudgets() *retryBudgets {
+	return &retryBudgets{budgets: make(map[string]*retry.Budget)}
+}
+
+// allow takes one retry from the route's budget.
+func (r *retryBudgets) allow(route string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.budget(route).Retry(1, time.Hour)
+	return ok
+}
+
+func (r *retryBudgets) budget(route string) *retry.Budget {
+	b, ok := r.budgets[route]
+	if !ok {
+		b = retry.NewBudget(retry.DefaultConfig(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		r.budgets[route] = b
+	}
+	return b
+}
+
+// request counts a statement, which earns a part of a retry.
+func (r *retryBudgets) request(route string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(route).Request()
+}
