Add the commands of cyclamenctl

Cause: operators review, apply and follow configuration, and race with each other while the store loses answers. Change: validate, diff, apply, status, keys new, keys withdraw and drain, with one environment variable per flag, JSON output and documented exit codes. A change is a conditional put on the manifest it was made from; a lost answer is resolved by reading back. NewRoot takes further commands.

--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -1,4 +1,12 @@
-// Command cyclamenctl is assembled in the packages of this workspace.
+// Command cyclamenctl is the operators' tool of cyclamenstile; see package ctl.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Main(ctl.NewRoot()))
+}
--- /dev/null
+++ b/cmd/internal/ctl/apply.go
@@ -0,0 +1,189 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+)
+
+// retryPause is the time between two attempts to find out how a put ended.
+const retryPause = 200 * time.Millisecond
+
+// session is one command's access to the store.
+type session struct {
+	store platform.Store
+}
+
+// withStore runs f with the store and within the command's time.
+func (o *options) withStore(cmd *cobra.Command, f func(context.Context, session) error) error {
+	if o.store == "" {
+		return usagef("address of the store is missing; give --store or set %sSTORE", envPrefix)
+	}
+	client, err := httpstore.New(httpstore.Config{BaseURL: o.store})
+	if err != nil {
+		return usageError{err}
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
+	defer cancel()
+	return f(ctx, session{store: client})
+}
+
+// stored is the manifest in the store; both versions are 0 when there is none.
+type stored struct {
+	manifest manifest.Manifest
+	object   uint64 // version of the object
+}
+
+// load reads the stored manifest. It isn't validated, so that one with faults can be replaced.
+func (s session) load(ctx context.Context) (stored, error) {
+	object, err := s.store.Get(ctx, manifest.StoreKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return stored{}, nil
+	}
+	if err != nil {
+		return stored{}, errors.Wrap(err, "read the stored manifest")
+	}
+	m, err := manifest.Decode(object.Value)
+	if err != nil {
+		return stored{}, errors.Wrap(err, "stored manifest can't be read; have the platform restore the object "+manifest.StoreKey)
+	}
+	return stored{manifest: m, object: object.Version}, nil
+}
+
+type applyResult struct {
+	diffResult
+	// ReadBack is set when the store's answer was lost and the change was found in force.
+	ReadBack bool `json:"readBack"`
+}
+
+func (r applyResult) writeText(w io.Writer) {
+	fmt.Fprintf(w, "applied version %d\n", r.To)
+	if r.ReadBack {
+		fmt.Fprintln(w, "the store's answer was lost; reading back showed the change")
+	}
+	r.diffResult.writeText(w)
+}
+
+// replace puts next in the place of base, if base is still what is stored.
+func (s session) replace(ctx context.Context, base stored, next manifest.Manifest) (applyResult, error) {
+	if err := manifest.CheckSuccessor(base.manifest.Version, next.Version, base.manifest.Version); err != nil {
+		return applyResult{}, err
+	}
+	if err := next.Validate().Err(); err != nil {
+		return applyResult{}, err
+	}
+	doc, err := next.Encode()
+	if err != nil {
+		return applyResult{}, err
+	}
+	readBack, err := s.put(ctx, doc, base)
+	return applyResult{diffResult: diffOf(base.manifest, next), ReadBack: readBack}, err
+}
+
+// put writes doc on the condition that base is stored. After a failure that leaves open whether
+// the put took effect it reads back, and repeats the put only under the same condition, which
+// lets it take effect once at most.
+func (s session) put(ctx context.Context, doc []byte, base stored) (readBack bool, err error) {
+	_, err = s.store.Put(ctx, manifest.StoreKey, doc, base.object)
+	if err == nil || errors.Is(err, platform.ErrTooLarge) {
+		return false, err
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		return false, s.conflict(ctx, base)
+	}
+	for {
+		object, getErr := s.store.Get(ctx, manifest.StoreKey)
+		found := getErr == nil || errors.Is(getErr, platform.ErrNotFound)
+		switch {
+		case found && bytes.Equal(object.Value, doc):
+			return true, nil
+		case found && object.Version > base.object:
+			return false, errors.Wrap(s.conflict(ctx, base), "the store's answer was lost and another manifest is stored now, which may have replaced this one")
+		case found:
+			_, err = s.store.Put(ctx, manifest.StoreKey, doc, base.object)
+			if err == nil {
+				return true, nil
+			}
+		}
+		if !pause(ctx, retryPause) {
+			return false, errors.Wrap(err, "outcome of the change is unknown; run the same command again, which is safe")
+		}
+	}
+}
+
+// conflict names the version that was stored first.
+func (s session) conflict(ctx context.Context, base stored) error {
+	now, err := s.load(ctx)
+	if err != nil {
+		return platform.ErrConflict
+	}
+	return &manifest.ConflictError{Stored: now.manifest.Version, IfVersion: base.manifest.Version}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func newApply(o *options) *cobra.Command {
+	var ifVersion uint64
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Store a manifest, if the version it was made from is still the stored one",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			next, err := readFile(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			return o.change(cmd, func(base stored) (manifest.Manifest, error) {
+				return next, manifest.CheckSuccessor(base.manifest.Version, next.Version, ifVersion)
+			})
+		},
+	}
+	cmd.Flags().Uint64Var(&ifVersion, "if-version", 0, "version of the manifest that this one was made from, 0 for the first")
+	_ = cmd.MarkFlagRequired("if-version")
+	return cmd
+}
+
+// change reads the stored manifest, lets edit make its successor, stores that and prints the changes.
+func (o *options) change(cmd *cobra.Command, edit func(stored) (manifest.Manifest, error)) error {
+	return o.withStore(cmd, func(ctx context.Context, s session) error {
+		base, err := s.load(ctx)
+		if err != nil {
+			return err
+		}
+		next, err := edit(base)
+		if err != nil {
+			return err
+		}
+		result, err := s.replace(ctx, base, next)
+		if err != nil {
+			return err
+		}
+		return o.print(cmd.OutOrStdout(), result)
+	})
+}
+
+// successor returns a copy of the stored manifest with the next version, for an edit.
+func (s stored) successor() manifest.Manifest {
+	next := s.manifest.Clone()
+	next.Version++
+	return next
+}
--- /dev/null
+++ b/cmd/internal/ctl/exit.go
@@ -0,0 +1,100 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+)
+
+// Exit codes; rootHelp documents them.
+const (
+	exitOK          = 0
+	exitOther       = 1
+	exitUsage       = 2
+	exitFaults      = 3
+	exitConflict    = 4
+	exitUnavailable = 5
+	exitNotFound    = 6
+)
+
+// usageError is a wrong command line or environment variable.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error {
+	return e.error
+}
+
+func usagef(format string, args ...any) error {
+	return usageError{errors.Newf(format, args...)}
+}
+
+// classify returns the exit code of an error and its name in JSON.
+func classify(err error) (code int, kind string) {
+	var usage usageError
+	var faults manifest.Faults
+	var conflict *manifest.ConflictError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage, "usage"
+	case errors.As(err, &faults):
+		return exitFaults, "faults"
+	case errors.As(err, &conflict), errors.Is(err, platform.ErrConflict):
+		return exitConflict, "conflict"
+	case errors.Is(err, httpstore.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return exitUnavailable, "unavailable"
+	case errors.Is(err, platform.ErrNotFound):
+		return exitNotFound, "not_found"
+	}
+	return exitOther, "other"
+}
+
+// errorReport is the JSON form of an error.
+type errorReport struct {
+	Error errorBody `json:"error"`
+}
+
+type errorBody struct {
+	ExitCode int             `json:"exitCode"`
+	Kind     string          `json:"kind"`
+	Message  string          `json:"message"`
+	Faults   manifest.Faults `json:"faults,omitempty"`
+}
+
+// report prints err and returns its exit code.
+func report(w io.Writer, err error, asJSON bool) int {
+	code, kind := classify(err)
+	if !asJSON {
+		_, _ = fmt.Fprintln(w, "cyclamenctl: "+err.Error())
+		return code
+	}
+	body := errorBody{ExitCode: code, Kind: kind, Message: err.Error()}
+	errors.As(err, &body.Faults)
+	_ = writeJSON(w, errorReport{Error: body})
+	return code
+}
+
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(value), "write the result")
+}
+
+// result is what a command prints.
+type result interface {
+	writeText(w io.Writer)
+}
+
+func (o *options) print(w io.Writer, r result) error {
+	if o.json {
+		return writeJSON(w, r)
+	}
+	r.writeText(w)
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/ctl/root.go
@@ -0,0 +1,171 @@
+// Package ctl holds the commands of cyclamenctl, the operators' tool.
+//
+// Every flag can also be set by one environment variable, named CYCLAMENSTILE_ and the flag in
+// upper case with underscores. Results go to standard output and errors to standard error, both
+// as JSON with --json.
+package ctl
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+const (
+	envPrefix = "CYCLAMENSTILE_"
+	// defaultTimeout bounds a command with all its attempts to reach the store.
+	defaultTimeout = 30 * time.Second
+)
+
+const rootHelp = `cyclamenctl validates and applies the configuration of cyclamenstile and shows what is in force.
+
+Every flag can be set by the environment variable given in brackets; the flag takes precedence.
+
+Exit codes:
+  0  success
+  1  other failure
+  2  wrong command line or environment variable
+  3  manifest has faults
+  4  conflict: another operator changed the configuration first
+  5  store is not available; the outcome of a change may be unknown
+  6  not found`
+
+// options are the flags that all commands share.
+type options struct {
+	store   string
+	timeout time.Duration
+	json    bool
+}
+
+// NewRoot returns the root command. Extra commands are added to it and get the environment
+// variables of their flags and the shared flags; they must not set PersistentPreRunE.
+func NewRoot(extra ...*cobra.Command) *cobra.Command {
+	o := &options{}
+	root := group(&cobra.Command{
+		Use:   "cyclamenctl",
+		Short: "Configure and inspect cyclamenstile",
+		Long:  rootHelp,
+	})
+	root.SilenceErrors = true
+	root.SilenceUsage = true
+	root.PersistentPreRunE = prepare
+	flags := root.PersistentFlags()
+	flags.StringVar(&o.store, "store", "", "address of the platform's store, such as http://10.0.0.5:8080")
+	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "time for the whole command")
+	flags.BoolVar(&o.json, "json", false, "print results and errors as JSON")
+	root.AddCommand(
+		newValidate(o), newDiff(o), newApply(o), newStatus(o), newKeys(o), newDrain(o),
+	)
+	root.AddCommand(extra...)
+	root.InitDefaultHelpCmd()
+	root.InitDefaultCompletionCmd()
+	describeEnvironment(root)
+	return root
+}
+
+// Main runs the command line of this process and returns its exit code.
+func Main(root *cobra.Command) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Execute(ctx, root, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+// Execute runs root with the given arguments and returns the exit code.
+func Execute(ctx context.Context, root *cobra.Command, args []string, stdout, stderr io.Writer) int {
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	cmd, err := root.ExecuteContextC(ctx)
+	if err == nil {
+		return exitOK
+	}
+	if !isPrepared(cmd) {
+		err = usageError{err}
+	}
+	asJSON, _ := root.PersistentFlags().GetBool("json")
+	return report(stderr, err, asJSON)
+}
+
+// group makes a command that only holds others: it shows its help, and refuses unknown names.
+func group(cmd *cobra.Command) *cobra.Command {
+	cmd.Args = cobra.ArbitraryArgs
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return usagef("unknown command %q; run %q for the list", args[0], cmd.CommandPath()+" --help")
+		}
+		return cmd.Help()
+	}
+	return cmd
+}
+
+// preparedKey annotates a command whose command line was found right. Failures before that are
+// usage errors.
+const preparedKey = "prepared"
+
+// prepare applies the environment and checks the flags before a command runs. Cobra checks
+// required flags only later, where a failure can't be told from one of the command.
+func prepare(cmd *cobra.Command, _ []string) error {
+	if err := applyEnvironment(cmd.Flags()); err != nil {
+		return err
+	}
+	if err := cmd.ValidateRequiredFlags(); err != nil {
+		return err
+	}
+	if err := cmd.ValidateFlagGroups(); err != nil {
+		return err
+	}
+	if cmd.Annotations == nil {
+		cmd.Annotations = map[string]string{}
+	}
+	cmd.Annotations[preparedKey] = "true"
+	return nil
+}
+
+func isPrepared(cmd *cobra.Command) bool {
+	return cmd != nil && cmd.Annotations[preparedKey] != ""
+}
+
+func envName(flag *pflag.Flag) string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag.Name, "-", "_"))
+}
+
+func hasEnv(flag *pflag.Flag) bool {
+	return flag.Name != "help"
+}
+
+// describeEnvironment adds the variable's name to the help of every flag.
+func describeEnvironment(cmd *cobra.Command) {
+	describe := func(flag *pflag.Flag) {
+		suffix := " [" + envName(flag) + "]"
+		if hasEnv(flag) && !strings.HasSuffix(flag.Usage, suffix) {
+			flag.Usage += suffix
+		}
+	}
+	cmd.PersistentFlags().VisitAll(describe)
+	cmd.Flags().VisitAll(describe)
+	for _, child := range cmd.Commands() {
+		describeEnvironment(child)
+	}
+}
+
+// applyEnvironment sets the flags that the command line left out.
+func applyEnvironment(flags *pflag.FlagSet) error {
+	var firstErr error
+	flags.VisitAll(func(flag *pflag.Flag) {
+		value, ok := os.LookupEnv(envName(flag))
+		if !ok || flag.Changed || !hasEnv(flag) || firstErr != nil {
+			return
+		}
+		if err := flags.Set(flag.Name, value); err != nil {
+			firstErr = usagef("environment variable %s has the wrong value %q: %v", envName(flag), value, err)
+		}
+	})
+	return firstErr
+}
