Test the engine against failures of servers, callers and shutdown

Each test guards against one failure: unconfirmed acknowledgements, lost connections, withdrawn keys, cancel requests, malformed messages, graceful shutdown and the placement of reads.

--- /dev/null
+++ b/proxy/engine/lifecycle_test.go
@@ -0,0 +1,297 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+)
+
+// Guards against the statements of a transaction being spread over connections, and against a
+// transaction's connection serving anybody else.
+func TestTransactionKeepsItsConnection(t *testing.T) {
+	r := newRig(t)
+	r.db.replicas = nil
+	c, other := r.connect(), r.connect()
+	exec(t, c, "begin")
+	mine := queryText(t, c, "select 1")
+	for range 3 {
+		if got := queryText(t, other, "select 1"); got == mine {
+			t.Fatal("another session used the transaction's connection")
+		}
+		if got := queryText(t, c, "select 1"); got != mine {
+			t.Errorf("statement ran on connection %s, want %s", got, mine)
+		}
+	}
+	exec(t, c, "insert a")
+	exec(t, c, "commit")
+	if got := c.PgConn().ParameterStatus(tokenParameter); got == "" {
+		t.Error("no session token after COMMIT")
+	}
+	if dials, dropped, inUse := r.pool.counts(); dials != 2 || dropped != 0 || inUse != 0 {
+		t.Errorf("%d dials, %d dropped, %d in use; want 2, 0, 0", dials, dropped, inUse)
+	}
+}
+
+// Guards against a read-only transaction missing the session's writes or using the primary.
+func TestReadOnlyTransaction(t *testing.T) {
+	r := newRig(t)
+	c := r.connect("default_transaction_read_only=on")
+	exec(t, c, "begin")
+	queryText(t, c, "select 1")
+	exec(t, c, "commit")
+	if got := r.rec.last(); got.Server != "r" {
+		t.Errorf("ran on %s, want the replica", got.Server)
+	}
+	if got := r.replica.executed(); got[0] != "begin read only" {
+		t.Errorf("transaction opened with %q", got[0])
+	}
+	exec(t, c, "begin read write")
+	exec(t, c, "insert a")
+	exec(t, c, "commit")
+}
+
+// Guards against a session going on as if its transaction were alive, in both protocols.
+func TestTransactionConnectionLost(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	exec(t, c, "begin")
+	exec(t, c, "insert a")
+	if e := wantCode(t, c, "die", outcome.CodeConnectionFailure); e.Detail != "not_run" {
+		t.Errorf("detail %q, want not_run", e.Detail)
+	}
+	wantCode(t, c, "insert b", codeInFailedTransaction)
+	if _, err := c.Exec(context.Background(), "select $1", "x"); err == nil {
+		t.Error("an extended statement ran in a failed transaction")
+	}
+	if tag, err := c.Exec(context.Background(), "commit"); err != nil || tag.String() != "ROLLBACK" {
+		t.Errorf("commit answered %q, %v; want ROLLBACK", tag, err)
+	}
+	exec(t, c, "insert c")
+}
+
+// Guards against a COMMIT keeping the work of a transaction whose statement the proxy refused, and
+// against savepoints being lost by a refusal.
+func TestRefusalFailsTheTransaction(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	exec(t, c, "begin")
+	exec(t, c, "insert a")
+	wantCode(t, c, "listen x", codeFeatureNotSupported)
+	wantCode(t, c, "insert b", codeInFailedTransaction)
+	exec(t, c, "rollback to savepoint s")
+	exec(t, c, "insert c")
+	wantCode(t, c, "listen x", codeFeatureNotSupported)
+	if tag, err := c.Exec(context.Background(), "commit"); err != nil || tag.String() != "ROLLBACK" {
+		t.Errorf("commit answered %q, %v; want ROLLBACK", tag, err)
+	}
+	want := []string{"begin", "insert a", "rollback to savepoint s", "insert c", "rollback"}
+	if got := r.primary.executed(); !slices.Equal(got, want) {
+		t.Errorf("executed %q, want %q", got, want)
+	}
+}
+
+// Guards against an open transaction holding its connection after its caller has gone, or the next
+// session getting a connection inside a transaction.
+func TestCallerLeavesTransaction(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	exec(t, c, "begin")
+	exec(t, c, "insert a")
+	_ = c.Close(context.Background())
+	<-r.rec.closed
+	if _, _, inUse := r.pool.counts(); inUse != 0 {
+		t.Error("the connection is still in use")
+	}
+	if got := r.primary.executed(); got[len(got)-1] != "rollback" {
+		t.Errorf("last statement %q, want rollback", got[len(got)-1])
+	}
+}
+
+// Guards against transaction control inside a pipeline (as some drivers send it) being lost.
+func TestTransactionInPipeline(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	for range 2 {
+		b := &pgx.Batch{}
+		b.Queue("begin")
+		b.Queue("insert $1", "a")
+		if err := c.SendBatch(context.Background(), b).Close(); err != nil {
+			t.Fatal(err)
+		}
+		if c.PgConn().TxStatus() != 'T' {
+			t.Fatal("no transaction after BEGIN in a pipeline")
+		}
+		r.db.setConfirm(func(context.Context) error { return errNoMajority })
+		b = &pgx.Batch{}
+		b.Queue("insert $1", "a")
+		b.Queue("commit")
+		if err := c.SendBatch(context.Background(), b).Close(); err == nil {
+			t.Fatal("an unconfirmed COMMIT in a pipeline was acknowledged")
+		}
+		r.db.setConfirm(nil)
+	}
+}
+
+// Guards against a cancel request missing its statement, reaching another session's, or its
+// connection being reused while the request may still arrive.
+func TestCancel(t *testing.T) {
+	r := newRig(t)
+	c, other := r.connect(), r.connect()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "hang")
+		failed <- err
+	}()
+	<-r.primary.running
+	if err := other.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	var pg *pgconn.PgError
+	if err := <-failed; !errors.As(err, &pg) || pg.Code != outcome.CodeQueryCanceled {
+		t.Errorf("canceled statement ended with %v", err)
+	}
+	if _, dropped, _ := r.pool.counts(); dropped != 1 {
+		t.Errorf("%d connections dropped, want 1", dropped)
+	}
+}
+
+// Guards against a withdrawn key working on: idle sessions end at once, a statement in flight after
+// its grace.
+func TestWithdrawnKey(t *testing.T) {
+	r := newRig(t)
+	idle, busy := r.connect(), r.connect()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := busy.Exec(context.Background(), "hang")
+		failed <- err
+	}()
+	<-r.primary.running
+	started := time.Now()
+	close(r.dir.withdrawn)
+	if err := <-r.rec.closed; !outcome.Is(err, outcome.Denied) {
+		t.Errorf("idle session ended with %v", err)
+	}
+	if _, err := idle.Exec(context.Background(), "insert a"); err == nil {
+		t.Error("an idle session went on after its key was withdrawn")
+	}
+	err := <-failed
+	var pg *pgconn.PgError
+	if !errors.As(err, &pg) || pg.Code != outcome.CodeStatementUnknown {
+		t.Errorf("statement in flight ended with %v", err)
+	}
+	if d := time.Since(started); d < withdrawGrace {
+		t.Errorf("statement in flight ended after %v, want the grace of %v", d, withdrawGrace)
+	}
+	<-r.rec.closed
+}
+
+// Guards against a graceful shutdown cutting statements or transactions, and against idle sessions
+// holding it up.
+func TestShutdown(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.DrainTimeout = time.Hour })
+	idle, busy, open := r.connect(), r.connect(), r.connect()
+	exec(t, open, "begin")
+	confirming, proceed := make(chan struct{}), make(chan struct{})
+	r.db.setConfirm(func(context.Context) error {
+		close(confirming)
+		<-proceed
+		return nil
+	})
+	inFlight := make(chan error, 1)
+	go func() {
+		_, err := busy.Exec(context.Background(), "insert a")
+		inFlight <- err
+	}()
+	<-confirming
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.srv.Shutdown(context.Background()) }()
+	if err := <-r.rec.closed; !outcome.Is(err, outcome.NotRun) {
+		t.Errorf("idle session ended with %v", err)
+	}
+	wantCode(t, idle, "insert a", outcome.CodeAdminShutdown)
+	close(proceed)
+	if err := <-inFlight; err != nil {
+		t.Errorf("statement in flight: %v", err)
+	}
+	<-r.rec.closed
+	r.db.setConfirm(nil)
+	exec(t, open, "insert b")
+	exec(t, open, "commit")
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown returned %v", err)
+	}
+	if _, err := r.tryConnect(); err == nil {
+		t.Error("a caller was accepted after the shutdown")
+	}
+}
+
+// Guards against an endless transaction holding up a shutdown, and against its statement in flight
+// being cut.
+func TestShutdownEndsTransactionsBetweenStatements(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.DrainTimeout = time.Millisecond })
+	c := r.connect()
+	exec(t, c, "begin")
+	failed := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "hang")
+		failed <- err
+	}()
+	<-r.primary.running
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.srv.Shutdown(context.Background()) }()
+	session := r.srv.allSessions()[0]
+	waitFor(t, func() bool {
+		session.mu.Lock()
+		defer session.mu.Unlock()
+		return session.stop == stopDrainNow
+	})
+	select {
+	case err := <-failed:
+		t.Fatalf("statement in flight was cut: %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	session.cancelStatement()
+	if err := <-failed; err == nil || !strings.Contains(err.Error(), outcome.CodeQueryCanceled) {
+		t.Errorf("statement ended with %v", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown returned %v", err)
+	}
+}
+
+// Guards against an idle transaction holding its connection for ever.
+func TestIdleInTransaction(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.IdleInTransactionTimeout = 20 * time.Millisecond })
+	c := r.connect()
+	exec(t, c, "begin")
+	err := <-r.rec.closed
+	if e := outcome.As(err); e == nil || e.Code != codeIdleInTransaction {
+		t.Errorf("session ended with %v", err)
+	}
+	if _, _, inUse := r.pool.counts(); inUse != 0 {
+		t.Error("the connection is still in use")
+	}
+}
+
+func waitFor(t testing.TB, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatal("the awaited state did not come within 10 s")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/proxy/engine/placement_test.go
@@ -0,0 +1,358 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+var errNoMajority = outcome.New(outcome.Unknown, outcome.CodeStatementUnknown, "no majority", "check").WithRetryAfter(70 * time.Millisecond)
+
+// Guards against a write being acknowledged before it is confirmed.
+func TestWriteIsHeldUntilConfirmed(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	confirming, proceed := make(chan struct{}), make(chan struct{})
+	r.db.setConfirm(func(context.Context) error {
+		close(confirming)
+		<-proceed
+		return nil
+	})
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "insert a")
+		answered <- err
+	}()
+	<-confirming
+	if _, _, inUse := r.pool.counts(); inUse != 0 {
+		t.Error("the connection is kept while the write waits for its confirmation")
+	}
+	select {
+	case err := <-answered:
+		t.Fatalf("answered before the confirmation: %v", err)
+	default:
+	}
+	close(proceed)
+	if err := <-answered; err != nil {
+		t.Fatal(err)
+	}
+	if got := c.PgConn().ParameterStatus(tokenParameter); got != "cyc1:bookings:1/1" {
+		t.Errorf("session token is %q, want cyc1:bookings:1/1", got)
+	}
+}
+
+// Guards against an unconfirmed write being acknowledged, in each protocol and at COMMIT.
+func TestUnconfirmedWriteIsUnknown(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	r.db.setConfirm(func(context.Context) error { return errNoMajority })
+	e := wantCode(t, c, "insert a", outcome.CodeStatementUnknown)
+	if e.Detail != "outcome_unknown retry_after_ms=70" || e.Hint == "" {
+		t.Errorf("detail %q, hint %q", e.Detail, e.Hint)
+	}
+	tag, err := c.Exec(context.Background(), "insert $1", "a")
+	if err == nil || tag.String() != "" {
+		t.Errorf("extended insert answered %q, %v", tag, err)
+	}
+	exec(t, c, "begin")
+	exec(t, c, "insert a")
+	wantCode(t, c, "commit", outcome.CodeStatementUnknown)
+	if c.PgConn().TxStatus() != 'I' {
+		t.Error("the session is still in a transaction after its COMMIT")
+	}
+	if got := c.PgConn().ParameterStatus(tokenParameter); got != "" {
+		t.Errorf("token %q for unconfirmed writes", got)
+	}
+}
+
+// Guards against held answers growing without bound: a long answer behind an early CommandComplete is
+// confirmed on the way.
+func TestLongHeldAnswerIsConfirmedEarly(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxHeldSize = 32 << 10 })
+	c := r.connect()
+	confirms := make(chan struct{}, 100)
+	r.db.setConfirm(func(context.Context) error { confirms <- struct{}{}; return nil })
+	results, err := c.PgConn().Exec(context.Background(), "insert a; select rows 300; insert b").ReadAll()
+	if err != nil || len(results) != 3 || len(results[1].Rows) != 300 {
+		t.Fatalf("%d results, error %v", len(results), err)
+	}
+	if len(confirms) < 2 {
+		t.Errorf("%d confirmations, want one before the end", len(confirms))
+	}
+}
+
+// Guards against a write that looks like a read staying refused by a replica, or being acknowledged
+// unconfirmed on the primary.
+func TestReadRefusedByReplicaRunsOnPrimary(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	confirmed := 0
+	r.db.setConfirm(func(context.Context) error { confirmed++; return nil })
+	r.replica.code.Store("25006")
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("got %q", got)
+	}
+	if got := r.rec.last(); confirmed != 1 || !got.Primary {
+		t.Errorf("%d confirmations, reported %+v", confirmed, got)
+	}
+}
+
+// Guards against a lost connection being reported as anything but the truth, and against a write
+// running twice.
+func TestConnectionLostWhileRunning(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	wantCode(t, c, "die", outcome.CodeStatementUnknown)
+	r.replica.die.Store(true)
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("read after a lost replica got %q", got)
+	}
+	if got := r.rec.last(); got.Attempts != 2 || got.Server != "p" {
+		t.Errorf("read reported as %+v, want the second attempt on p", got)
+	}
+	r.primary.die.Store(true)
+	wantCode(t, c, "insert a", outcome.CodeStatementUnknown)
+	if n := r.primary.writes.Load(); n > 1 {
+		t.Errorf("the write ran %d times", n)
+	}
+}
+
+// Guards against a write on an idempotent route not being repeated, and one that was refused by a
+// fenced primary being reported as unknown.
+func TestWriteRetries(t *testing.T) {
+	r := newRig(t, func(_ *Config, route *manifest.Route) { route.Idempotent = true })
+	c := r.connect()
+	r.primary.dieOnce.Store(true)
+	exec(t, c, "insert a")
+	if got := r.rec.last(); got.Attempts != 2 {
+		t.Errorf("reported %+v, want 2 attempts", got)
+	}
+	r.primary.readOnly.Store(true)
+	e := wantCode(t, c, "insert a", outcome.CodeReadOnly)
+	if !strings.HasPrefix(e.Detail, "not_run retry_after_ms=") {
+		t.Errorf("detail %q", e.Detail)
+	}
+}
+
+// Guards against read-your-writes being broken by a read without the session's floor.
+func TestReadFloor(t *testing.T) {
+	r := newRig(t)
+	first := r.connect()
+	queryText(t, first, "select 1")
+	if got := r.db.lastRead(); !got.Sample {
+		t.Errorf("read without a token asked for %+v, want a sample", got)
+	}
+	exec(t, first, "insert a")
+	queryText(t, first, "select 1")
+	if got := r.db.lastRead(); got.Floor != (position.Position{Term: 1, LSN: 1}) {
+		t.Errorf("read after a write asked for floor %v, want 1/1", got.Floor)
+	}
+	second := r.connect(tokenParameter + "=cyc1:bookings:1/7")
+	queryText(t, second, "select 1")
+	if got := r.db.lastRead(); got.Sample || got.Floor.LSN != 7 {
+		t.Errorf("read with a token asked for %+v", got)
+	}
+	exec(t, second, "set cyclamenstile.session_token = 'cyc1:bookings:1/9'")
+	queryText(t, second, "select 1")
+	if got := r.db.lastRead(); got.Floor.LSN != 9 {
+		t.Errorf("read after SET asked for %+v", got)
+	}
+	wantCode(t, second, "set cyclamenstile.session_token = 'cyc1:other:1/9'", codeInvalidParameter)
+}
+
+// Guards against a lost write being hidden or told more than once.
+func TestLostWriteIsToldOnce(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	exec(t, c, "insert a")
+	r.db.mu.Lock()
+	r.db.term = 2
+	r.db.readErr = outcome.New(outcome.LostWrite, outcome.CodeLostWrite, "lost", "check")
+	r.db.mu.Unlock()
+	wantCode(t, c, "insert b", outcome.CodeLostWrite)
+	exec(t, c, "insert b")
+	if n := r.primary.writes.Load(); n != 2 {
+		t.Errorf("%d writes, want 2: the refused one must not run", n)
+	}
+}
+
+// Guards against doubtful statements writing on a read-only route.
+func TestReadOnlyRoute(t *testing.T) {
+	r := newRig(t, func(_ *Config, route *manifest.Route) { route.ReadOnly = true })
+	r.db.replicas = nil
+	c := r.connect()
+	wantCode(t, c, "insert a", outcome.CodeReadOnly)
+	wantCode(t, c, "begin read write", outcome.CodeReadOnly)
+	if got := queryText(t, c, "select $1, book()", "x"); got != "x" {
+		t.Errorf("got %q", got)
+	}
+	want := []string{"begin read only", "select $1, book()", "commit"}
+	if got := r.primary.executed(); !slices.Equal(got, want) {
+		t.Errorf("executed %q, want %q", got, want)
+	}
+	exec(t, c, "begin")
+	wantCode(t, c, "insert a", outcome.CodeReadOnly)
+	exec(t, c, "rollback")
+}
+
+// Guards against quota refusals without a retry-after, and against refused statements running.
+func TestQuotaRefusal(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	r.quota.refuse = func() error {
+		return outcome.New(outcome.NotRun, outcome.CodeTooManyRequests, "over the rate", "slow down").WithRetryAfter(30 * time.Millisecond)
+	}
+	e := wantCode(t, c, "insert a", outcome.CodeTooManyRequests)
+	if e.Detail != "not_run retry_after_ms=30" {
+		t.Errorf("detail %q", e.Detail)
+	}
+	if n := r.primary.writes.Load(); n != 0 {
+		t.Errorf("%d writes ran", n)
+	}
+}
+
+// Guards against a server that went silent holding its caller.
+func TestSilentServerIsUnknown(t *testing.T) {
+	r := newRig(t, func(_ *Config, route *manifest.Route) {
+		route.StatementTimeout = manifest.Duration(50 * time.Millisecond)
+	})
+	c := r.connect()
+	wantCode(t, c, "hang", outcome.CodeStatementUnknown)
+	exec(t, c, "insert a")
+}
+
+// Guards against errors inside pipelines losing later answers, and batches being split.
+func TestBatches(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	for range 2 {
+		b := &pgx.Batch{}
+		b.Queue("insert $1", "a")
+		b.Queue("select $1", "b")
+		b.Queue("insert $1", "c")
+		if err := c.SendBatch(context.Background(), b).Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := &pgx.Batch{}
+	b.Queue("select $1", "b")
+	b.Queue("fail")
+	b.Queue("insert $1", "c")
+	results := c.SendBatch(context.Background(), b)
+	var v string
+	if err := results.QueryRow().Scan(&v); err != nil || v != "b" {
+		t.Errorf("first of the batch: %q, %v", v, err)
+	}
+	_, err := results.Exec()
+	if err == nil {
+		t.Error("the failing statement succeeded")
+	}
+	_ = results.Close()
+	if got := queryText(t, c, "select $1", "z"); got != "z" {
+		t.Errorf("after the failed batch: %q", got)
+	}
+	if n := r.primary.writes.Load(); n != 4 {
+		t.Errorf("%d writes, want 4", n)
+	}
+}
+
+// Guards against a large pipeline and its large answer blocking each other.
+func TestLargePipeline(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	b := &pgx.Batch{}
+	for range 2000 {
+		b.Queue("select $1", strings.Repeat("y", 1000))
+	}
+	results := c.SendBatch(context.Background(), b)
+	for i := range 2000 {
+		var v string
+		if err := results.QueryRow().Scan(&v); err != nil || len(v) != 1000 {
+			t.Fatalf("answer %d: %d bytes, %v", i, len(v), err)
+		}
+	}
+	if err := results.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a repeated statement being parsed again, and against a statement that vanished from
+// a shared connection being reported to the caller.
+func TestPreparedStatementsAreKept(t *testing.T) {
+	r := newRig(t)
+	r.db.replicas = nil
+	c := r.connect()
+	for range 5 {
+		queryText(t, c, "select $1", "x")
+	}
+	if n := r.primary.parses.Load(); n != 1 {
+		t.Errorf("%d Parse messages, want 1", n)
+	}
+	r.primary.mu.Lock()
+	for _, s := range r.primary.conns {
+		clear(s.stmts)
+	}
+	r.primary.mu.Unlock()
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Guards against refused statements without a remedy, and settings reaching a shared connection.
+func TestRefusalsAndSettings(t *testing.T) {
+	r := newRig(t)
+	c := r.connect("application_name=depot")
+	if e := wantCode(t, c, "listen orders", codeFeatureNotSupported); e.Hint == "" || e.Detail != "invalid" {
+		t.Errorf("hint %q, detail %q", e.Hint, e.Detail)
+	}
+	wantCode(t, c, "set search_path = x", codeCantChangeParameter)
+	exec(t, c, "set application_name = 'x'")
+	exec(t, c, "reset all")
+	exec(t, c, "set DateStyle to ISO", pgx.QueryExecModeExec)
+	exec(t, c, ";")
+	exec(t, c, "rollback")
+	if dials, _, _ := r.pool.counts(); dials != 0 {
+		t.Errorf("%d connections used for local statements", dials)
+	}
+	if _, err := r.tryConnect("search_path=x"); err == nil || !strings.Contains(err.Error(), codeCantChangeParameter) {
+		t.Errorf("start-up with search_path: %v", err)
+	}
+}
+
+// Guards against an unproven wait being reported as unknown when the caller cancels it.
+func TestCancelWhileWaiting(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	waiting := make(chan struct{})
+	r.quota.refuse = nil
+	r.srv.cfg.Quota = waitQuota{waiting}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "insert a")
+		failed <- err
+	}()
+	<-waiting
+	if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; err == nil || !strings.Contains(err.Error(), outcome.CodeQueryCanceled) {
+		t.Errorf("canceled wait ended with %v", err)
+	}
+}
+
+type waitQuota struct{ waiting chan struct{} }
+
+func (q waitQuota) Admit(ctx context.Context, _ string) error {
+	close(q.waiting)
+	<-ctx.Done()
+	return errors.New("canceled")
+}
--- a/proxy/engine/upstream_test.go
+++ b/proxy/engine/upstream_test.go
@@ -27,6 +27,9 @@
 	id       authority.ServerID
 	addr     string
 	readOnly atomic.Bool
+	code     atomic.Value // SQLSTATE with which each select fails, if set
+	die      atomic.Bool  // closes connections instead of answering
+	dieOnce  atomic.Bool
 	writes   atomic.Uint64
 	parses   atomic.Int64
 	running  chan string // receives "hang" when one begins
@@ -223,6 +226,13 @@
 func (c *fakeSession) execute(sql string, params [][]byte, simple bool) bool {
 	low := strings.ToLower(sql)
 	word, _, _ := strings.Cut(low, " ")
+	if c.srv.die.Load() || c.srv.dieOnce.Swap(false) {
+		return false
+	}
+	if code, _ := c.srv.code.Load().(string); code != "" && word == "select" {
+		c.error(code, "refused")
+		return true
+	}
 	if c.status == 'E' && word != "rollback" && word != "commit" {
 		c.error("25P02", "current transaction is aborted")
 		return true
