Add the quota state machines with a model test of the bound

An account's rate and burst must hold over all instances without a coordination service. The machines divide every account into 64 fractions with one holder each, lend them to one pool owner per shard, and grant tokens with a lifetime that counts from when the request was sent.

A network model with pauses, crashes, lost and late messages, store outages, differing lists and clocks off by half a percent checks the bound on every window and that no fraction is in two buckets.

--- /dev/null
+++ b/decision/quota/bound_test.go
@@ -0,0 +1,240 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// boundRun is one run of the model with faults, checked against the bound.
+type boundRun struct {
+	*sim
+	checks map[string]*boundCheck
+	err    error
+	next   int // number of the next new address
+}
+
+func newBoundRun(cfg simConfig, nodes int, seed int64) *boundRun {
+	r := &boundRun{sim: newSim(cfg, seed), checks: map[string]*boundCheck{}}
+	for account, limits := range cfg.limits {
+		r.checks[account] = &boundCheck{limits: limits}
+	}
+	r.admitted = func(account string, at time.Duration) {
+		if over := r.checks[account].admit(at); over > 0 {
+			r.fail(fmt.Errorf("at %v account %s is %.2f tokens above its bound", at, account, over))
+		}
+	}
+	for range nodes {
+		r.list = append(r.list, r.newAddress())
+	}
+	for _, address := range r.list {
+		r.start(address)
+	}
+	return r
+}
+
+func (r *boundRun) fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *boundRun) newAddress() string {
+	r.next++
+	return fmt.Sprintf("10.0.0.%d:7400", r.next)
+}
+
+// load brings statements at factor times the rate, most of them to one instance that changes.
+func (r *boundRun) load(factor float64, end time.Duration) {
+	for account, limits := range r.cfg.limits {
+		favourite := 0
+		var arrive func()
+		arrive = func() {
+			if r.random.Float64() < 0.001 {
+				favourite = r.random.Intn(len(r.list))
+			}
+			i := favourite
+			if r.random.Float64() < 0.3 {
+				i = r.random.Intn(len(r.list))
+			}
+			r.nodes[r.list[i%len(r.list)]].arrive(account)
+			gap := time.Duration(r.random.ExpFloat64() / (limits.Rate * factor) * float64(time.Second))
+			if r.now+gap < end {
+				r.at(r.now+gap, arrive)
+			}
+		}
+		r.at(0, arrive)
+	}
+}
+
+// updateViews brings the list to every instance, each after its own lag.
+func (r *boundRun) updateViews() {
+	list := append([]string(nil), r.list...)
+	for _, n := range r.nodes {
+		r.at(r.now+time.Duration(r.random.Int63n(int64(5*time.Second))), func() { n.view = list })
+	}
+}
+
+// fault applies one fault to one instance, or to the store.
+func (r *boundRun) fault(kind string, which int, span time.Duration) {
+	i := which % len(r.list)
+	n := r.nodes[r.list[i]]
+	switch kind {
+	case "pause":
+		n.pausedUntil = r.now + span
+	case "restart":
+		n.crash()
+		r.at(r.now+span/4, func() { r.start(n.address) })
+	case "replace":
+		n.crash()
+		r.list[i] = r.newAddress()
+		r.start(r.list[i])
+		r.updateViews()
+	case "drain":
+		n.do(n.fractions.Drain)
+	case "store outage":
+		r.storeDown = true
+		r.at(r.now+span, func() { r.storeDown = false })
+	case "list":
+		n.view = n.view[:1+r.random.Intn(len(n.view))]
+	}
+}
+
+func (r *boundRun) watch(end time.Duration) {
+	r.at(r.now+7*time.Millisecond, func() {
+		if err := r.usableTwice(); err != nil {
+			r.fail(err)
+		}
+		if r.now < end {
+			r.watch(end)
+		}
+	})
+}
+
+// Guards against any window in which an account gets more than burst + rate*w over all
+// instances, and against two users of one fraction, under pauses, crashes, lost and late
+// messages, store outages, differing lists and clocks that deviate by half a percent.
+func TestBoundUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 20 * time.Second
+		cfg := simConfig{
+			limits: map[string]Limits{
+				"large": {Rate: 200, Burst: rapid.SampledFrom([]float64{40, 100, 400}).Draw(t, "burst")},
+				"small": {Rate: 10, Burst: 5},
+			},
+			latency:  rapid.SampledFrom([]time.Duration{500 * time.Microsecond, 20 * time.Millisecond}).Draw(t, "latency"),
+			loss:     rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss"),
+			late:     rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "late"),
+			lateMax:  3 * time.Second,
+			clockOff: 0.005,
+		}
+		nodes := rapid.IntRange(1, 6).Draw(t, "nodes")
+		r := newBoundRun(cfg, nodes, rapid.Int64().Draw(t, "seed"))
+		r.load(rapid.SampledFrom([]float64{0.5, 1.2, 4}).Draw(t, "load"), span)
+		r.watch(span)
+		kinds := rapid.SampledFrom([]string{"pause", "restart", "replace", "drain", "store outage", "list"})
+		for range rapid.IntRange(0, 10).Draw(t, "faults") {
+			at := time.Duration(rapid.IntRange(0, int(span.Milliseconds())).Draw(t, "at")) * time.Millisecond
+			length := time.Duration(rapid.IntRange(1, 4000).Draw(t, "length")) * time.Millisecond
+			kind, which := kinds.Draw(t, "kind"), rapid.IntRange(0, 5).Draw(t, "which")
+			r.at(at, func() { r.fault(kind, which, length) })
+		}
+		r.runUntil(span)
+		if r.err != nil {
+			t.Fatal(r.err)
+		}
+	})
+}
+
+// recordParty is a process in the test of the record, with a clock of its own.
+type recordParty struct {
+	address   string
+	fractions *Fractions
+	rate      float64
+	offset    time.Duration
+}
+
+func (p *recordParty) clock(now time.Duration) time.Duration {
+	return p.offset + time.Duration(p.rate*float64(now))
+}
+
+// Guards against a fraction with two holders over hours: expired claims, takeovers, drains and
+// writes whose answer is lost or that take effect late.
+func TestNoFractionHasTwoHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+		var record Record
+		var version uint64
+		now := time.Duration(0)
+		start := func(address string) *recordParty {
+			p := &recordParty{address: address, rate: 1 + 0.005*(2*random.Float64()-1), offset: time.Duration(random.Int63n(1e15))}
+			p.fractions = NewFractions(address, random.Uint64(), p.clock(now), random)
+			return p
+		}
+		parties := []*recordParty{start("a"), start("b"), start("c")}
+		var late []func()
+		step := func(p *recordParty) {
+			if random.Float64() < 0.8 {
+				p.fractions.Observe(p.clock(now), record, version)
+			}
+			next, wanted := p.fractions.Plan(p.clock(now), 1+random.Intn(4), Mask(random.Uint64()&random.Uint64()))
+			if !wanted {
+				return
+			}
+			onto := p.fractions.Version()
+			write := func(answer bool) {
+				if version != onto {
+					return
+				}
+				version, record = version+1, next
+				if answer {
+					p.fractions.Observe(p.clock(now), next, version)
+				}
+			}
+			switch random.Intn(4) {
+			case 0:
+				late = append(late, func() { write(false) })
+			case 1:
+				write(false)
+			default:
+				write(true)
+			}
+		}
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now += time.Duration(random.ExpFloat64() * float64(rapid.SampledFrom([]time.Duration{time.Second, 5 * time.Minute, 30 * time.Minute}).Draw(t, "gap")))
+			i := random.Intn(len(parties))
+			switch random.Intn(20) {
+			case 0:
+				parties[i] = start(parties[i].address)
+			case 1:
+				parties[i] = start(fmt.Sprint("new", now))
+			case 2:
+				parties[i].fractions.Drain()
+			default:
+				step(parties[i])
+			}
+			if len(late) > 0 && random.Intn(3) == 0 {
+				late[0]()
+				late = late[1:]
+			}
+			var held Mask
+			for _, p := range parties {
+				usable, _ := p.fractions.Usable(p.clock(now))
+				if held&usable != 0 {
+					t.Fatalf("at %v a fraction has two holders", now)
+				}
+				held |= usable
+			}
+			data, err := record.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := DecodeRecord(data); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/decision/quota/helpers_test.go
@@ -0,0 +1,34 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"math/rand"
+	"slices"
+	"time"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// boundCheck is the linear check of the bound: a bucket of the account's rate and burst has a
+// token for every admission if and only if every window keeps burst + rate*w.
+type boundCheck struct {
+	limits Limits
+	level  float64
+	at     time.Duration
+	began  bool
+}
+
+// admit takes an admission and returns by how many tokens it breaks the bound, 0 if it keeps it.
+func (c *boundCheck) admit(at time.Duration) float64 {
+	if !c.began {
+		c.began, c.level, c.at = true, c.limits.Burst, at
+	}
+	c.level = min(c.limits.Burst, c.level+c.limits.Rate*(at-c.at).Seconds()) - 1
+	c.at = at
+	return max(0, -c.level-1e-6)
+}
+
+func newRand(seed int64) *rand.Rand { return rand.New(rand.NewSource(seed)) }
--- /dev/null
+++ b/decision/quota/limits.go
@@ -0,0 +1,90 @@
+package quota
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	// FractionCount is the number of fractions of every account.
+	FractionCount = 64
+	// ShardCount is the number of shards that accounts are hashed into.
+	ShardCount = 64
+	// LoanTerm is the time for which a borrower uses lent fractions, from sending its request.
+	LoanTerm = 2 * time.Second
+	// MaxTokenLifetime bounds the time from sending a grant request to using its tokens.
+	MaxTokenLifetime = 200 * time.Millisecond
+	// HoldTerm is the time for which a holder uses its fractions after sending a renewal. It
+	// outlasts a store outage of an hour plus one renewal period.
+	HoldTerm = 75 * time.Minute
+	// RenewPeriod is the time between renewals.
+	RenewPeriod = 10 * time.Minute
+)
+
+const (
+	// clockDeviation is how far a clock's rate may be from true time.
+	clockDeviation = 0.005
+	// waitFactor lengthens the waits for another party's clock: 1.005/0.995 is below 1.0101,
+	// and the rest is a safety margin.
+	waitFactor = 1.02
+	// lifetimeFactor covers a requester whose clock runs slow while it counts a lifetime.
+	lifetimeFactor = 1.01
+	// promiseTerm is how long a lender waits for lent fractions.
+	promiseTerm = time.Duration(waitFactor * float64(LoanTerm))
+	// abandonTerm is how long a renewal must stay unchanged before others claim its fractions.
+	abandonTerm = time.Duration(waitFactor * float64(HoldTerm))
+)
+
+// Limits are an account's limits over all instances.
+type Limits struct {
+	Rate  float64 // statements per second
+	Burst float64 // statements
+}
+
+// Lifetime returns how long tokens of the account may be used. It shrinks for accounts with a
+// small burst, so that at least half of the burst above one statement stays usable.
+func (l Limits) Lifetime() time.Duration {
+	if l.Burst <= 1 {
+		return 0
+	}
+	if l.Rate <= 0 {
+		return MaxTokenLifetime
+	}
+	spare := (l.Burst - 1) / 2
+	seconds := spare / (l.Rate * lifetimeFactor)
+	return time.Duration(min(seconds, MaxTokenLifetime.Seconds()) * float64(time.Second))
+}
+
+// capacity returns the capacity of n fractions in tokens.
+func (l Limits) capacity(n int) float64 {
+	whole := l.Burst - l.Rate*lifetimeFactor*l.Lifetime().Seconds()
+	return max(whole, 0) * float64(n) / FractionCount
+}
+
+// rate returns the refill rate of n fractions in tokens per second, slow enough for a clock
+// that runs fast.
+func (l Limits) rate(n int) float64 {
+	return l.Rate / (1 + clockDeviation) * float64(n) / FractionCount
+}
+
+// Mask is a set of fractions, one bit each.
+type Mask uint64
+
+// allFractions holds every fraction.
+const allFractions = ^Mask(0)
+
+// Count returns the number of fractions in m.
+func (m Mask) Count() int {
+	return bits.OnesCount64(uint64(m))
+}
+
+// lowest returns the n lowest fractions of m, or all of them if it has fewer.
+func (m Mask) lowest(n int) Mask {
+	var out Mask
+	for ; n > 0 && m != 0; n-- {
+		bit := m & -m
+		out |= bit
+		m &^= bit
+	}
+	return out
+}
--- /dev/null
+++ b/decision/quota/requester.go
@@ -0,0 +1,307 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandMemory is the time constant of the demand estimate.
+	demandMemory = 200 * time.Millisecond
+	// refusalMemory is the time constant of the count of refusals behind retry-after.
+	refusalMemory = time.Second
+	// prefetchHorizon is the demand that a full stock covers.
+	prefetchHorizon = 100 * time.Millisecond
+	// refreshLead is how long before their end tokens no longer count as stock, so that their
+	// replacement is there in time.
+	refreshLead = 60 * time.Millisecond
+	// warmTerm is how long an account without arrivals keeps one token in stock.
+	warmTerm = 5 * time.Second
+	// settleDelay is how long unused tokens wait for a request that takes them along.
+	settleDelay = 50 * time.Millisecond
+	// formingDelay is the time to the next request while the owner has no fractions yet.
+	formingDelay = 5 * time.Millisecond
+	// formingLimit is how long formingDelay applies; then failureDelay does.
+	formingLimit = 50 * time.Millisecond
+	// failureDelay is the time to the next request after a failed one.
+	failureDelay = 100 * time.Millisecond
+	// redirectTerm is how long another owner named by the asked one is used.
+	redirectTerm = time.Second
+)
+
+// Ask is a grant request to send to a pool owner.
+type Ask struct {
+	Owner   string
+	Demands []Demand
+}
+
+// Requester keeps a stock of tokens for the callers of this instance, for one shard's accounts.
+type Requester struct {
+	owner         string // by the own list
+	redirect      string // named by an owner without fractions
+	redirectUntil time.Duration
+	accounts      map[string]*stock
+	names         []string // of the accounts, sorted
+}
+
+// stock is the tokens and the demand of one account.
+type stock struct {
+	limits   Limits
+	batches  []batch // by time of arrival
+	settled  []Settled
+	arrivals decayingCount
+	refusals decayingCount
+
+	lastArrival  time.Duration
+	arrived      bool
+	waiting      int // callers that wait for the answer to a request
+	inFlight     bool
+	nextAsk      time.Duration
+	unusedSince  time.Duration
+	starvedUntil time.Duration // the owner has no tokens before
+	formingSince time.Duration
+	forming      bool
+}
+
+// batch is the tokens of one grant that are left.
+type batch struct {
+	tokens int
+	expiry time.Duration
+	epoch  uint64
+	slot   uint64
+}
+
+// decayingCount counts events with exponentially fading memory.
+type decayingCount struct {
+	count float64
+	at    time.Duration
+}
+
+func (c *decayingCount) value(now, memory time.Duration) float64 {
+	if now > c.at {
+		c.count *= math.Exp(-(now - c.at).Seconds() / memory.Seconds())
+		c.at = now
+	}
+	return c.count
+}
+
+func (c *decayingCount) add(now, memory time.Duration) {
+	c.count = c.value(now, memory) + 1
+}
+
+// NewRequester returns a requester without accounts and owner.
+func NewRequester() *Requester {
+	return &Requester{accounts: map[string]*stock{}}
+}
+
+// SetAccounts replaces the accounts of the shard. Accounts that stay keep their tokens.
+func (r *Requester) SetAccounts(limits map[string]Limits) {
+	accounts := make(map[string]*stock, len(limits))
+	for account, l := range limits {
+		accounts[account] = r.accounts[account]
+		if accounts[account] == nil {
+			accounts[account] = &stock{}
+		}
+		accounts[account].limits = l
+	}
+	r.accounts = accounts
+	r.names = slices.Sorted(maps.Keys(accounts))
+}
+
+// SetOwner names the pool owner by the own list.
+func (r *Requester) SetOwner(owner string) {
+	r.owner = owner
+}
+
+// target returns the owner to ask now.
+func (r *Requester) target(now time.Duration) string {
+	if r.redirect != "" && now < r.redirectUntil {
+		return r.redirect
+	}
+	return r.owner
+}
+
+// Due returns the request to send now, or false. localLevel returns the tokens that the instance's
+// own fractions have for an account. The caller reports the answer with Granted or Failed.
+func (r *Requester) Due(now time.Duration, localLevel func(account string) float64) (Ask, bool) {
+	ask := Ask{Owner: r.target(now)}
+	if ask.Owner == "" {
+		return Ask{}, false
+	}
+	for _, account := range r.names {
+		s := r.accounts[account]
+		s.expire(now)
+		want, due := s.due(now, localLevel(account))
+		if !due {
+			continue
+		}
+		s.inFlight = true
+		ask.Demands = append(ask.Demands, Demand{Account: account, Want: want, Settled: s.settled})
+		s.settled = nil
+	}
+	return ask, len(ask.Demands) > 0
+}
+
+// due returns how many tokens to ask for, and whether to ask now.
+func (s *stock) due(now time.Duration, local float64) (int, bool) {
+	if s.inFlight || now < s.nextAsk || now < s.starvedUntil {
+		return 0, false
+	}
+	target := s.target(now)
+	need := target - s.fresh(now) - int(local)
+	want := max(0, need) + s.waiting
+	if want > 0 && (s.waiting > 0 || 2*need >= target) {
+		return want, true
+	}
+	flush := s.unused() > 0 && now-s.unusedSince >= settleDelay
+	return 0, flush
+}
+
+// target returns the stock that covers the demand of the next moments.
+func (s *stock) target(now time.Duration) int {
+	if !s.warm(now) {
+		return 0
+	}
+	horizon := min(prefetchHorizon, s.limits.Lifetime()/2)
+	expected := s.arrivals.value(now, demandMemory) * horizon.Seconds() / demandMemory.Seconds()
+	return max(1, int(math.Ceil(expected+math.Sqrt(expected))))
+}
+
+func (s *stock) warm(now time.Duration) bool {
+	return s.arrived && now-s.lastArrival < warmTerm
+}
+
+// fresh returns the tokens that don't need a replacement yet.
+func (s *stock) fresh(now time.Duration) int {
+	lead := min(refreshLead, s.limits.Lifetime()/3)
+	n := 0
+	for _, b := range s.batches {
+		if b.expiry-now > lead {
+			n += b.tokens
+		}
+	}
+	return n
+}
+
+func (s *stock) unused() int {
+	n := 0
+	for _, e := range s.settled {
+		n += e.Unused
+	}
+	return n
+}
+
+// expire moves tokens whose lifetime is over to the settled ones.
+func (s *stock) expire(now time.Duration) {
+	s.batches = slices.DeleteFunc(s.batches, func(b batch) bool {
+		if now < b.expiry {
+			return false
+		}
+		s.settle(now, b, 0, b.tokens)
+		return true
+	})
+}
+
+func (s *stock) settle(now time.Duration, b batch, used, unused int) {
+	if unused > 0 && s.unused() == 0 {
+		s.unusedSince = now
+	}
+	for i := range s.settled {
+		if s.settled[i].Epoch == b.epoch && s.settled[i].Slot == b.slot {
+			s.settled[i].Used += used
+			s.settled[i].Unused += unused
+			return
+		}
+	}
+	s.settled = append(s.settled, Settled{Epoch: b.epoch, Slot: b.slot, Used: used, Unused: unused})
+}
+
+// Granted takes the answer to ask, which was sent at sentAt. An account that the answer leaves
+// out is asked for again later.
+func (r *Requester) Granted(now, sentAt time.Duration, ask Ask, epoch uint64, grants []Grant) {
+	r.Failed(now, Ask{Demands: ask.Demands})
+	for _, g := range grants {
+		s := r.accounts[g.Account]
+		if s == nil {
+			continue
+		}
+		if g.NoPool {
+			s.noPool(now)
+			r.follow(now, ask.Owner, g.Owner)
+			continue
+		}
+		s.forming = false
+		s.nextAsk = now
+		s.granted(now, sentAt, epoch, g)
+	}
+}
+
+func (s *stock) granted(now, sentAt time.Duration, epoch uint64, g Grant) {
+	if g.Tokens > 0 {
+		s.batches = append(s.batches, batch{g.Tokens, sentAt + g.Lifetime, epoch, g.Slot})
+		s.expire(now)
+	}
+	if g.RetryAfter > 0 {
+		s.starvedUntil = now + g.RetryAfter
+	}
+}
+
+// noPool sets the time of the next request while the owner has no fractions.
+func (s *stock) noPool(now time.Duration) {
+	if !s.forming {
+		s.forming, s.formingSince = true, now
+	}
+	s.nextAsk = now + formingDelay
+	if now-s.formingSince > formingLimit {
+		s.nextAsk = now + failureDelay
+	}
+}
+
+// follow turns to another owner that the asked one named. An owner reached that way which has
+// no fractions either is left again.
+func (r *Requester) follow(now time.Duration, asked, named string) {
+	if r.redirect == asked {
+		r.redirect = ""
+		return
+	}
+	if named != "" && named != asked {
+		r.redirect, r.redirectUntil = named, now+redirectTerm
+	}
+}
+
+// Failed ends a request without an answer.
+func (r *Requester) Failed(now time.Duration, ask Ask) {
+	if ask.Owner != "" && r.redirect == ask.Owner {
+		r.redirect = ""
+	}
+	for _, d := range ask.Demands {
+		if s := r.accounts[d.Account]; s != nil {
+			s.inFlight = false
+			s.nextAsk = now + failureDelay
+		}
+	}
+}
+
+// take uses a token from the stock, the one with the earliest end first.
+func (s *stock) take(now time.Duration) bool {
+	s.expire(now)
+	if len(s.batches) == 0 {
+		return false
+	}
+	b := &s.batches[0]
+	b.tokens--
+	s.settle(now, *b, 1, 0)
+	if b.tokens == 0 {
+		s.batches = s.batches[1:]
+	}
+	return true
+}
+
+// retryAfter estimates when a caller that is refused now finds a token: when the owner has one
+// again, and after those refused shortly before.
+func (s *stock) retryAfter(now time.Duration) time.Duration {
+	queue := refillTime(1+s.refusals.value(now, refusalMemory), s.limits.Rate)
+	return max(queue, s.starvedUntil-now)
+}
--- /dev/null
+++ b/decision/quota/sim_test.go
@@ -0,0 +1,433 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+)
+
+const (
+	simPoll        = 5 * time.Millisecond
+	simWait        = 5 * time.Millisecond   // of a statement for a grant on its way
+	simCallTimeout = 300 * time.Millisecond // of a request without an answer
+)
+
+// simEvent runs at a moment of true time.
+type simEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// simConfig sets the network and the faults of a run.
+type simConfig struct {
+	limits   map[string]Limits
+	latency  time.Duration // one way
+	loss     float64       // part of messages lost
+	late     float64       // part of messages delayed by up to lateMax
+	lateMax  time.Duration
+	clockOff float64 // largest deviation of a clock's rate
+}
+
+// sim is several instances, the store and the network between them, in true time.
+type sim struct {
+	cfg       simConfig
+	random    *rand.Rand
+	now       time.Duration
+	seq       int
+	queue     simQueue
+	nodes     map[string]*simNode // by address
+	ended     []*simNode          // processes that crashed
+	list      []string            // the platform's list
+	record    Record
+	version   uint64
+	storeDown bool
+	messages  int
+	admitted  func(account string, at time.Duration)
+	refused   func(account string)
+}
+
+// simNode is one process.
+type simNode struct {
+	s           *sim
+	address     string
+	alive       bool
+	pausedUntil time.Duration // true time
+	rate        float64       // of its clock
+	offset      time.Duration
+	fractions   *Fractions
+	shards      map[string]*Shard // one per account
+	view        []string
+	storeBusy   bool
+	waiters     map[string][]*simWaiter
+	epoch       uint64
+}
+
+type simWaiter struct{ done bool }
+
+func newSim(cfg simConfig, seed int64) *sim {
+	return &sim{
+		cfg: cfg, random: rand.New(rand.NewSource(seed)), nodes: map[string]*simNode{},
+		admitted: func(string, time.Duration) {}, refused: func(string) {},
+	}
+}
+
+func (s *sim) at(t time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{max(t, s.now), s.seq, run})
+}
+
+func (s *sim) runUntil(end time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+// start starts a process at an address.
+func (s *sim) start(address string) *simNode {
+	n := &simNode{
+		s: s, address: address, alive: true, rate: 1 + s.cfg.clockOff*(2*s.random.Float64()-1),
+		offset: time.Duration(s.random.Int63n(int64(time.Hour))), shards: map[string]*Shard{},
+		waiters: map[string][]*simWaiter{}, epoch: s.random.Uint64(), view: slices.Clone(s.list),
+	}
+	n.fractions = NewFractions(address, n.epoch, n.clock(), rand.New(rand.NewSource(s.random.Int63())))
+	for account, limits := range s.cfg.limits {
+		shard := NewShard(address, n.epoch)
+		shard.SetAccounts(n.clock(), map[string]Limits{account: limits})
+		n.shards[account] = shard
+	}
+	s.nodes[address] = n
+	n.loop()
+	return n
+}
+
+func (n *simNode) crash() {
+	n.alive = false
+	n.s.ended = append(n.s.ended, n)
+}
+
+func (n *simNode) clock() time.Duration {
+	return n.offset + time.Duration(n.rate*float64(n.s.now))
+}
+
+// do runs a step of the process, after its pause.
+func (n *simNode) do(run func()) {
+	if !n.alive {
+		return
+	}
+	if n.s.now < n.pausedUntil {
+		n.s.at(n.pausedUntil, func() { n.do(run) })
+		return
+	}
+	run()
+}
+
+func (n *simNode) loop() {
+	n.do(func() {
+		n.keepFractions()
+		n.poll()
+		n.s.at(n.s.now+simPoll, n.loop)
+	})
+}
+
+// owner picks the owner by an order that differs per account.
+func (n *simNode) owner(account string) string {
+	best, bestScore := "", uint64(0)
+	for _, address := range n.view {
+		score := uint64(14695981039346656037)
+		for _, c := range []byte(address + account) {
+			score = (score ^ uint64(c)) * 1099511628211
+		}
+		score ^= score >> 29
+		if best == "" || score > bestScore {
+			best, bestScore = address, score
+		}
+	}
+	return best
+}
+
+func (n *simNode) poll() {
+	usable, until := n.fractions.Usable(n.clock())
+	for _, account := range sortedKeys(n.shards) {
+		shard := n.shards[account]
+		shard.SetUsable(n.clock(), usable, until)
+		shard.SetOwner(n.clock(), n.owner(account), n.fractions.Holders())
+		n.send(shard, account)
+	}
+}
+
+func (n *simNode) send(shard *Shard, account string) {
+	sentAt := n.clock()
+	w := shard.Poll(sentAt)
+	if len(w.Ask.Demands) > 0 {
+		n.ask(shard, account, sentAt, w.Ask)
+	}
+	for _, ask := range w.Loans {
+		n.call(ask.Holder, func(m *simNode) func() {
+			loan := m.shards[account].Lend(m.clock(), ask.Request)
+			return func() { shard.Borrowed(n.clock(), sentAt, ask, loan) }
+		}, func() {})
+	}
+	for _, h := range w.HandBacks {
+		n.call(h.Holder, func(m *simNode) func() {
+			m.shards[account].HandBack(m.clock(), h.HandBack)
+			return func() {}
+		}, func() {})
+	}
+}
+
+func (n *simNode) ask(shard *Shard, account string, sentAt time.Duration, ask Ask) {
+	n.call(ask.Owner, func(m *simNode) func() {
+		grant := m.shards[account].Grant(m.clock(), ask.Demands[0])
+		m.send(m.shards[account], account)
+		return func() {
+			shard.Granted(n.clock(), sentAt, ask, m.epoch, []Grant{grant})
+			n.retry(account)
+		}
+	}, func() {
+		shard.AskFailed(n.clock(), ask)
+		n.retry(account)
+	})
+}
+
+// call sends a request to address and its answer back; handle returns what the answer does.
+func (n *simNode) call(address string, handle func(*simNode) func(), failed func()) {
+	answered := false
+	if address == n.address {
+		handle(n)()
+		return
+	}
+	n.s.at(n.s.now+simCallTimeout, func() {
+		n.do(func() {
+			if !answered {
+				answered = true
+				failed()
+			}
+		})
+	})
+	n.s.transmit(func() {
+		m := n.s.nodes[address]
+		if m == nil {
+			return
+		}
+		m.do(func() {
+			answer := handle(m)
+			n.s.transmit(func() {
+				n.do(func() {
+					if !answered {
+						answered = true
+						answer()
+					}
+				})
+			})
+		})
+	})
+}
+
+func (s *sim) transmit(deliver func()) {
+	s.messages++
+	if s.random.Float64() < s.cfg.loss {
+		return
+	}
+	delay := s.cfg.latency + time.Duration(s.random.ExpFloat64()*float64(s.cfg.latency)/10)
+	if s.random.Float64() < s.cfg.late {
+		delay += time.Duration(s.random.Float64() * float64(s.cfg.lateMax))
+	}
+	s.at(s.now+delay, deliver)
+}
+
+// keepFractions reads and writes the record. The answer of a write may be lost.
+func (n *simNode) keepFractions() {
+	if n.storeBusy || n.fractions.Version() == n.s.version && n.clock() < n.fractions.NextAt() {
+		return
+	}
+	n.storeBusy = true
+	again := func() { n.s.at(n.s.now+100*time.Millisecond, func() { n.storeBusy = false }) }
+	n.storeCall(func() func() {
+		record, version := n.s.record, n.s.version
+		return func() {
+			n.fractions.Observe(n.clock(), record, version)
+			n.plan(again)
+		}
+	}, again)
+}
+
+func (n *simNode) plan(again func()) {
+	var lent Mask
+	usable, until := n.fractions.Usable(n.clock())
+	for _, shard := range n.shards {
+		shard.SetUsable(n.clock(), usable, until)
+		lent |= shard.Lent(n.clock())
+	}
+	record, wanted := n.fractions.Plan(n.clock(), len(n.view), lent)
+	if !wanted {
+		again()
+		return
+	}
+	onto := n.fractions.Version()
+	n.storeCall(func() func() {
+		if n.s.version != onto {
+			return again
+		}
+		n.s.record, n.s.version = record, onto+1
+		return func() {
+			n.fractions.Observe(n.clock(), record, onto+1)
+			again()
+		}
+	}, again)
+}
+
+// storeCall runs effect in the store after a delay and its result at the process; without a
+// result, lost runs after a while. Effects may take place after lost.
+func (n *simNode) storeCall(effect func() func(), lost func()) {
+	s := n.s
+	delay := func() time.Duration {
+		d := 2 * time.Millisecond
+		if s.random.Float64() < s.cfg.late {
+			d += time.Duration(s.random.Float64() * float64(s.cfg.lateMax))
+		}
+		return d
+	}
+	settled := false
+	s.at(s.now+500*time.Millisecond, func() {
+		n.do(func() {
+			if !settled {
+				settled = true
+				lost()
+			}
+		})
+	})
+	s.at(s.now+delay(), func() {
+		if s.storeDown || s.random.Float64() < s.cfg.loss {
+			return
+		}
+		result := effect()
+		if s.random.Float64() < s.cfg.loss {
+			return
+		}
+		s.at(s.now+delay(), func() {
+			n.do(func() {
+				if !settled {
+					settled = true
+					result()
+				}
+			})
+		})
+	})
+}
+
+// arrive brings a statement to the process.
+func (n *simNode) arrive(account string) {
+	if !n.alive {
+		return
+	}
+	n.do(func() {
+		v := n.shards[account].Admit(n.clock(), account)
+		n.decide(account, v, nil)
+	})
+}
+
+// decide acts on a verdict; w is set for a statement that has waited.
+func (n *simNode) decide(account string, v Verdict, w *simWaiter) {
+	switch {
+	case v.Admitted:
+		n.s.admitted(account, n.s.now)
+	case !v.Wait:
+		n.s.refused(account)
+	case w != nil:
+		n.waiters[account] = append(n.waiters[account], w)
+		return
+	default:
+		n.wait(account)
+		return
+	}
+	if w != nil {
+		w.done = true
+	}
+}
+
+func (n *simNode) wait(account string) {
+	w := &simWaiter{}
+	n.waiters[account] = append(n.waiters[account], w)
+	n.s.at(n.s.now+simWait, func() {
+		n.do(func() {
+			if !w.done {
+				w.done = true
+				n.shards[account].Refuse(n.clock(), account)
+				n.s.refused(account)
+			}
+		})
+	})
+	n.send(n.shards[account], account)
+}
+
+func (n *simNode) retry(account string) {
+	waiters := n.waiters[account]
+	n.waiters[account] = nil
+	for _, w := range waiters {
+		if !w.done {
+			n.decide(account, n.shards[account].Retry(n.clock(), account), w)
+		}
+	}
+}
+
+// usableTwice returns an error if two processes may use one fraction now, in their pools or as
+// holders.
+func (s *sim) usableTwice() error {
+	var held Mask
+	for _, n := range s.nodes {
+		usable, _ := n.fractions.Usable(n.clock())
+		if n.alive && held&usable != 0 {
+			return fmt.Errorf("at %v a fraction has two holders", s.now)
+		}
+		if n.alive {
+			held |= usable
+		}
+	}
+	for account := range s.cfg.limits {
+		if err := s.inUseTwice(account); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *sim) inUseTwice(account string) error {
+	var used Mask
+	for _, n := range s.nodes {
+		if !n.alive {
+			continue
+		}
+		now, shard := n.clock(), n.shards[account]
+		shard.holder.settle(now)
+		shard.owner.settle(now)
+		local := shard.holder.usable &^ shard.holder.loan.fractions()
+		for _, m := range []Mask{local, shard.owner.fractions()} {
+			if used&m != 0 {
+				return fmt.Errorf("at %v a fraction of %s is in two buckets", s.now, account)
+			}
+			used |= m
+		}
+	}
+	return nil
+}
