Run the thin whole path: two instances, three servers, one key, one statement

Change: cyclamenstile serve, settings by flags and environment, and a package that starts a whole deployment in one process over real sockets.

--- /dev/null
+++ b/cmd/internal/local/local_test.go
@@ -0,0 +1,68 @@
+package local_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+func start(t *testing.T, cfg local.Config) *local.Deployment {
+	t.Helper()
+	d, err := local.Start(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+func connect(t *testing.T, d *local.Deployment, instance int) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(t.Context(), d.URL(instance, "orders", "marshals"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func oneRoute() []manifest.Route {
+	return []manifest.Route{{Name: "orders", Database: local.DatabaseName, Accounts: []string{"marshals"}}}
+}
+
+func oneAccount() []local.Account {
+	return []local.Account{{Name: "marshals", Weight: 1, Rate: 1e6, Burst: 1e6}}
+}
+
+// Guards against a session reading an older state through another instance than it wrote through,
+// while replicas lag.
+func TestReadsOwnWritesThroughAnotherInstance(t *testing.T) {
+	d := start(t, local.Config{
+		Instances: 2,
+		Server:    database.Config{ReplicationLag: 2 * time.Millisecond, ReplicationJitter: 5 * time.Millisecond, Seed: 1},
+		Accounts:  oneAccount(),
+		Routes:    oneRoute(),
+	})
+	writer, reader := connect(t, d, 0), connect(t, d, 1)
+	for i := range 200 {
+		want := fmt.Sprint(i)
+		_, err := writer.Exec(t.Context(), "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = excluded.value", "k", want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got string
+		if err := reader.QueryRow(t.Context(), "SELECT value FROM kv WHERE key = $1", "k").Scan(&got); err != nil {
+			t.Fatal(err)
+		}
+		if got != want {
+			t.Fatalf("write %s, then read %s through the other instance", want, got)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/internal/serve/serve.go
@@ -0,0 +1,173 @@
+// Package serve holds the serve command of the daemon.
+package serve
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
+	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+)
+
+// settings are the flags of the command.
+type settings struct {
+	config daemon.Config
+
+	tlsCert, tlsKey           string
+	peerCert, peerKey, peerCA string
+	passwordFile              string
+	logLevel, logFormat       string
+}
+
+const help = `serve runs one instance of the proxy until SIGTERM or SIGINT, then drains: it cuts no
+request in flight. Settings are flags; each has the environment variable given in brackets.`
+
+// New returns the serve command.
+func New() *cobra.Command {
+	s := &settings{}
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Run one instance of the proxy",
+		Long:  help,
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return s.run(cmd) },
+	}
+	f := cmd.Flags()
+	c := &s.config
+	f.StringVar(&c.InstanceID, "instance-id", "", "name of this instance in the platform's list")
+	f.StringVar(&c.Region, "region", "", "region of this instance")
+	f.StringVar(&c.FailureDomain, "failure-domain", "", "failure domain of this instance")
+	f.StringVar(&c.Listen, "listen", "127.0.0.1:6432", "IP:port for callers")
+	f.StringVar(&c.PeerListen, "peer-listen", "127.0.0.1:6433", "IP:port for other instances; they connect to it as written")
+	f.StringVar(&c.OpsListen, "ops-listen", "127.0.0.1:6434", "IP:port for metrics, health and readiness")
+	f.StringVar(&c.StoreURL, "store", "", "address of the platform's store, such as http://127.0.0.1:7000")
+	f.BoolVar(&c.AllowPlain, "allow-plain", false, "accept callers without TLS; their keys cross the network in clear text")
+	f.StringVar(&s.tlsCert, "tls-cert", "", "PEM file with the certificate shown to callers")
+	f.StringVar(&s.tlsKey, "tls-key", "", "PEM file with its private key")
+	f.StringVar(&s.peerCert, "peer-tls-cert", "", "PEM file with the certificate shown to other instances")
+	f.StringVar(&s.peerKey, "peer-tls-key", "", "PEM file with its private key")
+	f.StringVar(&s.peerCA, "peer-tls-ca", "", "PEM file with the authority that signed all instances' certificates")
+	f.StringVar(&c.UpstreamUser, "upstream-user", "cyclamenstile", "user of the proxy at the database servers")
+	f.StringVar(&s.passwordFile, "upstream-password-file", "", "file with the password of that user; empty if the servers trust the proxy")
+	f.DurationVar(&c.DrainTimeout, "drain-timeout", daemon.DefaultDrainTimeout, "time for open transactions at a planned stop")
+	f.IntVar(&c.MaxMessageBytes, "max-message-bytes", daemon.DefaultMaxMessageBytes, "largest message of a caller in bytes")
+	f.DurationVar(&c.ListPoll, "list-poll", daemon.DefaultListPoll, "period of reading the platform's instance list")
+	f.StringVar(&s.logLevel, "log-level", "info", "debug, info, warning or error")
+	f.StringVar(&s.logFormat, "log-format", "json", "json or text")
+	flagenv.Describe(cmd)
+	return cmd
+}
+
+func (s *settings) run(cmd *cobra.Command) error {
+	if err := flagenv.Apply(cmd.Flags()); err != nil {
+		return err
+	}
+	if err := s.load(); err != nil {
+		return err
+	}
+	d, err := daemon.New(s.config)
+	if err != nil {
+		return err
+	}
+	return d.Run(cmd.Context())
+}
+
+// load reads the files that the settings name and reports all faults at once.
+func (s *settings) load() error {
+	var faults []error
+	note := func(err error) {
+		if err != nil {
+			faults = append(faults, err)
+		}
+	}
+	note(s.loadLog())
+	note(s.loadPassword())
+	note(s.loadCallerTLS())
+	note(s.loadPeerTLS())
+	if len(faults) > 0 {
+		// The remaining settings are checked as well, so that one run shows every fault.
+		note(s.config.Validate())
+	}
+	return errors.Join(faults...)
+}
+
+func (s *settings) loadLog() error {
+	level, err := logrus.ParseLevel(s.logLevel)
+	if err != nil {
+		return errors.Newf("--log-level: %q is not a level; use debug, info, warning or error", s.logLevel)
+	}
+	log := logrus.New()
+	log.SetLevel(level)
+	log.SetOutput(os.Stderr)
+	switch s.logFormat {
+	case "json":
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	case "text":
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+	default:
+		return errors.Newf("--log-format: %q is not a format; use json or text", s.logFormat)
+	}
+	s.config.Log = log
+	return nil
+}
+
+func (s *settings) loadPassword() error {
+	if s.passwordFile == "" {
+		return nil
+	}
+	b, err := os.ReadFile(s.passwordFile)
+	if err != nil {
+		return errors.Wrap(err, "--upstream-password-file: can't be read; check the path and its permissions")
+	}
+	s.config.UpstreamPassword = strings.TrimRight(string(b), "\r\n")
+	return nil
+}
+
+func (s *settings) loadCallerTLS() error {
+	if s.tlsCert == "" && s.tlsKey == "" {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.tlsCert, s.tlsKey)
+	if err != nil {
+		return errors.Wrap(err, "--tls-cert, --tls-key: can't be used; give PEM files of a certificate and its key")
+	}
+	s.config.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	return nil
+}
+
+// loadPeerTLS sets up mutual TLS between instances.
+func (s *settings) loadPeerTLS() error {
+	if s.peerCert == "" && s.peerKey == "" && s.peerCA == "" {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.peerCert, s.peerKey)
+	if err != nil {
+		return errors.Wrap(err, "--peer-tls-cert, --peer-tls-key: can't be used; give PEM files of a certificate and its key")
+	}
+	pem, err := os.ReadFile(s.peerCA)
+	if err != nil {
+		return errors.Wrap(err, "--peer-tls-ca: can't be read; give the PEM file of the signing authority")
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(pem) {
+		return errors.New("--peer-tls-ca: holds no certificate; give the PEM file of the signing authority")
+	}
+	s.config.PeerServer = &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		ClientCAs:    authorities,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}
+	s.config.PeerClient = &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      authorities,
+		MinVersion:   tls.VersionTLS13,
+	}
+	return nil
+}
