--- a/cmd/internal/local/local.go
+++ b/cmd/internal/local/local.go
@@ -25,9 +25,6 @@
 // DatabaseName is the name of the deployment's only database.
 const DatabaseName = "orders"
 
-// stopAllowance bounds the end of a deployment.
-const stopAllowance = 15 * time.Second
-
 // Account is a client account and its key in clear text, as callers use it.
 type Account struct {
 	Name   string
