Add the load generator and the overhead measurement

cmd/internal/load runs sessions of several accounts through pgx, records a history for decision/history and latencies per account, and reports the longest write gap. cmd/internal/bench measures direct and proxied throughput and latency in alternating rounds and the proxy's memory per idle connection.

The stand-in no longer answers peer probes over a cut link: replicas of a cut primary went on hearing it, so their contact age stayed low.

--- /dev/null
+++ b/cmd/internal/bench/overhead.go
@@ -0,0 +1,261 @@
+// Package bench measures what the proxy costs, in one run with the direct path.
+package bench
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+)
+
+// Defaults of Config.
+const (
+	DefaultConnections     = 32
+	DefaultIdleConnections = 1000
+	DefaultRounds          = 5
+	DefaultRoundDuration   = time.Second
+)
+
+const (
+	statement    = "SELECT value FROM kv WHERE key = $1"
+	statementKey = "bench"
+	// warmUp is the part of a round before the measurement, for caches and connections.
+	warmUp = 200 * time.Millisecond
+	// connecting bounds the connections that are opened at the same time.
+	connecting   = 16
+	closeTimeout = time.Second
+)
+
+// Endpoint is one side of the comparison.
+type Endpoint struct {
+	Address  string // IP:port
+	Database string // or route
+	Account  load.Account
+}
+
+// Config describes a measurement. Zero values stand for the defaults.
+type Config struct {
+	Direct          Endpoint // a server itself
+	Proxy           Endpoint // a proxy in front of it
+	Connections     int      // in use at the same time on each side
+	Rounds          int      // of each side, in turn
+	RoundDuration   time.Duration
+	IdleConnections int // through the proxy; negative leaves the memory out
+	// ProxyMemory returns the heap and stack bytes in use of the proxy, after a garbage
+	// collection; nil leaves the memory out.
+	ProxyMemory func(ctx context.Context) (uint64, error)
+}
+
+// Side is what was measured on one side.
+type Side struct {
+	StatementsPerSecond float64
+	P50, P99            time.Duration
+}
+
+// Report compares both sides.
+type Report struct {
+	Direct, Proxy   Side
+	IdleConnections int
+	// BytesPerIdleConnection is the growth of the proxy's memory per idle client connection.
+	BytesPerIdleConnection float64
+}
+
+// ThroughputRatio returns the share of the direct throughput that the proxy reaches.
+func (r Report) ThroughputRatio() float64 {
+	return r.Proxy.StatementsPerSecond / r.Direct.StatementsPerSecond
+}
+
+// Overhead measures both sides in turns, so that a change of the machine's load meets both.
+func Overhead(ctx context.Context, c Config) (Report, error) {
+	c = c.withDefaults()
+	direct, proxy := newMeter(c.Direct), newMeter(c.Proxy)
+	defer direct.close()
+	defer proxy.close()
+	for _, m := range []*meter{direct, proxy} {
+		if err := m.open(ctx, c.Connections); err != nil {
+			return Report{}, err
+		}
+	}
+	for range c.Rounds {
+		for _, m := range []*meter{direct, proxy} {
+			if err := m.round(ctx, c.RoundDuration); err != nil {
+				return Report{}, err
+			}
+		}
+	}
+	report := Report{Direct: direct.side(), Proxy: proxy.side()}
+	if c.ProxyMemory == nil || c.IdleConnections < 0 {
+		return report, nil
+	}
+	report.IdleConnections = c.IdleConnections
+	var err error
+	report.BytesPerIdleConnection, err = idleMemory(ctx, c)
+	return report, err
+}
+
+func (c Config) withDefaults() Config {
+	if c.Connections == 0 {
+		c.Connections = DefaultConnections
+	}
+	if c.Rounds == 0 {
+		c.Rounds = DefaultRounds
+	}
+	if c.RoundDuration == 0 {
+		c.RoundDuration = DefaultRoundDuration
+	}
+	if c.IdleConnections == 0 {
+		c.IdleConnections = DefaultIdleConnections
+	}
+	return c
+}
+
+// meter drives one endpoint.
+type meter struct {
+	endpoint  Endpoint
+	conns     []*pgx.Conn
+	latencies *hdrhistogram.Histogram // microseconds
+	count     int
+	elapsed   time.Duration
+}
+
+func newMeter(e Endpoint) *meter {
+	return &meter{endpoint: e, latencies: load.NewHistogram()}
+}
+
+func (m *meter) open(ctx context.Context, n int) error {
+	conns, err := openConnections(ctx, m.endpoint, n)
+	m.conns = conns
+	return err
+}
+
+func (m *meter) close() { closeConnections(m.conns) }
+
+// openConnections opens n connections and runs one statement on each. On an error it returns
+// those that are open.
+func openConnections(ctx context.Context, e Endpoint, n int) ([]*pgx.Conn, error) {
+	conf, err := load.ConnConfig(e.Address, e.Database, e.Account)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	var conns []*pgx.Conn
+	err = inParallel(n, connecting, func(int) error {
+		conn, err := pgx.ConnectConfig(ctx, conf)
+		if err != nil {
+			return errors.Wrapf(err, "connect to %s", e.Address)
+		}
+		mu.Lock()
+		conns = append(conns, conn)
+		mu.Unlock()
+		return runStatement(ctx, conn)
+	})
+	return conns, err
+}
+
+func closeConnections(conns []*pgx.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, conn := range conns {
+		_ = conn.Close(ctx)
+	}
+}
+
+func runStatement(ctx context.Context, conn *pgx.Conn) error {
+	var value string
+	err := conn.QueryRow(ctx, statement, statementKey).Scan(&value)
+	if errors.Is(err, pgx.ErrNoRows) {
+		return nil
+	}
+	return errors.Wrap(err, "run the measured statement")
+}
+
+// inParallel runs step for 0 to n-1 in a bounded number of goroutines and returns an error of one.
+func inParallel(n, workers int, step func(i int) error) error {
+	next := make(chan int)
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	var failure error
+	for range min(n, workers) {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for i := range next {
+				if err := step(i); err != nil {
+					mu.Lock()
+					failure = err
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	for i := range n {
+		next <- i
+	}
+	close(next)
+	running.Wait()
+	return failure
+}
+
+// round keeps all connections busy for the warm-up and then for d, and adds what it measured.
+func (m *meter) round(ctx context.Context, d time.Duration) error {
+	start := time.Now().Add(warmUp)
+	histograms := make([]*hdrhistogram.Histogram, len(m.conns))
+	err := inParallel(len(m.conns), len(m.conns), func(i int) error {
+		histograms[i] = load.NewHistogram()
+		return drive(ctx, m.conns[i], start, d, histograms[i])
+	})
+	for _, h := range histograms {
+		m.latencies.Merge(h)
+		m.count += int(h.TotalCount())
+	}
+	m.elapsed += d
+	return err
+}
+
+// drive runs statements one after the other and records those that end within d after start.
+func drive(ctx context.Context, conn *pgx.Conn, start time.Time, d time.Duration, h *hdrhistogram.Histogram) error {
+	for {
+		sent := time.Now()
+		if err := runStatement(ctx, conn); err != nil {
+			return err
+		}
+		answered := time.Now()
+		if answered.After(start.Add(d)) {
+			return nil
+		}
+		if answered.After(start) {
+			_ = h.RecordValue(answered.Sub(sent).Microseconds())
+		}
+	}
+}
+
+func (m *meter) side() Side {
+	return Side{
+		StatementsPerSecond: float64(m.count) / m.elapsed.Seconds(),
+		P50:                 time.Duration(m.latencies.ValueAtQuantile(50)) * time.Microsecond,
+		P99:                 time.Duration(m.latencies.ValueAtQuantile(99)) * time.Microsecond,
+	}
+}
+
+// idleMemory returns the growth of the proxy's memory per idle connection in bytes.
+func idleMemory(ctx context.Context, c Config) (float64, error) {
+	before, err := c.ProxyMemory(ctx)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the proxy's memory before the idle connections")
+	}
+	conns, err := openConnections(ctx, c.Proxy, c.IdleConnections)
+	defer closeConnections(conns)
+	if err != nil {
+		return 0, err
+	}
+	after, err := c.ProxyMemory(ctx)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the proxy's memory with the idle connections")
+	}
+	return (float64(after) - float64(before)) / float64(len(conns)), nil
+}
--- /dev/null
+++ b/cmd/internal/bench/overhead_test.go
@@ -0,0 +1,58 @@
+package bench
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+// Guards against a side that is not measured, and against memory read before the idle
+// connections are open. Both sides are servers here, one of them with a service time.
+func TestOverhead(t *testing.T) {
+	const serviceTime = 2 * time.Millisecond
+	direct := startServer(t, database.Config{ID: "direct", Primary: true})
+	slow := startServer(t, database.Config{ID: "slow", Primary: true, ServiceTime: serviceTime})
+	var calls atomic.Int64
+	report, err := Overhead(context.Background(), Config{
+		Direct:          endpoint(direct),
+		Proxy:           endpoint(slow),
+		Connections:     2,
+		Rounds:          2,
+		RoundDuration:   100 * time.Millisecond,
+		IdleConnections: 10,
+		ProxyMemory: func(context.Context) (uint64, error) {
+			calls.Add(1)
+			return uint64(slow.Clients()) * 1000, nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Proxy.P50 < serviceTime || report.Proxy.P99 < report.Proxy.P50 {
+		t.Errorf("latencies %+v below the service time", report.Proxy)
+	}
+	if report.Direct.StatementsPerSecond <= report.Proxy.StatementsPerSecond || report.ThroughputRatio() >= 1 {
+		t.Errorf("report %+v", report)
+	}
+	if calls.Load() != 2 || report.BytesPerIdleConnection != 1000 {
+		t.Errorf("%d memory readings, %.0f bytes per connection", calls.Load(), report.BytesPerIdleConnection)
+	}
+}
+
+func startServer(t *testing.T, c database.Config) *database.Server {
+	t.Helper()
+	s, err := database.Start(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Kill)
+	return s
+}
+
+func endpoint(s *database.Server) Endpoint {
+	return Endpoint{Address: s.Address(), Account: load.Account{Name: "bench"}}
+}
--- /dev/null
+++ b/cmd/internal/load/classify.go
@@ -0,0 +1,59 @@
+package load
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+)
+
+// notRunCodes are the SQLSTATE codes by which a statement outside a transaction is refused before
+// it has any effect. A code that ends a connection, such as 57P01, proves nothing.
+var notRunCodes = map[string]bool{
+	outcome.CodeCannotConnectNow:    true,
+	outcome.CodeTooManyRequests:     true,
+	outcome.CodeInsufficient:        true,
+	outcome.CodeFeatureNotSupported: true,
+	outcome.CodeUndefinedDatabase:   true,
+	outcome.CodeProtocolViolation:   true,
+	outcome.CodeReadOnly:            true,
+	outcome.CodeLostWrite:           true,
+	"53300":                         true, // too_many_connections
+	"55P03":                         true, // lock_not_available
+}
+
+// notRunClasses are the SQLSTATE classes of errors that roll a statement back.
+var notRunClasses = []string{"22", "23", "28", "42"}
+
+// Classify returns the kind of event that records the answer to a write: acknowledged for a nil
+// error, not run if the error proves it, otherwise unknown.
+func Classify(err error) history.EventKind {
+	if err == nil {
+		return history.WriteAcknowledged
+	}
+	var refusal *pgconn.PgError
+	if !errors.As(err, &refusal) {
+		if pgconn.SafeToRetry(err) {
+			return history.WriteNotRun
+		}
+		return history.WriteUnknown
+	}
+	if notRunCodes[refusal.Code] {
+		return history.WriteNotRun
+	}
+	for _, class := range notRunClasses {
+		if strings.HasPrefix(refusal.Code, class) {
+			return history.WriteNotRun
+		}
+	}
+	return history.WriteUnknown
+}
+
+// reportsLostWrite reports whether err tells the session that an acknowledged write is lost.
+func reportsLostWrite(err error) bool {
+	var refusal *pgconn.PgError
+	return errors.As(err, &refusal) && refusal.Code == outcome.CodeLostWrite
+}
--- /dev/null
+++ b/cmd/internal/load/load_test.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+// eventually bounds every wait for an event in these tests.
+const eventually = 20 * time.Second
+
+func startGroup(t *testing.T) *database.Group {
+	t.Helper()
+	g, err := database.StartGroup(database.GroupConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return g
+}
+
+func testConfig(g *database.Group) Config {
+	return Config{
+		Addresses:   []string{g.Server(0).Address()},
+		Accounts:    []Account{{Name: "a"}, {Name: "b", Rate: 200}},
+		Connections: 4,
+		ReadShare:   0.5,
+		Duration:    eventually,
+		Seed:        1,
+	}
+}
+
+// during runs the load until act has disturbed the group, which begins after the first writes.
+func during(t *testing.T, g *database.Group, c Config, act func()) *Result {
+	t.Helper()
+	done := make(chan *Result, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		r, err := Run(ctx, c)
+		if err != nil {
+			t.Error(err)
+		}
+		done <- r
+	}()
+	waitFor(t, func() bool { return g.Server(0).State().LSN > 100 })
+	act()
+	stop()
+	return <-done
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(eventually); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("event not within %s", eventually)
+		}
+	}
+}
+
+func finish(t *testing.T, g *database.Group, server int, r *Result) []history.Violation {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	defer cancel()
+	if err := r.ReadFinal(ctx, g.Server(server).Address(), "", Account{Name: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	return history.Check(r.History)
+}
+
+// Guards against a generator that reports violations of a correct database.
+func TestHealthyServer(t *testing.T) {
+	g := startGroup(t)
+	r := during(t, g, testConfig(g), func() {})
+	if v := finish(t, g, 0, r); len(v) > 0 {
+		t.Errorf("violations %v", v)
+	}
+	a, b := r.Counts["a"], r.Counts["b"]
+	if a.Succeeded == 0 || a.NotRun+a.Unknown+b.NotRun+b.Unknown > 0 {
+		t.Errorf("counts %+v and %+v", a, b)
+	}
+	if limit := 200*r.Elapsed.Seconds() + 4; float64(b.Sent) > limit {
+		t.Errorf("%d statements at an offered rate of 200/s, at most %.0f expected", b.Sent, limit)
+	}
+	if got := r.Reads.TotalCount() + r.Writes.TotalCount(); got != int64(a.Succeeded+b.Succeeded) {
+		t.Errorf("%d latencies for %d statements", got, a.Succeeded+b.Succeeded)
+	}
+}
+
+// Guards against sessions that don't come back, and against writes classified wrongly when their
+// connection breaks.
+func TestRestartedServer(t *testing.T) {
+	g := startGroup(t)
+	var after uint64
+	r := during(t, g, testConfig(g), func() {
+		if err := g.Restart(0); err != nil {
+			t.Error(err)
+		}
+		after = g.Server(0).State().LSN
+		waitFor(t, func() bool { return g.Server(0).State().LSN > after })
+	})
+	if v := finish(t, g, 0, r); len(v) > 0 {
+		t.Errorf("violations %v", v)
+	}
+}
+
+// Guards against a lost write that generator and checker overlook together.
+func TestLostWritesAreFound(t *testing.T) {
+	g := startGroup(t)
+	var next int
+	r := during(t, g, testConfig(g), func() {
+		g.CutPeers(0, true)
+		cut := g.Server(0).State().LSN
+		waitFor(t, func() bool { return g.Server(0).State().LSN > cut+10 })
+		var err error
+		if next, err = g.Failover("test", 0); err != nil {
+			t.Error(err)
+		}
+	})
+	for _, v := range finish(t, g, next, r) {
+		if _, ok := v.(history.LostWrite); ok {
+			return
+		}
+	}
+	t.Error("no lost write was found")
+}
+
+// Guards against a refusal that is counted as unknown, and the reverse, which would blame the
+// system for a true answer.
+func TestClassify(t *testing.T) {
+	cases := []struct {
+		err  error
+		want history.EventKind
+	}{
+		{nil, history.WriteAcknowledged},
+		{&pgconn.PgError{Code: "25006"}, history.WriteNotRun},
+		{fmt.Errorf("wrapped: %w", &pgconn.PgError{Code: "53400"}), history.WriteNotRun},
+		{&pgconn.PgError{Code: "23505"}, history.WriteNotRun},
+		{&pgconn.PgError{Code: "40003"}, history.WriteUnknown},
+		{&pgconn.PgError{Code: "57014"}, history.WriteUnknown},
+		{&pgconn.PgError{Code: "57P01"}, history.WriteUnknown},
+		{errors.New("connection reset"), history.WriteUnknown},
+	}
+	for _, c := range cases {
+		if got := Classify(c.err); got != c.want {
+			t.Errorf("%v: kind %d, want %d", c.err, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/internal/load/run.go
@@ -0,0 +1,174 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+)
+
+// maxLatency is the highest latency that a histogram shows.
+const maxLatency = time.Minute
+
+// significantFigures of the latencies in a histogram.
+const significantFigures = 3
+
+// Counts sums up the statements of an account by outcome.
+type Counts struct {
+	Sent, Succeeded, NotRun, Unknown int
+	ReportedLost                     int // reports that an acknowledged write is lost
+	ConnectFailures                  int
+}
+
+func (c *Counts) add(d Counts) {
+	c.Sent += d.Sent
+	c.Succeeded += d.Succeeded
+	c.NotRun += d.NotRun
+	c.Unknown += d.Unknown
+	c.ReportedLost += d.ReportedLost
+	c.ConnectFailures += d.ConnectFailures
+}
+
+// Result is what a run measured. Histograms hold microseconds.
+type Result struct {
+	Elapsed   time.Duration
+	Counts    map[string]Counts                  // by account
+	Latencies map[string]*hdrhistogram.Histogram // of reads and writes, by account
+	Reads     *hdrhistogram.Histogram
+	Writes    *hdrhistogram.Histogram
+	WriteGap  time.Duration // longest time without an acknowledged write of any session
+	History   history.History
+	keyPrefix string
+}
+
+// NewHistogram returns an empty histogram of latencies in microseconds.
+func NewHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), significantFigures)
+}
+
+// Run generates load for c.Duration or until ctx ends. Statements in flight are finished.
+func Run(ctx context.Context, c Config) (*Result, error) {
+	c, err := c.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration)
+	defer cancel()
+	start := time.Now()
+	sessions := newSessions(c, start)
+	var running sync.WaitGroup
+	for _, s := range sessions {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			s.run(ctx)
+		}()
+	}
+	running.Wait()
+	return collect(c, sessions, time.Since(start)), nil
+}
+
+func newSessions(c Config, start time.Time) []*session {
+	var sessions []*session
+	for i, account := range c.Accounts {
+		n := c.sessionsOf(i)
+		for range n {
+			number := len(sessions)
+			s := &session{
+				cfg:     c,
+				account: account,
+				name:    fmt.Sprintf("%s-%d", c.Run, number),
+				start:   start,
+				address: number,
+				random:  rand.New(rand.NewPCG(c.Seed, uint64(number))),
+				reads:   NewHistogram(),
+				appends: NewHistogram(),
+			}
+			if account.Rate > 0 {
+				s.interval = time.Duration(float64(n) / account.Rate * float64(time.Second))
+			}
+			sessions = append(sessions, s)
+		}
+	}
+	return sessions
+}
+
+func collect(c Config, sessions []*session, elapsed time.Duration) *Result {
+	r := &Result{
+		Elapsed:   elapsed,
+		Counts:    make(map[string]Counts),
+		Latencies: make(map[string]*hdrhistogram.Histogram),
+		Reads:     NewHistogram(),
+		Writes:    NewHistogram(),
+		keyPrefix: c.Run + "-",
+	}
+	for _, account := range c.Accounts {
+		r.Latencies[account.Name] = NewHistogram()
+	}
+	var acks []time.Duration
+	for _, s := range sessions {
+		r.add(s)
+		acks = append(acks, s.acks...)
+	}
+	r.WriteGap = longestGap(acks, elapsed)
+	return r
+}
+
+func (r *Result) add(s *session) {
+	name := s.account.Name
+	counts := r.Counts[name]
+	counts.add(s.counts)
+	r.Counts[name] = counts
+	r.Latencies[name].Merge(s.reads)
+	r.Latencies[name].Merge(s.appends)
+	r.Reads.Merge(s.reads)
+	r.Writes.Merge(s.appends)
+	r.History.Events = append(r.History.Events, s.events...)
+}
+
+// longestGap returns the longest time from 0 to end without an entry of times.
+func longestGap(times []time.Duration, end time.Duration) time.Duration {
+	slices.Sort(times)
+	var gap, last time.Duration
+	for _, t := range append(times, end) {
+		gap = max(gap, t-last)
+		last = t
+	}
+	return gap
+}
+
+// ReadFinal reads the content of this run's keys at address into the history.
+func (r *Result) ReadFinal(ctx context.Context, address, database string, account Account) error {
+	conf, err := ConnConfig(address, database, account)
+	if err != nil {
+		return err
+	}
+	conn, err := pgx.ConnectConfig(ctx, conf)
+	if err != nil {
+		return errors.Wrap(err, "connect to read the final content")
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	rows, err := conn.Query(ctx, "SELECT key, value FROM kv")
+	if err != nil {
+		return errors.Wrap(err, "read the final content")
+	}
+	final := make(map[string][]string)
+	var key, content string
+	_, err = pgx.ForEachRow(rows, []any{&key, &content}, func() error {
+		if strings.HasPrefix(key, r.keyPrefix) {
+			final[key] = splitContent(content)
+		}
+		return nil
+	})
+	r.History.Final = final
+	return errors.Wrap(err, "read the final content")
+}
--- /dev/null
+++ b/cmd/internal/load/session.go
@@ -0,0 +1,276 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+)
+
+const (
+	appendStatement = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = kv.value || excluded.value"
+	readStatement   = "SELECT value FROM kv WHERE key = $1"
+)
+
+const (
+	// valueEnd ends each value, so that a key's content can be split again.
+	valueEnd = ";"
+	// writesPerKey bounds a key's content.
+	writesPerKey = 32
+	// retryPause is the mean wait after a failed connection attempt and, without an offered rate,
+	// after a refused statement.
+	retryPause   = 50 * time.Millisecond
+	closeTimeout = time.Second
+)
+
+// session is one caller with at most one connection at a time.
+type session struct {
+	cfg      Config
+	account  Account
+	name     string
+	start    time.Time
+	address  int // index of the next address
+	interval time.Duration
+	random   *rand.Rand
+
+	conn   *pgx.Conn
+	token  string
+	writes int
+	acked  []string // values that a report of a lost write may mean
+
+	counts  Counts
+	reads   *hdrhistogram.Histogram
+	appends *hdrhistogram.Histogram
+	events  []history.Event
+	acks    []time.Duration // times of acknowledged writes
+}
+
+// run sends statements until ctx ends.
+func (s *session) run(ctx context.Context) {
+	defer s.disconnect()
+	next := time.Now()
+	if s.interval > 0 {
+		next = next.Add(time.Duration(s.random.Int64N(int64(s.interval))))
+	}
+	for ctx.Err() == nil {
+		due := time.Now()
+		if s.interval > 0 {
+			due = next
+			next = next.Add(s.interval)
+			if !sleepUntil(ctx, due) {
+				return
+			}
+		}
+		if !s.connected(ctx) {
+			continue
+		}
+		refused := s.statement(due)
+		if refused && s.interval == 0 {
+			s.pause(ctx)
+		}
+	}
+}
+
+func (s *session) pause(ctx context.Context) {
+	wait := time.Duration(s.random.Int64N(int64(2 * retryPause)))
+	sleepUntil(ctx, time.Now().Add(wait))
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// statement runs one statement to its end, also beyond the end of the run: a statement that is
+// cut off in flight would only add an unknown outcome. It reports whether the statement was
+// refused as not run.
+func (s *session) statement(due time.Time) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.StatementTimeout)
+	defer cancel()
+	var err error
+	if s.random.Float64() < s.cfg.ReadShare {
+		err = s.read(ctx, due)
+	} else {
+		err = s.write(ctx, due)
+	}
+	if reportsLostWrite(err) {
+		s.noteLost()
+	}
+	if s.conn.IsClosed() {
+		s.disconnect()
+	}
+	return Classify(err) == history.WriteNotRun
+}
+
+// read asks for the newest or the last but one key of the session.
+func (s *session) read(ctx context.Context, due time.Time) error {
+	key := s.key(max(0, s.writes-s.random.IntN(2)*writesPerKey))
+	sent := s.now()
+	var content string
+	err := s.conn.QueryRow(ctx, readStatement, key).Scan(&content)
+	if errors.Is(err, pgx.ErrNoRows) {
+		err = nil
+	}
+	s.count(Classify(err), sent)
+	if err != nil {
+		return err
+	}
+	s.record(s.reads, due)
+	s.note(history.Event{Kind: history.ReadReturned, Sent: sent, At: s.now(), Key: key, Values: splitContent(content)})
+	return nil
+}
+
+func (s *session) write(ctx context.Context, due time.Time) error {
+	key := s.key(s.writes)
+	value := fmt.Sprintf("%s.%d", s.name, s.writes)
+	s.writes++
+	sent := s.now()
+	s.note(history.Event{Kind: history.WriteSent, At: sent, Key: key, Value: value})
+	_, err := s.conn.Exec(ctx, appendStatement, key, value+valueEnd)
+	kind := Classify(err)
+	s.count(kind, sent)
+	s.takeToken()
+	s.note(history.Event{Kind: kind, At: s.now(), Key: key, Value: value, Term: s.term()})
+	if err != nil {
+		return err
+	}
+	s.record(s.appends, due)
+	s.acks = append(s.acks, s.now())
+	if !s.cfg.NoHistory {
+		s.acked = append(s.acked, value)
+	}
+	return nil
+}
+
+func (s *session) key(write int) string {
+	return s.name + "/" + strconv.Itoa(write/writesPerKey)
+}
+
+func splitContent(content string) []string {
+	if content == "" {
+		return nil
+	}
+	return strings.Split(strings.TrimSuffix(content, valueEnd), valueEnd)
+}
+
+func (s *session) now() time.Duration { return time.Since(s.start) }
+
+func (s *session) note(e history.Event) {
+	if s.cfg.NoHistory {
+		return
+	}
+	e.Session, e.Account = s.name, s.account.Name
+	s.events = append(s.events, e)
+}
+
+// noteLost takes every acknowledged write as told lost, because the report doesn't name one.
+func (s *session) noteLost() {
+	s.counts.ReportedLost++
+	for _, value := range s.acked {
+		s.note(history.Event{Kind: history.WriteReportedLost, At: s.now(), Value: value})
+	}
+	s.acked = nil
+}
+
+func (s *session) count(kind history.EventKind, sent time.Duration) {
+	s.counts.Sent++
+	switch kind {
+	case history.WriteAcknowledged:
+		s.counts.Succeeded++
+		s.note(history.Event{Kind: history.Admitted, Sent: sent, At: s.now()})
+	case history.WriteNotRun:
+		s.counts.NotRun++
+	default:
+		s.counts.Unknown++
+	}
+}
+
+// record counts a latency from the moment at which the statement was due, so that a stalled
+// statement also shows in those that waited behind it.
+func (s *session) record(h *hdrhistogram.Histogram, due time.Time) {
+	_ = h.RecordValue(min(time.Since(due).Microseconds(), maxLatency.Microseconds()))
+}
+
+func (s *session) takeToken() {
+	if t := s.conn.PgConn().ParameterStatus(TokenParameter); t != "" {
+		s.token = t
+	}
+}
+
+func (s *session) term() uint64 {
+	if s.cfg.TermOf == nil || s.token == "" {
+		return 0
+	}
+	return s.cfg.TermOf(s.token)
+}
+
+// connected makes sure that the session has a connection, or waits a moment and returns false.
+func (s *session) connected(ctx context.Context) bool {
+	if s.conn != nil {
+		return true
+	}
+	conn, err := s.connect(ctx)
+	if err == nil {
+		s.conn = conn
+		return true
+	}
+	if ctx.Err() == nil {
+		s.counts.ConnectFailures++
+		s.pause(ctx)
+	}
+	return false
+}
+
+func (s *session) connect(ctx context.Context) (*pgx.Conn, error) {
+	address := s.cfg.Addresses[s.address%len(s.cfg.Addresses)]
+	s.address++
+	conf, err := ConnConfig(address, s.cfg.Database, s.account)
+	if err != nil {
+		return nil, err
+	}
+	if s.cfg.UseToken && s.token != "" {
+		conf.RuntimeParams[TokenParameter] = s.token
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.StatementTimeout)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, conf)
+}
+
+// ConnConfig returns the pgx configuration of a connection to address as an account.
+func ConnConfig(address, database string, account Account) (*pgx.ConnConfig, error) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %q is not IP:port", address)
+	}
+	conf, err := pgx.ParseConfig(fmt.Sprintf("host=%s port=%s sslmode=disable", host, port))
+	if err != nil {
+		return nil, errors.Wrap(err, "prepare connection settings")
+	}
+	conf.User, conf.Password, conf.Database = account.Name, account.Key, database
+	return conf, nil
+}
+
+func (s *session) disconnect() {
+	if s.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = s.conn.Close(ctx)
+	s.conn = nil
+}
--- /dev/null
+++ b/standin/database/client_test.go
@@ -0,0 +1,141 @@
+package database
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+// Guards against a control client that fails on a connection which broke while it was kept.
+func TestClientReconnects(t *testing.T) {
+	ctx := testContext(t)
+	g := startGroup(t, GroupConfig{})
+	c := client(t, g, 1)
+	for want := uint64(1); want <= 3; want++ {
+		state, err := c.Probe(ctx)
+		if err != nil || state.Incarnation != want {
+			t.Fatalf("incarnation %d, want %d, error %v", state.Incarnation, want, err)
+		}
+		if err := g.Restart(1); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a control call that outlives its context, or blocks calls that follow.
+func TestClientTimeout(t *testing.T) {
+	ctx := testContext(t)
+	g := startGroup(t, GroupConfig{})
+	c := client(t, g, 1)
+	if _, err := c.Probe(ctx); err != nil {
+		t.Fatal(err)
+	}
+	g.Pause(1)
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	if _, err := c.Probe(short); err == nil {
+		t.Error("a paused server answered")
+	}
+	if _, err := c.ProbeFresh(short); err == nil {
+		t.Error("a paused server accepted a connection")
+	}
+	g.Resume(1)
+	if _, err := c.Probe(ctx); err != nil {
+		t.Errorf("probe after the pause: %v", err)
+	}
+}
+
+// Guards against replication that hangs on a silent link or doesn't come back after it.
+func TestSilentReplicationLink(t *testing.T) {
+	relays := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.New(io.Discard))
+	links := make(map[authority.ServerID]*toxiproxy.Proxy)
+	g := startGroup(t, GroupConfig{PeerAddress: func(from, to authority.ServerID, address string) string {
+		if to != "s1" {
+			return address
+		}
+		link := toxiproxy.NewProxy(relays, string(from), "127.0.0.1:0", address)
+		if err := link.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(link.Stop)
+		links[from] = link
+		return link.Listen
+	}})
+	write(t, g.Server(0), "a")
+	waitPosition(t, g, 2, position.Position{Term: 1, LSN: 1})
+	toxic, err := links["s3"].Toxics.AddToxicJson(strings.NewReader(silence))
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, g.Server(0), "b")
+	waitPosition(t, g, 1, position.Position{Term: 1, LSN: 2})
+	waitFor(t, "s3 misses its primary", func() bool { return g.Server(2).State().PrimaryContactAge > 10*peerProbeInterval })
+	if lsn := g.Server(2).State().LSN; lsn != 1 {
+		t.Errorf("LSN %d over a silent link", lsn)
+	}
+	if err := links["s3"].Toxics.RemoveToxic(context.Background(), toxic.Name); err != nil {
+		t.Fatal(err)
+	}
+	waitPosition(t, g, 2, position.Position{Term: 1, LSN: 2})
+}
+
+// silence is a toxic that swallows all data and keeps the connection.
+const silence = `{"name":"silence","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`
+
+// Guards against a journal that is unreadable after its process was killed within a write.
+func TestIncompleteJournalLine(t *testing.T) {
+	dir := t.TempDir()
+	config := Config{ID: "s1", Primary: true, DataDir: dir}
+	s, err := Start(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, s, "a")
+	s.Kill()
+	f, err := os.OpenFile(filepath.Join(dir, journalName), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.WriteString(`{"record":{"lsn":2,`); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for want := uint64(1); want <= 2; want++ {
+		s, err := Start(config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if lsn := s.State().LSN; lsn != want {
+			t.Errorf("LSN %d, want %d", lsn, want)
+		}
+		write(t, s, time.Now().String())
+		s.Kill()
+	}
+}
+
+// Guards against clients that can't tell the incarnation of their connection, or a server that
+// forgets the connection cost.
+func TestGreeting(t *testing.T) {
+	const cost = 20 * time.Millisecond
+	s := startServer(t, Config{ConnectCost: cost})
+	start := time.Now()
+	conn := mustConnect(t, s)
+	if d := time.Since(start); d < cost {
+		t.Errorf("connected after %s, before the cost of %s", d, cost)
+	}
+	if got := conn.PgConn().ParameterStatus(IncarnationParameter); got != "1" {
+		t.Errorf("incarnation %q", got)
+	}
+}
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -353,6 +353,9 @@
 
 // executeControl runs a control function. It needs no slot.
 func (s *session) executeControl(p *portal) (string, error) {
+	if s.peer && s.server.cut.Load() {
+		return "", errDisconnect
+	}
 	if p.stmt.kind == stmtProbe {
 		return "SELECT 1", s.sendState(p, s.server.state.snapshot())
 	}
--- a/standin/database/group_test.go
+++ b/standin/database/group_test.go
@@ -274,3 +274,20 @@
 		}
 	}
 }
+
+// Guards against a cut that leaves one direction of the replication links up.
+func TestCutPrimaryIsNotHeard(t *testing.T) {
+	g := startGroup(t, GroupConfig{})
+	g.CutPeers(0, true)
+	write(t, g.Server(0), "a")
+	for i := 1; i < g.Size(); i++ {
+		waitFor(t, "the replicas miss the cut primary", func() bool {
+			return g.Server(i).State().PrimaryContactAge > 10*peerProbeInterval
+		})
+		if lsn := g.Server(i).State().LSN; lsn != 0 {
+			t.Errorf("server %d got log over a cut link: LSN %d", i, lsn)
+		}
+	}
+	g.CutPeers(0, false)
+	waitPosition(t, g, 1, position.Position{Term: 1, LSN: 1})
+}
--- a/standin/database/state.go
+++ b/standin/database/state.go
@@ -231,6 +231,9 @@
 	if err := s.storage.append(entry{Fence: &wanted}); err != nil {
 		return authority.ServerState{}, err
 	}
+	if s.role() == authority.RolePrimary {
+		s.contact = time.Now() // it was its own primary until now
+	}
 	s.fence = wanted
 	s.notify()
 	return s.view(), nil
