Add cyclamenctl bench overhead

Cause: the overhead of the proxy has to be measured against the direct path in one run. Change: a bench command over the in-process deployment.

--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -4,9 +4,10 @@
 import (
 	"os"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/benchcmd"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/ctl"
 )
 
 func main() {
-	os.Exit(ctl.Main(ctl.NewRoot()))
+	os.Exit(ctl.Main(ctl.NewRoot(benchcmd.New())))
 }
--- a/cmd/internal/bench/overhead.go
+++ b/cmd/internal/bench/overhead.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -165,6 +166,26 @@
 	}
 }
 
+// Statements opens a connection to e and returns a function that runs the measured statement a
+// number of times on it, and one that closes it.
+func Statements(ctx context.Context, e Endpoint) (run func(n int) error, stop func(), err error) {
+	conns, err := openConnections(ctx, e, 1)
+	stop = func() { closeConnections(conns) }
+	if err != nil {
+		stop()
+		return nil, nil, err
+	}
+	run = func(n int) error {
+		for range n {
+			if err := runStatement(ctx, conns[0]); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return run, stop, nil
+}
+
 func runStatement(ctx context.Context, conn *pgx.Conn) error {
 	var value string
 	err := conn.QueryRow(ctx, statement, statementKey).Scan(&value)
@@ -248,8 +269,12 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "read the proxy's memory before the idle connections")
 	}
-	conns, err := openConnections(ctx, c.Proxy, c.IdleConnections)
-	defer closeConnections(conns)
+	conns, err := openIdle(ctx, c.Proxy, c.IdleConnections)
+	defer func() {
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}()
 	if err != nil {
 		return 0, err
 	}
@@ -259,3 +284,32 @@
 	}
 	return (float64(after) - float64(before)) / float64(len(conns)), nil
 }
+
+// openIdle opens n sessions, runs one statement on each and keeps only their sockets, so that a
+// measurement in one process counts little of the load's own memory.
+func openIdle(ctx context.Context, e Endpoint, n int) ([]net.Conn, error) {
+	conf, err := load.ConnConfig(e.Address, e.Database, e.Account)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	var conns []net.Conn
+	err = inParallel(n, connecting, func(int) error {
+		conn, err := pgx.ConnectConfig(ctx, conf)
+		if err != nil {
+			return errors.Wrapf(err, "connect to %s", e.Address)
+		}
+		if err := runStatement(ctx, conn); err != nil {
+			return err
+		}
+		hijacked, err := conn.PgConn().Hijack()
+		if err != nil {
+			return errors.Wrap(err, "keep the socket of an idle session")
+		}
+		mu.Lock()
+		conns = append(conns, hijacked.Conn)
+		mu.Unlock()
+		return nil
+	})
+	return conns, err
+}
--- a/cmd/internal/local/local.go
+++ b/cmd/internal/local/local.go
@@ -142,6 +142,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the manifest")
 	}
+	if _, err := manifest.Parse(value); err != nil {
+		return errors.Wrap(err, "check the manifest")
+	}
 	revision, err := d.client.Put(ctx, manifest.StoreKey, value, d.revision)
 	if err != nil {
 		return errors.Wrap(err, "store the manifest")
