Replace a silent watch before the proof of contact runs out

Cause: a watch on a silent connection was given up 5.5 s after the last contact, after the 5 s that keyed work may go on without it. Conclusion: a test on an idle store with slow answers shows keyed work allowed throughout 100 watches.

--- a/proxy/directory/config.go
+++ b/proxy/directory/config.go
@@ -19,8 +19,11 @@
 	// DefaultWatchWait is how long a watch may wait at the store. It is below the contact
 	// timeout, so that an instance without peers keeps proof of contact.
 	DefaultWatchWait = 3 * time.Second
-	// DefaultCallTimeout is the time for an answer, on top of the wait of a watch.
-	DefaultCallTimeout = 2 * time.Second
+	// DefaultWatchMargin is the time for the answer of a watch, on top of its wait. A silent
+	// connection is so replaced before the proof of contact runs out.
+	DefaultWatchMargin = time.Second
+	// DefaultStatusTimeout bounds one status write, a get and a put at most.
+	DefaultStatusTimeout = 5 * time.Second
 	// DefaultBackoffBase and DefaultBackoffCap bound the full-jitter delay after failures.
 	DefaultBackoffBase = 100 * time.Millisecond
 	DefaultBackoffCap  = 30 * time.Second
@@ -58,7 +61,8 @@
 
 	ContactTimeout time.Duration
 	WatchWait      time.Duration
-	CallTimeout    time.Duration
+	WatchMargin    time.Duration
+	StatusTimeout  time.Duration
 	BackoffBase    time.Duration
 	BackoffCap     time.Duration
 	WatchSpread    time.Duration
@@ -88,7 +92,8 @@
 	}
 	c.ContactTimeout = cmp.Or(c.ContactTimeout, manifest.DefaultContactTimeout)
 	c.WatchWait = cmp.Or(c.WatchWait, DefaultWatchWait)
-	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.WatchMargin = cmp.Or(c.WatchMargin, DefaultWatchMargin)
+	c.StatusTimeout = cmp.Or(c.StatusTimeout, DefaultStatusTimeout)
 	c.BackoffBase = cmp.Or(c.BackoffBase, DefaultBackoffBase)
 	c.BackoffCap = cmp.Or(c.BackoffCap, DefaultBackoffCap)
 	c.WatchSpread = cmp.Or(c.WatchSpread, DefaultWatchSpread)
--- a/proxy/directory/directory_test.go
+++ b/proxy/directory/directory_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
@@ -448,6 +449,25 @@
 	}
 }
 
+// Guards against the status of an instance that has left being shown for ever.
+func TestRetireRemovesTheStatus(t *testing.T) {
+	f := newFixture(t)
+	for range 2 {
+		if err := f.Retire(t.Context()); err != nil {
+			t.Errorf("Retire without a status: %v", err)
+		}
+		if err := f.writeStatus(t.Context(), &statusWriter{store: f.client, key: StatusPrefix + "i1"}); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Retire(t.Context()); err != nil {
+			t.Errorf("Retire: %v", err)
+		}
+		if _, err := f.readStatus(); !errors.Is(err, platform.ErrNotFound) {
+			t.Errorf("status after Retire: %v, want ErrNotFound", err)
+		}
+	}
+}
+
 // put2 resolves a lost answer by reading back.
 func (f fixture) put2(t *testing.T, doc []byte, ifVersion uint64) uint64 {
 	t.Helper()
@@ -516,6 +536,46 @@
 	}
 }
 
+// idleStore answers every watch without change, after the wait and a slow way back.
+type idleStore struct {
+	platform.Store
+	clock   *clock
+	delay   time.Duration
+	watches int
+	atEnd   func()
+}
+
+func (s *idleStore) Watch(ctx context.Context, _ string, after uint64) ([]platform.Object, uint64, error) {
+	deadline, _ := ctx.Deadline()
+	s.clock.advance(time.Until(deadline) - DefaultWatchMargin + s.delay)
+	s.watches++
+	s.atEnd()
+	return nil, after, nil
+}
+
+// Guards against an instance without peers that refuses keyed work between two watches of a
+// healthy store in which nothing changes.
+func TestIdleStoreKeepsKeyedWork(t *testing.T) {
+	idle := &idleStore{delay: 300 * time.Millisecond}
+	f := newFixture(t, func(c *Config) { c.Store = idle })
+	idle.clock = f.clock
+	f.offer(t, testDocument(t, 1), 1)
+	idle.atEnd = func() {
+		if !f.keyedAllowed() {
+			t.Errorf("keyed work refused at the end of watch %d", idle.watches)
+		}
+	}
+	for range 100 {
+		if _, err := f.watchOnce(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+		f.clock.advance(DefaultWatchSpread)
+	}
+	if limit := 100 * DefaultWatchWait; f.clock.now() < limit/2 {
+		t.Errorf("100 watches took %s, want most to wait near %s", f.clock.now(), DefaultWatchWait)
+	}
+}
+
 // Guards against a watch whose answer comes after the proof of contact ran out.
 func TestWatchWaitLeavesMargin(t *testing.T) {
 	f := newFixture(t)
--- a/proxy/directory/status.go
+++ b/proxy/directory/status.go
@@ -115,11 +115,21 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the status")
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*d.cfg.CallTimeout) // a get and a put at most
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.StatusTimeout)
 	defer cancel()
 	return w.write(ctx, value)
 }
 
+// Retire removes the status object, so that an instance that has left is not shown any more. It
+// is called once Run has returned.
+func (d *Directory) Retire(ctx context.Context) error {
+	w := statusWriter{store: d.cfg.Store, key: StatusPrefix + d.cfg.Instance}
+	if err := w.learnVersion(ctx); err != nil || w.version == 0 {
+		return err
+	}
+	return w.store.Delete(ctx, w.key, w.version)
+}
+
 // statusWriter remembers the version of the status object, so that a regular write is one call.
 type statusWriter struct {
 	store   platform.Store
--- a/proxy/directory/watch.go
+++ b/proxy/directory/watch.go
@@ -37,7 +37,7 @@
 func (d *Directory) watchOnce(ctx context.Context, after uint64) (next uint64, err error) {
 	sent := d.cfg.Now()
 	wait := d.watchWait(sent)
-	ctx, cancel := context.WithTimeout(ctx, wait+d.cfg.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+d.cfg.WatchMargin)
 	defer cancel()
 	changes, next, err := d.cfg.Store.Watch(ctx, manifest.StoreKey, after)
 	if err != nil {
