--- a/decision/manifest/adoption.go
+++ b/decision/manifest/adoption.go
@@ -95,21 +95,30 @@
 	if m.Version < a.Version() {
 		return false, Withdrawals{}, nil
 	}
-	if m.Version == a.Version() && a.current != nil {
-		return false, Withdrawals{}, a.checkSame(m)
-	}
 	next, err := NewSnapshot(m)
 	if err != nil {
 		return false, Withdrawals{}, err
 	}
+	return a.OfferSnapshot(next)
+}
+
+// OfferSnapshot is Offer for a manifest that is already validated. It is quick, so that a driver
+// can hold a lock meanwhile.
+func (a *Adoption) OfferSnapshot(next *Snapshot) (adopted bool, withdrawn Withdrawals, err error) {
+	if next.Version() < a.Version() {
+		return false, Withdrawals{}, nil
+	}
+	if a.current != nil && next.Version() == a.Version() {
+		return false, Withdrawals{}, a.checkSame(next)
+	}
 	withdrawn = withdrawals(a.current, next)
 	a.current = next
 	return true, withdrawn, nil
 }
 
-func (a *Adoption) checkSame(m Manifest) error {
-	if m.Digest() != a.current.digest {
-		return errors.Wrapf(ErrSameVersion, "version %d", m.Version)
+func (a *Adoption) checkSame(next *Snapshot) error {
+	if next.digest != a.current.digest {
+		return errors.Wrapf(ErrSameVersion, "version %d", next.Version())
 	}
 	return nil
 }
--- a/proxy/directory/adopt.go
+++ b/proxy/directory/adopt.go
@@ -35,7 +35,14 @@
 func (d *Directory) offer(document []byte, m manifest.Manifest) error {
 	d.offers.Lock()
 	defer d.offers.Unlock()
-	adopted, withdrawn, closed, err := d.adopt(document, m)
+	if current := d.current.Load(); current != nil && m.Version < current.Version() {
+		return nil
+	}
+	next, err := manifest.NewSnapshot(m) // outside d.mu, since logins wait for that
+	if err != nil {
+		return d.reject(err)
+	}
+	adopted, withdrawn, closed, err := d.adopt(document, next)
 	if err != nil {
 		return d.reject(err)
 	}
@@ -53,11 +60,11 @@
 	return nil
 }
 
-// adopt puts m in force and closes the grants that it took away.
-func (d *Directory) adopt(document []byte, m manifest.Manifest) (bool, manifest.Withdrawals, int, error) {
+// adopt puts next in force and closes the grants that it took away.
+func (d *Directory) adopt(document []byte, next *manifest.Snapshot) (bool, manifest.Withdrawals, int, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	adopted, withdrawn, err := d.adoption.Offer(m)
+	adopted, withdrawn, err := d.adoption.OfferSnapshot(next)
 	if err != nil || !adopted {
 		return false, withdrawn, 0, err
 	}
