Test that a lost status answer is resolved

Cause: a trial that dropped the resolution passed every test. Change: a test of the status writer with a lost answer. Conclusion: the test fails in that trial and passes on the code.

--- a/proxy/directory/directory_test.go
+++ b/proxy/directory/directory_test.go
@@ -449,6 +449,24 @@
 	}
 }
 
+// Guards against a status that is never written again after a lost answer.
+func TestStatusWriterResolvesLostAnswer(t *testing.T) {
+	f := newFixture(t)
+	w := &statusWriter{store: f.client, key: StatusPrefix + "i1"}
+	f.server.LoseAnswers(1)
+	if err := f.writeStatus(t.Context(), w); err == nil {
+		t.Error("a lost answer was reported as success")
+	}
+	for range 2 {
+		if err := f.writeStatus(t.Context(), w); err != nil {
+			t.Errorf("write after the lost answer: %v", err)
+		}
+	}
+	if got := f.server.Calls().Get; got != 2 {
+		t.Errorf("store saw %d gets, want 2: a regular write is one call", got)
+	}
+}
+
 // Guards against the status of an instance that has left being shown for ever.
 func TestRetireRemovesTheStatus(t *testing.T) {
 	f := newFixture(t)
