--- /dev/null
+++ b/decision/authority/model_test.go
@@ -0,0 +1,463 @@
+package authority_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/routing"
+)
+
+// server is one server of the modelled group. It keeps the rules of the design page.
+type server struct {
+	id      authority.ServerID
+	up      bool
+	state   authority.ServerState
+	log     []int // write numbers; the LSN is the length
+	contact time.Duration
+}
+
+func (s *server) show(now time.Duration) authority.ServerState {
+	c := s.state
+	c.LSN = uint64(len(s.log))
+	c.History = slices.Clone(c.History)
+	c.Term = c.History.Term()
+	if c.Role != authority.RolePrimary {
+		c.PrimaryContactAge = now - s.contact
+	}
+	return c
+}
+
+func (s *server) term() uint64 { return s.state.History.Term() }
+
+func (s *server) fence(term uint64, owner string) bool {
+	repeat := s.state.FenceTerm == term && s.state.FenceOwner == owner
+	if !repeat && term <= max(s.state.FenceTerm, s.term()) {
+		return false
+	}
+	s.state.FenceTerm, s.state.FenceOwner = term, owner
+	if s.term() < term {
+		s.state.Role = authority.RoleFenced
+	}
+	return true
+}
+
+// promote returns whether it was accepted and whether it began the term.
+func (s *server) promote(term uint64, owner string) (accepted, began bool) {
+	if s.state.FenceTerm != term || s.state.FenceOwner != owner {
+		return false, false
+	}
+	if s.term() >= term {
+		return s.term() == term && s.state.Role == authority.RolePrimary, false
+	}
+	s.state.Role = authority.RolePrimary
+	s.state.History = append(slices.Clone(s.state.History), position.Branch{Term: term, Start: uint64(len(s.log))})
+	return true, true
+}
+
+// copyFrom takes up to n records of a primary's log, after dropping what that log lacks.
+func (s *server) copyFrom(p *server, n int) {
+	if p.term() < max(s.state.FenceTerm, s.term()) || p.state.Role != authority.RolePrimary {
+		return
+	}
+	common := commonLength(s, p)
+	if common < len(s.log) || s.state.Role == authority.RolePrimary {
+		s.state.Incarnation++
+	}
+	s.state.Role = authority.RoleReplica
+	s.log = slices.Clone(p.log[:min(common+n, len(p.log))])
+	s.state.History = nil
+	for _, b := range p.state.History {
+		if b.Start <= uint64(len(s.log)) {
+			s.state.History = append(s.state.History, b)
+		}
+	}
+}
+
+// commonLength returns the length of the part that two logs share: up to the first branch that
+// only one of them has.
+func commonLength(a, b *server) int {
+	length := min(len(a.log), len(b.log))
+	for _, pair := range [][2]*server{{a, b}, {b, a}} {
+		for _, branch := range pair[0].state.History {
+			if !slices.Contains(pair[1].state.History, branch) {
+				length = min(length, int(branch.Start))
+			}
+		}
+	}
+	return length
+}
+
+// call is a call of an instance to a server on its way there or back.
+type call struct {
+	action  authority.Action
+	to      authority.ServerID
+	sent    time.Duration
+	done    bool // executed; the answer is under way
+	refused bool
+	state   authority.ServerState
+}
+
+// stray is a call that its instance has given up but that may still reach the server.
+type stray struct {
+	from *instance
+	call *call
+}
+
+// write is one write and what is known about it.
+type write struct {
+	number    int
+	pos       position.Position
+	at        int // step at which the primary executed it
+	mode      authority.Mode
+	confirmed bool
+	since     time.Duration
+}
+
+// read is one read under way through an instance.
+type read struct {
+	began   int // step at which the read arrived
+	request routing.Request
+	session *write
+	covered []*write // must be in the answer
+	sample  authority.Resolution
+	chosen  routing.Choice
+}
+
+// instance is one run of one process. A restart replaces it by a new one.
+type instance struct {
+	name    string
+	machine *authority.Machine
+	confirm *authority.Confirmations
+	place   routing.Config
+	marks   routing.Marks
+	calls   []*call
+	cut     map[authority.ServerID]bool
+	lastID  authority.WaiterID
+	writes  map[authority.WaiterID]*write
+	reads   map[authority.WaiterID]*read
+	marking map[authority.WaiterID]time.Duration
+	pending []*write // answered by the primary, not yet handed to confirm
+	targets map[int]authority.Waiter
+	placed  []*read
+	term    uint64
+	paused  bool
+}
+
+// world is a group with several instances that compete.
+type world struct {
+	t          *rapid.T
+	chance     *rand.Rand
+	now        time.Duration
+	step       int
+	servers    []*server
+	instances  []*instance
+	runs       int
+	cover      bool
+	writes     []*write
+	strays     []stray
+	promoted   map[uint64]authority.ServerID
+	logs       map[uint64][]int // by term, all that its primary ever had
+	superseded map[uint64]int   // by term, the step at which a majority was fenced above it
+	stats      map[string]int
+}
+
+func newWorld(t *rapid.T, n, instances int) *world {
+	chance := rand.New(rand.NewSource(drawSeed(t)))
+	w := &world{
+		t: t, chance: chance, now: time.Second, promoted: map[uint64]authority.ServerID{}, logs: map[uint64][]int{},
+		superseded: map[uint64]int{}, stats: map[string]int{}, cover: chance.Intn(2) == 0,
+	}
+	for i := range n {
+		s := &server{id: authority.ServerID(fmt.Sprintf("s%d", i)), up: true}
+		s.state = authority.ServerState{Server: s.id, Incarnation: 1, Role: authority.RoleReplica, History: position.History{{Term: 1}}}
+		w.servers = append(w.servers, s)
+	}
+	w.servers[0].state.Role = authority.RolePrimary
+	w.promoted[1] = w.servers[0].id
+	for range instances {
+		w.instances = append(w.instances, w.newInstance())
+	}
+	return w
+}
+
+// drawSeed draws the seed of one world. The steps are drawn from it and not from rapid one by one,
+// because rapid prefers small numbers and would then hardly ever choose the later steps.
+func drawSeed(t *rapid.T) int64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "seed"))
+	return int64(hash.Sum64())
+}
+
+// between draws a number from low to high.
+func (w *world) between(low, high int) int {
+	return low + w.chance.Intn(high-low+1)
+}
+
+// eager lets a run of a few hundred steps see many failovers; safety must not rest on timings.
+var eager = authority.Timings{
+	IdleInterval: 10 * time.Millisecond, DemandInterval: time.Millisecond, HedgeAfter: 5 * time.Millisecond,
+	SuspectAfter: 20 * time.Millisecond, UnreachableAfter: 60 * time.Millisecond, Damping: 30 * time.Millisecond,
+	Jitter: 5 * time.Millisecond, Backoff: 10 * time.Millisecond, MaxBackoff: 40 * time.Millisecond,
+	AttemptTimeout: 100 * time.Millisecond, FenceGrace: 5 * time.Millisecond, StrandedAfter: 100 * time.Millisecond,
+}
+
+func (w *world) newInstance() *instance {
+	w.runs++
+	var ids []authority.ServerID
+	for _, s := range w.servers {
+		ids = append(ids, s.id)
+	}
+	x := &instance{
+		name: fmt.Sprintf("run%d", w.runs), confirm: authority.NewConfirmations(ids),
+		cut: map[authority.ServerID]bool{}, writes: map[authority.WaiterID]*write{}, reads: map[authority.WaiterID]*read{},
+		marking: map[authority.WaiterID]time.Duration{}, targets: map[int]authority.Waiter{},
+	}
+	x.confirm.CoverPrimary = w.cover
+	x.machine = authority.NewMachine(w.now, authority.Config{
+		Servers: ids, Owner: x.name, Rand: rand.New(rand.NewSource(int64(w.runs))), Timings: eager,
+	})
+	return x
+}
+
+func (w *world) server(id authority.ServerID) *server {
+	return w.servers[slices.IndexFunc(w.servers, func(s *server) bool { return s.id == id })]
+}
+
+// feed gives an event to an instance and queues the calls that it orders.
+func (w *world) feed(x *instance, e authority.Event) {
+	x.machine.SetDemand(x.confirm.Waiting() > 0)
+	for _, a := range x.machine.Step(w.now, e) {
+		c := &call{action: a, sent: w.now}
+		switch a := a.(type) {
+		case authority.Probe:
+			c.to = a.Server
+		case authority.Fence:
+			c.to = a.Server
+		case authority.Promote:
+			c.to = a.Server
+		}
+		x.calls = append(x.calls, c)
+	}
+	if term := x.machine.View().Term; term < x.term {
+		w.t.Fatalf("instance %s went from term %d down to %d", x.name, x.term, term)
+	}
+	x.term = x.machine.View().Term
+}
+
+// execute runs a call at its server.
+func (w *world) execute(x *instance, c *call) {
+	s := w.server(c.to)
+	if c.done || !s.up || x.cut[s.id] {
+		return
+	}
+	c.done = true
+	accepted, began := true, false
+	switch a := c.action.(type) {
+	case authority.Fence:
+		accepted = s.fence(a.Term, x.name)
+		w.noteSuperseded()
+	case authority.Promote:
+		accepted, began = s.promote(a.Term, x.name)
+	}
+	if began {
+		w.checkPromotion(s)
+	}
+	c.refused, c.state = !accepted, s.show(w.now)
+}
+
+func (w *world) noteSuperseded() {
+	for term := range w.promoted {
+		fenced := 0
+		for _, s := range w.servers {
+			if max(s.state.FenceTerm, s.term()) > term {
+				fenced++
+			}
+		}
+		if _, noted := w.superseded[term]; !noted && fenced >= authority.Majority(len(w.servers)) {
+			w.superseded[term] = w.step
+		}
+	}
+}
+
+// answer brings a call's answer, or its failure, back to the instance.
+func (w *world) answer(x *instance, c *call, lost bool) {
+	x.calls = slices.DeleteFunc(x.calls, func(d *call) bool { return d == c })
+	failed := lost || !c.done || c.refused
+	if !c.done {
+		w.strays = append(w.strays, stray{from: x, call: c})
+	}
+	switch a := c.action.(type) {
+	case authority.Probe:
+		if failed {
+			class := authority.FailureTimeout
+			if !w.server(c.to).up {
+				class = authority.FailureRefused
+			}
+			w.feed(x, authority.ProbeFailure{Server: c.to, Seq: a.Seq, Sent: c.sent, Class: class, Fresh: a.Fresh})
+			w.resolve(x, x.confirm.Failed(w.now, c.to))
+			return
+		}
+		r := authority.ProbeResult{Seq: a.Seq, Sent: c.sent, State: c.state}
+		w.feed(x, r)
+		w.resolve(x, x.confirm.Observe(w.now, r))
+	case authority.Fence:
+		if failed {
+			w.feed(x, authority.FenceFailure(a))
+			return
+		}
+		w.feed(x, authority.FenceAnswer{Server: c.to, Term: a.Term, State: c.state})
+	case authority.Promote:
+		if failed {
+			w.feed(x, authority.PromoteFailure{Server: c.to, Term: a.Term})
+			return
+		}
+		w.feed(x, authority.PromoteAnswer{Server: c.to, Term: a.Term, State: c.state})
+	}
+}
+
+func (x *instance) add(w authority.Waiter) (authority.WaiterID, []authority.Resolution) {
+	x.lastID++
+	w.ID, w.After = x.lastID, x.machine.Seq()
+	return w.ID, x.confirm.Add(w)
+}
+
+// beginWrite executes a write at the server that the instance takes for the primary.
+func (w *world) beginWrite(x *instance, mode authority.Mode) {
+	p := x.machine.View().PrimaryView()
+	if p == nil || x.cut[p.ID] {
+		return
+	}
+	s := w.server(p.ID)
+	if !s.up || s.state.Incarnation != p.State.Incarnation || s.state.Role != authority.RolePrimary {
+		return
+	}
+	n := len(w.writes)
+	s.log = append(slices.Clone(s.log), n)
+	w.logs[s.term()] = s.log
+	wr := &write{number: n, at: w.step, mode: mode, pos: position.Position{Term: s.term(), LSN: uint64(len(s.log))}}
+	w.writes = append(w.writes, wr)
+	x.pending = append(x.pending, wr)
+	x.targets[n] = authority.Waiter{Mode: mode, Server: s.id, Term: p.State.Term, Incarnation: p.State.Incarnation}
+}
+
+// beginConfirm hands an answered write to the confirmations.
+func (w *world) beginConfirm(x *instance) {
+	if len(x.pending) == 0 {
+		return
+	}
+	wr := x.pending[0]
+	x.pending = x.pending[1:]
+	id, resolved := x.add(x.targets[wr.number])
+	x.writes[id] = wr
+	w.resolve(x, resolved)
+}
+
+// beginRead starts a read with a sample, with the floor of a confirmed write, with a staleness
+// bound, or one that only the primary may answer.
+func (w *world) beginRead(x *instance, kind int) {
+	rd := &read{began: w.step}
+	switch kind {
+	case 0:
+		rd.covered = w.confirmedBefore(w.now, w.cover)
+		id, resolved := x.add(authority.Waiter{Mode: authority.ModeSample})
+		x.reads[id] = rd
+		w.resolve(x, resolved)
+		return
+	case 1:
+		done := w.confirmedBefore(w.now, true)
+		if len(done) == 0 {
+			return
+		}
+		rd.session = done[w.between(0, len(done)-1)]
+		rd.request.Session, rd.covered = rd.session.pos, []*write{rd.session}
+	case 2:
+		bound := time.Duration(w.between(1, 500)) * time.Millisecond
+		rd.request.Bounded = true
+		rd.request.Stale, _ = x.marks.Since(w.now - bound)
+		rd.covered = w.confirmedBefore(w.now-bound, true)
+	case 3:
+		for _, s := range x.machine.View().Servers {
+			if s.ID != x.machine.View().Primary {
+				rd.request.Exclude = append(rd.request.Exclude, s.ID)
+			}
+		}
+	}
+	x.placed = append(x.placed, rd)
+}
+
+// confirmedBefore returns the writes confirmed up to a time, those in primary mode if all is set.
+func (w *world) confirmedBefore(at time.Duration, all bool) []*write {
+	var out []*write
+	for _, wr := range w.writes {
+		if wr.confirmed && wr.since <= at && (all || wr.mode == authority.ModeMajority) {
+			out = append(out, wr)
+		}
+	}
+	return out
+}
+
+func (w *world) beginMark(x *instance) {
+	p := x.machine.View().PrimaryView()
+	if p == nil {
+		return
+	}
+	id, resolved := x.add(authority.Waiter{Mode: authority.ModePrimary, Server: p.ID, Term: p.State.Term, Incarnation: p.State.Incarnation})
+	x.marking[id] = w.now
+	w.resolve(x, resolved)
+}
+
+func (w *world) resolve(x *instance, resolved []authority.Resolution) {
+	for _, r := range resolved {
+		if wr := x.writes[r.ID]; wr != nil && r.Proven {
+			w.checkConfirmed(wr, r)
+		}
+		if rd := x.reads[r.ID]; rd != nil {
+			w.readOn(x, rd, r)
+		}
+		if at, ok := x.marking[r.ID]; ok && r.Proven {
+			x.marks.Add(at, r.Position)
+		}
+	}
+}
+
+// readOn continues a read whose sample or proof of authority has come.
+func (w *world) readOn(x *instance, rd *read, r authority.Resolution) {
+	if r.Mode == authority.ModeSample {
+		w.checkSample(rd, r)
+		rd.request.Sampled, rd.sample = r.Position, r
+		x.placed = append(x.placed, rd)
+		return
+	}
+	if r.Proven {
+		w.answerRead(rd)
+	}
+}
+
+// placeRead chooses a server for the oldest read that waits for one.
+func (w *world) placeRead(x *instance) {
+	if len(x.placed) == 0 {
+		return
+	}
+	rd := x.placed[0]
+	x.placed = x.placed[1:]
+	rd.chosen = x.place.Choose(w.now, x.machine.View(), rd.request)
+	switch rd.chosen.Kind {
+	case routing.KindReplica:
+		w.answerRead(rd)
+	case routing.KindPrimary, routing.KindLost:
+		if rd.sample.Authority && rd.sample.Term == rd.chosen.Term {
+			w.answerRead(rd)
+			return
+		}
+		id, resolved := x.add(authority.Waiter{Mode: authority.ModeAuthority, Term: rd.chosen.Term})
+		x.reads[id] = rd
+		w.resolve(x, resolved)
+	}
+}
--- a/proxy/group/calls.go
+++ b/proxy/group/calls.go
@@ -86,7 +86,7 @@
 	state, err := g.adapter[a.Server].Fresh.Fence(ctx, a.Term, g.machine.Owner())
 	if err != nil {
 		g.logServer(EventFenceFailed, a.Server, a.Term).WithError(err).Warn("fence was refused or not answered")
-		g.step(authority.FenceFailure{Server: a.Server, Term: a.Term})
+		g.step(authority.FenceFailure(a))
 		return
 	}
 	g.step(authority.FenceAnswer{Server: a.Server, Term: a.Term, State: state})
--- a/proxy/group/read.go
+++ b/proxy/group/read.go
@@ -20,8 +20,7 @@
 
 // primaryWait is a caller that waits for a primary.
 type primaryWait struct {
-	result   chan primaryAnswer
-	deadline time.Duration
+	result chan primaryAnswer
 }
 
 type primaryAnswer struct {
