--- a/decision/authority/invariants_test.go
+++ b/decision/authority/invariants_test.go
@@ -129,6 +129,9 @@
 // exchange runs the instance's calls there and back in order, as a quiet network does.
 func (w *world) exchange(x *instance) {
 	for _, c := range slices.Clone(x.calls) {
+		if w.now-c.sent < w.server(c.to).delay {
+			continue
+		}
 		w.execute(x, c)
 		w.answer(x, c, false)
 	}
@@ -279,7 +282,7 @@
 func runWorld(t *testing.T, servers, instances int) {
 	total := map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rt, servers, instances)
+		w := newWorld(rt, drawSeed(rt), eager, servers, instances)
 		for range stepsPerWorld {
 			w.act()
 		}
--- a/decision/authority/model_test.go
+++ b/decision/authority/model_test.go
@@ -18,6 +18,8 @@
 type server struct {
 	id      authority.ServerID
 	up      bool
+	hung    bool          // while not up: answers nobody instead of refusing
+	delay   time.Duration // before exchange answers a call
 	state   authority.ServerState
 	log     []int // write numbers; the LSN is the length
 	contact time.Duration
@@ -150,9 +152,15 @@
 	paused  bool
 }
 
+// failer is the part of a test that the checks need.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
 // world is a group with several instances that compete.
 type world struct {
-	t          *rapid.T
+	t          failer
+	timings    authority.Timings
 	chance     *rand.Rand
 	now        time.Duration
 	step       int
@@ -168,10 +176,10 @@
 	stats      map[string]int
 }
 
-func newWorld(t *rapid.T, n, instances int) *world {
-	chance := rand.New(rand.NewSource(drawSeed(t)))
+func newWorld(t failer, seed int64, timings authority.Timings, n, instances int) *world {
+	chance := rand.New(rand.NewSource(seed))
 	w := &world{
-		t: t, chance: chance, now: time.Second, promoted: map[uint64]authority.ServerID{}, logs: map[uint64][]int{},
+		t: t, chance: chance, timings: timings, now: time.Second, promoted: map[uint64]authority.ServerID{}, logs: map[uint64][]int{},
 		superseded: map[uint64]int{}, stats: map[string]int{}, cover: chance.Intn(2) == 0,
 	}
 	for i := range n {
@@ -221,7 +229,7 @@
 	}
 	x.confirm.CoverPrimary = w.cover
 	x.machine = authority.NewMachine(w.now, authority.Config{
-		Servers: ids, Owner: x.name, Rand: rand.New(rand.NewSource(int64(w.runs))), Timings: eager,
+		Servers: ids, Owner: x.name, Rand: rand.New(rand.NewSource(int64(w.runs))), Timings: w.timings,
 	})
 	return x
 }
@@ -297,7 +305,7 @@
 	case authority.Probe:
 		if failed {
 			class := authority.FailureTimeout
-			if !w.server(c.to).up {
+			if s := w.server(c.to); !s.up && !s.hung {
 				class = authority.FailureRefused
 			}
 			w.feed(x, authority.ProbeFailure{Server: c.to, Seq: a.Seq, Sent: c.sent, Class: class, Fresh: a.Fresh})
--- /dev/null
+++ b/decision/authority/scenario_test.go
@@ -0,0 +1,179 @@
+package authority_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+// scenario is a fault of a quiet group under the design's timings, and when a promotion is due.
+type scenario struct {
+	name      string
+	instances int
+	fault     func(w *world)
+	earliest  time.Duration
+	latest    time.Duration // 0: no promotion is allowed within observe
+	want      authority.ServerID
+}
+
+// observe is longer than every bound of the design.
+const observe = 30 * time.Second
+
+func crash(id int) func(*world) {
+	return func(w *world) { w.servers[id].up = false }
+}
+
+func hang(id int) func(*world) {
+	return func(w *world) { w.servers[id].up, w.servers[id].hung = false, true }
+}
+
+// cutOff separates a server from all instances, while replicas still hear it.
+func cutOff(id int) func(*world) {
+	return func(w *world) {
+		for _, x := range w.instances {
+			x.cut[w.servers[id].id] = true
+		}
+	}
+}
+
+func cutOffFromOne(w *world) {
+	w.instances[0].cut[w.servers[0].id] = true
+}
+
+// Guards against a gap longer than the design's bounds, and against promotions that a slow or
+// partly cut-off primary does not call for.
+func TestPromotionTimes(t *testing.T) {
+	cases := []scenario{
+		{name: "no fault", instances: 3, fault: func(*world) {}},
+		{name: "crash", instances: 3, fault: crash(0), earliest: time.Second, latest: 3 * time.Second},
+		{name: "hung primary", instances: 3, fault: hang(0), earliest: time.Second, latest: 3 * time.Second},
+		{name: "primary cut off from the instances", instances: 3, fault: cutOff(0), earliest: 8 * time.Second, latest: 18 * time.Second},
+		{name: "primary cut off from one of the instances", instances: 3, fault: cutOffFromOne, earliest: 8 * time.Second, latest: 18 * time.Second},
+		{name: "slow primary", instances: 3, fault: func(w *world) { w.servers[0].delay = 280 * time.Millisecond }},
+		{name: "replica lost", instances: 3, fault: crash(1)},
+		{name: "majority lost", instances: 3, fault: func(w *world) { crash(0)(w); crash(1)(w) }},
+		{name: "crash soon after a promotion", instances: 3, fault: after(crash(0), crash(1)), earliest: time.Second, latest: 3 * time.Second},
+		{name: "hang soon after a promotion", instances: 3, fault: after(crash(0), hang(1)), earliest: 9 * time.Second, latest: 18 * time.Second},
+		{name: "leaving primary", instances: 3, fault: leave(0), latest: 3 * time.Second, want: "s1"},
+		{name: "all servers leaving", instances: 3, fault: leave(0, 1, 2)},
+		{name: "unfinished fence of a majority", instances: 3, fault: fenceBy("gone", 1, 2), latest: 3 * time.Second},
+		{name: "stranded replica", instances: 3, fault: fenceBy("gone", 1), earliest: 10 * time.Second, latest: 18 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(t) })
+	}
+}
+
+func (c scenario) run(t *testing.T) {
+	for seed := range int64(20) {
+		w := newWorld(t, seed, authority.DefaultTimings(), 3, c.instances)
+		w.pass(time.Second)
+		c.fault(w)
+		begun, term := w.now, w.highestTerm()
+		for w.highestTerm() == term && w.now-begun < observe {
+			w.quiet()
+		}
+		took, promoted := w.now-begun, w.highestTerm() > term
+		switch {
+		case promoted != (c.latest > 0):
+			t.Errorf("seed %d: promoted %v within %v, want %v", seed, promoted, took, c.latest > 0)
+		case promoted && (took < c.earliest || took > c.latest):
+			t.Errorf("seed %d: promotion after %v, want %v to %v", seed, took, c.earliest, c.latest)
+		case c.want != "" && w.promoted[w.highestTerm()] != c.want:
+			t.Errorf("seed %d: promoted %s, want %s", seed, w.promoted[w.highestTerm()], c.want)
+		}
+	}
+}
+
+// after lets the group recover from a first fault and then applies the second one.
+func after(first, second func(*world)) func(*world) {
+	return func(w *world) {
+		first(w)
+		for w.highestTerm() == 1 {
+			w.quiet()
+		}
+		w.pass(500 * time.Millisecond)
+		w.servers[0].up = true
+		w.pass(500 * time.Millisecond)
+		second(w)
+	}
+}
+
+func leave(ids ...int) func(*world) {
+	return func(w *world) {
+		var leaving []authority.ServerID
+		for _, i := range ids {
+			leaving = append(leaving, w.servers[i].id)
+		}
+		for _, x := range w.instances {
+			x.machine.SetLeaving(leaving)
+		}
+	}
+}
+
+// fenceBy places the fence of an instance that then ends.
+func fenceBy(owner string, ids ...int) func(*world) {
+	return func(w *world) {
+		for _, i := range ids {
+			w.servers[i].fence(2, owner)
+		}
+	}
+}
+
+func (w *world) pass(d time.Duration) {
+	for until := w.now + d; w.now < until; {
+		w.quiet()
+	}
+}
+
+func (w *world) highestTerm() uint64 {
+	var term uint64
+	for t := range w.promoted {
+		term = max(term, t)
+	}
+	return term
+}
+
+// Guards against a second server promoted in a term: after lost promotions the machine may not
+// fence at the same term again, because it could then choose another server.
+func TestTermIsNeverReused(t *testing.T) {
+	w := newWorld(t, 1, authority.DefaultTimings(), 3, 1)
+	w.pass(time.Second)
+	w.servers[0].up = false
+	x := w.instances[0]
+	asked := map[authority.Fence]bool{}
+	terms := map[uint64]bool{}
+	for len(terms) < 4 && w.now < observe {
+		w.tick(x)
+		for _, c := range append([]*call(nil), x.calls...) {
+			if fence, ok := c.action.(authority.Fence); ok {
+				if asked[fence] {
+					t.Fatalf("server %s is fenced again at term %d", fence.Server, fence.Term)
+				}
+				asked[fence], terms[fence.Term] = true, true
+			}
+			if _, ok := c.action.(authority.Probe); ok {
+				w.answerUnfenced(x, c)
+				continue
+			}
+			w.execute(x, c)
+			_, promotion := c.action.(authority.Promote)
+			w.answer(x, c, promotion)
+		}
+	}
+	if len(terms) < 4 {
+		t.Fatalf("only %d attempts within %v", len(terms), observe)
+	}
+}
+
+// answerUnfenced answers a probe with a state from before any fence.
+func (w *world) answerUnfenced(x *instance, c *call) {
+	w.execute(x, c)
+	if s := c.state; c.done {
+		s.FenceTerm, s.FenceOwner, s.Role = 0, "", authority.RoleReplica
+		s.Term, s.History = 1, s.History[:1]
+		c.state = s
+	}
+	w.answer(x, c, false)
+}
