Run the stand-ins as processes

Cause: process tests and the README start the same path as it ships. Change: cyclamenctl standin store and standin server.

--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -6,8 +6,9 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/benchcmd"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/ctl"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/standincmd"
 )
 
 func main() {
-	os.Exit(ctl.Main(ctl.NewRoot(benchcmd.New())))
+	os.Exit(ctl.Main(ctl.NewRoot(benchcmd.New(), standincmd.New())))
 }
