Test failovers with real processes

Cause: the whole path, kills, pauses and cut links were tested in one process only, where nothing can be stopped or killed as on a machine. Change: tests start the store, three database servers and two instances from the built binaries, with relays in between, and check recorded histories. A primary cut off from its peers alone is not replaced: no write is confirmed for as long as the cut lasts.

--- /dev/null
+++ b/cmd/internal/processtest/main_test.go
@@ -0,0 +1,58 @@
+// Package processtest runs the released binaries as separate processes behind relays that inject
+// faults, and checks recorded histories. It holds tests only.
+package processtest
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+const (
+	// deadline bounds every wait for an event.
+	deadline = 60 * time.Second
+	// pollInterval is the time between two looks for an event.
+	pollInterval = 5 * time.Millisecond
+	// maxDeployments bounds the deployments that run at a time; each has up to seven processes.
+	maxDeployments = 4
+)
+
+var (
+	daemonBinary, ctlBinary string
+
+	deployments = make(chan struct{}, maxDeployments)
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "processtest")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	daemonBinary = filepath.Join(dir, "cyclamenstile")
+	ctlBinary = filepath.Join(dir, "cyclamenctl")
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cyclamenstile", "../../cyclamenctl")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the binaries: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// waitFor polls until done returns true.
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(deadline); !done(); time.Sleep(pollInterval) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %s", what, deadline)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/internal/processtest/process_test.go
@@ -0,0 +1,160 @@
+package processtest
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// process is a child of the test.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	first  chan string // first line of standard output
+	exited chan struct{}
+	err    error // of Wait, valid once exited is closed
+}
+
+// startProcess starts a binary and kills it when the test ends. Standard error goes to a file,
+// which is logged when the test fails.
+func startProcess(t *testing.T, dir, name, binary string, args ...string) *process {
+	t.Helper()
+	logFile, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = logFile.Close() }()
+	p := &process{name: name, cmd: exec.Command(binary, args...), first: make(chan string, 1), exited: make(chan struct{})}
+	p.cmd.Stderr = logFile
+	// The children end with the test process, also when it is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.watch(bufio.NewScanner(out))
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			logTail(t, name, logFile.Name())
+		}
+	})
+	return p
+}
+
+func (p *process) watch(out *bufio.Scanner) {
+	if out.Scan() {
+		p.first <- out.Text()
+	}
+	for out.Scan() {
+		continue
+	}
+	p.err = p.cmd.Wait()
+	close(p.exited)
+}
+
+// logTail shows the last lines of a log file.
+func logTail(t *testing.T, name, file string) {
+	const lines = 30
+	content, _ := os.ReadFile(file)
+	all := strings.Split(strings.TrimSpace(string(content)), "\n")
+	t.Logf("%s:\n%s", name, strings.Join(all[max(0, len(all)-lines):], "\n"))
+}
+
+// firstLine waits for the address that a process prints once it listens.
+func (p *process) firstLine(t *testing.T) string {
+	t.Helper()
+	select {
+	case line := <-p.first:
+		return line
+	case <-p.exited:
+		t.Fatalf("%s ended: %v", p.name, p.err)
+	case <-time.After(deadline):
+		t.Fatalf("%s printed no address within %s", p.name, deadline)
+	}
+	return ""
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("signal %s to %s: %v", s, p.name, err)
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// awaitExit waits until the process has ended by itself and returns its exit code.
+func (p *process) awaitExit(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(deadline):
+		t.Fatalf("%s did not end within %s", p.name, deadline)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+const (
+	// Ports below the range from which Linux draws those of outgoing connections.
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
+// nextPort starts at a random port, so that test processes at the same time seldom meet.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(firstPort + rand.IntN(lastPort-firstPort))) }
+
+// freeAddress returns an address on loopback that no other call returns soon.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// runCtl runs cyclamenctl to its end.
+func runCtl(t *testing.T, args ...string) (stdout string, err error) {
+	t.Helper()
+	cmd := exec.CommandContext(t.Context(), ctlBinary, args...)
+	var out, problems bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &problems
+	if err := cmd.Run(); err != nil {
+		return out.String(), fmt.Errorf("cyclamenctl %s: %w: %s", strings.Join(args, " "), err, problems.String())
+	}
+	return out.String(), nil
+}
+
+func ctl(t *testing.T, args ...string) string {
+	t.Helper()
+	out, err := runCtl(t, args...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/internal/processtest/relay_test.go
@@ -0,0 +1,118 @@
+package processtest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// relay forwards connections and injects faults.
+type relay struct {
+	t     *testing.T
+	proxy *toxiproxy.Proxy
+}
+
+// startRelay starts a relay to an IP:port.
+func startRelay(t *testing.T, upstream string) *relay {
+	t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.New(io.Discard))
+	r := &relay{t: t, proxy: toxiproxy.NewProxy(server, upstream, "127.0.0.1:0", upstream)}
+	r.heal()
+	t.Cleanup(r.cut)
+	return r
+}
+
+func (r *relay) address() string { return r.proxy.Listen }
+
+// cut closes all connections and refuses new ones.
+func (r *relay) cut() { r.proxy.Stop() }
+
+// heal ends a cut.
+func (r *relay) heal() {
+	if err := r.proxy.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// directions of a relay, seen from the process that connects.
+const (
+	requests = "upstream"
+	answers  = "downstream"
+)
+
+// swallow drops the bytes of one direction on all connections and closes none.
+func (r *relay) swallow(direction string) {
+	r.addToxic(`{"name": "swallow-%[1]s", "type": "timeout", "stream": %[1]q, "attributes": {"timeout": 0}}`, direction)
+}
+
+// release ends the swallowing of one direction; connections that lost bytes are closed.
+func (r *relay) release(direction string) {
+	if err := r.proxy.Toxics.RemoveToxic(context.Background(), "swallow-"+direction); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// blackHole drops all bytes of all connections, present and new.
+func (r *relay) blackHole() {
+	r.swallow(requests)
+	r.swallow(answers)
+}
+
+// leaveHole ends a blackHole.
+func (r *relay) leaveHole() {
+	r.release(requests)
+	r.release(answers)
+}
+
+// silence drops all bytes of the present connections; new ones work.
+func (r *relay) silence() {
+	r.blackHole()
+	r.spareNew("swallow-" + requests)
+	r.spareNew("swallow-" + answers)
+}
+
+// limitAnswers closes a connection once it has carried so many bytes of answers.
+func (r *relay) limitAnswers(bytes int) {
+	r.addToxic(`{"name": "limit", "type": "limit_data", "stream": %q, "attributes": {"bytes": `+fmt.Sprint(bytes)+`}}`, answers)
+}
+
+func (r *relay) endLimit() {
+	if err := r.proxy.Toxics.RemoveToxic(context.Background(), "limit"); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// delayAnswers adds latency in milliseconds to the answers.
+func (r *relay) delayAnswers(milliseconds int) {
+	r.addToxic(`{"name": "delay", "type": "latency", "stream": %q, "attributes": {"latency": `+fmt.Sprint(milliseconds)+`}}`, answers)
+}
+
+func (r *relay) addToxic(format, direction string) {
+	if _, err := r.proxy.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(format, direction))); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// spareNew keeps a toxic on the present connections only. The toxicity is the probability with
+// which a connection gets the toxic; it is drawn when the connection or the toxic is added.
+func (r *relay) spareNew(name string) {
+	toxic := r.proxy.Toxics.GetToxic(name)
+	r.proxy.Toxics.Lock()
+	defer r.proxy.Toxics.Unlock()
+	toxic.Toxicity = 0
+}
+
+// hostOf returns the IP:port of an http address.
+func hostOf(url string) string {
+	host := strings.TrimPrefix(url, "http://")
+	if _, _, err := net.SplitHostPort(host); err != nil {
+		panic(err) // the stand-in store prints its address in this form
+	}
+	return host
+}
--- /dev/null
+++ b/cmd/internal/processtest/run_test.go
@@ -0,0 +1,170 @@
+package processtest
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/decision/session"
+)
+
+// loadSeed makes the choices of the load's sessions the same in each run.
+const loadSeed = 1
+
+// run is a load in progress with its history.
+type run struct {
+	d     *deployment
+	start time.Time
+	stop  context.CancelFunc
+	done  chan *load.Result
+
+	watching sync.WaitGroup
+	mu       sync.Mutex
+	events   []history.Event // supersessions
+	terms    map[uint64]bool
+}
+
+// startLoad starts sessions on all instances and waits until the primary has executed some of
+// their writes.
+func (d *deployment) startLoad(change func(*load.Config)) *run {
+	d.t.Helper()
+	c := load.Config{
+		Database:         route,
+		Accounts:         []load.Account{{Name: marshals, Key: d.keys[marshals]}},
+		Connections:      16,
+		ReadShare:        0.5,
+		Duration:         2 * deadline,
+		Seed:             loadSeed,
+		StatementTimeout: 15 * time.Second,
+		TermOf:           termOf,
+	}
+	for _, n := range d.instances {
+		c.Addresses = append(c.Addresses, n.callers)
+	}
+	if change != nil {
+		change(&c)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &run{d: d, start: time.Now(), stop: stop, done: make(chan *load.Result, 1), terms: map[uint64]bool{1: true}}
+	d.t.Cleanup(stop)
+	go r.generate(ctx, c)
+	for i := range d.servers {
+		r.watching.Go(func() { r.watchTerms(ctx, i) })
+	}
+	d.awaitGrowth(d.awaitPrimary(), 200)
+	return r
+}
+
+func (r *run) generate(ctx context.Context, c load.Config) {
+	result, err := load.Run(ctx, c)
+	if err != nil {
+		r.d.t.Error(err)
+	}
+	r.done <- result
+}
+
+func termOf(token string) uint64 {
+	p, err := session.ParseToken(database, token)
+	if err != nil {
+		return 0
+	}
+	return p.Term
+}
+
+// watchTerms notes when server i is first seen as the primary of a term. It probes the server
+// without a relay.
+func (r *run) watchTerms(ctx context.Context, i int) {
+	for ctx.Err() == nil {
+		if state, ok := r.d.state(i); ok && state.Role == authority.RolePrimary {
+			r.superseded(state.Term)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (r *run) superseded(term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.terms[term] {
+		return
+	}
+	r.terms[term] = true
+	// The load counts its times from a moment after r.start, so the event is never too early.
+	r.events = append(r.events, history.Event{Kind: history.Superseded, At: time.Since(r.start), Term: term})
+}
+
+// finish ends the load, reads the final content from the primary and checks the history.
+func (r *run) finish() *load.Result {
+	t := r.d.t
+	t.Helper()
+	r.stop()
+	result := r.await()
+	r.watching.Wait()
+	result.History.Events = append(result.History.Events, r.events...)
+	r.readFinal(result)
+	for _, v := range history.Check(result.History) {
+		t.Errorf("violation: %s", v)
+	}
+	c := result.Counts[marshals]
+	t.Logf("%s: %d statements, %d succeeded, %d not run, %d unknown, %d failed connections, %d terms, longest write gap %s",
+		result.Elapsed.Round(time.Millisecond), c.Sent, c.Succeeded, c.NotRun, c.Unknown, c.ConnectFailures, len(r.terms),
+		result.WriteGap.Round(time.Millisecond))
+	if c.Succeeded == 0 {
+		t.Error("no statement succeeded")
+	}
+	return result
+}
+
+func (r *run) await() *load.Result {
+	r.d.t.Helper()
+	select {
+	case result := <-r.done:
+		return result
+	case <-time.After(deadline):
+		r.d.t.Fatalf("load did not end within %s", deadline)
+	}
+	return nil
+}
+
+// readFinal reads from the primary itself, which holds all writes that took effect.
+func (r *run) readFinal(result *load.Result) {
+	t := r.d.t
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	address := r.d.servers[r.d.latestPrimary()].address
+	if err := result.ReadFinal(ctx, address, "", load.Account{Name: "test"}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// latestPrimary returns the primary of the highest term.
+func (d *deployment) latestPrimary() int {
+	d.t.Helper()
+	primary := -1
+	waitFor(d.t, "primary", func() bool {
+		var term uint64
+		for i := range d.servers {
+			if state, ok := d.state(i); ok && state.Role == authority.RolePrimary && state.Term > term {
+				primary, term = i, state.Term
+			}
+		}
+		return primary >= 0
+	})
+	return primary
+}
+
+// checkGap fails the test if writes stood still for limit or longer.
+func checkGap(t *testing.T, result *load.Result, limit time.Duration) {
+	t.Helper()
+	if result.WriteGap >= limit {
+		t.Errorf("write gap %s, want less than %s", result.WriteGap, limit)
+	}
+}
