--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -27,6 +27,7 @@
 	Sent, Succeeded, NotRun, Unknown int
 	ReportedLost                     int // reports that an acknowledged write is lost
 	ConnectFailures                  int
+	Missed                           int // due at the offered rate, but not sent
 }
 
 func (c *Counts) add(d Counts) {
@@ -36,6 +37,7 @@
 	c.Unknown += d.Unknown
 	c.ReportedLost += d.ReportedLost
 	c.ConnectFailures += d.ConnectFailures
+	c.Missed += d.Missed
 }
 
 // Result is what a run measured. Histograms hold microseconds.
--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -28,7 +28,10 @@
 	writesPerKey = 32
 	// retryPause is the mean wait after a failed connection attempt and, without an offered rate,
 	// after a refused statement.
-	retryPause   = 50 * time.Millisecond
+	retryPause = 50 * time.Millisecond
+	// maxBacklog bounds the statements that a session with an offered rate sends late, so that it
+	// doesn't exceed the rate for long after a stall.
+	maxBacklog   = time.Second
 	closeTimeout = time.Second
 )
 
@@ -57,29 +60,33 @@
 // run sends statements until ctx ends.
 func (s *session) run(ctx context.Context) {
 	defer s.disconnect()
-	next := time.Now()
 	if s.interval > 0 {
-		next = next.Add(time.Duration(s.random.Int64N(int64(s.interval))))
+		s.runAtRate(ctx)
+		return
 	}
 	for ctx.Err() == nil {
-		due := time.Now()
-		if s.interval > 0 {
-			due = next
-			next = next.Add(s.interval)
-			if !sleepUntil(ctx, due) {
-				return
-			}
-		}
 		if !s.connected(ctx) {
 			continue
 		}
-		refused := s.statement(due)
-		if refused && s.interval == 0 {
+		if refused := s.statement(time.Now()); refused {
 			s.pause(ctx)
 		}
 	}
 }
 
+// runAtRate sends a statement every interval. Statements that are due while the session has no
+// connection, or has fallen behind by more than maxBacklog, are missed.
+func (s *session) runAtRate(ctx context.Context) {
+	due := time.Now().Add(time.Duration(s.random.Int64N(int64(s.interval))))
+	for ; sleepUntil(ctx, due); due = due.Add(s.interval) {
+		if time.Since(due) > maxBacklog || !s.connected(ctx) {
+			s.counts.Missed++
+			continue
+		}
+		s.statement(due)
+	}
+}
+
 func (s *session) pause(ctx context.Context) {
 	wait := time.Duration(s.random.Int64N(int64(2 * retryPause)))
 	sleepUntil(ctx, time.Now().Add(wait))
@@ -90,7 +97,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
 	}
@@ -195,6 +202,7 @@
 		s.note(history.Event{Kind: history.Admitted, Sent: sent, At: s.now()})
 	case history.WriteNotRun:
 		s.counts.NotRun++
+		s.note(history.Event{Kind: history.Refused, Sent: sent, At: s.now()})
 	default:
 		s.counts.Unknown++
 	}
--- a/decision/history/check_test.go
+++ b/decision/history/check_test.go
@@ -159,3 +159,32 @@
 	}
 	return worst
 }
+
+// Guards against a measure that blames the system for refusals above the rate, or hides those
+// below it.
+func TestRefusedWithinLimit(t *testing.T) {
+	refused := func(times ...int) []Event {
+		list := admitted("x", times...)
+		for i := range list {
+			list[i].Kind = Refused
+		}
+		return list
+	}
+	limits := map[string]Limit{"x": {Rate: 10, Burst: 2}}
+	cases := []struct {
+		name   string
+		events []Event
+		want   int
+	}{
+		{"nothing refused", admitted("x", 0, 0), 0},
+		{"after the burst", append(admitted("x", 0, 0), refused(1)...), 0},
+		{"inside the burst", append(admitted("x", 0), refused(0, 0)...), 1},
+		{"after the refill", append(refused(100), admitted("x", 0, 0)...), 1},
+		{"everything refused", refused(0, 0, 0, 50, 100), 3},
+	}
+	for _, c := range cases {
+		if got := RefusedWithinLimit(History{Events: c.events, Limits: limits})["x"]; got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/decision/history/history.go
+++ b/decision/history/history.go
@@ -20,6 +20,8 @@
 	ReadReturned
 	// Admitted: a statement of Account was admitted between Sent and At.
 	Admitted
+	// Refused: a statement of Account, sent at Sent, was refused as not run.
+	Refused
 	// Superseded: a server became the primary of Term, which ended all lower terms.
 	Superseded
 )
@@ -28,7 +30,7 @@
 type Event struct {
 	Kind    EventKind
 	At      time.Duration // of the observation
-	Sent    time.Duration // ReadReturned and Admitted: when the request was sent; at most At
+	Sent    time.Duration // ReadReturned, Admitted and Refused: when the request was sent; at most At
 	Session string
 	Account string
 	Key     string
