Add cyclamenctl demo with the plain policy as baseline

Cause: a newcomer has to see the whole path under failures with one command. Change: the demo kills the primary, moves a session, withdraws a key and lets an account exceed its rate, for the plain policy and ours in one run.

--- /dev/null
+++ b/cmd/internal/demo/command.go
@@ -0,0 +1,88 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+)
+
+// DefaultDuration of both policies together; start and end take a few seconds more.
+const DefaultDuration = 20 * time.Second
+
+const help = `demo starts a stand-in store, a database of three servers and two instances of the proxy in this
+process, over real sockets, and runs a small load. It kills the primary, moves a session between
+the instances, withdraws a key and lets an account exceed its rate. It ends with a table of what
+callers experienced, beside a plain policy in the same run. The exit code is 1 if a promise was
+broken.
+
+With --listen it goes on serving afterwards on that address, and through the second instance on
+the next port, until it is interrupted; any PostgreSQL client can connect.`
+
+// errBroken makes the command's exit code 1.
+var errBroken = errors.New("a promise was broken; see the report")
+
+// NewCommand returns the demo command.
+func NewCommand() *cobra.Command {
+	c := Config{}
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Show the proxy under load and failures in one process",
+		Long:  help,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			asJSON, _ := cmd.Flags().GetBool("json")
+			return runCommand(cmd, c, asJSON)
+		},
+	}
+	f := cmd.Flags()
+	f.DurationVar(&c.Duration, "duration", DefaultDuration, "load on both policies together")
+	f.Uint64Var(&c.Seed, "seed", 1, "seed of the load")
+	f.StringVar(&c.Listen, "listen", "", "IP:port to go on serving on after the report")
+	return cmd
+}
+
+func runCommand(cmd *cobra.Command, c Config, asJSON bool) error {
+	out := cmd.OutOrStdout()
+	c.Progress = out
+	if asJSON {
+		c.Progress = cmd.ErrOrStderr()
+	}
+	c.Serving = func(ctx context.Context, d *local.Deployment) error {
+		return serve(ctx, c.Progress, d)
+	}
+	report, err := Run(cmd.Context(), c)
+	if err != nil {
+		return err
+	}
+	if err := write(out, report, asJSON); err != nil {
+		return err
+	}
+	if report.Broken() {
+		return errBroken
+	}
+	return nil
+}
+
+func write(w io.Writer, r *Report, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(w).Encode(r)
+	}
+	return r.Table(w)
+}
+
+// serve shows how to connect and waits for an interrupt.
+func serve(ctx context.Context, w io.Writer, d *local.Deployment) error {
+	fmt.Fprintln(w, "serving until interrupted; table kv(key text, value text); connect with:")
+	for i := range d.Instances {
+		fmt.Fprintln(w, "  "+d.URL(i, local.DatabaseName, "marshals"))
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/demo/demo.go
@@ -0,0 +1,158 @@
+// Package demo runs a whole deployment in one process under a small load, causes the failures that
+// the product is for, and reports what the callers experienced, beside a plain policy in the same
+// run.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+const (
+	instances = 2
+	// minDuration leaves room for a failover, a recovery and the events after it.
+	minDuration = 6 * time.Second
+)
+
+// Config describes a run.
+type Config struct {
+	Duration time.Duration // of both policies together
+	Seed     uint64
+	Listen   string // IP:port; the second instance takes the next port. Empty: none
+	Progress io.Writer
+	// Serving is called with the deployment that goes on serving on Listen; the demo ends when it
+	// returns.
+	Serving func(ctx context.Context, d *local.Deployment) error
+}
+
+// Validate reports what is wrong with the configuration.
+func (c Config) Validate() error {
+	if c.Duration < minDuration {
+		return errors.Newf("--duration: %s is too short for the failures to be seen; give %s or more", c.Duration, minDuration)
+	}
+	return nil
+}
+
+// The accounts of the demo. Offered rates are statements a second.
+type offer struct {
+	local.Account
+	offered  float64
+	sessions int
+	// pinned sessions all start at the first instance, so that a static share is too small.
+	pinned bool
+	from   float64 // part of the run after which the load begins
+}
+
+const (
+	surgeAccount     = "festival"
+	withdrawnAccount = "former-depot"
+	moverAccount     = "officers"
+)
+
+func offers() []offer {
+	return []offer{
+		{Account: local.Account{Name: "marshals", Weight: 2, Rate: 200, Burst: 200}, offered: 120, sessions: 12},
+		{Account: local.Account{Name: "secretaries", Weight: 1, Rate: 100, Burst: 50}, offered: 80, sessions: 8, pinned: true},
+		{Account: local.Account{Name: moverAccount, Weight: 1, Rate: 400, Burst: 400}},
+		{Account: local.Account{Name: withdrawnAccount, Weight: 1, Rate: 50, Burst: 50}, offered: 25, sessions: 4},
+		{Account: local.Account{Name: surgeAccount, Weight: 1, Rate: 60, Burst: 60}, offered: 240, sessions: 8, from: 0.5},
+	}
+}
+
+// Run runs both policies and returns the report. It closes what it started.
+func Run(ctx context.Context, c Config) (*Report, error) {
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	half := c.Duration / 2
+	c.say("plain policy: all reads on the primary, static shares of the rates")
+	baseline, err := runPolicy(ctx, c, half, &daemon.PlainPolicy{Instances: instances}, nil, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "run the plain policy")
+	}
+	c.say("cyclamenstile")
+	listeners, err := c.listeners()
+	if err != nil {
+		return nil, err
+	}
+	figures, err := runPolicy(ctx, c, half, nil, listeners, c.Serving)
+	if err != nil {
+		return nil, err
+	}
+	return &Report{Figures: *figures, Baseline: *baseline, Seed: c.Seed}, nil
+}
+
+func (c Config) say(format string, args ...any) {
+	if c.Progress != nil {
+		fmt.Fprintf(c.Progress, format+"\n", args...)
+	}
+}
+
+// listeners opens the ports that the demo goes on serving on.
+func (c Config) listeners() ([]net.Listener, error) {
+	if c.Listen == "" {
+		return nil, nil
+	}
+	address, err := net.ResolveTCPAddr("tcp", c.Listen)
+	if err != nil || address.IP == nil {
+		return nil, errors.Newf("--listen: %q is not IP:port; write it like 127.0.0.1:6432", c.Listen)
+	}
+	var out []net.Listener
+	for i := range instances {
+		at := *address
+		if at.Port != 0 {
+			at.Port += i
+		}
+		l, err := net.Listen("tcp", at.String())
+		if err != nil {
+			for _, open := range out {
+				_ = open.Close()
+			}
+			return nil, errors.Wrapf(err, "--listen: port %d is taken; choose a port that is free together with the next", at.Port)
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+// deployment describes the whole of one run: three servers with the smaller deployment's scarcity.
+func deployment(c Config, plain *daemon.PlainPolicy, listeners []net.Listener, s *statements) local.Config {
+	var accounts []local.Account
+	var names []string
+	for _, o := range offers() {
+		accounts = append(accounts, o.Account)
+		names = append(names, o.Name)
+	}
+	return local.Config{
+		Instances: instances,
+		Server: database.Config{
+			ReplicationLag:    5 * time.Millisecond,
+			ReplicationJitter: 10 * time.Millisecond,
+			ConnectCost:       10 * time.Millisecond,
+			MaxConnections:    20,
+			Slots:             3,
+			ServiceTime:       500 * time.Microsecond,
+			Seed:              c.Seed,
+		},
+		Accounts: accounts,
+		Routes: []manifest.Route{{
+			Name: local.DatabaseName, Database: local.DatabaseName, Accounts: names,
+		}},
+		Listeners: listeners,
+		Adjust: func(_ int, cfg *daemon.Config) {
+			cfg.Plain = plain
+			cfg.OnStatement = s.note
+			cfg.DrainTimeout = 2 * time.Second
+		},
+	}
+}
--- /dev/null
+++ b/cmd/internal/demo/policy.go
@@ -0,0 +1,227 @@
+package demo
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+// Parts of the run at which the events happen.
+const (
+	killAt     = 0.25
+	restartAt  = 0.55
+	withdrawAt = 0.7
+)
+
+// withdrawalLimit bounds the wait for a withdrawn key to stop working.
+const withdrawalLimit = 10 * time.Second
+
+// statements counts where reads were served.
+type statements struct {
+	reads, onReplica atomic.Int64
+}
+
+func (s *statements) note(st engine.Statement) {
+	if !st.Read || st.Server == "" || st.Outcome != engine.OutcomeOK {
+		return
+	}
+	s.reads.Add(1)
+	if !st.Primary {
+		s.onReplica.Add(1)
+	}
+}
+
+// policyRun is one policy under load.
+type policyRun struct {
+	cfg        Config
+	duration   time.Duration
+	deployment *local.Deployment
+	statements *statements
+	mover      *mover
+	withdrawal time.Duration
+
+	mu      sync.Mutex
+	results map[string]*load.Result // by account
+}
+
+func runPolicy(ctx context.Context, c Config, duration time.Duration, plain *daemon.PlainPolicy, listeners []net.Listener, serving func(context.Context, *local.Deployment) error) (*Figures, error) {
+	s := &statements{}
+	d, err := local.Start(ctx, deployment(c, plain, listeners, s))
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	r := &policyRun{cfg: c, duration: duration, deployment: d, statements: s, results: make(map[string]*load.Result)}
+	if err := r.run(ctx); err != nil {
+		return nil, err
+	}
+	figures, err := r.measure(ctx)
+	if err != nil || serving == nil || listeners == nil {
+		return figures, err
+	}
+	return figures, serving(ctx, d)
+}
+
+// run drives the load and the events until the time is over.
+func (r *policyRun) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.duration+withdrawalLimit)
+	defer cancel()
+	start := time.Now()
+	tasks := make([]func(context.Context) error, 0, len(offers())+2)
+	for _, o := range offers() {
+		if o.sessions > 0 {
+			tasks = append(tasks, func(ctx context.Context) error { return r.load(ctx, o) })
+		}
+	}
+	r.mover = &mover{deployment: r.deployment, until: start.Add(r.duration)}
+	tasks = append(tasks, r.mover.run, r.failures, r.withdraw)
+	return inParallel(ctx, tasks)
+}
+
+func inParallel(ctx context.Context, tasks []func(context.Context) error) error {
+	var running sync.WaitGroup
+	failures := make([]error, len(tasks))
+	for i, task := range tasks {
+		running.Go(func() { failures[i] = task(ctx) })
+	}
+	running.Wait()
+	return errors.Join(failures...)
+}
+
+// load sends one account's statements.
+func (r *policyRun) load(ctx context.Context, o offer) error {
+	delay := r.at(o.from)
+	if !sleep(ctx, delay) {
+		return nil
+	}
+	if o.from > 0 {
+		r.cfg.say("  account %s sends %.0f statements/s, its rate is %.0f", o.Name, o.offered, o.Rate)
+	}
+	result, err := load.Run(ctx, load.Config{
+		Addresses:   r.addresses(o.pinned),
+		Database:    local.DatabaseName,
+		Accounts:    []load.Account{{Name: o.Name, Key: r.deployment.Key(o.Name), Rate: o.offered}},
+		Connections: o.sessions,
+		ReadShare:   0.6,
+		Duration:    r.duration - delay,
+		Seed:        r.cfg.Seed,
+		Run:         o.Name,
+	})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results[o.Name] = result
+	return nil
+}
+
+func (r *policyRun) addresses(pinned bool) []string {
+	var out []string
+	for _, i := range r.deployment.Instances {
+		out = append(out, i.Address)
+	}
+	if pinned {
+		return out[:1]
+	}
+	return out
+}
+
+func (r *policyRun) at(part float64) time.Duration {
+	return time.Duration(part * float64(r.duration))
+}
+
+// failures kills the primary and restarts it later.
+func (r *policyRun) failures(ctx context.Context) error {
+	if !sleep(ctx, r.at(killAt)) {
+		return nil
+	}
+	killed := r.deployment.Group.Primary()
+	r.cfg.say("  primary %s is killed", r.deployment.Group.Server(killed).ID())
+	r.deployment.Group.Kill(killed)
+	if !sleep(ctx, r.at(restartAt-killAt)) {
+		return nil
+	}
+	r.cfg.say("  it starts again")
+	return r.deployment.Group.Restart(killed)
+}
+
+// withdraw withdraws an account's key and measures how long a connected caller can go on with it.
+func (r *policyRun) withdraw(ctx context.Context) error {
+	if !sleep(ctx, r.at(withdrawAt)) {
+		return nil
+	}
+	callers, err := r.connectAll(ctx, withdrawnAccount)
+	if err != nil {
+		return err
+	}
+	r.cfg.say("  the key of account %s is withdrawn", withdrawnAccount)
+	if err := r.deployment.WithdrawKeys(ctx, withdrawnAccount); err != nil {
+		return err
+	}
+	started := time.Now()
+	last := started
+	for time.Since(started) < withdrawalLimit && len(callers) > 0 {
+		callers = stillWorking(ctx, callers)
+		if len(callers) > 0 {
+			last = time.Now()
+		}
+		if !sleep(ctx, 5*time.Millisecond) {
+			break
+		}
+	}
+	r.withdrawal = last.Sub(started)
+	return nil
+}
+
+func (r *policyRun) connectAll(ctx context.Context, account string) ([]*pgx.Conn, error) {
+	var out []*pgx.Conn
+	for i := range r.deployment.Instances {
+		c, err := pgx.Connect(ctx, r.deployment.URL(i, local.DatabaseName, account))
+		if err != nil {
+			return nil, errors.Wrap(err, "connect before the key is withdrawn")
+		}
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+// stillWorking returns the callers whose statement succeeds or fails for another reason than the
+// end of their session.
+func stillWorking(ctx context.Context, callers []*pgx.Conn) []*pgx.Conn {
+	var out []*pgx.Conn
+	for _, c := range callers {
+		_, _ = c.Exec(ctx, "SELECT 1")
+		if !c.IsClosed() {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// limits returns the bounds that an account's admissions are checked against.
+func limits(o offer) map[string]history.Limit {
+	return map[string]history.Limit{o.Name: {Rate: o.Rate, Burst: o.Burst}}
+}
--- a/proxy/daemon/config.go
+++ b/proxy/daemon/config.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
 // Defaults of Config.
@@ -46,6 +48,10 @@
 	ListPoll        time.Duration // of the platform's instance list
 
 	Log logrus.FieldLogger
+	// OnStatement, if set, is told about every statement; it must not block.
+	OnStatement func(engine.Statement)
+	// Plain, if set, replaces the coordinated decisions by the baseline's.
+	Plain *PlainPolicy
 	// Listener, PeerListener and OpsListener are used in place of the addresses when set.
 	Listener, PeerListener, OpsListener net.Listener
 }
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -187,7 +187,7 @@
 		Directory:      d.directory,
 		Pool:           &home.Router{Locator: d.locator, Local: d.pool, Remote: d.homes},
 		Quota:          d.quota,
-		Observer:       newStatementMetrics(d.metrics.Scope, retries),
+		Observer:       newStatementMetrics(d.metrics.Scope, retries, d.cfg.OnStatement),
 		TLS:            d.cfg.TLS,
 		AllowPlain:     d.cfg.AllowPlain,
 		MaxMessageSize: d.cfg.MaxMessageBytes,
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -153,7 +153,11 @@
 func (g *groups) database(name string) (engine.Database, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m, ok := g.members[name]; ok {
+	m, ok := g.members[name]
+	switch {
+	case ok && g.cfg.Plain != nil:
+		return plainDatabase{m.group}, nil
+	case ok:
 		return m.group, nil
 	}
 	return nil, outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
--- a/proxy/daemon/metrics.go
+++ b/proxy/daemon/metrics.go
@@ -17,6 +17,7 @@
 	scope    tally.Scope
 	retries  *retryBudgets
 	sessions tally.Gauge
+	tell     func(engine.Statement) // nil if nobody asks
 
 	mu     sync.Mutex
 	open   int
@@ -34,8 +35,9 @@
 	run   tally.Histogram
 }
 
-func newStatementMetrics(scope tally.Scope, retries *retryBudgets) *statementMetrics {
+func newStatementMetrics(scope tally.Scope, retries *retryBudgets, tell func(engine.Statement)) *statementMetrics {
 	return &statementMetrics{
+		tell:     tell,
 		scope:    scope,
 		retries:  retries,
 		sessions: scope.Gauge("sessions"),
@@ -63,6 +65,9 @@
 // StatementDone implements engine.Observer.
 func (m *statementMetrics) StatementDone(s engine.Statement) {
 	m.retries.request(s.Route)
+	if m.tell != nil {
+		m.tell(s)
+	}
 	series := m.of(statementKey{s.Account, s.Route, served(s), s.Outcome})
 	series.count.Inc(1)
 	series.wait.RecordValue(s.Wait.Seconds())
--- /dev/null
+++ b/proxy/daemon/plain.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+// PlainPolicy replaces the coordinated decisions by simple ones, as a baseline for comparison: all
+// reads go to the primary, and each instance admits an equal static share of every account's rate.
+type PlainPolicy struct {
+	Instances int // that share the rates
+}
+
+// plainDatabase sends all reads to the primary.
+type plainDatabase struct {
+	engine.Database
+}
+
+// Read implements engine.Database.
+func (d plainDatabase) Read(ctx context.Context, r engine.ReadRequest) (engine.Target, error) {
+	return d.Primary(ctx)
+}
+
+// staticShares admits a fixed share of every account's rate and burst, without coordination.
+type staticShares struct {
+	unlimited
+	instances int
+
+	mu       sync.Mutex
+	limiters map[string]*rate.Limiter
+}
+
+// SetAccounts follows an adopted manifest.
+func (s *staticShares) SetAccounts(accounts []manifest.Account) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limiters := make(map[string]*rate.Limiter, len(accounts))
+	for _, a := range accounts {
+		limit := rate.Limit(a.Rate / float64(s.instances))
+		burst := max(int(a.Burst)/s.instances, 1)
+		limiters[a.Name] = s.limiters[a.Name]
+		if limiters[a.Name] == nil {
+			limiters[a.Name] = rate.NewLimiter(limit, burst)
+		}
+		limiters[a.Name].SetLimit(limit)
+		limiters[a.Name].SetBurst(burst)
+	}
+	s.limiters = limiters
+}
+
+// Admit implements engine.Quota.
+func (s *staticShares) Admit(_ context.Context, account string) error {
+	s.mu.Lock()
+	l := s.limiters[account]
+	s.mu.Unlock()
+	if l == nil || l.Allow() {
+		return nil
+	}
+	after := time.Duration(float64(time.Second) / float64(l.Limit()))
+	return outcome.New(outcome.NotRun, outcome.CodeTooManyRequests,
+		"the account's static share of this instance is used up", "retry later").WithRetryAfter(after)
+}
--- a/proxy/daemon/quota.go
+++ b/proxy/daemon/quota.go
@@ -41,5 +41,8 @@
 
 func (d *Daemon) assembleQuota() error {
 	d.quota = unlimited{}
+	if d.cfg.Plain != nil {
+		d.quota = &staticShares{instances: max(d.cfg.Plain.Instances, 1)}
+	}
 	return nil
 }
