Refuse callers at once when no proof is possible, and move off a leaving primary

A majority that is gone left reads and writes waiting until their own deadline. They are now refused at once as not run, with a delay after which to retry.

A leaving primary is replaced once a server that stays has its position; until then Primary withholds it, so that no acknowledged write is left behind.

A waiter's first probe is sent at once instead of up to 500 us after the one before.

--- a/decision/authority/event.go
+++ b/decision/authority/event.go
@@ -53,9 +53,6 @@
 // Suspicion tells that a connection to a server failed elsewhere, so that it is probed at once.
 type Suspicion struct{ Server ServerID }
 
-// Demand tells that a waiter has arrived that only probes sent from now on can resolve.
-type Demand struct{}
-
 // FenceAnswer tells that a server accepted a fence. State is its state afterwards.
 type FenceAnswer struct {
 	Server ServerID
@@ -86,7 +83,6 @@
 func (ProbeResult) event()    {}
 func (ProbeFailure) event()   {}
 func (Suspicion) event()      {}
-func (Demand) event()         {}
 func (FenceAnswer) event()    {}
 func (FenceFailure) event()   {}
 func (PromoteAnswer) event()  {}
--- a/decision/authority/invariants_test.go
+++ b/decision/authority/invariants_test.go
@@ -217,11 +217,13 @@
 
 func (w *world) fault(x *instance) {
 	s := pick(w, w.servers)
-	switch w.between(0, 11) {
+	switch w.between(0, 13) {
 	case 0:
 		s.up = false
 	case 9, 10:
 		w.pause(x)
+	case 11, 12:
+		x.machine.SetLeaving(pick(w, [][]authority.ServerID{nil, {s.id}, {s.id, w.servers[0].id}}))
 	case 1, 2, 3, 4:
 		if !s.up {
 			s.up = true
--- a/decision/authority/machine.go
+++ b/decision/authority/machine.go
@@ -10,8 +10,8 @@
 const (
 	// DefaultIdleInterval is the time between probes of a server while nothing waits.
 	DefaultIdleInterval = 100 * time.Millisecond
-	// DefaultDemandInterval keeps waiters from probing a server in a busy loop while they wait
-	// for replication; it is small against the round trip between failure domains (1 ms).
+	// DefaultDemandInterval keeps waiters that a first probe has not resolved from probing in a
+	// busy loop; it is small against the round trip between failure domains (1 ms).
 	DefaultDemandInterval = 500 * time.Microsecond
 	// DefaultHedgeAfter is the silence after which a probe is repeated over a fresh connection.
 	DefaultHedgeAfter = 100 * time.Millisecond
@@ -97,6 +97,7 @@
 	view           View
 	seq            Seq
 	demand         bool
+	wanted         Seq       // waiters need a probe of each server after this one
 	probing        []probing // by server
 	noPrimarySince time.Duration
 	noPrimary      bool
@@ -108,12 +109,16 @@
 	retryAt        time.Duration // no attempt before this time
 	stranded       bool
 	strandedSince  time.Duration
+	leaving        bool
+	leavingSince   time.Duration
+	moves          int // attempts to move away from the leaving primary
 }
 
 // probing is what a machine knows about its own probes of one server.
 type probing struct {
 	inFlight int
 	lastSent time.Duration
+	lastSeq  Seq
 	urgent   bool // probe as soon as none is in flight
 	suspect  bool // probe over a fresh connection
 	started  bool
@@ -158,7 +163,13 @@
 	return m.seq
 }
 
-// SetDemand tells whether waiters need probes sent as fast as they are answered.
+// Want tells that a waiter has arrived that only probes ordered from now on can resolve. Each
+// server is then probed as soon as none is in flight.
+func (m *Machine) Want() {
+	m.wanted = m.seq
+}
+
+// SetDemand tells whether waiters are left, so that probes follow each other closely.
 func (m *Machine) SetDemand(demand bool) {
 	m.demand = demand
 }
@@ -234,7 +245,7 @@
 	m.seq++
 	p := &m.probing[i]
 	p.inFlight++
-	p.lastSent, p.started = now, true
+	p.lastSent, p.lastSeq, p.started = now, m.seq, true
 	p.urgent, p.suspect = false, false
 	return Probe{Server: m.view.Servers[i].ID, Seq: m.seq, Fresh: fresh}
 }
@@ -260,6 +271,8 @@
 		return p.lastSent, true, true
 	case failing:
 		return p.lastSent + m.t.HedgeAfter, true, true
+	case m.demand && p.lastSeq <= m.wanted:
+		return p.lastSent, false, true
 	case m.demand:
 		return p.lastSent + m.t.DemandInterval, false, true
 	default:
--- a/decision/authority/promotion.go
+++ b/decision/authority/promotion.go
@@ -32,7 +32,7 @@
 	asked      map[ServerID]bool
 	fenced     map[ServerID]ServerState
 	failed     map[ServerID]bool
-	avoid      ServerID // leaving primary that is left out if the others don't catch up
+	avoid      ServerID // leaving primary that is left out of the choice
 	spread     bool     // the first server accepted, all others were asked
 	hasMajor   bool
 	majorityAt time.Duration
@@ -49,6 +49,7 @@
 	m.trackPrimary(now)
 	m.trackRival(now)
 	m.trackStranded(now)
+	m.trackLeaving(now)
 	if m.attempt != nil {
 		return m.drive(now)
 	}
@@ -107,6 +108,44 @@
 	m.stranded = stranded
 }
 
+// trackLeaving notes since when the primary is leaving while another server can take over.
+func (m *Machine) trackLeaving(now time.Duration) {
+	moving := m.Moving()
+	if moving && !m.leaving {
+		m.leavingSince, m.moves = now, 0
+	}
+	m.leaving = moving
+}
+
+// Moving reports whether the primary is leaving and another server can take over. The driver then
+// sends it no new writes, so that its successor reaches its last position before the promotion.
+func (m *Machine) Moving() bool {
+	primary := m.view.PrimaryView()
+	return primary != nil && primary.Leaving && !primary.Failing && m.successorReady(primary)
+}
+
+// readyToMove reports whether a successor has the leaving primary's position. Instances that have
+// not heard of the move yet may go on writing, so the wait is bounded.
+func (m *Machine) readyToMove(now time.Duration) bool {
+	if !m.leaving {
+		return false
+	}
+	return m.caughtUp() || now-m.leavingSince >= m.t.SuspectAfter
+}
+
+// caughtUp reports whether a server that stays has reached the primary.
+func (m *Machine) caughtUp() bool {
+	primary := m.view.PrimaryView()
+	return slices.ContainsFunc(m.view.Servers, func(s ServerView) bool {
+		return m.follows(&s) && s.State.LSN >= primary.State.LSN
+	})
+}
+
+// follows reports whether a server that stays has log of the present term.
+func (m *Machine) follows(s *ServerView) bool {
+	return !s.Leaving && s.Known && !s.Failing && s.State.Role == RoleReplica && s.State.Term == m.view.Term
+}
+
 // reason returns why an attempt should begin now.
 func (m *Machine) reason(now time.Duration) (Reason, bool) {
 	if m.reachable(now) < m.majority() {
@@ -126,7 +165,7 @@
 		return m.reasonAgainst(now, primary)
 	case m.stranded && now-m.strandedSince >= m.t.StrandedAfter:
 		return ReasonStranded, true
-	case primary.Leaving && m.successorReady(primary) && !m.damped(now, primary):
+	case m.readyToMove(now):
 		return ReasonLeaving, true
 	}
 	return "", false
@@ -135,7 +174,7 @@
 // reasonAgainst judges a primary that does not answer this instance.
 func (m *Machine) reasonAgainst(now time.Duration, primary *ServerView) (Reason, bool) {
 	silent := now - primary.FailingSince
-	if primary.Failures < DefaultSuspectProbes || silent < m.t.SuspectAfter {
+	if !m.Suspected(now, primary) {
 		return "", false
 	}
 	if m.damped(now, primary) {
@@ -147,6 +186,11 @@
 	return ReasonUnreachable, silent >= m.t.UnreachableAfter
 }
 
+// Suspected reports whether a server has left enough probes over fresh connections unanswered.
+func (m *Machine) Suspected(now time.Duration, s *ServerView) bool {
+	return s.Failures >= DefaultSuspectProbes && now-s.FailingSince >= m.t.SuspectAfter
+}
+
 // damped reports whether the last promotion is too recent for another one.
 func (m *Machine) damped(now time.Duration, primary *ServerView) bool {
 	if !m.view.Succeeded || now-m.view.PrimarySince >= m.t.Damping {
@@ -195,10 +239,10 @@
 	return true
 }
 
-// successorReady reports whether a server that is not leaving follows the primary.
+// successorReady reports whether a server that stays follows the primary.
 func (m *Machine) successorReady(primary *ServerView) bool {
 	return slices.ContainsFunc(m.view.Servers, func(s ServerView) bool {
-		return s.ID != primary.ID && !s.Leaving && !s.Failing && s.State.Term == m.view.Term
+		return s.ID != primary.ID && m.follows(&s)
 	})
 }
 
@@ -231,12 +275,27 @@
 	}
 	first := m.firstToFence(now)
 	if reason == ReasonLeaving {
-		first, a.avoid = m.view.Primary, m.view.Primary
+		first = m.view.Primary
+		a.avoid = m.avoided()
 	}
 	m.attempt = a
 	return []Action{m.fence(first)}
 }
 
+// maxMoves is how often a leaving primary may be promoted again because it had writes that no
+// other server had. After that it is left out, which may drop writes acknowledged in ModePrimary.
+const maxMoves = 3
+
+// avoided counts the attempts to move away from the leaving primary and returns it once they are
+// too many.
+func (m *Machine) avoided() ServerID {
+	m.moves++
+	if m.moves <= maxMoves {
+		return ""
+	}
+	return m.view.Primary
+}
+
 func (m *Machine) firstToFence(now time.Duration) ServerID {
 	var first ServerID
 	for i := range m.view.Servers {
@@ -325,7 +384,7 @@
 	case a.target != "":
 		return m.promote()
 	case !a.spread:
-		return m.spread(now)
+		return m.spread()
 	case a.hasMajor && m.fencedEnough(now):
 		a.target = m.successor()
 		return m.promote()
@@ -342,16 +401,12 @@
 	m.lose(now)
 }
 
-// spread fences the other servers once the first one has accepted. A leaving primary is fenced
-// first, and its successor gets a moment to reach the primary's last position.
-func (m *Machine) spread(now time.Duration) []Action {
+// spread fences the other servers once the first one has accepted.
+func (m *Machine) spread() []Action {
 	a := m.attempt
 	if len(a.fenced) == 0 {
 		return nil
 	}
-	if a.avoid != "" && !m.caughtUp() && now-a.startedAt < m.t.AttemptTimeout/4 {
-		return nil
-	}
 	a.spread = true
 	var out []Action
 	for i := range m.view.Servers {
@@ -362,14 +417,6 @@
 	return out
 }
 
-// caughtUp reports whether a server that stays has reached the fenced leaving primary.
-func (m *Machine) caughtUp() bool {
-	left := m.attempt.fenced[m.attempt.avoid]
-	return slices.ContainsFunc(m.view.Servers, func(s ServerView) bool {
-		return !s.Leaving && s.Known && s.State.Term == left.Term && s.State.LSN >= left.LSN
-	})
-}
-
 // fencedEnough reports whether no reachable server is left that may soon accept the fence.
 func (m *Machine) fencedEnough(now time.Duration) bool {
 	a := m.attempt
@@ -437,11 +484,39 @@
 	return -1
 }
 
+// MajorityLost reports whether so many servers are suspected that nothing can be proven.
+func (m *Machine) MajorityLost(now time.Duration) bool {
+	left := len(m.view.Servers)
+	for i := range m.view.Servers {
+		if m.Suspected(now, &m.view.Servers[i]) {
+			left--
+		}
+	}
+	return left < m.majority()
+}
+
+// PrimaryWait returns the least time until another server may be promoted in place of a primary
+// that does not answer; 0 when that may happen at once or the primary answers.
+func (m *Machine) PrimaryWait(now time.Duration) time.Duration {
+	primary := m.view.PrimaryView()
+	if primary == nil || !primary.Failing {
+		return 0
+	}
+	wait := primary.FailingSince + m.t.SuspectAfter - now
+	if m.heard(now) && m.Suspected(now, primary) {
+		wait = primary.FailingSince + m.t.UnreachableAfter - now
+	}
+	if m.damped(now, primary) {
+		wait = max(wait, m.view.PrimarySince+m.t.Damping-now)
+	}
+	return max(wait, 0)
+}
+
 // deadlines returns the times at which decide may come to another result without an event.
 func (m *Machine) deadlines() []time.Duration {
 	out := []time.Duration{m.due.at, m.retryAt, m.rival.until}
 	if a := m.attempt; a != nil {
-		out = append(out, a.startedAt+m.t.AttemptTimeout, a.startedAt+m.t.AttemptTimeout/4)
+		out = append(out, a.startedAt+m.t.AttemptTimeout)
 		if a.hasMajor {
 			out = append(out, a.majorityAt+m.t.FenceGrace)
 		}
--- a/decision/authority/view.go
+++ b/decision/authority/view.go
@@ -135,7 +135,12 @@
 	v.Primary = ""
 }
 
+// findPrimary returns the server that says that it is the primary of the highest term. Once a
+// majority is fenced above that term, its primary can't have anything confirmed any more.
 func (v *View) findPrimary() ServerID {
+	if len(v.Servers)-v.fencedAbove(v.Term) < Majority(len(v.Servers)) {
+		return ""
+	}
 	for i := range v.Servers {
 		s := &v.Servers[i]
 		if s.Known && s.State.Role == RolePrimary && s.State.Term == v.Term && !s.State.Fenced() {
--- a/proxy/group/errors.go
+++ b/proxy/group/errors.go
@@ -20,10 +20,11 @@
 		"check whether the write took effect before repeating it").WithRetryAfter(retryAfterFailover)
 }
 
-func errNoPrimary() *outcome.Error {
+// errNoPrimary takes the least time until a promotion may begin.
+func errNoPrimary(wait time.Duration) *outcome.Error {
 	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
-		"no primary is known for the database",
-		"repeat the statement after the delay").WithRetryAfter(retryAfterFailover)
+		"the database has no usable primary",
+		"repeat the statement after the delay").WithRetryAfter(wait + retryAfterFailover)
 }
 
 func errNoServer() *outcome.Error {
@@ -32,16 +33,10 @@
 		"repeat the read after the delay").WithRetryAfter(retryAfterFailover)
 }
 
-func errNoAuthority() *outcome.Error {
+func errNoMajority() *outcome.Error {
 	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
-		"a majority of the database's servers did not confirm the primary",
-		"repeat the read after the delay").WithRetryAfter(retryAfterFailover)
-}
-
-func (g *Group) errNoSample() *outcome.Error {
-	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
-		"a majority of the database's servers did not answer",
-		"repeat the read after the delay, or hand back the session token so that no majority is needed").WithRetryAfter(retryAfterFailover)
+		"a majority of the database's servers does not answer",
+		"repeat the statement after the delay, or see whether the servers run and can be reached").WithRetryAfter(retryAfterFailover)
 }
 
 func errLostWrite(floor position.Position, term uint64) *outcome.Error {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -33,7 +33,7 @@
 	places     routing.Config
 	marks      routing.Marks
 	lastID     authority.WaiterID
-	proofs     map[authority.WaiterID]func(authority.Resolution)
+	proofs     map[authority.WaiterID]pending
 	placements []*placement
 	primaries  []*primaryWait
 	marking    bool // a passive waiter for the next mark is present
@@ -41,6 +41,18 @@
 	run        context.Context
 }
 
+// pending is a wait for a proof.
+type pending struct {
+	mode authority.Mode
+	done func(proof)
+}
+
+// proof ends a wait. With unreachable set too few servers answer for any proof.
+type proof struct {
+	authority.Resolution
+	unreachable bool
+}
+
 var _ engine.Database = (*Group)(nil)
 
 // inboxSize lets answers of servers be posted while the owner is busy.
@@ -60,7 +72,7 @@
 		origin:  time.Now(),
 		inbox:   make(chan func(), inboxSize),
 		stopped: make(chan struct{}),
-		proofs:  map[authority.WaiterID]func(authority.Resolution){},
+		proofs:  map[authority.WaiterID]pending{},
 	}
 	g.assemble()
 	return g, nil
@@ -151,6 +163,7 @@
 func (g *Group) advance() time.Duration {
 	now := g.now()
 	g.finish(g.confirm.Advance(now))
+	g.refuseProofs(now)
 	g.addMark(now)
 	g.servePlacements(now)
 	g.servePrimaries(now)
@@ -228,7 +241,7 @@
 		Term:        primary.State.Term,
 		Incarnation: primary.State.Incarnation,
 	}
-	g.wait(w, func(r authority.Resolution) {
+	g.wait(w, func(r proof) {
 		g.marking = false
 		if r.Proven {
 			g.marks.Add(now, r.Position)
@@ -237,28 +250,43 @@
 }
 
 // wait begins a wait that done ends; it returns the waiter's name.
-func (g *Group) wait(w authority.Waiter, done func(authority.Resolution)) authority.WaiterID {
+func (g *Group) wait(w authority.Waiter, done func(proof)) authority.WaiterID {
 	g.lastID++
 	w.ID, w.After = g.lastID, g.machine.Seq()
-	g.proofs[w.ID] = done
+	g.proofs[w.ID] = pending{mode: w.Mode, done: done}
 	g.finish(g.confirm.Add(w))
 	return w.ID
 }
 
 func (g *Group) finish(resolved []authority.Resolution) {
 	for _, r := range resolved {
-		done := g.proofs[r.ID]
+		p := g.proofs[r.ID]
 		delete(g.proofs, r.ID)
-		done(r)
+		p.done(proof{Resolution: r})
+	}
+}
+
+// refuseProofs ends the waits of reads when too few servers answer. Waits for the confirmation of
+// a write go on until their own deadline, because their servers may come back.
+func (g *Group) refuseProofs(now time.Duration) {
+	if !g.machine.MajorityLost(now) {
+		return
+	}
+	for id, p := range g.proofs {
+		if p.mode == authority.ModeSample || p.mode == authority.ModeAuthority {
+			g.cancel(id)
+			p.done(proof{unreachable: true})
+		}
 	}
 }
 
 // prove waits for a proof on behalf of a caller; ok is false when ctx ended or the group stopped.
-func (g *Group) prove(ctx context.Context, w authority.Waiter) (r authority.Resolution, ok bool) {
-	result := make(chan authority.Resolution, 1)
+func (g *Group) prove(ctx context.Context, w authority.Waiter) (r proof, ok bool) {
+	result := make(chan proof, 1)
 	var id authority.WaiterID
 	begun := g.post(ctx, func() {
-		id = g.wait(w, func(r authority.Resolution) { result <- r })
+		id = g.wait(w, func(r proof) { result <- r })
+		g.machine.Want()
 	})
 	if !begun {
 		return r, false
--- a/proxy/group/read.go
+++ b/proxy/group/read.go
@@ -2,25 +2,35 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/routing"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
 // placement is a read that waits for its server.
 type placement struct {
-	request routing.Request
-	until   time.Duration // from then on the primary is taken
-	result  chan routing.Choice
+	request  routing.Request
+	until    time.Duration // from then on the primary is taken
+	deadline time.Duration
+	result   chan placed
+}
+
+type placed struct {
+	choice routing.Choice
+	err    error
 }
 
 // primaryWait is a caller that waits for a primary.
 type primaryWait struct {
-	result chan primaryAnswer
+	deadline time.Duration
+	result   chan primaryAnswer
 }
 
 type primaryAnswer struct {
@@ -42,18 +52,15 @@
 // readOnce goes through sampling, placing and proving once; again asks for another round because
 // the group has changed in between.
 func (g *Group) readOnce(ctx context.Context, r engine.ReadRequest, until time.Duration) (t engine.Target, again bool, err error) {
-	request := routing.Request{Session: r.Floor, Exclude: r.Exclude}
-	var sample authority.Resolution
-	if r.Sample && r.MaxStaleness == 0 {
-		var ok bool
-		if sample, ok = g.prove(ctx, authority.Waiter{Mode: authority.ModeSample}); !ok {
-			return t, false, g.errNoSample()
-		}
-		request.Sampled = sample.Position
+	request := routing.Request{Session: r.Floor, Bounded: r.MaxStaleness > 0, Exclude: r.Exclude}
+	sample, err := g.sample(ctx, r)
+	if err != nil {
+		return t, false, err
 	}
-	choice, ok := g.place(ctx, request, r.MaxStaleness, until)
-	if !ok {
-		return t, false, errNoServer()
+	request.Sampled = sample.Position
+	choice, err := g.place(ctx, request, r.MaxStaleness, until)
+	if err != nil {
+		return t, false, err
 	}
 	switch choice.Kind {
 	case routing.KindReplica:
@@ -61,85 +68,104 @@
 	case routing.KindResample:
 		return t, true, nil
 	}
-	if !sample.Authority || sample.Term != choice.Term {
-		proof, ok := g.prove(ctx, authority.Waiter{Mode: authority.ModeAuthority, Term: choice.Term})
-		if !ok {
-			return t, false, errNoAuthority()
-		}
-		if !proof.Proven {
-			return t, true, nil
-		}
-	}
-	if choice.Kind == routing.KindLost {
-		g.log.WithFields(logrus.Fields{"event": EventLostWrite, "floor": r.Floor.String(), "term": choice.Term}).
-			Warn("confirmed write is not part of the present primary's history")
-		return t, false, errLostWrite(r.Floor, choice.Term)
+	proven, err := g.authority(ctx, choice.Term, sample)
+	switch {
+	case err != nil:
+		return t, false, err
+	case !proven:
+		return t, true, nil
+	case choice.Kind == routing.KindLost:
+		return t, false, g.lostWrite(r.Floor, choice.Term)
 	}
 	return g.target(choice.Server, choice.Term, choice.Incarnation, true), false, nil
 }
 
+// sample takes the floor of a read that asks for one. A read with a staleness bound needs none.
+func (g *Group) sample(ctx context.Context, r engine.ReadRequest) (proof, error) {
+	if !r.Sample || r.MaxStaleness > 0 {
+		return proof{}, nil
+	}
+	sample, ok := g.prove(ctx, authority.Waiter{Mode: authority.ModeSample})
+	if !ok || !sample.Proven {
+		return sample, errNoMajority()
+	}
+	return sample, nil
+}
+
+// authority reports whether a majority shows the term unfenced since the read arrived, which a
+// sample may have shown already.
+func (g *Group) authority(ctx context.Context, term uint64, sample proof) (bool, error) {
+	if sample.Authority && sample.Term == term {
+		return true, nil
+	}
+	shown, ok := g.prove(ctx, authority.Waiter{Mode: authority.ModeAuthority, Term: term})
+	if !ok || shown.unreachable {
+		return false, errNoMajority()
+	}
+	return shown.Proven, nil
+}
+
+func (g *Group) lostWrite(floor position.Position, term uint64) error {
+	g.log.WithFields(logrus.Fields{"event": EventLostWrite, "floor": floor.String(), "term": term}).
+		Warn("confirmed write is not part of the present primary's history")
+	return errLostWrite(floor, term)
+}
+
 // place waits until a server fits the request.
-func (g *Group) place(ctx context.Context, r routing.Request, maxStaleness, until time.Duration) (routing.Choice, bool) {
-	p := &placement{request: r, until: until, result: make(chan routing.Choice, 1)}
-	p.request.Bounded = maxStaleness > 0
+func (g *Group) place(ctx context.Context, r routing.Request, maxStaleness, until time.Duration) (routing.Choice, error) {
+	p := &placement{request: r, until: until, deadline: g.deadline(ctx), result: make(chan placed, 1)}
 	begun := g.post(ctx, func() {
-		if p.request.Bounded {
+		if r.Bounded {
 			p.request.Stale, _ = g.marks.Since(g.now() - maxStaleness)
 		}
 		g.placements = append(g.placements, p)
 	})
 	if !begun {
-		return routing.Choice{}, false
+		return routing.Choice{}, errNoServer()
 	}
 	select {
 	case c := <-p.result:
-		return c, true
+		return c.choice, c.err
 	case <-g.stopped:
 	case <-ctx.Done():
-		g.post(g.background(), func() { g.placements = without(g.placements, p) })
+		g.post(g.background(), func() { g.placements = remove(g.placements, p) })
 	}
-	return routing.Choice{}, false
+	return routing.Choice{}, errNoServer()
 }
 
-func without[T comparable](list []T, x T) []T {
-	kept := list[:0]
-	for _, y := range list {
-		if y != x {
-			kept = append(kept, y)
-		}
-	}
-	return kept
-}
-
-// servePlacements answers the reads that can be placed now.
+// servePlacements answers the reads that can be placed or refused now.
 func (g *Group) servePlacements(now time.Duration) {
-	kept := g.placements[:0]
-	for _, p := range g.placements {
+	g.placements = slices.DeleteFunc(g.placements, func(p *placement) bool {
 		c := g.places.Choose(now, g.machine.View(), p.request)
-		if c.Kind == routing.KindWait || (c.Kind == routing.KindPrimary && c.Hopeful && now < p.until) {
-			kept = append(kept, p)
-			continue
+		switch {
+		case c.Kind == routing.KindWait:
+			err := g.refusal(now, p.deadline)
+			if err != nil {
+				p.result <- placed{err: err}
+			}
+			return err != nil
+		case c.Kind == routing.KindPrimary && c.Hopeful && now < p.until:
+			return false
 		}
-		p.result <- c
-	}
-	clear(g.placements[len(kept):])
-	g.placements = kept
+		p.result <- placed{choice: c}
+		return true
+	})
 }
 
 // Primary returns the present primary, see engine.Database.
 func (g *Group) Primary(ctx context.Context) (engine.Target, error) {
-	w := &primaryWait{result: make(chan primaryAnswer, 1)}
+	w := &primaryWait{deadline: g.deadline(ctx), result: make(chan primaryAnswer, 1)}
 	if !g.post(ctx, func() { g.primaries = append(g.primaries, w) }) {
-		return engine.Target{}, errNoPrimary()
+		return engine.Target{}, errNoPrimary(0)
 	}
 	select {
 	case a := <-w.result:
 		return a.target, a.err
 	case <-g.stopped:
 	case <-ctx.Done():
-		g.post(g.background(), func() { g.primaries = without(g.primaries, w) })
+		g.post(g.background(), func() { g.primaries = remove(g.primaries, w) })
 	}
-	return engine.Target{}, errNoPrimary()
+	return engine.Target{}, errNoPrimary(0)
 }
 
 // servePrimaries answers the callers of Primary that need not wait any longer.
@@ -147,21 +173,52 @@
 	if len(g.primaries) == 0 {
 		return
 	}
-	a, ok := g.primaryNow(now)
-	if !ok {
-		return
+	target, ready := g.primaryNow()
+	g.primaries = slices.DeleteFunc(g.primaries, func(w *primaryWait) bool {
+		if ready {
+			w.result <- primaryAnswer{target: target}
+			return true
+		}
+		err := g.refusal(now, w.deadline)
+		if err != nil {
+			w.result <- primaryAnswer{err: err}
+		}
+		return err != nil
+	})
+}
+
+// primaryNow returns the primary unless it is failing or about to be moved.
+func (g *Group) primaryNow() (engine.Target, bool) {
+	p := g.machine.View().PrimaryView()
+	if p == nil || p.Failures > 0 || g.machine.Moving() {
+		return engine.Target{}, false
 	}
-	for _, w := range g.primaries {
-		w.result <- a
+	return g.target(p.ID, p.State.Term, p.State.Incarnation, true), true
+}
+
+// refusal returns the error for a caller whose wait can't end in time, so that it is told at once,
+// or nil if it may.
+func (g *Group) refusal(now, deadline time.Duration) error {
+	if g.machine.MajorityLost(now) {
+		return errNoMajority()
 	}
-	clear(g.primaries)
-	g.primaries = g.primaries[:0]
+	if wait := g.machine.PrimaryWait(now); now+wait >= deadline {
+		return errNoPrimary(wait)
+	}
+	return nil
 }
 
-func (g *Group) primaryNow(now time.Duration) (primaryAnswer, bool) {
-	v := g.machine.View()
-	if p := v.PrimaryView(); p != nil && p.Failures == 0 {
-		return primaryAnswer{target: g.target(p.ID, p.State.Term, p.State.Incarnation, true)}, true
+// noDeadline stands for the deadline of a context without one.
+const noDeadline = time.Duration(math.MaxInt64)
+
+// deadline returns the deadline of ctx on the group's clock.
+func (g *Group) deadline(ctx context.Context) time.Duration {
+	if at, ok := ctx.Deadline(); ok {
+		return at.Sub(g.origin)
 	}
-	return primaryAnswer{}, false
+	return noDeadline
+}
+
+func remove[T comparable](list []T, x T) []T {
+	return slices.DeleteFunc(list, func(y T) bool { return y == x })
 }
--- /dev/null
+++ b/proxy/group/standin_test.go
@@ -0,0 +1,207 @@
+package group
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+// freshClient probes over a connection of its own.
+type freshClient struct{ *dbgroup.Client }
+
+func (f freshClient) Probe(ctx context.Context) (authority.ServerState, error) {
+	return f.ProbeFresh(ctx)
+}
+
+// startStandIn runs a group of stand-in servers and instances views of it.
+func startStandIn(t testing.TB, lag time.Duration, instances int) (*database.Group, []*Group, context.Context) {
+	t.Helper()
+	d, err := database.StartGroup(database.GroupConfig{Server: database.Config{ReplicationLag: lag}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*deadline)
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		d.Close()
+	})
+	var views []*Group
+	for i := range instances {
+		g, err := New(Config{Database: "db", Servers: standInServers(d), Instance: fmt.Sprintf("i%d", i), Connect: connectStandIn(t)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		running.Go(func() { _ = g.Run(ctx) })
+		views = append(views, g)
+	}
+	return d, views, ctx
+}
+
+func standInServers(d *database.Group) []manifest.Server {
+	var out []manifest.Server
+	for i := range d.Size() {
+		id := authority.ServerID(fmt.Sprintf("s%d", i+1))
+		out = append(out, manifest.Server{ID: string(id), Address: d.Addresses()[id]})
+	}
+	return out
+}
+
+func connectStandIn(t testing.TB) func(manifest.Server) Adapter {
+	return func(s manifest.Server) Adapter {
+		c, err := dbgroup.NewClient(dbgroup.Config{Server: authority.ServerID(s.ID), Address: s.Address, User: "proxy"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Close)
+		return Adapter{Kept: c, Fresh: freshClient{c}}
+	}
+}
+
+// writer writes over one connection to the present primary.
+type writer struct {
+	g    *Group
+	conn *pgconn.PgConn
+	to   engine.Target
+}
+
+func (w *writer) write(ctx context.Context, n int) error {
+	to, err := w.g.Primary(ctx)
+	if err != nil {
+		return err
+	}
+	if w.conn == nil || w.conn.IsClosed() || to.Address != w.to.Address {
+		if err := w.connect(ctx, to); err != nil {
+			w.g.ReportFailure(to, err)
+			return err
+		}
+	}
+	w.to = to
+	args := [][]byte{[]byte("k"), []byte(strconv.Itoa(n))}
+	const statement = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value"
+	if err := w.conn.ExecParams(ctx, statement, args, nil, nil, nil).Read().Err; err != nil {
+		w.g.ReportFailure(to, err)
+		return err
+	}
+	return nil
+}
+
+func (w *writer) connect(ctx context.Context, to engine.Target) error {
+	w.close()
+	conf, err := dbgroup.ConnConfig(dbgroup.Config{Address: to.Address, User: "writer"})
+	if err != nil {
+		return err
+	}
+	w.conn, err = pgconn.ConnectConfig(ctx, conf)
+	return err
+}
+
+func (w *writer) close() {
+	if w.conn != nil {
+		_ = w.conn.Close(context.Background())
+	}
+}
+
+// writeOnce writes and, with a mode, confirms, within a limit of one second.
+func (w *writer) writeOnce(ctx context.Context, n int, mode manifest.Acknowledge) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := w.write(ctx, n); err != nil || mode == "" {
+		return err
+	}
+	_, err := w.g.Confirm(ctx, w.to, mode)
+	return err
+}
+
+// BenchmarkConfirm measures an acknowledged write by mode, replication lag and writers that share
+// the probe rounds. Mode none is the write without confirmation.
+func BenchmarkConfirm(b *testing.B) {
+	for _, lag := range []time.Duration{time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+		for _, mode := range []manifest.Acknowledge{"", manifest.AcknowledgePrimary, manifest.AcknowledgeMajority} {
+			for _, writers := range []int{1, 16} {
+				name := fmt.Sprintf("lag=%v/mode=%s/writers=%d", lag, modeName(mode), writers)
+				b.Run(name, func(b *testing.B) { benchmarkConfirm(b, lag, mode, writers) })
+			}
+		}
+	}
+}
+
+func modeName(mode manifest.Acknowledge) string {
+	if mode == "" {
+		return "none"
+	}
+	return string(mode)
+}
+
+func benchmarkConfirm(b *testing.B, lag time.Duration, mode manifest.Acknowledge, writers int) {
+	_, views, ctx := startStandIn(b, lag, 1)
+	took := make([][]time.Duration, writers)
+	var running sync.WaitGroup
+	b.ResetTimer()
+	for i := range writers {
+		running.Go(func() {
+			w := &writer{g: views[0]}
+			defer w.close()
+			for n := i; n < b.N; n += writers {
+				begun := time.Now()
+				if err := w.writeOnce(ctx, n, mode); err != nil {
+					b.Error(err)
+				}
+				took[i] = append(took[i], time.Since(begun))
+			}
+		})
+	}
+	running.Wait()
+	all := slices.Concat(took...)
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-us")
+}
+
+// Guards the target of a gap in confirmed writes under 3 s after the primary's process has ended
+// or its host has gone silent, with instances that compete for the promotion.
+func TestWriteGap(t *testing.T) {
+	faults := map[string]func(*database.Group){
+		"crash":  func(d *database.Group) { d.Kill(0) },
+		"silent": func(d *database.Group) { d.Pause(0) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			d, views, ctx := startStandIn(t, time.Millisecond, 3)
+			w := &writer{g: views[0]}
+			defer w.close()
+			confirmOne(t, ctx, w)
+			begun := time.Now()
+			fault(d)
+			confirmOne(t, ctx, w)
+			gap := time.Since(begun)
+			t.Logf("write gap %v", gap)
+			if gap > 3*time.Second {
+				t.Errorf("write gap %v, want under 3 s", gap)
+			}
+		})
+	}
+}
+
+// confirmOne repeats a write until it is confirmed.
+func confirmOne(t *testing.T, ctx context.Context, w *writer) {
+	t.Helper()
+	for n := 0; w.writeOnce(ctx, n, manifest.AcknowledgeMajority) != nil; n++ {
+		if ctx.Err() != nil {
+			t.Fatal("no write was confirmed")
+		}
+	}
+}
