Pass over a home instance that does not answer

Cause: until the heartbeat noticed, every checkout from a dead home failed. Change: the router tries the next instance in hash order and remembers the silent one for 2 s; peer connections are made in one place, with TLS.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -24,6 +24,10 @@
 // cutOffAllowance is the time beyond the drain timeout after which a stop cuts connections.
 const cutOffAllowance = 10 * time.Second
 
+// homeConnsKept bounds the idle connections to a home instance, each of which carries one checked-out
+// connection at a time. Servers have up to 50 connections.
+const homeConnsKept = 64
+
 // Daemon is one instance. Use New, then Run.
 type Daemon struct {
 	cfg       Config
@@ -35,7 +39,7 @@
 	directory *directory.Directory
 	groups    *groups
 	pool      *pool.Pool
-	homes     *home.Client
+	homeCalls *peer.Client
 	locator   *locator
 	peers     *peer.Set
 	peerCalls *peer.Client
@@ -119,7 +123,7 @@
 		event(d.log, EventHandBackFailed).WithError(err).Warn("quota could not be handed back; it is free again when its time has passed")
 	}
 	d.pool.Close()
-	_ = d.homes.Close()
+	_ = d.homeCalls.Close()
 	_ = d.peerCalls.Close()
 	d.store.Close()
 	_ = d.metrics.Close()
@@ -147,7 +151,7 @@
 // assemblePeers connects this instance with the others.
 func (d *Daemon) assemblePeers() error {
 	d.peerCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient})
-	d.homes = home.NewClient(d.cfg.PeerClient)
+	d.homeCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient, KeptPerPeer: homeConnsKept})
 	seed := rand.Int63()
 	g := &gossip{daemon: d}
 	set, err := peer.NewSet(peer.SetConfig{
@@ -185,7 +189,7 @@
 	retries := newRetryBudgets()
 	d.engine, err = engine.New(engine.Config{
 		Directory:      d.directory,
-		Pool:           &home.Router{Locator: d.locator, Local: d.pool, Remote: d.homes},
+		Pool:           &home.Router{Locator: d.locator, Local: d.pool, Remote: home.NewClient(d.homeCalls)},
 		Quota:          d.quota,
 		Observer:       newStatementMetrics(d.metrics.Scope, retries, d.cfg.OnStatement),
 		TLS:            d.cfg.TLS,
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -123,15 +126,22 @@
 	return list, nil
 }
 
+// passOver is how long an instance that did not answer a checkout is passed over. The heartbeat has
+// judged it by then.
+const passOver = 2 * time.Second
+
 // locator implements home.Locator by rendezvous hashing over the reachable instances.
 type locator struct {
 	self string
 	set  *peer.Set
 	live atomic.Pointer[[]string]
+
+	mu     sync.Mutex
+	passed map[string]time.Time // until when an instance is passed over
 }
 
 func newLocator(set *peer.Set, self string) *locator {
-	l := &locator{self: self, set: set}
+	l := &locator{self: self, set: set, passed: make(map[string]time.Time)}
 	l.live.Store(&[]string{self})
 	return l
 }
@@ -140,8 +150,7 @@
 	ticker := time.NewTicker(locatorRefresh)
 	defer ticker.Stop()
 	for {
-		live := l.set.Live()
-		l.live.Store(&live)
+		l.refresh(time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -150,8 +159,28 @@
 	}
 }
 
+func (l *locator) refresh(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.passed, func(_ string, until time.Time) bool { return !until.After(now) })
+	live := slices.DeleteFunc(l.set.Live(), func(address string) bool {
+		_, passed := l.passed[address]
+		return passed
+	})
+	l.live.Store(&live)
+}
+
 // Home implements home.Locator.
 func (l *locator) Home(server authority.ServerID) (string, bool) {
 	address := peer.Rendezvous(string(server), *l.live.Load())
 	return address, address == l.self
 }
+
+// Unreachable implements home.Locator.
+func (l *locator) Unreachable(address string) {
+	now := time.Now()
+	l.mu.Lock()
+	l.passed[address] = now.Add(passOver)
+	l.mu.Unlock()
+	l.refresh(now)
+}
--- a/proxy/home/router.go
+++ b/proxy/home/router.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
@@ -11,8 +13,14 @@
 type Locator interface {
 	// Home returns the peer address of the server's home, or self for this instance.
 	Home(server authority.ServerID) (peerAddress string, self bool)
+	// Unreachable tells that the home at peerAddress did not answer, so that Home names another
+	// instance until it answers again.
+	Unreachable(peerAddress string)
 }
 
+// maxHomes is how many instances are tried for one request: two more than a single failure needs.
+const maxHomes = 3
+
 // Router implements engine.Pool: it takes connections from the local pool where this instance is
 // home, and from the home instance otherwise.
 type Router struct {
@@ -21,11 +29,22 @@
 	Remote  *Client
 }
 
-// Acquire implements engine.Pool.
+// Acquire implements engine.Pool. An instance that does not answer is passed over at once, since
+// nothing of the statement was sent to it.
 func (r *Router) Acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
-	address, self := r.Locator.Home(req.Target.Server)
-	if self {
-		return r.Local.Acquire(ctx, req)
+	for try := 1; ; try++ {
+		address, self := r.Locator.Home(req.Target.Server)
+		if self {
+			return r.Local.Acquire(ctx, req)
+		}
+		conn, err := r.Remote.Acquire(ctx, address, req)
+		var unreachable *unreachableError
+		if err == nil || !errors.As(err, &unreachable) || ctx.Err() != nil {
+			return conn, err
+		}
+		r.Locator.Unreachable(address)
+		if try == maxHomes {
+			return nil, unreachable.told
+		}
 	}
-	return r.Remote.Acquire(ctx, address, req)
 }
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -20,8 +21,8 @@
 	// idleExpiry closes kept connections that no call has used. It is above the heartbeat
 	// period, so that heartbeats don't open connections.
 	idleExpiry = 30 * time.Second
-	// keptPerPeer bounds the idle connections to one peer; calls in progress may use more.
-	keptPerPeer = 4
+	// defaultKeptPerPeer bounds the idle connections to one peer; calls in progress may use more.
+	defaultKeptPerPeer = 4
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find silent connections that no call uses.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
@@ -34,6 +35,8 @@
 type ClientConfig struct {
 	TLS     *tls.Config // nil: plain TCP
 	Traffic *Traffic    // nil: not counted
+	// KeptPerPeer bounds the idle connections to one peer; 0 keeps a few, which suits short calls.
+	KeptPerPeer int
 }
 
 // Client calls other instances. A call uses a kept idle connection or opens one. A call that
@@ -46,7 +49,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
-	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: keptPerPeer}
+	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: cmp.Or(cfg.KeptPerPeer, defaultKeptPerPeer)}
 	return &Client{cfg: cfg, pool: drpcpool.New[string, *drpcconn.Conn](options)}
 }
 
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -41,8 +41,6 @@
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
 	// Dial opens a TCP connection; nil uses a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Divisor is the number of instances that share the servers' limits, at least 1.
-	Divisor int
 }
 
 func (c Config) withDefaults() Config {
@@ -51,7 +49,6 @@
 	setDefault(&c.CheckTimeout, DefaultCheckTimeout)
 	setDefault(&c.OpenAtOnce, DefaultOpenAtOnce)
 	setDefault(&c.QueuePerAccount, DefaultQueuePerAccount)
-	setDefault(&c.Divisor, 1)
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{KeepAlive: 5 * time.Second}).DialContext
 	}
@@ -106,18 +103,10 @@
 	}
 }
 
-// SetDivisor changes the number of instances that share the servers' limits.
-func (p *Pool) SetDivisor(n int, servers []manifest.Server) {
-	p.mu.Lock()
-	p.cfg.Divisor = max(n, 1)
-	p.mu.Unlock()
-	p.SetServers(servers)
-}
-
 func (p *Pool) limits(s manifest.Server) fairqueue.Config {
 	return fairqueue.Config{
-		Slots:           max(s.Slots/p.cfg.Divisor, 1),
-		Connections:     max(s.MaxConnections/p.cfg.Divisor, 1),
+		Slots:           s.Slots,
+		Connections:     s.MaxConnections,
 		QueuePerAccount: p.cfg.QueuePerAccount,
 	}
 }
