Replace a primary that its own group can't hear

Cause: a primary that answered its probes counted as healthy, also when no replica reached it. No write was confirmed then for as long as the cut lasted, although two of three servers could have gone on. Change: when a majority of the servers, all answering, have had no contact with an answering primary for 8 s, an instance fences and promotes one of them. The isolated primary is left out, because its log may be longer by writes that no majority has; it would be promoted again. Damping applies. With acknowledge: primary such writes are lost and reported as lost. With the exclusion removed, the scenario test fails because the isolated primary is promoted again.

--- a/decision/authority/invariants_test.go
+++ b/decision/authority/invariants_test.go
@@ -208,7 +208,7 @@
 }
 
 func (w *world) replicate(p, s *server) {
-	if p != s && p.up && s.up && p.state.Role == authority.RolePrimary {
+	if p != s && p.up && s.up && !p.alone && !s.alone && p.state.Role == authority.RolePrimary {
 		s.contact = w.now
 		s.copyFrom(p, w.between(0, 4))
 		w.noteSuperseded()
@@ -217,9 +217,11 @@
 
 func (w *world) fault(x *instance) {
 	s := pick(w, w.servers)
-	switch w.between(0, 13) {
+	switch w.between(0, 15) {
 	case 0:
 		s.up = false
+	case 14, 15:
+		s.alone = !s.alone
 	case 9, 10:
 		w.pause(x)
 	case 11, 12:
@@ -243,7 +245,7 @@
 // ended: every instance has to get a write confirmed within recoverRounds.
 func (w *world) checkRecovers() {
 	for _, s := range w.servers {
-		s.up = true
+		s.up, s.alone = true, false
 	}
 	for _, x := range w.instances {
 		clear(x.cut)
--- a/decision/authority/machine.go
+++ b/decision/authority/machine.go
@@ -109,6 +109,8 @@
 	retryAt        time.Duration // no attempt before this time
 	stranded       bool
 	strandedSince  time.Duration
+	isolated       bool
+	isolatedSince  time.Duration
 	leaving        bool
 	leavingSince   time.Duration
 	moves          int // attempts to move away from the leaving primary
--- a/decision/authority/model_test.go
+++ b/decision/authority/model_test.go
@@ -20,6 +20,7 @@
 	up      bool
 	hung    bool          // while not up: answers nobody instead of refusing
 	delay   time.Duration // before exchange answers a call
+	alone   bool          // cut off from the other servers, not from the instances
 	state   authority.ServerState
 	log     []int // write numbers; the LSN is the length
 	contact time.Duration
--- a/decision/authority/promotion.go
+++ b/decision/authority/promotion.go
@@ -14,6 +14,9 @@
 	ReasonFailed Reason = "primary_failed"
 	// ReasonUnreachable: replicas hear the primary, this instance has not for a long time.
 	ReasonUnreachable Reason = "primary_unreachable"
+	// ReasonIsolated: the primary answers, but a majority of the servers have lost contact with it
+	// for a long time, so that no write is confirmed.
+	ReasonIsolated Reason = "primary_isolated"
 	// ReasonMissing: no server says that it is the primary of the highest term.
 	ReasonMissing Reason = "no_primary"
 	// ReasonUnfinished: servers are fenced by an owner that has not promoted in time.
@@ -32,7 +35,7 @@
 	asked      map[ServerID]bool
 	fenced     map[ServerID]ServerState
 	failed     map[ServerID]bool
-	avoid      ServerID // leaving primary that is left out of the choice
+	avoid      ServerID // leaving or isolated primary that is left out of the choice
 	spread     bool     // the first server accepted, all others were asked
 	hasMajor   bool
 	majorityAt time.Duration
@@ -50,6 +53,7 @@
 	m.trackRival(now)
 	m.trackStranded(now)
 	m.trackLeaving(now)
+	m.trackIsolated(now)
 	if m.attempt != nil {
 		return m.drive(now)
 	}
@@ -108,6 +112,33 @@
 	m.stranded = stranded
 }
 
+// trackIsolated notes since when a majority of the servers have had no contact with a primary that
+// answers this instance.
+func (m *Machine) trackIsolated(now time.Duration) {
+	isolated := m.unheard(now) >= m.majority()
+	if isolated && !m.isolated {
+		m.isolatedSince = now
+	}
+	m.isolated = isolated
+}
+
+// unheard counts the reachable replicas without recent contact with a primary that answers.
+func (m *Machine) unheard(now time.Duration) int {
+	primary := m.view.PrimaryView()
+	if primary == nil || !primary.Reachable(now, m.t.SuspectAfter) {
+		return 0
+	}
+	n := 0
+	for i := range m.view.Servers {
+		s := &m.view.Servers[i]
+		replica := s.State.Role == RoleReplica && s.Reachable(now, m.t.SuspectAfter)
+		if replica && s.contactAge(now) >= m.t.SuspectAfter {
+			n++
+		}
+	}
+	return n
+}
+
 // trackLeaving notes since when the primary is leaving while another server can take over.
 func (m *Machine) trackLeaving(now time.Duration) {
 	moving := m.Moving()
@@ -167,6 +198,8 @@
 		return ReasonStranded, true
 	case m.readyToMove(now):
 		return ReasonLeaving, true
+	case m.isolated && now-m.isolatedSince >= m.t.UnreachableAfter && !m.damped(now, primary):
+		return ReasonIsolated, true
 	}
 	return "", false
 }
@@ -207,7 +240,7 @@
 		if !s.Known || s.Failing || s.State.Role != RoleReplica || s.State.Term != m.view.Term {
 			continue
 		}
-		if now-s.Received+s.State.PrimaryContactAge < m.t.SuspectAfter {
+		if s.contactAge(now) < m.t.SuspectAfter {
 			return true
 		}
 	}
@@ -274,9 +307,13 @@
 		failed:    map[ServerID]bool{},
 	}
 	first := m.firstToFence(now)
-	if reason == ReasonLeaving {
+	switch reason {
+	case ReasonLeaving:
 		first = m.view.Primary
 		a.avoid = m.avoided()
+	case ReasonIsolated:
+		// Its log may be the longest, but what only it has was never confirmed by a majority.
+		first, a.avoid = m.view.Primary, m.view.Primary
 	}
 	m.attempt = a
 	return []Action{m.fence(first)}
@@ -457,7 +494,7 @@
 	return best.ID
 }
 
-// candidates returns the fenced servers, without a leaving primary if the others still form a
+// candidates returns the fenced servers, without the primary to be avoided if the others still form a
 // majority: any majority contains every write confirmed in ModeMajority.
 func (m *Machine) candidates() []*ServerView {
 	a := m.attempt
--- a/decision/authority/scenario_test.go
+++ b/decision/authority/scenario_test.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// cutOffFromPeers separates a server from the others of its group, while the instances reach it and
+// it has a write that no other server has.
+func cutOffFromPeers(id int) func(*world) {
+	return func(w *world) {
+		s := w.servers[id]
+		s.alone = true
+		if s.state.Role == authority.RolePrimary {
+			w.beginWrite(w.instances[0], authority.ModeMajority)
+		}
+	}
+}
+
 func cutOffFromOne(w *world) {
 	w.instances[0].cut[w.servers[0].id] = true
 }
@@ -50,6 +62,8 @@
 		{name: "hung primary", instances: 3, fault: hang(0), earliest: time.Second, latest: 3 * time.Second},
 		{name: "primary cut off from the instances", instances: 3, fault: cutOff(0), earliest: 8 * time.Second, latest: 18 * time.Second},
 		{name: "primary cut off from one of the instances", instances: 3, fault: cutOffFromOne, earliest: 8 * time.Second, latest: 18 * time.Second},
+		{name: "primary cut off from its peers", instances: 3, fault: cutOffFromPeers(0), earliest: 8 * time.Second, latest: 18 * time.Second, want: "s1"},
+		{name: "replica cut off from its peers", instances: 3, fault: cutOffFromPeers(1)},
 		{name: "slow primary", instances: 3, fault: func(w *world) { w.servers[0].delay = 280 * time.Millisecond }},
 		{name: "replica lost", instances: 3, fault: crash(1)},
 		{name: "majority lost", instances: 3, fault: func(w *world) { crash(0)(w); crash(1)(w) }},
--- a/decision/authority/view.go
+++ b/decision/authority/view.go
@@ -80,6 +80,11 @@
 	return s.Known && !s.Failing && now-s.Sent <= window
 }
 
+// contactAge returns how long ago a replica last had contact with its primary.
+func (s *ServerView) contactAge(now time.Duration) time.Duration {
+	return now - s.Received + s.State.PrimaryContactAge
+}
+
 // observe takes over a server's state unless an answer to a later probe is known.
 func (v *View) observe(now, sent time.Duration, seq Seq, state ServerState) {
 	s := v.Server(state.Server)
