--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -297,15 +297,6 @@
 	})
 }
 
-// awaitRole waits until server i shows a role in a term.
-func (d *deployment) awaitRole(i int, role authority.Role, term uint64) {
-	d.t.Helper()
-	waitFor(d.t, fmt.Sprintf("role of server %s", d.servers[i].id), func() bool {
-		state, ok := d.state(i)
-		return ok && state.Role == role && state.Term == term
-	})
-}
-
 // connect opens a connection to instance i with the default settings of pgx.
 func (d *deployment) connect(ctx context.Context, i int, account string) (*pgx.Conn, error) {
 	config, err := load.ConnConfig(d.instances[i].callers, route, load.Account{Name: account, Key: d.keys[account]})
--- a/cmd/internal/processtest/failover_test.go
+++ b/cmd/internal/processtest/failover_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -14,14 +15,33 @@
 	gapWorstCase  = 18 * time.Second
 )
 
+// awaitFailover waits until another server than old is the primary and takes writes.
+func (d *deployment) awaitFailover(old int) int {
+	d.t.Helper()
+	next := d.awaitPrimary(old)
+	d.awaitGrowth(next, 200)
+	return next
+}
+
+// awaitReturn waits until the superseded server old follows the new primary, which still takes
+// writes.
+func (d *deployment) awaitReturn(old, next int) {
+	d.t.Helper()
+	waitFor(d.t, fmt.Sprintf("server %s follows %s", d.servers[old].id, d.servers[next].id), func() bool {
+		state, ok := d.state(next)
+		returned, known := d.state(old)
+		return ok && known && returned.Role == authority.RoleReplica && returned.Term == state.Term
+	})
+	d.awaitGrowth(next, 200)
+}
+
 // Guards against acknowledged writes that a crash of the primary loses or repeats, and against a
 // long gap in writes.
 func TestPrimaryKilled(t *testing.T) {
 	d := deploy(t, setup{})
 	r := d.startLoad(nil)
 	d.servers[0].kill()
-	next := d.awaitPrimary(0)
-	d.awaitGrowth(next, 200)
+	d.awaitFailover(0)
 	checkGap(t, r.finish(), gapAfterCrash)
 }
 
@@ -30,12 +50,9 @@
 	d := deploy(t, setup{})
 	r := d.startLoad(nil)
 	d.servers[0].signal(t, syscall.SIGSTOP)
-	next := d.awaitPrimary(0)
-	d.awaitGrowth(next, 200)
+	next := d.awaitFailover(0)
 	d.servers[0].signal(t, syscall.SIGCONT)
-	state, _ := d.state(next)
-	d.awaitRole(0, authority.RoleReplica, state.Term)
-	d.awaitGrowth(next, 200)
+	d.awaitReturn(0, next)
 	checkGap(t, r.finish(), gapWorstCase)
 }
 
@@ -45,12 +62,9 @@
 	d := deploy(t, setup{relayServers: true})
 	r := d.startLoad(nil)
 	d.servers[0].relay.blackHole()
-	next := d.awaitPrimary(0)
-	d.awaitGrowth(next, 200)
+	next := d.awaitFailover(0)
 	d.servers[0].relay.leaveHole()
-	state, _ := d.state(next)
-	d.awaitRole(0, authority.RoleReplica, state.Term)
-	d.awaitGrowth(next, 200)
+	d.awaitReturn(0, next)
 	checkGap(t, r.finish(), gapWorstCase)
 }
 
@@ -60,11 +74,8 @@
 	d := deploy(t, setup{relayPeers: true})
 	r := d.startLoad(nil)
 	d.eachPeerLink(0, (*relay).cut)
-	next := d.awaitPrimary(0)
-	d.awaitGrowth(next, 200)
+	next := d.awaitFailover(0)
 	d.eachPeerLink(0, (*relay).heal)
-	state, _ := d.state(next)
-	d.awaitRole(0, authority.RoleReplica, state.Term)
-	d.awaitGrowth(next, 200)
+	d.awaitReturn(0, next)
 	checkGap(t, r.finish(), gapWorstCase)
 }
--- /dev/null
+++ b/cmd/internal/processtest/instance_test.go
@@ -0,0 +1,158 @@
+package processtest
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+)
+
+// pauseLength is longer than every timeout between instances and servers.
+const pauseLength = 3 * time.Second
+
+// Guards against an instance that, resumed after a failover, passes on late answers of the
+// superseded primary as acknowledgements.
+func TestInstancePausedDuringFailover(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	d.instances[1].signal(t, syscall.SIGSTOP)
+	d.servers[0].signal(t, syscall.SIGSTOP)
+	resume := time.Now().Add(pauseLength)
+	next := d.awaitFailover(0)
+	waitUntil(t, "pause", resume)
+	d.servers[0].signal(t, syscall.SIGCONT)
+	d.instances[1].signal(t, syscall.SIGCONT)
+	d.awaitReturn(0, next)
+	d.awaitWrite(1)
+	checkGap(t, r.finish(), gapWorstCase)
+}
+
+// Guards against an instance that goes on with a killed primary after it was paused.
+func TestInstancePausedWhilePrimaryKilled(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	d.instances[1].signal(t, syscall.SIGSTOP)
+	d.servers[0].kill()
+	resume := time.Now().Add(pauseLength)
+	next := d.awaitFailover(0)
+	waitUntil(t, "pause", resume)
+	d.instances[1].signal(t, syscall.SIGCONT)
+	d.awaitWrite(1)
+	d.awaitGrowth(next, 200)
+	checkGap(t, r.finish(), gapWorstCase)
+}
+
+// openTransaction is a session with an acknowledged write and an open transaction.
+type openTransaction struct {
+	conn     *pgx.Conn
+	tx       pgx.Tx
+	earlier  string // key of the acknowledged write
+	inside   string // key written inside the transaction
+	expected string
+}
+
+// begin opens a transaction through instance i after an acknowledged write.
+func (d *deployment) begin(i, number int) *openTransaction {
+	d.t.Helper()
+	o := &openTransaction{
+		conn:     d.mustConnect(i, marshals),
+		earlier:  fmt.Sprintf("earlier-%d", number),
+		inside:   fmt.Sprintf("inside-%d", number),
+		expected: fmt.Sprint(number),
+	}
+	ctx := d.t.Context()
+	if _, err := o.conn.Exec(ctx, upsert, o.earlier, o.expected); err != nil {
+		d.t.Fatal(err)
+	}
+	var err error
+	if o.tx, err = o.conn.Begin(ctx); err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := o.tx.Exec(ctx, upsert, o.inside, o.expected); err != nil {
+		d.t.Fatal(err)
+	}
+	return o
+}
+
+const transactions = 4
+
+func (d *deployment) beginAll(i int) []*openTransaction {
+	d.t.Helper()
+	var all []*openTransaction
+	for n := range transactions {
+		all = append(all, d.begin(i, n))
+	}
+	return all
+}
+
+// read returns the value of a key, empty if there is none.
+func read(ctx context.Context, conn *pgx.Conn, key string) (string, error) {
+	var value string
+	err := conn.QueryRow(ctx, selectKey, key).Scan(&value)
+	if errors.Is(err, pgx.ErrNoRows) {
+		return "", nil
+	}
+	return value, err
+}
+
+// expect fails the test unless a key has a value, as seen through instance i.
+func (d *deployment) expect(conn *pgx.Conn, key, want string) {
+	d.t.Helper()
+	got, err := read(d.t.Context(), conn, key)
+	if err != nil || got != want {
+		d.t.Errorf("key %s holds %q, want %q, error %v", key, got, want, err)
+	}
+}
+
+// Guards against half transactions of a killed instance, locks that they leave behind, and
+// sessions that lose sight of their writes when they move to another instance.
+func TestInstanceKilledInsideTransactions(t *testing.T) {
+	d := deploy(t, setup{lag: 2 * time.Millisecond, jitter: 5 * time.Millisecond})
+	r := d.startLoad(nil)
+	open := d.beginAll(0)
+	d.instances[0].kill()
+	for _, o := range open {
+		if err := o.tx.Commit(t.Context()); err == nil {
+			t.Errorf("transaction on %s committed through a killed instance", o.inside)
+		}
+		moved := d.mustConnect(1, marshals)
+		d.expect(moved, o.earlier, o.expected)
+		d.expect(moved, o.inside, "")
+		if _, err := moved.Exec(t.Context(), upsert, o.inside, "after"); err != nil {
+			t.Errorf("write to a key of the ended transaction: %v", err)
+		}
+		d.expect(moved, o.inside, "after")
+	}
+	d.awaitGrowth(0, 200)
+	checkGap(t, r.finish(), gapAfterCrash)
+}
+
+// Guards against a planned stop that cuts statements or open transactions, or does not end.
+func TestPlannedStop(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	open := d.beginAll(0)
+	d.instances[0].signal(t, syscall.SIGTERM)
+	waitFor(t, "instance not ready", func() bool { return !d.ready(0) })
+	check := d.mustConnect(1, marshals)
+	for _, o := range open {
+		if _, err := o.tx.Exec(t.Context(), upsert, o.inside, "second"); err != nil {
+			t.Errorf("statement in an open transaction: %v", err)
+		}
+		if err := o.tx.Commit(t.Context()); err != nil {
+			t.Errorf("commit of an open transaction: %v", err)
+		}
+		d.expect(check, o.inside, "second")
+	}
+	if code := d.instances[0].awaitExit(t); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+	d.awaitGrowth(0, 200)
+	if c := total(r.finish()); c.Unknown > 0 {
+		t.Errorf("%d statements of unknown outcome, want none", c.Unknown)
+	}
+}
--- a/cmd/internal/processtest/main_test.go
+++ b/cmd/internal/processtest/main_test.go
@@ -47,6 +47,12 @@
 	return m.Run()
 }
 
+// waitUntil waits for a moment that is part of a bound under test.
+func waitUntil(t *testing.T, what string, at time.Time) {
+	t.Helper()
+	waitFor(t, what, func() bool { return !time.Now().Before(at) })
+}
+
 // waitFor polls until done returns true.
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
--- a/cmd/internal/processtest/relay_test.go
+++ b/cmd/internal/processtest/relay_test.go
@@ -88,11 +88,6 @@
 	}
 }
 
-// delayAnswers adds latency in milliseconds to the answers.
-func (r *relay) delayAnswers(milliseconds int) {
-	r.addToxic(`{"name": "delay", "type": "latency", "stream": %q, "attributes": {"latency": `+fmt.Sprint(milliseconds)+`}}`, answers)
-}
-
 func (r *relay) addToxic(format, direction string) {
 	if _, err := r.proxy.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(format, direction))); err != nil {
 		r.t.Fatal(err)
--- a/cmd/internal/processtest/run_test.go
+++ b/cmd/internal/processtest/run_test.go
@@ -112,7 +112,7 @@
 	for _, v := range history.Check(result.History) {
 		t.Errorf("violation: %s", v)
 	}
-	c := result.Counts[marshals]
+	c := total(result)
 	t.Logf("%s: %d statements, %d succeeded, %d not run, %d unknown, %d failed connections, %d terms, longest write gap %s",
 		result.Elapsed.Round(time.Millisecond), c.Sent, c.Succeeded, c.NotRun, c.Unknown, c.ConnectFailures, len(r.terms),
 		result.WriteGap.Round(time.Millisecond))
@@ -122,6 +122,19 @@
 	return result
 }
 
+// total sums up the counts of all accounts.
+func total(result *load.Result) load.Counts {
+	var sum load.Counts
+	for _, c := range result.Counts {
+		sum.Sent += c.Sent
+		sum.Succeeded += c.Succeeded
+		sum.NotRun += c.NotRun
+		sum.Unknown += c.Unknown
+		sum.ConnectFailures += c.ConnectFailures
+	}
+	return sum
+}
+
 func (r *run) await() *load.Result {
 	r.d.t.Helper()
 	select {
--- /dev/null
+++ b/cmd/internal/processtest/store_test.go
@@ -0,0 +1,164 @@
+package processtest
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+)
+
+// Guards against a statement path or a failover that needs the store, and against instances that
+// don't take up a new manifest after a silent outage.
+func TestStoreSilentThroughFailover(t *testing.T) {
+	d := deploy(t, setup{})
+	d.store.signal(t, syscall.SIGSTOP)
+	r := d.startLoad(nil)
+	d.servers[0].kill()
+	next := d.awaitFailover(0)
+	d.store.signal(t, syscall.SIGCONT)
+	d.checkNewManifest()
+	d.awaitGrowth(next, 200)
+	checkGap(t, r.finish(), gapAfterCrash)
+}
+
+// Guards against a failover that needs the store while its address refuses connections.
+func TestPrimaryKilledWhileStoreRefuses(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	d.toStore.cut()
+	d.servers[0].kill()
+	next := d.awaitFailover(0)
+	d.toStore.heal()
+	d.checkNewManifest()
+	d.awaitGrowth(next, 200)
+	checkGap(t, r.finish(), gapAfterCrash)
+}
+
+// checkNewManifest applies a manifest with a further account and waits until every instance
+// accepts its key.
+func (d *deployment) checkNewManifest() {
+	d.t.Helper()
+	const account = "safety-officers"
+	d.keys[account] = "key of " + account
+	m := d.manifest(2)
+	m.Accounts = append(m.Accounts, manifest.Account{
+		Name: account, Weight: 1, Rate: 1e6, Burst: 1e6,
+		Keys: []manifest.Key{{ID: account + "-1", SHA256: manifest.SumKey(d.keys[account]).String()}},
+	})
+	m.Routes[0].Accounts = append(m.Routes[0].Accounts, account)
+	d.applyManifest(m)
+	applied := time.Now()
+	for i := range d.instances {
+		waitFor(d.t, "manifest in force at "+d.instances[i].id, func() bool { return d.tryWrite(i, account) == nil })
+	}
+	d.t.Logf("manifest in force at all instances after %s", time.Since(applied).Round(time.Millisecond))
+}
+
+// Guards against an apply that repeats or denies a change whose answer was lost.
+func TestApplyAnswerLost(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	toStore := startRelay(t, hostOf(d.storeURL))
+	// The first answer on a connection, to the get, passes; the second, to the put, is cut off.
+	toStore.limitAnswers(d.answerLength("/v1/objects/"+manifest.StoreKey) + 10)
+	next := d.manifest(2)
+	next.Accounts[0].Burst++
+	file := d.writeManifest(next)
+	type result struct {
+		out string
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		out, err := runCtl(t, "--store", "http://"+toStore.address(), "apply", "--json", "--if-version", "1", file)
+		done <- result{out, err}
+	}()
+	waitFor(t, "stored manifest", func() bool {
+		object, err := d.client.Get(t.Context(), manifest.StoreKey)
+		if err != nil {
+			return false
+		}
+		stored, err := manifest.Decode(object.Value)
+		return err == nil && stored.Version == 2
+	})
+	toStore.endLimit()
+	applied := <-done
+	if applied.err != nil || !strings.Contains(applied.out, `"readBack": true`) {
+		t.Errorf("apply printed %s, error %v, want success by reading back", applied.out, applied.err)
+	}
+	r.finish()
+}
+
+// answerLength returns the bytes of the store's answer to a get.
+func (d *deployment) answerLength(path string) int {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", hostOf(d.storeURL))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.0\r\n\r\n", path); err != nil {
+		d.t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return len(answer)
+}
+
+// Stated bounds after a change of the manifest.
+const (
+	withdrawnWithin = 5 * time.Second
+	emptiedWithin   = 5 * time.Second
+)
+
+// Guards against a withdrawn key that goes on working, on new or live connections, idle or busy,
+// and against a withdrawal that disturbs other accounts.
+func TestKeyWithdrawn(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(func(c *load.Config) { c.Accounts = []load.Account{{Name: crews, Key: d.keys[crews]}} })
+	ended := make(chan error, 2*len(d.instances))
+	for i := range d.instances {
+		idle, busy := d.mustConnect(i, marshals), d.mustConnect(i, marshals)
+		go func() { ended <- idle.PgConn().WaitForNotification(t.Context()) }()
+		go func() {
+			for {
+				if _, err := read(t.Context(), busy, "any"); err != nil {
+					ended <- err
+					return
+				}
+			}
+		}()
+	}
+	ctl(t, "--store", d.storeURL, "keys", "withdraw", "--account", marshals, "--id", marshals+"-1")
+	withdrawn := time.Now()
+	for range cap(ended) {
+		select {
+		case err := <-ended:
+			t.Logf("connection ended after %s: %v", time.Since(withdrawn).Round(time.Millisecond), err)
+		case <-time.After(time.Until(withdrawn.Add(withdrawnWithin))):
+			t.Fatalf("a live connection still works %s after its key was withdrawn", withdrawnWithin)
+		}
+	}
+	for i := range d.instances {
+		err := d.tryWrite(i, marshals)
+		var refusal *pgconn.PgError
+		if !errors.As(err, &refusal) || refusal.Code != "28P01" {
+			t.Errorf("new connection with a withdrawn key at %s: %v, want SQLSTATE 28P01", d.instances[i].id, err)
+		}
+	}
+	d.awaitGrowth(0, 200)
+	if c := total(r.finish()); c.NotRun+c.Unknown+c.ConnectFailures > 0 {
+		t.Errorf("another account saw failures: %+v", c)
+	}
+}
