Place reads and primaries from a published view

Change: the owner publishes its view after each step; callers choose from it; targets carry their floor; ties between replicas go to the least outstanding.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -40,6 +40,7 @@
 	groups    *groups
 	pool      *pool.Pool
 	homeCalls *peer.Client
+	router    *home.Router
 	locator   *locator
 	peers     *peer.Set
 	peerCalls *peer.Client
@@ -169,6 +170,8 @@
 	}
 	d.peers = set
 	d.locator = newLocator(set, d.listeners.peers.Addr().String())
+	d.router = &home.Router{Locator: d.locator, Local: d.pool, Remote: home.NewClient(d.homeCalls)}
+	d.groups.outstanding = d.router.Outstanding
 	return nil
 }
 
@@ -189,7 +192,7 @@
 	retries := newRetryBudgets()
 	d.engine, err = engine.New(engine.Config{
 		Directory:      d.directory,
-		Pool:           &home.Router{Locator: d.locator, Local: d.pool, Remote: home.NewClient(d.homeCalls)},
+		Pool:           d.router,
 		Quota:          d.quota,
 		Observer:       newStatementMetrics(d.metrics.Scope, retries, d.cfg.OnStatement),
 		TLS:            d.cfg.TLS,
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -25,6 +25,8 @@
 	cfg     Config
 	log     logrus.FieldLogger
 	metrics *telemetry.Metrics
+	// outstanding returns the statements of this instance at a server; set before start.
+	outstanding func(authority.ServerID) int
 
 	mu      sync.Mutex
 	run     context.Context // nil before start
@@ -96,6 +98,7 @@
 		Logger:        g.log,
 		Observer:      newGroupMetrics(g.metrics.Scope, d.Name),
 		CoverPrimary:  cover,
+		Outstanding:   g.outstanding,
 	})
 	if err != nil {
 		event(g.log, EventDatabaseSkipped).WithError(err).WithField("database", d.Name).
--- a/proxy/group/calls.go
+++ b/proxy/group/calls.go
@@ -69,6 +69,9 @@
 func (g *Group) probed(r authority.ProbeResult) {
 	now := g.now()
 	actions := g.machine.Step(now, r)
+	// Published first, so that a caller whose sample this result completes finds the servers that
+	// it showed.
+	g.publish()
 	g.finish(g.confirm.Observe(now, r))
 	g.perform(actions)
 }
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,12 +26,14 @@
 	origin  time.Time
 	inbox   chan func()
 	stopped chan struct{}
+	places  routing.Config // not changed after New
+
+	published atomic.Pointer[published]
 
 	// The fields below belong to the goroutine of Run.
 
 	machine    *authority.Machine
 	confirm    *authority.Confirmations
-	places     routing.Config
 	marks      routing.Marks
 	lastID     authority.WaiterID
 	proofs     map[authority.WaiterID]pending
@@ -169,6 +172,7 @@
 	g.servePrimaries(now)
 	g.machine.SetDemand(g.demand())
 	g.perform(g.machine.Step(now, authority.Tick{}))
+	g.publish()
 	g.report()
 	return g.nextWake(now) - now
 }
--- a/proxy/group/read.go
+++ b/proxy/group/read.go
@@ -58,13 +58,20 @@
 		return t, false, err
 	}
 	request.Sampled = sample.Position
+	floor := position.Max(r.Floor, sample.Position)
+	if t, ok := g.placeNow(request); ok {
+		t.Floor = floor
+		return t, false, nil
+	}
 	choice, err := g.place(ctx, request, r.MaxStaleness, until)
 	if err != nil {
 		return t, false, err
 	}
 	switch choice.Kind {
 	case routing.KindReplica:
-		return g.target(choice.Server, choice.Term, choice.Incarnation, false), false, nil
+		t = g.target(choice.Server, choice.Term, choice.Incarnation, false)
+		t.Floor = floor
+		return t, false, nil
 	case routing.KindResample:
 		return t, true, nil
 	}
@@ -77,7 +84,9 @@
 	case choice.Kind == routing.KindLost:
 		return t, false, g.lostWrite(r.Floor, choice.Term)
 	}
-	return g.target(choice.Server, choice.Term, choice.Incarnation, true), false, nil
+	t = g.target(choice.Server, choice.Term, choice.Incarnation, true)
+	t.Floor = floor
+	return t, false, nil
 }
 
 // sample takes the floor of a read that asks for one. A read with a staleness bound needs none.
@@ -154,6 +163,9 @@
 
 // Primary returns the present primary, see engine.Database.
 func (g *Group) Primary(ctx context.Context) (engine.Target, error) {
+	if now := g.published.Load(); now != nil && now.hasPrimary {
+		return now.primary, nil
+	}
 	w := &primaryWait{deadline: g.deadline(ctx), result: make(chan primaryAnswer, 1)}
 	if !g.post(ctx, func() { g.primaries = append(g.primaries, w) }) {
 		return engine.Target{}, errNoPrimary(0)
--- a/proxy/home/router.go
+++ b/proxy/home/router.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,11 +29,50 @@
 	Locator Locator
 	Local   engine.Pool
 	Remote  *Client
+
+	outstanding sync.Map // authority.ServerID to *atomic.Int64
 }
 
-// Acquire implements engine.Pool. An instance that does not answer is passed over at once, since
-// nothing of the statement was sent to it.
+// Outstanding returns the connections to a server that this instance has in use or waits for.
+func (r *Router) Outstanding(server authority.ServerID) int {
+	return int(r.counter(server).Load())
+}
+
+func (r *Router) counter(server authority.ServerID) *atomic.Int64 {
+	if c, ok := r.outstanding.Load(server); ok {
+		return c.(*atomic.Int64)
+	}
+	c, _ := r.outstanding.LoadOrStore(server, new(atomic.Int64))
+	return c.(*atomic.Int64)
+}
+
+// counted lowers the counter when the connection is released.
+type counted struct {
+	engine.Conn
+	counter *atomic.Int64
+}
+
+// Release implements engine.Conn.
+func (c *counted) Release(reuse bool) {
+	c.counter.Add(-1)
+	c.Conn.Release(reuse)
+}
+
+// Acquire implements engine.Pool.
 func (r *Router) Acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
+	counter := r.counter(req.Target.Server)
+	counter.Add(1)
+	conn, err := r.acquire(ctx, req)
+	if err != nil {
+		counter.Add(-1)
+		return nil, err
+	}
+	return &counted{conn, counter}, nil
+}
+
+// acquire asks the home. An instance that does not answer is passed over at once, since
+// nothing of the statement was sent to it.
+func (r *Router) acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
 	for try := 1; ; try++ {
 		address, self := r.Locator.Home(req.Target.Server)
 		if self {
