Let tests silence connections and change a running server's pace

Server gains SilenceConnections, which makes open connections silent for good while new ones work, and setters for the service time and the replication lag. dbgroup.Client gets unit tests of its row decoding and its address check.

--- /dev/null
+++ b/proxy/dbgroup/client_test.go
@@ -0,0 +1,59 @@
+package dbgroup
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+// Guards against a damaged state row that is taken for a valid one; the behaviour against a
+// server is tested in standin/database.
+func TestParseState(t *testing.T) {
+	good := []string{"s1", "2", "replica", "3", "4", "x", "5", `[{"term":1,"start":0},{"term":3,"start":4}]`, "1500"}
+	want := authority.ServerState{
+		Server: "s1", Incarnation: 2, Role: authority.RoleReplica, Term: 3, FenceTerm: 4, FenceOwner: "x", LSN: 5,
+		History:           position.History{{Term: 1}, {Term: 3, Start: 4}},
+		PrimaryContactAge: 1500 * time.Microsecond,
+	}
+	got, err := ParseState(row(good))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v, error %v", got, want, err)
+	}
+	for column, damaged := range map[int]string{1: "", 3: "-1", 6: "x", 7: "[", 8: "1.5"} {
+		bad := append([]string(nil), good...)
+		bad[column] = damaged
+		if _, err := ParseState(row(bad)); err == nil {
+			t.Errorf("column %s accepts %q", StateColumns[column], damaged)
+		}
+	}
+	if _, err := ParseState(row(good[:8])); err == nil {
+		t.Error("a row with a missing column is accepted")
+	}
+}
+
+// Guards against an address that connects somewhere else than the manifest says.
+func TestClientAddress(t *testing.T) {
+	for _, address := range []string{"", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:70000"} {
+		if _, err := NewClient(Config{Address: address}); err == nil {
+			t.Errorf("address %q is accepted", address)
+		}
+	}
+	c, err := NewClient(Config{Address: "127.0.0.1:5432", User: "u", Password: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.conf.Host != "127.0.0.1" || c.conf.Port != 5432 || c.conf.User != "u" || c.conf.Password != "p" || len(c.conf.Fallbacks) > 0 {
+		t.Errorf("configuration %+v", c.conf)
+	}
+}
+
+func row(values []string) [][]byte {
+	raw := make([][]byte, len(values))
+	for i, v := range values {
+		raw[i] = []byte(v)
+	}
+	return raw
+}
--- a/standin/database/client_test.go
+++ b/standin/database/client_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 )
 
 // Guards against a control client that fails on a connection which broke while it was kept.
@@ -139,3 +140,55 @@
 		t.Errorf("incarnation %q", got)
 	}
 }
+
+// Guards against a client that keeps using a connection which went silent while new ones work.
+func TestSilentConnections(t *testing.T) {
+	ctx := testContext(t)
+	s := startServer(t, Config{})
+	conn := mustConnect(t, s)
+	c, err := dbgroup.NewClient(dbgroup.Config{Server: "s1", Address: s.Address(), User: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Probe(ctx); err != nil {
+		t.Fatal(err)
+	}
+	s.SilenceConnections()
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	if _, err := c.Probe(short); err == nil {
+		t.Error("a silent control connection answered")
+	}
+	if _, err := conn.Exec(short, "INSERT INTO kv VALUES ('a', 'b')"); err == nil {
+		t.Error("a silent connection answered")
+	}
+	if _, err := c.Probe(ctx); err != nil {
+		t.Errorf("probe over a new connection: %v", err)
+	}
+	if rows := s.Rows(); len(rows) != 0 {
+		t.Errorf("rows %v written over a silent connection", rows)
+	}
+	write(t, s, "a")
+}
+
+// Guards against settings that a running server doesn't take up.
+func TestChangedSettings(t *testing.T) {
+	const slow = 30 * time.Millisecond
+	g := startGroup(t, GroupConfig{})
+	g.Server(0).SetServiceTime(slow)
+	g.Server(1).SetReplicationLag(2 * slow)
+	conn := mustConnect(t, g.Server(0))
+	start := time.Now()
+	if _, err := conn.Exec(testContext(t), "INSERT INTO kv VALUES ('a', 'b')"); err != nil {
+		t.Fatal(err)
+	}
+	if d := time.Since(start); d < slow {
+		t.Errorf("answered after %s, before the service time of %s", d, slow)
+	}
+	committed := time.Unix(0, g.Server(0).state.log[0].Time)
+	waitPosition(t, g, 1, position.Position{Term: 1, LSN: 1})
+	if d := time.Since(committed); d < 2*slow {
+		t.Errorf("replicated after %s, before the lag of %s", d, 2*slow)
+	}
+}
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -120,7 +120,7 @@
 			return errStopped
 		}
 	}
-	err := s.sleep(srv.cfg.ServiceTime)
+	err := s.sleep(time.Duration(srv.serviceTime.Load()))
 	if err == nil && !srv.pause.wait(srv.stop) {
 		err = errStopped
 	}
--- a/standin/database/replicate.go
+++ b/standin/database/replicate.go
@@ -395,7 +395,7 @@
 }
 
 func (r *replicator) waitLag(ctx context.Context, rec *record, random *rand.Rand) bool {
-	lag := r.server.cfg.ReplicationLag
+	lag := time.Duration(r.server.lag.Load())
 	if jitter := r.server.cfg.ReplicationJitter; jitter > 0 {
 		lag += time.Duration(random.Int64N(int64(jitter)))
 	}
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -36,15 +37,17 @@
 	locks    lockTable
 	slots    chan struct{} // nil without a limit
 
-	pause     gate // shut: nothing is read, executed or answered
-	freeze    gate // shut: replicated records are not applied
-	cut       atomic.Bool
-	ctx       context.Context // ends with the server
-	cancelAll context.CancelFunc
-	stop      <-chan struct{} // ctx.Done()
-	stopOnce  sync.Once
-	running   sync.WaitGroup
-	replicate *replicator
+	pause  gate // shut: nothing is read, executed or answered
+	freeze gate // shut: replicated records are not applied
+	cut    atomic.Bool
+	// Present values of Config.ServiceTime and Config.ReplicationLag, in nanoseconds.
+	serviceTime, lag atomic.Int64
+	ctx              context.Context // ends with the server
+	cancelAll        context.CancelFunc
+	stop             <-chan struct{} // ctx.Done()
+	stopOnce         sync.Once
+	running          sync.WaitGroup
+	replicate        *replicator
 
 	mu       sync.Mutex
 	sessions map[uint32]*session
@@ -77,6 +80,8 @@
 	}
 	s.ctx, s.cancelAll = context.WithCancel(context.Background())
 	s.stop = s.ctx.Done()
+	s.SetServiceTime(c.ServiceTime)
+	s.SetReplicationLag(c.ReplicationLag)
 	if c.Slots > 0 {
 		s.slots = make(chan struct{}, c.Slots)
 	}
@@ -173,6 +178,24 @@
 	s.freeze.open()
 }
 
+// SilenceConnections makes all open connections but the replication links silent for good, while
+// new ones work. A statement in execution completes without an answer.
+func (s *Server) SilenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ss := range s.sessions {
+		if !ss.peer {
+			ss.silent.Store(true)
+		}
+	}
+}
+
+// SetServiceTime changes the service time of the statements that start from now on.
+func (s *Server) SetServiceTime(d time.Duration) { s.serviceTime.Store(int64(d)) }
+
+// SetReplicationLag changes the lag of the records that this replica applies from now on.
+func (s *Server) SetReplicationLag(d time.Duration) { s.lag.Store(int64(d)) }
+
 func (s *Server) alive() bool { return s.ctx.Err() == nil }
 
 func (s *Server) leaveSlot() {
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -23,6 +23,7 @@
 	control bool // runs control functions only and isn't counted
 	peer    bool // replication link of another server of the group
 
+	silent    atomic.Bool // takes everything in and never answers again
 	busy      atomic.Bool
 	interrupt chan struct{} // takes one cancel request
 
@@ -75,6 +76,9 @@
 		if !s.server.pause.wait(s.server.stop) {
 			return errStopped
 		}
+		if s.silent.Load() {
+			return s.swallow()
+		}
 		if _, ok := msg.(*pgproto3.Terminate); ok {
 			return io.EOF
 		}
@@ -132,10 +136,19 @@
 	if !s.server.pause.wait(s.server.stop) {
 		return errStopped
 	}
+	if s.silent.Load() {
+		return s.swallow()
+	}
 	s.unsent = 0
 	return s.backend.Flush()
 }
 
+// swallow discards what the client sends until it closes the connection.
+func (s *session) swallow() error {
+	_, _ = io.Copy(io.Discard, s.conn)
+	return errDisconnect
+}
+
 func (s *session) sendError(err error) {
 	s.rollbackOnError()
 	s.backend.Send(errorResponse(err, "ERROR"))
