--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -262,4 +262,3 @@
 		}
 	})
 }
-
--- a/proxy/engine/lifecycle_test.go
+++ b/proxy/engine/lifecycle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -155,6 +157,10 @@
 	if err := other.PgConn().CancelRequest(context.Background()); err != nil {
 		t.Fatal(err)
 	}
+	r.cancelRaw(c.PgConn().PID(), []byte{1, 2, 3, 4})
+	if n := r.primary.cancels.Load(); n != 0 {
+		t.Error("a request for another session or with a wrong secret reached the server")
+	}
 	if err := c.PgConn().CancelRequest(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -167,6 +173,17 @@
 	}
 }
 
+// cancelRaw sends a cancel request and waits until it was handled.
+func (r *rig) cancelRaw(pid uint32, secret []byte) {
+	conn := r.dialRaw()
+	b, err := (&pgproto3.CancelRequest{ProcessID: pid, SecretKey: secret}).Encode(nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	_, _ = conn.Write(b)
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // Guards against a withdrawn key working on: idle sessions end at once, a statement in flight after
 // its grace.
 func TestWithdrawnKey(t *testing.T) {
--- a/proxy/engine/outbound.go
+++ b/proxy/engine/outbound.go
@@ -74,14 +74,6 @@
 	o.held = -1
 }
 
-// dropHeld takes back everything that is held.
-func (o *outbound) dropHeld() {
-	if o.held >= 0 {
-		*o.buf = (*o.buf)[:o.held]
-	}
-	o.held = -1
-}
-
 // dropAll takes back everything that was not written.
 func (o *outbound) dropAll() {
 	if o.buf != nil {
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -17,15 +17,20 @@
 
 var errNoMajority = outcome.New(outcome.Unknown, outcome.CodeStatementUnknown, "no majority", "check").WithRetryAfter(70 * time.Millisecond)
 
-// Guards against a write being acknowledged before it is confirmed.
+// Guards against a write being acknowledged before it is confirmed, and against a late cancel request
+// making its outcome unknown.
 func TestWriteIsHeldUntilConfirmed(t *testing.T) {
 	r := newRig(t)
 	c := r.connect()
 	confirming, proceed := make(chan struct{}), make(chan struct{})
-	r.db.setConfirm(func(context.Context) error {
+	r.db.setConfirm(func(ctx context.Context) error {
 		close(confirming)
-		<-proceed
-		return nil
+		select {
+		case <-proceed:
+			return nil
+		case <-ctx.Done():
+			return errNoMajority
+		}
 	})
 	answered := make(chan error, 1)
 	go func() {
@@ -36,6 +41,9 @@
 	if _, _, inUse := r.pool.counts(); inUse != 0 {
 		t.Error("the connection is kept while the write waits for its confirmation")
 	}
+	if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
 	select {
 	case err := <-answered:
 		t.Fatalf("answered before the confirmation: %v", err)
@@ -126,6 +134,16 @@
 	}
 }
 
+// Guards against rows being answered twice, when a read fails after a part of its answer was sent.
+func TestReadFailsAfterPartOfItsAnswer(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	wantCode(t, c, "select rows 100 die", outcome.CodeStatementUnknown)
+	if got := r.rec.last(); got.Attempts != 1 {
+		t.Errorf("reported %+v, want one attempt", got)
+	}
+}
+
 // Guards against a write on an idempotent route not being repeated, and one that was refused by a
 // fenced primary being reported as unknown.
 func TestWriteRetries(t *testing.T) {
@@ -267,16 +285,17 @@
 
 // Guards against a large pipeline and its large answer blocking each other.
 func TestLargePipeline(t *testing.T) {
-	r := newRig(t)
+	const statements, size = 600, 50_000 // more than the socket buffers of both sides hold
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxPipelineSize = 2 * statements * size })
 	c := r.connect()
 	b := &pgx.Batch{}
-	for range 2000 {
-		b.Queue("select $1", strings.Repeat("y", 1000))
+	for range statements {
+		b.Queue("select $1", strings.Repeat("y", size))
 	}
 	results := c.SendBatch(context.Background(), b)
-	for i := range 2000 {
+	for i := range statements {
 		var v string
-		if err := results.QueryRow().Scan(&v); err != nil || len(v) != 1000 {
+		if err := results.QueryRow().Scan(&v); err != nil || len(v) != size {
 			t.Fatalf("answer %d: %d bytes, %v", i, len(v), err)
 		}
 	}
--- a/proxy/engine/relay.go
+++ b/proxy/engine/relay.go
@@ -202,7 +202,6 @@
 // may go out. The end of the answer is confirmed again.
 func (x *exchange) confirmEarly() {
 	if e := x.confirm(x.ctx, x.up.target); e != nil {
-		x.out.dropHeld()
 		x.err = e
 		return
 	}
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -98,7 +98,6 @@
 	e := n.confirm(ctx, up.target)
 	report.Confirm = time.Since(started)
 	if e != nil {
-		n.out.dropHeld()
 		n.leaveUnconfirmed()
 		return e, nil
 	}
--- a/proxy/engine/upstream_test.go
+++ b/proxy/engine/upstream_test.go
@@ -20,7 +20,7 @@
 // fakeServer is a small server that speaks pgproto3. Its statements are:
 //
 //	insert...    a write, refused with 25006 while readOnly or in a read-only transaction
-//	select rows N  N rows of one text column
+//	select rows N  N rows of one text column; with "die" at the end the connection closes then
 //	select $1    the parameter; any other select gives the connection's id
 //	fail, hang, die  an error, no answer until cancelled, a closed connection
 type fakeServer struct {
@@ -32,6 +32,7 @@
 	dieOnce  atomic.Bool
 	writes   atomic.Uint64
 	parses   atomic.Int64
+	cancels  atomic.Int64
 	running  chan string // receives "hang" when one begins
 
 	mu    sync.Mutex
@@ -90,6 +91,7 @@
 	fakesMu.Lock()
 	s := fakes[addr]
 	fakesMu.Unlock()
+	s.cancels.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c := s.conns[pid]; c != nil {
@@ -272,7 +274,11 @@
 		if simple {
 			c.describe(low)
 		}
-		word = "select " + strconv.Itoa(c.rows(low, params))
+		n := c.rows(low, params)
+		if strings.HasSuffix(low, "die") {
+			return false
+		}
+		word = "select " + strconv.Itoa(n)
 	}
 	c.srv.mu.Lock()
 	c.srv.log = append(c.srv.log, low)
@@ -284,6 +290,7 @@
 func (c *fakeSession) rows(sql string, params [][]byte) int {
 	if len(params) > 0 {
 		c.b.Send(&pgproto3.DataRow{Values: params[:1]})
+		_ = c.b.Flush()
 		return 1
 	}
 	var n int
