Count a refusal as not run where the proxy itself says so

Cause: at a planned stop the next statement of a busy session often crosses the 57P01 that ends the session. The load counted every 57P01 as unknown, although the detail of the proxy's refusal says not_run, so TestPlannedStop saw unknown outcomes and I9 was not checked for these refusals. Change: a refusal whose detail begins with not_run is recorded as not run. That is stricter for the proxy, since the checker reports the write if it is found. A 57P01 without such a detail is still unknown.

--- a/cmd/internal/load/classify.go
+++ b/cmd/internal/load/classify.go
@@ -11,7 +11,7 @@
 )
 
 // notRunCodes are the SQLSTATE codes by which a statement outside a transaction is refused before
-// it has any effect. A code that ends a connection, such as 57P01, proves nothing.
+// it has any effect. A code that ends a connection, such as 57P01, proves nothing by itself.
 var notRunCodes = map[string]bool{
 	outcome.CodeCannotConnectNow:    true,
 	outcome.CodeTooManyRequests:     true,
@@ -41,7 +41,7 @@
 		}
 		return history.WriteUnknown
 	}
-	if notRunCodes[refusal.Code] {
+	if notRunCodes[refusal.Code] || claimsNotRun(refusal) {
 		return history.WriteNotRun
 	}
 	for _, class := range notRunClasses {
@@ -52,6 +52,13 @@
 	return history.WriteUnknown
 }
 
+// claimsNotRun reports whether the proxy itself says that the statement did not run: the first word
+// of its detail is the kind of the refusal. The checker holds the proxy to it.
+func claimsNotRun(refusal *pgconn.PgError) bool {
+	kind, _, _ := strings.Cut(refusal.Detail, " ")
+	return kind == outcome.NotRun.String()
+}
+
 // reportsLostWrite reports whether err tells the session that an acknowledged write is lost.
 func reportsLostWrite(err error) bool {
 	var refusal *pgconn.PgError
--- a/cmd/internal/load/load_test.go
+++ b/cmd/internal/load/load_test.go
@@ -145,6 +145,9 @@
 		{&pgconn.PgError{Code: "40003"}, history.WriteUnknown},
 		{&pgconn.PgError{Code: "57014"}, history.WriteUnknown},
 		{&pgconn.PgError{Code: "57P01"}, history.WriteUnknown},
+		{&pgconn.PgError{Code: "57P01", Detail: "not_run"}, history.WriteNotRun},
+		{&pgconn.PgError{Code: "57P01", Detail: "not_run retry_after_ms=5"}, history.WriteNotRun},
+		{&pgconn.PgError{Code: "57P01", Detail: "outcome_unknown"}, history.WriteUnknown},
 		{errors.New("connection reset"), history.WriteUnknown},
 	}
 	for _, c := range cases {
