Let writes wait for a new primary and bound a session's prepared statements

A write that provably did not run was refused after three quick attempts, which during a failover only moved the wait to the caller. It now waits up to PrimaryWait with back-off. The text of a session's prepared statements is bounded in bytes as well as in number, a read-only route refuses SET TRANSACTION READ WRITE, and accepted sockets get TCP_USER_TIMEOUT.

--- a/decision/statement/class.go
+++ b/decision/statement/class.go
@@ -63,7 +63,8 @@
 	// Taints is true when the statement runs code that may change the connection's settings, so
 	// that the connection is not reused.
 	Taints bool
-	// Access is the mode named by Begin, or by SET TRANSACTION.
+	// Access is the mode named by Begin or SET TRANSACTION; for several statements it is ReadWrite
+	// if one of them names that, else AccessDefault.
 	Access Access
 	// RollbackTo is true for ROLLBACK TO SAVEPOINT.
 	RollbackTo bool
--- a/decision/statement/classify.go
+++ b/decision/statement/classify.go
@@ -30,6 +30,9 @@
 	m.Control = whole.controls() || next.controls()
 	m.Certain = whole.Certain || next.Certain
 	m.Taints = whole.Taints || next.Taints
+	if whole.Access == ReadWrite || next.Access == ReadWrite {
+		m.Access = ReadWrite
+	}
 	switch {
 	case whole.Kind == Refused:
 		return refused(whole.Message, whole.Remedy, m.Count)
--- a/decision/statement/refusal.go
+++ b/decision/statement/refusal.go
@@ -18,6 +18,8 @@
 		"use another client account or a transaction with SET LOCAL ROLE"}
 	characteristics = refusal{"SET SESSION CHARACTERISTICS is not supported, because connections are shared",
 		"name the modes in BEGIN, or set default_transaction_read_only"}
+	readOnlySetting = refusal{"transaction_read_only can't be set directly",
+		"use SET TRANSACTION READ ONLY or READ WRITE"}
 	sessionLock = refusal{"session-level advisory locks are not supported, because connections are shared",
 		"use pg_advisory_xact_lock inside a transaction"}
 	unicodeName = refusal{"identifiers with Unicode escapes are not supported, because they hide their name",
--- a/decision/statement/setting.go
+++ b/decision/statement/setting.go
@@ -7,8 +7,10 @@
 func (p *parser) set() Class {
 	p.advance()
 	switch p.word {
-	case "local", "constraints":
+	case "constraints":
 		return p.consume(Class{Kind: InTransaction})
+	case "local":
+		return p.setLocal()
 	case "transaction":
 		return p.setTransaction()
 	case "role", "authorization":
@@ -25,6 +27,14 @@
 	return p.assignment()
 }
 
+func (p *parser) setLocal() Class {
+	p.advance()
+	if p.settingName() == "transaction_read_only" {
+		return p.refuse(readOnlySetting)
+	}
+	return p.consume(Class{Kind: InTransaction})
+}
+
 func (p *parser) setTransaction() Class {
 	mode := p.access()
 	return Class{Kind: InTransaction, Access: mode}
--- a/decision/statement/statement_test.go
+++ b/decision/statement/statement_test.go
@@ -49,6 +49,7 @@
 		{"rollback work", Rollback},
 		{"rollback to savepoint s", InTransaction},
 		{"set local statement_timeout = 5", InTransaction},
+		{"set local Transaction_Read_Only = off", Refused},
 		{"set transaction read only", InTransaction},
 		{"set application_name to 'depot'", Setting},
 		{"reset all", Setting},
@@ -89,8 +90,9 @@
 // Guards against a read-only transaction being opened as a read-write one and the reverse.
 func TestAccessMode(t *testing.T) {
 	cases := map[string]Access{
-		"begin":           AccessDefault,
-		"begin read only": ReadOnly,
+		"select 1; set transaction read write": ReadWrite,
+		"begin":                                AccessDefault,
+		"begin read only":                      ReadOnly,
 		"start transaction isolation level read committed, READ WRITE": ReadWrite,
 		"set transaction read only":                                    ReadOnly,
 	}
--- a/proxy/engine/autocommit.go
+++ b/proxy/engine/autocommit.go
@@ -14,8 +14,11 @@
 	// wait has full jitter, so that sessions that failed together don't come back together.
 	retryBackoffMin = 5 * time.Millisecond
 	retryBackoffMax = 200 * time.Millisecond
-	// readOnlyRetry is the time after which a write may be tried again when the primary is read-only.
-	readOnlyRetry = time.Second
+	// maxBackoffDoublings keeps the back-off from overflowing.
+	maxBackoffDoublings = 10
+	// failoverRetry is the time after which a caller may try again when a server failed or is being
+	// replaced; a failover is to take less than 3 s.
+	failoverRetry = time.Second
 )
 
 // attempt is the progress of one autocommit unit over several servers.
@@ -24,6 +27,9 @@
 	number  int
 	moved   bool // goes to the primary because it turned out to be a write
 	exclude []authority.ServerID
+	// waitUntil is until when a write that is known not to have run waits for a new primary.
+	waitUntil time.Time
+	primary   bool // the last failure proves that the write did not run on the primary
 }
 
 // runAutocommit runs a unit outside a transaction, on another server if the first fails in a way
@@ -33,7 +39,7 @@
 	if e != nil {
 		return e, nil
 	}
-	a := &attempt{plan: p}
+	a := &attempt{plan: p, waitUntil: started.Add(n.srv.cfg.PrimaryWait)}
 	for {
 		a.number++
 		report.Attempts = a.number
@@ -72,7 +78,14 @@
 		a.moved = false
 		return ctx.Err() == nil
 	}
-	if a.number >= n.srv.cfg.MaxAttempts || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return false
+	}
+	if a.primary && time.Now().Before(a.waitUntil) {
+		a.primary = false
+		return n.backOff(ctx, a.number)
+	}
+	if a.number >= n.srv.cfg.MaxAttempts {
 		return false
 	}
 	if allow := n.srv.cfg.AllowRetry; allow != nil && !allow(n.login.Route.Name) {
@@ -81,7 +94,15 @@
 	if a.number == 1 {
 		return true
 	}
-	limit := min(retryBackoffMin<<a.number, retryBackoffMax)
+	return n.backOff(ctx, a.number)
+}
+
+// backOff waits before attempt number+1 and reports whether the wait went undisturbed.
+func (n *session) backOff(ctx context.Context, number int) bool {
+	limit := retryBackoffMax
+	if number < maxBackoffDoublings {
+		limit = min(retryBackoffMin<<number, retryBackoffMax)
+	}
 	timer := time.NewTimer(rand.N(limit))
 	defer timer.Stop()
 	select {
@@ -107,7 +128,8 @@
 	if err != nil {
 		e := n.waitError(ctx, err)
 		a.exclude = append(a.exclude, target.Server)
-		return nil, e, e.Kind == outcome.NotRun && (a.read || isConnectionFailure(e))
+		a.primary = !a.read && isConnectionFailure(e)
+		return nil, e, e.Kind == outcome.NotRun && (a.read || a.primary)
 	}
 	return newUpstream(conn, target, &n.srv.cfg), nil, false
 }
--- a/proxy/engine/config.go
+++ b/proxy/engine/config.go
@@ -16,6 +16,7 @@
 	DefaultMaxResultMessageSize     = 64 << 20  // bytes
 	DefaultMaxHeldSize              = 256 << 10 // bytes
 	DefaultMaxPreparedStatements    = 1000
+	DefaultMaxPreparedSize          = 4 << 20 // bytes
 	DefaultUpstreamStatements       = 64
 	DefaultStartupTimeout           = 10 * time.Second
 	DefaultWriteTimeout             = 10 * time.Second
@@ -46,6 +47,7 @@
 	MaxResultMessageSize  int // bytes of one message of a server, such as a row
 	MaxHeldSize           int // bytes held back until a write is confirmed
 	MaxPreparedStatements int // prepared statements, and portals, of one session
+	MaxPreparedSize       int // bytes of SQL text of the prepared statements of one session
 	UpstreamStatements    int // prepared statements kept on one upstream connection
 
 	StartupTimeout           time.Duration // from accept to the first ReadyForQuery
@@ -84,6 +86,7 @@
 	orInt(&c.MaxResultMessageSize, DefaultMaxResultMessageSize)
 	orInt(&c.MaxHeldSize, DefaultMaxHeldSize)
 	orInt(&c.MaxPreparedStatements, DefaultMaxPreparedStatements)
+	orInt(&c.MaxPreparedSize, DefaultMaxPreparedSize)
 	orInt(&c.UpstreamStatements, DefaultUpstreamStatements)
 	orInt(&c.MaxAttempts, DefaultMaxAttempts)
 	orDuration(&c.StartupTimeout, DefaultStartupTimeout)
--- a/proxy/engine/extended.go
+++ b/proxy/engine/extended.go
@@ -57,7 +57,7 @@
 		return invalid(codeDuplicatePrepared, "prepared statement "+strconv.Quote(m.Name)+" already exists",
 			"close it first or use another name"), nil
 	}
-	if m.Name != "" && len(n.statements) >= n.srv.cfg.MaxPreparedStatements {
+	if m.Name != "" && n.statements.full(&n.srv.cfg, len(m.Query)) {
 		return invalid(codeProgramLimitExceeded, "the session has too many prepared statements",
 			"close statements that are no longer used"), nil
 	}
@@ -133,7 +133,7 @@
 			return nil
 		}
 	}
-	return n.statements[name]
+	return n.statements.get(name)
 }
 
 // portal finds a portal as it will be when the unit has run up to here.
@@ -159,9 +159,9 @@
 	for _, o := range u.ops[:u.done] {
 		switch o.kind {
 		case opParse:
-			n.keepStatement(o.name, o.stmt)
+			n.statements.put(o.name, o.stmt)
 		case opCloseStatement:
-			delete(n.statements, o.name)
+			n.statements.remove(o.name)
 		case opBind:
 			n.keepPortal(o.name, o.stmt)
 		case opClosePortal:
@@ -173,13 +173,6 @@
 	}
 }
 
-func (n *session) keepStatement(name string, p *prepared) {
-	if n.statements == nil {
-		n.statements = make(map[string]*prepared)
-	}
-	n.statements[name] = p
-}
-
 func (n *session) keepPortal(name string, p *prepared) {
 	if !n.tx.active() {
 		return
--- a/proxy/engine/local.go
+++ b/proxy/engine/local.go
@@ -114,17 +114,17 @@
 	case "unlisten":
 		return n.complete("UNLISTEN")
 	case "discard":
-		n.statements = nil
+		n.statements = statementSet{}
 		return n.complete("DISCARD")
 	}
 	if c.Value == "all" {
-		n.statements = nil
+		n.statements = statementSet{}
 		return n.complete("DEALLOCATE ALL")
 	}
-	if n.statements[c.Value] == nil {
+	if n.statements.get(c.Value) == nil {
 		return errNoStatement(c.Value)
 	}
-	delete(n.statements, c.Value)
+	n.statements.remove(c.Value)
 	return n.complete("DEALLOCATE")
 }
 
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// Guards against writes being refused during a failover although a primary comes in time.
+func TestWriteWaitsForThePrimary(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	r.primary.readOnly.Store(true)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "insert a")
+		answered <- err
+	}()
+	waitFor(t, func() bool {
+		r.db.mu.Lock()
+		defer r.db.mu.Unlock()
+		return r.db.failures > DefaultMaxAttempts
+	})
+	r.primary.readOnly.Store(false)
+	if err := <-answered; err != nil {
+		t.Errorf("write across a failover: %v", err)
+	}
+	if n := r.primary.writes.Load(); n != 1 {
+		t.Errorf("%d writes, want 1", n)
+	}
+}
+
 // Guards against rows being answered twice, when a read fails after a part of its answer was sent.
 func TestReadFailsAfterPartOfItsAnswer(t *testing.T) {
 	r := newRig(t)
@@ -154,6 +178,7 @@
 	if got := r.rec.last(); got.Attempts != 2 {
 		t.Errorf("reported %+v, want 2 attempts", got)
 	}
+	r.srv.cfg.PrimaryWait = 50 * time.Millisecond
 	r.primary.readOnly.Store(true)
 	e := wantCode(t, c, "insert a", outcome.CodeReadOnly)
 	if !strings.HasPrefix(e.Detail, "not_run retry_after_ms=") {
@@ -220,6 +245,9 @@
 	exec(t, c, "begin")
 	wantCode(t, c, "insert a", outcome.CodeReadOnly)
 	exec(t, c, "rollback")
+	exec(t, c, "begin")
+	wantCode(t, c, "set transaction read write", outcome.CodeReadOnly)
+	exec(t, c, "rollback")
 }
 
 // Guards against quota refusals without a retry-after, and against refused statements running.
--- a/proxy/engine/plan.go
+++ b/proxy/engine/plan.go
@@ -36,9 +36,6 @@
 // refuseWrites refuses what can't be a read on a read-only route or session. A doubtful statement
 // runs in a read-only transaction instead.
 func (n *session) refuseWrites(u *unit) *outcome.Error {
-	if n.login.Route.ReadOnly && u.first.Access == statement.ReadWrite {
-		return errReadOnly("a read-write transaction")
-	}
 	if u.first.Kind == statement.Begin {
 		return nil
 	}
--- a/proxy/engine/run.go
+++ b/proxy/engine/run.go
@@ -63,6 +63,9 @@
 	if err := n.srv.cfg.Directory.Check(n.login); err != nil {
 		return asOutcome(err), nil
 	}
+	if n.login.Route.ReadOnly && u.writable {
+		return errReadOnly("a read-write transaction"), nil
+	}
 	if u.hasLocal && !u.allLocal {
 		return errMixedSettings(), nil
 	}
--- a/proxy/engine/server.go
+++ b/proxy/engine/server.go
@@ -25,6 +25,8 @@
 	keepAliveIdle     = 15 * time.Second
 	keepAliveInterval = 5 * time.Second
 	keepAliveCount    = 3
+	// userTimeout closes a connection with unacknowledged data, after the same time.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
 // Server runs client sessions. Use New.
@@ -122,6 +124,7 @@
 		Interval: keepAliveInterval,
 		Count:    keepAliveCount,
 	})
+	setUserTimeout(tcp, userTimeout)
 }
 
 func (s *Server) admitConnection(conn net.Conn) bool {
@@ -130,6 +133,10 @@
 	if s.draining || s.open >= s.cfg.MaxSessions+startupReserve {
 		return false
 	}
+	// Set before the connection is known to Shutdown, which shortens it.
+	if conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)) != nil {
+		return false
+	}
 	s.open++
 	s.starting[conn] = struct{}{}
 	return true
--- a/proxy/engine/session.go
+++ b/proxy/engine/session.go
@@ -50,7 +50,7 @@
 	first [1]byte  // read while idle
 	unit  *unit    // messages received since the last ReadyForQuery; nil while idle
 
-	statements map[string]*prepared // the caller's prepared statements
+	statements statementSet         // the caller's prepared statements
 	portals    map[string]*prepared // the caller's portals of the open transaction
 	tx         transaction
 	readOnly   bool // default_transaction_read_only
@@ -128,7 +128,7 @@
 		n.in.giveBack()
 		n.in = nil
 	}
-	if err := n.prepareToIdle(); err != nil {
+	if err := n.stopNow(); err != nil {
 		return err
 	}
 	if _, err := n.conn.Read(n.first[:]); err != nil {
@@ -138,18 +138,9 @@
 	return nil
 }
 
-// stopNow returns the reason to end the session before the next unit, or nil.
+// stopNow returns the reason to end the session before the next unit, or nil. It sets the read deadline
+// for the wait until that unit.
 func (n *session) stopNow() error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if e := n.stopError(); e != nil {
-		return e
-	}
-	return nil
-}
-
-// prepareToIdle sets the read deadline for the time until the next message.
-func (n *session) prepareToIdle() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if e := n.stopError(); e != nil {
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -29,6 +29,7 @@
 		return n.serverError(r), true, nil
 	case r.code == outcome.CodeReadOnly && a.hold && !u.ends:
 		n.db.ReportFailure(up.target, errReadOnlyPrimary())
+		a.primary = true
 		up.giveBack()
 		return errReadOnlyPrimary(), true, nil
 	case r.code == codeSerializationFailure && a.read && !up.target.Primary:
@@ -58,6 +59,7 @@
 	a.exclude = append(a.exclude, up.target.Server)
 	if !r.sent {
 		up.drop()
+		a.primary = !a.read
 		return errNotSent(r.err), true
 	}
 	up.abort()
@@ -136,11 +138,12 @@
 
 func errNotSent(cause error) *outcome.Error {
 	return outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
-		"the statement could not be sent: "+cause.Error(), "repeat the statement")
+		"the statement could not be sent: "+cause.Error(), "repeat the statement").
+		WithRetryAfter(failoverRetry)
 }
 
 func errReadOnlyPrimary() *outcome.Error {
 	return outcome.New(outcome.NotRun, outcome.CodeReadOnly,
 		"the primary is read-only, because it is being replaced", "repeat the statement").
-		WithRetryAfter(readOnlyRetry)
+		WithRetryAfter(failoverRetry)
 }
--- a/proxy/engine/startup.go
+++ b/proxy/engine/startup.go
@@ -42,9 +42,6 @@
 
 // startup returns a session that is ready for its first query. Its errors were told to the caller.
 func (s *Server) startup(conn net.Conn) (*session, error) {
-	if err := conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)); err != nil {
-		return nil, err
-	}
 	st := &startup{srv: s, conn: conn}
 	m, err := st.firstMessage()
 	if err != nil {
--- a/proxy/engine/unit.go
+++ b/proxy/engine/unit.go
@@ -32,6 +32,7 @@
 	control  bool // opens or ends a transaction
 	ends     bool // may end a transaction with COMMIT
 	certain  bool
+	writable bool // asks for a read-write transaction
 	taints   bool
 }
 
@@ -88,6 +89,7 @@
 	u.control = u.control || c.Control || opensOrEnds
 	u.ends = u.ends || c.Control || c.Kind == statement.Commit
 	u.certain = u.certain || c.Certain
+	u.writable = u.writable || c.Access == statement.ReadWrite
 	u.taints = u.taints || c.Taints
 }
 
