Serve the demo's address from the start and give it a visitor account

Change: our policy runs first and its deployment stays; account visitor has a fixed key and a rate that a test client does not reach.

--- a/cmd/internal/demo/command.go
+++ b/cmd/internal/demo/command.go
@@ -1,16 +1,12 @@
 package demo
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
-
-	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
 )
 
 // DefaultDuration of both policies together; start and end take a few seconds more.
@@ -22,8 +18,9 @@
 callers experienced, beside a plain policy in the same run. The exit code is 1 if a promise was
 broken.
 
-With --listen it goes on serving afterwards on that address, and through the second instance on
-the next port, until it is interrupted; any PostgreSQL client can connect.`
+With --listen the first instance serves on that address and the second on the next port, from the
+start and after the report until it is interrupted; any PostgreSQL client can connect as user
+visitor with password demo to database orders.`
 
 // errBroken makes the command's exit code 1.
 var errBroken = errors.New("a promise was broken; see the report")
@@ -54,16 +51,11 @@
 	if asJSON {
 		c.Progress = cmd.ErrOrStderr()
 	}
-	c.Serving = func(ctx context.Context, d *local.Deployment) error {
-		return serve(ctx, c.Progress, d)
-	}
+	c.Report = func(r *Report) error { return write(out, r, asJSON) }
 	report, err := Run(cmd.Context(), c)
 	if err != nil {
 		return err
 	}
-	if err := write(out, report, asJSON); err != nil {
-		return err
-	}
 	if report.Broken() {
 		return errBroken
 	}
@@ -76,13 +68,3 @@
 	}
 	return r.Table(w)
 }
-
-// serve shows how to connect and waits for an interrupt.
-func serve(ctx context.Context, w io.Writer, d *local.Deployment) error {
-	fmt.Fprintln(w, "serving until interrupted; table kv(key text, value text); connect with:")
-	for i := range d.Instances {
-		fmt.Fprintln(w, "  "+d.URL(i, local.DatabaseName, "marshals"))
-	}
-	<-ctx.Done()
-	return nil
-}
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -30,9 +30,8 @@
 	Seed     uint64
 	Listen   string // IP:port; the second instance takes the next port. Empty: none
 	Progress io.Writer
-	// Serving is called with the deployment that goes on serving on Listen; the demo ends when it
-	// returns.
-	Serving func(ctx context.Context, d *local.Deployment) error
+	// Report is called with the report before the demo goes on serving.
+	Report func(*Report) error
 }
 
 // Validate reports what is wrong with the configuration.
@@ -59,37 +58,74 @@
 	moverAccount     = "officers"
 )
 
+// VisitorAccount and VisitorKey let anybody connect to the address that the demo serves on.
+const (
+	VisitorAccount = "visitor"
+	VisitorKey     = "demo"
+)
+
+// visitorRate lets a test client send as fast as it can.
+const visitorRate = 100_000
+
 func offers() []offer {
 	return []offer{
 		{Account: local.Account{Name: "marshals", Weight: 2, Rate: 200, Burst: 200}, offered: 120, sessions: 12},
 		{Account: local.Account{Name: "secretaries", Weight: 1, Rate: 100, Burst: 50}, offered: 80, sessions: 8, pinned: true},
 		{Account: local.Account{Name: moverAccount, Weight: 1, Rate: 400, Burst: 400}},
 		{Account: local.Account{Name: withdrawnAccount, Weight: 1, Rate: 50, Burst: 50}, offered: 25, sessions: 4},
+		{Account: local.Account{Name: VisitorAccount, Weight: 1, Rate: visitorRate, Burst: visitorRate, Key: VisitorKey}},
 		{Account: local.Account{Name: surgeAccount, Weight: 1, Rate: 60, Burst: 60}, offered: 240, sessions: 8, from: 0.5},
 	}
 }
 
-// Run runs both policies and returns the report. It closes what it started.
+// Run runs both policies, ours first, so that Listen is served from the start. It hands the report
+// to Config.Report and then serves until ctx ends if Listen is set.
 func Run(ctx context.Context, c Config) (*Report, error) {
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
-	half := c.Duration / 2
-	c.say("plain policy: all reads on the primary, static shares of the rates")
-	baseline, err := runPolicy(ctx, c, half, &daemon.PlainPolicy{Instances: instances}, nil, nil)
+	listeners, err := c.listeners()
 	if err != nil {
-		return nil, errors.Wrap(err, "run the plain policy")
+		return nil, err
 	}
+	half := c.Duration / 2
 	c.say("cyclamenstile")
-	listeners, err := c.listeners()
+	ours, err := startPolicy(ctx, c, half, nil, listeners)
 	if err != nil {
 		return nil, err
 	}
-	figures, err := runPolicy(ctx, c, half, nil, listeners, c.Serving)
-	if err != nil {
+	defer ours.deployment.Close()
+	report := &Report{Seed: c.Seed}
+	if report.Figures, err = ours.figures(ctx); err != nil {
 		return nil, err
 	}
-	return &Report{Figures: *figures, Baseline: *baseline, Seed: c.Seed}, nil
+	if report.Baseline, err = baseline(ctx, c, half); err != nil {
+		return nil, errors.Wrap(err, "run the plain policy")
+	}
+	if err := c.Report(report); err != nil || listeners == nil {
+		return report, err
+	}
+	c.serve(ctx, ours.deployment)
+	return report, nil
+}
+
+func baseline(ctx context.Context, c Config, duration time.Duration) (Figures, error) {
+	c.say("plain policy: all reads on the primary, static shares of the rates")
+	plain, err := startPolicy(ctx, c, duration, &daemon.PlainPolicy{Instances: instances}, nil)
+	if err != nil {
+		return Figures{}, err
+	}
+	defer plain.deployment.Close()
+	return plain.figures(ctx)
+}
+
+// serve shows how to connect and waits for an interrupt.
+func (c Config) serve(ctx context.Context, d *local.Deployment) {
+	c.say("serving until interrupted; table kv(key text, value text); connect with:")
+	for i := range d.Instances {
+		c.say("  %s", d.URL(i, local.DatabaseName, VisitorAccount))
+	}
+	<-ctx.Done()
 }
 
 func (c Config) say(format string, args ...any) {
--- a/cmd/internal/demo/figures.go
+++ b/cmd/internal/demo/figures.go
@@ -50,8 +50,8 @@
 }
 
 // measure checks the histories and sums up what the callers experienced.
-func (r *policyRun) measure(ctx context.Context) (*Figures, error) {
-	f := &Figures{
+func (r *policyRun) measure(ctx context.Context) (Figures, error) {
+	f := Figures{
 		Violations:         []string{},
 		SessionMoves:       r.mover.moves,
 		StaleReads:         r.mover.stale,
@@ -68,7 +68,7 @@
 			continue
 		}
 		if err := r.readFinal(ctx, result); err != nil {
-			return nil, err
+			return f, err
 		}
 		result.History.Limits = limits(o)
 		f.add(o, result)
--- a/cmd/internal/demo/policy.go
+++ b/cmd/internal/demo/policy.go
@@ -55,22 +55,22 @@
 	results map[string]*load.Result // by account
 }
 
-func runPolicy(ctx context.Context, c Config, duration time.Duration, plain *daemon.PlainPolicy, listeners []net.Listener, serving func(context.Context, *local.Deployment) error) (*Figures, error) {
+// startPolicy starts a deployment with a policy.
+func startPolicy(ctx context.Context, c Config, duration time.Duration, plain *daemon.PlainPolicy, listeners []net.Listener) (*policyRun, error) {
 	s := &statements{}
 	d, err := local.Start(ctx, deployment(c, plain, listeners, s))
 	if err != nil {
 		return nil, err
 	}
-	defer d.Close()
-	r := &policyRun{cfg: c, duration: duration, deployment: d, statements: s, results: make(map[string]*load.Result)}
+	return &policyRun{cfg: c, duration: duration, deployment: d, statements: s, results: make(map[string]*load.Result)}, nil
+}
+
+// figures runs the load and the events and measures what callers experienced.
+func (r *policyRun) figures(ctx context.Context) (Figures, error) {
 	if err := r.run(ctx); err != nil {
-		return nil, err
-	}
-	figures, err := r.measure(ctx)
-	if err != nil || serving == nil || listeners == nil {
-		return figures, err
+		return Figures{}, err
 	}
-	return figures, serving(ctx, d)
+	return r.measure(ctx)
 }
 
 // run drives the load and the events until the time is over.
