--- a/cmd/internal/standincmd/standin.go
+++ b/cmd/internal/standincmd/standin.go
@@ -3,13 +3,18 @@
 package standincmd
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"net/netip"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
 )
@@ -26,25 +31,60 @@
 
 func newStore() *cobra.Command {
 	var listen string
+	var instances []string
 	cmd := &cobra.Command{
 		Use:   "store",
 		Short: "Run a stand-in of the platform's object store, in memory",
-		Long:  "store serves an empty object store over HTTP until it is interrupted. It prints its address on the first line.",
+		Long:  storeHelp,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := store.Start(listen)
 			if err != nil {
 				return errors.Wrap(err, "--listen: can't listen; choose a free address")
 			}
+			defer func() { _ = s.Close() }()
+			if err := listInstances(cmd.Context(), s.URL(), instances); err != nil {
+				return err
+			}
 			fmt.Fprintln(cmd.OutOrStdout(), s.URL())
 			<-cmd.Context().Done()
-			return s.Close()
+			return nil
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "IP:port")
+	cmd.Flags().StringSliceVar(&instances, "instance", nil, "entry of the platform's instance list as name=IP:port of its peer listener; repeat for each")
 	return cmd
 }
 
+// listInstances writes the platform's instance list.
+func listInstances(ctx context.Context, url string, instances []string) error {
+	if len(instances) == 0 {
+		return nil
+	}
+	var list []platform.Instance
+	for _, text := range instances {
+		name, address, err := parsePair("instance", text)
+		if err != nil {
+			return err
+		}
+		list = append(list, platform.Instance{ID: name, PeerAddress: address})
+	}
+	value, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	client, err := httpstore.New(httpstore.Config{BaseURL: url})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	_, err = client.Put(ctx, httpstore.InstancesKey, value, 0)
+	return errors.Wrap(err, "store the instance list")
+}
+
+const storeHelp = `store serves an object store over HTTP until it is interrupted. It is empty but for the platform's
+instance list, if any --instance is given. It prints its address on the first line.`
+
 const serverHelp = `server runs one server of a stand-in database group over the PostgreSQL protocol until it is
 interrupted. It prints its address on the first line. It holds one table, kv(key text, value
 text), and follows the primary among its peers.`
@@ -97,11 +137,19 @@
 func parsePeers(peers []string) (map[authority.ServerID]string, error) {
 	parsed := make(map[authority.ServerID]string, len(peers))
 	for _, p := range peers {
-		name, address, ok := strings.Cut(p, "=")
-		if !ok || name == "" || address == "" {
-			return nil, errors.Newf("--peer: %q is not name=IP:port", p)
+		name, address, err := parsePair("peer", p)
+		if err != nil {
+			return nil, err
 		}
 		parsed[authority.ServerID(name)] = address
 	}
 	return parsed, nil
 }
+
+func parsePair(flag, text string) (name, address string, err error) {
+	name, address, ok := strings.Cut(text, "=")
+	if _, err := netip.ParseAddrPort(address); !ok || name == "" || err != nil {
+		return "", "", errors.Newf("--%s: %q is not name=IP:port", flag, text)
+	}
+	return name, address, nil
+}
