Check the engine under random faults and answer SHOW of the proxy's own parameters

Eight callers run reads, writes and transactions against servers that close connections, refuse writes and leave them unconfirmed at random; every acknowledgement and refusal is compared with what the server applied. SHOW transaction_read_only is answered by the proxy, because a replica's answer would make drivers reject the connection as read-only.

--- a/decision/statement/class.go
+++ b/decision/statement/class.go
@@ -70,7 +70,8 @@
 	RollbackTo bool
 	// End is the offset behind the last token of the first statement, without its semicolon.
 	End int
-	// Name and Value belong to Setting and Discard. A reset has an empty Value and Reset set.
+	// Name is the parameter of Setting and of a Read that is SHOW, or the first word of Discard. Value
+	// belongs to Setting and Discard. A reset has an empty Value and Reset set.
 	Name, Value string
 	Reset       bool
 	// Message and Remedy belong to Refused.
--- a/decision/statement/classify.go
+++ b/decision/statement/classify.go
@@ -135,7 +135,7 @@
 	case "select", "with", "values", "table", "explain", "(":
 		return p.query()
 	case "show":
-		return p.consume(Class{Kind: Read})
+		return p.show()
 	case "begin", "start":
 		return p.begin()
 	case "commit", "end":
--- a/decision/statement/setting.go
+++ b/decision/statement/setting.go
@@ -59,6 +59,11 @@
 	return c
 }
 
+func (p *parser) show() Class {
+	p.advance()
+	return p.consume(Class{Kind: Read, Name: p.settingName()})
+}
+
 // settingName reads a parameter name of one or two parts, in lower case.
 func (p *parser) settingName() string {
 	start := p.tok.start
--- /dev/null
+++ b/proxy/engine/faults_test.go
@@ -0,0 +1,138 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+)
+
+const (
+	faultCallers    = 8
+	faultStatements = 150 // of each caller
+)
+
+// faultRun is one run of callers against servers that fail at random.
+type faultRun struct {
+	*rig
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (f *faultRun) roll(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
+func (f *faultRun) fault(string) fakeFault {
+	switch f.roll(20) {
+	case 0:
+		return dieBefore
+	case 1:
+		return dieAfter
+	case 2:
+		return refuseAsFenced
+	}
+	return faultNone
+}
+
+// caller runs statements and checks that each answer or refusal was true.
+func (f *faultRun) caller(id int) {
+	c, err := f.tryConnect()
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	defer c.Close(context.Background())
+	for i := range faultStatements {
+		name := fmt.Sprintf("insert %d.%d", id, i)
+		switch f.roll(3) {
+		case 0:
+			f.read(c, name)
+		case 1:
+			_, err := c.Exec(context.Background(), name)
+			f.check(name, err)
+		case 2:
+			f.transaction(c, name)
+		}
+		if c.IsClosed() {
+			f.t.Errorf("the session ended at %s", name)
+			return
+		}
+	}
+}
+
+func (f *faultRun) read(c *pgx.Conn, text string) {
+	var got string
+	err := c.QueryRow(context.Background(), "select $1", text).Scan(&got)
+	if err == nil && got != text {
+		f.t.Errorf("read of %q answered %q", text, got)
+	}
+}
+
+func (f *faultRun) transaction(c *pgx.Conn, name string) {
+	if _, err := c.Exec(context.Background(), "begin"); err != nil {
+		return
+	}
+	_, err := c.Exec(context.Background(), name)
+	if err != nil {
+		_, _ = c.Exec(context.Background(), "rollback")
+		if n := f.primary.appliedTimes(name); n != 0 {
+			f.t.Errorf("%s was applied %d times although its transaction failed", name, n)
+		}
+		return
+	}
+	tag, err := c.Exec(context.Background(), "commit")
+	if err == nil && tag.String() != "COMMIT" {
+		f.t.Errorf("commit of %s answered %q", name, tag)
+	}
+	f.check(name, err)
+}
+
+// check compares what the caller was told with what the server did.
+func (f *faultRun) check(name string, err error) {
+	n := f.primary.appliedTimes(name)
+	var pg *pgconn.PgError
+	switch {
+	case err == nil && n != 1:
+		f.t.Errorf("%s was acknowledged and applied %d times", name, n)
+	case err != nil && !errors.As(err, &pg):
+		f.t.Errorf("%s: %v", name, err)
+	case err != nil && strings.HasPrefix(pg.Detail, outcome.NotRun.String()) && n != 0:
+		f.t.Errorf("%s was refused as not run and applied %d times", name, n)
+	case n > 1:
+		f.t.Errorf("%s was applied %d times", name, n)
+	}
+}
+
+// Guards against wrong answers, untrue refusals and repeated writes while connections break, servers
+// refuse and confirmations fail at random.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := &faultRun{rig: newRig(t), rng: rand.New(rand.NewPCG(seed, 0))}
+			f.primary.fault, f.replica.fault = f.fault, f.fault
+			f.db.setConfirm(func(context.Context) error {
+				if f.roll(20) == 0 {
+					return errNoMajority
+				}
+				return nil
+			})
+			var callers sync.WaitGroup
+			for id := range faultCallers {
+				callers.Go(func() { f.caller(id) })
+			}
+			callers.Wait()
+			waitFor(t, func() bool { _, _, inUse := f.pool.counts(); return inUse == 0 })
+		})
+	}
+}
--- a/proxy/engine/local.go
+++ b/proxy/engine/local.go
@@ -7,6 +7,9 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/statement"
 )
 
+// textOID is the type text. Source: PostgreSQL catalog pg_type.
+const textOID = 25
+
 // answersLocally reports whether the unit is answered without a server.
 func (n *session) answersLocally(u *unit) bool {
 	switch {
@@ -17,6 +20,9 @@
 	case n.tx.failed:
 		return !n.leavesFailure(u)
 	case !n.tx.active():
+		if _, known := n.shown(u); known {
+			return true
+		}
 		return u.sole(statement.Commit) || u.sole(statement.Rollback)
 	}
 	return false
@@ -34,6 +40,9 @@
 
 // answerLocal answers every message of the unit itself.
 func (n *session) answerLocal(u *unit) *outcome.Error {
+	if value, known := n.shown(u); known {
+		return n.show(u.first.Name, value)
+	}
 	if u.simple {
 		return n.executeLocal(u.first)
 	}
@@ -94,6 +103,33 @@
 	return errFailedTransaction()
 }
 
+// shown returns the value of a parameter that only the proxy knows. Drivers ask for
+// transaction_read_only to find a server that accepts writes; a replica would give the wrong answer.
+func (n *session) shown(u *unit) (value string, known bool) {
+	if !u.simple || !u.sole(statement.Read) {
+		return "", false
+	}
+	switch u.first.Name {
+	case tokenParameter:
+		return n.state.Token(), true
+	case "transaction_read_only", "default_transaction_read_only":
+		return onOff(n.onlyReads()), true
+	}
+	return "", false
+}
+
+func (n *session) show(name, value string) *outcome.Error {
+	row := &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+		{Name: []byte(name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1}}}
+	if e := n.sendLocal(row); e != nil {
+		return e
+	}
+	if e := n.sendLocal(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}}); e != nil {
+		return e
+	}
+	return n.complete("SHOW")
+}
+
 func endsTransaction(c statement.Class) bool {
 	return c.Count == 1 && (c.Kind == statement.Commit || c.Kind == statement.Rollback)
 }
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -352,6 +352,10 @@
 	if got := queryText(t, c, "select $1", "x"); got != "x" {
 		t.Errorf("got %q", got)
 	}
+	wantCode(t, c, "fail", "22012") // after an error nothing is taken for prepared
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("got %q", got)
+	}
 }
 
 // Guards against refused statements without a remedy, and settings reaching a shared connection.
@@ -366,6 +370,10 @@
 	exec(t, c, "reset all")
 	exec(t, c, "set DateStyle to ISO", pgx.QueryExecModeExec)
 	exec(t, c, ";")
+	results, err := c.PgConn().Exec(context.Background(), "show transaction_read_only").ReadAll()
+	if err != nil || string(results[0].Rows[0][0]) != "off" {
+		t.Errorf("transaction_read_only: %v, %v", results, err)
+	}
 	exec(t, c, "rollback")
 	if dials, _, _ := r.pool.counts(); dials != 0 {
 		t.Errorf("%d connections used for local statements", dials)
--- a/proxy/engine/settings.go
+++ b/proxy/engine/settings.go
@@ -12,10 +12,6 @@
 
 // firstParameters lists the parameters announced at start-up, by name and value.
 func (s *Server) firstParameters(n *session) [][2]string {
-	readOnly := "off"
-	if n.readOnly {
-		readOnly = "on"
-	}
 	return [][2]string{
 		{"server_version", s.cfg.ServerVersion},
 		{"server_encoding", "UTF8"},
@@ -25,11 +21,19 @@
 		{"TimeZone", "UTC"},
 		{"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"},
-		{"default_transaction_read_only", readOnly},
+		{"default_transaction_read_only", onOff(n.onlyReads())},
+		{"in_hot_standby", "off"},
 		{tokenParameter, n.state.Token()},
 	}
 }
 
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
+
 // applyStartup applies the parameters of the start-up message.
 func (n *session) applyStartup(parameters map[string]string) error {
 	for name, value := range parameters {
--- a/proxy/engine/upstream_test.go
+++ b/proxy/engine/upstream_test.go
@@ -35,9 +35,12 @@
 	cancels  atomic.Int64
 	running  chan string // receives "hang" when one begins
 
-	mu    sync.Mutex
-	conns map[uint32]*fakeSession
-	log   []string
+	fault func(sql string) fakeFault // of the next statement; nil for none
+
+	mu      sync.Mutex
+	conns   map[uint32]*fakeSession
+	log     []string
+	applied map[string]int // committed inserts
 }
 
 type fakeSession struct {
@@ -51,8 +54,19 @@
 	readOnly bool
 	skip     bool
 	canceled chan struct{}
+	pending  []string // inserts of the open transaction
 }
 
+// fakeFault is what goes wrong with one statement.
+type fakeFault int
+
+const (
+	faultNone fakeFault = iota
+	dieBefore           // the connection closes and the statement does not run
+	dieAfter            // it runs, and the connection closes without an answer
+	refuseAsFenced
+)
+
 type boundFake struct {
 	sql    string
 	params [][]byte
@@ -70,7 +84,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &fakeServer{id: id, addr: ln.Addr().String(), running: make(chan string, 100), conns: make(map[uint32]*fakeSession)}
+	s := &fakeServer{id: id, addr: ln.Addr().String(), running: make(chan string, 100), conns: make(map[uint32]*fakeSession), applied: make(map[string]int)}
 	fakesMu.Lock()
 	fakes[s.addr] = s
 	fakesMu.Unlock()
@@ -111,6 +125,20 @@
 	return append([]string(nil), s.log...)
 }
 
+func (s *fakeServer) apply(inserts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range inserts {
+		s.applied[i]++
+	}
+}
+
+func (s *fakeServer) appliedTimes(insert string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.applied[insert]
+}
+
 func (s *fakeServer) serve(conn net.Conn) {
 	c := &fakeSession{srv: s, pid: fakePIDs.Add(1), conn: conn, b: pgproto3.NewBackend(conn, conn),
 		stmts: make(map[string]string), portals: make(map[string]boundFake), status: 'I',
@@ -231,6 +259,17 @@
 	if c.srv.die.Load() || c.srv.dieOnce.Swap(false) {
 		return false
 	}
+	fault := faultNone
+	if c.srv.fault != nil {
+		fault = c.srv.fault(low)
+	}
+	switch {
+	case fault == dieBefore:
+		return false
+	case fault == refuseAsFenced && word == "insert":
+		c.error("25006", "fenced")
+		return true
+	}
 	if code, _ := c.srv.code.Load().(string); code != "" && word == "select" {
 		c.error(code, "refused")
 		return true
@@ -251,6 +290,10 @@
 		if c.status == 'E' {
 			word = "rollback"
 		}
+		if word == "commit" {
+			c.srv.apply(c.pending...)
+		}
+		c.pending = nil
 		c.status = 'I'
 		c.readOnly = false
 	case "insert":
@@ -259,6 +302,11 @@
 			return true
 		}
 		c.srv.writes.Add(1)
+		if c.status == 'I' {
+			c.srv.apply(low)
+		} else {
+			c.pending = append(c.pending, low)
+		}
 		word = "insert 0 1"
 	case "fail":
 		c.error("22012", "division by zero")
@@ -280,6 +328,9 @@
 		}
 		word = "select " + strconv.Itoa(n)
 	}
+	if fault == dieAfter {
+		return false
+	}
 	c.srv.mu.Lock()
 	c.srv.log = append(c.srv.log, low)
 	c.srv.mu.Unlock()
