Answer Flush after Describe and drop lost connections at once

Some drivers prepare with Flush instead of Sync and waited for ever; a pipeline that only prepares and describes is now answered at Flush. A connection that the server closed is dropped without a cancel request, which only delayed the release of its slot.

--- a/proxy/engine/bound.go
+++ b/proxy/engine/bound.go
@@ -24,7 +24,7 @@
 	report.Run = time.Since(started) - report.Wait
 	if r.callerErr != nil {
 		n.endTransaction()
-		up.abort()
+		up.abort(errCallerGone)
 		return nil, r.callerErr
 	}
 	if r.err != nil {
@@ -59,7 +59,7 @@
 	if killed == nil {
 		n.db.ReportFailure(up.target, r.err)
 	}
-	up.abort()
+	up.abort(r.err)
 	if u.ends && r.sent {
 		n.endTransaction()
 		return errUnknown("the answer to COMMIT is missing: " + r.err.Error())
--- a/proxy/engine/lifecycle_test.go
+++ b/proxy/engine/lifecycle_test.go
@@ -184,6 +184,17 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
+// Guards against a setting changed by one session being seen by the next one on the connection.
+func TestChangedSettingDropsConnection(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	exec(t, c, "change")
+	exec(t, c, "do $$ begin end $$")
+	if dials, dropped, _ := r.pool.counts(); dials != 2 || dropped != 2 {
+		t.Errorf("%d dials, %d dropped; want 2 and 2", dials, dropped)
+	}
+}
+
 // Guards against a withdrawn key working on: idle sessions end at once, a statement in flight after
 // its grace.
 func TestWithdrawnKey(t *testing.T) {
--- a/proxy/engine/local.go
+++ b/proxy/engine/local.go
@@ -20,10 +20,8 @@
 	case n.tx.failed:
 		return !n.leavesFailure(u)
 	case !n.tx.active():
-		if _, known := n.shown(u); known {
-			return true
-		}
-		return u.sole(statement.Commit) || u.sole(statement.Rollback)
+		_, known := n.shown(u)
+		return known || u.sole(statement.Commit) || u.sole(statement.Rollback)
 	}
 	return false
 }
@@ -106,7 +104,7 @@
 // shown returns the value of a parameter that only the proxy knows. Drivers ask for
 // transaction_read_only to find a server that accepts writes; a replica would give the wrong answer.
 func (n *session) shown(u *unit) (value string, known bool) {
-	if !u.simple || !u.sole(statement.Read) {
+	if !u.simple || n.tx.active() || !u.sole(statement.Read) {
 		return "", false
 	}
 	switch u.first.Name {
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// Guards against retries beyond the route's budget.
+func TestRetryBudget(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.AllowRetry = func(string) bool { return false } })
+	c := r.connect()
+	r.replica.die.Store(true)
+	wantCode(t, c, "select 1", outcome.CodeStatementUnknown)
+}
+
 // Guards against rows being answered twice, when a read fails after a part of its answer was sent.
 func TestReadFailsAfterPartOfItsAnswer(t *testing.T) {
 	r := newRig(t)
--- a/proxy/engine/protocol_test.go
+++ b/proxy/engine/protocol_test.go
@@ -182,6 +182,43 @@
 	}
 }
 
+// Guards against drivers hanging that prepare with Flush instead of Sync.
+func TestFlushAfterDescribe(t *testing.T) {
+	r := newRig(t)
+	_, f := r.login()
+	f.Send(&pgproto3.Parse{Name: "s", Query: "select $1"})
+	f.Send(&pgproto3.Describe{ObjectType: 'S', Name: "s"})
+	f.Send(&pgproto3.Flush{})
+	_ = f.Flush()
+	receiveUntil[*pgproto3.RowDescription](t, f)
+	f.Send(&pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{[]byte("x")}})
+	f.Send(&pgproto3.Flush{})
+	_ = f.Flush()
+	receiveUntil[*pgproto3.ErrorResponse](t, f)
+	f.Send(&pgproto3.Execute{})
+	f.Send(&pgproto3.Sync{})
+	f.Send(&pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{[]byte("x")}})
+	f.Send(&pgproto3.Execute{})
+	f.Send(&pgproto3.Sync{})
+	_ = f.Flush()
+	receiveUntil[*pgproto3.ReadyForQuery](t, f)
+	if row := receiveUntil[*pgproto3.DataRow](t, f); string(row.Values[0]) != "x" {
+		t.Errorf("got %q", row.Values)
+	}
+}
+
+// Guards against more sessions than configured.
+func TestSessionLimit(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxSessions = 1 })
+	first := r.connect()
+	if _, err := r.tryConnect(); err == nil || !strings.Contains(err.Error(), codeTooManyConnections) {
+		t.Errorf("second session: %v, want SQLSTATE %s", err, codeTooManyConnections)
+	}
+	_ = first.Close(context.Background())
+	<-r.rec.closed
+	r.connect()
+}
+
 // Guards against a pipeline without end filling the memory.
 func TestPipelineLimit(t *testing.T) {
 	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxPipelineSize = 5000 })
--- a/proxy/engine/receive.go
+++ b/proxy/engine/receive.go
@@ -66,28 +66,31 @@
 	return n.run(u)
 }
 
-// flushRequest refuses a Flush that asks for answers before the pipeline's Sync: the pipeline is
-// run as one unit, so that it can be repeated on another server.
+// flushRequest answers what a pipeline has prepared and described so far. A pipeline that binds or
+// executes is refused: it runs as one unit at its Sync, so that it can be repeated on another server.
 func (n *session) flushRequest() error {
-	if n.unit != nil {
-		n.unit.fail(invalid(codeFeatureNotSupported, "Flush within a pipeline is not supported",
+	u := n.unit
+	if u == nil || u.err == errReported {
+		return nil
+	}
+	if u.binds && u.err == nil {
+		u.fail(invalid(codeFeatureNotSupported, "Flush after Bind is not supported",
 			"send Sync to get the answers"))
-		return n.earlyError(n.unit)
 	}
-	return nil
-}
-
-// earlyError answers a unit's error before its Sync, for a caller that waits for it.
-func (n *session) earlyError(u *unit) error {
-	n.out.begin()
-	if err := n.out.send(errorResponse(severityError, u.err)); err != nil {
+	u.flush = true
+	n.unit = newUnit()
+	failed, err := n.runUnit(u)
+	if failed {
+		n.unit.err = errReported
+	}
+	if err != nil {
 		return err
 	}
-	u.err = errReported
 	return n.out.flush()
 }
 
-// errReported stands for an error that the caller was told before Sync.
+// errReported stands for an error that the caller was told before Sync; the rest of the pipeline is
+// ignored.
 var errReported = &outcome.Error{Kind: outcome.Invalid}
 
 func (n *session) functionCall() error {
--- a/proxy/engine/run.go
+++ b/proxy/engine/run.go
@@ -12,6 +12,15 @@
 
 // run executes a unit and answers it. An error ends the session.
 func (n *session) run(u *unit) error {
+	if _, err := n.runUnit(u); err != nil {
+		return err
+	}
+	return n.ready()
+}
+
+// runUnit executes a unit, without the ReadyForQuery at its end. failed tells that the caller is told
+// an error.
+func (n *session) runUnit(u *unit) (failed bool, err error) {
 	defer u.giveBack()
 	n.out.begin()
 	report := Statement{Account: n.login.Account.Name, Route: n.login.Route.Name, Read: u.allReads}
@@ -21,7 +30,7 @@
 	if err != nil {
 		report.Outcome = OutcomeCallerGone
 		n.srv.cfg.Observer.StatementDone(report)
-		return err
+		return true, err
 	}
 	if e != nil {
 		report.Outcome = Outcome(e.Kind.String())
@@ -30,10 +39,7 @@
 	}
 	n.keepPrepared(u)
 	n.srv.cfg.Observer.StatementDone(report)
-	if err != nil {
-		return err
-	}
-	return n.ready()
+	return report.Code != "", err
 }
 
 // beginUnit returns the context for the unit's waits, which a cancel request, a withdrawn key or a
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -14,7 +14,7 @@
 func (n *session) settle(ctx context.Context, up *upstream, u *unit, a *attempt, r *result, report *Statement) (e *outcome.Error, again bool, err error) {
 	switch {
 	case r.callerErr != nil:
-		up.abort()
+		up.abort(errCallerGone)
 		return nil, false, r.callerErr
 	case r.err != nil:
 		e, again = n.settleFailure(up, a, r)
@@ -62,7 +62,7 @@
 		a.primary = !a.read
 		return errNotSent(r.err), true
 	}
-	up.abort()
+	up.abort(r.err)
 	if killed != nil {
 		return errUnknown("the statement was ended: " + killed.Message), false
 	}
--- a/proxy/engine/unit.go
+++ b/proxy/engine/unit.go
@@ -24,6 +24,8 @@
 	// redefines means that a statement is prepared or closed in the pipeline itself.
 	redefines bool
 
+	flush    bool // ends with Flush instead of Sync
+	binds    bool
 	executes int
 	first    statement.Class // of the first statement executed
 	allReads bool
@@ -126,6 +128,7 @@
 	}
 	u.raw = raw
 	o.end = len(raw)
+	u.binds = u.binds || o.kind == opBind || o.kind == opExecute
 	u.redefines = u.redefines || o.kind == opParse || o.kind == opCloseStatement
 	u.ops = append(u.ops, o)
 	return nil
--- a/proxy/engine/upstream.go
+++ b/proxy/engine/upstream.go
@@ -1,10 +1,16 @@
 package engine
 
 import (
+	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 )
 
 // upstream is a connection to a server while a session uses it.
@@ -17,6 +23,10 @@
 	extended time.Time   // when the progress deadline was last set
 }
 
+// errCallerGone is the reason to abort a statement whose caller has gone; like a timeout it leaves a
+// statement running.
+var errCallerGone error = os.ErrDeadlineExceeded
+
 func newUpstream(c Conn, t Target, cfg *Config) *upstream {
 	f := c.Frontend()
 	f.SetMaxBodyLen(cfg.MaxResultMessageSize)
@@ -41,9 +51,15 @@
 	u.Release(false)
 }
 
-// abort cancels the statement that is still running on the server and closes the connection, in the
-// background since the cancel request may take cancelTimeout.
-func (u *upstream) abort() {
+// abort closes a connection after err. A statement that may still be running on the server is
+// cancelled first, in the background since that may take cancelTimeout.
+func (u *upstream) abort(err error) {
+	var timeout net.Error
+	stillOpen := outcome.As(err) != nil || (errors.As(err, &timeout) && timeout.Timeout())
+	if !stillOpen {
+		u.drop()
+		return
+	}
 	go func() {
 		u.cancel()
 		u.drop()
--- a/proxy/engine/upstream_test.go
+++ b/proxy/engine/upstream_test.go
@@ -22,6 +22,7 @@
 //	insert...    a write, refused with 25006 while readOnly or in a read-only transaction
 //	select rows N  N rows of one text column; with "die" at the end the connection closes then
 //	select $1    the parameter; any other select gives the connection's id
+//	change       the connection's settings change
 //	fail, hang, die  an error, no answer until cancelled, a closed connection
 type fakeServer struct {
 	id       authority.ServerID
@@ -318,6 +319,8 @@
 		return true
 	case "die":
 		return false
+	case "change":
+		c.b.Send(&pgproto3.ParameterStatus{Name: "TimeZone", Value: "CET"})
 	case "select":
 		if simple {
 			c.describe(low)
