Bound half-sent requests and reuse the buffers of an exchange

A caller that stopped in the middle of a message or pipeline kept its buffers without limit; it is now closed after ReceiveTimeout (60 s by default) without a byte.

--- a/proxy/engine/config.go
+++ b/proxy/engine/config.go
@@ -19,6 +19,7 @@
 	DefaultMaxPreparedSize          = 4 << 20 // bytes
 	DefaultUpstreamStatements       = 64
 	DefaultStartupTimeout           = 10 * time.Second
+	DefaultReceiveTimeout           = 60 * time.Second
 	DefaultWriteTimeout             = 10 * time.Second
 	DefaultPrimaryWait              = 5 * time.Second
 	DefaultIdleInTransactionTimeout = 60 * time.Second
@@ -51,6 +52,7 @@
 	UpstreamStatements    int // prepared statements kept on one upstream connection
 
 	StartupTimeout           time.Duration // from accept to the first ReadyForQuery
+	ReceiveTimeout           time.Duration // without a byte in the middle of a message or pipeline
 	WriteTimeout             time.Duration // of one write to a caller that doesn't read
 	PrimaryWait              time.Duration // for a primary during a failover
 	IdleInTransactionTimeout time.Duration
@@ -90,6 +92,7 @@
 	orInt(&c.UpstreamStatements, DefaultUpstreamStatements)
 	orInt(&c.MaxAttempts, DefaultMaxAttempts)
 	orDuration(&c.StartupTimeout, DefaultStartupTimeout)
+	orDuration(&c.ReceiveTimeout, DefaultReceiveTimeout)
 	orDuration(&c.WriteTimeout, DefaultWriteTimeout)
 	orDuration(&c.PrimaryWait, DefaultPrimaryWait)
 	orDuration(&c.IdleInTransactionTimeout, DefaultIdleInTransactionTimeout)
--- a/proxy/engine/protocol_test.go
+++ b/proxy/engine/protocol_test.go
@@ -219,6 +219,19 @@
 	r.connect()
 }
 
+// Guards against callers that stop in the middle of a message or pipeline holding buffers for ever.
+func TestHalfSentRequest(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.ReceiveTimeout = 30 * time.Millisecond })
+	parse, _ := (&pgproto3.Parse{Query: "select 1"}).Encode(nil)
+	for _, sent := range [][]byte{{'Q', 0, 0}, {'Q', 0, 0, 0, 100, 'x'}, parse} {
+		conn, f := r.login()
+		_, _ = conn.Write(sent)
+		if e := receiveUntil[*pgproto3.ErrorResponse](t, f); e.Code != outcome.CodeConnectionFailure {
+			t.Errorf("after %q: answered %s", sent, e.Code)
+		}
+	}
+}
+
 // Guards against a pipeline without end filling the memory.
 func TestPipelineLimit(t *testing.T) {
 	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxPipelineSize = 5000 })
--- a/proxy/engine/relay.go
+++ b/proxy/engine/relay.go
@@ -43,7 +43,8 @@
 // relay sends the unit to the server and its answer to the caller, up to ReadyForQuery, which is
 // left to the session. The answer's last part is held back if the plan says so.
 func (n *session) relay(ctx context.Context, up *upstream, u *unit, p plan) result {
-	x := &exchange{session: n, ctx: ctx, up: up, u: u, plan: p}
+	x := &u.exchange
+	*x = exchange{session: n, ctx: ctx, up: up, u: u, plan: p, steps: x.steps[:0]}
 	x.guarded = p.guard && up.target.Primary
 	n.attach(up)
 	defer n.detach()
@@ -64,9 +65,10 @@
 	plan    plan
 	guarded bool
 	steps   []step
-	at      int  // next step to be answered
-	cached  bool // a statement prepared in an earlier unit is used
-	hide    bool // the answer belongs to the guard
+	at      int        // next step to be answered
+	cached  bool       // a statement prepared in an earlier unit is used
+	hide    bool       // the answer belongs to the guard
+	raw     rawMessage // the message being queued; here, because it would be allocated otherwise
 	sender  chan error
 }
 
--- a/proxy/engine/session.go
+++ b/proxy/engine/session.go
@@ -119,36 +119,51 @@
 // buffer meanwhile.
 func (n *session) awaitMessage() error {
 	if n.unit != nil {
-		return nil
+		return n.awaitRest()
 	}
 	if n.in != nil && !n.in.atBoundary() {
-		return n.stopNow()
+		return n.armRead(n.srv.cfg.ReceiveTimeout)
 	}
 	if n.in != nil {
 		n.in.giveBack()
 		n.in = nil
 	}
-	if err := n.stopNow(); err != nil {
+	if err := n.armRead(n.idleTimeout()); err != nil {
 		return err
 	}
 	if _, err := n.conn.Read(n.first[:]); err != nil {
 		return err
 	}
 	n.in = borrowInbound(n.conn, n.first[0], n.srv.cfg.MaxMessageSize)
-	return nil
+	return n.armRead(n.srv.cfg.ReceiveTimeout)
+}
+
+// awaitRest prepares for the next message of a pipeline.
+func (n *session) awaitRest() error {
+	if !n.in.atBoundary() {
+		return nil
+	}
+	return n.armRead(n.srv.cfg.ReceiveTimeout)
+}
+
+func (n *session) idleTimeout() time.Duration {
+	if n.tx.active() {
+		return n.srv.cfg.IdleInTransactionTimeout
+	}
+	return 0
 }
 
-// stopNow returns the reason to end the session before the next unit, or nil. It sets the read deadline
-// for the wait until that unit.
-func (n *session) stopNow() error {
+// armRead sets the deadline of the next reads; 0 removes it. It returns the reason to end the session
+// instead, if there is one.
+func (n *session) armRead(timeout time.Duration) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if e := n.stopError(); e != nil {
 		return e
 	}
 	var deadline time.Time
-	if n.inTx {
-		deadline = time.Now().Add(n.srv.cfg.IdleInTransactionTimeout)
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
 	}
 	return n.conn.SetReadDeadline(deadline)
 }
@@ -167,7 +182,7 @@
 // readFailed translates an error from the caller's connection.
 func (n *session) readFailed(err error) error {
 	n.mu.Lock()
-	stop, inTx := n.stopError(), n.inTx
+	stop := n.stopError()
 	n.mu.Unlock()
 	var tooLarge *pgproto3.ExceededMaxBodyLenErr
 	var timeout net.Error
@@ -178,14 +193,22 @@
 		return io.EOF
 	case errors.As(err, &tooLarge):
 		return errMessageTooLarge(tooLarge.MaxExpectedBodyLen)
-	case errors.As(err, &timeout) && timeout.Timeout() && inTx:
-		return errIdleInTransaction()
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return n.receiveTimeout()
 	case errors.As(err, &timeout):
 		return err
 	}
 	return errProtocol("malformed message: " + err.Error())
 }
 
+func (n *session) receiveTimeout() *outcome.Error {
+	if n.in == nil {
+		return errIdleInTransaction()
+	}
+	return outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
+		"the rest of the request did not arrive in time", "send requests without long pauses")
+}
+
 // interrupt ends the session as soon as r allows.
 func (n *session) interrupt(r stopReason) {
 	n.mu.Lock()
--- a/proxy/engine/transmit.go
+++ b/proxy/engine/transmit.go
@@ -117,7 +117,8 @@
 }
 
 func (x *exchange) queue(i int) {
-	x.up.frontend.Send(x.u.message(i))
+	x.raw = x.u.message(i)
+	x.up.frontend.Send(&x.raw)
 	x.steps = append(x.steps, step{op: i})
 }
 
--- a/proxy/engine/unit.go
+++ b/proxy/engine/unit.go
@@ -36,6 +36,8 @@
 	certain  bool
 	writable bool // asks for a read-write transaction
 	taints   bool
+
+	exchange exchange // with the present server; here to be reused
 }
 
 // op is one message of a pipeline.
@@ -63,7 +65,9 @@
 
 func newUnit() *unit {
 	u := units.Get().(*unit)
+	steps := u.exchange.steps[:0]
 	*u = unit{raw: u.raw[:0], ops: u.ops[:0], allReads: true, allLocal: true}
+	u.exchange.steps = steps
 	return u
 }
 
@@ -72,6 +76,7 @@
 		return
 	}
 	clear(u.ops)
+	u.exchange = exchange{steps: u.exchange.steps}
 	units.Put(u)
 }
 
