Take the sample of a read beside the read, and free slots of idle transactions

Cause: a session without a token waited for a probe round before each read; and a transaction kept its execution slot while it waited for its caller, so that three idle transactions blocked a server with three slots. Change: a read starts at once at a replica that covers the session's own floor; its answer is kept back until the sample, begun after the read arrived, is known to be covered by what was known of the replica before. Otherwise the answer is dropped and the read is placed behind its sample. Connections give their slot back between the statements of a transaction; COMMIT and ROLLBACK need none. Ruled out: letting the rows pass and keeping back only the end, since a caller can't be made to forget rows.

--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -66,3 +66,32 @@
 		}
 	}
 }
+
+// Guards against transactions that wait for their caller keeping all execution slots of a server.
+func TestIdleTransactionsHoldNoSlot(t *testing.T) {
+	for instance := range 2 { // one of the two is home to the primary, the other borrows from it
+		t.Run(fmt.Sprint("through instance ", instance), func(t *testing.T) {
+			d := start(t, local.Config{
+				Instances: 2,
+				Server:    database.Config{Slots: 1, MaxConnections: 5},
+				Accounts:  oneAccount(),
+				Routes:    oneRoute(),
+			})
+			idle := connect(t, d, instance)
+			tx, err := idle.Begin(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			insert := "INSERT INTO kv (key, value) VALUES ($1, '1')"
+			if _, err := tx.Exec(t.Context(), insert, "in transaction"); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := connect(t, d, instance).Exec(t.Context(), insert, "beside it"); err != nil {
+				t.Errorf("statement beside an idle transaction: %v", err)
+			}
+			if err := tx.Commit(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/proxy/engine/autocommit.go
+++ b/proxy/engine/autocommit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 )
 
@@ -24,9 +25,11 @@
 // attempt is the progress of one autocommit unit over several servers.
 type attempt struct {
 	plan
-	number  int
-	moved   bool // goes to the primary because it turned out to be a write
-	exclude []authority.ServerID
+	number int
+	moved  bool // placed again without counting an attempt
+	// sampleFirst places the read only after its sample, because an answer did not cover it.
+	sampleFirst bool
+	exclude     []authority.ServerID
 	// waitUntil is until when a write that is known not to have run waits for a new primary.
 	waitUntil time.Time
 	primary   bool // the last failure proves that the write did not run on the primary
@@ -142,12 +145,12 @@
 
 func (n *session) choose(ctx context.Context, a *attempt) (Target, *outcome.Error) {
 	if a.read {
-		return n.chooseRead(ctx, a.exclude)
+		return n.chooseRead(ctx, a)
 	}
 	return n.choosePrimary(ctx)
 }
 
-func (n *session) chooseRead(ctx context.Context, exclude []authority.ServerID) (Target, *outcome.Error) {
+func (n *session) chooseRead(ctx context.Context, a *attempt) (Target, *outcome.Error) {
 	route := &n.login.Route
 	need := n.state.Need()
 	stale := route.MaxStaleness.Std()
@@ -156,7 +159,8 @@
 		Sample:       need.Sample && stale == 0,
 		MaxStaleness: stale,
 		Wait:         route.ReadWait.Std(),
-		Exclude:      exclude,
+		VerifyLater:  a.later && !a.sampleFirst && route.SessionScope == manifest.ScopeAny,
+		Exclude:      a.exclude,
 	})
 	if err != nil {
 		return Target{}, n.floorError(ctx, err)
--- a/proxy/engine/bound.go
+++ b/proxy/engine/bound.go
@@ -6,6 +6,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/statement"
 )
 
 // runInTransaction runs a unit on the connection of the open transaction.
@@ -18,6 +19,9 @@
 	if e := n.checkAuthority(ctx, up, u); e != nil {
 		return e, nil
 	}
+	if e := n.takeSlot(ctx, up, u); e != nil {
+		return e, nil
+	}
 	n.reportTarget(report, up, started)
 	p := plan{hold: u.ends && up.target.Primary}
 	r := n.relay(ctx, up, u, p)
@@ -36,6 +40,18 @@
 	return n.finish(ctx, up, u, p, &r, report)
 }
 
+// takeSlot waits for an execution slot. The end of a transaction needs none: it is short, and other
+// statements in execution may be waiting for the locks that it frees.
+func (n *session) takeSlot(ctx context.Context, up *upstream, u *unit) *outcome.Error {
+	if u.sole(statement.Commit) || u.sole(statement.Rollback) {
+		return nil
+	}
+	if err := up.BeginStatement(ctx, n.login.Route.QueueTimeout.Std()); err != nil {
+		return n.waitError(ctx, err)
+	}
+	return nil
+}
+
 // checkAuthority makes sure that the primary of the transaction is not superseded before it answers
 // a read. Writes are covered by the confirmation of the commit.
 func (n *session) checkAuthority(ctx context.Context, up *upstream, u *unit) *outcome.Error {
--- a/proxy/engine/deps.go
+++ b/proxy/engine/deps.go
@@ -22,6 +22,10 @@
 	Primary     bool
 	// Floor is the floor that Read applied, with the sample if one was asked for; zero if unknown.
 	Floor position.Position
+	// Verify, if set, returns nil once the answer of this server is known to include the sample
+	// that the read asked for. Until then no part of the answer may reach the caller; after an
+	// error the read has to be placed again.
+	Verify func(ctx context.Context) error
 }
 
 // ReadRequest asks for a server that may answer a read.
@@ -30,6 +34,7 @@
 	Sample       bool              // raise the floor to a majority sample begun after the call
 	MaxStaleness time.Duration     // above 0: data of this age is accepted beyond the floor
 	Wait         time.Duration     // for a replica to reach the floor before the primary is taken
+	VerifyLater  bool              // the target may have a Verify that runs beside the read
 	Exclude      []authority.ServerID
 }
 
@@ -57,6 +62,11 @@
 	SetDeadline(t time.Time) error
 	// Cancel asks the server to cancel the running statement, over a separate connection.
 	Cancel(ctx context.Context) error
+	// EndStatement gives the execution slot back between two statements of a transaction.
+	EndStatement()
+	// BeginStatement takes a slot again, in the fair order of the server's queue. It returns
+	// *outcome.Error of kind NotRun when it can't within timeout.
+	BeginStatement(ctx context.Context, timeout time.Duration) error
 	// Release gives the connection back. With reuse false it is closed; a connection must be
 	// idle and outside a transaction to be reused.
 	Release(reuse bool)
--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -17,6 +17,7 @@
 
 // fakeDatabase is a group of one primary and its replicas.
 type fakeDatabase struct {
+	verify   func(context.Context) error // of reads that are verified later
 	mu       sync.Mutex
 	primary  *fakeServer
 	replicas []*fakeServer
@@ -36,9 +37,14 @@
 		return Target{}, err
 	}
 	for _, s := range append(slices.Clone(d.replicas), d.primary) {
-		if !slices.Contains(r.Exclude, s.id) {
-			return d.target(s), nil
+		if slices.Contains(r.Exclude, s.id) {
+			continue
 		}
+		t := d.target(s)
+		if r.VerifyLater {
+			t.Verify = d.verify
+		}
+		return t, nil
 	}
 	return Target{}, outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow, "no server", "try again")
 }
@@ -130,6 +136,10 @@
 	return nil
 }
 
+func (c *fakeConn) EndStatement() {}
+
+func (c *fakeConn) BeginStatement(context.Context, time.Duration) error { return nil }
+
 func (c *fakeConn) Release(reuse bool) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/proxy/engine/plan.go
+++ b/proxy/engine/plan.go
@@ -11,6 +11,7 @@
 	hold  bool // the end of the answer waits for Database.Confirm
 	retry bool // may run twice
 	guard bool // on a primary the unit is wrapped in a read-only transaction
+	later bool // the sample of a read may be awaited beside the read
 }
 
 // plan decides how an autocommit unit runs.
@@ -22,7 +23,7 @@
 	}
 	switch {
 	case u.executes == 0, u.allReads:
-		return plan{read: true, retry: true}, nil
+		return plan{read: true, retry: true, later: true}, nil
 	case u.first.Kind == statement.Begin && u.first.Access == statement.ReadOnly && !u.ends:
 		return plan{read: true, retry: u.executes == 1}, nil
 	case u.first.Kind == statement.Begin:
--- a/proxy/engine/relay.go
+++ b/proxy/engine/relay.go
@@ -25,6 +25,7 @@
 	code      string
 	message   string // of the server's error
 	committed bool   // a COMMIT was answered
+	uncovered bool   // a part of the answer was found not to cover the sample
 	// staleStatement means that the error concerns a prepared statement kept from an earlier unit.
 	staleStatement bool
 }
@@ -46,6 +47,9 @@
 	x := &u.exchange
 	*x = exchange{session: n, ctx: ctx, up: up, u: u, plan: p, steps: x.steps[:0]}
 	x.guarded = p.guard && up.target.Primary
+	if up.target.Verify != nil {
+		n.out.hold()
+	}
 	n.attach(up)
 	defer n.detach()
 	x.transmit()
@@ -196,8 +200,22 @@
 		return
 	}
 	if x.out.heldSize() > x.srv.cfg.MaxHeldSize {
+		x.releaseEarly()
+	}
+}
+
+// releaseEarly bounds the held part of a long answer.
+func (x *exchange) releaseEarly() {
+	if x.up.target.Verify == nil {
 		x.confirmEarly()
+		return
 	}
+	if x.err = x.verify(x.ctx, x.up); x.err != nil {
+		x.uncovered = true
+		return
+	}
+	x.out.release()
+	x.callerErr = x.out.spill()
 }
 
 // confirmEarly bounds the held part of a long answer: what was committed so far is confirmed and
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -16,6 +16,9 @@
 	case r.callerErr != nil:
 		up.abort(errCallerGone)
 		return nil, false, r.callerErr
+	case r.uncovered:
+		up.abort(errCallerGone)
+		return n.placeAgain(a), true, nil
 	case r.err != nil:
 		e, again = n.settleFailure(up, a, r)
 		return e, again, nil
@@ -41,10 +44,34 @@
 		up.giveBack()
 		return n.serverError(r), true, nil
 	}
+	if up.target.Verify != nil && n.verify(ctx, up) != nil {
+		up.giveBack()
+		return n.placeAgain(a), true, nil
+	}
 	e, err = n.finish(ctx, up, u, a.plan, r, report)
 	return e, false, err
 }
 
+// verify waits until the answer of up is known to cover the read's sample.
+func (n *session) verify(ctx context.Context, up *upstream) error {
+	wait, done := context.WithTimeout(ctx, n.srv.cfg.PrimaryWait)
+	defer done()
+	if err := up.target.Verify(wait); err != nil {
+		return err
+	}
+	up.target.Verify = nil
+	return nil
+}
+
+// placeAgain sends a read, whose answer did not cover its sample, where the sample is covered.
+func (n *session) placeAgain(a *attempt) *outcome.Error {
+	a.number--
+	a.moved = true
+	a.sampleFirst = true
+	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"no replica was far enough for the read", "repeat the statement").WithRetryAfter(failoverRetry)
+}
+
 // serverError keeps a server's error for the case that the statement is not tried again.
 func (n *session) serverError(r *result) *outcome.Error {
 	return outcome.New(outcome.NotRun, r.code, r.message, "repeat the statement")
@@ -92,6 +119,7 @@
 		up.giveBack()
 	} else {
 		n.bindTransaction(up, r.status)
+		up.EndStatement()
 	}
 	if !p.hold || !r.needsConfirm(u, wasOpen) {
 		return nil, nil
--- /dev/null
+++ b/proxy/engine/verify_test.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+)
+
+// verifyRig sends reads to a replica whose answers cover their sample only if covered says so.
+func verifyRig(t *testing.T, covered func(read int32) bool) (r *rig, verified *atomic.Int32) {
+	r = newRig(t, func(c *Config, route *manifest.Route) {
+		route.SessionScope = manifest.ScopeAny
+		c.MaxHeldSize = 1000
+	})
+	verified = new(atomic.Int32)
+	r.db.verify = func(context.Context) error {
+		if covered(verified.Add(1)) {
+			return nil
+		}
+		return errors.New("not covered")
+	}
+	return r, verified
+}
+
+// Guards against a caller receiving any part of an answer that does not cover its sample, in answers
+// that are kept back whole and in those that are too large for that.
+func TestUncoveredAnswerIsNotSent(t *testing.T) {
+	for _, sql := range []string{"select rows 3", "select rows 100000"} {
+		t.Run(sql, func(t *testing.T) {
+			r, verified := verifyRig(t, func(int32) bool { return false })
+			c := r.connect()
+			rows, err := c.Query(context.Background(), sql)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n := 0
+			for rows.Next() {
+				n++
+			}
+			if rows.Err() != nil {
+				t.Fatal(rows.Err())
+			}
+			if want := map[string]int{"select rows 3": 3, "select rows 100000": 100_000}[sql]; n != want {
+				t.Errorf("%d rows, want %d: the uncovered answer was mixed in", n, want)
+			}
+			if verified.Load() == 0 || r.db.lastRead().VerifyLater {
+				t.Error("the read was not placed again behind its sample")
+			}
+		})
+	}
+}
+
+// Guards against a covered answer being read twice or being cut off.
+func TestCoveredAnswerIsReadOnce(t *testing.T) {
+	r, verified := verifyRig(t, func(int32) bool { return true })
+	c := r.connect()
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("read %q, want x", got)
+	}
+	if verified.Load() == 0 || !r.db.lastRead().VerifyLater {
+		t.Error("the sample was not taken beside the read")
+	}
+}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -298,22 +298,39 @@
 
 // prove waits for a proof on behalf of a caller; ok is false when ctx ended or the group stopped.
 func (g *Group) prove(ctx context.Context, w authority.Waiter) (r proof, ok bool) {
-	result := make(chan proof, 1)
-	var id authority.WaiterID
+	p, ok := g.begin(ctx, w)
+	if !ok {
+		return r, false
+	}
+	return p.await(ctx)
+}
+
+// proving is a proof under way.
+type proving struct {
+	group  *Group
+	id     authority.WaiterID // written by the owner before the result
+	result chan proof
+}
+
+// begin starts a proof; it returns false when ctx ended or the group stopped.
+func (g *Group) begin(ctx context.Context, w authority.Waiter) (*proving, bool) {
+	p := &proving{group: g, result: make(chan proof, 1)}
 	begun := g.post(ctx, func() {
-		id = g.wait(w, func(r proof) { result <- r })
+		p.id = g.wait(w, func(r proof) { p.result <- r })
 		g.machine.Want()
 	})
-	if !begun {
-		return r, false
-	}
+	return p, begun
+}
+
+// await waits for the proof; ok is false when ctx ended or the group stopped.
+func (p *proving) await(ctx context.Context) (r proof, ok bool) {
 	select {
-	case r = <-result:
+	case r = <-p.result:
 		return r, true
-	case <-g.stopped:
+	case <-p.group.stopped:
 		return r, false
 	case <-ctx.Done():
-		g.post(context.Background(), func() { g.cancel(id) })
+		p.group.post(context.Background(), func() { p.group.cancel(p.id) })
 		return r, false
 	}
 }
--- a/proxy/group/published.go
+++ b/proxy/group/published.go
@@ -1,6 +1,10 @@
 package group
 
 import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/routing"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
@@ -28,9 +32,44 @@
 	if p == nil || r.Bounded {
 		return engine.Target{}, false
 	}
+	return g.replica(p, r)
+}
+
+func (g *Group) replica(p *published, r routing.Request) (engine.Target, bool) {
 	c := g.places.Choose(g.now(), &p.view, r)
 	if c.Kind != routing.KindReplica {
 		return engine.Target{}, false
 	}
 	return g.target(c.Server, c.Term, c.Incarnation, false), true
 }
+
+// errNotCovered tells that the server was not known to have the sample when it was chosen.
+var errNotCovered = errors.New("the chosen replica did not cover the sample")
+
+// placeUnverified chooses a replica by the session's floor and takes the sample beside the read.
+// The server's answer covers the sample if the position known of it before the read does, since
+// its position only grows within an incarnation.
+func (g *Group) placeUnverified(ctx context.Context, r routing.Request) (engine.Target, bool) {
+	p := g.published.Load()
+	if p == nil || r.Bounded {
+		return engine.Target{}, false
+	}
+	t, ok := g.replica(p, r)
+	if !ok {
+		return t, false
+	}
+	w, ok := g.begin(ctx, authority.Waiter{Mode: authority.ModeSample})
+	if !ok {
+		return t, false
+	}
+	chosen := *p.view.Server(t.Server)
+	t.Floor = r.Session
+	t.Verify = func(ctx context.Context) error {
+		sample, ok := w.await(ctx)
+		if !ok || !sample.Proven || !routing.Includes(chosen.State, sample.Position) {
+			return errNotCovered
+		}
+		return nil
+	}
+	return t, true
+}
--- a/proxy/group/read.go
+++ b/proxy/group/read.go
@@ -53,6 +53,11 @@
 // the group has changed in between.
 func (g *Group) readOnce(ctx context.Context, r engine.ReadRequest, until time.Duration) (t engine.Target, again bool, err error) {
 	request := routing.Request{Session: r.Floor, Bounded: r.MaxStaleness > 0, Exclude: r.Exclude}
+	if r.Sample && r.VerifyLater {
+		if t, ok := g.placeUnverified(ctx, request); ok {
+			return t, false, nil
+		}
+	}
 	sample, err := g.sample(ctx, r)
 	if err != nil {
 		return t, false, err
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -113,12 +113,12 @@
 	return c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Cancel{Cancel: &homepb.Cancel{}}})
 }
 
-// EndStatement gives the slot back between two statements of a transaction.
+// EndStatement implements engine.Conn.
 func (c *remoteConn) EndStatement() {
 	_ = c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_EndStatement{EndStatement: &homepb.EndStatement{}}})
 }
 
-// BeginStatement takes a slot again.
+// BeginStatement implements engine.Conn.
 func (c *remoteConn) BeginStatement(_ context.Context, timeout time.Duration) error {
 	begin := &homepb.BeginStatement{TimeoutUs: timeout.Microseconds()}
 	if err := c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_BeginStatement{BeginStatement: begin}}); err != nil {
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -26,8 +26,6 @@
 	// Raw returns the connection's byte stream. It is used only between statements' messages, when
 	// the frontend holds no bytes.
 	Raw() net.Conn
-	EndStatement()
-	BeginStatement(ctx context.Context, timeout time.Duration) error
 }
 
 // Server implements the Homes service on the local pool.
--- a/proxy/pool/conn.go
+++ b/proxy/pool/conn.go
@@ -125,8 +125,7 @@
 	return l.upstream.cancel(ctx)
 }
 
-// EndStatement gives the slot back and keeps the connection, between two statements of a
-// transaction.
+// EndStatement implements engine.Conn.
 func (l *lease) EndStatement() {
 	if l.request == 0 {
 		return
@@ -135,7 +134,7 @@
 	l.request = 0
 }
 
-// BeginStatement takes a slot again, in the fair order of the queue.
+// BeginStatement implements engine.Conn.
 func (l *lease) BeginStatement(ctx context.Context, timeout time.Duration) error {
 	if l.request != 0 {
 		return nil
