Add the quota driver

The machines of decision/quota need transport, a store and callers. The driver implements engine.Quota: an admission takes one shard's mutex and no network while tokens are there, waits at most 5 ms for a grant, then is refused with a retry-after. Requests to one owner are sent as one call. One goroutine keeps the record of fractions; Drain hands them back.

A pair of peers now exchanges about one digest per second instead of two.

--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -23,6 +23,9 @@
 	fullMeshPeers = 16
 	// sampledPeers is the number of random peers contacted per period in larger sets.
 	sampledPeers = 3
+	// contactEvery is the number of periods after which a peer is contacted even though it was heard
+	// of meanwhile: only an own call shows that the way to it is open.
+	contactEvery = 3
 	// jitterFraction spreads periods by up to this part, so that instances don't act together.
 	jitterFraction = 0.2
 )
@@ -56,6 +59,8 @@
 	tried     bool
 	reachable bool
 	calling   bool
+	contacted time.Time // end of the last own call
+	heard     time.Time // of the last digest that the peer sent
 }
 
 // Status is a peer and what the heartbeat has found.
@@ -153,8 +158,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	addresses := make([]string, 0, len(s.instances))
+	now := time.Now()
 	for _, instance := range s.instances {
-		if !s.peers[instance.PeerAddress].calling {
+		if s.peers[instance.PeerAddress].due(now, s.cfg.Heartbeat) {
 			addresses = append(addresses, instance.PeerAddress)
 		}
 	}
@@ -168,6 +174,25 @@
 	return addresses
 }
 
+// due reports whether the peer needs a call of our own in this period. Its own gossip tells as
+// much, so that a pair of peers exchanges about one digest per period.
+func (p *peerState) due(now time.Time, period time.Duration) bool {
+	if p.calling {
+		return false
+	}
+	fresh := now.Sub(p.heard) < period && now.Sub(p.contacted) < contactEvery*period
+	return !p.reachable || !fresh
+}
+
+// Heard notes that a peer sent gossip by itself; it is meant for ServerConfig.
+func (s *Set) Heard(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peers[address]; p != nil {
+		p.heard = time.Now()
+	}
+}
+
 func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -195,7 +220,7 @@
 		return
 	}
 	changed := !p.tried || p.reachable != (err == nil)
-	p.tried, p.reachable, p.calling = true, err == nil, false
+	p.tried, p.reachable, p.calling, p.contacted = true, err == nil, false, time.Now()
 	if !changed {
 		return
 	}
@@ -231,6 +256,23 @@
 	return out
 }
 
+// Listed returns the number of listed instances that don't leave, this one included, or 0 while
+// the list was not read.
+func (s *Set) Listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		return 0
+	}
+	n := 1
+	for _, instance := range s.instances {
+		if !instance.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // MajorityReachable reports whether this instance reaches a majority of the listed instances,
 // itself included. It is false until the list was read.
 func (s *Set) MajorityReachable() bool {
--- /dev/null
+++ b/proxy/quota/calls.go
@@ -0,0 +1,223 @@
+package quota
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+// answerOwn answers a batch for the own instance.
+func (d *Driver) answerOwn(b *batch) {
+	for _, i := range slices.Sorted(maps.Keys(b.loans)) {
+		s, ask := d.shards[i], b.loans[i]
+		s.mu.Lock()
+		loan := s.machine.Lend(d.cfg.Clock(), ask.Request)
+		s.machine.Borrowed(d.cfg.Clock(), b.sentAt, ask, loan)
+		s.mu.Unlock()
+	}
+	for i, h := range b.handBacks {
+		s := d.shards[i]
+		s.mu.Lock()
+		s.machine.HandBack(d.cfg.Clock(), h)
+		s.mu.Unlock()
+	}
+	for i, ask := range b.asks {
+		s := d.shards[i]
+		s.mu.Lock()
+		grants := make([]quota.Grant, 0, len(ask.Demands))
+		for _, demand := range ask.Demands {
+			g := s.machine.Grant(d.cfg.Clock(), demand)
+			grants = append(grants, g)
+			if g.NoPool {
+				d.sender.wake()
+			}
+		}
+		s.machine.Granted(d.cfg.Clock(), b.sentAt, ask, d.epoch, grants)
+		s.notify()
+		s.mu.Unlock()
+	}
+}
+
+// ask sends the grant requests of a batch as one call.
+func (d *Driver) ask(ctx context.Context, address string, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	d.count.asks.Add(1)
+	answer, err := d.cfg.Calls.Peer(ctx, address).Grant(ctx, &peerpb.GrantRequest{From: d.cfg.Self, Accounts: demandsToWire(b.asks)})
+	if err != nil {
+		d.count.asksFailed.Add(1)
+		d.cfg.Log.WithField(peer.FieldEvent, EventGrantFailed).WithField("peer", address).WithError(err).Debug("pool owner did not answer")
+	}
+	grants := map[int][]quota.Grant{}
+	for _, g := range answer.GetAccounts() {
+		i := shardOf(g.Account)
+		grants[i] = append(grants[i], grantFromWire(g))
+	}
+	for i, ask := range b.asks {
+		s := d.shards[i]
+		s.mu.Lock()
+		if err != nil {
+			s.machine.AskFailed(d.cfg.Clock(), ask)
+		} else {
+			s.machine.Granted(d.cfg.Clock(), b.sentAt, ask, answer.Epoch, grants[i])
+		}
+		s.notify()
+		s.mu.Unlock()
+	}
+}
+
+// borrow sends the loan requests of a batch as one call.
+func (d *Driver) borrow(ctx context.Context, address string, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	d.count.loans.Add(1)
+	request := &peerpb.LoanRequest{Owner: d.cfg.Self, Epoch: d.epoch}
+	for i, ask := range b.loans {
+		request.Shards = append(request.Shards, &peerpb.ShardLoanRequest{Shard: uint32(i), Serial: ask.Request.Serial})
+	}
+	answer, err := d.cfg.Calls.Peer(ctx, address).Lend(ctx, request)
+	if err != nil {
+		d.count.loansFailed.Add(1)
+		d.cfg.Log.WithField(peer.FieldEvent, EventLoanFailed).WithField("peer", address).WithError(err).Debug("holder did not answer")
+		return
+	}
+	for _, loan := range answer.Shards {
+		ask, asked := b.loans[int(loan.Shard)]
+		if !asked {
+			continue
+		}
+		s := d.shards[loan.Shard]
+		s.mu.Lock()
+		s.machine.Borrowed(d.cfg.Clock(), b.sentAt, ask, quota.Loan{
+			Fractions: quota.Mask(loan.Fractions), Tokens: tokensFromWire(loan.Tokens), Borrower: loan.Borrower,
+		})
+		s.mu.Unlock()
+	}
+}
+
+// handBack sends the hand-backs of a batch as one call.
+func (d *Driver) handBack(ctx context.Context, address string, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	d.count.handBacks.Add(1)
+	request := &peerpb.HandBackRequest{Owner: d.cfg.Self, Epoch: d.epoch}
+	for i, h := range b.handBacks {
+		request.Shards = append(request.Shards, &peerpb.ShardHandBack{Shard: uint32(i), Serial: h.Serial, Tokens: tokensToWire(h.Tokens)})
+	}
+	if _, err := d.cfg.Calls.Peer(ctx, address).HandBack(ctx, request); err != nil {
+		d.cfg.Log.WithField(peer.FieldEvent, EventHandBackFailed).WithField("peer", address).WithError(err).Debug("holder did not take its fractions back")
+	}
+}
+
+// Grant answers a peer's request for tokens as the pool owner.
+func (d *Driver) Grant(_ context.Context, in *peerpb.GrantRequest) (*peerpb.Grants, error) {
+	out := &peerpb.Grants{Epoch: d.epoch}
+	wake := false
+	for _, a := range in.Accounts {
+		s := d.shards[shardOf(a.Account)]
+		s.mu.Lock()
+		g := s.machine.Grant(d.cfg.Clock(), demandFromWire(a))
+		s.mu.Unlock()
+		wake = wake || g.NoPool
+		out.Accounts = append(out.Accounts, grantToWire(g))
+	}
+	if wake {
+		d.sender.wake()
+	}
+	return out, nil
+}
+
+// Lend answers a pool owner that asks for fractions.
+func (d *Driver) Lend(_ context.Context, in *peerpb.LoanRequest) (*peerpb.Loan, error) {
+	out := &peerpb.Loan{}
+	for _, r := range in.Shards {
+		if r.Shard >= quota.ShardCount {
+			continue
+		}
+		s := d.shards[r.Shard]
+		s.mu.Lock()
+		loan := s.machine.Lend(d.cfg.Clock(), quota.LoanRequest{Owner: in.Owner, Epoch: in.Epoch, Serial: r.Serial})
+		s.mu.Unlock()
+		out.Shards = append(out.Shards, &peerpb.ShardLoan{
+			Shard: r.Shard, Serial: r.Serial, Fractions: uint64(loan.Fractions),
+			Tokens: tokensToWire(loan.Tokens), Borrower: loan.Borrower,
+		})
+	}
+	return out, nil
+}
+
+// HandBack takes fractions back from a pool owner.
+func (d *Driver) HandBack(_ context.Context, in *peerpb.HandBackRequest) (*peerpb.HandBackReply, error) {
+	for _, h := range in.Shards {
+		if h.Shard >= quota.ShardCount {
+			continue
+		}
+		s := d.shards[h.Shard]
+		s.mu.Lock()
+		s.machine.HandBack(d.cfg.Clock(), quota.HandBack{
+			Owner: in.Owner, Epoch: in.Epoch, Serial: h.Serial, Tokens: tokensFromWire(h.Tokens),
+		})
+		s.mu.Unlock()
+	}
+	return &peerpb.HandBackReply{}, nil
+}
+
+func demandsToWire(asks map[int]quota.Ask) []*peerpb.AccountDemand {
+	var out []*peerpb.AccountDemand
+	for _, ask := range asks {
+		for _, d := range ask.Demands {
+			demand := &peerpb.AccountDemand{Account: d.Account, Want: uint32(d.Want)}
+			for _, s := range d.Settled {
+				demand.Settled = append(demand.Settled, &peerpb.SettledTokens{
+					Epoch: s.Epoch, Slot: s.Slot, Used: uint32(s.Used), Unused: uint32(s.Unused),
+				})
+			}
+			out = append(out, demand)
+		}
+	}
+	return out
+}
+
+func demandFromWire(a *peerpb.AccountDemand) quota.Demand {
+	d := quota.Demand{Account: a.Account, Want: int(a.Want)}
+	for _, s := range a.Settled {
+		d.Settled = append(d.Settled, quota.Settled{Epoch: s.Epoch, Slot: s.Slot, Used: int(s.Used), Unused: int(s.Unused)})
+	}
+	return d
+}
+
+func grantToWire(g quota.Grant) *peerpb.AccountGrant {
+	return &peerpb.AccountGrant{
+		Account: g.Account, Tokens: uint32(g.Tokens), Slot: g.Slot, NoPool: g.NoPool, Owner: g.Owner,
+		LifetimeUs: uint64(g.Lifetime / time.Microsecond), RetryAfterUs: uint64(g.RetryAfter / time.Microsecond),
+	}
+}
+
+func grantFromWire(g *peerpb.AccountGrant) quota.Grant {
+	return quota.Grant{
+		Account: g.Account, Tokens: int(g.Tokens), Slot: g.Slot, NoPool: g.NoPool, Owner: g.Owner,
+		Lifetime:   time.Duration(g.LifetimeUs) * time.Microsecond,
+		RetryAfter: time.Duration(g.RetryAfterUs) * time.Microsecond,
+	}
+}
+
+func tokensToWire(tokens map[string]float64) []*peerpb.AccountTokens {
+	var out []*peerpb.AccountTokens
+	for _, account := range slices.Sorted(maps.Keys(tokens)) {
+		out = append(out, &peerpb.AccountTokens{Account: account, Tokens: tokens[account]})
+	}
+	return out
+}
+
+func tokensFromWire(tokens []*peerpb.AccountTokens) map[string]float64 {
+	out := make(map[string]float64, len(tokens))
+	for _, t := range tokens {
+		out[t.Account] = t.Tokens
+	}
+	return out
+}
--- /dev/null
+++ b/proxy/quota/driver.go
@@ -0,0 +1,218 @@
+package quota
+
+import (
+	"context"
+	"math/rand"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+// admitWait bounds the wait of a statement for a grant on its way.
+const admitWait = 5 * time.Millisecond
+
+// Peers is the view of the other instances; *peer.Set is one.
+type Peers interface {
+	// Live returns the peer addresses of the instances that can own a pool, this one included.
+	Live() []string
+	// Listed returns the number of listed instances that don't leave, 0 if it is not known.
+	Listed() int
+}
+
+// Caller reaches the service of a peer; *peer.Client is one.
+type Caller interface {
+	Peer(ctx context.Context, address string) peerpb.DRPCPeerClient
+}
+
+// Config configures a Driver.
+type Config struct {
+	Self  string // peer address that this process has bound
+	Store platform.Store
+	Peers Peers
+	Calls Caller
+	Rand  *rand.Rand
+	Log   logrus.FieldLogger
+	Clock func() time.Duration // nil: time since the machine booted
+}
+
+// Stats counts messages and decisions since the start.
+type Stats struct {
+	Admitted, Refused       uint64 // statements
+	Asks, Loans, HandBacks  uint64 // calls sent to peers
+	AsksFailed, LoansFailed uint64
+	StoreReads, StoreWrites uint64
+	Waited                  uint64 // statements that waited for a grant
+}
+
+// counters holds the fields of Stats.
+type counters struct {
+	admitted, refused, waited atomic.Uint64
+	asks, loans, handBacks    atomic.Uint64
+	asksFailed, loansFailed   atomic.Uint64
+	reads, writes             atomic.Uint64
+}
+
+// Driver is the quota of one instance. It implements engine.Quota and peer.QuotaHandler and is
+// safe for concurrent use.
+type Driver struct {
+	cfg    Config
+	epoch  uint64
+	shards [quota.ShardCount]*shard
+	count  counters
+	keeper *keeper
+	sender *sender
+}
+
+// shard is a machine with its lock.
+type shard struct {
+	mu       sync.Mutex
+	machine  *quota.Shard
+	limits   map[string]quota.Limits
+	answered chan struct{} // closed and replaced after each answer to a grant request
+}
+
+var _ peer.QuotaHandler = (*Driver)(nil)
+
+// New returns a driver without accounts; Run makes it work.
+func New(cfg Config) (*Driver, error) {
+	if cfg.Self == "" || cfg.Store == nil || cfg.Peers == nil || cfg.Calls == nil || cfg.Rand == nil || cfg.Log == nil {
+		return nil, errors.New("quota driver is incomplete; set Self, Store, Peers, Calls, Rand and Log")
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = bootTime
+	}
+	d := &Driver{cfg: cfg, epoch: cfg.Rand.Uint64()}
+	for i := range d.shards {
+		d.shards[i] = &shard{machine: quota.NewShard(cfg.Self, d.epoch), answered: make(chan struct{})}
+	}
+	d.keeper = newKeeper(d, rand.New(rand.NewSource(cfg.Rand.Int63())))
+	d.sender = newSender(d)
+	return d, nil
+}
+
+// Run keeps fractions and sends messages until ctx ends.
+func (d *Driver) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { d.keeper.run(ctx) })
+	wg.Go(func() { d.sender.run(ctx) })
+	wg.Wait()
+}
+
+// SetAccounts puts the accounts of a manifest and their limits in force.
+func (d *Driver) SetAccounts(accounts []manifest.Account) {
+	limits := make([]map[string]quota.Limits, quota.ShardCount)
+	for _, a := range accounts {
+		i := shardOf(a.Name)
+		if limits[i] == nil {
+			limits[i] = map[string]quota.Limits{}
+		}
+		limits[i][a.Name] = quota.Limits{Rate: a.Rate, Burst: a.Burst}
+	}
+	for i, s := range d.shards {
+		s.mu.Lock()
+		s.limits = limits[i]
+		s.machine.SetAccounts(d.cfg.Clock(), limits[i])
+		s.mu.Unlock()
+	}
+	d.sender.wake()
+}
+
+// shardOf returns the shard of an account. All instances must agree on it.
+func shardOf(account string) int {
+	return int(xxhash.Sum64String(account) % quota.ShardCount)
+}
+
+// Admit returns nil if the statement fits the account's rate and burst, otherwise
+// *outcome.Error of kind NotRun with a retry-after. It waits a few milliseconds at most.
+func (d *Driver) Admit(ctx context.Context, account string) error {
+	s := d.shards[shardOf(account)]
+	s.mu.Lock()
+	verdict := s.machine.Admit(d.cfg.Clock(), account)
+	answered := s.answered
+	s.mu.Unlock()
+	if verdict.Wait {
+		d.sender.wake()
+		verdict = d.wait(ctx, s, account, answered)
+	} else {
+		d.sender.wakeIdle()
+	}
+	if verdict.Admitted {
+		d.count.admitted.Add(1)
+		return nil
+	}
+	d.count.refused.Add(1)
+	return outcome.New(outcome.NotRun, outcome.CodeTooManyRequests,
+		"client account "+strconv.Quote(account)+" is above its rate",
+		"repeat the request after the given time, or ask the operator for a higher rate").WithRetryAfter(verdict.RetryAfter)
+}
+
+func (d *Driver) wait(ctx context.Context, s *shard, account string, answered <-chan struct{}) quota.Verdict {
+	d.count.waited.Add(1)
+	timer := time.NewTimer(admitWait)
+	defer timer.Stop()
+	for {
+		decide := s.machine.Retry
+		select {
+		case <-answered:
+		case <-timer.C:
+			decide = s.machine.Refuse
+		case <-ctx.Done():
+			decide = s.machine.Refuse
+		}
+		s.mu.Lock()
+		verdict := decide(d.cfg.Clock(), account)
+		answered = s.answered
+		s.mu.Unlock()
+		if !verdict.Wait {
+			return verdict
+		}
+	}
+}
+
+// notify lets waiting statements try again. The caller holds s.mu.
+func (s *shard) notify() {
+	close(s.answered)
+	s.answered = make(chan struct{})
+}
+
+// Drain hands all fractions back and stops owning pools. It returns nil once the record names
+// no fraction of this instance, or an error when ctx ends before. Admissions go on with what
+// other owners grant.
+func (d *Driver) Drain(ctx context.Context) error {
+	d.sender.stopOwning()
+	return d.keeper.drain(ctx)
+}
+
+// FractionsVersion returns the version of the record last seen, for gossip.
+func (d *Driver) FractionsVersion() uint64 {
+	return d.keeper.version()
+}
+
+// NoteFractionsVersion takes the version that a peer has seen; a higher one than the own makes
+// the driver read the record soon.
+func (d *Driver) NoteFractionsVersion(version uint64) {
+	d.keeper.note(version)
+}
+
+// Stats returns the counters.
+func (d *Driver) Stats() Stats {
+	c := &d.count
+	return Stats{
+		Admitted: c.admitted.Load(), Refused: c.refused.Load(), Waited: c.waited.Load(),
+		Asks: c.asks.Load(), Loans: c.loans.Load(), HandBacks: c.handBacks.Load(),
+		AsksFailed: c.asksFailed.Load(), LoansFailed: c.loansFailed.Load(),
+		StoreReads: c.reads.Load(), StoreWrites: c.writes.Load(),
+	}
+}
--- /dev/null
+++ b/proxy/quota/driver_test.go
@@ -0,0 +1,334 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+var _ engine.Quota = (*Driver)(nil)
+
+// waitLimit is generous, since the machine may be busy.
+const waitLimit = 30 * time.Second
+
+// memoryStore has one object. lose makes the answers of writes get lost after they took effect.
+type memoryStore struct {
+	platform.Store
+	mu     sync.Mutex
+	object platform.Object
+	lose   int
+}
+
+func (m *memoryStore) Get(context.Context, string) (platform.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.object.Version == 0 {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return m.object, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.object.Version != ifVersion {
+		return 0, platform.ErrConflict
+	}
+	m.object = platform.Object{Key: key, Value: value, Version: ifVersion + 1}
+	if m.lose > 0 {
+		m.lose--
+		return 0, errors.New("answer lost")
+	}
+	return m.object.Version, nil
+}
+
+func (m *memoryStore) record(t *testing.T) quota.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	record, err := quota.DecodeRecord(m.object.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
+// instance is a driver with its peers over loopback.
+type instance struct {
+	*Driver
+	set     *peer.Set
+	traffic *peer.Traffic
+}
+
+func (n *instance) digest() *peerpb.Digest {
+	return &peerpb.Digest{From: n.cfg.Self, FractionsVersion: n.FractionsVersion()}
+}
+
+func (n *instance) Gossip(_ context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
+	n.NoteFractionsVersion(in.FractionsVersion)
+	return n.digest(), nil
+}
+
+func (n *instance) FetchManifest(context.Context, *peerpb.ManifestRequest) (*peerpb.Manifest, error) {
+	return nil, errors.New("no manifest in this test")
+}
+
+// lockedList is an instance list that a test changes.
+type lockedList struct {
+	mu        sync.Mutex
+	instances []platform.Instance
+}
+
+func (l *lockedList) Instances(context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.Instance(nil), l.instances...), nil
+}
+
+func (l *lockedList) setLeaving(i int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances[i].Leaving = true
+}
+
+// startCluster starts size instances that share a store.
+func startCluster(t *testing.T, size int, store *memoryStore, accounts []manifest.Account) ([]*instance, *lockedList) {
+	t.Helper()
+	var listeners []net.Listener
+	list := &lockedList{}
+	for range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		list.instances = append(list.instances, platform.Instance{PeerAddress: listener.Addr().String()})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	var out []*instance
+	for i, listener := range listeners {
+		n := newInstance(t, list, i, store)
+		server, err := peer.NewServer(peer.ServerConfig{Config: n, Quota: n, Traffic: n.traffic, Heard: n.set.Heard, Log: quietLog()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.SetAccounts(accounts)
+		wg.Go(func() { _ = server.Serve(ctx, listener) })
+		wg.Go(func() { n.set.Run(ctx) })
+		wg.Go(func() { n.Run(ctx) })
+		out = append(out, n)
+	}
+	return out, list
+}
+
+func newInstance(t *testing.T, list *lockedList, i int, store *memoryStore) *instance {
+	t.Helper()
+	n := &instance{traffic: &peer.Traffic{}}
+	client := peer.NewClient(peer.ClientConfig{Traffic: n.traffic})
+	t.Cleanup(func() { _ = client.Close() })
+	self, log := list.instances[i].PeerAddress, quietLog()
+	var err error
+	n.set, err = peer.NewSet(peer.SetConfig{
+		Self: self, List: list, Client: client, Config: n, Digest: n.digest, Rand: rand.New(rand.NewSource(int64(i))), Log: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Driver, err = New(Config{
+		Self: self, Store: store, Peers: n.set, Calls: client, Rand: rand.New(rand.NewSource(int64(100 + i))), Log: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(waitLimit); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("did not happen: %s", what)
+		}
+	}
+}
+
+func held(r quota.Record) int {
+	n := 0
+	for _, c := range r.Claims {
+		n += c.Fractions.Count()
+	}
+	return n
+}
+
+func waitClaimed(t *testing.T, store *memoryStore, holders int) {
+	t.Helper()
+	waitFor(t, "all fractions are claimed", func() bool {
+		if v, _ := store.Get(context.Background(), ""); v.Version == 0 {
+			return false
+		}
+		r := store.record(t)
+		return held(r) == quota.FractionCount && len(r.Holders()) == holders
+	})
+}
+
+// Guards against accounts getting more than burst + rate*w through real connections, and against
+// one instance being held to its own fractions. Lost answers of store writes must not matter.
+func TestOneInstanceGetsTheWholeRate(t *testing.T) {
+	const rate, burst = 2000.0, 800.0
+	store := &memoryStore{lose: 2}
+	accounts := []manifest.Account{{Name: "festival", Rate: rate, Burst: burst}}
+	began := time.Now()
+	nodes, _ := startCluster(t, 4, store, accounts)
+	waitClaimed(t, store, 4)
+
+	var admitted, stop atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for stop.Load() == 0 {
+				if err := nodes[0].Admit(context.Background(), "festival"); err == nil {
+					admitted.Add(1)
+				} else if e := outcome.As(err); e == nil || e.Kind != outcome.NotRun || e.RetryAfter <= 0 {
+					t.Errorf("refusal is %v, want not run with a retry-after", err)
+					return
+				} else {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+	}
+	loadBegan := time.Now()
+	waitFor(t, "one instance gets far more than its own fractions", func() bool {
+		own := (burst + rate*time.Since(began).Seconds()) / 4
+		return float64(admitted.Load()) > 2*own+burst
+	})
+	stop.Store(1)
+	wg.Wait()
+	span := time.Since(began).Seconds()
+	if n := float64(admitted.Load()); n > burst+rate*span {
+		t.Errorf("admitted %.0f in %.2f s, want at most %.0f", n, span, burst+rate*span)
+	}
+	t.Logf("admitted %d in %v, %+v", admitted.Load(), time.Since(loadBegan).Round(time.Millisecond), nodes[0].Stats())
+}
+
+// Guards against a drained instance taking its fractions with it.
+func TestDrainHandsFractionsBack(t *testing.T) {
+	store := &memoryStore{}
+	nodes, list := startCluster(t, 3, store, []manifest.Account{{Name: "milk", Rate: 100, Burst: 100}})
+	waitClaimed(t, store, 3)
+	for range 60 {
+		_ = nodes[1].Admit(context.Background(), "milk")
+	}
+	list.setLeaving(0)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	if err := nodes[0].Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range store.record(t).Claims {
+		if c.Address == nodes[0].cfg.Self {
+			t.Errorf("drained instance still holds %d fractions", c.Fractions.Count())
+		}
+	}
+	waitClaimed(t, store, 2)
+}
+
+// Guards against control traffic and processor time at rest above the budget per node. All nodes
+// of the test share the process, so its processor time is divided between them.
+func TestBudgetAtRest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("measures for several seconds")
+	}
+	const size, span = 8, 10 * time.Second
+	store := &memoryStore{}
+	var accounts []manifest.Account
+	for i := range 8 {
+		accounts = append(accounts, manifest.Account{Name: fmt.Sprint("account", i), Rate: 100, Burst: 100})
+	}
+	nodes, _ := startCluster(t, size, store, accounts)
+	waitClaimed(t, store, size)
+	time.Sleep(time.Second) // lets the first heartbeats open their connections
+	cpu, sent, received := processorTime(t), sum(nodes, true), sum(nodes, false)
+	time.Sleep(span)
+	seconds := span.Seconds() * size
+	core := (processorTime(t) - cpu).Seconds() / seconds
+	out, in := float64(sum(nodes, true)-sent)/seconds, float64(sum(nodes, false)-received)/seconds
+	t.Logf("per node at rest: %.0f B/s sent, %.0f B/s received, %.3f%% of a core", out, in, 100*core)
+	if out+in > 3000 || core > 0.01 && !raceEnabled {
+		t.Errorf("per node at rest: %.0f B/s and %.2f%% of a core, want at most 3000 B/s and 1%%", out+in, 100*core)
+	}
+}
+
+func sum(nodes []*instance, sent bool) uint64 {
+	total := uint64(0)
+	for _, n := range nodes {
+		if sent {
+			total += n.traffic.Sent.Load()
+		} else {
+			total += n.traffic.Received.Load()
+		}
+	}
+	return total
+}
+
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkAdmit measures an admission while tokens are there.
+func BenchmarkAdmit(b *testing.B) {
+	d, err := New(Config{
+		Self: "127.0.0.1:1", Store: &memoryStore{}, Peers: onlySelf{}, Calls: peer.NewClient(peer.ClientConfig{}),
+		Rand: rand.New(rand.NewSource(1)), Log: quietLog(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx)
+	d.SetAccounts([]manifest.Account{{Name: "a", Rate: 1e9, Burst: 1e9}})
+	for d.Admit(ctx, "a") != nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for b.Loop() {
+		if err := d.Admit(ctx, "a"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+type onlySelf struct{}
+
+func (onlySelf) Live() []string { return []string{"127.0.0.1:1"} }
+func (onlySelf) Listed() int    { return 1 }
--- /dev/null
+++ b/proxy/quota/events.go
@@ -0,0 +1,23 @@
+package quota
+
+// Numbers of the events that this package logs, in the field "event".
+const (
+	// EventFractions: the fractions that this instance holds have changed.
+	EventFractions = "CYC-4001"
+	// EventRecordUnreadable: the record of fractions can't be read from the store.
+	EventRecordUnreadable = "CYC-4002"
+	// EventRecordNotWritten: the record of fractions can't be written to the store.
+	EventRecordNotWritten = "CYC-4003"
+	// EventRecordInvalid: the record of fractions has no valid form.
+	EventRecordInvalid = "CYC-4004"
+	// EventRecordConflict: another instance wrote the record first; the write is planned again.
+	EventRecordConflict = "CYC-4005"
+	// EventDrained: all fractions were handed back.
+	EventDrained = "CYC-4006"
+	// EventGrantFailed: a pool owner did not answer a request for tokens.
+	EventGrantFailed = "CYC-4007"
+	// EventLoanFailed: a holder did not answer a request for its fractions.
+	EventLoanFailed = "CYC-4008"
+	// EventHandBackFailed: a holder did not take its fractions back; their loan ends by itself.
+	EventHandBackFailed = "CYC-4009"
+)
