Report refused start-ups and keep statement caches per server

Observers could not count failed logins. The cache of upstream prepared statements was a package variable and now belongs to the Server, so that two servers in one process share nothing.

--- a/proxy/engine/autocommit.go
+++ b/proxy/engine/autocommit.go
@@ -131,7 +131,7 @@
 		a.primary = !a.read && isConnectionFailure(e)
 		return nil, e, e.Kind == outcome.NotRun && (a.read || a.primary)
 	}
-	return newUpstream(conn, target, &n.srv.cfg), nil, false
+	return n.srv.newUpstream(conn, target), nil, false
 }
 
 // isConnectionFailure tells a server that can't be reached, where another target may help, from a
--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -187,8 +187,11 @@
 	mu         sync.Mutex
 	statements []Statement
 	closed     chan error
+	refused    chan error
 }
 
+func (r *recorder) StartupRefused(_ string, err error) { r.refused <- err }
+
 func (*recorder) SessionOpened(Session) {}
 
 func (r *recorder) SessionClosed(_ Session, err error) { r.closed <- err }
@@ -226,7 +229,7 @@
 	r.db = &fakeDatabase{primary: r.primary, replicas: []*fakeServer{r.replica}, term: 1}
 	r.pool = &fakePool{idle: make(map[string][]*fakeConn)}
 	r.quota = &fakeQuota{}
-	r.rec = &recorder{closed: make(chan error, 10_000)}
+	r.rec = &recorder{closed: make(chan error, 10_000), refused: make(chan error, 100)}
 	r.dir = &fakeDirectory{db: r.db, withdrawn: make(chan struct{})}
 	r.dir.route = manifest.Route{Name: "orders", Database: "bookings",
 		Acknowledge: manifest.AcknowledgeMajority, SessionScope: manifest.ScopeAny,
--- a/proxy/engine/observer.go
+++ b/proxy/engine/observer.go
@@ -9,6 +9,9 @@
 // Observer is told about sessions and statements, for metrics and logs. Its methods are called
 // from many goroutines and must not block.
 type Observer interface {
+	// StartupRefused tells of a connection from remote (IP:port) that did not become a session: err
+	// is an *outcome.Error, or an error of the connection.
+	StartupRefused(remote string, err error)
 	SessionOpened(Session)
 	// SessionClosed names why the session ended; err is nil when the caller left.
 	SessionClosed(s Session, err error)
@@ -53,6 +56,7 @@
 
 type noObserver struct{}
 
+func (noObserver) StartupRefused(string, error) {}
 func (noObserver) SessionOpened(Session)        {}
 func (noObserver) SessionClosed(Session, error) {}
 func (noObserver) StatementDone(Statement)      {}
--- a/proxy/engine/protocol_test.go
+++ b/proxy/engine/protocol_test.go
@@ -107,6 +107,9 @@
 		if _, err := pgx.Connect(context.Background(), url); err == nil || !strings.Contains(err.Error(), code) {
 			t.Errorf("%s: %v, want SQLSTATE %s", url, err, code)
 		}
+		if e := outcome.As(<-r.rec.refused); e == nil || e.Code != code {
+			t.Errorf("refusal reported as %v, want SQLSTATE %s", e, code)
+		}
 	}
 	secure := newRig(t, func(c *Config, _ *manifest.Route) {
 		c.AllowPlain = false
--- a/proxy/engine/server.go
+++ b/proxy/engine/server.go
@@ -35,6 +35,7 @@
 	ctx         context.Context // ends when the sessions are cut off
 	stop        context.CancelFunc
 	withdrawals withdrawals
+	statements  connectionStatements
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -158,12 +159,22 @@
 	delete(s.starting, conn)
 	s.mu.Unlock()
 	if err != nil {
+		s.reportRefusal(conn, err)
 		_ = conn.Close()
 		return nil
 	}
 	return session
 }
 
+// reportRefusal tells the observer of a failed start-up. Connections that only carried a cancel request
+// have not failed.
+func (s *Server) reportRefusal(conn net.Conn, err error) {
+	if errors.Is(err, errStartupDone) {
+		return
+	}
+	s.cfg.Observer.StartupRefused(conn.RemoteAddr().String(), err)
+}
+
 func (s *Server) connectionDone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/engine/stmtcache.go
+++ b/proxy/engine/stmtcache.go
@@ -8,10 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// upstreamStatements knows which prepared statements each upstream connection has.
-var upstreamStatements connectionStatements
-
-// connectionStatements keeps a cache for each connection, known by its Frontend, for as long as that
+// connectionStatements keeps a cache of prepared statements for each upstream connection, known by its Frontend, for as long as that
 // is in use. A pool that wraps the same connection in a new Frontend starts with an empty cache,
 // which is safe: a statement is closed before it is prepared.
 type connectionStatements struct {
--- a/proxy/engine/upstream.go
+++ b/proxy/engine/upstream.go
@@ -18,6 +18,7 @@
 	Conn
 	frontend *pgproto3.Frontend
 	target   Target
+	known    *connectionStatements
 	stmts    *statementCache
 	tainted  atomic.Bool // not reused after release
 	extended time.Time   // when the progress deadline was last set
@@ -27,10 +28,11 @@
 // statement running.
 var errCallerGone error = os.ErrDeadlineExceeded
 
-func newUpstream(c Conn, t Target, cfg *Config) *upstream {
+func (s *Server) newUpstream(c Conn, t Target) *upstream {
 	f := c.Frontend()
-	f.SetMaxBodyLen(cfg.MaxResultMessageSize)
-	return &upstream{Conn: c, frontend: f, target: t, stmts: upstreamStatements.of(f, cfg.UpstreamStatements)}
+	f.SetMaxBodyLen(s.cfg.MaxResultMessageSize)
+	stmts := s.statements.of(f, s.cfg.UpstreamStatements)
+	return &upstream{Conn: c, frontend: f, target: t, known: &s.statements, stmts: stmts}
 }
 
 // giveBack releases a connection that is idle and outside a transaction.
@@ -40,14 +42,14 @@
 		reuse = u.SetDeadline(time.Time{}) == nil
 	}
 	if !reuse {
-		upstreamStatements.forget(u.frontend)
+		u.known.forget(u.frontend)
 	}
 	u.Release(reuse)
 }
 
 // drop closes the connection.
 func (u *upstream) drop() {
-	upstreamStatements.forget(u.frontend)
+	u.known.forget(u.frontend)
 	u.Release(false)
 }
 
