Share TCP keepalive and user timeout between all connections

The pool's and the control connections had keepalive only, and listeners had neither. Package proxy/tcp now sets both up. Connections that carry results get a user timeout of 30 s: Linux also counts the time of a full receive window, so a 2 s user timeout closed a connection after 2.3 s whose receiver did not read (trial on loopback).

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
 )
 
@@ -152,7 +153,7 @@
 // assemblePeers connects this instance with the others.
 func (d *Daemon) assemblePeers() error {
 	d.peerCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient})
-	d.homeCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient, KeptPerPeer: homeConnsKept})
+	d.homeCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient, KeptPerPeer: homeConnsKept, UserTimeout: tcp.DataTimeout})
 	seed := rand.Int63()
 	g := &gossip{daemon: d}
 	set, err := peer.NewSet(peer.SetConfig{
@@ -237,7 +238,7 @@
 		if l.given != nil {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := tcp.ListenConfig(tcp.DataTimeout).Listen(context.Background(), "tcp", l.address)
 		if err != nil {
 			return errors.Wrapf(err, "--%s: can't listen; choose an address of this instance that is free", l.setting)
 		}
--- a/proxy/dbgroup/client.go
+++ b/proxy/dbgroup/client.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
 
 // ControlParameter is the start-up parameter that marks a connection as a control connection.
@@ -36,7 +37,6 @@
 
 const (
 	defaultDatabase = "postgres"
-	keepAliveIdle   = 5 * time.Second
 	closeTimeout    = time.Second
 )
 
@@ -49,7 +49,7 @@
 	Database string // defaults to "postgres"
 	// Parameters are further start-up parameters.
 	Parameters map[string]string
-	// Dial opens the TCP connection; nil stands for a plain dialer with keepalive.
+	// Dial opens the TCP connection; nil stands for tcp.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
@@ -98,7 +98,7 @@
 	}
 	conf.DialFunc = c.Dial
 	if c.Dial == nil {
-		conf.DialFunc = (&net.Dialer{KeepAlive: keepAliveIdle}).DialContext
+		conf.DialFunc = tcp.Dialer(tcp.CallTimeout).DialContext
 	}
 	conf.Fallbacks = nil
 	maps.Copy(conf.RuntimeParams, c.Parameters)
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -5,16 +5,15 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
 
 const (
@@ -23,12 +22,6 @@
 	idleExpiry = 30 * time.Second
 	// defaultKeptPerPeer bounds the idle connections to one peer; calls in progress may use more.
 	defaultKeptPerPeer = 4
-	// keepAliveIdle, keepAliveInterval and keepAliveCount find silent connections that no call uses.
-	keepAliveIdle     = 5 * time.Second
-	keepAliveInterval = 2 * time.Second
-	keepAliveCount    = 3
-	// userTimeout closes a connection whose sent data stays unacknowledged.
-	userTimeout = 5 * time.Second
 )
 
 // ClientConfig configures a Client.
@@ -37,6 +30,8 @@
 	Traffic *Traffic    // nil: not counted
 	// KeptPerPeer bounds the idle connections to one peer; 0 keeps a few, which suits short calls.
 	KeptPerPeer int
+	// UserTimeout is that of the sockets; 0 stands for tcp.CallTimeout.
+	UserTimeout time.Duration
 }
 
 // Client calls other instances. A call uses a kept idle connection or opens one. A call that
@@ -98,10 +93,7 @@
 }
 
 func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := tcp.Dialer(cmp.Or(c.cfg.UserTimeout, tcp.CallTimeout)).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -125,11 +117,3 @@
 	}
 	return secure, nil
 }
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	return errors.CombineErrors(err, optErr)
-}
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
 
 // Defaults of Config.
@@ -39,7 +40,7 @@
 
 	// Identify returns the incarnation of the server behind a fresh connection.
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
-	// Dial opens a TCP connection; nil uses a net.Dialer.
+	// Dial opens a TCP connection; nil uses tcp.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
@@ -50,7 +51,7 @@
 	setDefault(&c.OpenAtOnce, DefaultOpenAtOnce)
 	setDefault(&c.QueuePerAccount, DefaultQueuePerAccount)
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{KeepAlive: 5 * time.Second}).DialContext
+		c.Dial = tcp.Dialer(tcp.DataTimeout).DialContext
 	}
 	return c
 }
--- /dev/null
+++ b/proxy/tcp/tcp.go
@@ -0,0 +1,75 @@
+// Package tcp opens and sets up TCP connections that find out by themselves when the other end or
+// the path to it is gone.
+package tcp
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// keepAliveIdle, keepAliveInterval and keepAliveCount probe an idle connection. The user timeout
+	// decides when unanswered probes close it.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+)
+
+// User timeouts, after which a connection is closed whose sent data the other end does not take. Linux
+// also counts the time for which the other end's receive window is full, so the timeout must exceed
+// the time for which a receiver may rightly stop reading.
+const (
+	// CallTimeout is for connections that carry short calls, whose receiver always reads.
+	CallTimeout = 5 * time.Second
+	// DataTimeout is for connections that carry statements and results. A server that executes a
+	// statement does not read, and a proxy does not read while its caller doesn't. It equals the
+	// default statement timeout.
+	DataTimeout = 30 * time.Second
+)
+
+// Dialer returns a dialer for connections with keepalive and the given user timeout.
+func Dialer(userTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{Control: control(userTimeout), KeepAliveConfig: keepAlive()}
+}
+
+// ListenConfig gives accepted connections keepalive and the user timeout, which they inherit from the
+// listening socket.
+func ListenConfig(userTimeout time.Duration) *net.ListenConfig {
+	return &net.ListenConfig{Control: control(userTimeout), KeepAliveConfig: keepAlive()}
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}
+}
+
+func control(userTimeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		})
+		return errors.CombineErrors(err, optErr)
+	}
+}
+
+// SendQueue returns the bytes that were written to conn and not acknowledged by the other end, 0 if
+// conn has no socket.
+func SendQueue(conn net.Conn) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	queued := 0
+	_ = raw.Control(func(fd uintptr) { queued, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return queued
+}
