Report the burn of a service-level objective per account and route

Operators had no figure that says how much of an objective is spent and by what. decision/burn counts statements in sliding windows of 5 minutes, 1 hour, 6 hours and 30 days with bounded memory. proxy/burn decides which outcomes count as bad and serves the report at GET /burn. A refusal above the account's rate, a server's SQL error answered in time, and denied or invalid requests spend no budget.

--list-poll below zero is reported as a fault of the settings, too.

--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -58,6 +58,8 @@
 	f.DurationVar(&c.DrainTimeout, "drain-timeout", daemon.DefaultDrainTimeout, "time for open transactions at a planned stop")
 	f.IntVar(&c.MaxMessageBytes, "max-message-bytes", daemon.DefaultMaxMessageBytes, "largest message of a caller in bytes")
 	f.DurationVar(&c.ListPoll, "list-poll", daemon.DefaultListPoll, "period of reading the platform's instance list")
+	f.Float64Var(&c.ObjectiveAvailability, "objective-availability", daemon.DefaultObjectiveAvailability, "service-level objective: percentage of statements that are answered in time; the same on all instances")
+	f.DurationVar(&c.ObjectiveLatency, "objective-latency", daemon.DefaultObjectiveLatency, "service-level objective: time within which a statement is to be answered; the same on all instances")
 	f.StringVar(&s.logLevel, "log-level", "info", "debug, info, warning or error")
 	f.StringVar(&s.logFormat, "log-format", "json", "json or text")
 	flagenv.Describe(cmd)
--- /dev/null
+++ b/decision/burn/report.go
@@ -0,0 +1,150 @@
+package burn
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+)
+
+// Objective is a service-level objective.
+type Objective struct {
+	Availability float64 `json:"availability"` // share of good statements, above 0 and below 1
+	// Latency is the time within which a good statement is answered.
+	Latency manifest.Duration `json:"latency"`
+}
+
+// String renders the objective for operators.
+func (o Objective) String() string {
+	return fmt.Sprintf("%.6g%% within %v", o.Availability*100, o.Latency.Std())
+}
+
+// Alarm says which limit of the burn rate a series exceeds.
+type Alarm string
+
+const (
+	// NoAlarm is a series inside its limits.
+	NoAlarm Alarm = ""
+	// FastBurn spends 2% of the 30-day budget in an hour.
+	FastBurn Alarm = "fast_burn"
+	// SlowBurn spends 5% of the 30-day budget in 6 hours.
+	SlowBurn Alarm = "slow_burn"
+	// Exhausted has no budget left.
+	Exhausted Alarm = "budget_exhausted"
+)
+
+const (
+	// fastBurnRate is 2% of 30 days in one hour: 0.02 * 30 * 24.
+	fastBurnRate = 14.4
+	// slowBurnRate is 5% of 30 days in 6 hours: 0.05 * 30 * 24 / 6.
+	slowBurnRate = 6
+	// minAlarmBad keeps an account with little traffic from an alarm after one or two bad statements.
+	minAlarmBad = 5
+)
+
+// Report is what the statements of one or several instances spent of their budgets.
+type Report struct {
+	Instances []string  `json:"instances"`
+	Objective Objective `json:"objective"`
+	Series    []Series  `json:"series"`
+}
+
+// Series is the report of one account on one route.
+type Series struct {
+	Key
+	// Windows are in the order of the Window constants.
+	Windows    []WindowReport `json:"windows"`
+	BudgetLeft float64        `json:"budgetLeft"` // share of the 30-day budget; below 0 when overspent
+	Alarm      Alarm          `json:"alarm,omitempty"`
+}
+
+// WindowReport is the report of one window.
+type WindowReport struct {
+	Window   Window  `json:"window"`
+	Counts   Counts  `json:"counts"`
+	BurnRate float64 `json:"burnRate"`
+}
+
+func newSeries(k Key, counts [windowCount]Counts, o Objective) Series {
+	s := Series{Key: k, BudgetLeft: 1 - counts[ThirtyDays].BurnRate(o)}
+	for w := range windowCount {
+		s.Windows = append(s.Windows, WindowReport{Window: w, Counts: counts[w], BurnRate: counts[w].BurnRate(o)})
+	}
+	s.Alarm = s.alarm()
+	return s
+}
+
+// alarm asks for a high burn rate in a long window, which shows that it matters, and in a shorter
+// one, which shows that it still goes on.
+func (s Series) alarm() Alarm {
+	burns := func(w Window, rate float64) bool {
+		r := s.Windows[w]
+		return r.BurnRate >= rate && r.Counts.Bad() >= minAlarmBad
+	}
+	switch {
+	case burns(OneHour, fastBurnRate) && burns(FiveMinutes, fastBurnRate):
+		return FastBurn
+	case burns(SixHours, slowBurnRate) && burns(OneHour, slowBurnRate):
+		return SlowBurn
+	case s.BudgetLeft <= 0 && s.Windows[ThirtyDays].Counts.Bad() >= minAlarmBad:
+		return Exhausted
+	}
+	return NoAlarm
+}
+
+// Alarmed reports whether any series has an alarm.
+func (r Report) Alarmed() bool {
+	for _, s := range r.Series {
+		if s.Alarm != NoAlarm {
+			return true
+		}
+	}
+	return false
+}
+
+// Validate reports a report that another release could have written.
+func (r Report) Validate() error {
+	if r.Objective.Availability <= 0 || r.Objective.Availability >= 1 {
+		return errors.Newf("availability objective %v is not between 0 and 1", r.Objective.Availability)
+	}
+	for _, s := range r.Series {
+		if len(s.Windows) != int(windowCount) {
+			return errors.Newf("account %q on route %q has %d windows, not %d", s.Account, s.Route, len(s.Windows), windowCount)
+		}
+		for i, w := range s.Windows {
+			if w.Window != Window(i) {
+				return errors.Newf("account %q on route %q has window %v in the place of %v", s.Account, s.Route, w.Window, Window(i))
+			}
+		}
+	}
+	return nil
+}
+
+// Merge adds up valid reports of different instances. They must have the same objective, since a
+// statement that one instance counts as late may be good for another.
+func Merge(reports []Report) (Report, error) {
+	merged := Report{Instances: []string{}, Series: []Series{}}
+	sums := make(map[Key]*[windowCount]Counts)
+	for i, r := range reports {
+		if i > 0 && r.Objective != merged.Objective {
+			return Report{}, errors.Newf("instances %v have the objective %v, but %v have %v; give all instances the same",
+				r.Instances, r.Objective, merged.Instances, merged.Objective)
+		}
+		merged.Objective = r.Objective
+		merged.Instances = append(merged.Instances, r.Instances...)
+		for _, s := range r.Series {
+			if sums[s.Key] == nil {
+				sums[s.Key] = new([windowCount]Counts)
+			}
+			for w := range windowCount {
+				sums[s.Key][w].add(s.Windows[w].Counts)
+			}
+		}
+	}
+	for k, counts := range sums {
+		merged.Series = append(merged.Series, newSeries(k, *counts, merged.Objective))
+	}
+	merged.sort()
+	return merged, nil
+}
--- /dev/null
+++ b/decision/burn/tracker.go
@@ -0,0 +1,74 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// DefaultMaxSeries bounds a tracker to about 8 MB: one series holds 4 windows of 30 buckets of
+// 56 bytes.
+const DefaultMaxSeries = 1200
+
+// Other is the account and route of the series that counts what is beyond MaxSeries.
+const Other = "(other)"
+
+// Key names a series.
+type Key struct {
+	Account string `json:"account"` // empty on open routes
+	Route   string `json:"route"`
+}
+
+// Tracker counts events per account and route. It is not safe for concurrent use.
+type Tracker struct {
+	maxSeries int
+	series    map[Key]*[windowCount]ring
+}
+
+// NewTracker returns a tracker of at most maxSeries series, beside the one of the others.
+func NewTracker(maxSeries int) *Tracker {
+	return &Tracker{maxSeries: maxSeries, series: make(map[Key]*[windowCount]ring)}
+}
+
+// Record counts one event. now is the time since a fixed origin and never decreases. It returns
+// the key of the series that the event was counted in.
+func (t *Tracker) Record(now time.Duration, k Key, class Class) Key {
+	k, rings := t.of(k)
+	for w := range windowCount {
+		rings[w].record(w.number(now), class)
+	}
+	return k
+}
+
+func (t *Tracker) of(k Key) (Key, *[windowCount]ring) {
+	if rings, ok := t.series[k]; ok {
+		return k, rings
+	}
+	if len(t.series) >= t.maxSeries {
+		k = Key{Other, Other}
+	}
+	if t.series[k] == nil {
+		t.series[k] = new([windowCount]ring)
+	}
+	return k, t.series[k]
+}
+
+// Report returns the state at now.
+func (t *Tracker) Report(now time.Duration, o Objective) Report {
+	r := Report{Objective: o, Series: []Series{}}
+	for k, rings := range t.series {
+		var counts [windowCount]Counts
+		for w := range windowCount {
+			counts[w] = rings[w].sum(w.number(now))
+		}
+		r.Series = append(r.Series, newSeries(k, counts, o))
+	}
+	r.sort()
+	return r
+}
+
+func (r *Report) sort() {
+	slices.SortFunc(r.Series, func(a, b Series) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Route, b.Route))
+	})
+}
--- /dev/null
+++ b/proxy/burn/meter.go
@@ -0,0 +1,148 @@
+package burn
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/burn"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+// Path is where the report is served on the operations listener.
+const Path = "/burn"
+
+// updateInterval is how often the gauges are set; it is the length of a bucket of the shortest
+// window.
+const updateInterval = 10 * time.Second
+
+// Config holds the settings of a Meter.
+type Config struct {
+	Instance  string
+	Objective burn.Objective
+	Scope     tally.Scope
+	// Now returns the time since a fixed origin; time since New if nil.
+	Now func() time.Duration
+}
+
+// Meter implements engine.Observer, and http.Handler for the report.
+type Meter struct {
+	cfg Config
+
+	mu      sync.Mutex
+	tracker *burn.Tracker
+	metrics map[burn.Key]*seriesMetrics
+}
+
+type seriesMetrics struct {
+	statements map[burn.Class]tally.Counter
+	rates      []tally.Gauge // in the order of the report's windows
+	left       tally.Gauge
+	scope      tally.Scope
+}
+
+// New returns a meter without statements.
+func New(cfg Config) *Meter {
+	if cfg.Now == nil {
+		origin := time.Now()
+		cfg.Now = func() time.Duration { return time.Since(origin) }
+	}
+	return &Meter{
+		cfg:     cfg,
+		tracker: burn.NewTracker(burn.DefaultMaxSeries),
+		metrics: make(map[burn.Key]*seriesMetrics),
+	}
+}
+
+// SessionOpened implements engine.Observer.
+func (m *Meter) SessionOpened(engine.Session) {}
+
+// SessionClosed implements engine.Observer.
+func (m *Meter) SessionClosed(engine.Session, error) {}
+
+// StatementDone implements engine.Observer.
+func (m *Meter) StatementDone(s engine.Statement) {
+	class, counts := Classify(s, m.cfg.Objective.Latency.Std())
+	if !counts {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := m.tracker.Record(m.cfg.Now(), burn.Key{Account: s.Account, Route: s.Route}, class)
+	m.of(key).statements[class].Inc(1)
+}
+
+// of returns the metrics of a series. Their number is bounded by the tracker's series.
+func (m *Meter) of(k burn.Key) *seriesMetrics {
+	if s, ok := m.metrics[k]; ok {
+		return s
+	}
+	s := &seriesMetrics{
+		statements: make(map[burn.Class]tally.Counter),
+		scope:      m.cfg.Scope.Tagged(map[string]string{"account": k.Account, "route": k.Route}),
+	}
+	for _, class := range burn.Classes() {
+		s.statements[class] = s.scope.Tagged(map[string]string{"class": class.String()}).Counter("objective_statements_total")
+	}
+	s.left = s.scope.Gauge("objective_budget_left")
+	m.metrics[k] = s
+	return s
+}
+
+// Report returns the state now.
+func (m *Meter) Report() burn.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.tracker.Report(m.cfg.Now(), m.cfg.Objective)
+	r.Instances = []string{m.cfg.Instance}
+	return r
+}
+
+// ServeHTTP answers with the report as JSON.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(m.Report())
+}
+
+// Run keeps the gauges up to date until ctx ends.
+func (m *Meter) Run(ctx context.Context) {
+	ticker := time.NewTicker(updateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.update()
+		}
+	}
+}
+
+func (m *Meter) update() {
+	for _, s := range m.Report().Series {
+		m.mu.Lock()
+		metrics := m.of(s.Key)
+		m.mu.Unlock()
+		metrics.show(s)
+	}
+}
+
+// show sets the gauges; only update calls it.
+func (s *seriesMetrics) show(r burn.Series) {
+	s.left.Update(r.BudgetLeft)
+	if s.rates == nil {
+		for _, w := range r.Windows {
+			tagged := s.scope.Tagged(map[string]string{"window": w.Window.String()})
+			s.rates = append(s.rates, tagged.Gauge("objective_burn_rate"))
+		}
+	}
+	for i, w := range r.Windows {
+		s.rates[i].Update(w.BurnRate)
+	}
+}
--- a/proxy/daemon/config.go
+++ b/proxy/daemon/config.go
@@ -14,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/burn"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
@@ -22,6 +24,9 @@
 	DefaultDrainTimeout    = 30 * time.Second
 	DefaultMaxMessageBytes = 16 << 20
 	DefaultListPoll        = 5 * time.Second
+	// DefaultObjectiveAvailability is in percent of the statements.
+	DefaultObjectiveAvailability = 99.9
+	DefaultObjectiveLatency      = 250 * time.Millisecond
 )
 
 // Config holds the settings of one instance.
@@ -47,6 +52,11 @@
 	MaxMessageBytes int
 	ListPoll        time.Duration // of the platform's instance list
 
+	// ObjectiveAvailability is the percentage of statements that are to be good, which includes
+	// that they are answered within ObjectiveLatency.
+	ObjectiveAvailability float64
+	ObjectiveLatency      time.Duration
+
 	Log logrus.FieldLogger
 	// OnStatement, if set, is told about every statement; it must not block.
 	OnStatement func(engine.Statement)
@@ -61,6 +71,8 @@
 	c.DrainTimeout = cmp.Or(c.DrainTimeout, DefaultDrainTimeout)
 	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
 	c.ListPoll = cmp.Or(c.ListPoll, DefaultListPoll)
+	c.ObjectiveAvailability = cmp.Or(c.ObjectiveAvailability, DefaultObjectiveAvailability)
+	c.ObjectiveLatency = cmp.Or(c.ObjectiveLatency, DefaultObjectiveLatency)
 	if c.Log == nil {
 		silent := logrus.New()
 		silent.SetOutput(io.Discard)
@@ -124,9 +136,26 @@
 	if c.MaxMessageBytes < 1024 {
 		fault("max-message-bytes", "must be 1024 or more", "give the size of the largest statement")
 	}
+	if c.ListPoll <= 0 {
+		fault("list-poll", "must be above zero", "give a time such as 5s")
+	}
+	if !(c.ObjectiveAvailability > 0 && c.ObjectiveAvailability < 100) {
+		fault("objective-availability", "must be above 0 and below 100", "give a percentage such as 99.9")
+	}
+	if c.ObjectiveLatency <= 0 {
+		fault("objective-latency", "must be above zero", "give a time such as 250ms")
+	}
 	return errors.Join(faults...)
 }
 
+// objective returns the service-level objective that the settings describe.
+func (c Config) objective() burn.Objective {
+	return burn.Objective{
+		Availability: c.ObjectiveAvailability / 100,
+		Latency:      manifest.Duration(c.ObjectiveLatency),
+	}
+}
+
 func storeProblem(s string) string {
 	u, err := url.Parse(s)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/burn"
 	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/home"
@@ -47,6 +49,7 @@
 	peerPort  *peer.Server
 	engine    *engine.Server
 	quota     quotaService
+	burn      *burn.Meter
 
 	stopping atomic.Bool
 }
@@ -99,9 +102,10 @@
 	tasks.Go(func() { d.peers.Run(ctx) })
 	tasks.Go(func() { d.locator.run(ctx) })
 	tasks.Go(func() { d.quota.Run(ctx) })
+	tasks.Go(func() { d.burn.Run(ctx) })
 	tasks.Go(func() { d.reportEnd("peer listener", d.peerPort.Serve(ctx, d.listeners.peers)) })
 	tasks.Go(func() {
-		handler := d.metrics.Handler(d.ready, nil)
+		handler := d.metrics.Handler(d.ready, map[string]http.Handler{"GET " + burn.Path: d.burn})
 		d.reportEnd("operations listener", telemetry.Serve(ctx, d.listeners.ops, handler))
 	})
 	d.groups.start(ctx, tasks)
@@ -190,11 +194,12 @@
 	}
 	d.peerPort = server
 	retries := newRetryBudgets()
+	d.burn = burn.New(burn.Config{Instance: d.cfg.InstanceID, Objective: d.cfg.objective(), Scope: d.metrics.Scope})
 	d.engine, err = engine.New(engine.Config{
 		Directory:      d.directory,
 		Pool:           d.router,
 		Quota:          d.quota,
-		Observer:       newStatementMetrics(d.metrics.Scope, retries, d.cfg.OnStatement),
+		Observer:       observers{newStatementMetrics(d.metrics.Scope, retries, d.cfg.OnStatement), d.burn},
 		TLS:            d.cfg.TLS,
 		AllowPlain:     d.cfg.AllowPlain,
 		MaxMessageSize: d.cfg.MaxMessageBytes,
--- /dev/null
+++ b/proxy/daemon/observers.go
@@ -0,0 +1,27 @@
+package daemon
+
+import "github.com/cyclamenstile/cyclamenstile/proxy/engine"
+
+// observers tells each of several observers in turn.
+type observers []engine.Observer
+
+// SessionOpened implements engine.Observer.
+func (all observers) SessionOpened(s engine.Session) {
+	for _, o := range all {
+		o.SessionOpened(s)
+	}
+}
+
+// SessionClosed implements engine.Observer.
+func (all observers) SessionClosed(s engine.Session, err error) {
+	for _, o := range all {
+		o.SessionClosed(s, err)
+	}
+}
+
+// StatementDone implements engine.Observer.
+func (all observers) StatementDone(s engine.Statement) {
+	for _, o := range all {
+		o.StatementDone(s)
+	}
+}
