Add cyclamenctl burn and let ctl use flagenv

cyclamenctl burn adds up the reports of several instances and prints them as text, as JSON or as a self-contained SVG for light and dark backgrounds. Exit code 7 tells an alarm, 5 a missing instance.

ctl had its own copy of the environment variables' code; it now uses flagenv, which reports all wrong variables at once, not only the first.

--- a/cmd/internal/ctl/apply.go
+++ b/cmd/internal/ctl/apply.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
@@ -26,7 +27,7 @@
 // withStore runs f with the store and within the command's time.
 func (o *options) withStore(cmd *cobra.Command, f func(context.Context, session) error) error {
 	if o.store == "" {
-		return usagef("address of the store is missing; give --store or set %sSTORE", envPrefix)
+		return usagef("address of the store is missing; give --store or set %sSTORE", flagenv.Prefix)
 	}
 	client, err := httpstore.New(httpstore.Config{BaseURL: o.store})
 	if err != nil {
--- /dev/null
+++ b/cmd/internal/ctl/burn_test.go
@@ -0,0 +1,140 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/burn"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	proxyburn "github.com/cyclamenstile/cyclamenstile/proxy/burn"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+// opsInstance VAR ID ACCOUNT [objective=PERCENT] [CLASS=N ...] serves a burn report and sets VAR to its
+// address.
+func opsInstance(ts *testscript.TestScript, _ bool, args []string) {
+	tracker := burn.NewTracker(burn.DefaultMaxSeries)
+	objective := burn.Objective{Availability: 0.999, Latency: manifest.Duration(250 * time.Millisecond)}
+	for _, arg := range args[3:] {
+		name, value, _ := strings.Cut(arg, "=")
+		n, err := strconv.ParseFloat(value, 64)
+		ts.Check(err)
+		if name == "objective" {
+			objective.Availability = n / 100
+		}
+		for _, class := range burn.Classes() {
+			for range int(n) {
+				if class.String() == name {
+					tracker.Record(0, burn.Key{Account: args[2], Route: "orders"}, class)
+				}
+			}
+		}
+	}
+	report := tracker.Report(time.Second, objective)
+	report.Instances = []string{args[1]}
+	mux := http.NewServeMux()
+	mux.HandleFunc(proxyburn.Path, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(report)
+	})
+	server := httptest.NewServer(mux)
+	ts.Defer(server.Close)
+	ts.Setenv(args[0], strings.TrimPrefix(server.URL, "http://"))
+}
+
+// wellFormed FILE checks that a file is XML that refers to nothing outside.
+func wellFormed(ts *testscript.TestScript, _ bool, args []string) {
+	doc := ts.ReadFile(args[0])
+	decoder := xml.NewDecoder(strings.NewReader(doc))
+	for {
+		token, err := decoder.Token()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		ts.Check(err)
+		element, ok := token.(xml.StartElement)
+		if !ok {
+			continue
+		}
+		for _, a := range element.Attr {
+			if a.Name.Local == "href" || a.Name.Local == "src" {
+				ts.Fatalf("%s refers to %s", element.Name.Local, a.Value)
+			}
+		}
+	}
+}
+
+// Guards against a report that misses what callers experience: statements pass a real instance,
+// one account fails and the other does not.
+func TestBurnOfDeployment(t *testing.T) {
+	d, err := local.Start(t.Context(), local.Config{
+		Instances: 2,
+		// Above the route's confirmation timeout of 1 ms, so that its writes are never confirmed in time.
+		Server: database.Config{ReplicationLag: 20 * time.Millisecond},
+		Accounts: []local.Account{
+			{Name: "marshals", Weight: 1, Rate: 1e6, Burst: 1e6},
+			{Name: "crews", Weight: 1, Rate: 1e6, Burst: 1e6},
+		},
+		Routes: []manifest.Route{
+			{Name: "orders", Database: local.DatabaseName, Accounts: []string{"marshals"}},
+			{Name: "unconfirmed", Database: local.DatabaseName, Accounts: []string{"crews"}, ConfirmTimeout: manifest.Duration(time.Millisecond)},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	const statements = 10
+	for i := range d.Instances {
+		for range statements {
+			execute(t, d.URL(i, "orders", "marshals"), true)
+			execute(t, d.URL(i, "unconfirmed", "crews"), false)
+		}
+	}
+
+	var out, problems bytes.Buffer
+	code := Execute(t.Context(), NewRoot(), []string{"burn", "--json", "--ops", d.Instances[0].Ops, "--ops", d.Instances[1].Ops}, &out, &problems)
+	if code != exitAlarm {
+		t.Fatalf("exit code %d, want %d: %s", code, exitAlarm, problems.String())
+	}
+	var r burnResult
+	if err := json.Unmarshal(out.Bytes(), &r); err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Series) != 2 || r.Series[0].Account != "crews" || r.Series[1].Account != "marshals" {
+		t.Fatalf("series %+v", r.Series)
+	}
+	crews, marshals := r.Series[0], r.Series[1]
+	if got := crews.Windows[burn.FiveMinutes].Counts; got.Unknown != 2*statements || crews.Alarm != burn.FastBurn {
+		t.Errorf("crews: counts %+v, alarm %q", got, crews.Alarm)
+	}
+	// The deployment's start adds statements of its own; on a busy machine some may be late.
+	if got := marshals.Windows[burn.FiveMinutes].Counts; got.Good+got.Late < 2*statements || got.Unknown != 0 {
+		t.Errorf("marshals: counts %+v", got)
+	}
+}
+
+func execute(t *testing.T, url string, succeeds bool) {
+	t.Helper()
+	c, err := pgx.Connect(t.Context(), url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close(t.Context()) }()
+	_, err = c.Exec(t.Context(), "INSERT INTO kv (key, value) VALUES ('a', '1') ON CONFLICT (key) DO UPDATE SET value = excluded.value")
+	if (err == nil) != succeeds {
+		t.Fatalf("statement ended with %v, want success %t", err, succeeds)
+	}
+}
--- a/cmd/internal/ctl/exit.go
+++ b/cmd/internal/ctl/exit.go
@@ -22,6 +22,7 @@
 	exitConflict    = 4
 	exitUnavailable = 5
 	exitNotFound    = 6
+	exitAlarm       = 7
 )
 
 // usageError is a wrong command line or environment variable.
@@ -49,6 +50,10 @@
 		return exitConflict, "conflict"
 	case errors.Is(err, httpstore.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return exitUnavailable, "unavailable"
+	case errors.Is(err, errObjective):
+		return exitAlarm, "alarm"
+	case errors.Is(err, errInstances):
+		return exitUnavailable, "unavailable"
 	case errors.Is(err, platform.ErrNotFound):
 		return exitNotFound, "not_found"
 	}
--- a/cmd/internal/ctl/root.go
+++ b/cmd/internal/ctl/root.go
@@ -10,20 +10,17 @@
 	"io"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
-	"github.com/spf13/pflag"
-)
 
-const (
-	envPrefix = "CYCLAMENSTILE_"
-	// defaultTimeout bounds a command with all its attempts to reach the store.
-	defaultTimeout = 30 * time.Second
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 )
 
+// defaultTimeout bounds a command with all its attempts to reach the store.
+const defaultTimeout = 30 * time.Second
+
 const rootHelp = `cyclamenctl validates and applies the configuration of cyclamenstile and shows what is in force.
 
 Every flag can be set by the environment variable given in brackets; the flag takes precedence.
@@ -34,8 +31,9 @@
   2  wrong command line or environment variable
   3  manifest has faults
   4  conflict: another operator changed the configuration first
-  5  store is not available; the outcome of a change may be unknown
-  6  not found`
+  5  store or an instance is not available; the outcome of a change may be unknown
+  6  not found
+  7  burn: a service-level objective is at risk or missed`
 
 // options are the flags that all commands share.
 type options struct {
@@ -61,12 +59,12 @@
 	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "time for the whole command")
 	flags.BoolVar(&o.json, "json", false, "print results and errors as JSON")
 	root.AddCommand(
-		newValidate(o), newDiff(o), newApply(o), newStatus(o), newKeys(o), newDrain(o),
+		newValidate(o), newDiff(o), newApply(o), newStatus(o), newKeys(o), newDrain(o), newBurn(o),
 	)
 	root.AddCommand(extra...)
 	root.InitDefaultHelpCmd()
 	root.InitDefaultCompletionCmd()
-	describeEnvironment(root)
+	flagenv.Describe(root)
 	return root
 }
 
@@ -112,7 +110,7 @@
 // prepare applies the environment and checks the flags before a command runs. Cobra checks
 // required flags only later, where a failure can't be told from one of the command.
 func prepare(cmd *cobra.Command, _ []string) error {
-	if err := applyEnvironment(cmd.Flags()); err != nil {
+	if err := flagenv.Apply(cmd.Flags()); err != nil {
 		return err
 	}
 	if err := cmd.ValidateRequiredFlags(); err != nil {
@@ -131,41 +129,3 @@
 func isPrepared(cmd *cobra.Command) bool {
 	return cmd != nil && cmd.Annotations[preparedKey] != ""
 }
-
-func envName(flag *pflag.Flag) string {
-	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag.Name, "-", "_"))
-}
-
-func hasEnv(flag *pflag.Flag) bool {
-	return flag.Name != "help"
-}
-
-// describeEnvironment adds the variable's name to the help of every flag.
-func describeEnvironment(cmd *cobra.Command) {
-	describe := func(flag *pflag.Flag) {
-		suffix := " [" + envName(flag) + "]"
-		if hasEnv(flag) && !strings.HasSuffix(flag.Usage, suffix) {
-			flag.Usage += suffix
-		}
-	}
-	cmd.PersistentFlags().VisitAll(describe)
-	cmd.Flags().VisitAll(describe)
-	for _, child := range cmd.Commands() {
-		describeEnvironment(child)
-	}
-}
-
-// applyEnvironment sets the flags that the command line left out.
-func applyEnvironment(flags *pflag.FlagSet) error {
-	var firstErr error
-	flags.VisitAll(func(flag *pflag.Flag) {
-		value, ok := os.LookupEnv(envName(flag))
-		if !ok || flag.Changed || !hasEnv(flag) || firstErr != nil {
-			return
-		}
-		if err := flags.Set(flag.Name, value); err != nil {
-			firstErr = usagef("environment variable %s has the wrong value %q: %v", envName(flag), value, err)
-		}
-	})
-	return firstErr
-}
--- a/cmd/internal/ctl/script_test.go
+++ b/cmd/internal/ctl/script_test.go
@@ -52,6 +52,9 @@
 			"store":   controlStore,
 			"version": derive,
 			"keyhash": keyHash,
+
+			"instance": opsInstance,
+			"xml":      wellFormed,
 		},
 	})
 }
--- a/decision/burn/report.go
+++ b/decision/burn/report.go
@@ -35,10 +35,10 @@
 )
 
 const (
-	// fastBurnRate is 2% of 30 days in one hour: 0.02 * 30 * 24.
-	fastBurnRate = 14.4
-	// slowBurnRate is 5% of 30 days in 6 hours: 0.05 * 30 * 24 / 6.
-	slowBurnRate = 6
+	// FastBurnRate spends 2% of 30 days in one hour: 0.02 * 30 * 24.
+	FastBurnRate = 14.4
+	// SlowBurnRate spends 5% of 30 days in 6 hours: 0.05 * 30 * 24 / 6.
+	SlowBurnRate = 6
 	// minAlarmBad keeps an account with little traffic from an alarm after one or two bad statements.
 	minAlarmBad = 5
 )
@@ -83,9 +83,9 @@
 		return r.BurnRate >= rate && r.Counts.Bad() >= minAlarmBad
 	}
 	switch {
-	case burns(OneHour, fastBurnRate) && burns(FiveMinutes, fastBurnRate):
+	case burns(OneHour, FastBurnRate) && burns(FiveMinutes, FastBurnRate):
 		return FastBurn
-	case burns(SixHours, slowBurnRate) && burns(OneHour, slowBurnRate):
+	case burns(SixHours, SlowBurnRate) && burns(OneHour, SlowBurnRate):
 		return SlowBurn
 	case s.BudgetLeft <= 0 && s.Windows[ThirtyDays].Counts.Bad() >= minAlarmBad:
 		return Exhausted
