Report all faults of serve's settings at once with exit code 2

Wrong flags, variables and settings now exit with 2 and are listed together; the flag parser itself still stops at the first value it can't parse.

--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -66,57 +66,46 @@
 	return cmd
 }
 
+// run checks all settings before it starts the instance, so that one attempt shows every fault.
 func (s *settings) run(cmd *cobra.Command) error {
-	if err := flagenv.Apply(cmd.Flags()); err != nil {
-		return err
-	}
-	if err := s.load(); err != nil {
+	if err := errors.Join(flagenv.Apply(cmd.Flags()), s.load()); err != nil {
 		return err
 	}
 	d, err := daemon.New(s.config)
 	if err != nil {
-		return err
+		return failure{err}
+	}
+	if err := d.Run(cmd.Context()); err != nil {
+		return failure{err}
 	}
-	return d.Run(cmd.Context())
+	return nil
 }
 
-// load reads the files that the settings name and reports all faults at once.
+// load reads the files that the settings name and reports all faults at once. The settings are
+// checked before the daemon puts defaults in the place of zeros, since a zero given is a fault.
 func (s *settings) load() error {
-	var faults []error
-	note := func(err error) {
-		if err != nil {
-			faults = append(faults, err)
-		}
-	}
-	note(s.loadLog())
-	note(s.loadPassword())
-	note(s.loadCallerTLS())
-	note(s.loadPeerTLS())
-	if len(faults) > 0 {
-		// The remaining settings are checked as well, so that one run shows every fault.
-		note(s.config.Validate())
-	}
-	return errors.Join(faults...)
+	return errors.Join(s.loadLog(), s.loadPassword(), s.loadCallerTLS(), s.loadPeerTLS(), s.config.Validate())
 }
 
 func (s *settings) loadLog() error {
+	var faults []error
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
 	level, err := logrus.ParseLevel(s.logLevel)
 	if err != nil {
-		return errors.Newf("--log-level: %q is not a level; use debug, info, warning or error", s.logLevel)
+		faults = append(faults, errors.Newf("--log-level: %q is not a level; use debug, info, warning or error", s.logLevel))
 	}
-	log := logrus.New()
 	log.SetLevel(level)
-	log.SetOutput(os.Stderr)
 	switch s.logFormat {
 	case "json":
 		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	case "text":
 		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	default:
-		return errors.Newf("--log-format: %q is not a format; use json or text", s.logFormat)
+		faults = append(faults, errors.Newf("--log-format: %q is not a format; use json or text", s.logFormat))
 	}
 	s.config.Log = log
-	return nil
+	return errors.Join(faults...)
 }
 
 func (s *settings) loadPassword() error {
@@ -135,11 +124,13 @@
 	if s.tlsCert == "" && s.tlsKey == "" {
 		return nil
 	}
+	// Not nil after a failure either, so that one wrong file is reported once.
+	s.config.TLS = &tls.Config{MinVersion: tls.VersionTLS12}
 	cert, err := tls.LoadX509KeyPair(s.tlsCert, s.tlsKey)
 	if err != nil {
 		return errors.Wrap(err, "--tls-cert, --tls-key: can't be used; give PEM files of a certificate and its key")
 	}
-	s.config.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	s.config.TLS.Certificates = []tls.Certificate{cert}
 	return nil
 }
 
