--- /dev/null
+++ b/cmd/internal/catalogue/events_test.go
@@ -0,0 +1,130 @@
+package catalogue
+
+import (
+	"go/ast"
+	"go/token"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+var eventNumber = regexp.MustCompile(`^(CYC-\d{4})$`)
+
+// event is a constant with an event number.
+type event struct {
+	name string // of the constant
+	dir  string // of its package
+	uses int    // in the package, beside the declaration
+	// levels are the log levels of the statements that mention the constant in their own chain of
+	// calls.
+	levels map[string]bool
+}
+
+// levelOf maps the methods of the logger to the levels that the page names.
+var levelOf = map[string]string{"Debug": "debug", "Info": "info", "Warn": "warning", "Error": "error"}
+
+// declared returns the events by number.
+func declared(t *testing.T, files []sourceFile) map[string]*event {
+	t.Helper()
+	events := make(map[string]*event)
+	for _, file := range files {
+		literals := 0
+		ast.Inspect(file.File, func(n ast.Node) bool {
+			if e, ok := n.(ast.Expr); ok && strings.Contains(text(e), "CYC-") {
+				literals++
+			}
+			return true
+		})
+		for name, number := range eventConstants(file) {
+			literals--
+			if old := events[number]; old != nil {
+				t.Errorf("%s is used for %s and for %s", number, old.name, name)
+			}
+			events[number] = &event{name: name, dir: filepath.Dir(file.path), levels: make(map[string]bool)}
+		}
+		if literals > 0 {
+			t.Errorf("%s: %d event numbers are not constants of a file events.go or event.go", file.path, literals)
+		}
+	}
+	return events
+}
+
+func eventConstants(file sourceFile) map[string]string {
+	found := make(map[string]string)
+	if base := filepath.Base(file.path); base != "events.go" && base != "event.go" {
+		return found
+	}
+	for _, d := range file.Decls {
+		group, ok := d.(*ast.GenDecl)
+		if !ok || group.Tok != token.CONST {
+			continue
+		}
+		for _, spec := range group.Specs {
+			constant := spec.(*ast.ValueSpec)
+			for i, value := range constant.Values {
+				if eventNumber.MatchString(text(value)) {
+					found[constant.Names[i].Name] = text(value)
+				}
+			}
+		}
+	}
+	return found
+}
+
+// use notes where the constants of file's package are mentioned, and in lines of which level.
+func use(file sourceFile, events map[string]*event) {
+	dir := filepath.Dir(file.path)
+	mentioned := func(n ast.Node, f func(*event)) {
+		ast.Inspect(n, func(n ast.Node) bool {
+			name, ok := n.(*ast.Ident)
+			for _, e := range events {
+				if ok && e.dir == dir && e.name == name.Name {
+					f(e)
+				}
+			}
+			return true
+		})
+	}
+	mentioned(file.File, func(e *event) { e.uses++ })
+	ast.Inspect(file.File, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		method, ok := call.Fun.(*ast.SelectorExpr)
+		if ok && levelOf[method.Sel.Name] != "" {
+			mentioned(method.X, func(e *event) { e.levels[levelOf[method.Sel.Name]] = true })
+		}
+		return true
+	})
+}
+
+// Guards against log lines that an operator can't look up, against a page that describes lines of
+// another release or level, and against one number for two events.
+func TestEventsAreListed(t *testing.T) {
+	files := sources(t)
+	events := declared(t, files)
+	for _, file := range files {
+		use(file, events)
+	}
+	listed := rows(t, "events.md", eventNumber, 4)
+	sameKeys(t, "events.md", listed, events)
+	for number, e := range events {
+		if e.uses < 2 {
+			t.Errorf("%s (%s) is declared, but never logged", number, e.name)
+		}
+		row := listed[number]
+		if row == nil {
+			continue
+		}
+		for level := range e.levels {
+			if row[0] != level {
+				t.Errorf("%s is logged as %s, but listed as %s", number, level, row[0])
+			}
+		}
+		if row[1] == "" || row[2] == "" {
+			t.Errorf("%s has no meaning or no action", number)
+		}
+	}
+}
--- a/proxy/burn/classify.go
+++ b/proxy/burn/classify.go
@@ -50,7 +50,8 @@
 func classifyRefusal(code string) (class burn.Class, counts bool) {
 	switch code {
 	case outcome.CodeTooManyRequests:
-		// Only the quota refuses with this code.
+		// Only the quota refuses with this code, and is taken at its word. Whether all instances
+		// together were above the rate can't be told from one instance's statements.
 		return burn.OverRate, true
 	case outcome.CodeInsufficient:
 		// The quota is asked first, so that the statement was inside the account's rate.
