--- a/cmd/internal/ctl/burn_test.go
+++ b/cmd/internal/ctl/burn_test.go
@@ -27,13 +27,13 @@
 // address.
 func opsInstance(ts *testscript.TestScript, _ bool, args []string) {
 	tracker := burn.NewTracker(burn.DefaultMaxSeries)
-	objective := burn.Objective{Availability: 0.999, Latency: manifest.Duration(250 * time.Millisecond)}
+	objective := burn.Objective{Availability: 99.9, Latency: manifest.Duration(250 * time.Millisecond)}
 	for _, arg := range args[3:] {
 		name, value, _ := strings.Cut(arg, "=")
 		n, err := strconv.ParseFloat(value, 64)
 		ts.Check(err)
 		if name == "objective" {
-			objective.Availability = n / 100
+			objective.Availability = n
 		}
 		for _, class := range burn.Classes() {
 			for range int(n) {
--- a/decision/burn/burn_test.go
+++ b/decision/burn/burn_test.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	objective = Objective{Availability: 0.999, Latency: manifest.Duration(250 * time.Millisecond)}
+	objective = Objective{Availability: 99.9, Latency: manifest.Duration(250 * time.Millisecond)}
 	clerks    = Key{"clerks", "orders"}
 )
 
--- a/decision/burn/counts.go
+++ b/decision/burn/counts.go
@@ -82,5 +82,5 @@
 	if c.Total() == 0 {
 		return 0
 	}
-	return float64(c.Bad()) / float64(c.Total()) / (1 - o.Availability)
+	return float64(c.Bad()) / float64(c.Total()) * 100 / (100 - o.Availability)
 }
--- a/decision/burn/report.go
+++ b/decision/burn/report.go
@@ -10,14 +10,15 @@
 
 // Objective is a service-level objective.
 type Objective struct {
-	Availability float64 `json:"availability"` // share of good statements, above 0 and below 1
+	// Availability is the percentage of good statements, above 0 and below 100.
+	Availability float64 `json:"availabilityPercent"`
 	// Latency is the time within which a good statement is answered.
 	Latency manifest.Duration `json:"latency"`
 }
 
 // String renders the objective for operators.
 func (o Objective) String() string {
-	return fmt.Sprintf("%.6g%% within %v", o.Availability*100, o.Latency.Std())
+	return fmt.Sprintf("%.6g%% within %v", o.Availability, o.Latency.Std())
 }
 
 // Alarm says which limit of the burn rate a series exceeds.
@@ -105,8 +106,8 @@
 
 // Validate reports a report that another release could have written.
 func (r Report) Validate() error {
-	if r.Objective.Availability <= 0 || r.Objective.Availability >= 1 {
-		return errors.Newf("availability objective %v is not between 0 and 1", r.Objective.Availability)
+	if r.Objective.Availability <= 0 || r.Objective.Availability >= 100 {
+		return errors.Newf("availability objective %v is not between 0 and 100 percent", r.Objective.Availability)
 	}
 	for _, s := range r.Series {
 		if len(s.Windows) != int(windowCount) {
--- a/proxy/burn/meter_test.go
+++ b/proxy/burn/meter_test.go
@@ -58,7 +58,7 @@
 	scope := tally.NewTestScope("", nil)
 	m := New(Config{
 		Instance:  "proxy-1",
-		Objective: burn.Objective{Availability: 0.9, Latency: manifest.Duration(latency)},
+		Objective: burn.Objective{Availability: 90, Latency: manifest.Duration(latency)},
 		Scope:     scope,
 		Now:       func() time.Duration { return time.Hour },
 	})
--- a/proxy/daemon/config.go
+++ b/proxy/daemon/config.go
@@ -151,7 +151,7 @@
 // objective returns the service-level objective that the settings describe.
 func (c Config) objective() burn.Objective {
 	return burn.Objective{
-		Availability: c.ObjectiveAvailability / 100,
+		Availability: c.ObjectiveAvailability,
 		Latency:      manifest.Duration(c.ObjectiveLatency),
 	}
 }
