Measure how the cost of each role grows

cyclamenctl bench capacity measures memory, processor time, bytes and messages of each role at a few sizes and fits a line with its standard error.

--- /dev/null
+++ b/cmd/internal/benchcmd/capacity.go
@@ -0,0 +1,238 @@
+package benchcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	// capacityTimeout ends a run whose machine is too busy to finish.
+	capacityTimeout = 110 * time.Second
+	// capacityRepeats is how often each size is measured; the fit's error includes the spread.
+	capacityRepeats = 3
+	// capacityMemory makes the runtime collect garbage early; the largest measurement needs a
+	// tenth of it.
+	capacityMemory = 4 << 30
+)
+
+const capacityHelp = `capacity measures how the cost of each role of an instance grows: memory, processor time, bytes
+and messages at a few sizes each, and fits a line through them. docs/CAPACITY.md works out the
+design size from these slopes. Everything runs in one process with small stand-ins, so figures of
+calls between two parties contain both ends unless their name says otherwise.
+
+The processor time is that of the process, so other load on the machine changes it less than it
+changes latencies. The load average of the machine is shown with the figures.`
+
+// quantity names one value that a measurement yields.
+type quantity struct {
+	Name    string `json:"name"`    // role and what is measured
+	Unit    string `json:"unit"`    // of the value
+	Per     string `json:"per"`     // what the size counts
+	Package string `json:"package"` // that carries the mechanism
+}
+
+// measurement yields one value of each quantity at each size.
+type measurement struct {
+	sizes      []int
+	quantities []quantity
+	// open prepares the surroundings that all sizes share. stop is never nil.
+	open func(ctx context.Context) (run runSize, stop func(), err error)
+}
+
+// runSize measures at one size and returns a value for each quantity.
+type runSize func(size int) ([]float64, error)
+
+// slopeReport is a quantity with the line through its samples.
+type slopeReport struct {
+	quantity
+	line
+	Samples []sample `json:"samples"`
+}
+
+// capacityReport is the result of bench capacity.
+type capacityReport struct {
+	Cores       int           `json:"cores"`
+	Go          string        `json:"go"`
+	LoadAverage string        `json:"load_average"` // 1, 5 and 15 minutes, at the end
+	Seconds     float64       `json:"seconds"`
+	Slopes      []slopeReport `json:"slopes"`
+}
+
+func newCapacity() *cobra.Command {
+	var only string
+	cmd := &cobra.Command{
+		Use:   "capacity",
+		Short: "Measure how the cost of each role grows with its size",
+		Long:  capacityHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), capacityTimeout)
+			defer cancel()
+			asJSON, _ := cmd.Flags().GetBool("json")
+			report, err := runCapacity(ctx, chosen(measurements(), only))
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(report)
+			}
+			return report.table(cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&only, "only", "", "measure only the quantities whose name begins with this, such as quota")
+	return cmd
+}
+
+// measurements lists everything that capacity measures, by role.
+func measurements() []measurement {
+	return []measurement{
+		entryIdle(), entryStatement(), entryHandshake(),
+		homeCheckout(), homeQueue(), homeQueueIdle(), homeServers(), homeChoice(), homeMoves(),
+		proberView(), proberProbe(), proberFreshProbe(),
+		quotaRequester(quotaSlowRate), quotaRequester(quotaFastRate), quotaPoll(), quotaLoans(),
+		manifestDatabases(), manifestAccounts(), manifestDelta(),
+		gossipCall(), gossipTerms(), peerSet(), instanceList(), storeCall(),
+	}
+}
+
+// chosen keeps the measurements with a quantity whose name begins with prefix.
+func chosen(all []measurement, prefix string) []measurement {
+	var out []measurement
+	for _, m := range all {
+		for _, q := range m.quantities {
+			if strings.HasPrefix(q.Name, prefix) {
+				out = append(out, m)
+				break
+			}
+		}
+	}
+	return out
+}
+
+func runCapacity(ctx context.Context, list []measurement) (*capacityReport, error) {
+	if len(list) == 0 {
+		return nil, errors.New("no quantity has this name; leave --only out to see all")
+	}
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(capacityMemory))
+	began := time.Now()
+	r := &capacityReport{Cores: runtime.NumCPU(), Go: runtime.Version()}
+	for _, m := range list {
+		slopes, err := m.run(ctx, capacityRepeats)
+		if err != nil {
+			return nil, errors.Wrapf(err, "measure %s", m.quantities[0].Name)
+		}
+		r.Slopes = append(r.Slopes, slopes...)
+	}
+	r.Seconds = time.Since(began).Seconds()
+	r.LoadAverage = loadAverage()
+	return r, nil
+}
+
+// run measures all sizes in turns, so that a change of the machine's load meets all of them.
+func (m measurement) run(ctx context.Context, repeats int) ([]slopeReport, error) {
+	run, stop, err := m.open(ctx)
+	defer stop()
+	if err != nil {
+		return nil, err
+	}
+	slopes := make([]slopeReport, len(m.quantities))
+	for range repeats {
+		for _, size := range m.sizes {
+			if err := ctx.Err(); err != nil {
+				return nil, errors.Wrap(err, "run fewer other programs, or choose quantities with --only")
+			}
+			values, err := run(size)
+			if err != nil {
+				return nil, err
+			}
+			for i, v := range values {
+				slopes[i].Samples = append(slopes[i].Samples, sample{float64(size), v})
+			}
+		}
+	}
+	for i := range slopes {
+		slopes[i].quantity = m.quantities[i]
+		if slopes[i].line, err = fitLine(slopes[i].Samples); err != nil {
+			return nil, err
+		}
+	}
+	return slopes, nil
+}
+
+// noStop is the stop of a measurement without surroundings.
+func noStop() {}
+
+// alone opens a measurement that needs no surroundings.
+func alone(run runSize) func(context.Context) (runSize, func(), error) {
+	return func(context.Context) (runSize, func(), error) { return run, noStop, nil }
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	// It fails only for a wrong argument, see getrusage(2).
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// cost returns the processor time of f in microseconds.
+func cost(f func() error) (float64, error) {
+	runtime.GC()
+	before := processorTime()
+	err := f()
+	return micros(processorTime() - before), err
+}
+
+// held returns the bytes that stay in use after f; keep returns what must stay reachable.
+func held(f func() (keep any, err error)) (float64, error) {
+	before, _ := memoryInUse(context.Background())
+	keep, err := f()
+	after, _ := memoryInUse(context.Background())
+	runtime.KeepAlive(keep)
+	return float64(after) - float64(before), err
+}
+
+// loadAverage returns the machine's load averages, "" where they can't be read.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	fields := strings.Fields(string(data))
+	return strings.Join(fields[:min(3, len(fields))], " ")
+}
+
+func (r *capacityReport) table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "quantity\tslope\t± error\tunit\tper\tintercept\tsizes\tpackage")
+	for _, s := range r.Slopes {
+		fmt.Fprintf(t, "%s\t%.4g\t%.2g\t%s\t%s\t%.4g\t%s\t%s\n",
+			s.Name, s.Slope, s.SlopeError, s.Unit, s.Per, s.Intercept, s.sizes(), s.Package)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%d cores, %s, load average %s, %.0f s\n", r.Cores, r.Go, r.LoadAverage, r.Seconds)
+	return err
+}
+
+// sizes renders the range of the sizes and the number of samples.
+func (s slopeReport) sizes() string {
+	low, high := s.Samples[0].Size, s.Samples[0].Size
+	for _, p := range s.Samples {
+		low, high = min(low, p.Size), max(high, p.Size)
+	}
+	return fmt.Sprintf("%.0f-%.0f (%d)", low, high, len(s.Samples))
+}
--- /dev/null
+++ b/cmd/internal/benchcmd/capacity_config.go
@@ -0,0 +1,335 @@
+package benchcmd
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/standin/store"
+)
+
+const (
+	fixedAccounts  = 8
+	fixedDatabases = 200
+	// accountsPerRoute is the number of client accounts that use one database today.
+	accountsPerRoute = 8
+	gossipTimeout    = 10 * time.Second
+)
+
+// largeManifest returns a valid manifest with three servers and one route per database.
+func largeManifest(databases, accounts int) manifest.Manifest {
+	m := manifest.Manifest{APIVersion: manifest.APIVersion, Version: 1}
+	for i := range databases {
+		m.Databases = append(m.Databases, largeDatabase(i))
+		m.Routes = append(m.Routes, largeRoute(i, accounts))
+	}
+	for i := range accounts {
+		m.Accounts = append(m.Accounts, manifest.Account{
+			Name: accountName(i), Weight: 1, Rate: 100, Burst: 100,
+			Keys: []manifest.Key{{ID: "first", SHA256: manifest.SumKey(accountName(i)).String()}},
+		})
+	}
+	return m
+}
+
+func databaseName(i int) string {
+	return fmt.Sprintf("database-%04d", i)
+}
+
+func largeDatabase(i int) manifest.Database {
+	d := manifest.Database{Name: databaseName(i)}
+	for s := range serversPerGroup {
+		d.Servers = append(d.Servers, manifest.Server{
+			ID:      fmt.Sprintf("%s-%d", d.Name, s+1),
+			Address: fmt.Sprintf("10.%d.%d.%d:5432", s+1, i>>8, i&255),
+			Region:  "travancore", FailureDomain: fmt.Sprintf("travancore-%d", s+1),
+			MaxConnections: 20, Slots: 3,
+		})
+	}
+	return d
+}
+
+func largeRoute(i, accounts int) manifest.Route {
+	r := manifest.Route{Name: fmt.Sprintf("route-%04d", i), Database: databaseName(i)}
+	for a := range min(accountsPerRoute, accounts) {
+		r.Accounts = append(r.Accounts, accountName((i*accountsPerRoute+a)%accounts))
+	}
+	return r
+}
+
+// manifestQuantities are what decoding, holding and comparing a manifest takes.
+func manifestQuantities(name, per string) []quantity {
+	return []quantity{
+		{name + ".json", "B", per, "decision/manifest"},
+		{name + ".gzip", "B", per, "decision/manifest"},
+		{name + ".decode.cpu", "µs", per, "decision/manifest"},
+		{name + ".diff.cpu", "µs", per, "decision/manifest"},
+		{name + ".memory", "B", per, "decision/manifest"},
+	}
+}
+
+func manifestDatabases() measurement {
+	return measurement{
+		sizes:      []int{400, 800, 1600},
+		quantities: manifestQuantities("config.database", "database"),
+		open:       alone(func(n int) ([]float64, error) { return manifestCosts(largeManifest(n, fixedAccounts)) }),
+	}
+}
+
+func manifestAccounts() measurement {
+	return measurement{
+		sizes:      []int{1000, 2000, 4000},
+		quantities: manifestQuantities("config.account", "account"),
+		open:       alone(func(n int) ([]float64, error) { return manifestCosts(largeManifest(fixedDatabases, n)) }),
+	}
+}
+
+func manifestCosts(m manifest.Manifest) ([]float64, error) {
+	doc, err := m.Encode()
+	if err != nil {
+		return nil, err
+	}
+	var snapshot *manifest.Snapshot
+	decode, err := cost(func() (err error) { snapshot, err = adopted(doc); return err })
+	if err != nil {
+		return nil, err
+	}
+	diff, _ := cost(func() error { manifest.Diff(m, snapshot.Manifest()); return nil })
+	snapshot = nil
+	memory, err := held(func() (any, error) {
+		s, err := adopted(doc)
+		return s, err
+	})
+	return []float64{float64(len(doc)), compressed(doc), decode, diff, memory}, err
+}
+
+// adopted decodes and checks a document as an instance does.
+func adopted(doc []byte) (*manifest.Snapshot, error) {
+	m, err := manifest.Decode(doc)
+	if err != nil {
+		return nil, err
+	}
+	return manifest.NewSnapshot(m)
+}
+
+func compressed(doc []byte) float64 {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	// A bytes.Buffer takes every write.
+	_, _ = w.Write(doc)
+	_ = w.Close()
+	return float64(out.Len())
+}
+
+// manifestDelta measures the encoded list of changes by the number of servers changed.
+func manifestDelta() measurement {
+	return measurement{
+		sizes:      []int{1, 2, 4, 8, 16},
+		quantities: []quantity{{"config.delta.json", "B", "server changed", "decision/manifest"}},
+		open: alone(func(n int) ([]float64, error) {
+			from, to := largeManifest(fixedDatabases, fixedAccounts), largeManifest(fixedDatabases, fixedAccounts)
+			to.Version++
+			for i := range n {
+				to.Databases[i].Servers[0].Slots++
+			}
+			doc, err := json.Marshal(manifest.Diff(from, to))
+			return []float64{float64(len(doc))}, err
+		}),
+	}
+}
+
+// gossipPeer answers gossip with a digest of today's content.
+type gossipPeer struct {
+	peerpb.DRPCPeerUnimplementedServer
+}
+
+// Gossip implements peer.ConfigHandler.
+func (*gossipPeer) Gossip(context.Context, *peerpb.Digest) (*peerpb.Digest, error) {
+	return digest(), nil
+}
+
+func digest() *peerpb.Digest {
+	return &peerpb.Digest{From: callerName, ManifestVersion: 5400 * 365, StoreContactAgeMs: 1500}
+}
+
+// gossipCall measures gossip over one kept connection.
+func gossipCall() measurement {
+	return measurement{
+		sizes: []int{500, 1000, 2000},
+		quantities: []quantity{
+			{"config.gossip.cpu", "µs", "call, both ends", "proxy/peer"},
+			{"config.gossip.bytes", "B", "call, both directions", "proxy/peer"},
+		},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			address, stopPeer, err := servePeer(ctx, &gossipPeer{}, nil)
+			if err != nil {
+				return nil, noStop, err
+			}
+			traffic := &peer.Traffic{}
+			client := peer.NewClient(peer.ClientConfig{Traffic: traffic})
+			call := func() error {
+				ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+				defer cancel()
+				_, err := client.Gossip(ctx, address, digest())
+				return err
+			}
+			run := func(size int) ([]float64, error) {
+				before := traffic.Sent.Load() + traffic.Received.Load()
+				processor, err := cost(func() error { return repeat(size, call) })
+				return []float64{processor, float64(traffic.Sent.Load() + traffic.Received.Load() - before)}, err
+			}
+			return run, func() { _ = client.Close(); stopPeer() }, nil
+		},
+	}
+}
+
+// gossipTerms measures what the terms of databases add to a digest.
+func gossipTerms() measurement {
+	return measurement{
+		sizes:      []int{10, 100, 1000},
+		quantities: []quantity{{"config.gossip.term", "B", "database named in a digest", "proxy/peer"}},
+		open: alone(func(n int) ([]float64, error) {
+			d := digest()
+			d.Terms = make(map[string]uint64, n)
+			for i := range n {
+				d.Terms[databaseName(i)] = 7
+			}
+			return []float64{float64(proto.Size(d))}, nil
+		}),
+	}
+}
+
+// fixedList is a list of instances that does not change.
+type fixedList []platform.Instance
+
+// Instances implements platform.InstanceList.
+func (l fixedList) Instances(context.Context) ([]platform.Instance, error) {
+	return l, nil
+}
+
+func largeList(n int) fixedList {
+	list := make(fixedList, n)
+	for i, address := range nodeNames(0, n) {
+		list[i] = platform.Instance{
+			ID: fmt.Sprintf("proxy-%05d", i), PeerAddress: address,
+			Region: "travancore", FailureDomain: "travancore-1",
+		}
+	}
+	return list
+}
+
+// peerSet measures the state of the listed peers and the reading of the live ones, which each
+// instance does five times a second.
+func peerSet() measurement {
+	return measurement{
+		sizes: []int{1000, 2000, 4000},
+		quantities: []quantity{
+			{"config.peers.memory", "B", "listed instance", "proxy/peer"},
+			{"config.peers.live.cpu", "µs", "listed instance, for one reading", "proxy/peer"},
+		},
+		open: alone(peerCosts),
+	}
+}
+
+func peerCosts(n int) ([]float64, error) {
+	const readings = 20
+	list := largeList(n)
+	client := peer.NewClient(peer.ClientConfig{})
+	defer client.Close()
+	var set *peer.Set
+	memory, err := held(func() (_ any, err error) {
+		set, err = listedPeers(list, client)
+		return set, err
+	})
+	if err != nil {
+		return nil, err
+	}
+	processor, err := cost(func() error {
+		for range readings {
+			set.Live()
+		}
+		return nil
+	})
+	return []float64{memory, processor / readings}, err
+}
+
+// listedPeers returns a set that has read the list and contacts nobody.
+func listedPeers(list fixedList, client *peer.Client) (*peer.Set, error) {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	set, err := peer.NewSet(peer.SetConfig{
+		Self: callerName, List: list, Client: client, Config: &gossipPeer{}, Digest: digest,
+		Rand: rand.New(rand.NewSource(1)), Log: quiet,
+	})
+	if err != nil {
+		return nil, err
+	}
+	// Run reads the list once before it looks at its context.
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	set.Run(ended)
+	return set, nil
+}
+
+// instanceList measures the platform's list, which each instance reads from the store.
+func instanceList() measurement {
+	return measurement{
+		sizes: []int{500, 1000, 2000},
+		quantities: []quantity{
+			{"config.list.bytes", "B", "listed instance", "platform/httpstore"},
+			{"config.list.cpu", "µs", "listed instance, for one reading", "platform/httpstore"},
+		},
+		open: alone(func(n int) ([]float64, error) {
+			value, err := json.Marshal(largeList(n))
+			if err != nil {
+				return nil, err
+			}
+			processor, err := cost(func() error { _, err := httpstore.DecodeInstances(value); return err })
+			return []float64{float64(len(value)), processor}, err
+		}),
+	}
+}
+
+// storeCall measures the get of a small object.
+func storeCall() measurement {
+	return measurement{
+		sizes: []int{500, 1000, 2000},
+		quantities: []quantity{
+			{"config.store.cpu", "µs", "call, both ends", "platform/httpstore"},
+			{"config.store.bytes", "B", "call, both directions", "platform/httpstore"},
+		},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			server, err := store.Start("127.0.0.1:0")
+			if err != nil {
+				return nil, noStop, err
+			}
+			w := &wire{}
+			stop := func() { _ = server.Close() }
+			client, err := httpstore.New(httpstore.Config{BaseURL: server.URL(), Transport: &http.Transport{DialContext: w.DialContext}})
+			if err != nil {
+				return nil, stop, err
+			}
+			if _, err := client.Put(ctx, "status/bench", []byte(`{"version":1}`), 0); err != nil {
+				return nil, stop, err
+			}
+			run := func(size int) ([]float64, error) {
+				return w.costAndBytes(size, func() error { _, err := client.Get(ctx, "status/bench"); return err })
+			}
+			return run, func() { client.Close(); stop() }, nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/internal/benchcmd/capacity_entry.go
@@ -0,0 +1,198 @@
+package benchcmd
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/bench"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+const (
+	benchAccount = "bench"
+	// onceRoute samples a floor at start-up, eachRoute for each read.
+	onceRoute = "once"
+	eachRoute = "each"
+	// idleRound keeps the round short that bench.Overhead runs before the idle connections.
+	idleRound = 20 * time.Millisecond
+)
+
+// startEntry starts one instance with both routes. A server has no service time, so that the
+// processor time of a statement is found quickly.
+func startEntry(ctx context.Context) (*local.Deployment, error) {
+	route := func(name string, scope manifest.SessionScope) manifest.Route {
+		return manifest.Route{Name: name, Database: local.DatabaseName, Accounts: []string{benchAccount}, SessionScope: scope}
+	}
+	return local.Start(ctx, local.Config{
+		Instances: 1,
+		Server:    database.Config{MaxConnections: 200, Slots: 128, ReplicationLag: time.Millisecond},
+		Accounts:  []local.Account{{Name: benchAccount, Weight: 1, Rate: manifest.MaxRate, Burst: manifest.MaxRate}},
+		Routes:    []manifest.Route{route(onceRoute, manifest.ScopeConnection), route(eachRoute, manifest.ScopeAny)},
+	})
+}
+
+func directEndpoint(d *local.Deployment) bench.Endpoint {
+	return bench.Endpoint{Address: d.Group.Server(1).Address(), Account: load.Account{Name: benchAccount}}
+}
+
+func proxyEndpoint(d *local.Deployment, route string) bench.Endpoint {
+	return bench.Endpoint{
+		Address: d.Instances[0].Address, Database: route,
+		Account: load.Account{Name: benchAccount, Key: d.Key(benchAccount)},
+	}
+}
+
+// entryIdle measures the memory of idle client connections, with the client's socket.
+func entryIdle() measurement {
+	return measurement{
+		sizes:      []int{500, 1000, 2000},
+		quantities: []quantity{{"entry.idle.memory", "B", "connection", "proxy/engine"}},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			d, err := startEntry(ctx)
+			if err != nil {
+				return nil, noStop, err
+			}
+			run := func(size int) ([]float64, error) {
+				r, err := bench.Overhead(ctx, bench.Config{
+					Direct: directEndpoint(d), Proxy: proxyEndpoint(d, onceRoute),
+					Connections: 1, Rounds: 1, RoundDuration: idleRound,
+					IdleConnections: size, ProxyMemory: memoryInUse,
+				})
+				return []float64{r.BytesPerIdleConnection * float64(size)}, err
+			}
+			return run, d.Close, nil
+		},
+	}
+}
+
+// entryStatement measures the processor time of a read. The direct path shows the part of the
+// load and the server, which run in the same process.
+func entryStatement() measurement {
+	return measurement{
+		sizes: []int{500, 1000, 2000},
+		quantities: []quantity{
+			{"entry.statement.direct.cpu", "µs", "statement", "standin/database"},
+			{"entry.statement.once.cpu", "µs", "statement", "proxy/engine"},
+			{"entry.statement.each.cpu", "µs", "statement", "proxy/engine, proxy/group"},
+		},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			d, err := startEntry(ctx)
+			if err != nil {
+				return nil, noStop, err
+			}
+			endpoints := []bench.Endpoint{directEndpoint(d), proxyEndpoint(d, onceRoute), proxyEndpoint(d, eachRoute)}
+			run := func(size int) ([]float64, error) { return statementCosts(ctx, endpoints, size) }
+			return run, d.Close, nil
+		},
+	}
+}
+
+func statementCosts(ctx context.Context, endpoints []bench.Endpoint, size int) ([]float64, error) {
+	values := make([]float64, len(endpoints))
+	for i, e := range endpoints {
+		run, stop, err := bench.Statements(ctx, e)
+		if err != nil {
+			return nil, err
+		}
+		values[i], err = cost(func() error { return run(size) })
+		stop()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return values, nil
+}
+
+// entryHandshake measures full TLS 1.3 handshakes over TCP and the memory of the connections.
+func entryHandshake() measurement {
+	return measurement{
+		sizes: []int{50, 100, 200},
+		quantities: []quantity{
+			{"entry.tls.cpu", "µs", "handshake, both ends", "crypto/tls"},
+			{"entry.tls.memory", "B", "connection, both ends", "crypto/tls"},
+		},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			server, err := tlsServer()
+			if err != nil {
+				return nil, noStop, err
+			}
+			listener, err := tls.Listen("tcp", "127.0.0.1:0", server)
+			if err != nil {
+				return nil, noStop, err
+			}
+			go acceptAll(listener)
+			run := func(size int) ([]float64, error) { return handshakes(ctx, listener.Addr().String(), size) }
+			return run, func() { _ = listener.Close() }, nil
+		},
+	}
+}
+
+// tlsServer returns the settings of a server with a new ECDSA P-256 certificate.
+func tlsServer() (*tls.Config, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, err
+	}
+	// Tickets would let later handshakes resume, and clients of a lost instance have none.
+	return &tls.Config{
+		Certificates:           []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		SessionTicketsDisabled: true,
+	}, nil
+}
+
+// acceptAll holds every connection until its client closes it.
+func acceptAll(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+	}
+}
+
+func handshakes(ctx context.Context, address string, n int) ([]float64, error) {
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}()
+	// The certificate is signed by itself and the listener is this process's own.
+	dialer := tls.Dialer{Config: &tls.Config{InsecureSkipVerify: true}}
+	var processor float64
+	memory, err := held(func() (any, error) {
+		var err error
+		processor, err = cost(func() error {
+			for range n {
+				conn, err := dialer.DialContext(ctx, "tcp", address)
+				if err != nil {
+					return err
+				}
+				conns = append(conns, conn)
+			}
+			return nil
+		})
+		return conns, err
+	})
+	return []float64{processor, memory}, err
+}
--- /dev/null
+++ b/cmd/internal/benchcmd/capacity_home.go
@@ -0,0 +1,311 @@
+package benchcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/home"
+	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+const (
+	// checkoutTimeout is generous, since the machine may be busy.
+	checkoutTimeout = 10 * time.Second
+	// choiceRounds is how often a home is chosen for one sample.
+	choiceRounds = 2000
+	// designNodes is the number of instances in two years.
+	designNodes = 2100
+	// replacedAtOnce is how many instances homeMoves replaces, to average over them.
+	replacedAtOnce = 20
+)
+
+// checkoutBench lends connections of one pool locally and over a peer connection.
+type checkoutBench struct {
+	local   engine.Pool
+	remote  *home.Client
+	address string
+	traffic *peer.Traffic
+	request engine.AcquireRequest
+}
+
+// homeCheckout compares a statement on a checked-out connection with one on a connection of the
+// local pool.
+func homeCheckout() measurement {
+	return measurement{
+		sizes: []int{500, 1000, 2000},
+		quantities: []quantity{
+			{"home.local.cpu", "µs", "statement, server included", "proxy/pool"},
+			{"home.checkout.cpu", "µs", "statement, both ends, server included", "proxy/home"},
+			{"home.local.latency", "µs", "statement", "proxy/pool"},
+			{"home.checkout.latency", "µs", "statement", "proxy/home"},
+			{"home.checkout.bytes", "B", "statement, between instances", "proxy/home"},
+		},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			b, stop, err := startCheckout(ctx)
+			if err != nil {
+				return nil, stop, err
+			}
+			return func(size int) ([]float64, error) { return b.compare(ctx, size) }, stop, nil
+		},
+	}
+}
+
+func startCheckout(ctx context.Context) (*checkoutBench, func(), error) {
+	server, err := database.Start(database.Config{ID: "s1", Primary: true})
+	if err != nil {
+		return nil, noStop, err
+	}
+	p := pool.New(pool.Config{
+		User:     "bench",
+		Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil },
+	})
+	p.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), MaxConnections: 8, Slots: 8}})
+	stopServers := func() { p.Close(); server.Kill() }
+	address, stopPeer, err := servePeer(ctx, &peerpb.DRPCPeerUnimplementedServer{}, p)
+	if err != nil {
+		return nil, stopServers, err
+	}
+	traffic := &peer.Traffic{}
+	client := peer.NewClient(peer.ClientConfig{Traffic: traffic})
+	b := &checkoutBench{
+		local: p, remote: home.NewClient(client), address: address, traffic: traffic,
+		request: engine.AcquireRequest{
+			Target:  engine.Target{Server: "s1", Incarnation: 1},
+			Account: benchAccount, Weight: 1, Timeout: checkoutTimeout,
+		},
+	}
+	return b, func() { _ = client.Close(); stopPeer(); stopServers() }, nil
+}
+
+// servePeer starts a peer listener on loopback that also lends connections of p, unless p is nil.
+func servePeer(ctx context.Context, handler peerHandler, p engine.Pool) (address string, stop func(), err error) {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	server, err := peer.NewServer(peer.ServerConfig{Config: handler, Quota: handler, Log: quiet})
+	if err != nil {
+		return "", noStop, err
+	}
+	if p != nil {
+		if err := homepb.DRPCRegisterHomes(server.Mux(), home.NewServer(p)); err != nil {
+			return "", noStop, err
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", noStop, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, listener)
+	}()
+	return listener.Addr().String(), func() { cancel(); <-done }, nil
+}
+
+// peerHandler answers all calls of the peer service.
+type peerHandler interface {
+	peer.ConfigHandler
+	peer.QuotaHandler
+}
+
+func (b *checkoutBench) compare(ctx context.Context, n int) ([]float64, error) {
+	local := func() (engine.Conn, error) { return b.local.Acquire(ctx, b.request) }
+	remote := func() (engine.Conn, error) { return b.remote.Acquire(ctx, b.address, b.request) }
+	localCost, localTime, err := borrowed(n, local)
+	if err != nil {
+		return nil, err
+	}
+	before := b.traffic.Sent.Load() + b.traffic.Received.Load()
+	remoteCost, remoteTime, err := borrowed(n, remote)
+	bytes := b.traffic.Sent.Load() + b.traffic.Received.Load() - before
+	return []float64{localCost, remoteCost, localTime, remoteTime, float64(bytes)}, err
+}
+
+// borrowed runs n statements, each on a connection of its own loan, and returns the processor time
+// and the elapsed time in microseconds.
+func borrowed(n int, acquire func() (engine.Conn, error)) (processor, elapsed float64, err error) {
+	one := func() error {
+		conn, err := acquire()
+		if err != nil {
+			return err
+		}
+		err = simpleQuery(conn)
+		conn.Release(err == nil)
+		return err
+	}
+	if err := one(); err != nil {
+		return 0, 0, err
+	}
+	began := time.Now()
+	processor, err = cost(func() error { return repeat(n, one) })
+	return processor, micros(time.Since(began)), err
+}
+
+func simpleQuery(conn engine.Conn) error {
+	f := conn.Frontend()
+	f.Send(&pgproto3.Query{String: "SELECT value FROM kv WHERE key = 'bench'"})
+	if err := f.Flush(); err != nil {
+		return err
+	}
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			return errors.Newf("server refused the statement: %s", m.Message)
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+	}
+}
+
+// homeQueue measures a statement's way through a queue in which that many accounts wait.
+func homeQueue() measurement {
+	return measurement{
+		sizes:      []int{16, 32, 64, 128},
+		quantities: []quantity{{"home.queue.cpu", "µs", "waiting account, for one statement", "decision/fairqueue"}},
+		open:       alone(queueCost),
+	}
+}
+
+func queueCost(accounts int) ([]float64, error) {
+	const statements = 2000
+	q := fairqueue.New(fairqueue.Config{Slots: 1, Connections: 2, QueuePerAccount: 4})
+	id := fairqueue.RequestID(0)
+	var holder fairqueue.RequestID
+	submit := func(account int) fairqueue.Decision {
+		id++
+		return q.Submit(0, fairqueue.Request{ID: id, Account: accountName(account), Weight: 1, Deadline: time.Hour, HasConn: true})
+	}
+	submit(0)
+	holder = id
+	for a := range accounts {
+		submit(a)
+	}
+	now, next := time.Duration(0), 0
+	processor, err := cost(func() error {
+		for range statements {
+			now += time.Millisecond
+			granted := q.ReleaseSlot(now, holder)
+			if len(granted) != 1 {
+				return errors.Newf("%d statements granted for one slot", len(granted))
+			}
+			holder = granted[0]
+			next = (next + 1) % accounts
+			submit(next)
+		}
+		return nil
+	})
+	return []float64{processor / statements}, err
+}
+
+func accountName(i int) string {
+	return fmt.Sprintf("account-%05d", i)
+}
+
+// homeQueueIdle measures the memory of accounts that a queue remembers.
+func homeQueueIdle() measurement {
+	return measurement{
+		sizes:      []int{5000, 10000, 20000},
+		quantities: []quantity{{"home.queue.memory", "B", "account in execution", "decision/fairqueue"}},
+		open: alone(func(accounts int) ([]float64, error) {
+			memory, err := held(func() (any, error) {
+				q := fairqueue.New(fairqueue.Config{Slots: accounts, Connections: accounts, QueuePerAccount: 1})
+				for a := range accounts {
+					q.Submit(0, fairqueue.Request{ID: fairqueue.RequestID(a + 1), Account: accountName(a), Deadline: time.Hour})
+				}
+				return q, nil
+			})
+			return []float64{memory}, err
+		}),
+	}
+}
+
+// homeServers measures what a server of the manifest takes in every instance's pool.
+func homeServers() measurement {
+	return measurement{
+		sizes:      []int{2000, 4000, 8000},
+		quantities: []quantity{{"home.server.memory", "B", "server of the manifest, no connection", "proxy/pool"}},
+		open: alone(func(n int) ([]float64, error) {
+			servers := make([]manifest.Server, n)
+			for i := range servers {
+				servers[i] = manifest.Server{ID: fmt.Sprintf("server-%05d", i), Address: "127.0.0.1:1", MaxConnections: 20, Slots: 3}
+			}
+			memory, err := held(func() (any, error) {
+				p := pool.New(pool.Config{})
+				p.SetServers(servers)
+				return p, nil
+			})
+			return []float64{memory}, err
+		}),
+	}
+}
+
+// homeChoice measures the choice of a server's home, which today is made for each statement.
+func homeChoice() measurement {
+	return measurement{
+		sizes:      []int{500, 1000, 2000},
+		quantities: []quantity{{"home.choice.cpu", "µs", "instance, for one choice", "proxy/peer"}},
+		open: alone(func(n int) ([]float64, error) {
+			names := nodeNames(0, n)
+			processor, err := cost(func() error {
+				for range choiceRounds {
+					peer.Rendezvous("server-00001", names)
+				}
+				return nil
+			})
+			return []float64{processor / choiceRounds}, err
+		}),
+	}
+}
+
+// nodeNames returns n peer addresses, beginning with the given one.
+func nodeNames(first, n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		node := first + i
+		names[i] = fmt.Sprintf("10.%d.%d.%d:7432", node>>16&255, node>>8&255, node&255)
+	}
+	return names
+}
+
+// homeMoves counts the servers whose home changes when one of designNodes instances is replaced by
+// one with another address.
+func homeMoves() measurement {
+	return measurement{
+		sizes:      []int{500, 1000, 2000},
+		quantities: []quantity{{"home.moves", "servers moved", "server, for one instance of 2,100 replaced", "proxy/peer"}},
+		open: alone(func(servers int) ([]float64, error) {
+			first := rand.IntN(1 << 20)
+			before := nodeNames(first, designNodes)
+			after := nodeNames(first+replacedAtOnce, designNodes)
+			moved := 0
+			for i := range servers {
+				id := fmt.Sprintf("server-%05d", i)
+				if peer.Rendezvous(id, before) != peer.Rendezvous(id, after) {
+					moved++
+				}
+			}
+			return []float64{float64(moved) / replacedAtOnce}, nil
+		}),
+	}
+}
--- a/cmd/internal/benchcmd/overhead.go
+++ b/cmd/internal/benchcmd/overhead.go
@@ -26,7 +26,7 @@
 		Use:   "bench",
 		Short: "Measure the proxy on this machine",
 	}
-	cmd.AddCommand(newOverhead())
+	cmd.AddCommand(newOverhead(), newCapacity())
 	return cmd
 }
 
