Put the quota driver in force

Cause: the daemon admitted everything. Change: the daemon runs proxy/quota; gossip carries the version of the record of fractions; refused start-ups are counted.

--- a/proxy/burn/meter.go
+++ b/proxy/burn/meter.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// StartupRefused implements engine.Observer.
+func (m *Meter) StartupRefused(string, error) {}
+
 // SessionOpened implements engine.Observer.
 func (m *Meter) SessionOpened(engine.Session) {}
 
--- a/proxy/daemon/metrics.go
+++ b/proxy/daemon/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
 )
@@ -45,6 +46,15 @@
 	}
 }
 
+// StartupRefused implements engine.Observer.
+func (m *statementMetrics) StartupRefused(_ string, err error) {
+	code := "connection"
+	if e := outcome.As(err); e != nil {
+		code = e.Code
+	}
+	m.scope.Tagged(map[string]string{"code": code}).Counter("startups_refused_total").Inc(1)
+}
+
 // SessionOpened implements engine.Observer.
 func (m *statementMetrics) SessionOpened(engine.Session) {
 	m.count(1)
--- a/proxy/daemon/observers.go
+++ b/proxy/daemon/observers.go
@@ -5,6 +5,13 @@
 // observers tells each of several observers in turn.
 type observers []engine.Observer
 
+// StartupRefused implements engine.Observer.
+func (all observers) StartupRefused(remote string, err error) {
+	for _, o := range all {
+		o.StartupRefused(remote, err)
+	}
+}
+
 // SessionOpened implements engine.Observer.
 func (all observers) SessionOpened(s engine.Session) {
 	for _, o := range all {
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -34,6 +34,7 @@
 // Gossip implements peer.ConfigHandler for calls of peers. Their digests prove no contact, since
 // the age of the call is not known, but they show a newer manifest.
 func (g *gossip) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
+	g.daemon.quota.NoteFractionsVersion(in.GetFractionsVersion())
 	if in.GetManifestVersion() > g.daemon.directory.State().Version {
 		g.fetch(ctx, in)
 	}
@@ -59,6 +60,7 @@
 		From:              g.daemon.listeners.peers.Addr().String(),
 		ManifestVersion:   state.Version,
 		StoreContactAgeMs: age,
+		FractionsVersion:  g.daemon.quota.FractionsVersion(),
 	}
 }
 
@@ -89,6 +91,7 @@
 // because the call's deadline is.
 func (r replies) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
 	d := r.daemon
+	d.quota.NoteFractionsVersion(in.GetFractionsVersion())
 	sent := d.directory.Now() - peer.DefaultHeartbeat
 	newer := d.directory.PeerAnswered(sent, manifest.PeerState{
 		Instance:   in.GetFrom(),
--- a/proxy/daemon/plain.go
+++ b/proxy/daemon/plain.go
@@ -30,7 +30,7 @@
 
 // staticShares admits a fixed share of every account's rate and burst, without coordination.
 type staticShares struct {
-	unlimited
+	noSharing
 	instances int
 
 	mu       sync.Mutex
--- a/proxy/daemon/quota.go
+++ b/proxy/daemon/quota.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/quota"
 )
 
 // quotaService is the driver of the accounts' limits.
@@ -17,32 +19,45 @@
 	Run(ctx context.Context)
 	// Drain hands back what this instance holds.
 	Drain(ctx context.Context) error
+	// FractionsVersion and NoteFractionsVersion exchange the version of the record of fractions
+	// with peers.
+	FractionsVersion() uint64
+	NoteFractionsVersion(version uint64)
 }
 
-// unlimited admits everything.
-type unlimited struct{}
+// noSharing stands in the place of a quota driver that shares nothing with peers.
+type noSharing struct{}
 
-func (unlimited) Admit(context.Context, string) error { return nil }
-func (unlimited) SetAccounts([]manifest.Account)      {}
-func (unlimited) Run(context.Context)                 {}
-func (unlimited) Drain(context.Context) error         { return nil }
+func (noSharing) Run(context.Context)         {}
+func (noSharing) Drain(context.Context) error { return nil }
+func (noSharing) FractionsVersion() uint64    { return 0 }
+func (noSharing) NoteFractionsVersion(uint64) {}
 
-func (unlimited) Lend(context.Context, *peerpb.LoanRequest) (*peerpb.Loan, error) {
+func (noSharing) Lend(context.Context, *peerpb.LoanRequest) (*peerpb.Loan, error) {
 	return &peerpb.Loan{}, nil
 }
 
-func (unlimited) Grant(context.Context, *peerpb.GrantRequest) (*peerpb.Grants, error) {
+func (noSharing) Grant(context.Context, *peerpb.GrantRequest) (*peerpb.Grants, error) {
 	return &peerpb.Grants{}, nil
 }
 
-func (unlimited) HandBack(context.Context, *peerpb.HandBackRequest) (*peerpb.HandBackReply, error) {
+func (noSharing) HandBack(context.Context, *peerpb.HandBackRequest) (*peerpb.HandBackReply, error) {
 	return &peerpb.HandBackReply{}, nil
 }
 
 func (d *Daemon) assembleQuota() error {
-	d.quota = unlimited{}
 	if d.cfg.Plain != nil {
 		d.quota = &staticShares{instances: max(d.cfg.Plain.Instances, 1)}
+		return nil
 	}
-	return nil
+	driver, err := quota.New(quota.Config{
+		Self:  d.listeners.peers.Addr().String(),
+		Store: d.store,
+		Peers: d.peers,
+		Calls: d.peerCalls,
+		Rand:  rand.New(rand.NewSource(rand.Int63())),
+		Log:   d.log,
+	})
+	d.quota = driver
+	return err
 }
