Free the room of old draws when they end

A pool that nobody polled refilled as if tokens of old draws could still return, so a burst after a quiet moment got less than it was due. Old draws now end at their own time.

--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -171,6 +171,7 @@
 	n := o.fractions().Count()
 	for account, p := range o.pools {
 		limits := o.limits[account]
+		p.advance(now)
 		p.bucket.Configure(now, limits.rate(n), limits.capacity(n))
 	}
 }
@@ -235,7 +236,7 @@
 // The pool does not use these fractions from this call on.
 func (o *Owner) HandBacks(now time.Duration) []HandBackTo {
 	o.settle(now)
-	if o.active(now) {
+	if o.active(now) || o.fractions() == 0 {
 		return nil
 	}
 	var out []HandBackTo
@@ -255,7 +256,7 @@
 	tokens := make(map[string]float64, len(o.pools))
 	part := float64(b.fractions.Count()) / float64(o.fractions().Count())
 	for account, p := range o.pools {
-		p.bucket.Advance(now)
+		p.advance(now)
 		if n := p.bucket.Level() * part; n > 0 && p.bucket.Take(n) {
 			tokens[account] = n
 		}
@@ -275,8 +276,8 @@
 	if p == nil {
 		return Grant{Account: d.Account, NoPool: true}
 	}
-	p.bucket.Advance(now)
-	o.settleDraws(now, p, d.Settled)
+	p.advance(now)
+	o.settleDraws(p, d.Settled)
 	g := Grant{Account: d.Account, Slot: slotAt(now), Lifetime: limits.Lifetime()}
 	n := o.fractions().Count()
 	if n == 0 {
@@ -302,16 +303,23 @@
 	}
 }
 
-// settleDraws frees the room of old draws and of tokens whose fate is known, and takes unused
-// tokens back.
-func (o *Owner) settleDraws(now time.Duration, p *pool, settled []Settled) {
-	oldest := slotAt(max(0, now-slotTerm))
-	for slot, n := range p.draws {
-		if slot < oldest {
-			p.bucket.Reserve(-n)
-			delete(p.draws, slot)
+// advance refills the pool up to now. Draws that are too old for their tokens to return give
+// their room free at the time at which they became too old.
+func (p *pool) advance(now time.Duration) {
+	for _, slot := range slices.Sorted(maps.Keys(p.draws)) {
+		end := time.Duration(slot+1)*slotWidth + slotTerm
+		if end > now {
+			break
 		}
+		p.bucket.Advance(end)
+		p.bucket.Reserve(-p.draws[slot])
+		delete(p.draws, slot)
 	}
+	p.bucket.Advance(now)
+}
+
+// settleDraws frees the room of tokens whose fate is known and takes unused ones back.
+func (o *Owner) settleDraws(p *pool, settled []Settled) {
 	for _, s := range settled {
 		n := float64(s.Used + s.Unused)
 		if s.Epoch != o.epoch || s.Used < 0 || s.Unused < 0 || p.draws[s.Slot] < n {
--- a/decision/quota/rules_test.go
+++ b/decision/quota/rules_test.go
@@ -25,32 +25,76 @@
 	return o
 }
 
-// Guards against a window of tokens drawn before it and used in it that exceeds burst + rate*w:
-// a full bucket is drawn, used at the end of its lifetime, and what was refilled is used at once.
-func TestDelayedTokensKeepTheBound(t *testing.T) {
-	o, r := ownerWithLoan(t), NewRequester()
-	r.SetAccounts(map[string]Limits{"a": ruleLimits})
-	r.SetOwner("owner")
-	s := r.accounts["a"]
-	check := &boundCheck{limits: ruleLimits}
-	draw := func(now, answered time.Duration) {
-		ask := Ask{Owner: "owner", Demands: []Demand{{Account: "a", Want: 1000}}}
-		r.Granted(answered, now, ask, 1, []Grant{o.Grant(now, ask.Demands[0])})
-	}
-	use := func(now time.Duration) {
-		for s.take(now) {
-			if over := check.admit(now); over > 0 {
-				t.Fatalf("at %v: %.1f tokens above the bound", now, over)
-			}
+// grantee is a requester whose tokens are checked against the bound when they are used.
+type grantee struct {
+	*Requester
+	check boundCheck
+	worst float64
+}
+
+func newGrantee() *grantee {
+	g := &grantee{Requester: NewRequester(), check: boundCheck{limits: ruleLimits}}
+	g.SetAccounts(map[string]Limits{"a": ruleLimits})
+	return g
+}
+
+// draw empties the pool at now; the answer arrives at answered.
+func (g *grantee) draw(o *Owner, now, answered time.Duration) {
+	ask := Ask{Owner: "owner", Demands: []Demand{{Account: "a", Want: 1000}}}
+	g.Granted(answered, now, ask, 1, []Grant{o.Grant(now, ask.Demands[0])})
+}
+
+// use admits statements while take has tokens.
+func (g *grantee) use(now time.Duration, take func() bool) {
+	for take() {
+		g.worst = max(g.worst, g.check.admit(now))
+	}
+}
+
+// Guards against tokens of a late answer being used next to what the pool has refilled.
+func TestLifetimeCountsFromTheRequest(t *testing.T) {
+	o, g := ownerWithLoan(t), newGrantee()
+	g.draw(o, 0, 1900*time.Millisecond)
+	g.draw(o, 1900*time.Millisecond, 1900*time.Millisecond)
+	g.use(1900*time.Millisecond, func() bool { return g.accounts["a"].take(1900 * time.Millisecond) })
+	if g.worst > 0 {
+		t.Errorf("%.1f tokens above the bound", g.worst)
+	}
+}
+
+// Guards against tokens used at the end of their lifetime together with what the fractions have
+// refilled at their holder, after the pool drew everything and handed them back.
+func TestDelayedTokensKeepTheBoundAfterHandBack(t *testing.T) {
+	const late = 199 * time.Millisecond
+	o, g, h := ownerWithLoan(t), newGrantee(), NewHolder()
+	h.SetAccounts(0, map[string]Limits{"a": ruleLimits})
+	g.draw(o, 0, time.Millisecond)
+	o.SetOwning(0, false, nil)
+	o.HandBacks(0)
+	h.SetUsable(0, allFractions, HoldTerm)
+	g.use(late, func() bool { return g.accounts["a"].take(late) })
+	g.use(late, func() bool { return h.Take(late, "a") })
+	if g.worst > 0 {
+		t.Errorf("%.1f tokens above the bound", g.worst)
+	}
+}
+
+// Guards against a borrower using fractions after their holder takes them back, because the
+// answer was late.
+func TestLoanCountsFromTheRequest(t *testing.T) {
+	o, h := NewOwner("owner", 1), NewHolder()
+	h.SetUsable(0, allFractions, HoldTerm)
+	o.SetOwning(0, true, []string{"holder"})
+	o.SetAccounts(0, map[string]Limits{"a": ruleLimits})
+	o.Grant(0, Demand{Account: "a", Want: 1})
+	ask := o.Asks(0)[0]
+	o.Borrowed(second, 0, "holder", ask.Request.Serial, h.Lend(0, ask.Request))
+	for now := second; now < 4*second; now += 10 * time.Millisecond {
+		o.settle(now)
+		if h.Lent(now) != allFractions && o.fractions() != 0 {
+			t.Fatalf("at %v the borrower still uses fractions that the holder uses", now)
 		}
 	}
-	draw(0, 150*time.Millisecond)
-	use(199 * time.Millisecond)
-	draw(199*time.Millisecond, 199*time.Millisecond)
-	use(199 * time.Millisecond)
-	draw(200*time.Millisecond, 1900*time.Millisecond)
-	draw(1900*time.Millisecond, 1900*time.Millisecond)
-	use(1900 * time.Millisecond)
 }
 
 // Guards against a clock that runs half a percent fast refilling above the rate.
--- a/decision/quota/sim_test.go
+++ b/decision/quota/sim_test.go
@@ -10,6 +10,7 @@
 
 const (
 	simPoll        = 5 * time.Millisecond
+	simRefresh     = 100 * time.Millisecond // of owners and usable fractions
 	simWait        = 5 * time.Millisecond   // of a statement for a grant on its way
 	simCallTimeout = 300 * time.Millisecond // of a request without an answer
 )
@@ -49,6 +50,7 @@
 // sim is several instances, the store and the network between them, in true time.
 type sim struct {
 	cfg       simConfig
+	accounts  []string // sorted
 	random    *rand.Rand
 	now       time.Duration
 	seq       int
@@ -76,6 +78,7 @@
 	shards      map[string]*Shard // one per account
 	view        []string
 	storeBusy   bool
+	refreshAt   time.Duration // true time
 	waiters     map[string][]*simWaiter
 	epoch       uint64
 }
@@ -84,7 +87,7 @@
 
 func newSim(cfg simConfig, seed int64) *sim {
 	return &sim{
-		cfg: cfg, random: rand.New(rand.NewSource(seed)), nodes: map[string]*simNode{},
+		cfg: cfg, accounts: sortedKeys(cfg.limits), random: rand.New(rand.NewSource(seed)), nodes: map[string]*simNode{},
 		admitted: func(string, time.Duration) {}, refused: func(string) {},
 	}
 }
@@ -111,7 +114,7 @@
 		waiters: map[string][]*simWaiter{}, epoch: s.random.Uint64(), view: slices.Clone(s.list),
 	}
 	n.fractions = NewFractions(address, n.epoch, n.clock(), rand.New(rand.NewSource(s.random.Int63())))
-	for _, account := range sortedKeys(s.cfg.limits) {
+	for _, account := range s.accounts {
 		limits := s.cfg.limits[account]
 		shard := NewShard(address, n.epoch)
 		shard.SetAccounts(n.clock(), map[string]Limits{account: limits})
@@ -168,12 +171,21 @@
 }
 
 func (n *simNode) poll() {
+	if n.s.now >= n.refreshAt {
+		n.refreshAt = n.s.now + simRefresh
+		n.refresh()
+	}
+	for _, account := range n.s.accounts {
+		n.send(n.shards[account], account)
+	}
+}
+
+func (n *simNode) refresh() {
 	usable, until := n.fractions.Usable(n.clock())
-	for _, account := range sortedKeys(n.shards) {
-		shard := n.shards[account]
-		shard.SetUsable(n.clock(), usable, until)
-		shard.SetOwner(n.clock(), n.owner(account), n.fractions.Holders())
-		n.send(shard, account)
+	holders := n.fractions.Holders()
+	for _, account := range n.s.accounts {
+		n.shards[account].SetUsable(n.clock(), usable, until)
+		n.shards[account].SetOwner(n.clock(), n.owner(account), holders)
 	}
 }
 
