Charge the quota for executions only

Cause: an account above its rate got a fifth of it. pgx prepares a statement in a request of its own and forgets it after an error, so after a refusal each statement needed two tokens; with a quarter of the tokens at hand few got both. Ruled out: the owner's bucket (it granted the full rate, seen by tracing grants) and the requester (the pure machines reach 100% at four times the rate). Change: requests that execute nothing are not charged.

--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -419,3 +419,21 @@
 	<-ctx.Done()
 	return errors.New("canceled")
 }
+
+// Guards against a statement being charged twice: drivers prepare it in a request of its own, again
+// after each refusal, so an account above its rate would get far less than its rate.
+func TestPreparingIsNotCharged(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	charged := 0
+	r.quota.refuse = func() error { charged++; return nil }
+	if _, err := c.Prepare(context.Background(), "p", "select $1"); err != nil {
+		t.Fatal(err)
+	}
+	if charged != 0 {
+		t.Errorf("preparing was charged %d times, want 0", charged)
+	}
+	if got := queryText(t, c, "p", "x"); got != "x" || charged != 1 {
+		t.Errorf("read %q and charged %d times, want x and once", got, charged)
+	}
+}
--- a/proxy/engine/run.go
+++ b/proxy/engine/run.go
@@ -89,8 +89,13 @@
 	return n.runAutocommit(ctx, u, report, started)
 }
 
-// admit asks the quota. The end of a transaction is always admitted, since it frees a connection.
+// admit asks the quota. The end of a transaction is always admitted, since it frees a connection. A
+// request that only prepares or describes is not charged: drivers prepare again after a refusal, and
+// a statement charged twice would need two tokens to get through.
 func (n *session) admit(ctx context.Context, u *unit) *outcome.Error {
+	if u.executes == 0 {
+		return nil
+	}
 	if n.tx.active() && (u.sole(statement.Commit) || u.sole(statement.Rollback)) {
 		return nil
 	}
