--- a/decision/authority/confirm.go
+++ b/decision/authority/confirm.go
@@ -139,19 +139,18 @@
 	return c.resolve(now)
 }
 
-// NextDeadline returns when Advance has to be called next.
-func (c *Confirmations) NextDeadline() (time.Duration, bool) {
-	var next time.Duration
-	found := false
+// NextDeadline returns when Advance may next resolve a waiter; ok is false when time alone won't.
+func (c *Confirmations) NextDeadline(now time.Duration) (next time.Duration, ok bool) {
 	for _, w := range c.waiters {
-		if w.Mode != ModeSample || !w.hasMajor {
+		at := w.majorityAt + c.SampleGrace
+		if w.Mode != ModeSample || !w.hasMajor || at <= now {
 			continue
 		}
-		if at := w.majorityAt + c.SampleGrace; !found || at < next {
-			next, found = at, true
+		if !ok || at < next {
+			next, ok = at, true
 		}
 	}
-	return next, found
+	return next, ok
 }
 
 func (c *Confirmations) resolve(now time.Duration) []Resolution {
--- a/decision/authority/doc.go
+++ b/decision/authority/doc.go
@@ -12,8 +12,10 @@
 //     From then on it takes no write and no replicated log of a term below T.
 //   - A server accepts Promote(T, O) only when its fence is exactly (T, O) and no log of term T or
 //     above has reached it; a repeat by the same owner after success is accepted too.
-//   - A server shows term T only when its log contains the point at which T began, and its
-//     (term, LSN) never goes down.
+//   - A server that begins to follow a primary of term T accepts no fence and no promotion of T or
+//     below from then on, even after it has rewound its log to an older term. Otherwise a late
+//     repeat of its own promotion would begin its old term a second time, from another log.
+//   - A server shows term T only when its log contains the point at which T began.
 //
 // Invariants:
 //
--- a/decision/authority/invariants_test.go
+++ b/decision/authority/invariants_test.go
@@ -208,7 +208,7 @@
 }
 
 func (w *world) replicate(p, s *server) {
-	if p != s && p.up && s.up && p.state.Role == authority.RolePrimary {
+	if p != s && p.up && s.up && !s.frozen && p.state.Role == authority.RolePrimary {
 		s.contact = w.now
 		s.copyFrom(p, w.between(0, 4))
 		w.noteSuperseded()
--- a/decision/authority/model_test.go
+++ b/decision/authority/model_test.go
@@ -19,6 +19,7 @@
 	id      authority.ServerID
 	up      bool
 	hung    bool          // while not up: answers nobody instead of refusing
+	frozen  bool          // takes no replicated log
 	delay   time.Duration // before exchange answers a call
 	state   authority.ServerState
 	log     []int // write numbers; the LSN is the length
@@ -72,6 +73,9 @@
 	if common < len(s.log) || s.state.Role == authority.RolePrimary {
 		s.state.Incarnation++
 	}
+	if p.term() > s.state.FenceTerm {
+		s.state.FenceTerm, s.state.FenceOwner = p.term(), ""
+	}
 	s.state.Role = authority.RoleReplica
 	s.log = slices.Clone(p.log[:min(common+n, len(p.log))])
 	s.state.History = nil
--- a/decision/authority/promotion.go
+++ b/decision/authority/promotion.go
@@ -112,9 +112,12 @@
 func (m *Machine) trackLeaving(now time.Duration) {
 	moving := m.Moving()
 	if moving && !m.leaving {
-		m.leavingSince, m.moves = now, 0
+		m.leavingSince = now
 	}
 	m.leaving = moving
+	if primary := m.view.PrimaryView(); primary != nil && !primary.Leaving {
+		m.moves = 0
+	}
 }
 
 // Moving reports whether the primary is leaving and another server can take over. The driver then
@@ -420,7 +423,7 @@
 // fencedEnough reports whether no reachable server is left that may soon accept the fence.
 func (m *Machine) fencedEnough(now time.Duration) bool {
 	a := m.attempt
-	if now-a.majorityAt >= m.t.FenceGrace {
+	if now-a.majorityAt >= m.grace() {
 		return true
 	}
 	for i := range m.view.Servers {
@@ -433,6 +436,15 @@
 	return true
 }
 
+// grace returns how long the attempt waits for servers beyond the majority: longer when a leaving
+// primary is to be left out, because the others then have to form a majority.
+func (m *Machine) grace() time.Duration {
+	if m.attempt.avoid != "" {
+		return m.t.AttemptTimeout / 2
+	}
+	return m.t.FenceGrace
+}
+
 // promote orders the promotion of the target, also again after a lost answer. The target is chosen
 // once per term: another one would be a second primary of the term.
 func (m *Machine) promote() []Action {
@@ -518,7 +530,7 @@
 	if a := m.attempt; a != nil {
 		out = append(out, a.startedAt+m.t.AttemptTimeout)
 		if a.hasMajor {
-			out = append(out, a.majorityAt+m.t.FenceGrace)
+			out = append(out, a.majorityAt+m.grace())
 		}
 	}
 	return out
--- a/decision/authority/scenario_test.go
+++ b/decision/authority/scenario_test.go
@@ -135,6 +135,25 @@
 	return term
 }
 
+// Guards against a leaving primary replaced by a server that lacks a confirmed write. Writers that
+// don't know of the move keep the primary ahead, s1 gets no log but the beginning of each term, and
+// s2 accepts the fence too late for the promotion.
+func TestLeavingPrimaryKeepsConfirmedWrites(t *testing.T) {
+	w := newWorld(t, 1, authority.DefaultTimings(), 3, 1)
+	w.pass(time.Second)
+	w.servers[2].delay = 600 * time.Millisecond
+	leave(0)(w)
+	for w.now < observe {
+		w.servers[1].frozen = w.servers[1].term() == w.highestTerm()
+		w.beginWrite(w.instances[0], authority.ModeMajority)
+		w.beginConfirm(w.instances[0])
+		w.quiet()
+	}
+	if w.stats["promotions"] <= 3 || w.stats["confirmed"] == 0 {
+		t.Errorf("seen %v, want confirmed writes and more than 3 promotions", w.stats)
+	}
+}
+
 // Guards against a second server promoted in a term: after lost promotions the machine may not
 // fence at the same term again, because it could then choose another server.
 func TestTermIsNeverReused(t *testing.T) {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -183,7 +183,7 @@
 
 func (g *Group) nextWake(now time.Duration) time.Duration {
 	next := g.machine.NextTick(now)
-	if at, ok := g.confirm.NextDeadline(); ok {
+	if at, ok := g.confirm.NextDeadline(now); ok {
 		next = min(next, at)
 	}
 	for _, p := range g.placements {
