--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -206,8 +207,15 @@
 	}
 }
 
-// SetServers takes over the leaving marks of a new manifest. A change of membership or addresses
-// needs a new Group.
+// Serves reports whether servers have the members, addresses and places of this group. If not, a
+// new Group has to take its place.
+func (g *Group) Serves(servers []manifest.Server) bool {
+	return slices.EqualFunc(g.cfg.Servers, servers, func(a, b manifest.Server) bool {
+		return a.ID == b.ID && a.Address == b.Address && a.Region == b.Region && a.FailureDomain == b.FailureDomain
+	})
+}
+
+// SetServers takes over the leaving marks of a new manifest, see Serves for other changes.
 func (g *Group) SetServers(ctx context.Context, servers []manifest.Server) {
 	g.post(ctx, func() { g.machine.SetLeaving(leaving(servers)) })
 }
--- a/proxy/group/group_test.go
+++ b/proxy/group/group_test.go
@@ -165,6 +165,9 @@
 	floor := w.mustConfirm(t, ctx, manifest.AcknowledgePrimary)
 	servers := standInServers(d)
 	servers[0].Leaving = true
+	if !views[0].Serves(servers) {
+		t.Error("a leaving mark asks for a new group")
+	}
 	begun := time.Now()
 	for _, g := range views {
 		g.SetServers(ctx, servers)
