--- /dev/null
+++ b/cmd/internal/processtest/failover_test.go
@@ -0,0 +1,81 @@
+package processtest
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+// Stated targets of the gap in writes.
+const (
+	gapAfterCrash = 3 * time.Second
+	gapWorstCase  = 18 * time.Second
+)
+
+// awaitFailover waits until another server than old is the primary and takes writes.
+func (d *deployment) awaitFailover(old int) int {
+	d.t.Helper()
+	next := d.awaitPrimary(old)
+	d.awaitGrowth(next, 200)
+	return next
+}
+
+// awaitReturn waits until the superseded server old follows the new primary, which still takes
+// writes.
+func (d *deployment) awaitReturn(old, next int) {
+	d.t.Helper()
+	waitFor(d.t, fmt.Sprintf("server %s follows %s", d.servers[old].id, d.servers[next].id), func() bool {
+		state, ok := d.state(next)
+		returned, known := d.state(old)
+		return ok && known && returned.Role == authority.RoleReplica && returned.Term == state.Term
+	})
+	d.awaitGrowth(next, 200)
+}
+
+// Guards against acknowledged writes that a crash of the primary loses or repeats, and against a
+// long gap in writes.
+func TestPrimaryKilled(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	d.servers[0].kill()
+	d.awaitFailover(0)
+	checkGap(t, r.finish(), gapAfterCrash)
+}
+
+// Guards against acknowledgements by a primary that was paused and superseded.
+func TestPrimaryPaused(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	d.servers[0].signal(t, syscall.SIGSTOP)
+	next := d.awaitFailover(0)
+	d.servers[0].signal(t, syscall.SIGCONT)
+	d.awaitReturn(0, next)
+	checkGap(t, r.finish(), gapWorstCase)
+}
+
+// Guards against a primary that no instance reaches but that its replicas hear, and against its
+// return.
+func TestPrimaryCutOffFromInstances(t *testing.T) {
+	d := deploy(t, setup{relayServers: true})
+	r := d.startLoad(nil)
+	d.servers[0].relay.blackHole()
+	next := d.awaitFailover(0)
+	d.servers[0].relay.leaveHole()
+	d.awaitReturn(0, next)
+	checkGap(t, r.finish(), gapWorstCase)
+}
+
+// Guards against acknowledgements by a primary without replicas, and against a group that stays
+// without writes because its primary still answers the instances.
+func TestPrimaryCutOffFromPeers(t *testing.T) {
+	d := deploy(t, setup{relayPeers: true})
+	r := d.startLoad(nil)
+	d.eachPeerLink(0, (*relay).cut)
+	next := d.awaitFailover(0)
+	d.eachPeerLink(0, (*relay).heal)
+	d.awaitReturn(0, next)
+	checkGap(t, r.finish(), gapWorstCase)
+}
--- a/decision/statement/class.go
+++ b/decision/statement/class.go
@@ -63,13 +63,15 @@
 	// Taints is true when the statement runs code that may change the connection's settings, so
 	// that the connection is not reused.
 	Taints bool
-	// Access is the mode named by Begin, or by SET TRANSACTION.
+	// Access is the mode named by Begin or SET TRANSACTION; for several statements it is ReadWrite
+	// if one of them names that, else AccessDefault.
 	Access Access
 	// RollbackTo is true for ROLLBACK TO SAVEPOINT.
 	RollbackTo bool
 	// End is the offset behind the last token of the first statement, without its semicolon.
 	End int
-	// Name and Value belong to Setting and Discard. A reset has an empty Value and Reset set.
+	// Name is the parameter of Setting and of a Read that is SHOW, or the first word of Discard. Value
+	// belongs to Setting and Discard. A reset has an empty Value and Reset set.
 	Name, Value string
 	Reset       bool
 	// Message and Remedy belong to Refused.
--- a/decision/statement/classify.go
+++ b/decision/statement/classify.go
@@ -30,6 +30,9 @@
 	m.Control = whole.controls() || next.controls()
 	m.Certain = whole.Certain || next.Certain
 	m.Taints = whole.Taints || next.Taints
+	if whole.Access == ReadWrite || next.Access == ReadWrite {
+		m.Access = ReadWrite
+	}
 	switch {
 	case whole.Kind == Refused:
 		return refused(whole.Message, whole.Remedy, m.Count)
@@ -132,7 +135,7 @@
 	case "select", "with", "values", "table", "explain", "(":
 		return p.query()
 	case "show":
-		return p.consume(Class{Kind: Read})
+		return p.show()
 	case "begin", "start":
 		return p.begin()
 	case "commit", "end":
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -25,6 +25,8 @@
 	cfg     Config
 	log     logrus.FieldLogger
 	metrics *telemetry.Metrics
+	// outstanding returns the statements of this instance at a server; set before start.
+	outstanding func(authority.ServerID) int
 
 	mu      sync.Mutex
 	run     context.Context // nil before start
@@ -96,6 +98,7 @@
 		Logger:        g.log,
 		Observer:      newGroupMetrics(g.metrics.Scope, d.Name),
 		CoverPrimary:  cover,
+		Outstanding:   g.outstanding,
 	})
 	if err != nil {
 		event(g.log, EventDatabaseSkipped).WithError(err).WithField("database", d.Name).
@@ -153,7 +156,11 @@
 func (g *groups) database(name string) (engine.Database, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m, ok := g.members[name]; ok {
+	m, ok := g.members[name]
+	switch {
+	case ok && g.cfg.Plain != nil:
+		return plainDatabase{m.group}, nil
+	case ok:
 		return m.group, nil
 	}
 	return nil, outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
--- a/proxy/daemon/metrics.go
+++ b/proxy/daemon/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
 )
@@ -17,6 +18,7 @@
 	scope    tally.Scope
 	retries  *retryBudgets
 	sessions tally.Gauge
+	tell     func(engine.Statement) // nil if nobody asks
 
 	mu     sync.Mutex
 	open   int
@@ -34,8 +36,9 @@
 	run   tally.Histogram
 }
 
-func newStatementMetrics(scope tally.Scope, retries *retryBudgets) *statementMetrics {
+func newStatementMetrics(scope tally.Scope, retries *retryBudgets, tell func(engine.Statement)) *statementMetrics {
 	return &statementMetrics{
+		tell:     tell,
 		scope:    scope,
 		retries:  retries,
 		sessions: scope.Gauge("sessions"),
@@ -43,6 +46,15 @@
 	}
 }
 
+// StartupRefused implements engine.Observer.
+func (m *statementMetrics) StartupRefused(_ string, err error) {
+	code := "connection"
+	if e := outcome.As(err); e != nil {
+		code = e.Code
+	}
+	m.scope.Tagged(map[string]string{"code": code}).Counter("startups_refused_total").Inc(1)
+}
+
 // SessionOpened implements engine.Observer.
 func (m *statementMetrics) SessionOpened(engine.Session) {
 	m.count(1)
@@ -63,6 +75,9 @@
 // StatementDone implements engine.Observer.
 func (m *statementMetrics) StatementDone(s engine.Statement) {
 	m.retries.request(s.Route)
+	if m.tell != nil {
+		m.tell(s)
+	}
 	series := m.of(statementKey{s.Account, s.Route, served(s), s.Outcome})
 	series.count.Inc(1)
 	series.wait.RecordValue(s.Wait.Seconds())
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -17,15 +17,20 @@
 
 var errNoMajority = outcome.New(outcome.Unknown, outcome.CodeStatementUnknown, "no majority", "check").WithRetryAfter(70 * time.Millisecond)
 
-// Guards against a write being acknowledged before it is confirmed.
+// Guards against a write being acknowledged before it is confirmed, and against a late cancel request
+// making its outcome unknown.
 func TestWriteIsHeldUntilConfirmed(t *testing.T) {
 	r := newRig(t)
 	c := r.connect()
 	confirming, proceed := make(chan struct{}), make(chan struct{})
-	r.db.setConfirm(func(context.Context) error {
+	r.db.setConfirm(func(ctx context.Context) error {
 		close(confirming)
-		<-proceed
-		return nil
+		select {
+		case <-proceed:
+			return nil
+		case <-ctx.Done():
+			return errNoMajority
+		}
 	})
 	answered := make(chan error, 1)
 	go func() {
@@ -36,6 +41,9 @@
 	if _, _, inUse := r.pool.counts(); inUse != 0 {
 		t.Error("the connection is kept while the write waits for its confirmation")
 	}
+	if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
 	select {
 	case err := <-answered:
 		t.Fatalf("answered before the confirmation: %v", err)
@@ -126,6 +134,48 @@
 	}
 }
 
+// Guards against writes being refused during a failover although a primary comes in time.
+func TestWriteWaitsForThePrimary(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	r.primary.readOnly.Store(true)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "insert a")
+		answered <- err
+	}()
+	waitFor(t, func() bool {
+		r.db.mu.Lock()
+		defer r.db.mu.Unlock()
+		return r.db.failures > DefaultMaxAttempts
+	})
+	r.primary.readOnly.Store(false)
+	if err := <-answered; err != nil {
+		t.Errorf("write across a failover: %v", err)
+	}
+	if n := r.primary.writes.Load(); n != 1 {
+		t.Errorf("%d writes, want 1", n)
+	}
+}
+
+// Guards against retries beyond the route's budget.
+func TestRetryBudget(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.AllowRetry = func(string) bool { return false } })
+	c := r.connect()
+	r.replica.die.Store(true)
+	wantCode(t, c, "select 1", outcome.CodeStatementUnknown)
+}
+
+// Guards against rows being answered twice, when a read fails after a part of its answer was sent.
+func TestReadFailsAfterPartOfItsAnswer(t *testing.T) {
+	r := newRig(t)
+	c := r.connect()
+	wantCode(t, c, "select rows 100 die", outcome.CodeStatementUnknown)
+	if got := r.rec.last(); got.Attempts != 1 {
+		t.Errorf("reported %+v, want one attempt", got)
+	}
+}
+
 // Guards against a write on an idempotent route not being repeated, and one that was refused by a
 // fenced primary being reported as unknown.
 func TestWriteRetries(t *testing.T) {
@@ -136,6 +186,7 @@
 	if got := r.rec.last(); got.Attempts != 2 {
 		t.Errorf("reported %+v, want 2 attempts", got)
 	}
+	r.srv.cfg.PrimaryWait = 50 * time.Millisecond
 	r.primary.readOnly.Store(true)
 	e := wantCode(t, c, "insert a", outcome.CodeReadOnly)
 	if !strings.HasPrefix(e.Detail, "not_run retry_after_ms=") {
@@ -202,6 +253,9 @@
 	exec(t, c, "begin")
 	wantCode(t, c, "insert a", outcome.CodeReadOnly)
 	exec(t, c, "rollback")
+	exec(t, c, "begin")
+	wantCode(t, c, "set transaction read write", outcome.CodeReadOnly)
+	exec(t, c, "rollback")
 }
 
 // Guards against quota refusals without a retry-after, and against refused statements running.
@@ -267,16 +321,17 @@
 
 // Guards against a large pipeline and its large answer blocking each other.
 func TestLargePipeline(t *testing.T) {
-	r := newRig(t)
+	const statements, size = 600, 50_000 // more than the socket buffers of both sides hold
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxPipelineSize = 2 * statements * size })
 	c := r.connect()
 	b := &pgx.Batch{}
-	for range 2000 {
-		b.Queue("select $1", strings.Repeat("y", 1000))
+	for range statements {
+		b.Queue("select $1", strings.Repeat("y", size))
 	}
 	results := c.SendBatch(context.Background(), b)
-	for i := range 2000 {
+	for i := range statements {
 		var v string
-		if err := results.QueryRow().Scan(&v); err != nil || len(v) != 1000 {
+		if err := results.QueryRow().Scan(&v); err != nil || len(v) != size {
 			t.Fatalf("answer %d: %d bytes, %v", i, len(v), err)
 		}
 	}
@@ -305,6 +360,10 @@
 	if got := queryText(t, c, "select $1", "x"); got != "x" {
 		t.Errorf("got %q", got)
 	}
+	wantCode(t, c, "fail", "22012") // after an error nothing is taken for prepared
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("got %q", got)
+	}
 }
 
 // Guards against refused statements without a remedy, and settings reaching a shared connection.
@@ -319,6 +378,10 @@
 	exec(t, c, "reset all")
 	exec(t, c, "set DateStyle to ISO", pgx.QueryExecModeExec)
 	exec(t, c, ";")
+	results, err := c.PgConn().Exec(context.Background(), "show transaction_read_only").ReadAll()
+	if err != nil || string(results[0].Rows[0][0]) != "off" {
+		t.Errorf("transaction_read_only: %v, %v", results, err)
+	}
 	exec(t, c, "rollback")
 	if dials, _, _ := r.pool.counts(); dials != 0 {
 		t.Errorf("%d connections used for local statements", dials)
--- a/proxy/engine/relay.go
+++ b/proxy/engine/relay.go
@@ -25,6 +25,7 @@
 	code      string
 	message   string // of the server's error
 	committed bool   // a COMMIT was answered
+	uncovered bool   // a part of the answer was found not to cover the sample
 	// staleStatement means that the error concerns a prepared statement kept from an earlier unit.
 	staleStatement bool
 }
@@ -43,8 +44,12 @@
 // relay sends the unit to the server and its answer to the caller, up to ReadyForQuery, which is
 // left to the session. The answer's last part is held back if the plan says so.
 func (n *session) relay(ctx context.Context, up *upstream, u *unit, p plan) result {
-	x := &exchange{session: n, ctx: ctx, up: up, u: u, plan: p}
+	x := &u.exchange
+	*x = exchange{session: n, ctx: ctx, up: up, u: u, plan: p, steps: x.steps[:0]}
 	x.guarded = p.guard && up.target.Primary
+	if up.target.Verify != nil {
+		n.out.hold()
+	}
 	n.attach(up)
 	defer n.detach()
 	x.transmit()
@@ -64,9 +69,10 @@
 	plan    plan
 	guarded bool
 	steps   []step
-	at      int  // next step to be answered
-	cached  bool // a statement prepared in an earlier unit is used
-	hide    bool // the answer belongs to the guard
+	at      int        // next step to be answered
+	cached  bool       // a statement prepared in an earlier unit is used
+	hide    bool       // the answer belongs to the guard
+	raw     rawMessage // the message being queued; here, because it would be allocated otherwise
 	sender  chan error
 }
 
@@ -194,15 +200,28 @@
 		return
 	}
 	if x.out.heldSize() > x.srv.cfg.MaxHeldSize {
+		x.releaseEarly()
+	}
+}
+
+// releaseEarly bounds the held part of a long answer.
+func (x *exchange) releaseEarly() {
+	if x.up.target.Verify == nil {
 		x.confirmEarly()
+		return
 	}
+	if x.err = x.verify(x.ctx, x.up); x.err != nil {
+		x.uncovered = true
+		return
+	}
+	x.out.release()
+	x.callerErr = x.out.spill()
 }
 
 // confirmEarly bounds the held part of a long answer: what was committed so far is confirmed and
 // may go out. The end of the answer is confirmed again.
 func (x *exchange) confirmEarly() {
 	if e := x.confirm(x.ctx, x.up.target); e != nil {
-		x.out.dropHeld()
 		x.err = e
 		return
 	}
--- a/proxy/engine/server.go
+++ b/proxy/engine/server.go
@@ -25,6 +25,8 @@
 	keepAliveIdle     = 15 * time.Second
 	keepAliveInterval = 5 * time.Second
 	keepAliveCount    = 3
+	// userTimeout closes a connection with unacknowledged data, after the same time.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
 // Server runs client sessions. Use New.
@@ -33,6 +35,7 @@
 	ctx         context.Context // ends when the sessions are cut off
 	stop        context.CancelFunc
 	withdrawals withdrawals
+	statements  connectionStatements
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -122,6 +125,7 @@
 		Interval: keepAliveInterval,
 		Count:    keepAliveCount,
 	})
+	setUserTimeout(tcp, userTimeout)
 }
 
 func (s *Server) admitConnection(conn net.Conn) bool {
@@ -130,6 +134,10 @@
 	if s.draining || s.open >= s.cfg.MaxSessions+startupReserve {
 		return false
 	}
+	// Set before the connection is known to Shutdown, which shortens it.
+	if conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)) != nil {
+		return false
+	}
 	s.open++
 	s.starting[conn] = struct{}{}
 	return true
@@ -151,12 +159,22 @@
 	delete(s.starting, conn)
 	s.mu.Unlock()
 	if err != nil {
+		s.reportRefusal(conn, err)
 		_ = conn.Close()
 		return nil
 	}
 	return session
 }
 
+// reportRefusal tells the observer of a failed start-up. Connections that only carried a cancel request
+// have not failed.
+func (s *Server) reportRefusal(conn net.Conn, err error) {
+	if errors.Is(err, errStartupDone) {
+		return
+	}
+	s.cfg.Observer.StartupRefused(conn.RemoteAddr().String(), err)
+}
+
 func (s *Server) connectionDone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -14,8 +14,11 @@
 func (n *session) settle(ctx context.Context, up *upstream, u *unit, a *attempt, r *result, report *Statement) (e *outcome.Error, again bool, err error) {
 	switch {
 	case r.callerErr != nil:
-		up.abort()
+		up.abort(errCallerGone)
 		return nil, false, r.callerErr
+	case r.uncovered:
+		up.abort(errCallerGone)
+		return n.placeAgain(a), true, nil
 	case r.err != nil:
 		e, again = n.settleFailure(up, a, r)
 		return e, again, nil
@@ -29,6 +32,7 @@
 		return n.serverError(r), true, nil
 	case r.code == outcome.CodeReadOnly && a.hold && !u.ends:
 		n.db.ReportFailure(up.target, errReadOnlyPrimary())
+		a.primary = true
 		up.giveBack()
 		return errReadOnlyPrimary(), true, nil
 	case r.code == codeSerializationFailure && a.read && !up.target.Primary:
@@ -40,10 +44,34 @@
 		up.giveBack()
 		return n.serverError(r), true, nil
 	}
+	if up.target.Verify != nil && n.verify(ctx, up) != nil {
+		up.giveBack()
+		return n.placeAgain(a), true, nil
+	}
 	e, err = n.finish(ctx, up, u, a.plan, r, report)
 	return e, false, err
 }
 
+// verify waits until the answer of up is known to cover the read's sample.
+func (n *session) verify(ctx context.Context, up *upstream) error {
+	wait, done := context.WithTimeout(ctx, n.srv.cfg.PrimaryWait)
+	defer done()
+	if err := up.target.Verify(wait); err != nil {
+		return err
+	}
+	up.target.Verify = nil
+	return nil
+}
+
+// placeAgain sends a read, whose answer did not cover its sample, where the sample is covered.
+func (n *session) placeAgain(a *attempt) *outcome.Error {
+	a.number--
+	a.moved = true
+	a.sampleFirst = true
+	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"no replica was far enough for the read", "repeat the statement").WithRetryAfter(failoverRetry)
+}
+
 // serverError keeps a server's error for the case that the statement is not tried again.
 func (n *session) serverError(r *result) *outcome.Error {
 	return outcome.New(outcome.NotRun, r.code, r.message, "repeat the statement")
@@ -58,9 +86,10 @@
 	a.exclude = append(a.exclude, up.target.Server)
 	if !r.sent {
 		up.drop()
+		a.primary = !a.read
 		return errNotSent(r.err), true
 	}
-	up.abort()
+	up.abort(r.err)
 	if killed != nil {
 		return errUnknown("the statement was ended: " + killed.Message), false
 	}
@@ -90,6 +119,7 @@
 		up.giveBack()
 	} else {
 		n.bindTransaction(up, r.status)
+		up.EndStatement()
 	}
 	if !p.hold || !r.needsConfirm(u, wasOpen) {
 		return nil, nil
@@ -98,7 +128,6 @@
 	e := n.confirm(ctx, up.target)
 	report.Confirm = time.Since(started)
 	if e != nil {
-		n.out.dropHeld()
 		n.leaveUnconfirmed()
 		return e, nil
 	}
@@ -137,11 +166,12 @@
 
 func errNotSent(cause error) *outcome.Error {
 	return outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
-		"the statement could not be sent: "+cause.Error(), "repeat the statement")
+		"the statement could not be sent: "+cause.Error(), "repeat the statement").
+		WithRetryAfter(failoverRetry)
 }
 
 func errReadOnlyPrimary() *outcome.Error {
 	return outcome.New(outcome.NotRun, outcome.CodeReadOnly,
 		"the primary is read-only, because it is being replaced", "repeat the statement").
-		WithRetryAfter(readOnlyRetry)
+		WithRetryAfter(failoverRetry)
 }
--- a/proxy/engine/unit.go
+++ b/proxy/engine/unit.go
@@ -24,6 +24,8 @@
 	// redefines means that a statement is prepared or closed in the pipeline itself.
 	redefines bool
 
+	flush    bool // ends with Flush instead of Sync
+	binds    bool
 	executes int
 	first    statement.Class // of the first statement executed
 	allReads bool
@@ -32,7 +34,10 @@
 	control  bool // opens or ends a transaction
 	ends     bool // may end a transaction with COMMIT
 	certain  bool
+	writable bool // asks for a read-write transaction
 	taints   bool
+
+	exchange exchange // with the present server; here to be reused
 }
 
 // op is one message of a pipeline.
@@ -60,7 +65,9 @@
 
 func newUnit() *unit {
 	u := units.Get().(*unit)
+	steps := u.exchange.steps[:0]
 	*u = unit{raw: u.raw[:0], ops: u.ops[:0], allReads: true, allLocal: true}
+	u.exchange.steps = steps
 	return u
 }
 
@@ -69,6 +76,7 @@
 		return
 	}
 	clear(u.ops)
+	u.exchange = exchange{steps: u.exchange.steps}
 	units.Put(u)
 }
 
@@ -88,6 +96,7 @@
 	u.control = u.control || c.Control || opensOrEnds
 	u.ends = u.ends || c.Control || c.Kind == statement.Commit
 	u.certain = u.certain || c.Certain
+	u.writable = u.writable || c.Access == statement.ReadWrite
 	u.taints = u.taints || c.Taints
 }
 
@@ -124,6 +133,7 @@
 	}
 	u.raw = raw
 	o.end = len(raw)
+	u.binds = u.binds || o.kind == opBind || o.kind == opExecute
 	u.redefines = u.redefines || o.kind == opParse || o.kind == opCloseStatement
 	u.ops = append(u.ops, o)
 	return nil
--- a/proxy/engine/upstream_test.go
+++ b/proxy/engine/upstream_test.go
@@ -20,8 +20,9 @@
 // fakeServer is a small server that speaks pgproto3. Its statements are:
 //
 //	insert...    a write, refused with 25006 while readOnly or in a read-only transaction
-//	select rows N  N rows of one text column
+//	select rows N  N rows of one text column; with "die" at the end the connection closes then
 //	select $1    the parameter; any other select gives the connection's id
+//	change       the connection's settings change
 //	fail, hang, die  an error, no answer until cancelled, a closed connection
 type fakeServer struct {
 	id       authority.ServerID
@@ -32,11 +33,15 @@
 	dieOnce  atomic.Bool
 	writes   atomic.Uint64
 	parses   atomic.Int64
+	cancels  atomic.Int64
 	running  chan string // receives "hang" when one begins
 
-	mu    sync.Mutex
-	conns map[uint32]*fakeSession
-	log   []string
+	fault func(sql string) fakeFault // of the next statement; nil for none
+
+	mu      sync.Mutex
+	conns   map[uint32]*fakeSession
+	log     []string
+	applied map[string]int // committed inserts
 }
 
 type fakeSession struct {
@@ -50,8 +55,19 @@
 	readOnly bool
 	skip     bool
 	canceled chan struct{}
+	pending  []string // inserts of the open transaction
 }
 
+// fakeFault is what goes wrong with one statement.
+type fakeFault int
+
+const (
+	faultNone fakeFault = iota
+	dieBefore           // the connection closes and the statement does not run
+	dieAfter            // it runs, and the connection closes without an answer
+	refuseAsFenced
+)
+
 type boundFake struct {
 	sql    string
 	params [][]byte
@@ -69,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &fakeServer{id: id, addr: ln.Addr().String(), running: make(chan string, 100), conns: make(map[uint32]*fakeSession)}
+	s := &fakeServer{id: id, addr: ln.Addr().String(), running: make(chan string, 100), conns: make(map[uint32]*fakeSession), applied: make(map[string]int)}
 	fakesMu.Lock()
 	fakes[s.addr] = s
 	fakesMu.Unlock()
@@ -90,6 +106,7 @@
 	fakesMu.Lock()
 	s := fakes[addr]
 	fakesMu.Unlock()
+	s.cancels.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c := s.conns[pid]; c != nil {
@@ -109,6 +126,20 @@
 	return append([]string(nil), s.log...)
 }
 
+func (s *fakeServer) apply(inserts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range inserts {
+		s.applied[i]++
+	}
+}
+
+func (s *fakeServer) appliedTimes(insert string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.applied[insert]
+}
+
 func (s *fakeServer) serve(conn net.Conn) {
 	c := &fakeSession{srv: s, pid: fakePIDs.Add(1), conn: conn, b: pgproto3.NewBackend(conn, conn),
 		stmts: make(map[string]string), portals: make(map[string]boundFake), status: 'I',
@@ -229,6 +260,17 @@
 	if c.srv.die.Load() || c.srv.dieOnce.Swap(false) {
 		return false
 	}
+	fault := faultNone
+	if c.srv.fault != nil {
+		fault = c.srv.fault(low)
+	}
+	switch {
+	case fault == dieBefore:
+		return false
+	case fault == refuseAsFenced && word == "insert":
+		c.error("25006", "fenced")
+		return true
+	}
 	if code, _ := c.srv.code.Load().(string); code != "" && word == "select" {
 		c.error(code, "refused")
 		return true
@@ -249,6 +291,10 @@
 		if c.status == 'E' {
 			word = "rollback"
 		}
+		if word == "commit" {
+			c.srv.apply(c.pending...)
+		}
+		c.pending = nil
 		c.status = 'I'
 		c.readOnly = false
 	case "insert":
@@ -257,6 +303,11 @@
 			return true
 		}
 		c.srv.writes.Add(1)
+		if c.status == 'I' {
+			c.srv.apply(low)
+		} else {
+			c.pending = append(c.pending, low)
+		}
 		word = "insert 0 1"
 	case "fail":
 		c.error("22012", "division by zero")
@@ -268,11 +319,20 @@
 		return true
 	case "die":
 		return false
+	case "change":
+		c.b.Send(&pgproto3.ParameterStatus{Name: "TimeZone", Value: "CET"})
 	case "select":
 		if simple {
 			c.describe(low)
 		}
-		word = "select " + strconv.Itoa(c.rows(low, params))
+		n := c.rows(low, params)
+		if strings.HasSuffix(low, "die") {
+			return false
+		}
+		word = "select " + strconv.Itoa(n)
+	}
+	if fault == dieAfter {
+		return false
 	}
 	c.srv.mu.Lock()
 	c.srv.log = append(c.srv.log, low)
@@ -284,6 +344,7 @@
 func (c *fakeSession) rows(sql string, params [][]byte) int {
 	if len(params) > 0 {
 		c.b.Send(&pgproto3.DataRow{Values: params[:1]})
+		_ = c.b.Flush()
 		return 1
 	}
 	var n int
--- a/proxy/group/read.go
+++ b/proxy/group/read.go
@@ -53,18 +53,30 @@
 // the group has changed in between.
 func (g *Group) readOnce(ctx context.Context, r engine.ReadRequest, until time.Duration) (t engine.Target, again bool, err error) {
 	request := routing.Request{Session: r.Floor, Bounded: r.MaxStaleness > 0, Exclude: r.Exclude}
+	if r.Sample && r.VerifyLater {
+		if t, ok := g.placeUnverified(ctx, request); ok {
+			return t, false, nil
+		}
+	}
 	sample, err := g.sample(ctx, r)
 	if err != nil {
 		return t, false, err
 	}
 	request.Sampled = sample.Position
+	floor := position.Max(r.Floor, sample.Position)
+	if t, ok := g.placeNow(request); ok {
+		t.Floor = floor
+		return t, false, nil
+	}
 	choice, err := g.place(ctx, request, r.MaxStaleness, until)
 	if err != nil {
 		return t, false, err
 	}
 	switch choice.Kind {
 	case routing.KindReplica:
-		return g.target(choice.Server, choice.Term, choice.Incarnation, false), false, nil
+		t = g.target(choice.Server, choice.Term, choice.Incarnation, false)
+		t.Floor = floor
+		return t, false, nil
 	case routing.KindResample:
 		return t, true, nil
 	}
@@ -77,7 +89,9 @@
 	case choice.Kind == routing.KindLost:
 		return t, false, g.lostWrite(r.Floor, choice.Term)
 	}
-	return g.target(choice.Server, choice.Term, choice.Incarnation, true), false, nil
+	t = g.target(choice.Server, choice.Term, choice.Incarnation, true)
+	t.Floor = floor
+	return t, false, nil
 }
 
 // sample takes the floor of a read that asks for one. A read with a staleness bound needs none.
@@ -154,6 +168,9 @@
 
 // Primary returns the present primary, see engine.Database.
 func (g *Group) Primary(ctx context.Context) (engine.Target, error) {
+	if now := g.published.Load(); now != nil && now.hasPrimary {
+		return now.primary, nil
+	}
 	w := &primaryWait{deadline: g.deadline(ctx), result: make(chan primaryAnswer, 1)}
 	if !g.post(ctx, func() { g.primaries = append(g.primaries, w) }) {
 		return engine.Target{}, errNoPrimary(0)
--- a/proxy/home/router.go
+++ b/proxy/home/router.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
@@ -11,21 +15,77 @@
 type Locator interface {
 	// Home returns the peer address of the server's home, or self for this instance.
 	Home(server authority.ServerID) (peerAddress string, self bool)
+	// Unreachable tells that the home at peerAddress did not answer, so that Home names another
+	// instance until it answers again.
+	Unreachable(peerAddress string)
 }
 
+// maxHomes is how many instances are tried for one request: two more than a single failure needs.
+const maxHomes = 3
+
 // Router implements engine.Pool: it takes connections from the local pool where this instance is
 // home, and from the home instance otherwise.
 type Router struct {
 	Locator Locator
 	Local   engine.Pool
 	Remote  *Client
+
+	outstanding sync.Map // authority.ServerID to *atomic.Int64
+}
+
+// Outstanding returns the connections to a server that this instance has in use or waits for.
+func (r *Router) Outstanding(server authority.ServerID) int {
+	return int(r.counter(server).Load())
+}
+
+func (r *Router) counter(server authority.ServerID) *atomic.Int64 {
+	if c, ok := r.outstanding.Load(server); ok {
+		return c.(*atomic.Int64)
+	}
+	c, _ := r.outstanding.LoadOrStore(server, new(atomic.Int64))
+	return c.(*atomic.Int64)
+}
+
+// counted lowers the counter when the connection is released.
+type counted struct {
+	engine.Conn
+	counter *atomic.Int64
+}
+
+// Release implements engine.Conn.
+func (c *counted) Release(reuse bool) {
+	c.counter.Add(-1)
+	c.Conn.Release(reuse)
 }
 
 // Acquire implements engine.Pool.
 func (r *Router) Acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
-	address, self := r.Locator.Home(req.Target.Server)
-	if self {
-		return r.Local.Acquire(ctx, req)
+	counter := r.counter(req.Target.Server)
+	counter.Add(1)
+	conn, err := r.acquire(ctx, req)
+	if err != nil {
+		counter.Add(-1)
+		return nil, err
+	}
+	return &counted{conn, counter}, nil
+}
+
+// acquire asks the home. An instance that does not answer is passed over at once, since
+// nothing of the statement was sent to it.
+func (r *Router) acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
+	for try := 1; ; try++ {
+		address, self := r.Locator.Home(req.Target.Server)
+		if self {
+			return r.Local.Acquire(ctx, req)
+		}
+		conn, err := r.Remote.Acquire(ctx, address, req)
+		var unreachable *unreachableError
+		if err == nil || !errors.As(err, &unreachable) || ctx.Err() != nil {
+			return conn, err
+		}
+		r.Locator.Unreachable(address)
+		if try == maxHomes {
+			return nil, unreachable.told
+		}
 	}
-	return r.Remote.Acquire(ctx, address, req)
 }
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -1,39 +1,37 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
 
 const (
 	// idleExpiry closes kept connections that no call has used. It is above the heartbeat
 	// period, so that heartbeats don't open connections.
 	idleExpiry = 30 * time.Second
-	// keptPerPeer bounds the idle connections to one peer; calls in progress may use more.
-	keptPerPeer = 4
-	// keepAliveIdle, keepAliveInterval and keepAliveCount find silent connections that no call uses.
-	keepAliveIdle     = 5 * time.Second
-	keepAliveInterval = 2 * time.Second
-	keepAliveCount    = 3
-	// userTimeout closes a connection whose sent data stays unacknowledged.
-	userTimeout = 5 * time.Second
+	// defaultKeptPerPeer bounds the idle connections to one peer; calls in progress may use more.
+	defaultKeptPerPeer = 4
 )
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	TLS     *tls.Config // nil: plain TCP
 	Traffic *Traffic    // nil: not counted
+	// KeptPerPeer bounds the idle connections to one peer; 0 keeps a few, which suits short calls.
+	KeptPerPeer int
+	// UserTimeout is that of the sockets; 0 stands for tcp.CallTimeout.
+	UserTimeout time.Duration
 }
 
 // Client calls other instances. A call uses a kept idle connection or opens one. A call that
@@ -46,7 +44,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
-	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: keptPerPeer}
+	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: cmp.Or(cfg.KeptPerPeer, defaultKeptPerPeer)}
 	return &Client{cfg: cfg, pool: drpcpool.New[string, *drpcconn.Conn](options)}
 }
 
@@ -95,10 +93,7 @@
 }
 
 func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := tcp.Dialer(cmp.Or(c.cfg.UserTimeout, tcp.CallTimeout)).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -122,11 +117,3 @@
 	}
 	return secure, nil
 }
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	return errors.CombineErrors(err, optErr)
-}
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
 
 // Defaults of Config.
@@ -39,10 +40,8 @@
 
 	// Identify returns the incarnation of the server behind a fresh connection.
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
-	// Dial opens a TCP connection; nil uses a net.Dialer.
+	// Dial opens a TCP connection; nil uses tcp.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Divisor is the number of instances that share the servers' limits, at least 1.
-	Divisor int
 }
 
 func (c Config) withDefaults() Config {
@@ -51,9 +50,8 @@
 	setDefault(&c.CheckTimeout, DefaultCheckTimeout)
 	setDefault(&c.OpenAtOnce, DefaultOpenAtOnce)
 	setDefault(&c.QueuePerAccount, DefaultQueuePerAccount)
-	setDefault(&c.Divisor, 1)
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{KeepAlive: 5 * time.Second}).DialContext
+		c.Dial = tcp.Dialer(tcp.DataTimeout).DialContext
 	}
 	return c
 }
@@ -106,18 +104,10 @@
 	}
 }
 
-// SetDivisor changes the number of instances that share the servers' limits.
-func (p *Pool) SetDivisor(n int, servers []manifest.Server) {
-	p.mu.Lock()
-	p.cfg.Divisor = max(n, 1)
-	p.mu.Unlock()
-	p.SetServers(servers)
-}
-
 func (p *Pool) limits(s manifest.Server) fairqueue.Config {
 	return fairqueue.Config{
-		Slots:           max(s.Slots/p.cfg.Divisor, 1),
-		Connections:     max(s.MaxConnections/p.cfg.Divisor, 1),
+		Slots:           s.Slots,
+		Connections:     s.MaxConnections,
 		QueuePerAccount: p.cfg.QueuePerAccount,
 	}
 }
