--- a/proxy/engine/protocol_test.go
+++ b/proxy/engine/protocol_test.go
@@ -107,6 +107,9 @@
 		if _, err := pgx.Connect(context.Background(), url); err == nil || !strings.Contains(err.Error(), code) {
 			t.Errorf("%s: %v, want SQLSTATE %s", url, err, code)
 		}
+		if e := outcome.As(<-r.rec.refused); e == nil || e.Code != code {
+			t.Errorf("refusal reported as %v, want SQLSTATE %s", e, code)
+		}
 	}
 	secure := newRig(t, func(c *Config, _ *manifest.Route) {
 		c.AllowPlain = false
@@ -182,6 +185,56 @@
 	}
 }
 
+// Guards against drivers hanging that prepare with Flush instead of Sync.
+func TestFlushAfterDescribe(t *testing.T) {
+	r := newRig(t)
+	_, f := r.login()
+	f.Send(&pgproto3.Parse{Name: "s", Query: "select $1"})
+	f.Send(&pgproto3.Describe{ObjectType: 'S', Name: "s"})
+	f.Send(&pgproto3.Flush{})
+	_ = f.Flush()
+	receiveUntil[*pgproto3.RowDescription](t, f)
+	f.Send(&pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{[]byte("x")}})
+	f.Send(&pgproto3.Flush{})
+	_ = f.Flush()
+	receiveUntil[*pgproto3.ErrorResponse](t, f)
+	f.Send(&pgproto3.Execute{})
+	f.Send(&pgproto3.Sync{})
+	f.Send(&pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{[]byte("x")}})
+	f.Send(&pgproto3.Execute{})
+	f.Send(&pgproto3.Sync{})
+	_ = f.Flush()
+	receiveUntil[*pgproto3.ReadyForQuery](t, f)
+	if row := receiveUntil[*pgproto3.DataRow](t, f); string(row.Values[0]) != "x" {
+		t.Errorf("got %q", row.Values)
+	}
+}
+
+// Guards against more sessions than configured.
+func TestSessionLimit(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxSessions = 1 })
+	first := r.connect()
+	if _, err := r.tryConnect(); err == nil || !strings.Contains(err.Error(), codeTooManyConnections) {
+		t.Errorf("second session: %v, want SQLSTATE %s", err, codeTooManyConnections)
+	}
+	_ = first.Close(context.Background())
+	<-r.rec.closed
+	r.connect()
+}
+
+// Guards against callers that stop in the middle of a message or pipeline holding buffers for ever.
+func TestHalfSentRequest(t *testing.T) {
+	r := newRig(t, func(c *Config, _ *manifest.Route) { c.ReceiveTimeout = 30 * time.Millisecond })
+	parse, _ := (&pgproto3.Parse{Query: "select 1"}).Encode(nil)
+	for _, sent := range [][]byte{{'Q', 0, 0}, {'Q', 0, 0, 0, 100, 'x'}, parse} {
+		conn, f := r.login()
+		_, _ = conn.Write(sent)
+		if e := receiveUntil[*pgproto3.ErrorResponse](t, f); e.Code != outcome.CodeConnectionFailure {
+			t.Errorf("after %q: answered %s", sent, e.Code)
+		}
+	}
+}
+
 // Guards against a pipeline without end filling the memory.
 func TestPipelineLimit(t *testing.T) {
 	r := newRig(t, func(c *Config, _ *manifest.Route) { c.MaxPipelineSize = 5000 })
--- a/proxy/engine/unit.go
+++ b/proxy/engine/unit.go
@@ -24,6 +24,8 @@
 	// redefines means that a statement is prepared or closed in the pipeline itself.
 	redefines bool
 
+	flush    bool // ends with Flush instead of Sync
+	binds    bool
 	executes int
 	first    statement.Class // of the first statement executed
 	allReads bool
@@ -34,6 +36,8 @@
 	certain  bool
 	writable bool // asks for a read-write transaction
 	taints   bool
+
+	exchange exchange // with the present server; here to be reused
 }
 
 // op is one message of a pipeline.
@@ -61,7 +65,9 @@
 
 func newUnit() *unit {
 	u := units.Get().(*unit)
+	steps := u.exchange.steps[:0]
 	*u = unit{raw: u.raw[:0], ops: u.ops[:0], allReads: true, allLocal: true}
+	u.exchange.steps = steps
 	return u
 }
 
@@ -70,6 +76,7 @@
 		return
 	}
 	clear(u.ops)
+	u.exchange = exchange{steps: u.exchange.steps}
 	units.Put(u)
 }
 
@@ -126,6 +133,7 @@
 	}
 	u.raw = raw
 	o.end = len(raw)
+	u.binds = u.binds || o.kind == opBind || o.kind == opExecute
 	u.redefines = u.redefines || o.kind == opParse || o.kind == opCloseStatement
 	u.ops = append(u.ops, o)
 	return nil
