--- a/cmd/internal/ctl/burn.go
+++ b/cmd/internal/ctl/burn.go
@@ -25,7 +25,7 @@
 	// burnTimeout bounds the answer of one instance, so that a silent one can't use up the time of
 	// the command.
 	burnTimeout = 5 * time.Second
-	// burnLimit is the largest report read in bytes. 1,200 series of about 1.5 KB are below 2 MB.
+	// burnLimit is the largest report read in bytes. 300 series of about 2 KB are below 1 MB.
 	burnLimit = 8 << 20
 )
 
--- a/decision/burn/tracker.go
+++ b/decision/burn/tracker.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// DefaultMaxSeries bounds a tracker to about 8 MB: one series holds 4 windows of 30 buckets of
-// 56 bytes.
-const DefaultMaxSeries = 1200
+// DefaultMaxSeries bounds a tracker to 2 MB, since one series holds 4 windows of 30 buckets of 56
+// bytes. With the metrics of the driver it is about 6 MB, of the 32 MB that control may take.
+const DefaultMaxSeries = 300
 
 // Other is the account and route of the series that counts what is beyond MaxSeries.
 const Other = "(other)"
--- a/proxy/burn/meter.go
+++ b/proxy/burn/meter.go
@@ -39,8 +39,8 @@
 }
 
 type seriesMetrics struct {
-	statements map[burn.Class]tally.Counter
-	rates      []tally.Gauge // in the order of the report's windows
+	statements map[burn.Class]tally.Counter // of the classes seen, since a tagged scope takes 2 KB
+	rates      []tally.Gauge                // in the order of the report's windows
 	left       tally.Gauge
 	scope      tally.Scope
 }
@@ -76,7 +76,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := m.tracker.Record(m.cfg.Now(), burn.Key{Account: s.Account, Route: s.Route}, class)
-	m.of(key).statements[class].Inc(1)
+	m.of(key).counter(class).Inc(1)
 }
 
 // of returns the metrics of a series. Their number is bounded by the tracker's series.
@@ -88,14 +88,20 @@
 		statements: make(map[burn.Class]tally.Counter),
 		scope:      m.cfg.Scope.Tagged(map[string]string{"account": k.Account, "route": k.Route}),
 	}
-	for _, class := range burn.Classes() {
-		s.statements[class] = s.scope.Tagged(map[string]string{"class": class.String()}).Counter("objective_statements_total")
-	}
 	s.left = s.scope.Gauge("objective_budget_left")
 	m.metrics[k] = s
 	return s
 }
 
+func (s *seriesMetrics) counter(class burn.Class) tally.Counter {
+	if c, ok := s.statements[class]; ok {
+		return c
+	}
+	c := s.scope.Tagged(map[string]string{"class": class.String()}).Counter("objective_statements_total")
+	s.statements[class] = c
+	return c
+}
+
 // Report returns the state now.
 func (m *Meter) Report() burn.Report {
 	m.mu.Lock()
