--- a/cmd/internal/benchcmd/capacity.go
+++ b/cmd/internal/benchcmd/capacity.go
@@ -99,11 +99,12 @@
 func measurements() []measurement {
 	return []measurement{
 		entryIdle(), entryStatement(), entryHandshake(),
-		homeCheckout(), homeQueue(), homeQueueIdle(), homeServers(), homeChoice(), homeMoves(),
+		homeCheckout(), homePeers(), homeQueue(), homeQueueIdle(), homeServers(), homeChoice(), homeMoves(),
 		proberView(), proberProbe(), proberFreshProbe(),
-		quotaRequester(quotaSlowRate), quotaRequester(quotaFastRate), quotaPoll(), quotaLoans(),
+		quotaRequester("slow.near", quotaSlowRate, quotaNear), quotaRequester("slow.far", quotaSlowRate, quotaFar),
+		quotaRequester("fast.far", quotaFastRate, quotaFar), quotaPoll(), quotaLoans(),
 		manifestDatabases(), manifestAccounts(), manifestDelta(),
-		gossipCall(), gossipTerms(), peerSet(), instanceList(), storeCall(),
+		gossipCall(), gossipTerms(), gossipSpread(3), gossipSpread(1), peerSet(), instanceList(), storeCall(),
 	}
 }
 
--- a/cmd/internal/benchcmd/capacity_config.go
+++ b/cmd/internal/benchcmd/capacity_config.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -181,12 +182,7 @@
 			}
 			traffic := &peer.Traffic{}
 			client := peer.NewClient(peer.ClientConfig{Traffic: traffic})
-			call := func() error {
-				ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
-				defer cancel()
-				_, err := client.Gossip(ctx, address, digest())
-				return err
-			}
+			call := func() error { return gossip(ctx, client, address) }
 			run := func(size int) ([]float64, error) {
 				before := traffic.Sent.Load() + traffic.Received.Load()
 				processor, err := cost(func() error { return repeat(size, call) })
@@ -197,6 +193,49 @@
 	}
 }
 
+func gossip(ctx context.Context, client *peer.Client, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	_, err := client.Gossip(ctx, address, digest())
+	return err
+}
+
+// gossipSpread counts the periods until all instances know a change that one of them begins with,
+// when each exchanges digests with a few random peers per period. The size is the binary logarithm
+// of the number of instances.
+func gossipSpread(peers int) measurement {
+	return measurement{
+		sizes: []int{7, 8, 9, 10, 11},
+		quantities: []quantity{{
+			fmt.Sprintf("config.spread.%d", peers), "periods",
+			fmt.Sprintf("doubling of the instances, %d peers a period", peers), "proxy/peer",
+		}},
+		open: alone(func(doublings int) ([]float64, error) {
+			knows := make([]bool, 1<<doublings)
+			knows[0] = true
+			periods := 0
+			for slices.Contains(knows, false) {
+				knows = exchanged(knows, peers)
+				periods++
+			}
+			return []float64{float64(periods)}, nil
+		}),
+	}
+}
+
+// exchanged returns who knows the change after one period.
+func exchanged(knows []bool, peers int) []bool {
+	next := slices.Clone(knows)
+	for i := range knows {
+		for range peers {
+			j := rand.Intn(len(knows))
+			either := knows[i] || knows[j]
+			next[i], next[j] = next[i] || either, next[j] || either
+		}
+	}
+	return next
+}
+
 // gossipTerms measures what the terms of databases add to a digest.
 func gossipTerms() measurement {
 	return measurement{
--- a/cmd/internal/benchcmd/capacity_entry.go
+++ b/cmd/internal/benchcmd/capacity_entry.go
@@ -10,8 +10,11 @@
 	"io"
 	"math/big"
 	"net"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/bench"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
@@ -26,6 +29,8 @@
 	eachRoute = "each"
 	// idleRound keeps the round short that bench.Overhead runs before the idle connections.
 	idleRound = 20 * time.Millisecond
+	// busyConnections is how many connections run statements at the same time.
+	busyConnections = 16
 )
 
 // startEntry starts one instance with both routes. A server has no service time, so that the
@@ -76,11 +81,12 @@
 	}
 }
 
-// entryStatement measures the processor time of a read. The direct path shows the part of the
-// load and the server, which run in the same process.
+// entryStatement measures the processor time of a read while several connections are busy. One
+// alone would count the runtime's search for work between two statements. The direct path shows
+// the part of the load and the server, which run in the same process.
 func entryStatement() measurement {
 	return measurement{
-		sizes: []int{500, 1000, 2000},
+		sizes: []int{1600, 3200, 6400},
 		quantities: []quantity{
 			{"entry.statement.direct.cpu", "µs", "statement", "standin/database"},
 			{"entry.statement.once.cpu", "µs", "statement", "proxy/engine"},
@@ -101,11 +107,10 @@
 func statementCosts(ctx context.Context, endpoints []bench.Endpoint, size int) ([]float64, error) {
 	values := make([]float64, len(endpoints))
 	for i, e := range endpoints {
-		run, stop, err := bench.Statements(ctx, e)
-		if err != nil {
-			return nil, err
+		runs, stop, err := openStatements(ctx, e)
+		if err == nil {
+			values[i], err = cost(func() error { return atOnce(busyConnections, size, runs) })
 		}
-		values[i], err = cost(func() error { return run(size) })
 		stop()
 		if err != nil {
 			return nil, err
@@ -114,6 +119,37 @@
 	return values, nil
 }
 
+// openStatements opens busyConnections connections and returns what runs statements on each.
+func openStatements(ctx context.Context, e bench.Endpoint) (run func(worker, n int) error, stop func(), err error) {
+	var runs []func(n int) error
+	var stops []func()
+	stop = func() {
+		for _, s := range stops {
+			s()
+		}
+	}
+	for range busyConnections {
+		r, s, err := bench.Statements(ctx, e)
+		if err != nil {
+			return nil, stop, err
+		}
+		runs, stops = append(runs, r), append(stops, s)
+	}
+	return func(worker, n int) error { return runs[worker](n) }, stop, nil
+}
+
+// atOnce shares n calls between workers that run at the same time.
+func atOnce(workers, n int, run func(worker, n int) error) error {
+	var group sync.WaitGroup
+	failures := make([]error, workers)
+	for i := range workers {
+		share := (n + i) / workers
+		group.Go(func() { failures[i] = run(i, share) })
+	}
+	group.Wait()
+	return errors.Join(failures...)
+}
+
 // entryHandshake measures full TLS 1.3 handshakes over TCP and the memory of the connections.
 func entryHandshake() measurement {
 	return measurement{
--- a/cmd/internal/benchcmd/capacity_home.go
+++ b/cmd/internal/benchcmd/capacity_home.go
@@ -48,12 +48,12 @@
 // local pool.
 func homeCheckout() measurement {
 	return measurement{
-		sizes: []int{500, 1000, 2000},
+		sizes: []int{1600, 3200, 6400},
 		quantities: []quantity{
 			{"home.local.cpu", "µs", "statement, server included", "proxy/pool"},
 			{"home.checkout.cpu", "µs", "statement, both ends, server included", "proxy/home"},
-			{"home.local.latency", "µs", "statement", "proxy/pool"},
-			{"home.checkout.latency", "µs", "statement", "proxy/home"},
+			{"home.local.latency", "µs", "statement, one at a time", "proxy/pool"},
+			{"home.checkout.latency", "µs", "statement, one at a time", "proxy/home"},
 			{"home.checkout.bytes", "B", "statement, between instances", "proxy/home"},
 		},
 		open: func(ctx context.Context) (runSize, func(), error) {
@@ -75,7 +75,7 @@
 		User:     "bench",
 		Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil },
 	})
-	p.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), MaxConnections: 8, Slots: 8}})
+	p.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), MaxConnections: busyConnections, Slots: busyConnections}})
 	stopServers := func() { p.Close(); server.Kill() }
 	address, stopPeer, err := servePeer(ctx, &peerpb.DRPCPeerUnimplementedServer{}, p)
 	if err != nil {
@@ -132,14 +132,19 @@
 	if err != nil {
 		return nil, err
 	}
-	before := b.traffic.Sent.Load() + b.traffic.Received.Load()
+	before := b.bytes()
 	remoteCost, remoteTime, err := borrowed(n, remote)
-	bytes := b.traffic.Sent.Load() + b.traffic.Received.Load() - before
-	return []float64{localCost, remoteCost, localTime, remoteTime, float64(bytes)}, err
+	// One statement opens the connections, n run at once and n one at a time.
+	bytes := (b.bytes() - before) / 2
+	return []float64{localCost, remoteCost, localTime, remoteTime, bytes}, err
 }
 
-// borrowed runs n statements, each on a connection of its own loan, and returns the processor time
-// and the elapsed time in microseconds.
+func (b *checkoutBench) bytes() float64 {
+	return float64(b.traffic.Sent.Load() + b.traffic.Received.Load())
+}
+
+// borrowed runs n statements, each on a connection of its own loan: at once for the processor
+// time and one at a time for the elapsed time, both in microseconds.
 func borrowed(n int, acquire func() (engine.Conn, error)) (processor, elapsed float64, err error) {
 	one := func() error {
 		conn, err := acquire()
@@ -153,8 +158,14 @@
 	if err := one(); err != nil {
 		return 0, 0, err
 	}
+	processor, err = cost(func() error {
+		return atOnce(busyConnections, n, func(_, share int) error { return repeat(share, one) })
+	})
+	if err != nil {
+		return 0, 0, err
+	}
 	began := time.Now()
-	processor, err = cost(func() error { return repeat(n, one) })
+	err = repeat(n, one)
 	return processor, micros(time.Since(began)), err
 }
 
@@ -178,6 +189,39 @@
 	}
 }
 
+// homePeers measures what a kept connection between two instances holds, without TLS.
+func homePeers() measurement {
+	return measurement{
+		sizes:      []int{100, 200, 400},
+		quantities: []quantity{{"home.peer.memory", "B", "connection between instances, both ends", "proxy/peer"}},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			address, stop, err := servePeer(ctx, &gossipPeer{}, nil)
+			run := func(size int) ([]float64, error) {
+				memory, err := keptConnections(ctx, address, size)
+				return []float64{memory}, err
+			}
+			return run, stop, err
+		},
+	}
+}
+
+// keptConnections returns the memory of n connections to the peer at address after one call each.
+func keptConnections(ctx context.Context, address string, n int) (float64, error) {
+	clients := make([]*peer.Client, n)
+	for i := range clients {
+		clients[i] = peer.NewClient(peer.ClientConfig{})
+		defer clients[i].Close()
+	}
+	return held(func() (any, error) {
+		for _, c := range clients {
+			if err := gossip(ctx, c, address); err != nil {
+				return nil, err
+			}
+		}
+		return clients, nil
+	})
+}
+
 // homeQueue measures a statement's way through a queue in which that many accounts wait.
 func homeQueue() measurement {
 	return measurement{
--- a/cmd/internal/benchcmd/capacity_quota.go
+++ b/cmd/internal/benchcmd/capacity_quota.go
@@ -18,7 +18,8 @@
 	quotaFastRate = 100
 
 	quotaStep    = time.Millisecond     // of the simulated time
-	quotaTrip    = 2 * time.Millisecond // one way between instances
+	quotaNear    = time.Millisecond     // one way, when a caller can wait for a grant
+	quotaFar     = 4 * time.Millisecond // one way, when tokens have to be kept in stock
 	quotaWarmUp  = 2 * time.Second
 	quotaSpan    = 10 * time.Second
 	quotaHold    = time.Hour
@@ -32,6 +33,7 @@
 // fractions, a pool owner, and one instance with callers.
 type quotaSim struct {
 	now     time.Duration
+	trip    time.Duration // one way between instances
 	caller  *quota.Shard
 	owner   *quota.Shard
 	holders map[string]*quota.Shard
@@ -48,12 +50,12 @@
 	arrive func()
 }
 
-func newQuotaSim(accounts, holders int) *quotaSim {
+func newQuotaSim(accounts, holders int, trip time.Duration) *quotaSim {
 	limits := make(map[string]quota.Limits, accounts)
 	for i := range accounts {
 		limits[accountName(i)] = quota.Limits{Rate: accountRate, Burst: accountBurst}
 	}
-	s := &quotaSim{holders: map[string]*quota.Shard{}}
+	s := &quotaSim{trip: trip, holders: map[string]*quota.Shard{}}
 	var names []string
 	for i := range holders {
 		name := fmt.Sprintf("10.0.1.%d:7432", i+1)
@@ -80,7 +82,7 @@
 }
 
 func (s *quotaSim) send(arrive func()) {
-	s.pending = append(s.pending, delivery{s.now + quotaTrip, arrive})
+	s.pending = append(s.pending, delivery{s.now + s.trip, arrive})
 }
 
 // runFor lets the given time pass; each account's callers send rate statements/s.
@@ -184,20 +186,20 @@
 }
 
 // quotaRequester measures the grants of one instance with callers of that many accounts in a shard.
-func quotaRequester(rate float64) measurement {
-	per := fmt.Sprintf("account with %g statements/s at an instance", rate)
-	name := fmt.Sprintf("quota.grant.%g/s.", rate)
+func quotaRequester(name string, rate float64, trip time.Duration) measurement {
+	per := fmt.Sprintf("account with %g statements/s at an instance, %v from the owner", rate, trip)
+	name = "quota.grant." + name + "."
 	return measurement{
 		sizes: []int{4, 8, 16},
 		quantities: []quantity{
 			{name + "calls", "calls/s", per, "decision/quota"},
 			{name + "demands", "demands/s", per, "decision/quota"},
 			{name + "bytes", "B/s", per + ", without framing", "decision/quota"},
-			{name + "cpu", "µs/s", per + ", both ends", "decision/quota"},
+			{name + "cpu", "µs/s", per + ", both ends with 1,000 passes/s each", "decision/quota"},
 			{name + "refused", "statements/s", per, "decision/quota"},
 		},
 		open: alone(func(accounts int) ([]float64, error) {
-			s := newQuotaSim(accounts, 1)
+			s := newQuotaSim(accounts, 1, trip)
 			processor, err := s.measure(accounts, rate)
 			// The loans of the only holder are measured by quotaLoans.
 			values := perSecond(s.grants, s.demands, s.bytes)
@@ -217,7 +219,7 @@
 			{"quota.loan.cpu", "µs/s", "holder of a shard with 8 accounts in use, both ends", "decision/quota"},
 		},
 		open: alone(func(holders int) ([]float64, error) {
-			s := newQuotaSim(accounts, holders)
+			s := newQuotaSim(accounts, holders, quotaFar)
 			processor, err := s.measure(accounts, quotaFastRate)
 			return append(perSecond(s.loans, s.bytes), processor), err
 		}),
@@ -236,7 +238,7 @@
 			const passes = 500
 			var shard *quota.Shard
 			memory, _ := held(func() (any, error) {
-				shard = newQuotaSim(accounts, 1).caller
+				shard = newQuotaSim(accounts, 1, quotaNear).caller
 				return shard, nil
 			})
 			processor, err := cost(func() error {
--- a/cmd/internal/benchcmd/capacity_test.go
+++ b/cmd/internal/benchcmd/capacity_test.go
@@ -43,10 +43,9 @@
 // Guards against a measurement that fails, yields fewer values than it names or never grows. The
 // sizes are tiny, so memory and processor time are only checked for being there.
 func TestMeasurements(t *testing.T) {
-	flat := map[string]bool{"quota.grant.0.5/s.refused": true, "quota.grant.100/s.refused": true}
 	for _, m := range measurements() {
 		t.Run(m.quantities[0].Name, func(t *testing.T) {
-			m.sizes = []int{2, 8, 16}
+			m.sizes = []int{2, 4, 8}
 			slopes, err := m.run(context.Background(), 1)
 			if err != nil {
 				t.Fatal(err)
@@ -55,7 +54,7 @@
 				if len(s.Samples) != len(m.sizes) || s.Package == "" || s.Unit == "" || s.Per == "" {
 					t.Errorf("incomplete %+v", s)
 				}
-				if grows(s) && !flat[s.Name] && s.Slope <= 0 {
+				if grows(s) && s.Slope <= 0 {
 					t.Errorf("%s has slope %g through %v", s.Name, s.Slope, s.Samples)
 				}
 			}
@@ -65,6 +64,9 @@
 
 // grows reports whether a quantity is counted, not measured, so that tiny sizes show its growth.
 func grows(s slopeReport) bool {
+	if strings.HasSuffix(s.Name, "refused") {
+		return false
+	}
 	counted := strings.HasSuffix(s.Unit, "s/s") && s.Unit != "µs/s"
 	return counted || s.Unit == "B" && !strings.HasSuffix(s.Name, "memory")
 }
@@ -72,7 +74,7 @@
 // Guards against quota figures of a run in which statements were refused inside the rate.
 func TestQuotaSimAdmitsWithinTheRate(t *testing.T) {
 	const accounts = 4
-	s := newQuotaSim(accounts, 8)
+	s := newQuotaSim(accounts, 8, quotaFar)
 	if _, err := s.measure(accounts, quotaFastRate); err != nil {
 		t.Fatal(err)
 	}
