--- a/proxy/engine/upstream.go
+++ b/proxy/engine/upstream.go
@@ -1,10 +1,16 @@
 package engine
 
 import (
+	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 )
 
 // upstream is a connection to a server while a session uses it.
@@ -12,15 +18,21 @@
 	Conn
 	frontend *pgproto3.Frontend
 	target   Target
+	known    *connectionStatements
 	stmts    *statementCache
 	tainted  atomic.Bool // not reused after release
 	extended time.Time   // when the progress deadline was last set
 }
 
-func newUpstream(c Conn, t Target, cfg *Config) *upstream {
+// errCallerGone is the reason to abort a statement whose caller has gone; like a timeout it leaves a
+// statement running.
+var errCallerGone error = os.ErrDeadlineExceeded
+
+func (s *Server) newUpstream(c Conn, t Target) *upstream {
 	f := c.Frontend()
-	f.SetMaxBodyLen(cfg.MaxResultMessageSize)
-	return &upstream{Conn: c, frontend: f, target: t, stmts: upstreamStatements.of(f, cfg.UpstreamStatements)}
+	f.SetMaxBodyLen(s.cfg.MaxResultMessageSize)
+	stmts := s.statements.of(f, s.cfg.UpstreamStatements)
+	return &upstream{Conn: c, frontend: f, target: t, known: &s.statements, stmts: stmts}
 }
 
 // giveBack releases a connection that is idle and outside a transaction.
@@ -30,20 +42,26 @@
 		reuse = u.SetDeadline(time.Time{}) == nil
 	}
 	if !reuse {
-		upstreamStatements.forget(u.frontend)
+		u.known.forget(u.frontend)
 	}
 	u.Release(reuse)
 }
 
 // drop closes the connection.
 func (u *upstream) drop() {
-	upstreamStatements.forget(u.frontend)
+	u.known.forget(u.frontend)
 	u.Release(false)
 }
 
-// abort cancels the statement that is still running on the server and closes the connection, in the
-// background since the cancel request may take cancelTimeout.
-func (u *upstream) abort() {
+// abort closes a connection after err. A statement that may still be running on the server is
+// cancelled first, in the background since that may take cancelTimeout.
+func (u *upstream) abort(err error) {
+	var timeout net.Error
+	stillOpen := outcome.As(err) != nil || (errors.As(err, &timeout) && timeout.Timeout())
+	if !stillOpen {
+		u.drop()
+		return
+	}
 	go func() {
 		u.cancel()
 		u.drop()
