Refuse late promotions after a rewind, and replace group views when members change

Cause: reviews of the group driver found three faults outside it. A stand-in server rewound by a later term's primary kept its old fence, so a late repeat of its promotion began a term twice; the control client overwrote the name that a server reported, so one server behind two manifest entries counted as two; the daemon kept a group view whose servers had changed. A missing instance list counts as an empty one. Before and after: TestLatePromotionAfterRewindIsRefused fails without the raised fence (fence 2 by a, want 3 by nobody) and passes with it. Conclusion: one server counts once, one term begins once.

--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
@@ -68,6 +69,10 @@
 	for _, d := range m.Databases {
 		cover := acknowledgesOnPrimary(m.Routes, d.Name)
 		have, ok := g.members[d.Name]
+		if ok && !have.group.Serves(d.Servers) {
+			have.stop()
+			ok = false
+		}
 		if !ok {
 			g.add(d, cover)
 			continue
@@ -154,17 +159,65 @@
 
 // database implements the lookup of directory.Config.
 func (g *groups) database(name string) (engine.Database, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	m, ok := g.members[name]
-	switch {
-	case ok && g.cfg.Plain != nil:
-		return plainDatabase{m.group}, nil
-	case ok:
+	d := namedDatabase{groups: g, name: name}
+	if _, err := d.group(); err != nil {
+		return nil, err
+	}
+	if g.cfg.Plain != nil {
+		return plainDatabase{d}, nil
+	}
+	return d, nil
+}
+
+// namedDatabase implements engine.Database for sessions, which outlive a group view that a manifest
+// with other servers replaces.
+type namedDatabase struct {
+	groups *groups
+	name   string
+}
+
+// Read implements engine.Database.
+func (d namedDatabase) Read(ctx context.Context, r engine.ReadRequest) (engine.Target, error) {
+	g, err := d.group()
+	if err != nil {
+		return engine.Target{}, err
+	}
+	return g.Read(ctx, r)
+}
+
+// Primary implements engine.Database.
+func (d namedDatabase) Primary(ctx context.Context) (engine.Target, error) {
+	g, err := d.group()
+	if err != nil {
+		return engine.Target{}, err
+	}
+	return g.Primary(ctx)
+}
+
+// Confirm implements engine.Database.
+func (d namedDatabase) Confirm(ctx context.Context, t engine.Target, mode manifest.Acknowledge) (position.Position, error) {
+	g, err := d.group()
+	if err != nil {
+		return position.Position{}, err
+	}
+	return g.Confirm(ctx, t, mode)
+}
+
+// ReportFailure implements engine.Database.
+func (d namedDatabase) ReportFailure(t engine.Target, err error) {
+	if g, lookup := d.group(); lookup == nil {
+		g.ReportFailure(t, err)
+	}
+}
+
+func (d namedDatabase) group() (*group.Group, error) {
+	d.groups.mu.Lock()
+	defer d.groups.mu.Unlock()
+	if m, ok := d.groups.members[d.name]; ok {
 		return m.group, nil
 	}
 	return nil, outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
-		"database "+name+" is not served by this instance yet", "retry; see whether the manifest names it")
+		"database "+d.name+" is not served by this instance yet", "retry; see whether the manifest names it")
 }
 
 // assembleDatabases creates the directory, the group views and the pool that follow the manifest.
--- a/proxy/dbgroup/client.go
+++ b/proxy/dbgroup/client.go
@@ -169,11 +169,7 @@
 	if len(result.Rows) != 1 {
 		return authority.ServerState{}, errors.Newf("server %s answered a control call with %d rows instead of 1; check its version", c.cfg.Server, len(result.Rows))
 	}
-	state, err := ParseState(result.Rows[0])
-	if err == nil && c.cfg.Server != "" {
-		state.Server = c.cfg.Server
-	}
-	return state, err
+	return ParseState(result.Rows[0])
 }
 
 func (c *Client) connect(ctx context.Context) (*pgconn.PgConn, error) {
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -117,6 +117,10 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Refresh)
 	defer cancel()
 	instances, err := s.cfg.List.Instances(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		// The platform has not written a list: this instance works alone.
+		instances, err = nil, nil
+	}
 	if err != nil {
 		s.cfg.Log.WithField(FieldEvent, EventListFailed).WithError(err).
 			Warn("instance list can't be read; the last list stays in use")
--- a/standin/database/group_test.go
+++ b/standin/database/group_test.go
@@ -168,6 +168,39 @@
 	}
 }
 
+// Guards against a term that begins twice: a promotion that is repeated late, after its server was
+// rewound by the primary of a later term.
+func TestLatePromotionAfterRewindIsRefused(t *testing.T) {
+	ctx := testContext(t)
+	g := startGroup(t, GroupConfig{})
+	for _, s := range []int{0, 1} {
+		if _, err := client(t, g, s).Fence(ctx, 2, "a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.CutPeers(1, true)
+	if _, err := client(t, g, 1).Promote(ctx, 2, "a"); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []int{0, 2} {
+		if _, err := client(t, g, s).Fence(ctx, 3, "b"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := client(t, g, 0).Promote(ctx, 3, "b"); err != nil {
+		t.Fatal(err)
+	}
+	g.CutPeers(1, false)
+	waitPosition(t, g, 1, position.Position{Term: 3, LSN: 1})
+	g.FreezeReplication(1, true)
+	if _, err := client(t, g, 1).Promote(ctx, 2, "a"); !errors.Is(err, dbgroup.ErrRefused) {
+		t.Errorf("late promotion: %v, want a refusal", err)
+	}
+	if s := g.Server(1).State(); s.FenceTerm != 3 || s.FenceOwner != "" {
+		t.Errorf("fence %d by %q, want 3 by nobody", s.FenceTerm, s.FenceOwner)
+	}
+}
+
 // Guards against a replica that accepts log of a primary below its fence.
 func TestFencedReplicaStopsFollowing(t *testing.T) {
 	ctx := testContext(t)
--- a/standin/database/replicate.go
+++ b/standin/database/replicate.go
@@ -243,7 +243,7 @@
 	if !s.mayFollow(primary.Term) {
 		return 0, false
 	}
-	if s.promoted != 0 && s.setPromoted(0) != nil {
+	if s.raiseFence(primary.Term) != nil || (s.promoted != 0 && s.setPromoted(0) != nil) {
 		return 0, false
 	}
 	branch := branchPoint(s.history, s.lsn(), primary.History)
@@ -254,6 +254,21 @@
 	return s.lsn(), true
 }
 
+// raiseFence makes the server refuse everything below a term that it follows. Without it a server
+// that was rewound past a term that it had begun would take a late repeat of that promotion, and
+// the term would begin twice.
+func (s *state) raiseFence(term uint64) error {
+	if term <= s.fence.Term {
+		return nil
+	}
+	raised := fence{Term: term}
+	if err := s.storage.append(entry{Fence: &raised}); err != nil {
+		return err
+	}
+	s.fence = raised
+	return nil
+}
+
 // branchPoint returns the LSN up to which a log with history mine and length lsn agrees with the
 // log of a primary whose history is at least as new.
 func branchPoint(mine position.History, lsn uint64, primary position.History) uint64 {
