Start a drain in the goroutine that writes the fractions

A drain that began between applying the usable fractions and planning a write could remove fractions from the record while a shard still used or lent them. The keeper now starts the drain itself. The number of the process no longer comes from a seeded source, since two processes with one number would share fractions. Reads after a peer names a newer record are spread by the number of instances, and an unknown account is refused with its own reason.

--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -21,7 +21,7 @@
 	// period, so that heartbeats don't open connections.
 	idleExpiry = 30 * time.Second
 	// keptPerPeer bounds the idle connections to one peer; calls in progress may use more.
-	keptPerPeer = 4
+	keptPerPeer = 8
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find silent connections that no call uses.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	crand "crypto/rand"
+	"encoding/binary"
 	"math/rand"
 	"strconv"
 	"sync"
@@ -45,6 +47,9 @@
 	Rand  *rand.Rand
 	Log   logrus.FieldLogger
 	Clock func() time.Duration // nil: time since the machine booted
+	// Process tells this process from earlier and other ones; 0: a random number. Two processes
+	// with the same number would share fractions.
+	Process uint64
 }
 
 // Stats counts messages and decisions since the start.
@@ -93,7 +98,10 @@
 	if cfg.Clock == nil {
 		cfg.Clock = bootTime
 	}
-	d := &Driver{cfg: cfg, epoch: cfg.Rand.Uint64()}
+	if cfg.Process == 0 {
+		cfg.Process = randomProcess()
+	}
+	d := &Driver{cfg: cfg, epoch: cfg.Process}
 	for i := range d.shards {
 		d.shards[i] = &shard{machine: quota.NewShard(cfg.Self, d.epoch), answered: make(chan struct{})}
 	}
@@ -102,6 +110,13 @@
 	return d, nil
 }
 
+// randomProcess returns a random number that does not depend on a seed.
+func randomProcess() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // never fails, see crypto/rand
+	return binary.LittleEndian.Uint64(b[:])
+}
+
 // Run keeps fractions and sends messages until ctx ends.
 func (d *Driver) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -139,9 +154,14 @@
 func (d *Driver) Admit(ctx context.Context, account string) error {
 	s := d.shards[shardOf(account)]
 	s.mu.Lock()
+	_, known := s.limits[account]
 	verdict := s.machine.Admit(d.cfg.Clock(), account)
 	answered := s.answered
 	s.mu.Unlock()
+	if !known {
+		d.count.refused.Add(1)
+		return refusal(account, "is not known to this instance", "repeat the request when the configuration has arrived", verdict)
+	}
 	if verdict.Wait {
 		d.sender.wake()
 		verdict = d.wait(ctx, s, account, answered)
@@ -153,9 +173,12 @@
 		return nil
 	}
 	d.count.refused.Add(1)
-	return outcome.New(outcome.NotRun, outcome.CodeTooManyRequests,
-		"client account "+strconv.Quote(account)+" is above its rate",
-		"repeat the request after the given time, or ask the operator for a higher rate").WithRetryAfter(verdict.RetryAfter)
+	return refusal(account, "is above its rate", "repeat the request after the given time, or ask the operator for a higher rate", verdict)
+}
+
+func refusal(account, reason, remedy string, v quota.Verdict) error {
+	message := "client account " + strconv.Quote(account) + " " + reason
+	return outcome.New(outcome.NotRun, outcome.CodeTooManyRequests, message, remedy).WithRetryAfter(v.RetryAfter)
 }
 
 func (d *Driver) wait(ctx context.Context, s *shard, account string, answered <-chan struct{}) quota.Verdict {
--- a/proxy/quota/keeper.go
+++ b/proxy/quota/keeper.go
@@ -21,8 +21,10 @@
 	storeTimeout = 5 * time.Second
 	// conflictDelay is the largest delay before a conflicting write is planned again.
 	conflictDelay = 200 * time.Millisecond
-	// noteDelay spreads the reads after a peer named a newer record.
-	noteDelay = time.Second
+	// noteDelay and noteDelayPerInstance spread the reads after a peer named a newer record, so
+	// that all instances together read it at most about 100 times a second.
+	noteDelay            = time.Second
+	noteDelayPerInstance = 10 * time.Millisecond
 	// backoffStart and backoffLimit bound the delay after a failed store call, with full jitter.
 	backoffStart = time.Second
 	backoffLimit = 30 * time.Second
@@ -37,6 +39,7 @@
 	fractions *quota.Fractions
 	usable    quota.Mask
 	until     time.Duration
+	leaving   bool          // drain was called
 	readAt    time.Duration // a peer named a newer record; 0: none did
 	failures  int
 	drained   chan struct{}
@@ -62,6 +65,7 @@
 			timer.Stop()
 		case <-timer.C:
 		}
+		k.startDrain()
 		k.apply()
 		delay = keeperTick
 		if k.due() {
@@ -70,6 +74,17 @@
 	}
 }
 
+// startDrain gives up the fractions once drain was called. Only the goroutine that writes the
+// record does so: a drain between apply and the plan of a write would remove fractions from the
+// record that are still in use.
+func (k *keeper) startDrain() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving {
+		k.fractions.Drain()
+	}
+}
+
 // due reports whether the record should be read now. Nothing is claimed before the instance list
 // is known, since a share can't be told without it.
 func (k *keeper) due() bool {
@@ -213,7 +228,7 @@
 }
 
 func (k *keeper) note(version uint64) {
-	delay := k.upTo(noteDelay)
+	delay := k.upTo(max(noteDelay, noteDelayPerInstance*time.Duration(k.driver.cfg.Peers.Listed())))
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if version > k.fractions.Version() && k.readAt == 0 {
@@ -236,7 +251,7 @@
 
 func (k *keeper) drain(ctx context.Context) error {
 	k.mu.Lock()
-	k.fractions.Drain()
+	k.leaving = true
 	k.mu.Unlock()
 	select {
 	case k.nudge <- struct{}{}:
