Estimate reachability of many peers from the last calls

With three random calls a second among 2,100 peers a mark per peer is many minutes old, so a cut-off instance would not notice. The last 15 calls, those of five seconds, tell instead. Directed tests cover hand-backs of other loans and buckets that lose capacity.

--- a/decision/quota/rules_test.go
+++ b/decision/quota/rules_test.go
@@ -121,14 +121,36 @@
 	}
 }
 
-// Guards against a hand-back of an owner's earlier process ending the loan of its present one.
-func TestHandBackOfEarlierProcessIsIgnored(t *testing.T) {
+// Guards against a hand-back ending a loan that it does not belong to: that of the owner's present
+// process when an earlier one sent it, or a later loan when it arrives late.
+func TestHandBackEndsOnlyItsOwnLoan(t *testing.T) {
 	h := NewHolder()
 	h.SetUsable(0, allFractions, HoldTerm)
-	h.Lend(0, LoanRequest{Owner: "owner", Epoch: 2, Serial: 1})
-	h.HandBack(1, HandBack{Owner: "owner", Epoch: 1, Serial: 9})
-	if h.Lent(1) != allFractions {
-		t.Error("a hand-back of another process has ended the loan")
+	h.Lend(0, LoanRequest{Owner: "owner", Epoch: 2, Serial: 5})
+	cases := []struct {
+		name     string
+		handBack HandBack
+		lent     Mask
+	}{
+		{"earlier process", HandBack{Owner: "owner", Epoch: 1, Serial: 9}, allFractions},
+		{"earlier loan", HandBack{Owner: "owner", Epoch: 2, Serial: 4}, allFractions},
+		{"other owner", HandBack{Owner: "other", Epoch: 2, Serial: 5}, allFractions},
+		{"this loan", HandBack{Owner: "owner", Epoch: 2, Serial: 5}, 0},
+	}
+	for _, c := range cases {
+		h.HandBack(1, c.handBack)
+		if got := h.Lent(1); got != c.lent {
+			t.Errorf("%s: fractions %x lent after it, want %x", c.name, got, c.lent)
+		}
+	}
+}
+
+// Guards against a bucket that loses fractions keeping their tokens.
+func TestBucketLosesTokensWithItsCapacity(t *testing.T) {
+	b := Bucket{level: 10, capacity: 10}
+	b.Configure(0, 0, 4)
+	if got := b.Level(); got != 4 {
+		t.Errorf("level %.1f, want 4", got)
 	}
 }
 
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -282,6 +282,22 @@
 		if got := len(set.choose()); got != want {
 			t.Errorf("%d peers: %d contacted per period, want %d", size, got, want)
 		}
+		if size > 16 {
+			checkEstimate(t, set)
+		}
+	}
+}
+
+// checkEstimate cuts a large set off and connects it again.
+func checkEstimate(t *testing.T, set *Set) {
+	t.Helper()
+	for _, err := range []error{nil, io.EOF, nil} {
+		for i := range 5 * 3 {
+			set.mark(fmt.Sprintf("127.0.0.1:%d", 10+i), err)
+		}
+		if got, want := set.MajorityReachable(), err == nil; got != want {
+			t.Errorf("majority reachable = %v after 15 calls with error %v, want %v", got, err, want)
+		}
 	}
 }
 
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -23,6 +23,9 @@
 	fullMeshPeers = 16
 	// sampledPeers is the number of random peers contacted per period in larger sets.
 	sampledPeers = 3
+	// recentCalls is the number of last calls that tell how many of many peers are reachable: those
+	// of five periods.
+	recentCalls = 5 * sampledPeers
 	// contactEvery is the number of periods after which a peer is contacted even though it was heard
 	// of meanwhile: only an own call shows that the way to it is open.
 	contactEvery = 3
@@ -53,6 +56,7 @@
 	instances []platform.Instance // without the own one
 	listed    bool                // the list was read at least once
 	peers     map[string]*peerState
+	recent    []bool // whether the last calls succeeded, newest last
 }
 
 type peerState struct {
@@ -220,6 +224,8 @@
 		return
 	}
 	changed := !p.tried || p.reachable != (err == nil)
+	s.recent = append(s.recent, err == nil)
+	s.recent = s.recent[max(0, len(s.recent)-recentCalls):]
 	p.tried, p.reachable, p.calling, p.contacted = true, err == nil, false, time.Now()
 	if !changed {
 		return
@@ -274,10 +280,14 @@
 }
 
 // MajorityReachable reports whether this instance reaches a majority of the listed instances,
-// itself included. It is false until the list was read.
+// itself included. With more than fullMeshPeers peers it is estimated from the last calls, which
+// went to random peers. It is false until the list was read.
 func (s *Set) MajorityReachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.instances) > fullMeshPeers {
+		return 2*countTrue(s.recent) > len(s.recent)
+	}
 	reached := 1
 	for _, p := range s.peers {
 		if p.reachable {
@@ -286,3 +296,13 @@
 	}
 	return s.listed && 2*reached > len(s.peers)+1
 }
+
+func countTrue(values []bool) int {
+	n := 0
+	for _, v := range values {
+		if v {
+			n++
+		}
+	}
+	return n
+}
