Close silent connections to servers within seconds

When the path of an open connection to a server swallowed packets, a statement in flight waited for its statement timeout. The pool now looks at the connections in use four times a second. When a request is outstanding and nothing has passed for 2 s, it asks the server over one fresh control connection for all such connections whether their sessions execute a statement (pg_stat_activity). An answer that the server waits to send while the pool waits for bytes counts as lost too. A failed question proves nothing and is repeated.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -99,6 +99,7 @@
 	tasks.Go(func() { d.directory.Run(ctx) })
 	tasks.Go(func() { d.peers.Run(ctx) })
 	tasks.Go(func() { d.locator.run(ctx) })
+	tasks.Go(func() { d.pool.Run(ctx) })
 	tasks.Go(func() { d.quota.Run(ctx) })
 	tasks.Go(func() { d.reportEnd("peer listener", d.peerPort.Serve(ctx, d.listeners.peers)) })
 	tasks.Go(func() {
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -172,9 +172,11 @@
 	d.metrics = telemetry.New()
 	d.groups = newGroups(d.cfg, d.log, d.metrics)
 	d.pool = pool.New(pool.Config{
-		User:     d.cfg.UpstreamUser,
-		Password: d.cfg.UpstreamPassword,
-		Identify: identify,
+		User:      d.cfg.UpstreamUser,
+		Password:  d.cfg.UpstreamPassword,
+		Identify:  identify,
+		Executing: d.executing,
+		OnSilent:  d.reportSilent,
 	})
 	var err error
 	d.directory, err = directory.New(directory.Config{
@@ -199,6 +201,25 @@
 	d.quota.SetAccounts(m.Accounts)
 }
 
+// executing asks a server what it executes, over a control connection, which takes no client
+// connection from it.
+func (d *Daemon) executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
+	client, err := dbgroup.NewClient(dbgroup.Config{
+		Address:  address,
+		User:     d.cfg.UpstreamUser,
+		Password: d.cfg.UpstreamPassword,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return client.Executing(ctx, pids)
+}
+
+func (d *Daemon) reportSilent(address string, pid uint32) {
+	event(d.log, EventSilentConnection).WithField("address", address).WithField("pid", pid).
+		Warn("connection to a server went silent and is closed; see whether the network loses connections")
+}
+
 // identify returns the incarnation of the server behind a connection.
 func identify(ctx context.Context, c *pgconn.PgConn) (uint64, error) {
 	results, err := c.Exec(ctx, "SELECT * FROM cyclamenstile.probe()").ReadAll()
--- a/proxy/daemon/events.go
+++ b/proxy/daemon/events.go
@@ -18,6 +18,8 @@
 	EventFetchFailed = "CYC-1006"
 	// EventHandBackFailed: quota could not be handed back at a stop.
 	EventHandBackFailed = "CYC-1007"
+	// EventSilentConnection: a connection to a server went silent and is closed.
+	EventSilentConnection = "CYC-1008"
 )
 
 func event(log logrus.FieldLogger, number string) *logrus.Entry {
--- a/proxy/dbgroup/client.go
+++ b/proxy/dbgroup/client.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +34,8 @@
 	probeStatement   = "SELECT * FROM cyclamenstile.probe()"
 	fenceStatement   = "SELECT * FROM cyclamenstile.fence($1, $2)"
 	promoteStatement = "SELECT * FROM cyclamenstile.promote($1, $2)"
+	// activityStatement reads PostgreSQL's own view of its sessions.
+	activityStatement = "SELECT state, wait_event FROM pg_stat_activity WHERE pid = $1"
 )
 
 const (
@@ -120,6 +123,35 @@
 	return c.run(ctx, conn, probeStatement)
 }
 
+// Executing tells for which of the sessions in pids the server executes a statement, as
+// pg_stat_activity shows it. It asks over a new connection, which it closes.
+func (c *Client) Executing(ctx context.Context, pids []uint32) (map[uint32]bool, error) {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer closeConn(conn)
+	executing := make(map[uint32]bool, len(pids))
+	for _, pid := range pids {
+		value := []byte(strconv.FormatUint(uint64(pid), 10))
+		result := conn.ExecParams(ctx, activityStatement, [][]byte{value}, nil, nil, nil).Read()
+		if result.Err != nil {
+			return nil, c.wrap(result.Err, "activity query")
+		}
+		if len(result.Rows) == 1 && len(result.Rows[0]) == 2 {
+			executing[pid] = isExecuting(string(result.Rows[0][0]), string(result.Rows[0][1]))
+		}
+	}
+	return executing, nil
+}
+
+// isExecuting judges a row of pg_stat_activity. A session that waits in ClientWrite has an answer that
+// its client doesn't take; for a client that waits for bytes this means that none get through. A state
+// that is not known, as "disabled", counts as executing.
+func isExecuting(state, waitEvent string) bool {
+	return !strings.HasPrefix(state, "idle") && waitEvent != "ClientWrite"
+}
+
 // Fence places the fence (term, owner); see Server.
 func (c *Client) Fence(ctx context.Context, term uint64, owner string) (authority.ServerState, error) {
 	return c.call(ctx, fenceStatement, strconv.FormatUint(term, 10), owner)
--- a/proxy/pool/conn.go
+++ b/proxy/pool/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -13,12 +14,12 @@
 
 // upstream is one connection to a server.
 type upstream struct {
-	conn        net.Conn
+	conn        *meter
 	frontend    *pgproto3.Frontend
 	pid         uint32
 	secret      []byte
 	incarnation uint64
-	dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	dial        dialFunc
 	since       time.Time // last use
 }
 
@@ -30,7 +31,7 @@
 	}
 	pc.User = cfg.User
 	pc.Password = cfg.Password
-	pc.DialFunc = cfg.Dial
+	pc.DialFunc = pgconn.DialFunc(metered(cfg.Dial))
 	pc.Fallbacks = nil
 	c, err := pgconn.ConnectConfig(ctx, pc)
 	if err != nil {
@@ -46,8 +47,14 @@
 		_ = c.Close(ctx)
 		return nil, err
 	}
+	m, ok := h.Conn.(*meter)
+	if !ok {
+		_ = h.Conn.Close()
+		return nil, errors.New("connection to the server was wrapped; connect without encryption")
+	}
+	m.started = true
 	return &upstream{
-		conn: h.Conn, frontend: h.Frontend, pid: h.PID, secret: h.SecretKey,
+		conn: m, frontend: h.Frontend, pid: h.PID, secret: h.SecretKey,
 		incarnation: incarnation, dial: cfg.Dial, since: time.Now(),
 	}, nil
 }
@@ -56,12 +63,9 @@
 	_ = u.conn.Close()
 }
 
-// usable checks a connection that has rested: an empty query must be answered in time. This finds
-// a path that swallows packets before a statement is sent over it.
-func (u *upstream) usable(checkAfter, timeout time.Duration) bool {
-	if time.Since(u.since) < checkAfter {
-		return true
-	}
+// usable checks an idle connection: an empty query must be answered in time. This finds a path that
+// swallows packets before a statement is sent over it.
+func (u *upstream) usable(timeout time.Duration) bool {
 	_ = u.conn.SetDeadline(time.Now().Add(timeout))
 	defer func() { _ = u.conn.SetDeadline(time.Time{}) }()
 	u.frontend.Send(&pgproto3.Query{})
@@ -147,12 +151,15 @@
 
 // Release implements engine.Conn.
 func (l *lease) Release(reuse bool) {
+	s := l.server
+	s.mu.Lock()
+	delete(s.lent, l.upstream)
+	s.mu.Unlock()
 	if reuse {
-		l.server.putIdle(l.upstream)
+		s.putIdle(l.upstream)
 	} else {
 		l.upstream.close()
 	}
-	s := l.server
 	now := s.pool.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -20,9 +20,12 @@
 
 // Defaults of Config.
 const (
-	DefaultConnectTimeout  = 2 * time.Second
-	DefaultCheckAfter      = 5 * time.Second
-	DefaultCheckTimeout    = time.Second
+	DefaultConnectTimeout = 2 * time.Second
+	DefaultCheckAfter     = 5 * time.Second
+	DefaultCheckTimeout   = time.Second
+	DefaultQuietAfter     = 2 * time.Second
+	// DefaultSilentGrace covers two retransmissions of a lost packet.
+	DefaultSilentGrace     = time.Second
 	DefaultOpenAtOnce      = 2
 	DefaultQueuePerAccount = 256
 )
@@ -35,19 +38,28 @@
 	ConnectTimeout  time.Duration // of one new connection
 	CheckAfter      time.Duration // idle time after which a connection is checked before use
 	CheckTimeout    time.Duration // of that check; a silent path shows here
+	QuietAfter      time.Duration // time without bytes after which the server is asked about a statement
+	SilentGrace     time.Duration // for bytes to come once the server says that it executes nothing
 	OpenAtOnce      int           // connections being opened to one server at a time
 	QueuePerAccount int           // waiting statements of one account for one server
 
 	// Identify returns the incarnation of the server behind a fresh connection.
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
+	// Executing asks a server over a new connection for which sessions, by process id, it executes
+	// a statement. Without it, silent connections end with the statement timeout.
+	Executing func(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error)
+	// OnSilent is told of each connection that is closed because it is silent. It must not block.
+	OnSilent func(address string, pid uint32)
 	// Dial opens a TCP connection; nil uses tcp.Dialer.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial dialFunc
 }
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.ConnectTimeout, DefaultConnectTimeout)
 	setDefault(&c.CheckAfter, DefaultCheckAfter)
 	setDefault(&c.CheckTimeout, DefaultCheckTimeout)
+	setDefault(&c.QuietAfter, DefaultQuietAfter)
+	setDefault(&c.SilentGrace, DefaultSilentGrace)
 	setDefault(&c.OpenAtOnce, DefaultOpenAtOnce)
 	setDefault(&c.QueuePerAccount, DefaultQueuePerAccount)
 	if c.Dial == nil {
@@ -67,6 +79,8 @@
 type Pool struct {
 	cfg    Config
 	origin time.Time
+	// suspect is the time since origin at which a connection last turned out to be silent.
+	suspect atomic.Int64
 
 	mu      sync.Mutex
 	servers map[authority.ServerID]*server
--- a/proxy/pool/server.go
+++ b/proxy/pool/server.go
@@ -24,6 +24,8 @@
 	queue   *fairqueue.Queue
 	waiters map[fairqueue.RequestID]chan struct{}
 	idle    []*upstream // the most recently used last
+	lent    map[*upstream]*watch
+	asking  bool // a connection asks about quiet connections
 	closed  bool
 }
 
@@ -34,6 +36,7 @@
 		opening: make(chan struct{}, p.cfg.OpenAtOnce),
 		queue:   fairqueue.New(limits),
 		waiters: make(map[fairqueue.RequestID]chan struct{}),
+		lent:    make(map[*upstream]*watch),
 	}
 }
 
@@ -65,6 +68,7 @@
 		s.release(id, true)
 		return nil, err
 	}
+	s.lend(u)
 	return &lease{server: s, upstream: u, request: id, account: r.Account, weight: r.Weight}, nil
 }
 
@@ -133,17 +137,21 @@
 	}
 }
 
-// connection returns an idle connection of the wanted incarnation, or a new one.
+// connection returns an idle connection of the wanted incarnation, or a new one. When one fails its
+// check, those that rested longer are closed too, so that one request waits for one check at most.
 func (s *server) connection(ctx context.Context, r engine.AcquireRequest) (*upstream, error) {
 	for {
 		u := s.takeIdle(r.Target.Incarnation)
 		if u == nil {
 			return s.open(ctx, r)
 		}
-		if u.usable(s.pool.cfg.CheckAfter, s.pool.cfg.CheckTimeout) {
+		if !s.pool.needsCheck(u) || u.usable(s.pool.cfg.CheckTimeout) {
 			return u, nil
 		}
 		u.close()
+		s.mu.Lock()
+		s.dropIdle(u.since)
+		s.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/proxy/pool/silence.go
@@ -0,0 +1,120 @@
+package pool
+
+import (
+	"context"
+	"time"
+)
+
+// watchInterval is the time between two looks at the connections in use.
+const watchInterval = 250 * time.Millisecond
+
+// Run watches the connections in use for silent ones until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	if p.cfg.Executing == nil {
+		return
+	}
+	ticker := time.NewTicker(min(watchInterval, p.cfg.QuietAfter/2))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.watch(ctx)
+		}
+	}
+}
+
+func (p *Pool) watch(ctx context.Context) {
+	p.mu.Lock()
+	servers := make([]*server, 0, len(p.servers))
+	for _, s := range p.servers {
+		servers = append(servers, s)
+	}
+	p.mu.Unlock()
+	for _, s := range servers {
+		s.watch(ctx)
+	}
+}
+
+// lend starts to watch a connection.
+func (s *server) lend(u *upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lent[u] = &watch{limits: watchLimits{quiet: s.pool.cfg.QuietAfter, grace: s.pool.cfg.SilentGrace}}
+}
+
+// watch looks at the connections in use, closes the silent ones and asks about the quiet ones. One
+// connection at a time asks about all of them, so that a silent path costs the server few connections.
+func (s *server) watch(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.pool.now()
+	quiet := make(map[*upstream]progress)
+	for u, w := range s.lent {
+		switch w.step(now, u.conn.sample()) {
+		case verdictAsk:
+			quiet[u] = w.seen
+		case verdictSilent:
+			s.dropSilent(u, w)
+		}
+	}
+	if len(quiet) > 0 && !s.asking {
+		s.asking = true
+		go s.ask(ctx, quiet)
+	}
+}
+
+// dropSilent closes a silent connection and the idle ones that have not worked since the server said
+// that it executes nothing for it: what silences one connection, as a firewall that lost its state,
+// mostly silences all that it knew. It may have happened at any moment before.
+func (s *server) dropSilent(u *upstream, w *watch) {
+	u.conn.fail()
+	delete(s.lent, u)
+	s.dropIdle(s.pool.origin.Add(w.closeAt - w.limits.grace))
+	s.pool.suspect.Store(int64(s.pool.now()))
+	if s.pool.cfg.OnSilent != nil {
+		s.pool.cfg.OnSilent(s.address, u.pid)
+	}
+}
+
+// needsCheck reports whether an idle connection is checked before use: it has rested for long, or a
+// connection to any server turned out to be silent since its last use.
+func (p *Pool) needsCheck(u *upstream) bool {
+	suspect := p.origin.Add(time.Duration(p.suspect.Load()))
+	return time.Since(u.since) >= p.cfg.CheckAfter || u.since.Before(suspect)
+}
+
+// dropIdle closes the idle connections last used before a moment. The lock is held.
+func (s *server) dropIdle(before time.Time) {
+	kept := s.idle[:0]
+	for _, u := range s.idle {
+		if u.since.Before(before) {
+			u.close()
+			continue
+		}
+		kept = append(kept, u)
+	}
+	clear(s.idle[len(kept):])
+	s.idle = kept
+}
+
+// ask asks the server about the quiet connections.
+func (s *server) ask(ctx context.Context, quiet map[*upstream]progress) {
+	pids := make([]uint32, 0, len(quiet))
+	for u := range quiet {
+		pids = append(pids, u.pid)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.pool.cfg.ConnectTimeout)
+	defer cancel()
+	executing, err := s.pool.cfg.Executing(ctx, s.address, pids)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asking = false
+	now := s.pool.now()
+	for u, asked := range quiet {
+		if w := s.lent[u]; w != nil {
+			w.told(now, asked, err != nil || executing[u.pid])
+		}
+	}
+}
--- /dev/null
+++ b/proxy/pool/silence_test.go
@@ -0,0 +1,290 @@
+package pool
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+const (
+	// deadline bounds every wait for an event.
+	deadline = 20 * time.Second
+	// quietAfter is short, so that a statement of moderate length is asked about many times.
+	quietAfter = 40 * time.Millisecond
+)
+
+// fixture is a pool that watches its connections to a stand-in server.
+type fixture struct {
+	t      *testing.T
+	server *database.Server
+	pool   *Pool
+	asked  atomic.Int64 // questions to the server
+	asking atomic.Int64 // questions at present
+	silent atomic.Int64 // connections closed as silent
+	// failing makes questions fail.
+	failing atomic.Bool
+}
+
+func startFixture(t *testing.T, c database.Config) *fixture {
+	t.Helper()
+	c.ID, c.Primary = "s1", true
+	server, err := database.Start(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	f := &fixture{t: t, server: server}
+	f.pool = New(Config{
+		QuietAfter:  quietAfter,
+		SilentGrace: quietAfter,
+		Identify:    func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil },
+		Executing:   f.executing,
+		OnSilent:    func(string, uint32) { f.silent.Add(1) },
+	})
+	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: 8, MaxConnections: 8}})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go f.pool.Run(ctx)
+	return f
+}
+
+func (f *fixture) executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
+	f.asked.Add(1)
+	if f.asking.Add(1) > 1 {
+		f.t.Error("two connections at a time ask one server")
+	}
+	defer f.asking.Add(-1)
+	if f.failing.Load() {
+		return nil, errors.New("no connection")
+	}
+	return executing(ctx, address, pids)
+}
+
+func executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
+	client, err := dbgroup.NewClient(dbgroup.Config{Address: address})
+	if err != nil {
+		return nil, err
+	}
+	return client.Executing(ctx, pids)
+}
+
+func (f *fixture) acquire() *lease {
+	f.t.Helper()
+	c, err := f.pool.Acquire(f.t.Context(), engine.AcquireRequest{
+		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	l := c.(*lease)
+	if err := l.SetDeadline(time.Now().Add(deadline)); err != nil {
+		f.t.Fatal(err)
+	}
+	return l
+}
+
+// send sends a statement.
+func (l *lease) send(t *testing.T, sql string) {
+	t.Helper()
+	l.Frontend().Send(&pgproto3.Query{String: sql})
+	if err := l.Frontend().Flush(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive takes an answer up to ReadyForQuery.
+func (l *lease) receive() error {
+	for {
+		m, err := l.Frontend().Receive()
+		if err != nil {
+			return err
+		}
+		if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+			return nil
+		}
+	}
+}
+
+// Guards against a statement that waits for its timeout on a silent connection, whether its bytes or
+// those of its answer are lost, and against idle connections that share the fault.
+func TestSilentConnection(t *testing.T) {
+	for _, lost := range []string{"answer", "statement"} {
+		f := startFixture(t, database.Config{})
+		l, idle := f.acquire(), f.acquire()
+		idle.send(t, "SELECT 1")
+		if err := idle.receive(); err != nil {
+			t.Fatal(err)
+		}
+		idle.Release(true)
+		if lost == "answer" {
+			l.send(t, "SELECT pg_sleep(0.1)")
+			f.awaitBusy(l)
+		}
+		f.server.SilenceConnections()
+		if lost == "statement" {
+			l.send(t, "SELECT 1")
+		}
+		if err := l.receive(); !errors.Is(err, errSilent) {
+			t.Errorf("lost %s: error %v, want %v", lost, err, errSilent)
+		}
+		l.Release(false)
+		next := f.acquire()
+		next.send(t, "SELECT 1")
+		if err := next.receive(); err != nil {
+			t.Errorf("lost %s: statement on the next connection: %v", lost, err)
+		}
+		next.Release(true)
+		if n := f.silent.Load(); n != 1 {
+			t.Errorf("lost %s: %d statements ended by silence, want 1", lost, n)
+		}
+	}
+}
+
+// Guards against closing the connection of a statement that runs long, without or with bytes, of an
+// answer that nobody reads for a while, and of an open transaction.
+func TestBusyConnectionKept(t *testing.T) {
+	const long = 10 * quietAfter
+	f := startFixture(t, database.Config{MaxConnections: 4})
+	quiet, large, resting := f.acquire(), f.acquire(), f.acquire()
+	resting.send(t, "BEGIN")
+	if err := resting.receive(); err != nil {
+		t.Fatal(err)
+	}
+	large.send(t, "SELECT repeat('x', 100000) FROM generate_series(1, 1000)")
+	quiet.send(t, "SELECT pg_sleep(0.4)")
+	if err := quiet.receive(); err != nil {
+		t.Errorf("statement of %s without bytes: %v", long, err)
+	}
+	if err := large.receive(); err != nil {
+		t.Errorf("answer that was not read for %s: %v", long, err)
+	}
+	resting.send(t, "COMMIT")
+	if err := resting.receive(); err != nil {
+		t.Errorf("transaction at rest for %s: %v", long, err)
+	}
+	if f.asked.Load() < 2 {
+		t.Errorf("the server was asked %d times during %s, want several times", f.asked.Load(), long)
+	}
+	if n := f.silent.Load(); n > 0 {
+		t.Errorf("%d connections closed as silent", n)
+	}
+}
+
+// Guards against closing connections because the question fails: a server that can't be asked may
+// still execute the statement.
+func TestQuestionFails(t *testing.T) {
+	f := startFixture(t, database.Config{})
+	f.failing.Store(true)
+	l := f.acquire()
+	f.server.SilenceConnections()
+	l.send(t, "SELECT 1")
+	ended := make(chan error, 1)
+	go func() { ended <- l.receive() }()
+	f.await("several questions", func() bool { return f.asked.Load() >= 3 })
+	if n := f.silent.Load(); n > 0 {
+		t.Errorf("%d connections closed although no question was answered", n)
+	}
+	f.failing.Store(false)
+	if err := <-ended; !errors.Is(err, errSilent) {
+		t.Errorf("error %v, want %v", err, errSilent)
+	}
+}
+
+// Guards against an answer that stops in its middle: the server waits to send it, the pool to
+// receive it, and neither ends.
+func TestAnswerStops(t *testing.T) {
+	f := startFixture(t, database.Config{})
+	link, stop := startLink(t, f.server.Address())
+	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: link, Slots: 8, MaxConnections: 8}})
+	l := f.acquire()
+	l.send(t, "SELECT repeat('x', 100000) FROM generate_series(1, 1000)")
+	if _, err := l.Frontend().Receive(); err != nil {
+		t.Fatal(err)
+	}
+	close(stop)
+	if err := l.receive(); !errors.Is(err, errSilent) {
+		t.Errorf("error %v, want %v", err, errSilent)
+	}
+}
+
+// startLink forwards connections until stop is closed. From then on it reads nothing of those that
+// are open, while new ones work.
+func startLink(t *testing.T, to string) (address string, stop chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	stop = make(chan struct{})
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+			select {
+			case <-stop:
+				go func() { _, _ = io.Copy(near, far) }()
+			default:
+				go copyUntil(near, far, stop)
+			}
+			go func() { _, _ = io.Copy(far, near) }()
+		}
+	}()
+	return listener.Addr().String(), stop
+}
+
+func copyUntil(to io.Writer, from io.Reader, stop chan struct{}) {
+	buf := make([]byte, 1<<10)
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// awaitBusy waits until the server executes the statement of l.
+func (f *fixture) awaitBusy(l *lease) {
+	f.t.Helper()
+	f.await("execution", func() bool {
+		got, err := executing(f.t.Context(), f.server.Address(), []uint32{l.upstream.pid})
+		return err == nil && got[l.upstream.pid]
+	})
+}
+
+func (f *fixture) await(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(deadline); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s: not within %s", what, deadline)
+		}
+	}
+}
--- a/standin/database/client_test.go
+++ b/standin/database/client_test.go
@@ -172,6 +172,59 @@
 	write(t, s, "a")
 }
 
+// Guards against sessions that are reported in a wrong state, which would have a proxy close a
+// connection whose statement runs, or wait for one that never came.
+func TestActivity(t *testing.T) {
+	ctx := testContext(t)
+	s := startServer(t, Config{MaxConnections: 1})
+	c, err := dbgroup.NewClient(dbgroup.Config{Server: "s1", Address: s.Address(), User: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	conn := mustConnect(t, s)
+	pid := conn.PgConn().PID()
+	expect := func(state, waitEvent string, executing bool) {
+		t.Helper()
+		// An answer also shows as ClientWrite for a moment while its client takes it.
+		waitFor(t, "state "+state+" "+waitEvent, func() bool {
+			gotState, gotEvent, ok := s.activityOf(pid)
+			got, err := c.Executing(ctx, []uint32{pid, pid + 1000})
+			if err != nil || got[pid+1000] {
+				t.Fatalf("activity %v, error %v", got, err)
+			}
+			return ok && gotState == state && gotEvent == waitEvent && got[pid] == executing
+		})
+	}
+	expect("idle", "", false)
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, "SELECT pg_sleep(3600)")
+		done <- err
+	}()
+	expect("active", "", true)
+	if err := conn.PgConn().CancelRequest(ctx); err != nil {
+		t.Fatal(err)
+	}
+	wantCode(t, <-done, "57014")
+	for _, step := range []struct{ sql, state string }{
+		{"BEGIN", "idle in transaction"},
+		{"no statement", "idle in transaction (aborted)"},
+		{"ROLLBACK", "idle"},
+	} {
+		_, _ = conn.Exec(ctx, step.sql)
+		expect(step.state, "", false)
+	}
+	rows, err := conn.Query(ctx, "SELECT repeat('x', 1000000) FROM generate_series(1, 1000)")
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect("active", "ClientWrite", false)
+	_ = conn.PgConn().Conn().Close()
+	rows.Close()
+	waitFor(t, "end of the session", func() bool { _, _, ok := s.activityOf(pid); return !ok })
+}
+
 // Guards against settings that a running server doesn't take up.
 func TestChangedSettings(t *testing.T) {
 	const slow = 30 * time.Millisecond
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -359,6 +359,9 @@
 	if p.stmt.kind == stmtProbe {
 		return "SELECT 1", s.sendState(p, s.server.state.snapshot())
 	}
+	if p.stmt.kind == stmtActivity {
+		return s.selectActivity(p)
+	}
 	term, err := strconv.ParseUint(p.args[0], 10, 64)
 	if err != nil {
 		return "", newError(codeInvalidParameter, "the term is not a number")
@@ -377,6 +380,20 @@
 	return "SELECT 1", s.sendState(p, state)
 }
 
+// selectActivity answers as PostgreSQL's view pg_stat_activity does, with no row for a pid that has
+// ended.
+func (s *session) selectActivity(p *portal) (string, error) {
+	pid, err := strconv.ParseUint(p.args[0], 10, 32)
+	if err != nil {
+		return "", newError(codeInvalidParameter, "the pid is not a number")
+	}
+	state, waitEvent, ok := s.server.activityOf(uint32(pid))
+	if !ok {
+		return "SELECT 0", nil
+	}
+	return "SELECT 1", s.sendRow(p, state, waitEvent)
+}
+
 func (s *session) sendState(p *portal, v authority.ServerState) error {
 	history, err := json.Marshal(v.History)
 	if err != nil {
--- a/standin/database/parse.go
+++ b/standin/database/parse.go
@@ -26,6 +26,7 @@
 	stmtFence
 	stmtPromote
 	stmtLog
+	stmtActivity // SELECT state, wait_event FROM pg_stat_activity WHERE pid = ...
 )
 
 // Type OIDs of columns and parameters. Source: PostgreSQL catalogue pg_type.
@@ -200,6 +201,12 @@
 		p.needSymbol(",")
 		p.needWords("value", "from", "kv")
 		p.finish(stmtSelectAll, column{"key", oidText}, column{"value", oidText})
+	case p.word("state"):
+		p.needSymbol(",")
+		p.needWords("wait_event", "from", "pg_stat_activity", "where", "pid")
+		p.needSymbol("=")
+		p.finish(stmtActivity, column{"state", oidText}, column{"wait_event", oidText})
+		p.operand(oidInt4)
 	case p.word("pg_sleep"):
 		p.finish(stmtSleep, column{"pg_sleep", oidVoid})
 		p.arguments(oidFloat8)
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -401,6 +401,22 @@
 	}
 }
 
+// activityOf returns the state and the wait event of a session in pg_stat_activity, false if there is
+// none. Of the wait events it knows ClientWrite only.
+func (s *Server) activityOf(pid uint32) (state, waitEvent string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ss := s.sessions[pid]
+	if ss == nil {
+		return "", "", false
+	}
+	if ss.writing.Load() {
+		waitEvent = "ClientWrite"
+	}
+	state, ok = ss.activity.Load().(string)
+	return state, waitEvent, ok
+}
+
 func (s *Server) cancel(m *pgproto3.CancelRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -25,6 +25,8 @@
 
 	silent    atomic.Bool // takes everything in and never answers again
 	busy      atomic.Bool
+	writing   atomic.Bool   // waits until the client takes an answer
+	activity  atomic.Value  // string: the state in pg_stat_activity
 	interrupt chan struct{} // takes one cancel request
 
 	txn      *transaction
@@ -43,6 +45,15 @@
 	formats []int16
 }
 
+// States of a session in pg_stat_activity. Source: PostgreSQL documentation, "Monitoring Database
+// Activity".
+const (
+	activityActive        = "active"
+	activityIdle          = "idle"
+	activityInTransaction = "idle in transaction"
+	activityFailed        = "idle in transaction (aborted)"
+)
+
 func newSession(s *Server, conn net.Conn) *session {
 	return &session{
 		server:     s,
@@ -82,6 +93,7 @@
 		if _, ok := msg.(*pgproto3.Terminate); ok {
 			return io.EOF
 		}
+		s.activity.Store(activityActive)
 		if err := s.handle(msg); err != nil {
 			return err
 		}
@@ -140,6 +152,8 @@
 		return s.swallow()
 	}
 	s.unsent = 0
+	s.writing.Store(true)
+	defer s.writing.Store(false)
 	return s.backend.Flush()
 }
 
@@ -176,13 +190,14 @@
 }
 
 func (s *session) ready() error {
-	status := byte('I')
+	status, activity := byte('I'), activityIdle
 	switch {
 	case s.failed:
-		status = 'E'
+		status, activity = 'E', activityFailed
 	case s.txn != nil:
-		status = 'T'
+		status, activity = 'T', activityInTransaction
 	}
+	s.activity.Store(activity)
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 	return s.flush()
 }
