--- a/decision/quota/doc.go
+++ b/decision/quota/doc.go
@@ -27,6 +27,12 @@
 //   - Unused tokens return only to the bucket that they were drawn from, and only while that
 //     bucket still reserves room for them; it never refills the room that is reserved.
 //
+// Entitlement: an account gets its rate, less half a percent for fast clocks, through one instance
+// or many. What it can lose beyond that is tokens that lie at instances without use, which return,
+// and the first statements at an instance that is far from the owner: callers wait a few
+// milliseconds only, so until the first grant is back they get what the instance's own fractions
+// have. Buckets start empty, also after a fraction changed its holder.
+//
 // An account needs a burst of at least 2 and should have a burst of at least 0.4 s of its rate:
 // with less, the token lifetime shrinks below 200 ms and grants reach only nearby instances.
 package quota
