Refuse inside the rate only when no owner answers

While instances start together they read the record of fractions every 250 ms, and an instance is ready only once it has read it.

--- a/decision/quota/fractions.go
+++ b/decision/quota/fractions.go
@@ -196,6 +196,11 @@
 	return f.version
 }
 
+// Complete reports whether every fraction has a holder in the last record observed.
+func (f *Fractions) Complete() bool {
+	return f.record.claimed() == allFractions
+}
+
 // Holders returns the peer addresses in the last record observed.
 func (f *Fractions) Holders() []string {
 	return f.record.Holders()
--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -7,6 +7,7 @@
 	Admitted   bool
 	Wait       bool          // a request to the owner is on its way or due; Retry when it is answered
 	RetryAfter time.Duration // with a refusal
+	AboveRate  bool          // with a refusal: the owner has said that no token is left
 }
 
 // Work is the messages to send for a shard.
@@ -107,15 +108,16 @@
 	return d.take(now) || s.holder.Take(now, account)
 }
 
-// mayWait reports whether a token may come within the time that callers wait.
+// mayWait reports whether a token may come within the time that callers wait: an answer is on its
+// way, or there is an owner that has not said that no token is left.
 func (s *Shard) mayWait(now time.Duration, d *stock) bool {
-	return d.inFlight > 0 || now >= d.starvedUntil && now >= d.nextAsk && s.requester.target(now) != ""
+	return d.inFlight > 0 || now >= d.starvedUntil && s.requester.target(now) != ""
 }
 
 func (s *Shard) refusal(now time.Duration, d *stock) Verdict {
 	retryAfter := d.retryAfter(now)
 	d.refusals.add(now, refusalMemory)
-	return Verdict{RetryAfter: retryAfter}
+	return Verdict{RetryAfter: retryAfter, AboveRate: now < d.starvedUntil}
 }
 
 // Poll returns the messages to send now.
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -146,7 +146,7 @@
 	if d.directory.Snapshot() == nil {
 		return errors.New("no manifest is in force yet; see whether the store answers")
 	}
-	return nil
+	return d.quota.Ready()
 }
 
 func (d *Daemon) openStore() error {
--- a/proxy/daemon/quota.go
+++ b/proxy/daemon/quota.go
@@ -17,6 +17,8 @@
 	peer.QuotaHandler
 	SetAccounts([]manifest.Account)
 	Run(ctx context.Context)
+	// Ready returns why accounts can't be judged yet.
+	Ready() error
 	// Drain hands back what this instance holds.
 	Drain(ctx context.Context) error
 	// FractionsVersion and NoteFractionsVersion exchange the version of the record of fractions
@@ -29,6 +31,7 @@
 type noSharing struct{}
 
 func (noSharing) Run(context.Context)         {}
+func (noSharing) Ready() error                { return nil }
 func (noSharing) Drain(context.Context) error { return nil }
 func (noSharing) FractionsVersion() uint64    { return 0 }
 func (noSharing) NoteFractionsVersion(uint64) {}
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -22,8 +22,10 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 )
 
-// admitWait bounds the wait of a statement for a grant on its way.
-const admitWait = 5 * time.Millisecond
+// admitWait bounds the wait of a statement for an answer of the owner. It leaves time for a lost
+// request and a second one, to another region as well: a statement inside its account's rate is
+// refused only if no owner answers. An owner that has no token left ends the wait at once.
+const admitWait = 500 * time.Millisecond
 
 // Peers is the view of the other instances; *peer.Set is one.
 type Peers interface {
@@ -150,7 +152,7 @@
 }
 
 // Admit returns nil if the statement fits the account's rate and burst, otherwise
-// *outcome.Error of kind NotRun with a retry-after. It waits a few milliseconds at most.
+// *outcome.Error of kind NotRun with a retry-after. It waits for an owner's answer, admitWait at most.
 func (d *Driver) Admit(ctx context.Context, account string) error {
 	s := d.shards[shardOf(account)]
 	s.mu.Lock()
@@ -160,7 +162,8 @@
 	s.mu.Unlock()
 	if !known {
 		d.count.refused.Add(1)
-		return refusal(account, "is not known to this instance", "repeat the request when the configuration has arrived", verdict)
+		return refusal(outcome.CodeInsufficient, account, "is not known to this instance",
+			"repeat the request when the configuration has arrived", verdict)
 	}
 	if verdict.Wait {
 		d.sender.wake()
@@ -173,12 +176,17 @@
 		return nil
 	}
 	d.count.refused.Add(1)
-	return refusal(account, "is above its rate", "repeat the request after the given time, or ask the operator for a higher rate", verdict)
+	if !verdict.AboveRate {
+		return refusal(outcome.CodeInsufficient, account, "got no answer about its rate in time",
+			"repeat the request after the given time; see whether the instances reach each other", verdict)
+	}
+	return refusal(outcome.CodeTooManyRequests, account, "is above its rate",
+		"repeat the request after the given time, or ask the operator for a higher rate", verdict)
 }
 
-func refusal(account, reason, remedy string, v quota.Verdict) error {
+func refusal(code, account, reason, remedy string, v quota.Verdict) error {
 	message := "client account " + strconv.Quote(account) + " " + reason
-	return outcome.New(outcome.NotRun, outcome.CodeTooManyRequests, message, remedy).WithRetryAfter(v.RetryAfter)
+	return outcome.New(outcome.NotRun, code, message, remedy).WithRetryAfter(v.RetryAfter)
 }
 
 func (d *Driver) wait(ctx context.Context, s *shard, account string, answered <-chan struct{}) quota.Verdict {
@@ -218,6 +226,12 @@
 	return d.keeper.drain(ctx)
 }
 
+// Ready returns nil once the list of instances and the record of fractions were read. Before, an
+// account can't be told from one above its rate.
+func (d *Driver) Ready() error {
+	return d.keeper.ready()
+}
+
 // FractionsVersion returns the version of the record last seen, for gossip.
 func (d *Driver) FractionsVersion() uint64 {
 	return d.keeper.version()
--- a/proxy/quota/keeper.go
+++ b/proxy/quota/keeper.go
@@ -17,6 +17,14 @@
 const (
 	// keeperTick is the period at which the keeper looks for work.
 	keeperTick = 500 * time.Millisecond
+	// formingTick and formingPoll are the periods of looking for work and of reading the record
+	// while instances that start together claim their fractions, for formingTerm at most. An
+	// owner can't borrow from holders that it has not read about.
+	formingTick = 50 * time.Millisecond
+	formingPoll = 250 * time.Millisecond
+	formingTerm = 10 * time.Second
+	// formingPollPerInstance keeps all instances together at 1,000 such reads a second.
+	formingPollPerInstance = time.Millisecond
 	// storeTimeout bounds one store call.
 	storeTimeout = 5 * time.Second
 	// conflictDelay is the largest delay before a conflicting write is planned again.
@@ -41,6 +49,9 @@
 	until     time.Duration
 	leaving   bool          // drain was called
 	readAt    time.Duration // a peer named a newer record; 0: none did
+	started   time.Duration
+	lastRead  time.Duration
+	wasRead   bool // the record was read at least once
 	failures  int
 	drained   chan struct{}
 	nudge     chan struct{}
@@ -50,9 +61,41 @@
 	return &keeper{
 		driver: d, random: random, drained: make(chan struct{}), nudge: make(chan struct{}, 1),
 		fractions: quota.NewFractions(d.cfg.Self, d.epoch, d.cfg.Clock(), random),
+		started:   d.cfg.Clock(),
 	}
 }
 
+// forming reports whether fractions may still be free because instances are starting.
+func (k *keeper) forming() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.formingLocked(k.driver.cfg.Clock())
+}
+
+func (k *keeper) formingLocked(now time.Duration) bool {
+	return now-k.started < formingTerm && !(k.wasRead && k.fractions.Complete())
+}
+
+// errNotReady is the reason why an instance should get no callers yet.
+var errNotReady = errors.New("the record of fractions was not read yet; see whether the store answers")
+
+func (k *keeper) ready() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.wasRead {
+		return errNotReady
+	}
+	return nil
+}
+
+// tick returns the time until the next look for work.
+func (k *keeper) tick() time.Duration {
+	if k.forming() {
+		return formingTick
+	}
+	return keeperTick
+}
+
 func (k *keeper) run(ctx context.Context) {
 	delay := time.Duration(0)
 	for {
@@ -67,7 +110,7 @@
 		}
 		k.startDrain()
 		k.apply()
-		delay = keeperTick
+		delay = k.tick()
 		if k.due() {
 			delay = k.sync(ctx)
 		}
@@ -92,7 +135,10 @@
 	defer k.mu.Unlock()
 	now := k.driver.cfg.Clock()
 	noted := k.readAt != 0 && now >= k.readAt
-	return k.driver.cfg.Peers.Listed() > 0 && (noted || now >= k.fractions.NextAt())
+	listed := k.driver.cfg.Peers.Listed()
+	poll := max(formingPoll, time.Duration(listed)*formingPollPerInstance)
+	forming := k.formingLocked(now) && (!k.wasRead || now-k.lastRead >= poll)
+	return listed > 0 && (noted || forming || now >= k.fractions.NextAt())
 }
 
 // sync reads the record, writes a change if one is wanted, and returns the delay until the next
@@ -113,7 +159,7 @@
 	k.mu.Lock()
 	k.failures = 0
 	k.mu.Unlock()
-	return keeperTick
+	return k.tick()
 }
 
 func (k *keeper) read(ctx context.Context) error {
@@ -140,8 +186,9 @@
 func (k *keeper) observe(record quota.Record, version uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.fractions.Observe(k.driver.cfg.Clock(), record, version)
-	k.readAt = 0
+	now := k.driver.cfg.Clock()
+	k.fractions.Observe(now, record, version)
+	k.readAt, k.lastRead, k.wasRead = 0, now, true
 }
 
 func (k *keeper) write(ctx context.Context) error {
