--- a/cmd/internal/benchcmd/capacity.go
+++ b/cmd/internal/benchcmd/capacity.go
@@ -102,7 +102,7 @@
 		homeCheckout(), homePeers(), homeQueue(), homeQueueIdle(), homeServers(), homeChoice(), homeMoves(),
 		proberView(), proberProbe(), proberFreshProbe(),
 		quotaRequester("slow.near", quotaSlowRate, quotaNear), quotaRequester("slow.far", quotaSlowRate, quotaFar),
-		quotaRequester("fast.far", quotaFastRate, quotaFar), quotaPoll(), quotaLoans(),
+		quotaRequester("fast.far", quotaFastRate, quotaFar), quotaPoll(), quotaLoans(), quotaDriver(),
 		manifestDatabases(), manifestAccounts(), manifestDelta(),
 		gossipCall(), gossipTerms(), gossipSpread(3), gossipSpread(1), peerSet(), instanceList(), storeCall(),
 	}
--- /dev/null
+++ b/cmd/internal/benchcmd/capacity_driver.go
@@ -0,0 +1,159 @@
+package benchcmd
+
+import (
+	"context"
+	"math/rand"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/quota"
+	"github.com/cyclamenstile/cyclamenstile/standin/store"
+)
+
+const (
+	// driverWarmUp lets the owner claim its fractions and the caller fill its stock.
+	driverWarmUp = 300 * time.Millisecond
+	driverWindow = time.Second
+)
+
+// quotaDriver measures the driver of an instance with callers towards a pool owner on loopback.
+func quotaDriver() measurement {
+	const per = "account with 100 statements/s, owner on loopback"
+	return measurement{
+		sizes: []int{4, 8, 16},
+		quantities: []quantity{
+			{"quota.driver.calls", "calls/s", per, "proxy/quota"},
+			{"quota.driver.bytes", "B/s", per, "proxy/quota"},
+			{"quota.driver.cpu", "µs/s", per + ", both ends", "proxy/quota"},
+			{"quota.driver.refused", "statements/s", per, "proxy/quota"},
+		},
+		open: func(ctx context.Context) (runSize, func(), error) {
+			b, stop, err := startDrivers(ctx)
+			if err != nil {
+				return nil, stop, err
+			}
+			return func(size int) ([]float64, error) { return b.measure(ctx, size) }, stop, nil
+		},
+	}
+}
+
+// onlyOwner shows one instance as the owner of all pools. listed is 0 for an instance that is to
+// claim no fractions.
+type onlyOwner struct {
+	address string
+	listed  int
+}
+
+// Live implements quota.Peers.
+func (p onlyOwner) Live() []string { return []string{p.address} }
+
+// Listed implements quota.Peers.
+func (p onlyOwner) Listed() int { return p.listed }
+
+// quotaPeer answers the calls of a caller's driver.
+type quotaPeer struct {
+	gossipPeer
+	*quota.Driver
+}
+
+// driverBench is an instance with callers and the owner of its pools.
+type driverBench struct {
+	caller, owner *quota.Driver
+	traffic       *peer.Traffic
+}
+
+func startDrivers(ctx context.Context) (*driverBench, func(), error) {
+	s, err := store.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, noStop, err
+	}
+	stops := []func(){func() { _ = s.Close() }}
+	stop := func() {
+		for i := len(stops) - 1; i >= 0; i-- {
+			stops[i]()
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, stop, err
+	}
+	address := listener.Addr().String()
+	b := &driverBench{traffic: &peer.Traffic{}}
+	client := peer.NewClient(peer.ClientConfig{Traffic: b.traffic})
+	stops = append(stops, func() { _ = client.Close() })
+	if b.owner, err = newDriver(s.URL(), address, onlyOwner{address, 1}, client); err != nil {
+		return nil, stop, err
+	}
+	if b.caller, err = newDriver(s.URL(), callerName, onlyOwner{address, 0}, client); err != nil {
+		return nil, stop, err
+	}
+	stopPeer, err := servePeer(ctx, listener, &quotaPeer{Driver: b.owner}, nil)
+	if err != nil {
+		return nil, stop, err
+	}
+	stops = append(stops, stopPeer, runDrivers(ctx, b.owner, b.caller))
+	return b, stop, nil
+}
+
+func newDriver(storeURL, self string, peers quota.Peers, calls quota.Caller) (*quota.Driver, error) {
+	client, err := httpstore.New(httpstore.Config{BaseURL: storeURL})
+	if err != nil {
+		return nil, err
+	}
+	return quota.New(quota.Config{
+		Self: self, Store: client, Peers: peers, Calls: calls,
+		Rand: rand.New(rand.NewSource(1)), Log: quietLog(),
+	})
+}
+
+// runDrivers runs drivers until the returned function is called.
+func runDrivers(ctx context.Context, drivers ...*quota.Driver) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	for _, d := range drivers {
+		running.Go(func() { d.Run(ctx) })
+	}
+	return func() { cancel(); running.Wait() }
+}
+
+func (b *driverBench) measure(ctx context.Context, accounts int) ([]float64, error) {
+	list := make([]manifest.Account, accounts)
+	for i := range list {
+		list[i] = manifest.Account{Name: accountName(i), Rate: accountRate, Burst: accountBurst}
+	}
+	b.owner.SetAccounts(list)
+	b.caller.SetAccounts(list)
+	b.admit(ctx, accounts, driverWarmUp)
+	before, bytes := b.caller.Stats(), b.bytes()
+	processor, err := cost(func() error { b.admit(ctx, accounts, driverWindow); return nil })
+	after := b.caller.Stats()
+	seconds := driverWindow.Seconds()
+	return []float64{
+		float64(after.Asks-before.Asks) / seconds, (b.bytes() - bytes) / seconds,
+		processor / seconds, float64(after.Refused-before.Refused) / seconds,
+	}, err
+}
+
+func (b *driverBench) bytes() float64 {
+	return float64(b.traffic.Sent.Load() + b.traffic.Received.Load())
+}
+
+// admit sends quotaFastRate statements/s of each account. Refusals are counted by the driver.
+func (b *driverBench) admit(ctx context.Context, accounts int, span time.Duration) {
+	var callers sync.WaitGroup
+	for a := range accounts {
+		callers.Go(func() {
+			ticker := time.NewTicker(time.Second / quotaFastRate)
+			defer ticker.Stop()
+			for range int(span.Seconds() * quotaFastRate) {
+				_ = b.caller.Admit(ctx, accountName(a))
+				<-ticker.C
+			}
+		})
+	}
+	callers.Wait()
+}
