--- a/decision/authority/invariants_test.go
+++ b/decision/authority/invariants_test.go
@@ -208,7 +208,8 @@
 }
 
 func (w *world) replicate(p, s *server) {
-	if p != s && p.up && s.up && !p.alone && !s.alone && p.state.Role == authority.RolePrimary {
+	linked := p != s && p.up && s.up && !p.alone && !s.alone
+	if linked && !s.frozen && p.state.Role == authority.RolePrimary {
 		s.contact = w.now
 		s.copyFrom(p, w.between(0, 4))
 		w.noteSuperseded()
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -187,7 +188,7 @@
 
 func (g *Group) nextWake(now time.Duration) time.Duration {
 	next := g.machine.NextTick(now)
-	if at, ok := g.confirm.NextDeadline(); ok {
+	if at, ok := g.confirm.NextDeadline(now); ok {
 		next = min(next, at)
 	}
 	for _, p := range g.placements {
@@ -210,8 +211,15 @@
 	}
 }
 
-// SetServers takes over the leaving marks of a new manifest. A change of membership or addresses
-// needs a new Group.
+// Serves reports whether servers have the members, addresses and places of this group. If not, a
+// new Group has to take its place.
+func (g *Group) Serves(servers []manifest.Server) bool {
+	return slices.EqualFunc(g.cfg.Servers, servers, func(a, b manifest.Server) bool {
+		return a.ID == b.ID && a.Address == b.Address && a.Region == b.Region && a.FailureDomain == b.FailureDomain
+	})
+}
+
+// SetServers takes over the leaving marks of a new manifest, see Serves for other changes.
 func (g *Group) SetServers(ctx context.Context, servers []manifest.Server) {
 	g.post(ctx, func() { g.machine.SetLeaving(leaving(servers)) })
 }
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -21,7 +21,7 @@
 	// period, so that heartbeats don't open connections.
 	idleExpiry = 30 * time.Second
 	// defaultKeptPerPeer bounds the idle connections to one peer; calls in progress may use more.
-	defaultKeptPerPeer = 4
+	defaultKeptPerPeer = 8
 )
 
 // ClientConfig configures a Client.
