Find silent streams between an instance and a home within seconds

When the path between an instance and the home of a server went silent while a connection was checked out, the statement waited for its statement timeout and the home kept the slot. Both sides now send Alive every 500 ms while the stream is open. A borrower gives up after 4 periods without progress, a home after 10, because it ends transactions of a borrower that only paused. Periods are counted by ticks, so a process does not take its own pause for silence. After silence the borrower uses new connections to that home.

Data goes out in pieces of 32 KiB: a pipeline above drpc's limit of 4 MiB failed before. A failed write to the home no longer counts as none: pgproto3 takes a write of 0 bytes as proof that nothing was sent, so a statement that ran could be reported as not run.

--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -18,16 +18,19 @@
 // at a time, so it should keep as many idle ones as statements are under way.
 type Conns interface {
 	Conn(ctx context.Context, address string) drpc.Conn
+	// Renew makes later calls to address use new connections only.
+	Renew(address string)
 }
 
 // Client checks connections out of home instances.
 type Client struct {
-	conns Conns
+	conns  Conns
+	period time.Duration // between Alive messages
 }
 
 // NewClient returns a client that reaches the other instances through conns.
 func NewClient(conns Conns) *Client {
-	return &Client{conns: conns}
+	return &Client{conns: conns, period: alivePeriod}
 }
 
 // Acquire checks a connection out of the home at address. Every failure is "not run": nothing of
@@ -39,7 +42,7 @@
 		cancel()
 		return nil, homeUnreachable(r, err)
 	}
-	conn := newRemoteConn(stream, cancel)
+	conn := newRemoteConn(stream, cancel, c.period, func() { c.conns.Renew(address) })
 	stop := context.AfterFunc(ctx, cancel)
 	err = conn.open(r)
 	if !stop() && err == nil {
@@ -48,7 +51,7 @@
 	if err == nil {
 		return conn, nil
 	}
-	cancel()
+	conn.close()
 	if outcome.As(err) != nil {
 		return nil, err
 	}
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,18 +23,78 @@
 	cancel   context.CancelFunc
 	frontend *pgproto3.Frontend
 	rest     []byte // received data that was not read yet
+	pulse    *pulse
+	onSilent func()
 
+	sent     atomic.Uint64 // bytes of data
+	homeGot  uint64        // of them, as the home last said; used by the receiving goroutine
 	mu       sync.Mutex
 	deadline *time.Timer
-	expired  bool
+	cause    error // why the stream was cancelled
 }
 
-func newRemoteConn(stream homepb.DRPCHomes_CheckoutClient, cancel context.CancelFunc) *remoteConn {
-	c := &remoteConn{stream: stream, cancel: cancel}
+func newRemoteConn(stream homepb.DRPCHomes_CheckoutClient, cancel context.CancelFunc, period time.Duration, onSilent func()) *remoteConn {
+	c := &remoteConn{stream: stream, cancel: cancel, onSilent: onSilent}
 	c.frontend = pgproto3.NewFrontend(reader{c}, writer{c})
+	c.pulse = &pulse{period: period, patience: borrowerPatience, send: c.sendAlive, silent: c.cutOff}
+	c.pulse.start()
 	return c
 }
 
+func (c *remoteConn) sendAlive() error {
+	return c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Alive{Alive: &homepb.Alive{}}})
+}
+
+// cutOff ends a stream on which nothing is heard of the home, or whose data does not reach it.
+func (c *remoteConn) cutOff() {
+	c.end(errSilent)
+	c.onSilent()
+}
+
+// end cancels the stream; cause is what waiting calls return.
+func (c *remoteConn) end(cause error) {
+	c.mu.Lock()
+	if c.cause == nil {
+		c.cause = cause
+	}
+	c.mu.Unlock()
+	c.cancel()
+}
+
+// close ends the stream without a cause.
+func (c *remoteConn) close() {
+	c.pulse.stop()
+	c.cancel()
+}
+
+// recv returns the next message other than Alive.
+func (c *remoteConn) recv() (*homepb.FromHome, error) {
+	c.pulse.waiting.Store(true)
+	defer c.pulse.waiting.Store(false)
+	for {
+		m, err := c.stream.Recv()
+		if err != nil {
+			return nil, c.explain(err)
+		}
+		alive := m.GetAlive()
+		if alive == nil {
+			c.pulse.progress.Add(1)
+			return m, nil
+		}
+		c.noteAlive(alive)
+	}
+}
+
+// noteAlive takes an Alive message for progress if the path to the home works too: data sent to it
+// arrives, or waits because the home is busy.
+func (c *remoteConn) noteAlive(a *homepb.Alive) {
+	arrives := a.GetReceivedBytes() > c.homeGot || a.GetReceivedBytes() == c.sent.Load()
+	c.homeGot = a.GetReceivedBytes()
+	if arrives || a.GetBusy() {
+		c.pulse.progress.Add(1)
+	}
+}
+
 // open sends the request and waits for the grant.
 func (c *remoteConn) open(r engine.AcquireRequest) error {
 	if err := c.SetDeadline(time.Now().Add(r.Timeout + grantAllowance)); err != nil {
@@ -55,9 +117,9 @@
 }
 
 func (c *remoteConn) awaitGrant() error {
-	m, err := c.stream.Recv()
+	m, err := c.recv()
 	if err != nil {
-		return c.cause(err)
+		return err
 	}
 	if m.GetGranted() != nil {
 		return nil
@@ -78,8 +140,8 @@
 func (c *remoteConn) SetDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.expired {
-		return os.ErrDeadlineExceeded
+	if c.cause != nil {
+		return c.cause
 	}
 	if c.deadline != nil {
 		c.deadline.Stop()
@@ -92,18 +154,15 @@
 }
 
 func (c *remoteConn) expire() {
-	c.mu.Lock()
-	c.expired = true
-	c.mu.Unlock()
-	c.cancel()
+	c.end(os.ErrDeadlineExceeded)
 }
 
-// cause returns the deadline error when the stream ended because of it.
-func (c *remoteConn) cause(err error) error {
+// explain returns why the stream was cancelled instead of err, if it was.
+func (c *remoteConn) explain(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.expired {
-		return os.ErrDeadlineExceeded
+	if c.cause != nil {
+		return c.cause
 	}
 	return err
 }
@@ -122,7 +181,7 @@
 func (c *remoteConn) BeginStatement(_ context.Context, timeout time.Duration) error {
 	begin := &homepb.BeginStatement{TimeoutUs: timeout.Microseconds()}
 	if err := c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_BeginStatement{BeginStatement: begin}}); err != nil {
-		return c.cause(err)
+		return c.explain(err)
 	}
 	if err := c.SetDeadline(time.Now().Add(timeout + grantAllowance)); err != nil {
 		return err
@@ -136,6 +195,7 @@
 // Release implements engine.Conn.
 func (c *remoteConn) Release(reuse bool) {
 	_ = c.SetDeadline(time.Time{})
+	c.pulse.stop()
 	release := &homepb.Release{Reuse: reuse}
 	if err := c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Release{Release: release}}); err != nil {
 		c.cancel()
@@ -164,9 +224,9 @@
 func (r reader) Read(p []byte) (int, error) {
 	c := r.c
 	for len(c.rest) == 0 {
-		m, err := c.stream.Recv()
+		m, err := c.recv()
 		if err != nil {
-			return 0, c.cause(err)
+			return 0, err
 		}
 		c.rest = m.GetData()
 	}
@@ -175,9 +235,17 @@
 	return n, nil
 }
 
+// Write sends p in pieces, so that the home's Alive messages show progress within a large pipeline and
+// no message exceeds drpc's limit of 4 MiB. A failed send may have reached the home, so it counts as at
+// least one byte: pgproto3 takes a write of none as proof that nothing was sent.
 func (w writer) Write(p []byte) (int, error) {
-	if err := w.c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Data{Data: p}}); err != nil {
-		return 0, w.c.cause(err)
+	written := 0
+	for piece := range slices.Chunk(p, chunkBytes) {
+		w.c.sent.Add(uint64(len(piece)))
+		if err := w.c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Data{Data: piece}}); err != nil {
+			return max(1, written), w.c.explain(err)
+		}
+		written += len(piece)
 	}
-	return len(p), nil
+	return written, nil
 }
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcctx"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -33,12 +35,13 @@
 // Server implements the Homes service on the local pool.
 type Server struct {
 	homepb.DRPCHomesUnimplementedServer
-	local engine.Pool
+	local  engine.Pool
+	period time.Duration // between Alive messages
 }
 
 // NewServer returns the service for connections of the local pool.
 func NewServer(local engine.Pool) *Server {
-	return &Server{local: local}
+	return &Server{local: local, period: alivePeriod}
 }
 
 // Checkout lends one connection until the stream ends.
@@ -51,6 +54,10 @@
 	if open == nil {
 		return errors.New("the first message of a checkout must be Open; run the same release on all instances")
 	}
+	l := &loan{stream: stream, done: make(chan struct{})}
+	l.pulse = &pulse{period: s.period, patience: homePatience, send: l.sendAlive, silent: l.cutOff}
+	l.pulse.start()
+	defer l.pulse.stop()
 	conn, err := s.local.Acquire(stream.Context(), engine.AcquireRequest{
 		Target: engine.Target{
 			Server:      authority.ServerID(open.GetServer()),
@@ -68,7 +75,7 @@
 		conn.Release(true)
 		return errors.New("local pool can't lend its connections")
 	}
-	l := &loan{stream: stream, conn: local, done: make(chan struct{})}
+	l.conn = local
 	return l.run()
 }
 
@@ -77,6 +84,25 @@
 	stream homepb.DRPCHomes_CheckoutStream
 	conn   LocalConn
 	done   chan struct{} // closed when the answers' goroutine has ended
+	pulse  *pulse
+
+	received atomic.Uint64 // bytes of data
+	busy     atomic.Bool   // a message is being handled
+}
+
+func (l *loan) sendAlive() error {
+	alive := &homepb.Alive{ReceivedBytes: l.received.Load(), Busy: l.busy.Load()}
+	return l.stream.Send(&homepb.FromHome{Body: &homepb.FromHome_Alive{Alive: alive}})
+}
+
+// cutOff closes the connection to a borrower that is not heard any more, which ends all that waits
+// for the stream.
+func (l *loan) cutOff() {
+	if transport, ok := drpcctx.Transport(l.stream.Context()); ok {
+		_ = transport.Close()
+		return
+	}
+	_ = l.stream.Close()
 }
 
 // run carries messages until the borrower releases the connection or is gone.
@@ -101,7 +127,10 @@
 // receive handles the borrower's messages and reports whether the connection may be reused.
 func (l *loan) receive() (reuse bool, err error) {
 	for {
+		l.pulse.waiting.Store(true)
 		m, err := l.stream.Recv()
+		l.pulse.waiting.Store(false)
+		l.pulse.progress.Add(1)
 		if err != nil {
 			return false, nil // the borrower is gone: the connection is in doubt
 		}
@@ -115,7 +144,11 @@
 }
 
 func (l *loan) handle(m *homepb.ToHome) error {
+	l.received.Add(uint64(len(m.GetData())))
+	l.busy.Store(true)
+	defer l.busy.Store(false)
 	switch {
+	case m.GetAlive() != nil:
 	case m.GetEndStatement() != nil:
 		l.conn.EndStatement()
 	case m.GetBeginStatement() != nil:
--- /dev/null
+++ b/proxy/home/silence_test.go
@@ -0,0 +1,214 @@
+package home
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+	"github.com/cyclamenstile/cyclamenstile/standin/link"
+)
+
+const (
+	// deadline bounds every wait for an event.
+	deadline = 20 * time.Second
+	// period is that of the Alive messages in these tests.
+	period = 100 * time.Millisecond
+)
+
+// fixture is a home instance with a stand-in server, reached through a relay.
+type fixture struct {
+	t      *testing.T
+	server *database.Server
+	link   *link.Link
+	client *Client
+}
+
+func startFixture(t *testing.T) *fixture {
+	t.Helper()
+	server, err := database.Start(database.Config{ID: "s1", Primary: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	local := pool.New(pool.Config{Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil }})
+	local.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: 1, MaxConnections: 1}})
+	path, err := link.Start(startHome(t, local))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	f := &fixture{t: t, server: server, link: path}
+	calls := peer.NewClient(peer.ClientConfig{})
+	t.Cleanup(func() { _ = calls.Close() })
+	f.client = NewClient(calls)
+	f.client.period = period
+	return f
+}
+
+// startHome serves the connections of local and returns the address.
+func startHome(t *testing.T, local engine.Pool) string {
+	t.Helper()
+	service := NewServer(local)
+	service.period = period
+	mux := drpcmux.New()
+	if err := homepb.DRPCRegisterHomes(mux, service); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = drpcserver.New(mux).Serve(ctx, listener) }()
+	return listener.Addr().String()
+}
+
+func (f *fixture) acquire() engine.Conn {
+	f.t.Helper()
+	c, err := f.client.Acquire(f.t.Context(), f.link.Address(), engine.AcquireRequest{
+		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(deadline)); err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+// run sends a statement and takes its answer up to ReadyForQuery.
+func run(c engine.Conn, sql string) error {
+	c.Frontend().Send(&pgproto3.Query{String: sql})
+	if err := c.Frontend().Flush(); err != nil {
+		return err
+	}
+	return receive(c)
+}
+
+func receive(c engine.Conn) error {
+	for {
+		m, err := c.Frontend().Receive()
+		if err != nil {
+			return err
+		}
+		if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+			return nil
+		}
+	}
+}
+
+// Guards against a borrower that waits for its statement timeout on a silent stream, whichever
+// direction is lost, against a home that keeps the only slot for a borrower that it does not hear, and
+// against later checkouts over connections that share the fault.
+func TestSilentStream(t *testing.T) {
+	for name, directions := range map[string][]link.Direction{
+		"answers":  {link.Answers},
+		"requests": {link.Requests},
+		"both":     {link.Answers, link.Requests},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFixture(t)
+			c := f.acquire()
+			if err := run(c, "BEGIN"); err != nil {
+				t.Fatal(err)
+			}
+			f.link.Silence(directions...)
+			if err := run(c, "SELECT 1"); !errors.Is(err, errSilent) {
+				t.Errorf("error %v, want %v", err, errSilent)
+			}
+			c.Release(false)
+			next := f.acquire()
+			if err := run(next, "SELECT 1"); err != nil {
+				t.Errorf("statement of the next checkout: %v", err)
+			}
+			next.Release(true)
+		})
+	}
+}
+
+// Guards against taking a stream for silent whose statement takes long, whose transaction rests, or
+// whose pipeline is larger than drpc's message limit.
+func TestQuietStreamKept(t *testing.T) {
+	f := startFixture(t)
+	c := f.acquire()
+	for _, sql := range []string{
+		"BEGIN",
+		"SELECT pg_sleep(1.5)",
+		"INSERT INTO kv VALUES ('large', '" + strings.Repeat("x", 6<<20) + "')",
+		"SELECT value FROM kv WHERE key = 'large'",
+	} {
+		if err := run(c, sql); err != nil {
+			t.Fatalf("%.30s: %v", sql, err)
+		}
+	}
+	time.Sleep(2 * homePatience * period) // the transaction rests
+	if err := run(c, "COMMIT"); err != nil {
+		t.Errorf("COMMIT: %v", err)
+	}
+	c.Release(true)
+}
+
+// Guards against a verdict of silence from too few missed periods, or none where the path fails.
+func TestPulse(t *testing.T) {
+	silent := make(chan struct{})
+	p := &pulse{period: time.Hour, patience: 2, send: func() error { return nil }, silent: func() { close(silent) }}
+	p.start()
+	defer p.stop()
+	ticks := func(n int) {
+		for range n {
+			p.tick()
+		}
+	}
+	ticks(9) // nothing is waited for
+	p.waiting.Store(true)
+	ticks(2)
+	p.progress.Add(1)
+	ticks(3)
+	select {
+	case <-silent:
+		t.Fatal("silent after 2 missed periods, want more than 2")
+	default:
+	}
+	ticks(1)
+	select {
+	case <-silent:
+	case <-time.After(deadline):
+		t.Error("not silent after 3 missed periods")
+	}
+}
+
+// Guards against a failed write that counts as none: what was to be sent may have reached the home,
+// so that a statement that runs would be reported as not run.
+func TestFailedWriteIsNotSafeToRetry(t *testing.T) {
+	f := startFixture(t)
+	c := f.acquire()
+	f.link.Close()
+	var err error
+	for err == nil {
+		c.Frontend().SendQuery(&pgproto3.Query{String: string(bytes.Repeat([]byte("x"), chunkBytes))})
+		err = c.Frontend().Flush()
+	}
+	var safe interface{ SafeToRetry() bool }
+	if errors.As(err, &safe) && safe.SafeToRetry() {
+		t.Errorf("write that failed with %v counts as safe to retry", err)
+	}
+	c.Release(false)
+}
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,13 +40,22 @@
 // A Client is safe for concurrent use.
 type Client struct {
 	cfg  ClientConfig
-	pool *drpcpool.Pool[string, *drpcconn.Conn]
+	pool *drpcpool.Pool[poolKey, *drpcconn.Conn]
+
+	mu      sync.Mutex
+	renewed map[string]uint64 // calls of Renew by address
+}
+
+// poolKey names the connections that calls to an address may use.
+type poolKey struct {
+	address string
+	renewed uint64
 }
 
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
 	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: cmp.Or(cfg.KeptPerPeer, defaultKeptPerPeer)}
-	return &Client{cfg: cfg, pool: drpcpool.New[string, *drpcconn.Conn](options)}
+	return &Client{cfg: cfg, renewed: make(map[string]uint64), pool: drpcpool.New[poolKey, *drpcconn.Conn](options)}
 }
 
 // Close closes the kept connections.
@@ -56,7 +66,18 @@
 // Conn returns a drpc connection to a peer, for services other than Peer. It opens a connection
 // only when a call needs one.
 func (c *Client) Conn(ctx context.Context, address string) drpc.Conn {
-	return c.pool.Get(ctx, address, c.dial)
+	c.mu.Lock()
+	key := poolKey{address, c.renewed[address]}
+	c.mu.Unlock()
+	return c.pool.Get(ctx, key, c.dial)
+}
+
+// Renew makes later calls to address use new connections only. It is for a path that went silent,
+// which mostly concerns all connections that were open; the kept ones expire unused.
+func (c *Client) Renew(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.renewed[address]++
 }
 
 // Peer returns the Peer service of the instance at address. Every call needs a deadline in its
@@ -84,7 +105,8 @@
 	return c.Peer(ctx, address).Gossip(ctx, in)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (c *Client) dial(ctx context.Context, key poolKey) (*drpcconn.Conn, error) {
+	address := key.address
 	conn, err := c.dialTCP(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to peer %s; check that the instance runs and its peer address is right", address)
--- a/proxy/pool/silence_test.go
+++ b/proxy/pool/silence_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
+	"github.com/cyclamenstile/cyclamenstile/standin/link"
 )
 
 const (
@@ -206,71 +205,23 @@
 // receive it, and neither ends.
 func TestAnswerStops(t *testing.T) {
 	f := startFixture(t, database.Config{})
-	link, stop := startLink(t, f.server.Address())
-	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: link, Slots: 8, MaxConnections: 8}})
+	path, err := link.Start(f.server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: path.Address(), Slots: 8, MaxConnections: 8}})
 	l := f.acquire()
 	l.send(t, "SELECT repeat('x', 100000) FROM generate_series(1, 1000)")
 	if _, err := l.Frontend().Receive(); err != nil {
 		t.Fatal(err)
 	}
-	close(stop)
+	path.Stall(link.Answers)
 	if err := l.receive(); !errors.Is(err, errSilent) {
 		t.Errorf("error %v, want %v", err, errSilent)
 	}
 }
 
-// startLink forwards connections until stop is closed. From then on it reads nothing of those that
-// are open, while new ones work.
-func startLink(t *testing.T, to string) (address string, stop chan struct{}) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	stop = make(chan struct{})
-	go func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			far, err := net.Dial("tcp", to)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
-			select {
-			case <-stop:
-				go func() { _, _ = io.Copy(near, far) }()
-			default:
-				go copyUntil(near, far, stop)
-			}
-			go func() { _, _ = io.Copy(far, near) }()
-		}
-	}()
-	return listener.Addr().String(), stop
-}
-
-func copyUntil(to io.Writer, from io.Reader, stop chan struct{}) {
-	buf := make([]byte, 1<<10)
-	for {
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
-		}
-	}
-}
-
 // awaitBusy waits until the server executes the statement of l.
 func (f *fixture) awaitBusy(l *lease) {
 	f.t.Helper()
