Let borrowed connections finish on a planned stop

A stopping instance closed its connections once its own callers were drained, which cut statements that other instances ran through it as their home. It now refuses further checkouts, which the borrowers take to the next home, and waits for the open ones within the drain timeout.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -42,6 +42,7 @@
 	pool      *pool.Pool
 	homeCalls *peer.Client
 	router    *home.Router
+	homes     *home.Server
 	locator   *locator
 	peers     *peer.Set
 	peerCalls *peer.Client
@@ -121,7 +122,10 @@
 	event(d.log, EventStopping).WithField("drain_timeout", d.cfg.DrainTimeout).Info("instance stops taking callers and drains")
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout+cutOffAllowance)
 	defer cancel()
+	var lending sync.WaitGroup
+	lending.Go(func() { d.drainHomes(ctx) })
 	err := d.engine.Shutdown(ctx)
+	lending.Wait()
 	if err := d.quota.Drain(ctx); err != nil {
 		event(d.log, EventHandBackFailed).WithError(err).Warn("quota could not be handed back; it is free again when its time has passed")
 	}
@@ -134,6 +138,14 @@
 	return errors.Wrap(err, "drain callers")
 }
 
+// drainHomes lets the statements and transactions of other instances end that use connections of this
+// one.
+func (d *Daemon) drainHomes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout)
+	defer cancel()
+	d.homes.Drain(ctx)
+}
+
 // ready reports why the balancer should not send callers here.
 func (d *Daemon) ready() error {
 	if d.stopping.Load() {
@@ -187,7 +199,8 @@
 	if err != nil {
 		return err
 	}
-	if err := homepb.DRPCRegisterHomes(server.Mux(), home.NewServer(d.pool)); err != nil {
+	d.homes = home.NewServer(d.pool)
+	if err := homepb.DRPCRegisterHomes(server.Mux(), d.homes); err != nil {
 		return errors.Wrap(err, "register the homes service")
 	}
 	d.peerPort = server
--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -52,7 +52,10 @@
 		return conn, nil
 	}
 	conn.close()
-	if outcome.As(err) != nil {
+	if refusal := outcome.As(err); refusal != nil {
+		if refusal.Code == outcome.CodeCannotConnectNow {
+			return nil, &unreachableError{refusal} // the home stops
+		}
 		return nil, err
 	}
 	return nil, homeUnreachable(r, err)
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,10 @@
 	homepb.DRPCHomesUnimplementedServer
 	local  engine.Pool
 	period time.Duration // between Alive messages
+
+	mu       sync.Mutex
+	stopping bool
+	loans    sync.WaitGroup
 }
 
 // NewServer returns the service for connections of the local pool.
@@ -44,8 +49,44 @@
 	return &Server{local: local, period: alivePeriod}
 }
 
+// Drain refuses further checkouts and waits until the open ones have ended, or until ctx ends.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		s.loans.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// enter counts a checkout, unless the instance stops.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.loans.Add(1)
+	return true
+}
+
+func errStopping() error {
+	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
+		"the instance that holds the connections of the server is stopping", "retry; another instance takes over at once")
+}
+
 // Checkout lends one connection until the stream ends.
 func (s *Server) Checkout(stream homepb.DRPCHomes_CheckoutStream) error {
+	if !s.enter() {
+		return sendRefused(stream, errStopping())
+	}
+	defer s.loans.Done()
 	m, err := stream.Recv()
 	if err != nil {
 		return err
--- a/proxy/home/silence_test.go
+++ b/proxy/home/silence_test.go
@@ -35,6 +35,7 @@
 	t      *testing.T
 	server *database.Server
 	link   *link.Link
+	home   *Server
 	client *Client
 }
 
@@ -47,12 +48,14 @@
 	t.Cleanup(server.Kill)
 	local := pool.New(pool.Config{Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil }})
 	local.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: 1, MaxConnections: 1}})
-	path, err := link.Start(startHome(t, local))
+	f := &fixture{t: t, server: server, home: NewServer(local)}
+	f.home.period = period
+	path, err := link.Start(serve(t, f.home))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(path.Close)
-	f := &fixture{t: t, server: server, link: path}
+	f.link = path
 	calls := peer.NewClient(peer.ClientConfig{})
 	t.Cleanup(func() { _ = calls.Close() })
 	f.client = NewClient(calls)
@@ -60,11 +63,9 @@
 	return f
 }
 
-// startHome serves the connections of local and returns the address.
-func startHome(t *testing.T, local engine.Pool) string {
+// serve runs the service and returns its address.
+func serve(t *testing.T, service *Server) string {
 	t.Helper()
-	service := NewServer(local)
-	service.period = period
 	mux := drpcmux.New()
 	if err := homepb.DRPCRegisterHomes(mux, service); err != nil {
 		t.Fatal(err)
@@ -79,11 +80,24 @@
 	return listener.Addr().String()
 }
 
+func (f *fixture) request(timeout time.Duration) (engine.Conn, error) {
+	return f.client.Acquire(f.t.Context(), f.link.Address(), engine.AcquireRequest{
+		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: timeout,
+	})
+}
+
+// tryAcquire returns why no connection is lent.
+func (f *fixture) tryAcquire(timeout time.Duration) error {
+	c, err := f.request(timeout)
+	if err == nil {
+		c.Release(true)
+	}
+	return err
+}
+
 func (f *fixture) acquire() engine.Conn {
 	f.t.Helper()
-	c, err := f.client.Acquire(f.t.Context(), f.link.Address(), engine.AcquireRequest{
-		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline,
-	})
+	c, err := f.request(deadline)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -166,6 +180,40 @@
 	c.Release(true)
 }
 
+// Guards against a stopping home that cuts what other instances run through it, or that takes more.
+func TestDrain(t *testing.T) {
+	f := startFixture(t)
+	c := f.acquire()
+	if err := run(c, "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	drained := make(chan struct{})
+	go func() {
+		f.home.Drain(t.Context())
+		close(drained)
+	}()
+	var unreachable *unreachableError
+	for !errors.As(f.tryAcquire(period), &unreachable) {
+		if t.Context().Err() != nil {
+			t.Fatal("checkouts are not refused as stopping")
+		}
+	}
+	if err := run(c, "COMMIT"); err != nil {
+		t.Errorf("COMMIT while the home stops: %v", err)
+	}
+	select {
+	case <-drained:
+		t.Error("drained while a connection is checked out")
+	default:
+	}
+	c.Release(true)
+	select {
+	case <-drained:
+	case <-time.After(deadline):
+		t.Error("not drained although no connection is checked out")
+	}
+}
+
 // Guards against a verdict of silence from too few missed periods, or none where the path fails.
 func TestPulse(t *testing.T) {
 	silent := make(chan struct{})
