--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -37,6 +37,8 @@
 	relayServers bool // between instances and servers
 	relayPeers   bool // between servers
 	instances    int  // 2 if 0
+	// record keeps all that the instances send to servers; it needs relayServers.
+	record *recording
 }
 
 // deployment is a store, one database group and instances, each a process of its own.
@@ -125,6 +127,9 @@
 	}
 	if d.setup.relayServers {
 		s.relay = startRelay(d.t, s.address)
+		if d.setup.record != nil {
+			s.relay.record(d.setup.record)
+		}
 	}
 	var err error
 	s.control, err = dbgroup.NewClient(dbgroup.Config{Server: s.id, Address: s.address, User: "test"})
--- a/cmd/internal/processtest/failover_test.go
+++ b/cmd/internal/processtest/failover_test.go
@@ -79,3 +79,37 @@
 	d.awaitReturn(0, next)
 	checkGap(t, r.finish(), gapWorstCase)
 }
+
+// Guards against a primary that takes statements but whose answers reach no instance, or the
+// reverse: probes and new connections fail in the same way, and statements may have run.
+func TestPrimaryCutOffOneWay(t *testing.T) {
+	for _, direction := range []string{requests, answers} {
+		t.Run(direction, func(t *testing.T) {
+			d := deploy(t, setup{relayServers: true})
+			r := d.startLoad(nil)
+			d.servers[0].relay.swallow(direction)
+			next := d.awaitFailover(0)
+			d.servers[0].relay.release(direction)
+			d.awaitReturn(0, next)
+			checkGap(t, r.finish(), gapWorstCase)
+		})
+	}
+}
+
+// Guards against replacing a primary whose path grows to the latency between regions, and against
+// statements that it costs.
+func TestPrimaryFarAway(t *testing.T) {
+	const oneWay = 20 * time.Millisecond // as the design page states
+	d := deploy(t, setup{relayServers: true})
+	r := d.startLoad(nil)
+	d.servers[0].relay.delay(oneWay)
+	d.awaitGrowth(0, 500)
+	if state, ok := d.state(0); !ok || state.Role != authority.RolePrimary || state.Term != 1 {
+		t.Errorf("distant primary was replaced: %+v, answered %v", state, ok)
+	}
+	result := r.finish()
+	checkGap(t, result, gapAfterCrash)
+	if c := total(result); c.Unknown > 0 {
+		t.Errorf("%d statements of unknown outcome, want none", c.Unknown)
+	}
+}
--- a/cmd/internal/processtest/relay_test.go
+++ b/cmd/internal/processtest/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
@@ -77,6 +78,13 @@
 	r.spareNew("swallow-" + answers)
 }
 
+// delay holds back the bytes of each direction for a time.
+func (r *relay) delay(d time.Duration) {
+	for _, direction := range []string{requests, answers} {
+		r.addToxic(`{"name": "delay-%[1]s", "type": "latency", "stream": %[1]q, "attributes": {"latency": `+fmt.Sprint(d.Milliseconds())+`}}`, direction)
+	}
+}
+
 // limitAnswers closes a connection once it has carried so many bytes of answers.
 func (r *relay) limitAnswers(bytes int) {
 	r.addToxic(`{"name": "limit", "type": "limit_data", "stream": %q, "attributes": {"bytes": `+fmt.Sprint(bytes)+`}}`, answers)
--- a/cmd/internal/processtest/spy_test.go
+++ b/cmd/internal/processtest/spy_test.go
@@ -54,3 +54,83 @@
 	r.addToxic(`{"name": "spy", "type": "spy", "stream": %q, "attributes": `+fmt.Sprintf(`{"id": %d, "text": %q}}`, id, text), requests)
 	return found
 }
+
+// recording keeps what one or more relays carried in one direction, by connection.
+type recording struct {
+	mu    sync.Mutex
+	conns []*bytes.Buffer
+}
+
+func (r *recording) open() *bytes.Buffer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := new(bytes.Buffer)
+	r.conns = append(r.conns, b)
+	return b
+}
+
+func (r *recording) add(b *bytes.Buffer, data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b.Write(data)
+}
+
+// count returns the number of connections that carried a text.
+func (r *recording) count(text string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, b := range r.conns {
+		if bytes.Contains(b.Bytes(), []byte(text)) {
+			n++
+		}
+	}
+	return n
+}
+
+// size returns the number of recorded bytes.
+func (r *recording) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, b := range r.conns {
+		n += b.Len()
+	}
+	return n
+}
+
+var allRecordings sync.Map // by id of the toxic
+
+// recordToxic passes everything on and keeps a copy.
+type recordToxic struct {
+	ID int64 `json:"id"` // in allRecordings
+}
+
+func init() { toxics.Register("record", new(recordToxic)) }
+
+// Pipe implements toxics.Toxic.
+func (r *recordToxic) Pipe(stub *toxics.ToxicStub) {
+	found, _ := allRecordings.Load(r.ID)
+	kept := found.(*recording)
+	b := kept.open()
+	for {
+		select {
+		case <-stub.Interrupt:
+			return
+		case c := <-stub.Input:
+			if c == nil {
+				stub.Close()
+				return
+			}
+			kept.add(b, c.Data)
+			stub.Output <- c
+		}
+	}
+}
+
+// record keeps the requests through the relay.
+func (r *relay) record(kept *recording) {
+	id := lastSightings.Add(1)
+	allRecordings.Store(id, kept)
+	r.addToxic(`{"name": "record", "type": "record", "stream": %q, "attributes": {"id": `+fmt.Sprint(id)+`}}`, requests)
+}
