Test that instances never follow the store back to an older manifest

TestManifestNeverReverts overwrites the stored manifest with the first version: instances keep the newer one on new and live connections for the 5 s in which changes come into force, and an instance that starts then takes it from its peers.

--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -53,6 +53,8 @@
 	servers   []*server
 	instances []*instance
 	keys      map[string]string // of the accounts, in clear text
+
+	overwritten time.Time // when overwriteManifest was called
 }
 
 // server is one database server.
--- a/cmd/internal/processtest/store_test.go
+++ b/cmd/internal/processtest/store_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -43,11 +44,14 @@
 	checkGap(t, r.finish(), gapAfterCrash)
 }
 
+// newAccount is the account that checkNewManifest adds.
+const newAccount = "safety-officers"
+
 // checkNewManifest applies a manifest with a further account and waits until every instance
 // accepts its key.
 func (d *deployment) checkNewManifest() {
 	d.t.Helper()
-	const account = "safety-officers"
+	const account = newAccount
 	d.keys[account] = "key of " + account
 	m := d.manifest(2)
 	m.Accounts = append(m.Accounts, manifest.Account{
@@ -63,6 +67,46 @@
 	d.t.Logf("manifest in force at all instances after %s", time.Since(applied).Round(time.Millisecond))
 }
 
+// Guards against instances that follow the store back to an older manifest, as after a restored
+// backup, and against one that starts then and stays with it.
+func TestManifestNeverReverts(t *testing.T) {
+	d := deploy(t, setup{})
+	d.checkNewManifest()
+	live := d.mustConnect(0, newAccount)
+	d.overwriteManifest(d.manifest(1))
+	waitFor(t, "time to take up the older manifest", func() bool {
+		for i := range d.instances {
+			if err := d.tryWrite(i, newAccount); err != nil {
+				t.Fatalf("account of the newer manifest at %s: %v", d.instances[i].id, err)
+			}
+		}
+		return time.Since(d.overwritten) > inForceWithin
+	})
+	if _, err := read(t.Context(), live, "any"); err != nil {
+		t.Errorf("live connection of an account of the newer manifest: %v", err)
+	}
+	d.instances[1].kill()
+	d.startInstance(d.instances[1])
+	waitFor(t, "newer manifest at an instance started later", func() bool { return d.tryWrite(1, newAccount) == nil })
+}
+
+// overwriteManifest puts m into the store whatever its version.
+func (d *deployment) overwriteManifest(m manifest.Manifest) {
+	d.t.Helper()
+	stored, err := d.client.Get(d.t.Context(), manifest.StoreKey)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	document, err := json.Marshal(m)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := d.client.Put(d.t.Context(), manifest.StoreKey, document, stored.Version); err != nil {
+		d.t.Fatal(err)
+	}
+	d.overwritten = time.Now()
+}
+
 // Guards against an apply that repeats or denies a change whose answer was lost.
 func TestApplyAnswerLost(t *testing.T) {
 	d := deploy(t, setup{})
@@ -120,6 +164,7 @@
 const (
 	withdrawnWithin = 5 * time.Second
 	emptiedWithin   = 5 * time.Second
+	inForceWithin   = 5 * time.Second
 )
 
 // Guards against a withdrawn key that goes on working, on new or live connections, idle or busy,
