--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -37,6 +37,8 @@
 	relayServers bool // between instances and servers
 	relayPeers   bool // between servers
 	instances    int  // 2 if 0
+	// record keeps all that the instances send to servers; it needs relayServers.
+	record *recording
 }
 
 // deployment is a store, one database group and instances, each a process of its own.
@@ -51,6 +53,8 @@
 	servers   []*server
 	instances []*instance
 	keys      map[string]string // of the accounts, in clear text
+
+	overwritten time.Time // when overwriteManifest was called
 }
 
 // server is one database server.
@@ -125,6 +129,9 @@
 	}
 	if d.setup.relayServers {
 		s.relay = startRelay(d.t, s.address)
+		if d.setup.record != nil {
+			s.relay.record(d.setup.record)
+		}
 	}
 	var err error
 	s.control, err = dbgroup.NewClient(dbgroup.Config{Server: s.id, Address: s.address, User: "test"})
