Add bench failover with the latencies of a deployment

The latency depends on where the connecting end is, and the manifest holds one address per server. daemon.Config gets a Dial function for servers and other instances, so that each region uses its own relays. cmd/internal/local takes places for servers and instances, the addresses between servers, and the load generator can move sessions between addresses.

--- /dev/null
+++ b/cmd/internal/benchcmd/failover.go
@@ -0,0 +1,310 @@
+package benchcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+)
+
+const (
+	// failoverTimeout ends a run whose machine is too busy to finish.
+	failoverTimeout = 58 * time.Second
+	// failoverLanes is how many causes are measured at the same time.
+	failoverLanes = 3
+	// failoverLag is the replication lag.
+	failoverLag = 5 * time.Millisecond
+	// failoverLimit bounds the load of one cause; it ends once the failover is over.
+	failoverLimit = 40 * time.Second
+	// violationsShown bounds the violations of one run that a report names.
+	violationsShown = 5
+)
+
+// errBroken makes a command's exit code 1.
+var errBroken = errors.New("a promise was broken; see the report")
+
+const failoverHelp = `failover runs a deployment of the design page under load, six instances and three servers in three
+regions with the latencies between them, and ends the writes on the primary by one cause after the
+other. It shows the gap in writes, the acknowledged writes that were lost, and what callers were
+told. The baseline is a plain policy in the same run: callers connect to the primary itself, which
+acknowledges alone, and a script promotes another server after 3 s of silence without fencing.
+
+Everything runs in one process, several causes at a time. The exit code is 1 if a gap was not below
+its limit, an acknowledged write was lost, or the history shows another broken promise.`
+
+// benchOptions are the flags that failover and sessions share.
+type benchOptions struct {
+	deployment string
+	seed       uint64
+	only       string
+	settle     time.Duration // failover: load after the failover
+	duration   time.Duration // sessions: of one measurement
+}
+
+func (o *benchOptions) register(cmd *cobra.Command) {
+	f := cmd.Flags()
+	f.StringVar(&o.deployment, "deployment", sizes[0].name, "deployment of the design page: prairie or malabar")
+	f.Uint64Var(&o.seed, "seed", 1, "seed of the load")
+	f.StringVar(&o.only, "only", "", "measure only the rows whose name begins with this")
+}
+
+func newFailover() *cobra.Command {
+	o := &benchOptions{}
+	cmd := &cobra.Command{
+		Use:   "failover",
+		Short: "Measure the gap in writes and what is lost when a primary fails",
+		Long:  failoverHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.failover(cmd)
+		},
+	}
+	o.register(cmd)
+	cmd.Flags().DurationVar(&o.settle, "settle", 1500*time.Millisecond, "load after the fault has ended")
+	return cmd
+}
+
+// failoverFigures is what callers experienced in one failover.
+type failoverFigures struct {
+	Statements     int      `json:"statements"`
+	WriteGapMillis int64    `json:"write_gap_ms"`
+	LostAcked      int      `json:"lost_acked_writes"`
+	Unknown        int      `json:"outcome_unknown"`
+	FalseNotRun    int      `json:"false_not_run"`
+	Refused        int      `json:"refused"`
+	Violations     int      `json:"violations"`
+	Shown          []string `json:"violations_shown,omitempty"`
+}
+
+// failoverRow compares one cause.
+type failoverRow struct {
+	Cause       string          `json:"cause"`
+	LimitMillis int64           `json:"limit_ms"`
+	Ours        failoverFigures `json:"ours"`
+	Baseline    failoverFigures `json:"baseline"`
+}
+
+// failoverReport is the result of bench failover.
+type failoverReport struct {
+	Deployment  string        `json:"deployment"`
+	Seed        uint64        `json:"seed"`
+	LoadAverage string        `json:"load_average"`
+	Seconds     float64       `json:"seconds"`
+	Rows        []failoverRow `json:"rows"`
+	Broken      []string      `json:"broken"`
+}
+
+func (o *benchOptions) failover(cmd *cobra.Command) error {
+	size, err := sizeOf(o.deployment)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(cmd.Context(), failoverTimeout)
+	defer cancel()
+	report, err := o.measureFailover(ctx, size)
+	if err != nil {
+		return err
+	}
+	asJSON, _ := cmd.Flags().GetBool("json")
+	return printReport(cmd.OutOrStdout(), asJSON, report, report.table, report.Broken)
+}
+
+// printReport writes a report and returns errBroken if it names a broken promise.
+func printReport(w io.Writer, asJSON bool, report any, table func(io.Writer) error, broken []string) error {
+	var err error
+	if asJSON {
+		err = json.NewEncoder(w).Encode(report)
+	} else {
+		err = table(w)
+	}
+	if err == nil && len(broken) > 0 {
+		return errBroken
+	}
+	return err
+}
+
+func (o *benchOptions) measureFailover(ctx context.Context, s size) (*failoverReport, error) {
+	began := time.Now()
+	r := &failoverReport{Deployment: s.name, Seed: o.seed, Broken: []string{}}
+	for _, c := range causes() {
+		if strings.HasPrefix(c.name, o.only) {
+			r.Rows = append(r.Rows, failoverRow{Cause: c.name, LimitMillis: c.limit.Milliseconds()})
+		}
+	}
+	if len(r.Rows) == 0 {
+		return nil, errors.New("no cause has this name; leave --only out to see all")
+	}
+	lanes, ctx := errgroup.WithContext(ctx)
+	lanes.SetLimit(failoverLanes)
+	for i := range r.Rows {
+		c := causeOf(r.Rows[i].Cause)
+		lanes.Go(func() (err error) {
+			r.Rows[i].Ours, err = o.oursUnder(ctx, s, c)
+			return errors.Wrap(err, c.name)
+		})
+	}
+	for i := range r.Rows {
+		c := causeOf(r.Rows[i].Cause)
+		lanes.Go(func() (err error) {
+			r.Rows[i].Baseline, err = o.plainUnder(ctx, s, c)
+			return errors.Wrapf(err, "%s, plain policy", c.name)
+		})
+	}
+	if err := lanes.Wait(); err != nil {
+		return nil, err
+	}
+	r.Seconds, r.LoadAverage = time.Since(began).Seconds(), loadAverage()
+	r.judge()
+	return r, nil
+}
+
+func causeOf(name string) cause {
+	for _, c := range causes() {
+		if c.name == name {
+			return c
+		}
+	}
+	return cause{}
+}
+
+// oursUnder measures a cause with the proxy.
+func (o *benchOptions) oursUnder(ctx context.Context, s size, c cause) (failoverFigures, error) {
+	d, err := startDeployment(ctx, s, settings{
+		lag: failoverLag, seed: o.seed, routes: []manifest.Route{{Name: local.DatabaseName}},
+	})
+	if err != nil {
+		return failoverFigures{}, err
+	}
+	defer d.close()
+	c.keeps = false // a primary that a majority does not confirm acknowledges nothing
+	return o.under(ctx, c, d.servers(), d.load(local.DatabaseName, o.seed, failoverLimit))
+}
+
+// plainUnder measures a cause with the plain policy.
+func (o *benchOptions) plainUnder(ctx context.Context, s size, c cause) (failoverFigures, error) {
+	p, err := startPlain(s, settings{lag: failoverLag, seed: o.seed})
+	if err != nil {
+		return failoverFigures{}, err
+	}
+	defer p.close()
+	scripted, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.watch(scripted)
+	}()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	return o.under(ctx, c, p.servers(), p.load(local.DatabaseName, o.seed, failoverLimit))
+}
+
+// under runs the load, causes the failover, and measures.
+func (o *benchOptions) under(ctx context.Context, c cause, s *servers, cfg load.Config) (failoverFigures, error) {
+	loaded, stop := context.WithCancel(ctx)
+	defer stop()
+	var result *load.Result
+	var running errgroup.Group
+	running.Go(func() (err error) {
+		result, err = load.Run(loaded, cfg)
+		return err
+	})
+	err := o.failOver(ctx, c, s)
+	stop()
+	if err := errors.CombineErrors(err, running.Wait()); err != nil {
+		return failoverFigures{}, err
+	}
+	if err := readFinal(ctx, s.group, result); err != nil {
+		return failoverFigures{}, err
+	}
+	return failoverResult(result), nil
+}
+
+// failOver injects the fault, waits for another primary, ends the fault and lets the load go on.
+func (o *benchOptions) failOver(ctx context.Context, c cause, s *servers) error {
+	anyPrimary := func(int) bool { return true }
+	if err := s.awaitWrites(ctx, writesSeen, anyPrimary); err != nil {
+		return err
+	}
+	old := s.group.Primary()
+	if err := c.inject(ctx, s, old); err != nil {
+		return err
+	}
+	waiting, cancel := context.WithTimeout(ctx, c.limit+o.settle)
+	defer cancel()
+	// A primary that does not take over in time shows as a gap above its limit.
+	_ = s.awaitWrites(waiting, writesSeen, func(i int) bool { return c.keeps || i != old })
+	if err := c.heal(ctx, s, old); err != nil {
+		return err
+	}
+	return pause(ctx, o.settle)
+}
+
+func failoverResult(r *load.Result) failoverFigures {
+	f := failoverFigures{WriteGapMillis: r.WriteGap.Milliseconds()}
+	for _, c := range r.Counts {
+		f.Statements += c.Sent
+		f.Unknown += c.Unknown
+		f.Refused += c.NotRun
+	}
+	for _, v := range history.Check(r.History) {
+		switch v.(type) {
+		case history.LostWrite:
+			f.LostAcked++
+		case history.RanAfterNotRun:
+			f.FalseNotRun++
+		}
+		f.Violations++
+		if len(f.Shown) < violationsShown {
+			f.Shown = append(f.Shown, v.String())
+		}
+	}
+	return f
+}
+
+// judge names the promises that were broken.
+func (r *failoverReport) judge() {
+	for _, row := range r.Rows {
+		if row.Ours.WriteGapMillis >= row.LimitMillis {
+			r.Broken = append(r.Broken, fmt.Sprintf("%s: no write was acknowledged for %d ms, the limit is %d ms", row.Cause, row.Ours.WriteGapMillis, row.LimitMillis))
+		}
+		for _, v := range row.Ours.Shown {
+			r.Broken = append(r.Broken, row.Cause+": "+v)
+		}
+	}
+}
+
+func (r *failoverReport) table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "cause\tpolicy\twrite gap ms\tlimit ms\tlost acked\tunknown\tfalse not run\trefused\tstatements\t")
+	for _, row := range r.Rows {
+		row.Ours.line(t, row.Cause, "ours", row.LimitMillis)
+		row.Baseline.line(t, row.Cause, "plain", row.LimitMillis)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, b := range r.Broken {
+		fmt.Fprintln(w, "broken promise:", b)
+	}
+	_, err := fmt.Fprintf(w, "%s, seed %d, load average %s, %.0f s\n", r.Deployment, r.Seed, r.LoadAverage, r.Seconds)
+	return err
+}
+
+func (f failoverFigures) line(w io.Writer, cause, policy string, limit int64) {
+	fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+		cause, policy, f.WriteGapMillis, limit, f.LostAcked, f.Unknown, f.FalseNotRun, f.Refused, f.Statements)
+}
--- a/cmd/internal/load/config.go
+++ b/cmd/internal/load/config.go
@@ -37,7 +37,9 @@
 	// Run prefixes all keys and values, so that runs on the same table don't meet.
 	Run              string
 	StatementTimeout time.Duration
-	UseToken         bool // hand the session token back when reconnecting
+	// MoveAfter makes a session reconnect at the next address after so many statements; 0: never.
+	MoveAfter int
+	UseToken  bool // hand the session token back when reconnecting
 	// TermOf returns the term that a session token names, 0 if unknown; may be nil.
 	TermOf func(token string) uint64
 	// NoHistory leaves out the history, for runs longer than memory allows.
--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -46,6 +46,7 @@
 	random   *rand.Rand
 
 	conn   *pgx.Conn
+	served int // statements since the connection was opened
 	token  string
 	writes int
 	acked  []string // values that a report of a lost write may mean
@@ -71,6 +72,7 @@
 		if refused := s.statement(time.Now()); refused {
 			s.pause(ctx)
 		}
+		s.move(ctx)
 	}
 }
 
@@ -84,9 +86,21 @@
 			continue
 		}
 		s.statement(due)
+		s.move(ctx)
 	}
 }
 
+// move reconnects at the next address when the session is due to. It does so at once, so that the
+// next statement's latency is without the connection.
+func (s *session) move(ctx context.Context) {
+	s.served++
+	if s.cfg.MoveAfter == 0 || s.served < s.cfg.MoveAfter {
+		return
+	}
+	s.disconnect()
+	s.connected(ctx)
+}
+
 func (s *session) pause(ctx context.Context) {
 	wait := time.Duration(s.random.Int64N(int64(2 * retryPause)))
 	sleepUntil(ctx, time.Now().Add(wait))
@@ -235,6 +249,7 @@
 	conn, err := s.connect(ctx)
 	if err == nil {
 		s.conn = conn
+		s.served = 0
 		return true
 	}
 	if ctx.Err() == nil {
--- a/cmd/internal/local/local.go
+++ b/cmd/internal/local/local.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
@@ -47,6 +48,27 @@
 	// ServerAddress, if set, returns the address at which instances reach a database server, so
 	// that a relay can stand in between.
 	ServerAddress func(id, address string) string
+	// PeerAddress, if set, returns the address at which a database server reaches another one.
+	PeerAddress func(from, to authority.ServerID, address string) string
+	// ServerPlaces and InstancePlaces tell where servers and instances are, in turns. Without
+	// places everything is in one region, in three failure domains.
+	ServerPlaces, InstancePlaces []Place
+}
+
+// Place is where a server or an instance is.
+type Place struct {
+	Region        string
+	FailureDomain string
+}
+
+// defaultPlaces are three failure domains of one region.
+var defaultPlaces = []Place{{"local", "local-a"}, {"local", "local-b"}, {"local", "local-c"}}
+
+func placeOf(places []Place, i int) Place {
+	if len(places) == 0 {
+		places = defaultPlaces
+	}
+	return places[i%len(places)]
 }
 
 // Instance is one running instance of the proxy.
@@ -185,7 +207,7 @@
 
 func (d *Deployment) startGroup(context.Context) error {
 	var err error
-	d.Group, err = database.StartGroup(database.GroupConfig{Server: d.cfg.Server})
+	d.Group, err = database.StartGroup(database.GroupConfig{Server: d.cfg.Server, PeerAddress: d.cfg.PeerAddress})
 	return err
 }
 
@@ -216,11 +238,12 @@
 	if d.cfg.ServerAddress != nil {
 		address = d.cfg.ServerAddress(string(s.ID()), address)
 	}
+	place := placeOf(d.cfg.ServerPlaces, i)
 	return manifest.Server{
 		ID:             string(s.ID()),
 		Address:        address,
-		Region:         "local",
-		FailureDomain:  fmt.Sprintf("local-%c", 'a'+i),
+		Region:         place.Region,
+		FailureDomain:  place.FailureDomain,
 		MaxConnections: orDefault(d.cfg.Server.MaxConnections, 100),
 		Slots:          orDefault(d.cfg.Server.Slots, 64),
 	}
@@ -279,10 +302,11 @@
 }
 
 func (d *Deployment) instanceConfig(i int) (daemon.Config, error) {
+	place := placeOf(d.cfg.InstancePlaces, i)
 	cfg := daemon.Config{
 		InstanceID:    fmt.Sprintf("proxy-%d", i+1),
-		Region:        "local",
-		FailureDomain: fmt.Sprintf("local-%c", 'a'+i%3),
+		Region:        place.Region,
+		FailureDomain: place.FailureDomain,
 		Listen:        "127.0.0.1:0",
 		PeerListen:    "127.0.0.1:0",
 		OpsListen:     "127.0.0.1:0",
--- a/proxy/daemon/config.go
+++ b/proxy/daemon/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/tls"
 	"io"
 	"net"
@@ -62,6 +63,9 @@
 	OnStatement func(engine.Statement)
 	// Plain, if set, replaces the coordinated decisions by the baseline's.
 	Plain *PlainPolicy
+	// Dial, if set, opens the connections to database servers and to other instances. Measurements
+	// use it to put the latency between regions on the way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Listener, PeerListener and OpsListener are used in place of the addresses when set.
 	Listener, PeerListener, OpsListener net.Listener
 }
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -157,8 +157,8 @@
 
 // assemblePeers connects this instance with the others.
 func (d *Daemon) assemblePeers() error {
-	d.peerCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient})
-	d.homeCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient, KeptPerPeer: homeConnsKept, UserTimeout: tcp.DataTimeout})
+	d.peerCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient, Dial: d.cfg.Dial})
+	d.homeCalls = peer.NewClient(peer.ClientConfig{TLS: d.cfg.PeerClient, Dial: d.cfg.Dial, KeptPerPeer: homeConnsKept, UserTimeout: tcp.DataTimeout})
 	seed := rand.Int63()
 	g := &gossip{daemon: d}
 	set, err := peer.NewSet(peer.SetConfig{
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -128,6 +128,7 @@
 		Address:  s.Address,
 		User:     g.cfg.UpstreamUser,
 		Password: g.cfg.UpstreamPassword,
+		Dial:     g.cfg.Dial,
 	})
 	if err != nil {
 		return group.Adapter{Kept: unusable{err}, Fresh: unusable{err}}
@@ -228,6 +229,7 @@
 		User:      d.cfg.UpstreamUser,
 		Password:  d.cfg.UpstreamPassword,
 		Identify:  identify,
+		Dial:      d.cfg.Dial,
 		Executing: d.executing,
 		OnSilent:  d.reportSilent,
 	})
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -32,6 +32,8 @@
 	KeptPerPeer int
 	// UserTimeout is that of the sockets; 0 stands for tcp.CallTimeout.
 	UserTimeout time.Duration
+	// Dial opens a TCP connection; nil uses tcp.Dialer with UserTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls other instances. A call uses a kept idle connection or opens one. A call that
@@ -45,6 +47,9 @@
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
 	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: cmp.Or(cfg.KeptPerPeer, defaultKeptPerPeer)}
+	if cfg.Dial == nil {
+		cfg.Dial = tcp.Dialer(cmp.Or(cfg.UserTimeout, tcp.CallTimeout)).DialContext
+	}
 	return &Client{cfg: cfg, pool: drpcpool.New[string, *drpcconn.Conn](options)}
 }
 
@@ -93,7 +98,7 @@
 }
 
 func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := tcp.Dialer(cmp.Or(c.cfg.UserTimeout, tcp.CallTimeout)).DialContext(ctx, "tcp", address)
+	conn, err := c.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
