--- /dev/null
+++ b/cmd/internal/benchcmd/sessions.go
@@ -0,0 +1,350 @@
+package benchcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+)
+
+const (
+	// sessionsTimeout ends a run whose machine is too busy to finish.
+	sessionsTimeout = 58 * time.Second
+	// moveAfter is the number of statements after which a session moves to the next instance.
+	moveAfter = 5
+	// staleLimit is the maxStaleness of the route that allows stale reads.
+	staleLimit = 5 * time.Second
+	// plainWay names the baseline.
+	plainWay = "all on primary"
+	// staleWay names the way that allows stale reads.
+	staleWay = "maxStaleness 5s"
+)
+
+// sessionLags are the replication lags. Records take the latency between regions on top.
+var sessionLags = []time.Duration{time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond}
+
+const sessionsHelp = `sessions runs a deployment of the design page under load, six instances and three servers in three
+regions with the latencies between them, for each way of keeping read-your-writes, each mode of
+acknowledging writes and each replication lag. Sessions move to another instance every few
+statements. It shows the share of reads on replicas, latencies, and reads that missed a write that
+their own session had had acknowledged. The baseline reads everything on the primary.
+
+Everything runs in one process, two deployments at a time. The exit code is 1 if a read was stale on
+a route that allows none or more than its staleness, or if the history shows another broken promise.`
+
+// way is a way of keeping read-your-writes.
+type way struct {
+	name  string
+	route manifest.Route
+	token bool // the session hands its token over when it moves
+	plain bool
+}
+
+// ways lists the ways, the baseline last.
+func ways() []way {
+	return []way{
+		{name: "token", route: manifest.Route{SessionScope: manifest.ScopeConnection}, token: true},
+		{name: "sample per read", route: manifest.Route{SessionScope: manifest.ScopeAny}},
+		{name: "sample per connection", route: manifest.Route{SessionScope: manifest.ScopeConnection}},
+		{name: staleWay, route: manifest.Route{MaxStaleness: manifest.Duration(staleLimit)}},
+		{name: plainWay, plain: true},
+	}
+}
+
+// routeName returns the name of a way's route, which is also its run's prefix of keys.
+func (w way) routeName() string {
+	return strings.ReplaceAll(strings.ToLower(w.name), " ", "-")
+}
+
+func newSessions() *cobra.Command {
+	o := &benchOptions{}
+	cmd := &cobra.Command{
+		Use:   "sessions",
+		Short: "Compare the ways of keeping read-your-writes",
+		Long:  sessionsHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.sessions(cmd)
+		},
+	}
+	o.register(cmd)
+	cmd.Flags().DurationVar(&o.duration, "duration", 2*time.Second, "load of each measurement, of which there are 30")
+	return cmd
+}
+
+// sessionRow is one measurement. Latencies are in milliseconds.
+type sessionRow struct {
+	Way          string   `json:"way"`
+	Acknowledge  string   `json:"acknowledge"`
+	LagMillis    int64    `json:"lag_ms"`
+	ReplicaShare float64  `json:"replica_read_share"`
+	ReadP50      float64  `json:"read_p50_ms"`
+	ReadP99      float64  `json:"read_p99_ms"`
+	WriteP50     float64  `json:"write_p50_ms"`
+	WriteP99     float64  `json:"write_p99_ms"`
+	Reads        int64    `json:"reads"`
+	Writes       int64    `json:"writes"`
+	StaleReads   int      `json:"stale_reads"`
+	Refused      int      `json:"refused"`
+	Unknown      int      `json:"outcome_unknown"`
+	Missed       int      `json:"missed"` // due, but not sent
+	Broken       []string `json:"broken,omitempty"`
+}
+
+// acknowledgeCost is the median write latency of both modes at one lag, over all ways but the baseline.
+type acknowledgeCost struct {
+	LagMillis   int64   `json:"lag_ms"`
+	MajorityP50 float64 `json:"majority_p50_ms"`
+	PrimaryP50  float64 `json:"primary_p50_ms"`
+}
+
+// sessionsReport is the result of bench sessions.
+type sessionsReport struct {
+	Deployment  string            `json:"deployment"`
+	Seed        uint64            `json:"seed"`
+	LoadAverage string            `json:"load_average"`
+	Seconds     float64           `json:"seconds"`
+	Rows        []sessionRow      `json:"rows"`
+	Cost        []acknowledgeCost `json:"acknowledge_cost"`
+	Broken      []string          `json:"broken"`
+}
+
+func (o *benchOptions) sessions(cmd *cobra.Command) error {
+	size, err := sizeOf(o.deployment)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(cmd.Context(), sessionsTimeout)
+	defer cancel()
+	report, err := o.measureSessions(ctx, size)
+	if err != nil {
+		return err
+	}
+	asJSON, _ := cmd.Flags().GetBool("json")
+	return printReport(cmd.OutOrStdout(), asJSON, report, report.table, report.Broken)
+}
+
+// measureSessions measures both modes of acknowledging at the same time, each with its deployments
+// one after the other.
+func (o *benchOptions) measureSessions(ctx context.Context, s size) (*sessionsReport, error) {
+	began := time.Now()
+	modes := []manifest.Acknowledge{manifest.AcknowledgeMajority, manifest.AcknowledgePrimary}
+	rows := make([][]sessionRow, len(modes))
+	lanes, ctx := errgroup.WithContext(ctx)
+	for i, mode := range modes {
+		lanes.Go(func() (err error) {
+			rows[i], err = o.sessionsWith(ctx, s, mode)
+			return errors.Wrapf(err, "acknowledge %s", mode)
+		})
+	}
+	if err := lanes.Wait(); err != nil {
+		return nil, err
+	}
+	r := &sessionsReport{Deployment: s.name, Seed: o.seed, Rows: slices.Concat(rows...), Broken: []string{}}
+	if len(r.Rows) == 0 {
+		return nil, errors.New("no way has this name; leave --only out to see all")
+	}
+	r.Seconds, r.LoadAverage = time.Since(began).Seconds(), loadAverage()
+	r.judge()
+	return r, nil
+}
+
+// sessionsWith measures all ways in one mode: the ways of the proxy in one deployment, whose routes
+// they are, and the baseline in another.
+func (o *benchOptions) sessionsWith(ctx context.Context, s size, mode manifest.Acknowledge) ([]sessionRow, error) {
+	var ours, plain []way
+	for _, w := range ways() {
+		switch {
+		case !strings.HasPrefix(w.name, o.only):
+		case w.plain:
+			plain = append(plain, w)
+		default:
+			ours = append(ours, w)
+		}
+	}
+	rows, err := o.sessionsOn(ctx, s, mode, ours, nil)
+	if err != nil {
+		return nil, err
+	}
+	more, err := o.sessionsOn(ctx, s, mode, plain, &daemon.PlainPolicy{Instances: entryInstances})
+	return append(rows, more...), err
+}
+
+func (o *benchOptions) sessionsOn(ctx context.Context, s size, mode manifest.Acknowledge, list []way, plain *daemon.PlainPolicy) ([]sessionRow, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	var reads readCounts
+	var routes []manifest.Route
+	for _, w := range list {
+		w.route.Name, w.route.Acknowledge = w.routeName(), mode
+		routes = append(routes, w.route)
+	}
+	d, err := startDeployment(ctx, s, settings{
+		lag: sessionLags[0], seed: o.seed, routes: routes,
+		adjust: func(c *daemon.Config) { c.Plain, c.OnStatement = plain, reads.note },
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	var rows []sessionRow
+	for _, lag := range sessionLags {
+		for i := range d.Group.Size() {
+			d.Group.Server(i).SetReplicationLag(lag)
+		}
+		for _, w := range list {
+			row, err := o.sessionRun(ctx, d, w, lag, &reads)
+			if err != nil {
+				return nil, err
+			}
+			row.Acknowledge = string(mode)
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// sessionRun is one measurement.
+func (o *benchOptions) sessionRun(ctx context.Context, d *deployment, w way, lag time.Duration, reads *readCounts) (sessionRow, error) {
+	reads.reset()
+	cfg := d.load(w.routeName(), o.seed, o.duration)
+	cfg.Run = fmt.Sprintf("%s-%d", w.routeName(), lag.Milliseconds())
+	cfg.MoveAfter, cfg.UseToken = moveAfter, w.token
+	result, err := load.Run(ctx, cfg)
+	if err != nil {
+		return sessionRow{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return sessionRow{}, errors.Wrap(err, "run fewer other programs, or give a shorter --duration")
+	}
+	if err := readFinal(ctx, d.Group, result); err != nil {
+		return sessionRow{}, err
+	}
+	row := sessionRow{Way: w.name, LagMillis: lag.Milliseconds(), ReplicaShare: reads.replicaShare()}
+	row.take(w, result)
+	return row, nil
+}
+
+func (row *sessionRow) take(w way, r *load.Result) {
+	row.ReadP50, row.ReadP99 = millisAt(r.Reads, 50), millisAt(r.Reads, 99)
+	row.WriteP50, row.WriteP99 = millisAt(r.Writes, 50), millisAt(r.Writes, 99)
+	row.Reads, row.Writes = r.Reads.TotalCount(), r.Writes.TotalCount()
+	for _, c := range r.Counts {
+		row.Refused += c.NotRun
+		row.Unknown += c.Unknown
+		row.Missed += c.Missed
+	}
+	for _, v := range history.Check(r.History) {
+		stale, isStale := v.(history.StaleRead)
+		if isStale {
+			row.StaleReads++
+		}
+		allowed := isStale && w.name == staleWay && stale.Sent-stale.Acknowledged <= staleLimit
+		if !allowed && len(row.Broken) < violationsShown {
+			row.Broken = append(row.Broken, v.String())
+		}
+	}
+}
+
+func millisAt(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / float64(time.Millisecond/time.Microsecond)
+}
+
+// readCounts counts where reads were served.
+type readCounts struct {
+	mu               sync.Mutex
+	total, onReplica int
+}
+
+func (c *readCounts) note(s engine.Statement) {
+	if !s.Read || s.Server == "" || s.Outcome != engine.OutcomeOK {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total++
+	if !s.Primary {
+		c.onReplica++
+	}
+}
+
+func (c *readCounts) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total, c.onReplica = 0, 0
+}
+
+func (c *readCounts) replicaShare() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.onReplica) / float64(max(c.total, 1))
+}
+
+// judge names the promises that were broken and works out the cost of acknowledging.
+func (r *sessionsReport) judge() {
+	for _, row := range r.Rows {
+		if row.Way == plainWay {
+			continue
+		}
+		for _, b := range row.Broken {
+			r.Broken = append(r.Broken, fmt.Sprintf("%s, acknowledge %s, lag %d ms: %s", row.Way, row.Acknowledge, row.LagMillis, b))
+		}
+	}
+	for _, lag := range sessionLags {
+		r.Cost = append(r.Cost, acknowledgeCost{
+			LagMillis:   lag.Milliseconds(),
+			MajorityP50: r.meanWriteP50(manifest.AcknowledgeMajority, lag),
+			PrimaryP50:  r.meanWriteP50(manifest.AcknowledgePrimary, lag),
+		})
+	}
+}
+
+// meanWriteP50 returns the mean over all ways but the baseline of the median write latency.
+func (r *sessionsReport) meanWriteP50(mode manifest.Acknowledge, lag time.Duration) float64 {
+	sum, n := 0.0, 0
+	for _, row := range r.Rows {
+		if row.Way != plainWay && row.Acknowledge == string(mode) && row.LagMillis == lag.Milliseconds() {
+			sum += row.WriteP50
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
+func (r *sessionsReport) table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "way\tacknowledge\tlag ms\ton replicas\tread p50 ms\tp99 ms\twrite p50 ms\tp99 ms\tstale\trefused\tunknown\tmissed\treads\twrites\t")
+	for _, row := range r.Rows {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.1f%%\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+			row.Way, row.Acknowledge, row.LagMillis, 100*row.ReplicaShare, row.ReadP50, row.ReadP99,
+			row.WriteP50, row.WriteP99, row.StaleReads, row.Refused, row.Unknown, row.Missed, row.Reads, row.Writes)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, c := range r.Cost {
+		fmt.Fprintf(w, "lag %d ms: a write takes %.1f ms with acknowledge majority, %.1f ms with primary (mean of medians)\n",
+			c.LagMillis, c.MajorityP50, c.PrimaryP50)
+	}
+	for _, b := range r.Broken {
+		fmt.Fprintln(w, "broken promise:", b)
+	}
+	_, err := fmt.Fprintf(w, "%s, seed %d, load average %s, %.0f s\n", r.Deployment, r.Seed, r.LoadAverage, r.Seconds)
+	return err
+}
