--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -33,6 +33,8 @@
 	KeptPerPeer int
 	// UserTimeout is that of the sockets; 0 stands for tcp.CallTimeout.
 	UserTimeout time.Duration
+	// Dial opens a TCP connection; nil uses tcp.Dialer with UserTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls other instances. A call uses a kept idle connection or opens one. A call that
@@ -55,6 +57,9 @@
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
 	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: cmp.Or(cfg.KeptPerPeer, defaultKeptPerPeer)}
+	if cfg.Dial == nil {
+		cfg.Dial = tcp.Dialer(cmp.Or(cfg.UserTimeout, tcp.CallTimeout)).DialContext
+	}
 	return &Client{cfg: cfg, renewed: make(map[string]uint64), pool: drpcpool.New[poolKey, *drpcconn.Conn](options)}
 }
 
@@ -115,7 +120,7 @@
 }
 
 func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := tcp.Dialer(cmp.Or(c.cfg.UserTimeout, tcp.CallTimeout)).DialContext(ctx, "tcp", address)
+	conn, err := c.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
