--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -200,7 +200,7 @@
 		// Heard stays unset: it would spare calls to peers that call by themselves, but only the
 		// answers to own calls prove contact, see manifest.Adoption.
 		TLS: d.cfg.PeerServer,
-		Log:    d.log,
+		Log: d.log,
 	})
 	if err != nil {
 		return err
