End the server's sessions of silent connections

The server does not notice that the client of a silent connection is gone: the session of an open transaction kept its row locks, and sessions of closed idle connections kept taking up the server's connections. The pool now has the server end these sessions with pg_terminate_backend over a control connection. Sessions are named with the server's incarnation, so that a process id that is used again after a restart is left alone.

TestSilentPaths loses requests, answers or both on all connections to servers that don't notice.

--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+	"github.com/cyclamenstile/cyclamenstile/standin/link"
 )
 
 const (
@@ -37,6 +38,7 @@
 	relayServers bool // between instances and servers
 	relayPeers   bool // between servers
 	instances    int  // 2 if 0
+	linkServers  bool // between instances and servers; open connections can go silent there
 	// record keeps all that the instances send to servers; it needs relayServers.
 	record *recording
 }
@@ -64,6 +66,7 @@
 	address string
 	args    []string
 	relay   *relay         // from the instances, nil without
+	link    *link.Link     // from the instances, nil without
 	peers   map[int]*relay // to other servers, empty without
 	control *dbgroup.Client
 }
@@ -133,6 +136,13 @@
 			s.relay.record(d.setup.record)
 		}
 	}
+	if d.setup.linkServers {
+		var err error
+		if s.link, err = link.Start(s.address); err != nil {
+			d.t.Fatal(err)
+		}
+		d.t.Cleanup(s.link.Close)
+	}
 	var err error
 	s.control, err = dbgroup.NewClient(dbgroup.Config{Server: s.id, Address: s.address, User: "test"})
 	if err != nil {
@@ -180,6 +190,9 @@
 		if s.relay != nil {
 			address = s.relay.address()
 		}
+		if s.link != nil {
+			address = s.link.Address()
+		}
 		m.Databases[0].Servers = append(m.Databases[0].Servers, manifest.Server{
 			ID: string(s.id), Address: address, Region: "local", FailureDomain: fmt.Sprintf("local-%d", i),
 			MaxConnections: 100, Slots: 64,
--- a/cmd/internal/processtest/server_test.go
+++ b/cmd/internal/processtest/server_test.go
@@ -1,11 +1,13 @@
 package processtest
 
 import (
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/standin/link"
 )
 
 // silenceWithin bounds the gap in writes after connections went silent: 2 s without bytes, a probe
@@ -24,6 +26,46 @@
 	checkGap(t, r.finish(), silenceWithin)
 }
 
+// Guards against the same where one direction is lost only and servers don't notice that connections
+// end: a statement that never came, an answer that is lost, and transactions that keep their locks.
+func TestSilentPaths(t *testing.T) {
+	for name, lost := range map[string][]link.Direction{
+		"requests": {link.Requests},
+		"answers":  {link.Answers},
+		"both":     {link.Requests, link.Answers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, setup{linkServers: true})
+			r := d.startLoad(nil)
+			open := d.beginAll(0)
+			for _, s := range d.servers {
+				s.link.Silence(lost...)
+			}
+			silenced := time.Now()
+			var committing sync.WaitGroup
+			for _, o := range open {
+				committing.Go(func() {
+					if err := o.tx.Commit(t.Context()); err == nil {
+						t.Errorf("transaction on %s committed over a silent connection", o.inside)
+					}
+				})
+			}
+			committing.Wait()
+			check := d.mustConnect(1, marshals)
+			for _, o := range open {
+				if _, err := check.Exec(t.Context(), upsert, o.inside, "after"); err != nil {
+					t.Errorf("write to a key of the ended transaction: %v", err)
+				}
+			}
+			if d := time.Since(silenced); d >= silenceWithin {
+				t.Errorf("transactions ended and their keys written after %s, want less than %s", d, silenceWithin)
+			}
+			d.awaitGrowth(d.latestPrimary(), 300)
+			checkGap(t, r.finish(), silenceWithin)
+		})
+	}
+}
+
 // Guards against a server whose second crash comes before the first is dealt with, and against its
 // return with an old log.
 func TestServerKilledTwice(t *testing.T) {
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -176,6 +176,7 @@
 		Password:  d.cfg.UpstreamPassword,
 		Identify:  identify,
 		Executing: d.executing,
+		Terminate: d.terminate,
 		OnSilent:  d.reportSilent,
 	})
 	var err error
@@ -201,18 +202,29 @@
 	d.quota.SetAccounts(m.Accounts)
 }
 
-// executing asks a server what it executes, over a control connection, which takes no client
-// connection from it.
-func (d *Daemon) executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
-	client, err := dbgroup.NewClient(dbgroup.Config{
+// control returns a client for control connections, which take no client connection from the server.
+func (d *Daemon) control(address string) (*dbgroup.Client, error) {
+	return dbgroup.NewClient(dbgroup.Config{
 		Address:  address,
 		User:     d.cfg.UpstreamUser,
 		Password: d.cfg.UpstreamPassword,
 	})
+}
+
+func (d *Daemon) executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
+	client, err := d.control(address)
 	if err != nil {
 		return nil, err
 	}
-	return client.Executing(ctx, pids)
+	return client.Executing(ctx, sessions)
+}
+
+func (d *Daemon) terminate(ctx context.Context, address string, sessions []dbgroup.Session) error {
+	client, err := d.control(address)
+	if err != nil {
+		return err
+	}
+	return client.Terminate(ctx, sessions)
 }
 
 func (d *Daemon) reportSilent(address string, pid uint32) {
--- a/proxy/dbgroup/client.go
+++ b/proxy/dbgroup/client.go
@@ -36,6 +36,8 @@
 	promoteStatement = "SELECT * FROM cyclamenstile.promote($1, $2)"
 	// activityStatement reads PostgreSQL's own view of its sessions.
 	activityStatement = "SELECT state, wait_event FROM pg_stat_activity WHERE pid = $1"
+	// terminateStatement ends a session of the proxy's own role, which needs no further right.
+	terminateStatement = "SELECT pg_terminate_backend($1)"
 )
 
 const (
@@ -123,26 +125,54 @@
 	return c.run(ctx, conn, probeStatement)
 }
 
-// Executing tells for which of the sessions in pids the server executes a statement, as
-// pg_stat_activity shows it. It asks over a new connection, which it closes.
-func (c *Client) Executing(ctx context.Context, pids []uint32) (map[uint32]bool, error) {
+// Session names a client connection as its server does. A process id is used again after a restart.
+type Session struct {
+	Incarnation uint64
+	PID         uint32
+}
+
+// Executing tells for which sessions the server executes a statement, as pg_stat_activity shows it. It
+// asks over a new connection, which it closes.
+func (c *Client) Executing(ctx context.Context, sessions []Session) (map[Session]bool, error) {
+	executing := make(map[Session]bool, len(sessions))
+	err := c.forEach(ctx, activityStatement, sessions, func(s Session, row [][]byte) {
+		executing[s] = len(row) == 2 && isExecuting(string(row[0]), string(row[1]))
+	})
+	return executing, err
+}
+
+// Terminate ends sessions, which releases their locks and connections on a server that does not
+// notice that its client is gone. It uses a new connection, which it closes.
+func (c *Client) Terminate(ctx context.Context, sessions []Session) error {
+	return c.forEach(ctx, terminateStatement, sessions, func(Session, [][]byte) {})
+}
+
+// forEach runs a statement with the process id of each session that belongs to the server's present
+// incarnation, and passes on the row if there is one.
+func (c *Client) forEach(ctx context.Context, statement string, sessions []Session, row func(Session, [][]byte)) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer closeConn(conn)
-	executing := make(map[uint32]bool, len(pids))
-	for _, pid := range pids {
-		value := []byte(strconv.FormatUint(uint64(pid), 10))
-		result := conn.ExecParams(ctx, activityStatement, [][]byte{value}, nil, nil, nil).Read()
+	state, err := c.run(ctx, conn, probeStatement)
+	if err != nil {
+		return err
+	}
+	for _, s := range sessions {
+		if s.Incarnation != state.Incarnation {
+			continue
+		}
+		pid := []byte(strconv.FormatUint(uint64(s.PID), 10))
+		result := conn.ExecParams(ctx, statement, [][]byte{pid}, nil, nil, nil).Read()
 		if result.Err != nil {
-			return nil, c.wrap(result.Err, "activity query")
+			return c.wrap(result.Err, "session call")
 		}
-		if len(result.Rows) == 1 && len(result.Rows[0]) == 2 {
-			executing[pid] = isExecuting(string(result.Rows[0][0]), string(result.Rows[0][1]))
+		if len(result.Rows) == 1 {
+			row(s, result.Rows[0])
 		}
 	}
-	return executing, nil
+	return nil
 }
 
 // isExecuting judges a row of pg_stat_activity. A session that waits in ClientWrite has an answer that
--- a/proxy/pool/conn.go
+++ b/proxy/pool/conn.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 )
 
 // upstream is one connection to a server.
@@ -59,6 +60,11 @@
 	}, nil
 }
 
+// session returns the server's name of the connection.
+func (u *upstream) session() dbgroup.Session {
+	return dbgroup.Session{Incarnation: u.incarnation, PID: u.pid}
+}
+
 func (u *upstream) close() {
 	_ = u.conn.Close()
 }
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
@@ -45,9 +46,11 @@
 
 	// Identify returns the incarnation of the server behind a fresh connection.
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
-	// Executing asks a server over a new connection for which sessions, by process id, it executes
-	// a statement. Without it, silent connections end with the statement timeout.
-	Executing func(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error)
+	// Executing asks a server over a new connection for which sessions it executes a statement.
+	// Without it, silent connections end with the statement timeout.
+	Executing func(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error)
+	// Terminate ends the server's side of connections that are silent, over a new connection.
+	Terminate func(ctx context.Context, address string, sessions []dbgroup.Session) error
 	// OnSilent is told of each connection that is closed because it is silent. It must not block.
 	OnSilent func(address string, pid uint32)
 	// Dial opens a TCP connection; nil uses tcp.Dialer.
--- a/proxy/pool/server.go
+++ b/proxy/pool/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
@@ -25,7 +26,9 @@
 	waiters map[fairqueue.RequestID]chan struct{}
 	idle    []*upstream // the most recently used last
 	lent    map[*upstream]*watch
-	asking  bool // a connection asks about quiet connections
+	asking  bool              // a connection asks about quiet connections or ends silent ones
+	ending  []dbgroup.Session // whose connections were closed as silent
+	endAt   time.Duration     // when the server is asked to end them
 	closed  bool
 }
 
@@ -150,6 +153,7 @@
 		}
 		u.close()
 		s.mu.Lock()
+		s.ending = append(s.ending, u.session())
 		s.dropIdle(u.since)
 		s.mu.Unlock()
 	}
--- a/proxy/pool/silence.go
+++ b/proxy/pool/silence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 )
 
 // watchInterval is the time between two looks at the connections in use.
@@ -59,10 +61,39 @@
 			s.dropSilent(u, w)
 		}
 	}
-	if len(quiet) > 0 && !s.asking {
-		s.asking = true
-		go s.ask(ctx, quiet)
+	ending := len(s.ending) > 0 && now >= s.endAt
+	if s.asking || len(quiet) == 0 && !ending {
+		return
+	}
+	s.asking = true
+	var sessions []dbgroup.Session
+	if ending {
+		sessions, s.ending = s.ending, nil
 	}
+	go func() {
+		s.end(ctx, sessions)
+		s.ask(ctx, quiet)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.asking = false
+	}()
+}
+
+// end has the server end sessions whose connections were closed as silent. It may not notice their end
+// itself for hours, and they hold locks and connections meanwhile.
+func (s *server) end(ctx context.Context, sessions []dbgroup.Session) {
+	if len(sessions) == 0 || s.pool.cfg.Terminate == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.pool.cfg.ConnectTimeout)
+	defer cancel()
+	if s.pool.cfg.Terminate(ctx, s.address, sessions) == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = append(s.ending, sessions...)
+	s.endAt = s.pool.now() + s.pool.cfg.QuietAfter
 }
 
 // dropSilent closes a silent connection and the idle ones that have not worked since the server said
@@ -71,6 +102,7 @@
 func (s *server) dropSilent(u *upstream, w *watch) {
 	u.conn.fail()
 	delete(s.lent, u)
+	s.ending = append(s.ending, u.session())
 	s.dropIdle(s.pool.origin.Add(w.closeAt - w.limits.grace))
 	s.pool.suspect.Store(int64(s.pool.now()))
 	if s.pool.cfg.OnSilent != nil {
@@ -91,6 +123,7 @@
 	for _, u := range s.idle {
 		if u.since.Before(before) {
 			u.close()
+			s.ending = append(s.ending, u.session())
 			continue
 		}
 		kept = append(kept, u)
@@ -101,20 +134,22 @@
 
 // ask asks the server about the quiet connections.
 func (s *server) ask(ctx context.Context, quiet map[*upstream]progress) {
-	pids := make([]uint32, 0, len(quiet))
+	if len(quiet) == 0 {
+		return
+	}
+	sessions := make([]dbgroup.Session, 0, len(quiet))
 	for u := range quiet {
-		pids = append(pids, u.pid)
+		sessions = append(sessions, u.session())
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.pool.cfg.ConnectTimeout)
 	defer cancel()
-	executing, err := s.pool.cfg.Executing(ctx, s.address, pids)
+	executing, err := s.pool.cfg.Executing(ctx, s.address, sessions)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asking = false
 	now := s.pool.now()
 	for u, asked := range quiet {
 		if w := s.lent[u]; w != nil {
-			w.told(now, asked, err != nil || executing[u.pid])
+			w.told(now, asked, err != nil || executing[u.session()])
 		}
 	}
 }
--- a/proxy/pool/silence_test.go
+++ b/proxy/pool/silence_test.go
@@ -50,6 +50,7 @@
 		SilentGrace: quietAfter,
 		Identify:    func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil },
 		Executing:   f.executing,
+		Terminate:   terminate,
 		OnSilent:    func(string, uint32) { f.silent.Add(1) },
 	})
 	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: 8, MaxConnections: 8}})
@@ -59,7 +60,7 @@
 	return f
 }
 
-func (f *fixture) executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
+func (f *fixture) executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
 	f.asked.Add(1)
 	if f.asking.Add(1) > 1 {
 		f.t.Error("two connections at a time ask one server")
@@ -68,15 +69,23 @@
 	if f.failing.Load() {
 		return nil, errors.New("no connection")
 	}
-	return executing(ctx, address, pids)
+	return executing(ctx, address, sessions)
 }
 
-func executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
+func terminate(ctx context.Context, address string, sessions []dbgroup.Session) error {
+	client, err := dbgroup.NewClient(dbgroup.Config{Address: address})
+	if err != nil {
+		return err
+	}
+	return client.Terminate(ctx, sessions)
+}
+
+func executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
 	client, err := dbgroup.NewClient(dbgroup.Config{Address: address})
 	if err != nil {
 		return nil, err
 	}
-	return client.Executing(ctx, pids)
+	return client.Executing(ctx, sessions)
 }
 
 func (f *fixture) acquire() *lease {
@@ -151,6 +160,41 @@
 	}
 }
 
+// Guards against sessions that a silent path leaves on the server, where they hold locks and take up
+// all connections.
+func TestSilentSessionsEnd(t *testing.T) {
+	f := startFixture(t, database.Config{MaxConnections: 2})
+	path, err := link.Start(f.server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: path.Address(), Slots: 8, MaxConnections: 2}})
+	holder, idle := f.acquire(), f.acquire()
+	for _, sql := range []string{"BEGIN", "INSERT INTO kv VALUES ('a', 'held')"} {
+		holder.send(t, sql)
+		if err := holder.receive(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	idle.Release(true)
+	path.Silence()
+	holder.send(t, "COMMIT")
+	if err := holder.receive(); !errors.Is(err, errSilent) {
+		t.Errorf("error %v, want %v", err, errSilent)
+	}
+	holder.Release(false)
+	f.await("end of both sessions", func() bool { return f.server.Clients() == 0 })
+	next := f.acquire()
+	next.send(t, "INSERT INTO kv VALUES ('a', 'free')")
+	if err := next.receive(); err != nil {
+		t.Errorf("write to a row that the ended transaction had locked: %v", err)
+	}
+	if got := f.server.Rows()["a"]; got != "free" {
+		t.Errorf("row holds %q, want %q", got, "free")
+	}
+}
+
 // Guards against closing the connection of a statement that runs long, without or with bytes, of an
 // answer that nobody reads for a while, and of an open transaction.
 func TestBusyConnectionKept(t *testing.T) {
@@ -226,8 +270,8 @@
 func (f *fixture) awaitBusy(l *lease) {
 	f.t.Helper()
 	f.await("execution", func() bool {
-		got, err := executing(f.t.Context(), f.server.Address(), []uint32{l.upstream.pid})
-		return err == nil && got[l.upstream.pid]
+		got, err := executing(f.t.Context(), f.server.Address(), []dbgroup.Session{l.upstream.session()})
+		return err == nil && got[l.upstream.session()]
 	})
 }
 
--- a/standin/database/client_test.go
+++ b/standin/database/client_test.go
@@ -189,11 +189,12 @@
 		// An answer also shows as ClientWrite for a moment while its client takes it.
 		waitFor(t, "state "+state+" "+waitEvent, func() bool {
 			gotState, gotEvent, ok := s.activityOf(pid)
-			got, err := c.Executing(ctx, []uint32{pid, pid + 1000})
-			if err != nil || got[pid+1000] {
+			session, other := dbgroup.Session{Incarnation: 1, PID: pid}, dbgroup.Session{Incarnation: 2, PID: pid}
+			got, err := c.Executing(ctx, []dbgroup.Session{session, other})
+			if err != nil || got[other] {
 				t.Fatalf("activity %v, error %v", got, err)
 			}
-			return ok && gotState == state && gotEvent == waitEvent && got[pid] == executing
+			return ok && gotState == state && gotEvent == waitEvent && got[session] == executing
 		})
 	}
 	expect("idle", "", false)
@@ -225,6 +226,37 @@
 	waitFor(t, "end of the session", func() bool { _, _, ok := s.activityOf(pid); return !ok })
 }
 
+// Guards against sessions that can't be ended and keep their locks, and against ending a session of
+// another incarnation that has the same process id.
+func TestTerminate(t *testing.T) {
+	ctx := testContext(t)
+	s := startServer(t, Config{})
+	c, err := dbgroup.NewClient(dbgroup.Config{Server: "s1", Address: s.Address(), User: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	holder, next := mustConnect(t, s), mustConnect(t, s)
+	for _, sql := range []string{"BEGIN", "INSERT INTO kv VALUES ('a', 'held')"} {
+		if _, err := holder.Exec(ctx, sql); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pid := holder.PgConn().PID()
+	if err := c.Terminate(ctx, []dbgroup.Session{{Incarnation: 2, PID: pid}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := holder.Exec(ctx, "SELECT 1"); err != nil {
+		t.Errorf("session of this incarnation was ended for another: %v", err)
+	}
+	if err := c.Terminate(ctx, []dbgroup.Session{{Incarnation: 1, PID: pid}, {Incarnation: 1, PID: pid + 1000}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := next.Exec(ctx, "INSERT INTO kv VALUES ('a', 'free')"); err != nil {
+		t.Errorf("write to a row that the ended session had locked: %v", err)
+	}
+}
+
 // Guards against settings that a running server doesn't take up.
 func TestChangedSettings(t *testing.T) {
 	const slow = 30 * time.Millisecond
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -359,8 +359,11 @@
 	if p.stmt.kind == stmtProbe {
 		return "SELECT 1", s.sendState(p, s.server.state.snapshot())
 	}
-	if p.stmt.kind == stmtActivity {
+	switch p.stmt.kind {
+	case stmtActivity:
 		return s.selectActivity(p)
+	case stmtTerminate:
+		return s.terminateBackend(p)
 	}
 	term, err := strconv.ParseUint(p.args[0], 10, 64)
 	if err != nil {
@@ -383,17 +386,38 @@
 // selectActivity answers as PostgreSQL's view pg_stat_activity does, with no row for a pid that has
 // ended.
 func (s *session) selectActivity(p *portal) (string, error) {
-	pid, err := strconv.ParseUint(p.args[0], 10, 32)
+	pid, err := parsePID(p.args[0])
 	if err != nil {
-		return "", newError(codeInvalidParameter, "the pid is not a number")
+		return "", err
 	}
-	state, waitEvent, ok := s.server.activityOf(uint32(pid))
+	state, waitEvent, ok := s.server.activityOf(pid)
 	if !ok {
 		return "SELECT 0", nil
 	}
 	return "SELECT 1", s.sendRow(p, state, waitEvent)
 }
 
+// terminateBackend ends another session as PostgreSQL's function of this name does.
+func (s *session) terminateBackend(p *portal) (string, error) {
+	pid, err := parsePID(p.args[0])
+	if err != nil {
+		return "", err
+	}
+	answer := "f"
+	if s.server.terminate(pid) {
+		answer = "t"
+	}
+	return "SELECT 1", s.sendRow(p, answer)
+}
+
+func parsePID(text string) (uint32, error) {
+	pid, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0, newError(codeInvalidParameter, "the pid is not a number")
+	}
+	return uint32(pid), nil
+}
+
 func (s *session) sendState(p *portal, v authority.ServerState) error {
 	history, err := json.Marshal(v.History)
 	if err != nil {
--- a/standin/database/parse.go
+++ b/standin/database/parse.go
@@ -26,11 +26,13 @@
 	stmtFence
 	stmtPromote
 	stmtLog
-	stmtActivity // SELECT state, wait_event FROM pg_stat_activity WHERE pid = ...
+	stmtActivity  // SELECT state, wait_event FROM pg_stat_activity WHERE pid = ...
+	stmtTerminate // SELECT pg_terminate_backend(...)
 )
 
 // Type OIDs of columns and parameters. Source: PostgreSQL catalogue pg_type.
 const (
+	oidBool   = 16
 	oidInt8   = 20
 	oidInt4   = 23
 	oidText   = 25
@@ -207,6 +209,9 @@
 		p.needSymbol("=")
 		p.finish(stmtActivity, column{"state", oidText}, column{"wait_event", oidText})
 		p.operand(oidInt4)
+	case p.word("pg_terminate_backend"):
+		p.finish(stmtTerminate, column{"pg_terminate_backend", oidBool})
+		p.arguments(oidInt4)
 	case p.word("pg_sleep"):
 		p.finish(stmtSleep, column{"pg_sleep", oidVoid})
 		p.arguments(oidFloat8)
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -417,6 +417,19 @@
 	return state, waitEvent, ok
 }
 
+// terminate ends a session and reports whether there is one.
+func (s *Server) terminate(pid uint32) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ss := s.sessions[pid]
+	if ss == nil {
+		return false
+	}
+	ss.cancel()
+	_ = ss.conn.Close()
+	return true
+}
+
 func (s *Server) cancel(m *pgproto3.CancelRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
