Choose a server's home among the instances of its region

Cause: homes were chosen over all instances, so two of three servers had a home in another region. Every message of a statement then crossed regions twice, and the server's slot stayed taken meanwhile.

Change: rendezvous hashing covers the live instances of the server's region, and all live instances only where that region has none.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -175,7 +175,7 @@
 		return err
 	}
 	d.peers = set
-	d.locator = newLocator(set, d.listeners.peers.Addr().String())
+	d.locator = newLocator(set, d.listeners.peers.Addr().String(), d.cfg.Region)
 	d.router = &home.Router{Locator: d.locator, Local: d.pool, Remote: home.NewClient(d.homeCalls)}
 	d.groups.outstanding = d.router.Outstanding
 	return nil
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -252,6 +252,7 @@
 		servers = append(servers, db.Servers...)
 	}
 	d.pool.SetServers(servers)
+	d.locator.setServers(servers)
 	d.groups.set(m)
 	d.quota.SetAccounts(m.Accounts)
 }
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -133,22 +133,61 @@
 // judged it by then.
 const passOver = 2 * time.Second
 
-// locator implements home.Locator by rendezvous hashing over the reachable instances.
+// locator implements home.Locator by rendezvous hashing over the reachable instances of the server's
+// region, or over all reachable instances where that region has none. A home in another region would
+// add the latency between regions to every message of a statement and hold the server's slot meanwhile.
 type locator struct {
-	self string
-	set  *peer.Set
-	live atomic.Pointer[[]string]
+	self   string
+	region string // of this instance
+	set    *peer.Set
+	live   atomic.Pointer[candidates]
+	// servers holds the regions of the servers.
+	servers atomic.Pointer[map[authority.ServerID]string]
 
 	mu     sync.Mutex
 	passed map[string]time.Time // until when an instance is passed over
 }
 
-func newLocator(set *peer.Set, self string) *locator {
-	l := &locator{self: self, set: set, passed: make(map[string]time.Time)}
-	l.live.Store(&[]string{self})
+// candidates are the peer addresses of the instances that may be homes.
+type candidates struct {
+	all      []string
+	byRegion map[string][]string
+}
+
+// newCandidates sorts live addresses by region.
+func newCandidates(live []string, regions map[string]string) *candidates {
+	c := &candidates{all: live, byRegion: make(map[string][]string)}
+	for _, address := range live {
+		region := regions[address]
+		c.byRegion[region] = append(c.byRegion[region], address)
+	}
+	return c
+}
+
+// home returns the home of a server in a region.
+func (c *candidates) home(server authority.ServerID, region string) string {
+	if near := c.byRegion[region]; len(near) > 0 {
+		return peer.Rendezvous(string(server), near)
+	}
+	return peer.Rendezvous(string(server), c.all)
+}
+
+func newLocator(set *peer.Set, self, region string) *locator {
+	l := &locator{self: self, region: region, set: set, passed: make(map[string]time.Time)}
+	l.live.Store(newCandidates([]string{self}, map[string]string{self: region}))
+	l.servers.Store(&map[authority.ServerID]string{})
 	return l
 }
 
+// setServers follows an adopted manifest.
+func (l *locator) setServers(servers []manifest.Server) {
+	regions := make(map[authority.ServerID]string, len(servers))
+	for _, s := range servers {
+		regions[authority.ServerID(s.ID)] = s.Region
+	}
+	l.servers.Store(&regions)
+}
+
 func (l *locator) run(ctx context.Context) {
 	ticker := time.NewTicker(locatorRefresh)
 	defer ticker.Stop()
@@ -170,12 +209,22 @@
 		_, passed := l.passed[address]
 		return passed
 	})
-	l.live.Store(&live)
+	l.live.Store(newCandidates(live, l.regions()))
+}
+
+// regions returns the regions of all listed instances by peer address.
+func (l *locator) regions() map[string]string {
+	regions := map[string]string{l.self: l.region}
+	for _, p := range l.set.Peers() {
+		regions[p.Instance.PeerAddress] = p.Instance.Region
+	}
+	return regions
 }
 
 // Home implements home.Locator.
 func (l *locator) Home(server authority.ServerID) (string, bool) {
-	address := peer.Rendezvous(string(server), *l.live.Load())
+	region := (*l.servers.Load())[server]
+	address := l.live.Load().home(server, region)
 	return address, address == l.self
 }
 
