--- /dev/null
+++ b/cmd/internal/benchcmd/regions_test.go
@@ -0,0 +1,89 @@
+package benchcmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+)
+
+// runJSON runs a bench command and decodes its report.
+func runJSON(t *testing.T, report any, args ...string) {
+	t.Helper()
+	cmd := New()
+	cmd.PersistentFlags().Bool("json", false, "")
+	var out bytes.Buffer
+	cmd.SetOut(&out)
+	cmd.SetArgs(append(args, "--json"))
+	if err := cmd.Execute(); err != nil {
+		t.Fatalf("%v: %s", err, out.String())
+	}
+	if err := json.Unmarshal(out.Bytes(), report); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a bench that counts no statements, overlooks the failover, or breaks a promise.
+func TestFailoverCommand(t *testing.T) {
+	t.Parallel()
+	var r failoverReport
+	runJSON(t, &r, "failover", "--only", "store down", "--settle", "300ms", "--deployment", "malabar")
+	if len(r.Rows) != 1 {
+		t.Fatalf("%d rows", len(r.Rows))
+	}
+	row := r.Rows[0]
+	if row.Ours.Statements == 0 || row.Ours.WriteGapMillis == 0 || row.Baseline.Statements == 0 {
+		t.Errorf("row %+v", row)
+	}
+	// The crash may come up to one probe after the last answer that the time-out counts from.
+	least := plainTimeout - plainInterval - plainCallTimeout
+	if row.Baseline.WriteGapMillis < least.Milliseconds() {
+		t.Errorf("the plain policy's gap is %d ms, its time-out is %s", row.Baseline.WriteGapMillis, plainTimeout)
+	}
+}
+
+// Guards against a bench whose sessions don't read, that misses a lag or a mode, or whose reads are
+// stale.
+func TestSessionsCommand(t *testing.T) {
+	t.Parallel()
+	var r sessionsReport
+	runJSON(t, &r, "sessions", "--only", "token", "--duration", "300ms", "--deployment", "malabar")
+	if want := 2 * len(sessionLags); len(r.Rows) != want {
+		t.Fatalf("%d rows, want %d", len(r.Rows), want)
+	}
+	var statements int64
+	for _, row := range r.Rows {
+		statements += row.Reads + row.Writes
+		if row.StaleReads != 0 {
+			t.Errorf("stale reads: %+v", row)
+		}
+	}
+	if statements == 0 {
+		t.Error("no statement was answered")
+	}
+}
+
+// Guards against a broken promise that ends with exit code 0.
+func TestBrokenPromiseIsNamed(t *testing.T) {
+	failover := failoverReport{Rows: []failoverRow{
+		{LimitMillis: 3000, Ours: failoverFigures{WriteGapMillis: 2999}},
+		{LimitMillis: 3000, Ours: failoverFigures{WriteGapMillis: 3000}},
+		{LimitMillis: 3000, Ours: failoverFigures{Shown: []string{"lost write"}}},
+		{LimitMillis: 3000, Baseline: failoverFigures{WriteGapMillis: 9000, Shown: []string{"lost write"}}},
+	}}
+	failover.judge()
+	if len(failover.Broken) != 2 {
+		t.Errorf("failover: broken %v, want the second and third row", failover.Broken)
+	}
+	sessions := sessionsReport{Rows: []sessionRow{
+		{Way: "token", Broken: []string{"stale read"}},
+		{Way: plainWay, Broken: []string{"stale read"}},
+	}}
+	sessions.judge()
+	if len(sessions.Broken) != 1 {
+		t.Errorf("sessions: broken %v, want the first row", sessions.Broken)
+	}
+	err := printReport(new(bytes.Buffer), true, failover, nil, failover.Broken)
+	if err == nil {
+		t.Error("a broken promise gives exit code 0")
+	}
+}
