Give up connecting to a home after a second

Change: the context and a limit of 1 s hold from the start of the connection. Before and after: TestUnreachableHomeIsGivenUp hangs without the limit and passes in 1 s with it. Conclusion: a home whose address swallows packets costs a statement a second at most, then the next home is tried.

--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -22,6 +22,9 @@
 	Renew(address string)
 }
 
+// connectTimeout bounds a new connection to a home. It is far above the round trip between regions.
+const connectTimeout = time.Second
+
 // Client checks connections out of home instances.
 type Client struct {
 	conns  Conns
@@ -37,13 +40,13 @@
 // a statement has been sent.
 func (c *Client) Acquire(ctx context.Context, address string, r engine.AcquireRequest) (engine.Conn, error) {
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stream, err := homepb.NewDRPCHomesClient(c.conns.Conn(ctx, address)).Checkout(streamCtx)
+	stop := context.AfterFunc(ctx, cancel)
+	stream, err := c.connect(streamCtx, cancel, address)
 	if err != nil {
 		cancel()
 		return nil, homeUnreachable(r, err)
 	}
 	conn := newRemoteConn(stream, cancel, c.period, func() { c.conns.Renew(address) })
-	stop := context.AfterFunc(ctx, cancel)
 	err = conn.open(r)
 	if !stop() && err == nil {
 		err = ctx.Err()
@@ -61,6 +64,14 @@
 	return nil, homeUnreachable(r, err)
 }
 
+// connect opens the stream. A home whose address swallows packets would hold the statement up for the
+// operating system's connect timeout otherwise.
+func (c *Client) connect(ctx context.Context, cancel context.CancelFunc, address string) (homepb.DRPCHomes_CheckoutClient, error) {
+	timer := time.AfterFunc(connectTimeout, cancel)
+	defer timer.Stop()
+	return homepb.NewDRPCHomesClient(c.conns.Conn(ctx, address)).Checkout(ctx)
+}
+
 // unreachableError tells the router that another instance should be tried.
 type unreachableError struct {
 	told *outcome.Error
--- a/proxy/home/silence_test.go
+++ b/proxy/home/silence_test.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
@@ -260,3 +261,22 @@
 	}
 	c.Release(false)
 }
+
+// Guards against a statement that waits for the operating system's connect timeout when the address
+// of its home swallows packets.
+func TestUnreachableHomeIsGivenUp(t *testing.T) {
+	calls := peer.NewClient(peer.ClientConfig{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	t.Cleanup(func() { _ = calls.Close() })
+	started := time.Now()
+	_, err := NewClient(calls).Acquire(t.Context(), "127.0.0.1:1", engine.AcquireRequest{Timeout: time.Millisecond})
+	var unreachable *unreachableError
+	if !errors.As(err, &unreachable) || !outcome.Is(err, outcome.NotRun) {
+		t.Errorf("error %v, want that the home is unreachable and the statement was not run", err)
+	}
+	if took := time.Since(started); took > 3*connectTimeout {
+		t.Errorf("given up after %s, want about %s", took, connectTimeout)
+	}
+}
