--- a/cmd/internal/benchcmd/overhead.go
+++ b/cmd/internal/benchcmd/overhead.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/bench"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/ctl"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
@@ -22,10 +23,10 @@
 
 // New returns the bench command.
 func New() *cobra.Command {
-	cmd := &cobra.Command{
+	cmd := ctl.Group(&cobra.Command{
 		Use:   "bench",
 		Short: "Measure the proxy on this machine",
-	}
+	})
 	cmd.AddCommand(newOverhead(), newCapacity(), newFailover(), newSessions())
 	return cmd
 }
--- a/cmd/internal/ctl/apply.go
+++ b/cmd/internal/ctl/apply.go
@@ -31,7 +31,7 @@
 	}
 	client, err := httpstore.New(httpstore.Config{BaseURL: o.store})
 	if err != nil {
-		return usageError{err}
+		return flagenv.UsageError{Fault: err}
 	}
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
--- a/cmd/internal/ctl/exit.go
+++ b/cmd/internal/ctl/exit.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
@@ -25,20 +26,13 @@
 	exitAlarm       = 7
 )
 
-// usageError is a wrong command line or environment variable.
-type usageError struct{ error }
-
-func (e usageError) Unwrap() error {
-	return e.error
-}
-
 func usagef(format string, args ...any) error {
-	return usageError{errors.Newf(format, args...)}
+	return flagenv.UsageError{Fault: errors.Newf(format, args...)}
 }
 
 // classify returns the exit code of an error and its name in JSON.
 func classify(err error) (code int, kind string) {
-	var usage usageError
+	var usage flagenv.UsageError
 	var faults manifest.Faults
 	var conflict *manifest.ConflictError
 	switch {
--- a/cmd/internal/ctl/keys.go
+++ b/cmd/internal/ctl/keys.go
@@ -33,7 +33,7 @@
 }
 
 func newKeys(o *options) *cobra.Command {
-	cmd := group(&cobra.Command{Use: "keys", Short: "Make and withdraw keys of client accounts"})
+	cmd := Group(&cobra.Command{Use: "keys", Short: "Make and withdraw keys of client accounts"})
 	cmd.AddCommand(newKeysNew(o), newKeysWithdraw(o))
 	return cmd
 }
--- a/cmd/internal/ctl/root.go
+++ b/cmd/internal/ctl/root.go
@@ -46,7 +46,7 @@
 // variables of their flags and the shared flags; they must not set PersistentPreRunE.
 func NewRoot(extra ...*cobra.Command) *cobra.Command {
 	o := &options{}
-	root := group(&cobra.Command{
+	root := Group(&cobra.Command{
 		Use:   "cyclamenctl",
 		Short: "Configure and inspect cyclamenstile",
 		Long:  rootHelp,
@@ -85,14 +85,14 @@
 		return exitOK
 	}
 	if !isPrepared(cmd) {
-		err = usageError{err}
+		err = flagenv.UsageError{Fault: err}
 	}
 	asJSON, _ := root.PersistentFlags().GetBool("json")
 	return report(stderr, err, asJSON)
 }
 
-// group makes a command that only holds others: it shows its help, and refuses unknown names.
-func group(cmd *cobra.Command) *cobra.Command {
+// Group makes a command that only holds others: it shows its help, and refuses unknown names.
+func Group(cmd *cobra.Command) *cobra.Command {
 	cmd.Args = cobra.ArbitraryArgs
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		if len(args) > 0 {
--- a/cmd/internal/demo/command.go
+++ b/cmd/internal/demo/command.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 )
 
 // DefaultDuration of both policies together; start and end take a few seconds more.
@@ -46,6 +48,9 @@
 }
 
 func runCommand(cmd *cobra.Command, c Config, asJSON bool) error {
+	if err := c.Validate(); err != nil {
+		return flagenv.UsageError{Fault: err}
+	}
 	out := cmd.OutOrStdout()
 	c.Progress = out
 	if asJSON {
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,12 @@
 	if c.Duration < minDuration {
 		return errors.Newf("--duration: %s is too short for the failures to be seen; give %s or more", c.Duration, minDuration)
 	}
+	if c.Listen == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return errors.Newf("--listen: %q is not IP:port; write it like 127.0.0.1:6432", c.Listen)
+	}
 	return nil
 }
 
@@ -139,22 +146,19 @@
 	if c.Listen == "" {
 		return nil, nil
 	}
-	address, err := net.ResolveTCPAddr("tcp", c.Listen)
-	if err != nil || address.IP == nil {
-		return nil, errors.Newf("--listen: %q is not IP:port; write it like 127.0.0.1:6432", c.Listen)
+	address, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return nil, err
 	}
 	var out []net.Listener
 	for i := range instances {
-		at := *address
-		if at.Port != 0 {
-			at.Port += i
-		}
+		at := netip.AddrPortFrom(address.Addr(), address.Port()+uint16(i))
 		l, err := net.Listen("tcp", at.String())
 		if err != nil {
 			for _, open := range out {
 				_ = open.Close()
 			}
-			return nil, errors.Wrapf(err, "--listen: port %d is taken; choose a port that is free together with the next", at.Port)
+			return nil, errors.Wrapf(err, "--listen: port %d is taken; choose a port that is free together with the next", at.Port())
 		}
 		out = append(out, l)
 	}
--- /dev/null
+++ b/cmd/internal/demo/demo_test.go
@@ -0,0 +1,105 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+)
+
+// freePair returns an address whose port and the next one are free.
+func freePair(t *testing.T) (first, second string) {
+	t.Helper()
+	for range 50 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		_ = l.Close()
+		second := fmt.Sprintf("127.0.0.1:%d", port+1)
+		if next, err := net.Listen("tcp", second); err == nil {
+			_ = next.Close()
+			return fmt.Sprintf("127.0.0.1:%d", port), second
+		}
+	}
+	t.Fatal("no two adjacent ports are free")
+	return "", ""
+}
+
+// Guards against a demo that breaks a promise, lacks a figure, or does not serve afterwards on the
+// addresses that it names.
+func TestDemo(t *testing.T) {
+	first, second := freePair(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := Config{Duration: minDuration, Seed: 1, Listen: first}
+	c.Report = func(*Report) error {
+		go func() {
+			defer cancel()
+			readBack(t, first, second)
+		}()
+		return nil
+	}
+	report, err := Run(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Broken() {
+		t.Errorf("broken promises: %v", report.Violations)
+	}
+	checkFields(t, report)
+}
+
+// readBack writes through one address and reads through the other.
+func readBack(t *testing.T, first, second string) {
+	const url = "postgres://" + VisitorAccount + ":" + VisitorKey + "@%s/orders?sslmode=disable"
+	ctx := context.Background()
+	writer, err := pgx.Connect(ctx, fmt.Sprintf(url, first))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = writer.Close(ctx) }()
+	reader, err := pgx.Connect(ctx, fmt.Sprintf(url, second))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = reader.Close(ctx) }()
+	for i := range 100 {
+		if _, err := writer.Exec(ctx, moverUpsert, "visitor", fmt.Sprint(i)); err != nil {
+			t.Error(err)
+			return
+		}
+		var got string
+		if err := reader.QueryRow(ctx, moverSelect, "visitor").Scan(&got); err != nil || got != fmt.Sprint(i) {
+			t.Errorf("read %q after writing %d: %v", got, i, err)
+			return
+		}
+	}
+}
+
+func checkFields(t *testing.T, r *Report) {
+	t.Helper()
+	text, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(text, &fields); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{
+		"statements", "replica_read_share", "stale_reads", "write_gap_ms", "lost_acked_writes",
+		"worst_account_share", "refused_inside_rate", "admitted_over_rate", "false_not_run",
+		"key_withdrawal_ms", "violations", "baseline",
+	} {
+		if _, ok := fields[name]; !ok {
+			t.Errorf("the JSON report has no field %s", name)
+		}
+	}
+}
--- a/cmd/internal/flagenv/flagenv.go
+++ b/cmd/internal/flagenv/flagenv.go
@@ -14,6 +14,21 @@
 // Prefix begins the name of every variable.
 const Prefix = "CYCLAMENSTILE_"
 
+// UsageError is a wrong command line or environment variable.
+type UsageError struct {
+	Fault error
+}
+
+// Error implements error.
+func (e UsageError) Error() string {
+	return e.Fault.Error()
+}
+
+// Unwrap returns the fault.
+func (e UsageError) Unwrap() error {
+	return e.Fault
+}
+
 // Name returns the variable of a flag.
 func Name(flag *pflag.Flag) string {
 	return Prefix + strings.ToUpper(strings.ReplaceAll(flag.Name, "-", "_"))
--- a/cmd/internal/standincmd/standin.go
+++ b/cmd/internal/standincmd/standin.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/ctl"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
@@ -21,10 +23,10 @@
 
 // New returns the standin command.
 func New() *cobra.Command {
-	cmd := &cobra.Command{
+	cmd := ctl.Group(&cobra.Command{
 		Use:   "standin",
 		Short: "Run stand-ins of the platform for trials and tests",
-	}
+	})
 	cmd.AddCommand(newStore(), newServer())
 	return cmd
 }
@@ -149,7 +151,7 @@
 func parsePair(flag, text string) (name, address string, err error) {
 	name, address, ok := strings.Cut(text, "=")
 	if _, err := netip.ParseAddrPort(address); !ok || name == "" || err != nil {
-		return "", "", errors.Newf("--%s: %q is not name=IP:port", flag, text)
+		return "", "", flagenv.UsageError{Fault: errors.Newf("--%s: %q is not name=IP:port", flag, text)}
 	}
 	return name, address, nil
 }
