Test the rate over instances that are paused, killed and restarted

Cause: the bound on admissions was proved on the machines and in the demo, not with processes under faults.

--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
@@ -35,10 +36,11 @@
 // setup selects the parts that a test needs.
 type setup struct {
 	lag, jitter  time.Duration
-	relayServers bool // between instances and servers
-	relayPeers   bool // between servers
-	instances    int  // 2 if 0
-	linkServers  bool // between instances and servers; open connections can go silent there
+	relayServers bool          // between instances and servers
+	relayPeers   bool          // between servers
+	instances    int           // 2 if 0
+	crews        history.Limit // of the account crews, nearly unlimited if zero
+	linkServers  bool          // between instances and servers; open connections can go silent there
 	// record keeps all that the instances send to servers; it needs relayServers.
 	record *recording
 }
@@ -199,8 +201,12 @@
 		})
 	}
 	for _, name := range []string{marshals, crews} {
+		limit := history.Limit{Rate: 1e6, Burst: 1e6}
+		if name == crews && d.setup.crews.Rate > 0 {
+			limit = d.setup.crews
+		}
 		m.Accounts = append(m.Accounts, manifest.Account{
-			Name: name, Weight: 1, Rate: 1e6, Burst: 1e6,
+			Name: name, Weight: 1, Rate: limit.Rate, Burst: limit.Burst,
 			Keys: []manifest.Key{{ID: name + "-1", SHA256: manifest.SumKey(d.keys[name]).String()}},
 		})
 	}
--- a/cmd/internal/processtest/run_test.go
+++ b/cmd/internal/processtest/run_test.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	events   []history.Event // supersessions
 	terms    map[uint64]bool
+
+	limits map[string]history.Limit // of accounts whose admissions are checked
 }
 
 // startLoad starts sessions on all instances and waits until the primary has executed some of
@@ -108,6 +110,7 @@
 	result := r.await()
 	r.watching.Wait()
 	result.History.Events = append(result.History.Events, r.events...)
+	result.History.Limits = r.limits
 	r.readFinal(result)
 	for _, v := range history.Check(result.History) {
 		t.Errorf("violation: %s", v)
