Repeat gossip over a new connection only

Change: the second attempt never uses a kept connection. Conclusion: one silent connection no longer costs a heartbeat.

--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -91,13 +91,15 @@
 	return peerpb.NewDRPCPeerClient(c.Conn(ctx, address))
 }
 
-// Gossip sends a digest. It tries a second time when the first attempt, which may have used a
-// kept connection that the peer has closed, fails within half of the time left.
+// Gossip sends a digest. When the first attempt, which may have used a kept connection that the peer
+// has closed or that went silent, fails within half of the time left, it tries a second time over a
+// new connection: the pool may still offer the failed one, which is closed in the background.
 func (c *Client) Gossip(ctx context.Context, address string, in *peerpb.Digest) (*peerpb.Digest, error) {
 	out, err := c.gossipOnce(ctx, address, in)
 	if err == nil || ctx.Err() != nil {
 		return out, err
 	}
+	c.Renew(address)
 	return c.Peer(ctx, address).Gossip(ctx, in)
 }
 
