Add bench fairness and a common queue as its baseline

The bench measures the other accounts' p50 and p99 while one account sends several times its rate, with the scarcity of both deployments, beside a common first-in-first-out queue without rates. The stand-in server counts connections and statements, so that the run also shows whether the limits of a server hold through a primary change.

--- /dev/null
+++ b/cmd/internal/benchcmd/fairness.go
@@ -0,0 +1,252 @@
+package benchcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+)
+
+// fairnessLimit is the requirement: the p99 of the other accounts moves by at most this part.
+const fairnessLimit = 0.10
+
+const fairnessHelp = `fairness measures what the other client accounts see when one account sends several times its
+rate: their p50 and p99 with that account at its rate and above it, in turns, through 8 instances
+with the scarcity of each deployment. The baseline in the same run has one first-in-first-out queue
+for all accounts and enforces no rate. Then the primary is killed under the high load, and the
+stand-in servers count connections and statements.
+
+Everything runs in one process, so the load, the proxy and the servers share the machine.`
+
+// fairnessOptions are the flags of bench fairness.
+type fairnessOptions struct {
+	rounds    int
+	round     time.Duration
+	service   time.Duration
+	factor    float64
+	readShare float64
+	only      string
+}
+
+func newFairness() *cobra.Command {
+	o := &fairnessOptions{}
+	cmd := &cobra.Command{
+		Use:   "fairness",
+		Short: "Measure the other accounts while one exceeds its rate",
+		Long:  fairnessHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			asJSON, _ := cmd.Flags().GetBool("json")
+			report, err := o.run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(report)
+			}
+			return report.table(cmd.OutOrStdout())
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&o.rounds, "rounds", 4, "rounds of each load on each side")
+	f.DurationVar(&o.round, "round", 3*time.Second, "length of a round")
+	f.DurationVar(&o.service, "service-time", 2*time.Millisecond, "time that a statement takes at the server")
+	f.Float64Var(&o.factor, "factor", 5, "times its rate that the one account sends")
+	f.Float64Var(&o.readShare, "read-share", 0.2, "part of the statements that read")
+	f.StringVar(&o.only, "only", "", "measure only this deployment, such as prairie")
+	return cmd
+}
+
+// fairnessReport is the result of bench fairness.
+type fairnessReport struct {
+	ServiceMillis float64              `json:"service_time_ms"`
+	Factor        float64              `json:"factor"`
+	ReadShare     float64              `json:"read_share"`
+	Rounds        int                  `json:"rounds"`
+	RoundSeconds  float64              `json:"round_s"`
+	Deployments   []deploymentFairness `json:"deployments"`
+	LoadAverage   string               `json:"load_average"` // 1, 5 and 15 minutes, at the end
+}
+
+// deploymentFairness holds the figures of one deployment's scarcity.
+type deploymentFairness struct {
+	Name            string        `json:"name"`
+	Connections     int           `json:"connections_per_server"`
+	Slots           int           `json:"slots_per_server"`
+	Fair            sideFairness  `json:"fair"`
+	CommonQueue     sideFairness  `json:"common_queue"`
+	PrimaryChange   primaryChange `json:"primary_change"`
+	P99WithinLimit  bool          `json:"p99_within_limit"`
+	LimitsRespected bool          `json:"limits_respected"`
+}
+
+// sideFairness compares both loads through one policy.
+type sideFairness struct {
+	AtRate    loadFigures `json:"at_rate"`
+	OverRate  loadFigures `json:"over_rate"`
+	P99Change float64     `json:"p99_change"` // part by which the others' p99 moves
+	// Spread is (highest - lowest) / lowest of the others' p99 in the rounds at the rate: what the
+	// p99 moves by without any cause in the load.
+	Spread float64 `json:"p99_spread_at_rate"`
+}
+
+// loadFigures is what the others saw, and what the one account got.
+type loadFigures struct {
+	P50       float64   `json:"p50_us"`
+	P99       float64   `json:"p99_us"`
+	RoundP99  []float64 `json:"p99_us_by_round"`
+	Sent      int       `json:"sent"`
+	Refused   int       `json:"refused"`
+	Unknown   int       `json:"unknown"`
+	OneSent   int       `json:"one_account_sent"`
+	OneServed int       `json:"one_account_served"`
+}
+
+// primaryChange is what a killed primary causes.
+type primaryChange struct {
+	WriteGapMillis int64         `json:"write_gap_ms"` // of the other accounts
+	OthersRefused  int           `json:"others_refused"`
+	OthersUnknown  int           `json:"others_unknown"`
+	Servers        []serverUsage `json:"servers"`
+}
+
+// serverUsage is what a stand-in server has counted.
+type serverUsage struct {
+	Server         string `json:"server"`
+	Opened         int    `json:"connections_opened"`
+	Refused        int    `json:"connections_refused"`
+	PeakOpening    int    `json:"peak_opening"`
+	PeakOpen       int    `json:"peak_open"`
+	PeakStatements int    `json:"peak_statements"`
+}
+
+func (o *fairnessOptions) run(ctx context.Context) (*fairnessReport, error) {
+	r := &fairnessReport{
+		ServiceMillis: micros(o.service) / 1000, Factor: o.factor, ReadShare: o.readShare,
+		Rounds: o.rounds, RoundSeconds: o.round.Seconds(),
+	}
+	for _, s := range scarcities {
+		if o.only != "" && o.only != s.name {
+			continue
+		}
+		d, err := o.measure(ctx, s)
+		if err != nil {
+			return nil, errors.Wrapf(err, "measure %s", s.name)
+		}
+		r.Deployments = append(r.Deployments, d)
+	}
+	if len(r.Deployments) == 0 {
+		return nil, errors.New("--only: no deployment has this name; leave it out to measure all")
+	}
+	r.LoadAverage = loadAverage()
+	return r, nil
+}
+
+// tally adds up the rounds of one load through one policy.
+type tally struct {
+	figures loadFigures
+	all     *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	return &tally{all: load.NewHistogram()}
+}
+
+// add takes the results of a round: those of the others and of the one account.
+func (t *tally) add(others, one *load.Result) {
+	round := load.NewHistogram()
+	for name, c := range others.Counts {
+		t.figures.Sent += c.Sent + c.Missed
+		t.figures.Refused += c.NotRun
+		t.figures.Unknown += c.Unknown
+		round.Merge(others.Latencies[name])
+	}
+	for _, c := range one.Counts {
+		t.figures.OneSent += c.Sent + c.Missed
+		t.figures.OneServed += c.Succeeded
+	}
+	t.figures.RoundP99 = append(t.figures.RoundP99, float64(round.ValueAtQuantile(99)))
+	t.all.Merge(round)
+}
+
+func (t *tally) result() loadFigures {
+	f := t.figures
+	f.P50 = float64(t.all.ValueAtQuantile(50))
+	f.P99 = float64(t.all.ValueAtQuantile(99))
+	return f
+}
+
+// compare relates both loads.
+func compare(atRate, overRate loadFigures) sideFairness {
+	s := sideFairness{AtRate: atRate, OverRate: overRate, P99Change: overRate.P99/atRate.P99 - 1}
+	lowest, highest := atRate.RoundP99[0], atRate.RoundP99[0]
+	for _, p := range atRate.RoundP99 {
+		lowest, highest = min(lowest, p), max(highest, p)
+	}
+	s.Spread = highest/lowest - 1
+	return s
+}
+
+// judge compares the figures with the requirement and the limits.
+func (d *deploymentFairness) judge() {
+	d.P99WithinLimit = d.Fair.P99Change <= fairnessLimit
+	d.LimitsRespected = true
+	for _, s := range d.PrimaryChange.Servers {
+		if s.PeakOpen > d.Connections || s.PeakOpening > pool.DefaultOpenAtOnce || s.PeakStatements > d.Slots {
+			d.LimitsRespected = false
+		}
+	}
+}
+
+func (r *fairnessReport) table(w io.Writer) error {
+	for _, d := range r.Deployments {
+		if err := d.table(w, r.Factor); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "load average %s\n", r.LoadAverage)
+	return err
+}
+
+func (d deploymentFairness) table(w io.Writer, factor float64) error {
+	fmt.Fprintf(w, "%s: %d connections and %d slots per server\n", d.Name, d.Connections, d.Slots)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "others\tp50 µs\tp99 µs\tsent\trefused\tunknown\tone account sent\tserved\t")
+	for _, side := range []struct {
+		name string
+		sideFairness
+	}{{"fair", d.Fair}, {"common queue", d.CommonQueue}} {
+		row(t, side.name+", at its rate", side.AtRate)
+		row(t, fmt.Sprintf("%s, %g times", side.name, factor), side.OverRate)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "p99 of the others moves by %+.1f%% (common queue %+.1f%%); spread of rounds at the rate %.1f%% and %.1f%%\n",
+		100*d.Fair.P99Change, 100*d.CommonQueue.P99Change, 100*d.Fair.Spread, 100*d.CommonQueue.Spread)
+	return d.PrimaryChange.table(w, d)
+}
+
+func row(w io.Writer, name string, f loadFigures) {
+	fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%d\t\n", name, f.P50, f.P99, f.Sent, f.Refused, f.Unknown, f.OneSent, f.OneServed)
+}
+
+func (c primaryChange) table(w io.Writer, d deploymentFairness) error {
+	fmt.Fprintf(w, "primary killed: write gap %d ms, %d refused and %d unknown of the others\n", c.WriteGapMillis, c.OthersRefused, c.OthersUnknown)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "server\topened\trefused\tmost opening\tmost open\tmost statements\t")
+	for _, s := range c.Servers {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t\n", s.Server, s.Opened, s.Refused, s.PeakOpening, s.PeakOpen, s.PeakStatements)
+	}
+	fmt.Fprintf(t, "limit\t\t\t%d\t%d\t%d\t\n\n", pool.DefaultOpenAtOnce, d.Connections, d.Slots)
+	return t.Flush()
+}
--- /dev/null
+++ b/cmd/internal/benchcmd/fairness_run.go
@@ -0,0 +1,218 @@
+package benchcmd
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+const (
+	fairnessInstances = 8
+	fairnessOthers    = 7
+	oneAccount        = "festival"
+	// otherRate and oneRate are statements a second for each slot of a server. Together they use
+	// about a third of what the primary's slots can execute with the standard service time.
+	otherRate = 8
+	oneRate   = 100
+	// Sessions of each other account and of the one account, which needs more to send more.
+	otherSessions = 4
+	oneSessions   = 96
+	// settleTime lets the quota and the connections follow a load before it is measured.
+	settleTime = time.Second
+	// killAfter and afterKill are the parts of the measurement of a primary change.
+	killAfter = 2 * time.Second
+	afterKill = 6 * time.Second
+)
+
+// scarcity is what a deployment's servers allow.
+type scarcity struct {
+	name        string
+	connections int
+	slots       int
+	connectCost time.Duration
+}
+
+var scarcities = []scarcity{
+	{"prairie", 20, 3, 10 * time.Millisecond},
+	{"malabar", 50, 5, 30 * time.Millisecond},
+}
+
+// fairnessSide is one policy under load.
+type fairnessSide struct {
+	o          *fairnessOptions
+	scarcity   scarcity
+	deployment *local.Deployment
+	atRate     *tally
+	overRate   *tally
+	round      int
+}
+
+// measure runs both policies in turns, so that other load on the machine meets all of them.
+func (o *fairnessOptions) measure(ctx context.Context, s scarcity) (deploymentFairness, error) {
+	d := deploymentFairness{Name: s.name, Connections: s.connections, Slots: s.slots}
+	fair, err := o.start(ctx, s, nil)
+	if err != nil {
+		return d, err
+	}
+	defer fair.deployment.Close()
+	common, err := o.start(ctx, s, &daemon.PlainPolicy{Instances: fairnessInstances, CommonQueue: true})
+	if err != nil {
+		return d, err
+	}
+	defer common.deployment.Close()
+	for range o.rounds {
+		for _, side := range []*fairnessSide{fair, common} {
+			if err := side.measureRound(ctx); err != nil {
+				return d, err
+			}
+		}
+	}
+	d.Fair = compare(fair.atRate.result(), fair.overRate.result())
+	d.CommonQueue = compare(common.atRate.result(), common.overRate.result())
+	if d.PrimaryChange, err = fair.changePrimary(ctx); err != nil {
+		return d, err
+	}
+	d.judge()
+	return d, nil
+}
+
+func (o *fairnessOptions) start(ctx context.Context, s scarcity, plain *daemon.PlainPolicy) (*fairnessSide, error) {
+	side := &fairnessSide{o: o, scarcity: s, atRate: newTally(), overRate: newTally()}
+	accounts := side.accounts()
+	names := make([]string, 0, len(accounts))
+	for _, a := range accounts {
+		names = append(names, a.Name)
+	}
+	var err error
+	side.deployment, err = local.Start(ctx, local.Config{
+		Instances: fairnessInstances,
+		Server: database.Config{
+			ReplicationLag: time.Millisecond, ConnectCost: s.connectCost, MaxConnections: s.connections,
+			Slots: s.slots, ServiceTime: o.service,
+		},
+		Accounts: accounts,
+		Routes:   []manifest.Route{{Name: local.DatabaseName, Database: local.DatabaseName, Accounts: names}},
+		Adjust: func(_ int, c *daemon.Config) {
+			c.Plain = plain
+			c.DrainTimeout = 2 * time.Second
+		},
+	})
+	return side, err
+}
+
+// accounts returns the others, which never reach their rate, and the one account.
+func (f *fairnessSide) accounts() []local.Account {
+	var accounts []local.Account
+	offered := float64(otherRate * f.scarcity.slots)
+	for i := range fairnessOthers {
+		accounts = append(accounts, local.Account{
+			Name: fmt.Sprintf("society-%d", i+1), Weight: 1, Rate: 4 * offered, Burst: 4 * offered,
+		})
+	}
+	rate := float64(oneRate * f.scarcity.slots)
+	return append(accounts, local.Account{Name: oneAccount, Weight: 1, Rate: rate, Burst: rate})
+}
+
+// measureRound measures both loads once. The order changes each round, so that neither always
+// follows the other.
+func (f *fairnessSide) measureRound(ctx context.Context) error {
+	f.round++
+	loads := []struct {
+		factor float64
+		tally  *tally
+	}{{1, f.atRate}, {f.o.factor, f.overRate}}
+	if f.round%2 == 0 {
+		loads[0], loads[1] = loads[1], loads[0]
+	}
+	for _, l := range loads {
+		others, one, err := f.send(ctx, l.factor, f.o.round, func(context.Context) {})
+		if err != nil {
+			return err
+		}
+		l.tally.add(others, one)
+	}
+	return nil
+}
+
+// send runs the others at their rate, after the one account has begun to send factor times its
+// rate, and calls during beside them.
+func (f *fairnessSide) send(ctx context.Context, factor float64, length time.Duration, during func(context.Context)) (others, one *load.Result, err error) {
+	var running sync.WaitGroup
+	var oneErr error
+	running.Go(func() {
+		account := f.account(oneAccount, factor*float64(oneRate*f.scarcity.slots))
+		one, oneErr = f.load(ctx, "one", oneSessions, settleTime+length, account)
+	})
+	wait(ctx, settleTime)
+	running.Go(func() { during(ctx) })
+	all := make([]load.Account, 0, fairnessOthers)
+	for _, a := range f.deployment.Accounts {
+		if a.Name != oneAccount {
+			all = append(all, f.account(a.Name, float64(otherRate*f.scarcity.slots)))
+		}
+	}
+	others, err = f.load(ctx, "others", fairnessOthers*otherSessions, length, all...)
+	running.Wait()
+	return others, one, errors.Join(err, oneErr)
+}
+
+func (f *fairnessSide) account(name string, rate float64) load.Account {
+	return load.Account{Name: name, Key: f.deployment.Key(name), Rate: rate}
+}
+
+func (f *fairnessSide) load(ctx context.Context, run string, sessions int, length time.Duration, accounts ...load.Account) (*load.Result, error) {
+	c := load.Config{
+		Database: local.DatabaseName, Accounts: accounts, Connections: sessions, ReadShare: f.o.readShare,
+		Duration: length, Seed: uint64(f.round), Run: fmt.Sprintf("%s-%d", run, f.round), NoHistory: true,
+	}
+	for _, i := range f.deployment.Instances {
+		c.Addresses = append(c.Addresses, i.Address)
+	}
+	return load.Run(ctx, c)
+}
+
+// changePrimary kills the primary under the high load and returns what the servers have counted
+// since their start.
+func (f *fairnessSide) changePrimary(ctx context.Context) (primaryChange, error) {
+	f.round++
+	group := f.deployment.Group
+	others, _, err := f.send(ctx, f.o.factor, killAfter+afterKill, func(ctx context.Context) {
+		wait(ctx, killAfter)
+		group.Kill(group.Primary())
+	})
+	if err != nil {
+		return primaryChange{}, err
+	}
+	c := primaryChange{WriteGapMillis: others.WriteGap.Milliseconds()}
+	for _, n := range others.Counts {
+		c.OthersRefused += n.NotRun
+		c.OthersUnknown += n.Unknown
+	}
+	for i := range group.Size() {
+		u := group.Server(i).Usage()
+		c.Servers = append(c.Servers, serverUsage{
+			Server: string(group.Server(i).ID()), Opened: u.Opened, Refused: u.Refused,
+			PeakOpening: u.PeakOpening, PeakOpen: u.PeakOpen, PeakStatements: u.PeakStatements,
+		})
+	}
+	return c, nil
+}
+
+// wait waits for d or the end of ctx.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/cmd/internal/benchcmd/overhead.go
+++ b/cmd/internal/benchcmd/overhead.go
@@ -26,7 +26,7 @@
 		Use:   "bench",
 		Short: "Measure the proxy on this machine",
 	}
-	cmd.AddCommand(newOverhead(), newCapacity())
+	cmd.AddCommand(newOverhead(), newCapacity(), newFairness())
 	return cmd
 }
 
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -163,7 +163,7 @@
 	if _, err := d.group(); err != nil {
 		return nil, err
 	}
-	if g.cfg.Plain != nil {
+	if g.cfg.Plain.placesPlainly() {
 		return plainDatabase{d}, nil
 	}
 	return d, nil
@@ -225,9 +225,10 @@
 	d.metrics = telemetry.New()
 	d.groups = newGroups(d.cfg, d.log, d.metrics)
 	d.pool = pool.New(pool.Config{
-		User:     d.cfg.UpstreamUser,
-		Password: d.cfg.UpstreamPassword,
-		Identify: identify,
+		User:        d.cfg.UpstreamUser,
+		Password:    d.cfg.UpstreamPassword,
+		Identify:    identify,
+		CommonQueue: d.cfg.Plain.queuesPlainly(),
 	})
 	var err error
 	d.directory, err = directory.New(directory.Config{
--- a/proxy/daemon/plain.go
+++ b/proxy/daemon/plain.go
@@ -16,8 +16,32 @@
 // reads go to the primary, and each instance admits an equal static share of every account's rate.
 type PlainPolicy struct {
 	Instances int // that share the rates
+	// CommonQueue is a baseline for the fair queue alone: reads are placed as without a plain
+	// policy, no rate is enforced, and all accounts wait in one first-in-first-out queue per server.
+	CommonQueue bool
 }
 
+// placesPlainly reports whether all reads go to the primary.
+func (p *PlainPolicy) placesPlainly() bool {
+	return p != nil && !p.CommonQueue
+}
+
+// queuesPlainly reports whether all accounts share one queue.
+func (p *PlainPolicy) queuesPlainly() bool {
+	return p != nil && p.CommonQueue
+}
+
+// admitAll enforces no rate.
+type admitAll struct {
+	noSharing
+}
+
+// SetAccounts implements quotaService.
+func (admitAll) SetAccounts([]manifest.Account) {}
+
+// Admit implements engine.Quota.
+func (admitAll) Admit(context.Context, string) error { return nil }
+
 // plainDatabase sends all reads to the primary.
 type plainDatabase struct {
 	engine.Database
--- a/proxy/daemon/quota.go
+++ b/proxy/daemon/quota.go
@@ -46,6 +46,10 @@
 }
 
 func (d *Daemon) assembleQuota() error {
+	if d.cfg.Plain.queuesPlainly() {
+		d.quota = admitAll{}
+		return nil
+	}
 	if d.cfg.Plain != nil {
 		d.quota = &staticShares{instances: max(d.cfg.Plain.Instances, 1)}
 		return nil
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -37,6 +37,9 @@
 	CheckTimeout    time.Duration // of that check; a silent path shows here
 	OpenAtOnce      int           // connections being opened to one server at a time
 	QueuePerAccount int           // waiting statements of one account for one server
+	// CommonQueue makes all accounts wait in one first-in-first-out queue, as a baseline for
+	// comparison. QueuePerAccount then bounds that queue.
+	CommonQueue bool
 
 	// Identify returns the incarnation of the server behind a fresh connection.
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
@@ -127,6 +130,9 @@
 			"server "+string(r.Target.Server)+" is not part of the configuration in force",
 			"retry; the statement is routed by the new configuration")
 	}
+	if p.cfg.CommonQueue {
+		r.Account, r.Weight = "", 1
+	}
 	return s.acquire(ctx, r)
 }
 
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -111,12 +111,15 @@
 // enterSlot waits for a slot and spends the service time in it.
 func (s *session) enterSlot() error {
 	srv := s.server
+	srv.usage.beginStatement()
 	if srv.slots != nil {
 		select {
 		case srv.slots <- struct{}{}:
 		case <-s.interrupt:
+			srv.usage.endStatement()
 			return errCanceled
 		case <-srv.stop:
+			srv.usage.endStatement()
 			return errStopped
 		}
 	}
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -53,6 +53,8 @@
 	sessions map[uint32]*session
 	clients  int // sessions that count against MaxConnections
 	nextPID  uint32
+
+	usage usage
 }
 
 // Start listens and serves until Kill. It returns once the server accepts connections.
@@ -199,6 +201,7 @@
 func (s *Server) alive() bool { return s.ctx.Err() == nil }
 
 func (s *Server) leaveSlot() {
+	s.usage.endStatement()
 	if s.slots != nil {
 		<-s.slots
 	}
@@ -269,10 +272,7 @@
 	if err := s.authenticate(params["user"]); err != nil {
 		return s.refuse(err)
 	}
-	if err := s.sleep(s.server.cfg.ConnectCost); err != nil {
-		return err
-	}
-	incarnation, err := s.server.register(s)
+	incarnation, err := s.open()
 	if err != nil {
 		return s.refuse(err)
 	}
@@ -316,6 +316,18 @@
 	}
 }
 
+// open spends the cost of a new connection and registers the session.
+func (s *session) open() (incarnation uint64, err error) {
+	if !s.control {
+		s.server.usage.beginOpening()
+		defer s.server.usage.endOpening()
+	}
+	if err := s.sleep(s.server.cfg.ConnectCost); err != nil {
+		return 0, err
+	}
+	return s.server.register(s)
+}
+
 func (s *session) authenticate(user string) error {
 	cfg := s.server.cfg
 	if cfg.User != "" && user != cfg.User {
@@ -374,10 +386,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !ss.control && s.cfg.MaxConnections > 0 && s.clients >= s.cfg.MaxConnections {
+		s.usage.refused()
 		return 0, newError(codeTooManyConnections, "sorry, too many clients already")
 	}
 	if !ss.control {
 		s.clients++
+		s.usage.opened()
 	}
 	s.nextPID++
 	ss.pid = s.nextPID
@@ -398,6 +412,7 @@
 	delete(s.sessions, ss.pid)
 	if !ss.control {
 		s.clients--
+		s.usage.closed()
 	}
 }
 
