Let a draining home finish the connections that it has lent

A stopping instance now refuses new checkouts in a way that sends them to the next home, announces its drain to its peers, and waits for the lent connections within the drain timeout; after it, they end between two statements. An instance also closes its idle connections to servers that have another home, which counted against the server's limit for good.

Homes, apart from Live, leaves out announced drains, so that the quota's pools stay with their owner until it has handed them back.

--- /dev/null
+++ b/cmd/internal/homefault/home_test.go
@@ -0,0 +1,367 @@
+// Package homefault ends the home instance of the primary, a process of its own, while other
+// instances run statements through it. It holds tests only.
+package homefault
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/serve"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+const (
+	// eventually bounds every wait for an event.
+	eventually = 30 * time.Second
+	// takeover is the stated target: statements succeed through the next home by then.
+	takeover = 2 * time.Second
+	// serveVariable makes the test binary run the daemon instead of the tests.
+	serveVariable = "HOMEFAULT_SERVE"
+
+	account = "marshals"
+	upsert  = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = excluded.value"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(serveVariable) != "" {
+		os.Exit(serve.Main())
+	}
+	os.Exit(m.Run())
+}
+
+// scene is a deployment with two instances in this process and the primary's home in another.
+type scene struct {
+	*local.Deployment
+	t      *testing.T
+	home   *exec.Cmd
+	ops    string // address of the home
+	exited chan struct{}
+
+	mu     sync.Mutex
+	failed map[string]int // statements since the start of the load, by outcome and SQLSTATE
+}
+
+// note counts the statements that failed, to show them with the test's result.
+func (s *scene) note(st engine.Statement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil && st.Outcome != engine.OutcomeOK {
+		s.failed[fmt.Sprint(st.Outcome, " ", st.Code, " ", st.Server)]++
+	}
+}
+
+func (s *scene) countFailures() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = make(map[string]int)
+}
+
+func start(t *testing.T, server database.Config, drain time.Duration) *scene {
+	t.Helper()
+	s := &scene{t: t, exited: make(chan struct{})}
+	d, err := local.Start(t.Context(), local.Config{
+		Adjust:    func(_ int, c *daemon.Config) { c.OnStatement = s.note },
+		Instances: 2,
+		Server:    server,
+		Accounts:  []local.Account{{Name: account, Weight: 1, Rate: 1e6, Burst: 1e6}},
+		Routes:    []manifest.Route{{Name: local.DatabaseName, Database: local.DatabaseName, Accounts: []string{account}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	s.Deployment = d
+	s.startHome(drain)
+	return s
+}
+
+// startHome starts the process and waits until the primary is reached through it.
+func (s *scene) startHome(drain time.Duration) {
+	s.t.Helper()
+	peerAddress := s.homeAddress()
+	s.ops = s.freeAddress()
+	s.home = exec.Command(os.Args[0], "serve",
+		"--instance-id", "home", "--region", "local", "--failure-domain", "local-a",
+		"--listen", "127.0.0.1:0", "--peer-listen", peerAddress, "--ops-listen", s.ops,
+		"--store", s.Store.URL(), "--allow-plain", "--list-poll", "1s", "--drain-timeout", drain.String())
+	s.home.Env = append(os.Environ(), serveVariable+"=1")
+	s.home.Stderr = s.t.Output()
+	s.home.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := s.home.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	go func() {
+		defer close(s.exited)
+		_ = s.home.Wait()
+	}()
+	s.t.Cleanup(func() {
+		_ = s.home.Process.Kill()
+		<-s.exited
+	})
+	s.waitFor("home ready", s.ready)
+	s.list(peerAddress)
+	s.primary().ResetUsage()
+	s.waitFor("connection of the new home", func() bool {
+		return s.write(0, "ready") == nil && s.primary().Usage().Opened > 0
+	})
+}
+
+// ready asks the home whether it is ready for callers.
+func (s *scene) ready() bool {
+	answer, err := http.Get("http://" + s.ops + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+func (s *scene) primary() *database.Server { return s.Group.Server(0) }
+
+// homeAddress returns a free peer address that makes its instance home to the primary.
+func (s *scene) homeAddress() string {
+	s.t.Helper()
+	var found string
+	s.waitFor("address of the home", func() bool {
+		found = s.freeAddress()
+		return peer.Rendezvous(string(s.primary().ID()), s.addresses(found)) == found
+	})
+	return found
+}
+
+func (s *scene) freeAddress() string {
+	s.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (s *scene) addresses(home string) []string {
+	return []string{s.Instances[0].Peer, s.Instances[1].Peer, home}
+}
+
+func (s *scene) list(home string) {
+	s.t.Helper()
+	var list []platform.Instance
+	for i, address := range s.addresses(home) {
+		list = append(list, platform.Instance{
+			ID: fmt.Sprint("instance-", i), PeerAddress: address, Region: "local", FailureDomain: "local-a",
+		})
+	}
+	if err := s.SetInstances(s.t.Context(), list); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *scene) waitFor(what string, done func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(eventually); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("%s: not within %s", what, eventually)
+		}
+	}
+}
+
+func (s *scene) signal(sig syscall.Signal) {
+	s.t.Helper()
+	if err := s.home.Process.Signal(sig); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// awaitExit waits until the home has ended and returns its exit code.
+func (s *scene) awaitExit() int {
+	s.t.Helper()
+	s.waitFor("end of the home", func() bool {
+		select {
+		case <-s.exited:
+			return true
+		default:
+			return false
+		}
+	})
+	return s.home.ProcessState.ExitCode()
+}
+
+func (s *scene) connect(instance int) *pgx.Conn {
+	s.t.Helper()
+	c, err := pgx.Connect(s.t.Context(), s.URL(instance, local.DatabaseName, account))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func (s *scene) write(instance int, key string) error {
+	ctx := s.t.Context()
+	c, err := pgx.Connect(ctx, s.URL(instance, local.DatabaseName, account))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	_, err = c.Exec(ctx, upsert, key, "1")
+	return err
+}
+
+// during runs a load through the two instances of this process until act returns, and checks its
+// history.
+func (s *scene) during(act func()) *load.Result {
+	s.t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	done := make(chan *load.Result, 1)
+	go func() {
+		r, err := load.Run(ctx, load.Config{
+			Addresses: []string{s.Instances[0].Address, s.Instances[1].Address},
+			Database:  local.DatabaseName, Accounts: []load.Account{{Name: account, Key: s.Key(account)}},
+			Connections: 12, ReadShare: 0.3, Duration: 2 * eventually, Seed: 1,
+		})
+		if err != nil {
+			s.t.Error(err)
+		}
+		done <- r
+	}()
+	s.countFailures()
+	s.awaitWrites(200)
+	act()
+	stop()
+	result := <-done
+	if err := result.ReadFinal(s.t.Context(), s.primary().Address(), "", load.Account{Name: "test"}); err != nil {
+		s.t.Fatal(err)
+	}
+	for _, v := range history.Check(result.History) {
+		s.t.Errorf("violation: %s", v)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.t.Logf("%+v, longest write gap %s, failed %+v", result.Counts[account], result.WriteGap, s.failed)
+	return result
+}
+
+// awaitWrites waits until the primary has executed n more writes.
+func (s *scene) awaitWrites(n uint64) {
+	s.t.Helper()
+	from := s.primary().State().LSN
+	s.waitFor("writes at the primary", func() bool { return s.primary().State().LSN >= from+n })
+}
+
+// Guards against a wrong outcome or a second execution of what ran through a home that died,
+// against a long time until the next home serves, and against connections that stay with the dead.
+func TestHomeKilled(t *testing.T) {
+	s := start(t, database.Config{Slots: 3, MaxConnections: 20, ConnectCost: 10 * time.Millisecond, ServiceTime: 2 * time.Millisecond}, eventually)
+	result := s.during(func() {
+		s.primary().ResetUsage()
+		s.signal(syscall.SIGKILL)
+		s.awaitWrites(500)
+	})
+	if result.WriteGap >= takeover {
+		t.Errorf("no write for %s, want less than %s", result.WriteGap, takeover)
+	}
+	// Without transactions a home opens no more connections than there are slots.
+	s.waitFor("end of the dead home's connections", func() bool { return s.primary().Clients() <= 3 })
+	if open := s.primary().Usage().PeakOpen; open > 20 {
+		t.Errorf("%d connections open at a time, want at most 20", open)
+	}
+}
+
+// Guards against a planned stop of a home that cuts the statements of other instances or makes
+// them fail.
+func TestHomeStopped(t *testing.T) {
+	s := start(t, database.Config{Slots: 3, MaxConnections: 20, ConnectCost: 10 * time.Millisecond, ServiceTime: 20 * time.Millisecond}, eventually)
+	result := s.during(func() {
+		s.signal(syscall.SIGTERM)
+		if code := s.awaitExit(); code != 0 {
+			t.Errorf("exit code %d, want 0", code)
+		}
+		s.awaitWrites(100)
+	})
+	// The home may also own the account's pool of tokens. The quota may refuse a statement, before
+	// it goes to any server, while that pool moves.
+	quotaRefusals := s.failed["not_run "+outcome.CodeTooManyRequests+" "]
+	if c := result.Counts[account]; c.Unknown+c.ConnectFailures > 0 || c.NotRun > quotaRefusals {
+		t.Errorf("%+v, want success only", c)
+	}
+	if result.WriteGap >= takeover {
+		t.Errorf("no write for %s, want less than %s", result.WriteGap, takeover)
+	}
+}
+
+// begin opens a transaction through instance 0, and so through the home, and writes in it.
+func (s *scene) begin(key string) pgx.Tx {
+	s.t.Helper()
+	tx, err := s.connect(0).Begin(s.t.Context())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := tx.Exec(s.t.Context(), upsert, key, "1"); err != nil {
+		s.t.Fatal(err)
+	}
+	return tx
+}
+
+// Guards against a planned stop of a home that ends another instance's open transaction inside
+// the drain timeout.
+func TestHomeStoppedDuringTransaction(t *testing.T) {
+	s := start(t, database.Config{}, eventually)
+	tx := s.begin("first")
+	s.signal(syscall.SIGTERM)
+	s.waitFor("drain of the home", func() bool { return !s.ready() })
+	if err := s.write(1, "beside"); err != nil {
+		t.Errorf("statement through the next home: %v", err)
+	}
+	if _, err := tx.Exec(t.Context(), upsert, "second", "1"); err != nil {
+		t.Fatalf("statement in an open transaction: %v", err)
+	}
+	if err := tx.Commit(t.Context()); err != nil {
+		t.Fatalf("commit of an open transaction: %v", err)
+	}
+	if code := s.awaitExit(); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+	if rows := s.primary().Rows(); rows["first"] == "" || rows["second"] == "" {
+		t.Errorf("rows %v lack those of the transaction", rows)
+	}
+}
+
+// Guards against a home that never ends while another instance's transaction stays open, and
+// against half of such a transaction.
+func TestHomeStopsAfterDrainTimeout(t *testing.T) {
+	s := start(t, database.Config{}, time.Second)
+	tx := s.begin("open")
+	s.signal(syscall.SIGTERM)
+	if code := s.awaitExit(); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+	if err := tx.Commit(t.Context()); err == nil {
+		t.Error("a transaction committed after the home had ended it")
+	}
+	if rows := s.primary().Rows(); rows["open"] != "" {
+		t.Errorf("rows %v hold a part of the ended transaction", rows)
+	}
+	if err := s.write(0, "open"); err != nil {
+		t.Errorf("write to a key of the ended transaction: %v", err)
+	}
+}
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -43,6 +43,7 @@
 	groups    *groups
 	pool      *pool.Pool
 	homeCalls *peer.Client
+	homes     *home.Server
 	router    *home.Router
 	locator   *locator
 	peers     *peer.Set
@@ -102,6 +103,7 @@
 	tasks.Go(func() { d.directory.Run(ctx) })
 	tasks.Go(func() { d.peers.Run(ctx) })
 	tasks.Go(func() { d.locator.run(ctx) })
+	tasks.Go(func() { d.releaseIdle(ctx) })
 	tasks.Go(func() { d.quota.Run(ctx) })
 	tasks.Go(func() { d.burn.Run(ctx) })
 	tasks.Go(func() { d.reportEnd("peer listener", d.peerPort.Serve(ctx, d.listeners.peers)) })
@@ -124,7 +126,7 @@
 	event(d.log, EventStopping).WithField("drain_timeout", d.cfg.DrainTimeout).Info("instance stops taking callers and drains")
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout+cutOffAllowance)
 	defer cancel()
-	err := d.engine.Shutdown(ctx)
+	err := d.drain(ctx)
 	if err := d.quota.Drain(ctx); err != nil {
 		event(d.log, EventHandBackFailed).WithError(err).Warn("quota could not be handed back; it is free again when its time has passed")
 	}
@@ -134,7 +136,21 @@
 	d.store.Close()
 	_ = d.metrics.Close()
 	event(d.log, EventStopped).Info("instance stopped")
-	return errors.Wrap(err, "drain callers")
+	return err
+}
+
+// drain hands the servers over to their next homes and waits for the sessions of this instance and
+// for the connections that it has lent to others. The peer listener stays open meanwhile.
+func (d *Daemon) drain(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	lent := make(chan error, 1)
+	d.homes.Leave()
+	d.locator.leave()
+	tasks.Go(func() { d.peers.Announce(ctx) })
+	tasks.Go(func() { lent <- d.homes.Drain(ctx, d.cfg.DrainTimeout) })
+	err := errors.Wrap(d.engine.Shutdown(ctx), "drain callers")
+	return errors.CombineErrors(err, errors.Wrap(<-lent, "drain connections lent to other instances"))
 }
 
 // ready reports why the balancer should not send callers here.
@@ -190,7 +206,8 @@
 	if err != nil {
 		return err
 	}
-	if err := homepb.DRPCRegisterHomes(server.Mux(), home.NewServer(d.pool)); err != nil {
+	d.homes = home.NewServer(d.pool)
+	if err := homepb.DRPCRegisterHomes(server.Mux(), d.homes); err != nil {
 		return errors.Wrap(err, "register the homes service")
 	}
 	d.peerPort = server
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -24,6 +24,8 @@
 	unknownAge = ^uint64(0)
 	// locatorRefresh is how often the homes follow the reachable peers.
 	locatorRefresh = 200 * time.Millisecond
+	// releaseIdlePeriod is how long idle connections may outlast this instance's time as the home.
+	releaseIdlePeriod = time.Second
 )
 
 // gossip answers the peers' calls about configuration.
@@ -35,12 +37,21 @@
 // the age of the call is not known, but they show a newer manifest.
 func (g *gossip) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
 	g.daemon.quota.NoteFractionsVersion(in.GetFractionsVersion())
+	g.noteLeaving(in)
 	if in.GetManifestVersion() > g.daemon.directory.State().Version {
 		g.fetch(ctx, in)
 	}
 	return g.digest(), nil
 }
 
+// noteLeaving lets a peer that drains lose its servers at once.
+func (g *gossip) noteLeaving(in *peerpb.Digest) {
+	g.daemon.peers.NoteLeaving(in.GetFrom(), in.GetLeaving())
+	if in.GetLeaving() {
+		g.daemon.locator.refresh(time.Now())
+	}
+}
+
 // FetchManifest implements peer.ConfigHandler.
 func (g *gossip) FetchManifest(_ context.Context, in *peerpb.ManifestRequest) (*peerpb.Manifest, error) {
 	document, version, ok := g.daemon.directory.Fetch(in.GetVersion())
@@ -61,6 +72,7 @@
 		ManifestVersion:   state.Version,
 		StoreContactAgeMs: age,
 		FractionsVersion:  g.daemon.quota.FractionsVersion(),
+		Leaving:           g.daemon.stopping.Load(),
 	}
 }
 
@@ -92,6 +104,7 @@
 func (r replies) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
 	d := r.daemon
 	d.quota.NoteFractionsVersion(in.GetFractionsVersion())
+	r.noteLeaving(in)
 	sent := d.directory.Now() - peer.DefaultHeartbeat
 	newer := d.directory.PeerAnswered(sent, manifest.PeerState{
 		Instance:   in.GetFrom(),
@@ -133,14 +146,30 @@
 // judged it by then.
 const passOver = 2 * time.Second
 
+// releaseIdle closes the idle connections to servers that have another home now, so that they don't
+// count against the server's limit beside those of that home.
+func (d *Daemon) releaseIdle(ctx context.Context) {
+	ticker := time.NewTicker(releaseIdlePeriod)
+	defer ticker.Stop()
+	for {
+		d.pool.ReleaseIdle(d.locator.isHome)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // locator implements home.Locator by rendezvous hashing over the reachable instances.
 type locator struct {
 	self string
 	set  *peer.Set
 	live atomic.Pointer[[]string]
 
-	mu     sync.Mutex
-	passed map[string]time.Time // until when an instance is passed over
+	mu      sync.Mutex
+	leaving bool                 // this instance is home to nothing while there is another
+	passed  map[string]time.Time // until when an instance is passed over
 }
 
 func newLocator(set *peer.Set, self string) *locator {
@@ -166,19 +195,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.passed, func(_ string, until time.Time) bool { return !until.After(now) })
-	live := slices.DeleteFunc(l.set.Live(), func(address string) bool {
+	live := slices.DeleteFunc(l.set.Homes(), func(address string) bool {
 		_, passed := l.passed[address]
-		return passed
+		return passed || l.leaving && address == l.self
 	})
+	if len(live) == 0 {
+		live = []string{l.self}
+	}
 	l.live.Store(&live)
 }
 
+// leave makes other instances home to all servers.
+func (l *locator) leave() {
+	l.mu.Lock()
+	l.leaving = true
+	l.mu.Unlock()
+	l.refresh(time.Now())
+}
+
 // Home implements home.Locator.
 func (l *locator) Home(server authority.ServerID) (string, bool) {
 	address := peer.Rendezvous(string(server), *l.live.Load())
 	return address, address == l.self
 }
 
+func (l *locator) isHome(server authority.ServerID) bool {
+	_, self := l.Home(server)
+	return self
+}
+
 // Unreachable implements home.Locator.
 func (l *locator) Unreachable(address string) {
 	now := time.Now()
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -64,7 +64,11 @@
 	}
 	if refused := m.GetRefused(); refused != nil {
 		e := outcome.New(outcome.NotRun, refused.GetCode(), refused.GetMessage(), refused.GetRemedy())
-		return e.WithRetryAfter(time.Duration(refused.GetRetryAfterUs()) * time.Microsecond)
+		e = e.WithRetryAfter(time.Duration(refused.GetRetryAfterUs()) * time.Microsecond)
+		if refused.GetLeaving() {
+			return &unreachableError{e}
+		}
+		return e
 	}
 	return errors.New("home instance sent data before the grant; run the same release on all instances")
 }
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,11 +33,12 @@
 type Server struct {
 	homepb.DRPCHomesUnimplementedServer
 	local engine.Pool
+	loans *loans
 }
 
 // NewServer returns the service for connections of the local pool.
 func NewServer(local engine.Pool) *Server {
-	return &Server{local: local}
+	return &Server{local: local, loans: newLoans()}
 }
 
 // Checkout lends one connection until the stream ends.
@@ -49,6 +51,10 @@
 	if open == nil {
 		return errors.New("the first message of a checkout must be Open; run the same release on all instances")
 	}
+	if !s.loans.begin() {
+		return stream.Send(leaving())
+	}
+	defer s.loans.end()
 	conn, err := s.local.Acquire(stream.Context(), engine.AcquireRequest{
 		Target: engine.Target{
 			Server:      authority.ServerID(open.GetServer()),
@@ -67,6 +73,8 @@
 		return errors.New("local pool can't lend its connections")
 	}
 	l := &loan{stream: stream, conn: local, done: make(chan struct{})}
+	s.loans.add(l)
+	defer s.loans.remove(l)
 	return l.run()
 }
 
@@ -75,6 +83,10 @@
 	stream homepb.DRPCHomes_CheckoutStream
 	conn   LocalConn
 	done   chan struct{} // closed when the answers' goroutine has ended
+
+	mu      sync.Mutex
+	between bool // no statement is in execution: the borrower has given its slot back
+	over    bool // the loan ends as soon as it is between statements
 }
 
 // run carries messages until the borrower releases the connection or is gone.
@@ -116,7 +128,11 @@
 	switch {
 	case m.GetEndStatement() != nil:
 		l.conn.EndStatement()
+		return l.endStatement()
 	case m.GetBeginStatement() != nil:
+		if err := l.beginStatement(); err != nil {
+			return err
+		}
 		timeout := time.Duration(m.GetBeginStatement().GetTimeoutUs()) * time.Microsecond
 		if err := l.conn.BeginStatement(l.stream.Context(), timeout); err != nil {
 			return sendRefused(l.stream, err)
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -23,6 +23,8 @@
 	fullMeshPeers = 16
 	// sampledPeers is the number of random peers contacted per period in larger sets.
 	sampledPeers = 3
+	// announceAtOnce bounds the calls of an announcement that are under way at a time.
+	announceAtOnce = 32
 	// contactEvery is the number of periods after which a peer is contacted even though it was heard
 	// of meanwhile: only an own call shows that the way to it is open.
 	contactEvery = 3
@@ -59,6 +61,7 @@
 	tried     bool
 	reachable bool
 	calling   bool
+	leaving   bool      // the peer says that it drains
 	contacted time.Time // end of the last own call
 	heard     time.Time // of the last digest that the peer sent
 }
@@ -68,6 +71,7 @@
 	Instance  platform.Instance
 	Tried     bool // at least one heartbeat has ended
 	Reachable bool
+	Leaving   bool // the peer's last digest said that it drains
 }
 
 // NewSet returns a set without peers; Run fills it.
@@ -243,17 +247,56 @@
 	out := make([]Status, 0, len(s.instances))
 	for _, instance := range s.instances {
 		p := s.peers[instance.PeerAddress]
-		out = append(out, Status{Instance: instance, Tried: p.tried, Reachable: p.reachable})
+		out = append(out, Status{Instance: instance, Tried: p.tried, Reachable: p.reachable, Leaving: p.leaving})
 	}
 	return out
 }
 
-// Live returns the peer addresses of this instance and of the listed peers that neither leave
-// nor failed their last heartbeat. Peers that were not tried yet count as live.
+// NoteLeaving notes what a peer's digest says about its drain.
+func (s *Set) NoteLeaving(address string, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peers[address]; p != nil {
+		p.leaving = leaving
+	}
+}
+
+// Announce sends the present digest to all peers that answer, at once. A peer that does not take
+// it learns the same by a later heartbeat.
+func (s *Set) Announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
+	defer cancel()
+	var calls sync.WaitGroup
+	limit := make(chan struct{}, announceAtOnce)
+	for _, p := range s.Peers() {
+		if p.Tried && !p.Reachable {
+			continue
+		}
+		limit <- struct{}{}
+		calls.Go(func() {
+			_, _ = s.cfg.Client.Gossip(ctx, p.Instance.PeerAddress, s.cfg.Digest())
+			<-limit
+		})
+	}
+	calls.Wait()
+}
+
+// Live returns the peer addresses of this instance and of the listed peers that neither leave by
+// the platform's list nor failed their last heartbeat. Peers that were not tried yet count as live.
 func (s *Set) Live() []string {
+	return s.live(func(Status) bool { return true })
+}
+
+// Homes returns the live instances without the peers that have announced their drain. Those still
+// answer other calls, until they have handed back what they hold.
+func (s *Set) Homes() []string {
+	return s.live(func(p Status) bool { return !p.Leaving })
+}
+
+func (s *Set) live(also func(Status) bool) []string {
 	out := []string{s.cfg.Self}
 	for _, p := range s.Peers() {
-		if !p.Instance.Leaving && (p.Reachable || !p.Tried) {
+		if !p.Instance.Leaving && (p.Reachable || !p.Tried) && also(p) {
 			out = append(out, p.Instance.PeerAddress)
 		}
 	}
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -136,6 +136,18 @@
 	return s.acquire(ctx, r)
 }
 
+// ReleaseIdle closes the idle connections to servers for which keep returns false.
+func (p *Pool) ReleaseIdle(keep func(authority.ServerID) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.servers {
+		// keep may be costly, so it is asked for few servers only.
+		if s.hasIdle() && !keep(id) {
+			s.closeIdle()
+		}
+	}
+}
+
 // Close closes idle connections and refuses further requests.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/proxy/pool/server.go
+++ b/proxy/pool/server.go
@@ -46,8 +46,20 @@
 
 func (s *server) close() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closed = true
+	s.mu.Unlock()
+	s.closeIdle()
+}
+
+func (s *server) hasIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.idle) > 0
+}
+
+func (s *server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, u := range s.idle {
 		u.close()
 	}
