--- /dev/null
+++ b/proxy/pool/pool_test.go
@@ -0,0 +1,302 @@
+package pool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+const (
+	// eventually bounds every wait for an event.
+	eventually = 20 * time.Second
+	serverID   = "s1"
+)
+
+// fixture is a pool of one stand-in server.
+type fixture struct {
+	*Pool
+	t           *testing.T
+	server      *database.Server
+	incarnation atomic.Uint64 // that new connections belong to
+}
+
+func start(t *testing.T, slots, connections int, change func(*Config)) *fixture {
+	t.Helper()
+	s, err := database.Start(database.Config{ID: serverID, Primary: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Kill)
+	f := &fixture{t: t, server: s}
+	f.incarnation.Store(1)
+	cfg := Config{
+		User:     "test",
+		Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return f.incarnation.Load(), nil },
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	f.Pool = New(cfg)
+	t.Cleanup(f.Pool.Close)
+	f.SetServers([]manifest.Server{{ID: serverID, Address: s.Address(), Slots: slots, MaxConnections: connections}})
+	return f
+}
+
+// request asks for a connection of an account to the present incarnation.
+func (f *fixture) request(account string, timeout time.Duration) engine.AcquireRequest {
+	return engine.AcquireRequest{
+		Target:  engine.Target{Server: authority.ServerID(serverID), Incarnation: f.incarnation.Load()},
+		Account: account, Weight: 1, Timeout: timeout,
+	}
+}
+
+func (f *fixture) acquire(account string) engine.Conn {
+	f.t.Helper()
+	c, err := f.Acquire(f.t.Context(), f.request(account, eventually))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(eventually); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %s", what, eventually)
+		}
+	}
+}
+
+// mustBeNotRun fails the test unless err says that the statement did not run.
+func mustBeNotRun(t *testing.T, err error) *outcome.Error {
+	t.Helper()
+	e := outcome.As(err)
+	if e == nil || e.Kind != outcome.NotRun {
+		t.Fatalf("error %v, want not run", err)
+	}
+	return e
+}
+
+// Guards against a wait beyond the queue timeout, a refusal without a time to retry, and a slot
+// that stays taken by a wait that was given up.
+func TestQueueTimeout(t *testing.T) {
+	f := start(t, 1, 5, nil)
+	held := f.acquire("a")
+	_, err := f.Acquire(t.Context(), f.request("b", 20*time.Millisecond))
+	if e := mustBeNotRun(t, err); e.RetryAfter <= 0 {
+		t.Errorf("refusal %+v without a time to retry", e)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	refused := make(chan error, 1)
+	go func() {
+		_, err := f.Acquire(ctx, f.request("b", eventually))
+		refused <- err
+	}()
+	waitFor(t, "waiting request", func() bool { return f.waiting() == 1 })
+	cancel()
+	mustBeNotRun(t, <-refused)
+	held.Release(true)
+	f.acquire("c").Release(true)
+}
+
+func (f *fixture) only() *server {
+	return f.servers[authority.ServerID(serverID)]
+}
+
+func (f *fixture) waiting() int {
+	s := f.only()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Waiting()
+}
+
+func (f *fixture) inUse() (slots, connections int) {
+	s := f.only()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.InUse()
+}
+
+// Guards against an answer of a server that restarted or rewound its log being taken for one of
+// the incarnation that was chosen.
+func TestOtherIncarnationIsNotLent(t *testing.T) {
+	f := start(t, 2, 5, nil)
+	f.acquire("a").Release(true)
+	f.incarnation.Store(2)
+	old := f.request("a", eventually)
+	old.Target.Incarnation = 1
+	fresh := f.acquire("a")
+	if n := f.server.Usage().Opened; n != 2 {
+		t.Errorf("%d connections opened, want a second one for the new incarnation", n)
+	}
+	// No idle connection is left, and a new one belongs to the new incarnation.
+	_, err := f.Acquire(t.Context(), old)
+	mustBeNotRun(t, err)
+	fresh.Release(true)
+	waitFor(t, "end of the old connection", func() bool { return f.server.Clients() <= 2 })
+	if slots, connections := f.inUse(); slots != 0 || connections != 0 {
+		t.Errorf("%d slots and %d connections in use, want none", slots, connections)
+	}
+}
+
+// Guards against a statement sent over a path that swallows packets, after the connection rested.
+func TestSilentConnectionIsFoundBeforeUse(t *testing.T) {
+	f := start(t, 2, 5, func(c *Config) {
+		c.CheckAfter = time.Nanosecond
+		c.CheckTimeout = 50 * time.Millisecond
+	})
+	f.acquire("a").Release(true)
+	f.server.SilenceConnections()
+	c := f.acquire("a")
+	defer c.Release(true)
+	if n := f.server.Usage().Opened; n != 2 {
+		t.Fatalf("%d connections opened, want 2: the silent one must not be lent", n)
+	}
+	if err := ping(c); err != nil {
+		t.Errorf("the lent connection: %v", err)
+	}
+}
+
+// ping runs an empty query.
+func ping(c engine.Conn) error {
+	c.Frontend().Send(&pgproto3.Query{})
+	if err := c.Frontend().Flush(); err != nil {
+		return err
+	}
+	for {
+		m, err := c.Frontend().Receive()
+		if err != nil {
+			return err
+		}
+		if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+			return nil
+		}
+	}
+}
+
+// Guards against more connections, slots or connections being opened than the limits allow when
+// many callers come and go.
+func TestLimitsUnderConcurrentUse(t *testing.T) {
+	const slots, connections, callers, rounds = 3, 4, 16, 40
+	var opening, most atomic.Int64
+	f := start(t, slots, connections, func(c *Config) {
+		c.Identify = func(context.Context, *pgconn.PgConn) (uint64, error) {
+			if n := opening.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			defer opening.Add(-1)
+			time.Sleep(time.Millisecond)
+			return 1, nil
+		}
+	})
+	var held atomic.Int64
+	var running sync.WaitGroup
+	for i := range callers {
+		running.Go(func() {
+			for n := range rounds {
+				c, err := f.Acquire(t.Context(), f.request(string(rune('a'+i%4)), eventually))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if n := held.Add(1); n > slots {
+					t.Errorf("%d slots held, want at most %d", n, slots)
+				}
+				err = ping(c)
+				held.Add(-1)
+				if err != nil {
+					t.Error(err)
+				}
+				c.EndStatement()
+				c.Release(n%3 > 0)
+			}
+		})
+	}
+	running.Wait()
+	if n := most.Load(); n > DefaultOpenAtOnce {
+		t.Errorf("%d connections opened at a time, want at most %d", n, DefaultOpenAtOnce)
+	}
+	if slots, connections := f.inUse(); slots != 0 || connections != 0 {
+		t.Errorf("%d slots and %d connections in use at the end", slots, connections)
+	}
+	waitFor(t, "end of dropped connections", func() bool { return f.server.Clients() <= connections })
+}
+
+// Guards against a connection in doubt going to the next caller, and against its right to a
+// connection being lost with it.
+func TestReleaseInDoubtDrops(t *testing.T) {
+	f := start(t, 1, 1, nil)
+	f.acquire("a").Release(false)
+	waitFor(t, "end of the connection", func() bool { return f.server.Clients() == 0 })
+	c := f.acquire("a")
+	defer c.Release(true)
+	if n := f.server.Usage().Opened; n != 2 {
+		t.Errorf("%d connections opened, want a new one", n)
+	}
+}
+
+// Guards against a slot or a connection that stays taken after a failed connection attempt.
+func TestUnreachableServer(t *testing.T) {
+	f := start(t, 1, 1, func(c *Config) {
+		c.Dial = func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+	})
+	for range 3 {
+		_, err := f.Acquire(t.Context(), f.request("a", eventually))
+		mustBeNotRun(t, err)
+	}
+}
+
+// Guards against idle connections that an instance keeps after it has ceased to be the home.
+func TestReleaseIdle(t *testing.T) {
+	f := start(t, 2, 2, nil)
+	lent, idle := f.acquire("a"), f.acquire("a")
+	idle.Release(true)
+	f.ReleaseIdle(func(authority.ServerID) bool { return true })
+	if n := f.server.Clients(); n != 2 {
+		t.Errorf("%d connections, want both while this instance is the home", n)
+	}
+	f.ReleaseIdle(func(authority.ServerID) bool { return false })
+	waitFor(t, "end of the idle connection", func() bool { return f.server.Clients() == 1 })
+	if err := ping(lent); err != nil {
+		t.Errorf("connection in use: %v", err)
+	}
+	lent.Release(true)
+}
+
+// Guards against the baseline giving an account its own place in the queue.
+func TestCommonQueueIsFirstInFirstOut(t *testing.T) {
+	f := start(t, 1, 5, func(c *Config) { c.CommonQueue = true })
+	held := f.acquire("a")
+	order := make(chan string, 3)
+	var running sync.WaitGroup
+	for i, account := range []string{"a", "a", "b"} {
+		running.Go(func() {
+			c, err := f.Acquire(t.Context(), f.request(account, eventually))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			order <- account
+			c.Release(true)
+		})
+		waitFor(t, "waiting request", func() bool { return f.waiting() == i+1 })
+	}
+	held.Release(true)
+	running.Wait()
+	if got := <-order + <-order + <-order; got != "aab" {
+		t.Errorf("order %s, want aab", got)
+	}
+}
