Send checkouts past a home that has no configuration yet

A listed instance without a manifest refused checkouts as not run, so that statements failed or waited until it had one. It now refuses them in the way of a draining home, and the next home in hash order lends the connection. Tests for announced drains.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -207,6 +207,7 @@
 		return err
 	}
 	d.homes = home.NewServer(d.pool)
+	d.homes.Ready = func() bool { return d.directory.Snapshot() != nil }
 	if err := homepb.DRPCRegisterHomes(server.Mux(), d.homes); err != nil {
 		return errors.Wrap(err, "register the homes service")
 	}
--- a/proxy/home/drain.go
+++ b/proxy/home/drain.go
@@ -141,10 +141,10 @@
 	return nil
 }
 
-func leaving() *homepb.FromHome {
+func notHome(reason string) *homepb.FromHome {
 	return &homepb.FromHome{Body: &homepb.FromHome_Refused{Refused: &homepb.Refused{
 		Code:    outcome.CodeCannotConnectNow,
-		Message: "this instance is stopping",
+		Message: reason,
 		Remedy:  "retry; the next instance holds the server's connections",
 		Leaving: true,
 	}}}
--- a/proxy/home/home_test.go
+++ b/proxy/home/home_test.go
@@ -282,6 +282,18 @@
 
 func (l *fixedLocator) Unreachable(string) { l.left.Add(1) }
 
+// Guards against statements that fail while a listed home has no configuration yet.
+func TestUnreadyHomeLeadsToTheNext(t *testing.T) {
+	i := serve(t)
+	var ready atomic.Bool
+	i.Ready = ready.Load
+	if _, err := newClient(t).Acquire(t.Context(), i.address, request()); !isUnreachable(err) {
+		t.Errorf("checkout at a home without configuration: %v", err)
+	}
+	ready.Store(true)
+	borrow(t, i).Release(true)
+}
+
 // Guards against a refusal to the caller while another home is there, and against a count of
 // outstanding statements that never goes down.
 func TestRouterPassesOverLeavingAndDeadHomes(t *testing.T) {
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -34,6 +34,10 @@
 	homepb.DRPCHomesUnimplementedServer
 	local engine.Pool
 	loans *loans
+
+	// Ready, if set before use, reports whether this instance can be a home. Until then checkouts
+	// are refused in a way that sends them to the next home.
+	Ready func() bool
 }
 
 // NewServer returns the service for connections of the local pool.
@@ -51,8 +55,11 @@
 	if open == nil {
 		return errors.New("the first message of a checkout must be Open; run the same release on all instances")
 	}
+	if s.Ready != nil && !s.Ready() {
+		return stream.Send(notHome("this instance has no configuration in force yet"))
+	}
 	if !s.loans.begin() {
-		return stream.Send(leaving())
+		return stream.Send(notHome("this instance is stopping"))
 	}
 	defer s.loans.end()
 	conn, err := s.local.Acquire(stream.Context(), engine.AcquireRequest{
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -266,6 +266,72 @@
 	waitFor(t, "first peer reachable again", reachable(2))
 }
 
+// Guards against servers being sent to a peer that has announced its drain, and against its pools
+// of tokens being asked for elsewhere before it has handed them back.
+func TestAnnouncedDrain(t *testing.T) {
+	set := newTestSet(t, fixedList{{PeerAddress: "127.0.0.1:1"}, {PeerAddress: "127.0.0.1:2"}})
+	set.refresh(context.Background())
+	for _, c := range []struct {
+		leaving bool
+		homes   int
+	}{{false, 2}, {true, 1}, {false, 2}} {
+		set.NoteLeaving("127.0.0.1:2", c.leaving)
+		if got := len(set.Homes()); got != c.homes {
+			t.Errorf("leaving %v: %d homes, want %d", c.leaving, got, c.homes)
+		}
+		if got := len(set.Live()); got != 2 {
+			t.Errorf("leaving %v: %d live, want 2", c.leaving, got)
+		}
+	}
+}
+
+// Guards against an announcement that does not reach a peer at once, or waits for a dead one.
+func TestAnnounceReachesPeers(t *testing.T) {
+	heard := make(chan *peerpb.Digest, 1)
+	address := serveGossip(t, heard)
+	dead, stop := startServer(t, "127.0.0.1:0", nil)
+	stop()
+	set := newTestSet(t, fixedList{{PeerAddress: dead}, {PeerAddress: address}})
+	set.cfg.Digest = func() *peerpb.Digest { return &peerpb.Digest{Leaving: true} }
+	set.refresh(context.Background())
+	set.Announce(context.Background())
+	select {
+	case digest := <-heard:
+		if !digest.GetLeaving() {
+			t.Errorf("digest %v, want one that announces the drain", digest)
+		}
+	default:
+		t.Error("the announcement ended before the peer had it")
+	}
+}
+
+// gossipRecorder passes on the digests that it gets.
+type gossipRecorder struct {
+	testHandler
+	heard chan<- *peerpb.Digest
+}
+
+func (r gossipRecorder) Gossip(_ context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
+	r.heard <- in
+	return &peerpb.Digest{}, nil
+}
+
+func serveGossip(t *testing.T, heard chan<- *peerpb.Digest) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := NewServer(ServerConfig{Config: gossipRecorder{heard: heard}, Quota: testHandler{}, Log: quietLog()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Serve(ctx, listener) }()
+	return listener.Addr().String()
+}
+
 // Guards against gossip that grows with the number of instances.
 func TestSetSamplesLargeSets(t *testing.T) {
 	for _, size := range []int{16, 17, 2100} {
