--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -55,10 +55,7 @@
 		return conn, nil
 	}
 	conn.close()
-	if refusal := outcome.As(err); refusal != nil {
-		if refusal.Code == outcome.CodeCannotConnectNow {
-			return nil, &unreachableError{refusal} // the home stops
-		}
+	if outcome.As(err) != nil {
 		return nil, err
 	}
 	return nil, homeUnreachable(r, err)
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -35,56 +35,21 @@
 type Server struct {
 	homepb.DRPCHomesUnimplementedServer
 	local  engine.Pool
+	loans  *loans
 	period time.Duration // between Alive messages
 
-	mu       sync.Mutex
-	stopping bool
-	loans    sync.WaitGroup
+	// Ready, if set before use, reports whether this instance can be a home. Until then checkouts
+	// are refused in a way that sends them to the next home.
+	Ready func() bool
 }
 
 // NewServer returns the service for connections of the local pool.
 func NewServer(local engine.Pool) *Server {
-	return &Server{local: local, period: alivePeriod}
-}
-
-// Drain refuses further checkouts and waits until the open ones have ended, or until ctx ends.
-func (s *Server) Drain(ctx context.Context) {
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
-	ended := make(chan struct{})
-	go func() {
-		s.loans.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-}
-
-// enter counts a checkout, unless the instance stops.
-func (s *Server) enter() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping {
-		return false
-	}
-	s.loans.Add(1)
-	return true
-}
-
-func errStopping() error {
-	return outcome.New(outcome.NotRun, outcome.CodeCannotConnectNow,
-		"the instance that holds the connections of the server is stopping", "retry; another instance takes over at once")
+	return &Server{local: local, loans: newLoans(), period: alivePeriod}
 }
 
 // Checkout lends one connection until the stream ends.
 func (s *Server) Checkout(stream homepb.DRPCHomes_CheckoutStream) error {
-	if !s.enter() {
-		return sendRefused(stream, errStopping())
-	}
-	defer s.loans.Done()
 	m, err := stream.Recv()
 	if err != nil {
 		return err
@@ -93,6 +58,13 @@
 	if open == nil {
 		return errors.New("the first message of a checkout must be Open; run the same release on all instances")
 	}
+	if s.Ready != nil && !s.Ready() {
+		return stream.Send(notHome("this instance has no configuration in force yet"))
+	}
+	if !s.loans.begin() {
+		return stream.Send(notHome("this instance is stopping"))
+	}
+	defer s.loans.end()
 	l := &loan{stream: stream, done: make(chan struct{})}
 	l.pulse = &pulse{period: s.period, patience: homePatience, send: l.sendAlive, silent: l.cutOff}
 	l.pulse.start()
@@ -115,6 +87,8 @@
 		return errors.New("local pool can't lend its connections")
 	}
 	l.conn = local
+	s.loans.add(l)
+	defer s.loans.remove(l)
 	return l.run()
 }
 
@@ -127,6 +101,10 @@
 
 	received atomic.Uint64 // bytes of data
 	busy     atomic.Bool   // a message is being handled
+
+	mu      sync.Mutex
+	between bool // no statement is in execution: the borrower has given its slot back
+	over    bool // the loan ends as soon as it is between statements
 }
 
 func (l *loan) sendAlive() error {
@@ -190,7 +168,11 @@
 	case m.GetAlive() != nil:
 	case m.GetEndStatement() != nil:
 		l.conn.EndStatement()
+		return l.endStatement()
 	case m.GetBeginStatement() != nil:
+		if err := l.beginStatement(); err != nil {
+			return err
+		}
 		timeout := time.Duration(m.GetBeginStatement().GetTimeoutUs()) * time.Microsecond
 		if err := l.conn.BeginStatement(l.stream.Context(), timeout); err != nil {
 			return sendRefused(l.stream, err)
--- a/proxy/home/silence_test.go
+++ b/proxy/home/silence_test.go
@@ -31,8 +31,8 @@
 	period = 100 * time.Millisecond
 )
 
-// fixture is a home instance with a stand-in server, reached through a relay.
-type fixture struct {
+// silenceFixture is a home instance with a stand-in server, reached through a relay.
+type silenceFixture struct {
 	t      *testing.T
 	server *database.Server
 	link   *link.Link
@@ -40,7 +40,7 @@
 	client *Client
 }
 
-func startFixture(t *testing.T) *fixture {
+func startSilenceFixture(t *testing.T) *silenceFixture {
 	t.Helper()
 	server, err := database.Start(database.Config{ID: "s1", Primary: true})
 	if err != nil {
@@ -49,9 +49,9 @@
 	t.Cleanup(server.Kill)
 	local := pool.New(pool.Config{Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil }})
 	local.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: 1, MaxConnections: 1}})
-	f := &fixture{t: t, server: server, home: NewServer(local)}
+	f := &silenceFixture{t: t, server: server, home: NewServer(local)}
 	f.home.period = period
-	path, err := link.Start(serve(t, f.home))
+	path, err := link.Start(serveHome(t, f.home))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,8 +64,8 @@
 	return f
 }
 
-// serve runs the service and returns its address.
-func serve(t *testing.T, service *Server) string {
+// serveHome runs the service and returns its address.
+func serveHome(t *testing.T, service *Server) string {
 	t.Helper()
 	mux := drpcmux.New()
 	if err := homepb.DRPCRegisterHomes(mux, service); err != nil {
@@ -81,14 +81,14 @@
 	return listener.Addr().String()
 }
 
-func (f *fixture) request(timeout time.Duration) (engine.Conn, error) {
+func (f *silenceFixture) request(timeout time.Duration) (engine.Conn, error) {
 	return f.client.Acquire(f.t.Context(), f.link.Address(), engine.AcquireRequest{
 		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: timeout,
 	})
 }
 
 // tryAcquire returns why no connection is lent.
-func (f *fixture) tryAcquire(timeout time.Duration) error {
+func (f *silenceFixture) tryAcquire(timeout time.Duration) error {
 	c, err := f.request(timeout)
 	if err == nil {
 		c.Release(true)
@@ -96,7 +96,7 @@
 	return err
 }
 
-func (f *fixture) acquire() engine.Conn {
+func (f *silenceFixture) acquire() engine.Conn {
 	f.t.Helper()
 	c, err := f.request(deadline)
 	if err != nil {
@@ -114,10 +114,10 @@
 	if err := c.Frontend().Flush(); err != nil {
 		return err
 	}
-	return receive(c)
+	return receiveAnswer(c)
 }
 
-func receive(c engine.Conn) error {
+func receiveAnswer(c engine.Conn) error {
 	for {
 		m, err := c.Frontend().Receive()
 		if err != nil {
@@ -140,7 +140,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := startFixture(t)
+			f := startSilenceFixture(t)
 			c := f.acquire()
 			if err := run(c, "BEGIN"); err != nil {
 				t.Fatal(err)
@@ -162,7 +162,7 @@
 // Guards against taking a stream for silent whose statement takes long, whose transaction rests, or
 // whose pipeline is larger than drpc's message limit.
 func TestQuietStreamKept(t *testing.T) {
-	f := startFixture(t)
+	f := startSilenceFixture(t)
 	c := f.acquire()
 	for _, sql := range []string{
 		"BEGIN",
@@ -183,14 +183,17 @@
 
 // Guards against a stopping home that cuts what other instances run through it, or that takes more.
 func TestDrain(t *testing.T) {
-	f := startFixture(t)
+	f := startSilenceFixture(t)
 	c := f.acquire()
 	if err := run(c, "BEGIN"); err != nil {
 		t.Fatal(err)
 	}
 	drained := make(chan struct{})
+	f.home.Leave()
 	go func() {
-		f.home.Drain(t.Context())
+		if err := f.home.Drain(t.Context(), deadline); err != nil {
+			t.Error(err)
+		}
 		close(drained)
 	}()
 	var unreachable *unreachableError
@@ -247,7 +250,7 @@
 // Guards against a failed write that counts as none: what was to be sent may have reached the home,
 // so that a statement that runs would be reported as not run.
 func TestFailedWriteIsNotSafeToRetry(t *testing.T) {
-	f := startFixture(t)
+	f := startSilenceFixture(t)
 	c := f.acquire()
 	f.link.Close()
 	var err error
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -43,6 +43,9 @@
 	SilentGrace     time.Duration // for bytes to come once the server says that it executes nothing
 	OpenAtOnce      int           // connections being opened to one server at a time
 	QueuePerAccount int           // waiting statements of one account for one server
+	// CommonQueue makes all accounts wait in one first-in-first-out queue, as a baseline for
+	// comparison. QueuePerAccount then bounds that queue.
+	CommonQueue bool
 
 	// Identify returns the incarnation of the server behind a fresh connection.
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
@@ -144,9 +147,24 @@
 			"server "+string(r.Target.Server)+" is not part of the configuration in force",
 			"retry; the statement is routed by the new configuration")
 	}
+	if p.cfg.CommonQueue {
+		r.Account, r.Weight = "", 1
+	}
 	return s.acquire(ctx, r)
 }
 
+// ReleaseIdle closes the idle connections to servers for which keep returns false.
+func (p *Pool) ReleaseIdle(keep func(authority.ServerID) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.servers {
+		// keep may be costly, so it is asked for few servers only.
+		if s.hasIdle() && !keep(id) {
+			s.closeIdle()
+		}
+	}
+}
+
 // Close closes idle connections and refuses further requests.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/proxy/pool/silence_test.go
+++ b/proxy/pool/silence_test.go
@@ -24,8 +24,8 @@
 	quietAfter = 40 * time.Millisecond
 )
 
-// fixture is a pool that watches its connections to a stand-in server.
-type fixture struct {
+// silenceFixture is a pool that watches its connections to a stand-in server.
+type silenceFixture struct {
 	t      *testing.T
 	server *database.Server
 	pool   *Pool
@@ -36,7 +36,7 @@
 	failing atomic.Bool
 }
 
-func startFixture(t *testing.T, c database.Config) *fixture {
+func startSilenceFixture(t *testing.T, c database.Config) *silenceFixture {
 	t.Helper()
 	c.ID, c.Primary = "s1", true
 	server, err := database.Start(c)
@@ -44,7 +44,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Kill)
-	f := &fixture{t: t, server: server}
+	f := &silenceFixture{t: t, server: server}
 	f.pool = New(Config{
 		QuietAfter:  quietAfter,
 		SilentGrace: quietAfter,
@@ -60,7 +60,7 @@
 	return f
 }
 
-func (f *fixture) executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
+func (f *silenceFixture) executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
 	f.asked.Add(1)
 	if f.asking.Add(1) > 1 {
 		f.t.Error("two connections at a time ask one server")
@@ -88,7 +88,7 @@
 	return client.Executing(ctx, sessions)
 }
 
-func (f *fixture) acquire() *lease {
+func (f *silenceFixture) acquire() *lease {
 	f.t.Helper()
 	c, err := f.pool.Acquire(f.t.Context(), engine.AcquireRequest{
 		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline,
@@ -129,7 +129,7 @@
 // those of its answer are lost, and against idle connections that share the fault.
 func TestSilentConnection(t *testing.T) {
 	for _, lost := range []string{"answer", "statement"} {
-		f := startFixture(t, database.Config{})
+		f := startSilenceFixture(t, database.Config{})
 		l, idle := f.acquire(), f.acquire()
 		idle.send(t, "SELECT 1")
 		if err := idle.receive(); err != nil {
@@ -163,7 +163,7 @@
 // Guards against sessions that a silent path leaves on the server, where they hold locks and take up
 // all connections.
 func TestSilentSessionsEnd(t *testing.T) {
-	f := startFixture(t, database.Config{MaxConnections: 2})
+	f := startSilenceFixture(t, database.Config{MaxConnections: 2})
 	path, err := link.Start(f.server.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -199,7 +199,7 @@
 // answer that nobody reads for a while, and of an open transaction.
 func TestBusyConnectionKept(t *testing.T) {
 	const long = 10 * quietAfter
-	f := startFixture(t, database.Config{MaxConnections: 4})
+	f := startSilenceFixture(t, database.Config{MaxConnections: 4})
 	quiet, large, resting := f.acquire(), f.acquire(), f.acquire()
 	resting.send(t, "BEGIN")
 	if err := resting.receive(); err != nil {
@@ -228,7 +228,7 @@
 // Guards against closing connections because the question fails: a server that can't be asked may
 // still execute the statement.
 func TestQuestionFails(t *testing.T) {
-	f := startFixture(t, database.Config{})
+	f := startSilenceFixture(t, database.Config{})
 	f.failing.Store(true)
 	l := f.acquire()
 	f.server.SilenceConnections()
@@ -248,7 +248,7 @@
 // Guards against an answer that stops in its middle: the server waits to send it, the pool to
 // receive it, and neither ends.
 func TestAnswerStops(t *testing.T) {
-	f := startFixture(t, database.Config{})
+	f := startSilenceFixture(t, database.Config{})
 	path, err := link.Start(f.server.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -267,7 +267,7 @@
 }
 
 // awaitBusy waits until the server executes the statement of l.
-func (f *fixture) awaitBusy(l *lease) {
+func (f *silenceFixture) awaitBusy(l *lease) {
 	f.t.Helper()
 	f.await("execution", func() bool {
 		got, err := executing(f.t.Context(), f.server.Address(), []dbgroup.Session{l.upstream.session()})
@@ -275,7 +275,7 @@
 	})
 }
 
-func (f *fixture) await(what string, done func() bool) {
+func (f *silenceFixture) await(what string, done func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(deadline); !done(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
