Invalidate cached results of the process tests when the binaries change

Cause: go test answered (cached) for the process tests after the daemon had changed, because it does not see what the built binaries consist of. Change: the test package imports the binaries' packages. Conclusion: a change of the product runs the process tests again.

--- a/cmd/internal/processtest/main_test.go
+++ b/cmd/internal/processtest/main_test.go
@@ -9,6 +9,14 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	// The binaries' packages are imported so that a change of them invalidates cached test results:
+	// the go command does not see what the built binaries consist of.
+	_ "github.com/cyclamenstile/cyclamenstile/cmd/internal/benchcmd"
+	_ "github.com/cyclamenstile/cyclamenstile/cmd/internal/ctl"
+	_ "github.com/cyclamenstile/cyclamenstile/cmd/internal/demo"
+	_ "github.com/cyclamenstile/cyclamenstile/cmd/internal/serve"
+	_ "github.com/cyclamenstile/cyclamenstile/cmd/internal/standincmd"
 )
 
 const (
