--- a/cmd/internal/benchcmd/sessions.go
+++ b/cmd/internal/benchcmd/sessions.go
@@ -170,7 +170,7 @@
 	var ours, plain []way
 	for _, w := range ways() {
 		switch {
-		case !strings.HasPrefix(w.name, o.only):
+		case !strings.HasPrefix(w.name, o.only): // left out
 		case w.plain:
 			plain = append(plain, w)
 		default:
@@ -307,11 +307,14 @@
 		}
 	}
 	for _, lag := range sessionLags {
-		r.Cost = append(r.Cost, acknowledgeCost{
+		c := acknowledgeCost{
 			LagMillis:   lag.Milliseconds(),
 			MajorityP50: r.meanWriteP50(manifest.AcknowledgeMajority, lag),
 			PrimaryP50:  r.meanWriteP50(manifest.AcknowledgePrimary, lag),
-		})
+		}
+		if c.MajorityP50 > 0 && c.PrimaryP50 > 0 { // else only the baseline was measured
+			r.Cost = append(r.Cost, c)
+		}
 	}
 }
 
