Keep the sample of a read whose answer did not cover it

Cause: a read of session scope any goes to a replica at once and takes its sample beside the answer. When the replica was behind the sample, the read was placed again with a second sample, which costs another round trip between regions and makes the next replica as likely to be behind.

Change: the failed verification hands its sample on, and the read is placed behind it. The sample was begun after the read arrived, so it holds for the second placing. It stays apart from the session's own floor, since a sampled position that a new term lacks is no lost write of the session.

--- a/proxy/engine/autocommit.go
+++ b/proxy/engine/autocommit.go
@@ -8,6 +8,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 )
 
 const (
@@ -29,6 +30,7 @@
 	moved  bool // placed again without counting an attempt
 	// sampleFirst places the read only after its sample, because an answer did not cover it.
 	sampleFirst bool
+	sampled     position.Position // the sample that the answer did not cover; zero if unknown
 	exclude     []authority.ServerID
 	// waitUntil is until when a write that is known not to have run waits for a new primary.
 	waitUntil time.Time
@@ -156,7 +158,8 @@
 	stale := route.MaxStaleness.Std()
 	t, err := n.db.Read(ctx, ReadRequest{
 		Floor:        need.Floor,
-		Sample:       need.Sample && stale == 0,
+		Sample:       need.Sample && stale == 0 && a.sampled.IsZero(),
+		Sampled:      a.sampled,
 		MaxStaleness: stale,
 		Wait:         route.ReadWait.Std(),
 		VerifyLater:  a.later && !a.sampleFirst && route.SessionScope == manifest.ScopeAny,
--- a/proxy/engine/deps.go
+++ b/proxy/engine/deps.go
@@ -24,14 +24,25 @@
 	Floor position.Position
 	// Verify, if set, returns nil once the answer of this server is known to include the sample
 	// that the read asked for. Until then no part of the answer may reach the caller; after an
-	// error the read has to be placed again.
+	// error the read has to be placed again, behind the sample if the error is *UncoveredError.
 	Verify func(ctx context.Context) error
 }
 
+// UncoveredError tells that a server was not known to have the sample of a read.
+type UncoveredError struct {
+	Sample position.Position // begun after the read arrived
+}
+
+// Error names the sample.
+func (e *UncoveredError) Error() string {
+	return "the chosen replica did not cover the sample " + e.Sample.String()
+}
+
 // ReadRequest asks for a server that may answer a read.
 type ReadRequest struct {
 	Floor        position.Position // the answer must include everything up to here
 	Sample       bool              // raise the floor to a majority sample begun after the call
+	Sampled      position.Position // such a sample that was taken already, else zero; Sample is false then
 	MaxStaleness time.Duration     // above 0: data of this age is accepted beyond the floor
 	Wait         time.Duration     // for a replica to reach the floor before the primary is taken
 	VerifyLater  bool              // the target may have a Verify that runs beside the read
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -18,7 +19,7 @@
 		return nil, false, r.callerErr
 	case r.uncovered:
 		up.abort(errCallerGone)
-		return n.placeAgain(a), true, nil
+		return n.placeAgain(a, r.err), true, nil
 	case r.err != nil:
 		e, again = n.settleFailure(up, a, r)
 		return e, again, nil
@@ -44,16 +45,19 @@
 		up.giveBack()
 		return n.serverError(r), true, nil
 	}
-	if up.target.Verify != nil && n.verify(ctx, up) != nil {
+	if err := n.verify(ctx, up); err != nil {
 		up.giveBack()
-		return n.placeAgain(a), true, nil
+		return n.placeAgain(a, err), true, nil
 	}
 	e, err = n.finish(ctx, up, u, a.plan, r, report)
 	return e, false, err
 }
 
-// verify waits until the answer of up is known to cover the read's sample.
+// verify waits until the answer of up is known to cover the read's sample, if it asked for one.
 func (n *session) verify(ctx context.Context, up *upstream) error {
+	if up.target.Verify == nil {
+		return nil
+	}
 	wait, done := context.WithTimeout(ctx, n.srv.cfg.PrimaryWait)
 	defer done()
 	if err := up.target.Verify(wait); err != nil {
@@ -63,8 +67,13 @@
 	return nil
 }
 
-// placeAgain sends a read, whose answer did not cover its sample, where the sample is covered.
-func (n *session) placeAgain(a *attempt) *outcome.Error {
+// placeAgain sends a read, whose answer did not cover its sample, where the sample is covered. The
+// sample was begun after the read arrived, so it holds for the second placing too.
+func (n *session) placeAgain(a *attempt, cause error) *outcome.Error {
+	var uncovered *UncoveredError
+	if errors.As(cause, &uncovered) {
+		a.sampled = uncovered.Sample
+	}
 	a.number--
 	a.moved = true
 	a.sampleFirst = true
--- a/proxy/engine/verify_test.go
+++ b/proxy/engine/verify_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 )
 
 // verifyRig sends reads to a replica whose answers cover their sample only if covered says so.
@@ -64,3 +65,19 @@
 		t.Error("the sample was not taken beside the read")
 	}
 }
+
+// Guards against a second sample for a read whose answer did not cover the first, which would double
+// the read's wait.
+func TestUncoveredReadKeepsItsSample(t *testing.T) {
+	sample := position.Position{Term: 3, LSN: 70}
+	r, _ := verifyRig(t, func(int32) bool { return false })
+	r.db.verify = func(context.Context) error { return &UncoveredError{Sample: sample} }
+	c := r.connect()
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("read %q, want x", got)
+	}
+	last := r.db.lastRead()
+	if last.Sampled != sample || last.Sample || last.VerifyLater {
+		t.Errorf("placed again with %+v, want the sample %v and no other", last, sample)
+	}
+}
--- a/proxy/group/group_test.go
+++ b/proxy/group/group_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -180,3 +182,27 @@
 		t.Errorf("primary %s lacks the confirmed position %v", w.to.Server, floor)
 	}
 }
+
+// Guards against a read that is placed, behind a sample taken already, on a replica without it, and
+// against a sample that the failed verification does not hand on.
+func TestReadBehindItsSample(t *testing.T) {
+	d, views, ctx := startStandIn(t, 0, 1)
+	g := views[0]
+	w := &writer{g: g}
+	defer w.close()
+	d.FreezeReplication(1, true)
+	p := w.mustConfirm(t, ctx, manifest.AcknowledgeMajority)
+	onlyFrozen := engine.ReadRequest{Sample: true, VerifyLater: true, Exclude: []authority.ServerID{"s3"}}
+	target, err := g.Read(ctx, onlyFrozen)
+	if err != nil || target.Verify == nil {
+		t.Fatalf("target %+v, error %v; want a replica to be verified", target, err)
+	}
+	var uncovered *engine.UncoveredError
+	if err := target.Verify(ctx); !errors.As(err, &uncovered) || uncovered.Sample.Less(p) {
+		t.Fatalf("verification: %v, want a sample at or past %v", err, p)
+	}
+	again, err := g.Read(ctx, engine.ReadRequest{Sampled: uncovered.Sample, Exclude: onlyFrozen.Exclude})
+	if err != nil || !again.Primary || again.Floor != uncovered.Sample {
+		t.Errorf("target %+v, error %v; want the primary with floor %v", again, err, uncovered.Sample)
+	}
+}
--- a/proxy/group/published.go
+++ b/proxy/group/published.go
@@ -43,8 +43,8 @@
 	return g.target(c.Server, c.Term, c.Incarnation, false), true
 }
 
-// errNotCovered tells that the server was not known to have the sample when it was chosen.
-var errNotCovered = errors.New("the chosen replica did not cover the sample")
+// errNotCovered tells that the sample, which the server should cover, could not be taken.
+var errNotCovered = errors.New("no sample was taken for the chosen replica")
 
 // placeUnverified chooses a replica by the session's floor and takes the sample beside the read.
 // The server's answer covers the sample if the position known of it before the read does, since
@@ -66,9 +66,12 @@
 	t.Floor = r.Session
 	t.Verify = func(ctx context.Context) error {
 		sample, ok := w.await(ctx)
-		if !ok || !sample.Proven || !routing.Includes(chosen.State, sample.Position) {
+		if !ok || !sample.Proven {
 			return errNotCovered
 		}
+		if !routing.Includes(chosen.State, sample.Position) {
+			return &engine.UncoveredError{Sample: sample.Position}
+		}
 		return nil
 	}
 	return t, true
--- a/proxy/group/read.go
+++ b/proxy/group/read.go
@@ -46,6 +46,9 @@
 		if err != nil || !again {
 			return t, err
 		}
+		// A sample of an earlier term does not help any more.
+		r.Sample = r.Sample || !r.Sampled.IsZero()
+		r.Sampled = position.Position{}
 	}
 }
 
@@ -62,8 +65,8 @@
 	if err != nil {
 		return t, false, err
 	}
-	request.Sampled = sample.Position
-	floor := position.Max(r.Floor, sample.Position)
+	request.Sampled = position.Max(r.Sampled, sample.Position)
+	floor := position.Max(r.Floor, request.Sampled)
 	if t, ok := g.placeNow(request); ok {
 		t.Floor = floor
 		return t, false, nil
