Free the slot of a read while its sample is taken

Cause: a read of session scope any kept the execution slot of its replica until its sample was there, a round trip between regions after the server's answer. With 3 slots per server this bounds the reads of a replica to about 60 a second.

Change: the slot is given back once the answer is complete.

--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -96,6 +96,7 @@
 	dials   int
 	dropped int
 	inUse   int
+	ended   int // statements whose slot was given back before their connection
 }
 
 type fakeConn struct {
@@ -136,7 +137,11 @@
 	return nil
 }
 
-func (c *fakeConn) EndStatement() {}
+func (c *fakeConn) EndStatement() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.ended++
+}
 
 func (c *fakeConn) BeginStatement(context.Context, time.Duration) error { return nil }
 
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -45,6 +45,9 @@
 		up.giveBack()
 		return n.serverError(r), true, nil
 	}
+	if up.target.Verify != nil && r.status == statusIdle {
+		up.EndStatement() // the server is done, and the sample may take a round trip between regions
+	}
 	if err := n.verify(ctx, up); err != nil {
 		up.giveBack()
 		return n.placeAgain(a, err), true, nil
--- a/proxy/engine/verify_test.go
+++ b/proxy/engine/verify_test.go
@@ -81,3 +81,26 @@
 		t.Errorf("placed again with %+v, want the sample %v and no other", last, sample)
 	}
 }
+
+// Guards against a read that keeps an execution slot while it waits for its sample, which may take a
+// round trip between regions.
+func TestSlotIsFreeWhileTheSampleIsTaken(t *testing.T) {
+	r, _ := verifyRig(t, func(int32) bool { return true })
+	waiting := 0
+	r.db.verify = func(context.Context) error {
+		r.pool.mu.Lock()
+		defer r.pool.mu.Unlock()
+		waiting++
+		if r.pool.ended != waiting {
+			t.Errorf("sample %d is awaited with %d slots given back", waiting, r.pool.ended)
+		}
+		return nil
+	}
+	c := r.connect()
+	if got := queryText(t, c, "select $1", "x"); got != "x" {
+		t.Errorf("read %q, want x", got)
+	}
+	if waiting == 0 {
+		t.Error("no sample was taken beside the read")
+	}
+}
