Compare the proxy with as many servers as it uses

Cause: bench overhead sent the direct side to one server while the proxy spreads reads over two replicas, which flattered the proxy. Change: the direct side uses both replicas.

--- a/cmd/internal/bench/overhead.go
+++ b/cmd/internal/bench/overhead.go
@@ -34,9 +34,9 @@
 
 // Endpoint is one side of the comparison.
 type Endpoint struct {
-	Address  string // IP:port
-	Database string // or route
-	Account  load.Account
+	Addresses []string // IP:port; connections are spread over them
+	Database  string   // or route
+	Account   load.Account
 }
 
 // Config describes a measurement. Zero values stand for the defaults.
@@ -136,19 +136,26 @@
 
 func (m *meter) close() { closeConnections(m.conns) }
 
-// openConnections opens n connections and runs one statement on each. On an error it returns
-// those that are open.
-func openConnections(ctx context.Context, e Endpoint, n int) ([]*pgx.Conn, error) {
-	conf, err := load.ConnConfig(e.Address, e.Database, e.Account)
+// connect opens connection i of the endpoint.
+func (e Endpoint) connect(ctx context.Context, i int) (*pgx.Conn, error) {
+	address := e.Addresses[i%len(e.Addresses)]
+	conf, err := load.ConnConfig(address, e.Database, e.Account)
 	if err != nil {
 		return nil, err
 	}
+	conn, err := pgx.ConnectConfig(ctx, conf)
+	return conn, errors.Wrapf(err, "connect to %s", address)
+}
+
+// openConnections opens n connections and runs one statement on each. On an error it returns
+// those that are open.
+func openConnections(ctx context.Context, e Endpoint, n int) ([]*pgx.Conn, error) {
 	var mu sync.Mutex
 	var conns []*pgx.Conn
-	err = inParallel(n, connecting, func(int) error {
-		conn, err := pgx.ConnectConfig(ctx, conf)
+	err := inParallel(n, connecting, func(i int) error {
+		conn, err := e.connect(ctx, i)
 		if err != nil {
-			return errors.Wrapf(err, "connect to %s", e.Address)
+			return err
 		}
 		mu.Lock()
 		conns = append(conns, conn)
@@ -288,16 +295,12 @@
 // openIdle opens n sessions, runs one statement on each and keeps only their sockets, so that a
 // measurement in one process counts little of the load's own memory.
 func openIdle(ctx context.Context, e Endpoint, n int) ([]net.Conn, error) {
-	conf, err := load.ConnConfig(e.Address, e.Database, e.Account)
-	if err != nil {
-		return nil, err
-	}
 	var mu sync.Mutex
 	var conns []net.Conn
-	err = inParallel(n, connecting, func(int) error {
-		conn, err := pgx.ConnectConfig(ctx, conf)
+	err := inParallel(n, connecting, func(i int) error {
+		conn, err := e.connect(ctx, i)
 		if err != nil {
-			return errors.Wrapf(err, "connect to %s", e.Address)
+			return err
 		}
 		if err := runStatement(ctx, conn); err != nil {
 			return err
--- a/cmd/internal/bench/overhead_test.go
+++ b/cmd/internal/bench/overhead_test.go
@@ -54,5 +54,5 @@
 }
 
 func endpoint(s *database.Server) Endpoint {
-	return Endpoint{Address: s.Address(), Account: load.Account{Name: "bench"}}
+	return Endpoint{Addresses: []string{s.Address()}, Account: load.Account{Name: "bench"}}
 }
--- a/cmd/internal/benchcmd/capacity_entry.go
+++ b/cmd/internal/benchcmd/capacity_entry.go
@@ -48,12 +48,12 @@
 }
 
 func directEndpoint(d *local.Deployment) bench.Endpoint {
-	return bench.Endpoint{Address: d.Group.Server(1).Address(), Account: load.Account{Name: benchAccount}}
+	return bench.Endpoint{Addresses: replicas(d), Account: load.Account{Name: benchAccount}}
 }
 
 func proxyEndpoint(d *local.Deployment, route string) bench.Endpoint {
 	return bench.Endpoint{
-		Address: d.Instances[0].Address, Database: route,
+		Addresses: []string{d.Instances[0].Address}, Database: route,
 		Account: load.Account{Name: benchAccount, Key: d.Key(benchAccount)},
 	}
 }
--- a/cmd/internal/benchcmd/overhead.go
+++ b/cmd/internal/benchcmd/overhead.go
@@ -40,7 +40,7 @@
 	scope       string
 }
 
-const overheadHelp = `overhead runs the same reads straight to a stand-in database server and through one
+const overheadHelp = `overhead runs the same reads straight to the two replicas of a stand-in database and through one
 instance of the proxy, in turns, and shows the throughput, the latencies, the memory of an idle
 client connection and the allocations of a statement. Everything runs in one process, so the
 proxy, the server and the load share the machine; memory includes the load's end of a connection.`
@@ -66,6 +66,12 @@
 	return cmd
 }
 
+// replicas returns the addresses of the servers that serve reads through the proxy, so that the
+// direct side uses as many.
+func replicas(d *local.Deployment) []string {
+	return []string{d.Group.Server(1).Address(), d.Group.Server(2).Address()}
+}
+
 // overheadReport is the result of bench overhead. Latencies are in microseconds.
 type overheadReport struct {
 	Direct            sideReport `json:"direct"`
@@ -103,9 +109,9 @@
 		return err
 	}
 	defer d.Close()
-	direct := bench.Endpoint{Address: d.Group.Server(1).Address(), Account: load.Account{Name: account}}
+	direct := bench.Endpoint{Addresses: replicas(d), Account: load.Account{Name: account}}
 	proxy := bench.Endpoint{
-		Address: d.Instances[0].Address, Database: local.DatabaseName,
+		Addresses: []string{d.Instances[0].Address}, Database: local.DatabaseName,
 		Account: load.Account{Name: account, Key: d.Key(account)},
 	}
 	result, err := bench.Overhead(ctx, bench.Config{
