--- a/proxy/daemon/locator_test.go
+++ b/proxy/daemon/locator_test.go
@@ -36,3 +36,22 @@
 		}
 	}
 }
+
+// BenchmarkHome shows that a choice costs no more with many instances.
+func BenchmarkHome(b *testing.B) {
+	live := make([]string, 2100)
+	for i := range live {
+		live[i] = fmt.Sprintf("10.0.%d.%d:6433", i/256, i%256)
+	}
+	c := newCandidates(live, nil)
+	for i := 0; b.Loop(); i++ {
+		c.home(servers[i%len(servers)], "region")
+	}
+}
+
+var servers = func() (ids []authority.ServerID) {
+	for i := range 100 {
+		ids = append(ids, authority.ServerID(fmt.Sprint("s", i)))
+	}
+	return ids
+}()
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
@@ -22,8 +17,6 @@
 	fetchTimeout = 5 * time.Second
 	// unknownAge is sent when an instance has no confirmed contact with the store.
 	unknownAge = ^uint64(0)
-	// locatorRefresh is how often the homes follow the reachable peers.
-	locatorRefresh = 200 * time.Millisecond
 	// releaseIdlePeriod is how long idle connections may outlast this instance's time as the home.
 	releaseIdlePeriod = time.Second
 )
@@ -142,10 +135,6 @@
 	return list, nil
 }
 
-// passOver is how long an instance that did not answer a checkout is passed over. The heartbeat has
-// judged it by then.
-const passOver = 2 * time.Second
-
 // releaseIdle closes the idle connections to servers that have another home now, so that they don't
 // count against the server's limit beside those of that home.
 func (d *Daemon) releaseIdle(ctx context.Context) {
@@ -160,124 +149,3 @@
 		}
 	}
 }
-
-// locator implements home.Locator by rendezvous hashing over the reachable instances of the server's
-// region, or over all reachable instances where that region has none. A home in another region would
-// add the latency between regions to every message of a statement and hold the server's slot meanwhile.
-type locator struct {
-	self   string
-	region string // of this instance
-	set    *peer.Set
-	live   atomic.Pointer[candidates]
-	// servers holds the regions of the servers.
-	servers atomic.Pointer[map[authority.ServerID]string]
-
-	mu      sync.Mutex
-	leaving bool                 // this instance is home to nothing while there is another
-	passed  map[string]time.Time // until when an instance is passed over
-}
-
-// candidates are the peer addresses of the instances that may be homes.
-type candidates struct {
-	all      []string
-	byRegion map[string][]string
-}
-
-// newCandidates sorts live addresses by region.
-func newCandidates(live []string, regions map[string]string) *candidates {
-	c := &candidates{all: live, byRegion: make(map[string][]string)}
-	for _, address := range live {
-		region := regions[address]
-		c.byRegion[region] = append(c.byRegion[region], address)
-	}
-	return c
-}
-
-// home returns the home of a server in a region.
-func (c *candidates) home(server authority.ServerID, region string) string {
-	if near := c.byRegion[region]; len(near) > 0 {
-		return peer.Rendezvous(string(server), near)
-	}
-	return peer.Rendezvous(string(server), c.all)
-}
-
-func newLocator(set *peer.Set, self, region string) *locator {
-	l := &locator{self: self, region: region, set: set, passed: make(map[string]time.Time)}
-	l.live.Store(newCandidates([]string{self}, map[string]string{self: region}))
-	l.servers.Store(&map[authority.ServerID]string{})
-	return l
-}
-
-// setServers follows an adopted manifest.
-func (l *locator) setServers(servers []manifest.Server) {
-	regions := make(map[authority.ServerID]string, len(servers))
-	for _, s := range servers {
-		regions[authority.ServerID(s.ID)] = s.Region
-	}
-	l.servers.Store(&regions)
-}
-
-func (l *locator) run(ctx context.Context) {
-	ticker := time.NewTicker(locatorRefresh)
-	defer ticker.Stop()
-	for {
-		l.refresh(time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (l *locator) refresh(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	maps.DeleteFunc(l.passed, func(_ string, until time.Time) bool { return !until.After(now) })
-	live := slices.DeleteFunc(l.set.Homes(), func(address string) bool {
-		_, passed := l.passed[address]
-		return passed || l.leaving && address == l.self
-	})
-	if len(live) == 0 {
-		live = []string{l.self}
-	}
-	l.live.Store(newCandidates(live, l.regions()))
-}
-
-// regions returns the regions of all listed instances by peer address.
-func (l *locator) regions() map[string]string {
-	regions := map[string]string{l.self: l.region}
-	for _, p := range l.set.Peers() {
-		regions[p.Instance.PeerAddress] = p.Instance.Region
-	}
-	return regions
-}
-
-// leave makes other instances home to all servers.
-func (l *locator) leave() {
-	l.mu.Lock()
-	l.leaving = true
-	l.mu.Unlock()
-	l.refresh(time.Now())
-}
-
-// Home implements home.Locator.
-func (l *locator) Home(server authority.ServerID) (string, bool) {
-	region := (*l.servers.Load())[server]
-	address := l.live.Load().home(server, region)
-	return address, address == l.self
-}
-
-func (l *locator) isHome(server authority.ServerID) bool {
-	_, self := l.Home(server)
-	return self
-}
-
-// Unreachable implements home.Locator.
-func (l *locator) Unreachable(address string) {
-	now := time.Now()
-	l.mu.Lock()
-	l.passed[address] = now.Add(passOver)
-	l.mu.Unlock()
-	l.refresh(now)
-}
