--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -20,6 +20,9 @@
 // bound what is under way.
 const chunkBytes = 32 << 10
 
+// chunks holds the buffers of answers, since a checkout mostly serves one short statement.
+var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
 // cancelTimeout bounds a cancel request to a server.
 const cancelTimeout = 2 * time.Second
 
@@ -193,7 +196,9 @@
 // stream, so that the borrower learns of it at once.
 func (l *loan) sendAnswers() {
 	defer close(l.done)
-	buf := make([]byte, chunkBytes)
+	chunk := chunks.Get().(*[chunkBytes]byte)
+	defer chunks.Put(chunk)
+	buf := chunk[:]
 	for {
 		n, err := l.conn.Raw().Read(buf)
 		if n > 0 {
