Test a planned stop of the home instance of the primary

TestHomeStops stops the instance through which another one runs transactions and load: no transaction is cut and no statement is of unknown outcome.

--- a/cmd/internal/processtest/instance_test.go
+++ b/cmd/internal/processtest/instance_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 )
 
 // pauseLength is longer than every timeout between instances and servers.
@@ -156,3 +159,43 @@
 		t.Errorf("%d statements of unknown outcome, want none", c.Unknown)
 	}
 }
+
+// Guards against a planned stop of a home instance that cuts what other instances run through it.
+func TestHomeStops(t *testing.T) {
+	d := deploy(t, setup{})
+	r := d.startLoad(nil)
+	home := d.homeOf(0)
+	other := 1 - home
+	open := d.beginAll(other)
+	d.instances[home].signal(t, syscall.SIGTERM)
+	waitFor(t, "instance not ready", func() bool { return !d.ready(home) })
+	for _, o := range open {
+		if _, err := o.tx.Exec(t.Context(), upsert, o.inside, "second"); err != nil {
+			t.Errorf("statement in an open transaction: %v", err)
+		}
+	}
+	check := d.mustConnect(other, marshals)
+	d.awaitGrowth(0, 200)
+	for _, o := range open {
+		if err := o.tx.Commit(t.Context()); err != nil {
+			t.Errorf("commit of an open transaction: %v", err)
+		}
+		d.expect(check, o.inside, "second")
+	}
+	if code := d.instances[home].awaitExit(t); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+	d.awaitGrowth(0, 200)
+	if c := total(r.finish()); c.Unknown > 0 {
+		t.Errorf("%d statements of unknown outcome, want none", c.Unknown)
+	}
+}
+
+// homeOf returns the instance that holds the connections to server i while all instances live.
+func (d *deployment) homeOf(i int) int {
+	var addresses []string
+	for _, n := range d.instances {
+		addresses = append(addresses, n.peer)
+	}
+	return slices.Index(addresses, peer.Rendezvous(string(d.servers[i].id), addresses))
+}
