--- a/cmd/internal/benchcmd/fairness.go
+++ b/cmd/internal/benchcmd/fairness.go
@@ -134,7 +134,20 @@
 	PeakStatements int    `json:"peak_statements"`
 }
 
+func (o *fairnessOptions) validate() error {
+	if o.rounds < 1 || o.round <= 0 || o.service <= 0 {
+		return errors.New("--rounds, --round and --service-time must be above zero; leave them out for the standard")
+	}
+	if o.factor < 1 {
+		return errors.New("--factor: the account must send its rate or more; give 1 or more")
+	}
+	return nil
+}
+
 func (o *fairnessOptions) run(ctx context.Context) (*fairnessReport, error) {
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
 	r := &fairnessReport{
 		ServiceMillis: micros(o.service) / 1000, Factor: o.factor, ReadShare: o.readShare,
 		Rounds: o.rounds, RoundSeconds: o.round.Seconds(),
