--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -16,10 +16,12 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+	"github.com/cyclamenstile/cyclamenstile/standin/link"
 )
 
 const (
@@ -34,9 +36,13 @@
 // setup selects the parts that a test needs.
 type setup struct {
 	lag, jitter  time.Duration
-	relayServers bool // between instances and servers
-	relayPeers   bool // between servers
-	instances    int  // 2 if 0
+	relayServers bool          // between instances and servers
+	relayPeers   bool          // between servers
+	instances    int           // 2 if 0
+	crews        history.Limit // of the account crews, nearly unlimited if zero
+	linkServers  bool          // between instances and servers; open connections can go silent there
+	// record keeps all that the instances send to servers; it needs relayServers.
+	record *recording
 }
 
 // deployment is a store, one database group and instances, each a process of its own.
@@ -51,6 +57,8 @@
 	servers   []*server
 	instances []*instance
 	keys      map[string]string // of the accounts, in clear text
+
+	overwritten time.Time // when overwriteManifest was called
 }
 
 // server is one database server.
@@ -60,6 +68,7 @@
 	address string
 	args    []string
 	relay   *relay         // from the instances, nil without
+	link    *link.Link     // from the instances, nil without
 	peers   map[int]*relay // to other servers, empty without
 	control *dbgroup.Client
 }
@@ -125,6 +134,16 @@
 	}
 	if d.setup.relayServers {
 		s.relay = startRelay(d.t, s.address)
+		if d.setup.record != nil {
+			s.relay.record(d.setup.record)
+		}
+	}
+	if d.setup.linkServers {
+		var err error
+		if s.link, err = link.Start(s.address); err != nil {
+			d.t.Fatal(err)
+		}
+		d.t.Cleanup(s.link.Close)
 	}
 	var err error
 	s.control, err = dbgroup.NewClient(dbgroup.Config{Server: s.id, Address: s.address, User: "test"})
@@ -173,14 +192,21 @@
 		if s.relay != nil {
 			address = s.relay.address()
 		}
+		if s.link != nil {
+			address = s.link.Address()
+		}
 		m.Databases[0].Servers = append(m.Databases[0].Servers, manifest.Server{
 			ID: string(s.id), Address: address, Region: "local", FailureDomain: fmt.Sprintf("local-%d", i),
 			MaxConnections: 100, Slots: 64,
 		})
 	}
 	for _, name := range []string{marshals, crews} {
+		limit := history.Limit{Rate: 1e6, Burst: 1e6}
+		if name == crews && d.setup.crews.Rate > 0 {
+			limit = d.setup.crews
+		}
 		m.Accounts = append(m.Accounts, manifest.Account{
-			Name: name, Weight: 1, Rate: 1e6, Burst: 1e6,
+			Name: name, Weight: 1, Rate: limit.Rate, Burst: limit.Burst,
 			Keys: []manifest.Key{{ID: name + "-1", SHA256: manifest.SumKey(d.keys[name]).String()}},
 		})
 	}
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -43,6 +43,7 @@
 	groups    *groups
 	pool      *pool.Pool
 	homeCalls *peer.Client
+	homes     *home.Server
 	router    *home.Router
 	locator   *locator
 	peers     *peer.Set
@@ -103,6 +104,7 @@
 	tasks.Go(func() { d.peers.Run(ctx) })
 	tasks.Go(func() { d.locator.run(ctx) })
 	tasks.Go(func() { d.pool.Run(ctx) })
+	tasks.Go(func() { d.releaseIdle(ctx) })
 	tasks.Go(func() { d.quota.Run(ctx) })
 	tasks.Go(func() { d.burn.Run(ctx) })
 	tasks.Go(func() { d.reportEnd("peer listener", d.peerPort.Serve(ctx, d.listeners.peers)) })
@@ -125,7 +127,7 @@
 	event(d.log, EventStopping).WithField("drain_timeout", d.cfg.DrainTimeout).Info("instance stops taking callers and drains")
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout+cutOffAllowance)
 	defer cancel()
-	err := d.engine.Shutdown(ctx)
+	err := d.drain(ctx)
 	if err := d.quota.Drain(ctx); err != nil {
 		event(d.log, EventHandBackFailed).WithError(err).Warn("quota could not be handed back; it is free again when its time has passed")
 	}
@@ -135,7 +137,21 @@
 	d.store.Close()
 	_ = d.metrics.Close()
 	event(d.log, EventStopped).Info("instance stopped")
-	return errors.Wrap(err, "drain callers")
+	return err
+}
+
+// drain hands the servers over to their next homes and waits for the sessions of this instance and
+// for the connections that it has lent to others. The peer listener stays open meanwhile.
+func (d *Daemon) drain(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	lent := make(chan error, 1)
+	d.homes.Leave()
+	d.locator.leave()
+	tasks.Go(func() { d.peers.Announce(ctx) })
+	tasks.Go(func() { lent <- d.homes.Drain(ctx, d.cfg.DrainTimeout) })
+	err := errors.Wrap(d.engine.Shutdown(ctx), "drain callers")
+	return errors.CombineErrors(err, errors.Wrap(<-lent, "drain connections lent to other instances"))
 }
 
 // ready reports why the balancer should not send callers here.
@@ -146,7 +162,7 @@
 	if d.directory.Snapshot() == nil {
 		return errors.New("no manifest is in force yet; see whether the store answers")
 	}
-	return nil
+	return d.quota.Ready()
 }
 
 func (d *Daemon) openStore() error {
@@ -185,13 +201,17 @@
 	server, err := peer.NewServer(peer.ServerConfig{
 		Config: &gossip{daemon: d},
 		Quota:  d.quota,
-		TLS:    d.cfg.PeerServer,
-		Log:    d.log,
+		// Heard stays unset: it would spare calls to peers that call by themselves, but only the
+		// answers to own calls prove contact, see manifest.Adoption.
+		TLS: d.cfg.PeerServer,
+		Log: d.log,
 	})
 	if err != nil {
 		return err
 	}
-	if err := homepb.DRPCRegisterHomes(server.Mux(), home.NewServer(d.pool)); err != nil {
+	d.homes = home.NewServer(d.pool)
+	d.homes.Ready = func() bool { return d.directory.Snapshot() != nil }
+	if err := homepb.DRPCRegisterHomes(server.Mux(), d.homes); err != nil {
 		return errors.Wrap(err, "register the homes service")
 	}
 	d.peerPort = server
--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -18,29 +18,35 @@
 // at a time, so it should keep as many idle ones as statements are under way.
 type Conns interface {
 	Conn(ctx context.Context, address string) drpc.Conn
+	// Renew makes later calls to address use new connections only.
+	Renew(address string)
 }
 
+// connectTimeout bounds a new connection to a home. It is far above the round trip between regions.
+const connectTimeout = time.Second
+
 // Client checks connections out of home instances.
 type Client struct {
-	conns Conns
+	conns  Conns
+	period time.Duration // between Alive messages
 }
 
 // NewClient returns a client that reaches the other instances through conns.
 func NewClient(conns Conns) *Client {
-	return &Client{conns: conns}
+	return &Client{conns: conns, period: alivePeriod}
 }
 
 // Acquire checks a connection out of the home at address. Every failure is "not run": nothing of
 // a statement has been sent.
 func (c *Client) Acquire(ctx context.Context, address string, r engine.AcquireRequest) (engine.Conn, error) {
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stream, err := homepb.NewDRPCHomesClient(c.conns.Conn(ctx, address)).Checkout(streamCtx)
+	stop := context.AfterFunc(ctx, cancel)
+	stream, err := c.connect(streamCtx, cancel, address)
 	if err != nil {
 		cancel()
 		return nil, homeUnreachable(r, err)
 	}
-	conn := newRemoteConn(stream, cancel)
-	stop := context.AfterFunc(ctx, cancel)
+	conn := newRemoteConn(stream, cancel, c.period, func() { c.conns.Renew(address) })
 	err = conn.open(r)
 	if !stop() && err == nil {
 		err = ctx.Err()
@@ -48,13 +54,21 @@
 	if err == nil {
 		return conn, nil
 	}
-	cancel()
+	conn.close()
 	if outcome.As(err) != nil {
 		return nil, err
 	}
 	return nil, homeUnreachable(r, err)
 }
 
+// connect opens the stream. A home whose address swallows packets would hold the statement up for the
+// operating system's connect timeout otherwise.
+func (c *Client) connect(ctx context.Context, cancel context.CancelFunc, address string) (homepb.DRPCHomes_CheckoutClient, error) {
+	timer := time.AfterFunc(connectTimeout, cancel)
+	defer timer.Stop()
+	return homepb.NewDRPCHomesClient(c.conns.Conn(ctx, address)).Checkout(ctx)
+}
+
 // unreachableError tells the router that another instance should be tried.
 type unreachableError struct {
 	told *outcome.Error
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcctx"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -17,6 +20,9 @@
 // bound what is under way.
 const chunkBytes = 32 << 10
 
+// chunks holds the buffers of answers, since a checkout mostly serves one short statement.
+var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
 // cancelTimeout bounds a cancel request to a server.
 const cancelTimeout = 2 * time.Second
 
@@ -31,12 +37,18 @@
 // Server implements the Homes service on the local pool.
 type Server struct {
 	homepb.DRPCHomesUnimplementedServer
-	local engine.Pool
+	local  engine.Pool
+	loans  *loans
+	period time.Duration // between Alive messages
+
+	// Ready, if set before use, reports whether this instance can be a home. Until then checkouts
+	// are refused in a way that sends them to the next home.
+	Ready func() bool
 }
 
 // NewServer returns the service for connections of the local pool.
 func NewServer(local engine.Pool) *Server {
-	return &Server{local: local}
+	return &Server{local: local, loans: newLoans(), period: alivePeriod}
 }
 
 // Checkout lends one connection until the stream ends.
@@ -49,6 +61,17 @@
 	if open == nil {
 		return errors.New("the first message of a checkout must be Open; run the same release on all instances")
 	}
+	if s.Ready != nil && !s.Ready() {
+		return stream.Send(notHome("this instance has no configuration in force yet"))
+	}
+	if !s.loans.begin() {
+		return stream.Send(notHome("this instance is stopping"))
+	}
+	defer s.loans.end()
+	l := &loan{stream: stream, done: make(chan struct{})}
+	l.pulse = &pulse{period: s.period, patience: homePatience, send: l.sendAlive, silent: l.cutOff}
+	l.pulse.start()
+	defer l.pulse.stop()
 	conn, err := s.local.Acquire(stream.Context(), engine.AcquireRequest{
 		Target: engine.Target{
 			Server:      authority.ServerID(open.GetServer()),
@@ -66,7 +89,9 @@
 		conn.Release(true)
 		return errors.New("local pool can't lend its connections")
 	}
-	l := &loan{stream: stream, conn: local, done: make(chan struct{})}
+	l.conn = local
+	s.loans.add(l)
+	defer s.loans.remove(l)
 	return l.run()
 }
 
@@ -75,6 +100,29 @@
 	stream homepb.DRPCHomes_CheckoutStream
 	conn   LocalConn
 	done   chan struct{} // closed when the answers' goroutine has ended
+	pulse  *pulse
+
+	received atomic.Uint64 // bytes of data
+	busy     atomic.Bool   // a message is being handled
+
+	mu      sync.Mutex
+	between bool // no statement is in execution: the borrower has given its slot back
+	over    bool // the loan ends as soon as it is between statements
+}
+
+func (l *loan) sendAlive() error {
+	alive := &homepb.Alive{ReceivedBytes: l.received.Load(), Busy: l.busy.Load()}
+	return l.stream.Send(&homepb.FromHome{Body: &homepb.FromHome_Alive{Alive: alive}})
+}
+
+// cutOff closes the connection to a borrower that is not heard any more, which ends all that waits
+// for the stream.
+func (l *loan) cutOff() {
+	if transport, ok := drpcctx.Transport(l.stream.Context()); ok {
+		_ = transport.Close()
+		return
+	}
+	_ = l.stream.Close()
 }
 
 // run carries messages until the borrower releases the connection or is gone.
@@ -99,7 +147,10 @@
 // receive handles the borrower's messages and reports whether the connection may be reused.
 func (l *loan) receive() (reuse bool, err error) {
 	for {
+		l.pulse.waiting.Store(true)
 		m, err := l.stream.Recv()
+		l.pulse.waiting.Store(false)
+		l.pulse.progress.Add(1)
 		if err != nil {
 			return false, nil // the borrower is gone: the connection is in doubt
 		}
@@ -113,10 +164,18 @@
 }
 
 func (l *loan) handle(m *homepb.ToHome) error {
+	l.received.Add(uint64(len(m.GetData())))
+	l.busy.Store(true)
+	defer l.busy.Store(false)
 	switch {
+	case m.GetAlive() != nil:
 	case m.GetEndStatement() != nil:
 		l.conn.EndStatement()
+		return l.endStatement()
 	case m.GetBeginStatement() != nil:
+		if err := l.beginStatement(); err != nil {
+			return err
+		}
 		timeout := time.Duration(m.GetBeginStatement().GetTimeoutUs()) * time.Microsecond
 		if err := l.conn.BeginStatement(l.stream.Context(), timeout); err != nil {
 			return sendRefused(l.stream, err)
@@ -137,7 +196,9 @@
 // stream, so that the borrower learns of it at once.
 func (l *loan) sendAnswers() {
 	defer close(l.done)
-	buf := make([]byte, chunkBytes)
+	chunk := chunks.Get().(*[chunkBytes]byte)
+	defer chunks.Put(chunk)
+	buf := chunk[:]
 	for {
 		n, err := l.conn.Raw().Read(buf)
 		if n > 0 {
--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
@@ -42,12 +43,17 @@
 	SilentGrace     time.Duration // for bytes to come once the server says that it executes nothing
 	OpenAtOnce      int           // connections being opened to one server at a time
 	QueuePerAccount int           // waiting statements of one account for one server
+	// CommonQueue makes all accounts wait in one first-in-first-out queue, as a baseline for
+	// comparison. QueuePerAccount then bounds that queue.
+	CommonQueue bool
 
 	// Identify returns the incarnation of the server behind a fresh connection.
 	Identify func(ctx context.Context, c *pgconn.PgConn) (uint64, error)
-	// Executing asks a server over a new connection for which sessions, by process id, it executes
-	// a statement. Without it, silent connections end with the statement timeout.
-	Executing func(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error)
+	// Executing asks a server over a new connection for which sessions it executes a statement.
+	// Without it, silent connections end with the statement timeout.
+	Executing func(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error)
+	// Terminate ends the server's side of connections that are silent, over a new connection.
+	Terminate func(ctx context.Context, address string, sessions []dbgroup.Session) error
 	// OnSilent is told of each connection that is closed because it is silent. It must not block.
 	OnSilent func(address string, pid uint32)
 	// Dial opens a TCP connection; nil uses tcp.Dialer.
@@ -141,9 +147,24 @@
 			"server "+string(r.Target.Server)+" is not part of the configuration in force",
 			"retry; the statement is routed by the new configuration")
 	}
+	if p.cfg.CommonQueue {
+		r.Account, r.Weight = "", 1
+	}
 	return s.acquire(ctx, r)
 }
 
+// ReleaseIdle closes the idle connections to servers for which keep returns false.
+func (p *Pool) ReleaseIdle(keep func(authority.ServerID) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.servers {
+		// keep may be costly, so it is asked for few servers only.
+		if s.hasIdle() && !keep(id) {
+			s.closeIdle()
+		}
+	}
+}
+
 // Close closes idle connections and refuses further requests.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/proxy/pool/server.go
+++ b/proxy/pool/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
@@ -25,7 +26,9 @@
 	waiters map[fairqueue.RequestID]chan struct{}
 	idle    []*upstream // the most recently used last
 	lent    map[*upstream]*watch
-	asking  bool // a connection asks about quiet connections
+	asking  bool              // a connection asks about quiet connections or ends silent ones
+	ending  []dbgroup.Session // whose connections were closed as silent
+	endAt   time.Duration     // when the server is asked to end them
 	closed  bool
 }
 
@@ -49,8 +52,20 @@
 
 func (s *server) close() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closed = true
+	s.mu.Unlock()
+	s.closeIdle()
+}
+
+func (s *server) hasIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.idle) > 0
+}
+
+func (s *server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, u := range s.idle {
 		u.close()
 	}
@@ -150,6 +165,7 @@
 		}
 		u.close()
 		s.mu.Lock()
+		s.ending = append(s.ending, u.session())
 		s.dropIdle(u.since)
 		s.mu.Unlock()
 	}
--- a/proxy/pool/silence_test.go
+++ b/proxy/pool/silence_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
+	"github.com/cyclamenstile/cyclamenstile/standin/link"
 )
 
 const (
@@ -25,8 +24,8 @@
 	quietAfter = 40 * time.Millisecond
 )
 
-// fixture is a pool that watches its connections to a stand-in server.
-type fixture struct {
+// silenceFixture is a pool that watches its connections to a stand-in server.
+type silenceFixture struct {
 	t      *testing.T
 	server *database.Server
 	pool   *Pool
@@ -37,7 +36,7 @@
 	failing atomic.Bool
 }
 
-func startFixture(t *testing.T, c database.Config) *fixture {
+func startSilenceFixture(t *testing.T, c database.Config) *silenceFixture {
 	t.Helper()
 	c.ID, c.Primary = "s1", true
 	server, err := database.Start(c)
@@ -45,12 +44,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Kill)
-	f := &fixture{t: t, server: server}
+	f := &silenceFixture{t: t, server: server}
 	f.pool = New(Config{
 		QuietAfter:  quietAfter,
 		SilentGrace: quietAfter,
 		Identify:    func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil },
 		Executing:   f.executing,
+		Terminate:   terminate,
 		OnSilent:    func(string, uint32) { f.silent.Add(1) },
 	})
 	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: 8, MaxConnections: 8}})
@@ -60,7 +60,7 @@
 	return f
 }
 
-func (f *fixture) executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
+func (f *silenceFixture) executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
 	f.asked.Add(1)
 	if f.asking.Add(1) > 1 {
 		f.t.Error("two connections at a time ask one server")
@@ -69,18 +69,26 @@
 	if f.failing.Load() {
 		return nil, errors.New("no connection")
 	}
-	return executing(ctx, address, pids)
+	return executing(ctx, address, sessions)
 }
 
-func executing(ctx context.Context, address string, pids []uint32) (map[uint32]bool, error) {
+func terminate(ctx context.Context, address string, sessions []dbgroup.Session) error {
+	client, err := dbgroup.NewClient(dbgroup.Config{Address: address})
+	if err != nil {
+		return err
+	}
+	return client.Terminate(ctx, sessions)
+}
+
+func executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
 	client, err := dbgroup.NewClient(dbgroup.Config{Address: address})
 	if err != nil {
 		return nil, err
 	}
-	return client.Executing(ctx, pids)
+	return client.Executing(ctx, sessions)
 }
 
-func (f *fixture) acquire() *lease {
+func (f *silenceFixture) acquire() *lease {
 	f.t.Helper()
 	c, err := f.pool.Acquire(f.t.Context(), engine.AcquireRequest{
 		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline,
@@ -121,7 +129,7 @@
 // those of its answer are lost, and against idle connections that share the fault.
 func TestSilentConnection(t *testing.T) {
 	for _, lost := range []string{"answer", "statement"} {
-		f := startFixture(t, database.Config{})
+		f := startSilenceFixture(t, database.Config{})
 		l, idle := f.acquire(), f.acquire()
 		idle.send(t, "SELECT 1")
 		if err := idle.receive(); err != nil {
@@ -152,11 +160,46 @@
 	}
 }
 
+// Guards against sessions that a silent path leaves on the server, where they hold locks and take up
+// all connections.
+func TestSilentSessionsEnd(t *testing.T) {
+	f := startSilenceFixture(t, database.Config{MaxConnections: 2})
+	path, err := link.Start(f.server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: path.Address(), Slots: 8, MaxConnections: 2}})
+	holder, idle := f.acquire(), f.acquire()
+	for _, sql := range []string{"BEGIN", "INSERT INTO kv VALUES ('a', 'held')"} {
+		holder.send(t, sql)
+		if err := holder.receive(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	idle.Release(true)
+	path.Silence()
+	holder.send(t, "COMMIT")
+	if err := holder.receive(); !errors.Is(err, errSilent) {
+		t.Errorf("error %v, want %v", err, errSilent)
+	}
+	holder.Release(false)
+	f.await("end of both sessions", func() bool { return f.server.Clients() == 0 })
+	next := f.acquire()
+	next.send(t, "INSERT INTO kv VALUES ('a', 'free')")
+	if err := next.receive(); err != nil {
+		t.Errorf("write to a row that the ended transaction had locked: %v", err)
+	}
+	if got := f.server.Rows()["a"]; got != "free" {
+		t.Errorf("row holds %q, want %q", got, "free")
+	}
+}
+
 // Guards against closing the connection of a statement that runs long, without or with bytes, of an
 // answer that nobody reads for a while, and of an open transaction.
 func TestBusyConnectionKept(t *testing.T) {
 	const long = 10 * quietAfter
-	f := startFixture(t, database.Config{MaxConnections: 4})
+	f := startSilenceFixture(t, database.Config{MaxConnections: 4})
 	quiet, large, resting := f.acquire(), f.acquire(), f.acquire()
 	resting.send(t, "BEGIN")
 	if err := resting.receive(); err != nil {
@@ -185,7 +228,7 @@
 // Guards against closing connections because the question fails: a server that can't be asked may
 // still execute the statement.
 func TestQuestionFails(t *testing.T) {
-	f := startFixture(t, database.Config{})
+	f := startSilenceFixture(t, database.Config{})
 	f.failing.Store(true)
 	l := f.acquire()
 	f.server.SilenceConnections()
@@ -205,82 +248,34 @@
 // Guards against an answer that stops in its middle: the server waits to send it, the pool to
 // receive it, and neither ends.
 func TestAnswerStops(t *testing.T) {
-	f := startFixture(t, database.Config{})
-	link, stop := startLink(t, f.server.Address())
-	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: link, Slots: 8, MaxConnections: 8}})
+	f := startSilenceFixture(t, database.Config{})
+	path, err := link.Start(f.server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	f.pool.SetServers([]manifest.Server{{ID: "s1", Address: path.Address(), Slots: 8, MaxConnections: 8}})
 	l := f.acquire()
 	l.send(t, "SELECT repeat('x', 100000) FROM generate_series(1, 1000)")
 	if _, err := l.Frontend().Receive(); err != nil {
 		t.Fatal(err)
 	}
-	close(stop)
+	path.Stall(link.Answers)
 	if err := l.receive(); !errors.Is(err, errSilent) {
 		t.Errorf("error %v, want %v", err, errSilent)
 	}
 }
 
-// startLink forwards connections until stop is closed. From then on it reads nothing of those that
-// are open, while new ones work.
-func startLink(t *testing.T, to string) (address string, stop chan struct{}) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	stop = make(chan struct{})
-	go func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			far, err := net.Dial("tcp", to)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
-			select {
-			case <-stop:
-				go func() { _, _ = io.Copy(near, far) }()
-			default:
-				go copyUntil(near, far, stop)
-			}
-			go func() { _, _ = io.Copy(far, near) }()
-		}
-	}()
-	return listener.Addr().String(), stop
-}
-
-func copyUntil(to io.Writer, from io.Reader, stop chan struct{}) {
-	buf := make([]byte, 1<<10)
-	for {
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
-		}
-	}
-}
-
 // awaitBusy waits until the server executes the statement of l.
-func (f *fixture) awaitBusy(l *lease) {
+func (f *silenceFixture) awaitBusy(l *lease) {
 	f.t.Helper()
 	f.await("execution", func() bool {
-		got, err := executing(f.t.Context(), f.server.Address(), []uint32{l.upstream.pid})
-		return err == nil && got[l.upstream.pid]
+		got, err := executing(f.t.Context(), f.server.Address(), []dbgroup.Session{l.upstream.session()})
+		return err == nil && got[l.upstream.session()]
 	})
 }
 
-func (f *fixture) await(what string, done func() bool) {
+func (f *silenceFixture) await(what string, done func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(deadline); !done(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
