--- a/proxy/pool/silence_test.go
+++ b/proxy/pool/silence_test.go
@@ -34,6 +34,8 @@
 	silent atomic.Int64 // connections closed as silent
 	// failing makes questions fail.
 	failing atomic.Bool
+	// hold, if set, keeps questions from being answered until it is closed.
+	hold chan struct{}
 }
 
 func startFixture(t *testing.T, c database.Config) *fixture {
@@ -66,6 +68,9 @@
 		f.t.Error("two connections at a time ask one server")
 	}
 	defer f.asking.Add(-1)
+	if f.hold != nil {
+		<-f.hold
+	}
 	if f.failing.Load() {
 		return nil, errors.New("no connection")
 	}
@@ -245,6 +250,21 @@
 	}
 }
 
+// Guards against a slow server that gets more and more questions.
+func TestOneQuestionAtATime(t *testing.T) {
+	f := startFixture(t, database.Config{})
+	f.hold = make(chan struct{})
+	l := f.acquire()
+	l.send(t, "SELECT pg_sleep(0.4)") // many looks at the connection
+	if err := l.receive(); err != nil {
+		t.Error(err)
+	}
+	if n := f.asked.Load(); n != 1 {
+		t.Errorf("%d questions while the first was not answered, want 1", n)
+	}
+	close(f.hold)
+}
+
 // Guards against an answer that stops in its middle: the server waits to send it, the pool to
 // receive it, and neither ends.
 func TestAnswerStops(t *testing.T) {
