--- a/decision/authority/machine.go
+++ b/decision/authority/machine.go
@@ -20,6 +20,11 @@
 	DefaultSuspectAfter = time.Second
 	// DefaultUnreachableAfter replaces DefaultSuspectAfter while replicas still hear the primary.
 	DefaultUnreachableAfter = 8 * time.Second
+	// DefaultIsolatedAfter is how long a primary is left that answers although a majority of the
+	// other servers, all answering, don't hear it. No write is confirmed meanwhile, and what a route
+	// acknowledges at the primary alone would be lost, so it is far below DefaultUnreachableAfter;
+	// it is above a short break of the replication links, which needs no new term.
+	DefaultIsolatedAfter = 2 * time.Second
 	// DefaultSuspectProbes is how many probes over fresh connections must have failed in a row.
 	DefaultSuspectProbes = 3
 	// DefaultDamping is the time after a promotion in which only refused connections lead to
@@ -49,6 +54,7 @@
 	HedgeAfter       time.Duration
 	SuspectAfter     time.Duration
 	UnreachableAfter time.Duration
+	IsolatedAfter    time.Duration
 	Damping          time.Duration
 	Jitter           time.Duration
 	Backoff          time.Duration
@@ -66,6 +72,7 @@
 		HedgeAfter:       DefaultHedgeAfter,
 		SuspectAfter:     DefaultSuspectAfter,
 		UnreachableAfter: DefaultUnreachableAfter,
+		IsolatedAfter:    DefaultIsolatedAfter,
 		Damping:          DefaultDamping,
 		Jitter:           DefaultJitter,
 		Backoff:          DefaultBackoff,
--- a/decision/authority/reason.go
+++ b/decision/authority/reason.go
@@ -148,7 +148,7 @@
 		return ReasonStranded, true
 	case m.readyToMove(now):
 		return ReasonLeaving, true
-	case m.isolated && now-m.isolatedSince >= m.t.UnreachableAfter && !m.damped(now, primary):
+	case m.isolated && now-m.isolatedSince >= m.t.IsolatedAfter && !m.damped(now, primary):
 		return ReasonIsolated, true
 	}
 	return "", false
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -437,3 +437,27 @@
 		t.Errorf("read %q and charged %d times, want x and once", got, charged)
 	}
 }
+
+// Guards against a write of unknown outcome being run again on a route that is not idempotent.
+func TestUnknownWriteIsNotRunAgain(t *testing.T) {
+	for name, idempotent := range map[string]bool{"not idempotent": false, "idempotent": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, func(_ *Config, route *manifest.Route) { route.Idempotent = idempotent })
+			c := r.connect()
+			r.primary.fault = func(sql string) fakeFault {
+				if strings.HasPrefix(sql, "insert") && r.primary.writes.Load() == 0 {
+					return dieAfter
+				}
+				return faultNone
+			}
+			_, err := c.Exec(context.Background(), "insert a")
+			want := int64(1)
+			if idempotent {
+				want = 2
+			}
+			if (err == nil) != idempotent || int64(r.primary.writes.Load()) != want {
+				t.Errorf("ran %d times with error %v, want %d times", r.primary.writes.Load(), err, want)
+			}
+		})
+	}
+}
