--- a/proxy/dbgroup/client.go
+++ b/proxy/dbgroup/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -286,6 +287,9 @@
 	"server", "incarnation", "role", "term", "fence_term", "fence_owner", "lsn", "history", "primary_contact_age_us",
 }
 
+// maxAgeMicros is the largest age that fits a time.Duration.
+const maxAgeMicros = uint64(math.MaxInt64 / time.Microsecond)
+
 // ParseState decodes a row of StateColumns.
 func ParseState(row [][]byte) (authority.ServerState, error) {
 	if len(row) != len(StateColumns) {
@@ -300,7 +304,7 @@
 		FenceTerm:         p.number(4),
 		FenceOwner:        string(row[5]),
 		LSN:               p.number(6),
-		PrimaryContactAge: time.Duration(p.number(8)) * time.Microsecond,
+		PrimaryContactAge: time.Duration(min(p.number(8), maxAgeMicros)) * time.Microsecond,
 	}
 	p.decode(7, &s.History)
 	return s, p.err
--- /dev/null
+++ b/proxy/dbgroup/fuzz_test.go
@@ -0,0 +1,20 @@
+package dbgroup
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Guards against a server's row that ends the process, or gives a state with an impossible age.
+func FuzzParseState(f *testing.F) {
+	f.Add([]byte("s1|7|primary|2|0||41|[{\"term\":1,\"start\":0}]|0"))
+	f.Add([]byte("s1|7|replica|2|3|a/b|41|[]|18446744073709551615"))
+	f.Add([]byte("s1|-1|primary|x|0||41|{}|0"))
+	f.Add([]byte("s1"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := ParseState(bytes.Split(text, []byte("|")))
+		if err == nil && s.PrimaryContactAge < 0 {
+			t.Errorf("age %s", s.PrimaryContactAge)
+		}
+	})
+}
