--- a/cmd/internal/benchcmd/fairness.go
+++ b/cmd/internal/benchcmd/fairness.go
@@ -26,7 +26,9 @@
 for all accounts and enforces no rate. Then the primary is killed under the high load, and the
 stand-in servers count connections and statements.
 
-Everything runs in one process, so the load, the proxy and the servers share the machine.`
+Everything runs in one process, so the load, the proxy and the servers share the machine. The rates
+follow from the service time: on a busy machine a longer one leaves more of the processor free, so
+that the figures show the queue and not the wait for the processor.`
 
 // fairnessOptions are the flags of bench fairness.
 type fairnessOptions struct {
