--- a/decision/retry/retry.go
+++ b/decision/retry/retry.go
@@ -48,17 +48,25 @@
 // Retry reports whether a request that has failed the given number of tries may be tried again
 // within left, and after which delay. It spends one retry when it allows one.
 func (b *Budget) Retry(tries int, left time.Duration) (time.Duration, bool) {
-	if tries >= b.cfg.Attempts || b.tokens < 1 {
+	if tries >= b.cfg.Attempts {
 		return 0, false
 	}
 	delay := Backoff(b.rand, b.cfg.Base, b.cfg.Max, tries)
-	if delay >= left {
+	if delay >= left || !b.Allow() {
 		return 0, false
 	}
-	b.tokens--
 	return delay, true
 }
 
+// Allow spends one retry, for callers that bound their tries and delays themselves.
+func (b *Budget) Allow() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // Backoff returns a delay between 0 and min(base*2^(failures-1), limit), evenly distributed.
 func Backoff(r *rand.Rand, base, limit time.Duration, failures int) time.Duration {
 	bound := base
--- a/proxy/daemon/retries.go
+++ b/proxy/daemon/retries.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/retry"
 )
@@ -22,8 +21,7 @@
 func (r *retryBudgets) allow(route string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, ok := r.budget(route).Retry(1, time.Hour)
-	return ok
+	return r.budget(route).Allow()
 }
 
 func (r *retryBudgets) budget(route string) *retry.Budget {
