Report an adoption at once in small deployments

Cause: following the README, status showed version 1 for 15 s after version 2 was in force: the pace of status writes was that of 2,100 instances. Change: the pace follows the number of listed instances, 250 ms at least. Before and after: 15 s and 250 ms with two instances (TestStatusPace). Conclusion: status tells the truth within a second; the large size is as before.

--- a/proxy/directory/adopt.go
+++ b/proxy/directory/adopt.go
@@ -162,6 +162,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.adoption.SetInstances(ids)
+	d.instances = len(ids) + 1
 	d.publishLocked()
 }
 
--- a/proxy/directory/directory.go
+++ b/proxy/directory/directory.go
@@ -31,7 +31,10 @@
 	mu       sync.Mutex
 	adoption *manifest.Adoption
 	document []byte // of the manifest in force, as it was offered
-	grants   map[manifest.Grant]chan struct{}
+	// instances is the number of listed ones with this one; as many as the defaults are meant for
+	// until the list is known.
+	instances int
+	grants    map[manifest.Grant]chan struct{}
 
 	// The statement path reads these two without a lock.
 	current    atomic.Pointer[manifest.Snapshot]
@@ -53,7 +56,9 @@
 		jitter:   &jitter{rand: cfg.Rand},
 		adoption: manifest.NewAdoption(manifest.AdoptionConfig{Self: cfg.Instance, ContactTimeout: cfg.ContactTimeout}),
 		grants:   map[manifest.Grant]chan struct{}{},
-		adopted:  make(chan struct{}, 1),
+
+		instances: statusInstances,
+		adopted:   make(chan struct{}, 1),
 	}
 	d.keyedUntil.Store(neverKeyed)
 	return d, nil
--- a/proxy/directory/directory_test.go
+++ b/proxy/directory/directory_test.go
@@ -449,6 +449,27 @@
 	}
 }
 
+// Guards against operators of a small deployment waiting for the pace of a large one, and against a
+// large one that writes more often than the store takes.
+func TestStatusPace(t *testing.T) {
+	f := newFixture(t)
+	cases := []struct {
+		peers int
+		want  time.Duration
+	}{
+		{1, leastStatusPace},
+		{209, 1500 * time.Millisecond},
+		{2099, 15 * time.Second},
+		{5000, 15 * time.Second},
+	}
+	for _, c := range cases {
+		f.SetInstances(make([]string, c.peers))
+		if got := f.statusPace(15 * time.Second); got != c.want {
+			t.Errorf("%d peers: %s, want %s", c.peers, got, c.want)
+		}
+	}
+}
+
 // Guards against a status that is never written again after a lost answer.
 func TestStatusWriterResolvesLostAnswer(t *testing.T) {
 	f := newFixture(t)
--- a/proxy/directory/status.go
+++ b/proxy/directory/status.go
@@ -13,6 +13,14 @@
 // StatusPrefix begins the keys of the status objects; the instance id follows.
 const StatusPrefix = "status/"
 
+const (
+	// statusInstances is the number of instances that the defaults of StatusSpread and StatusGap
+	// are meant for.
+	statusInstances = 2100
+	// leastStatusPace bounds the writes of one instance while manifests follow each other closely.
+	leastStatusPace = 250 * time.Millisecond
+)
+
 // Status is the value of a status object.
 type Status struct {
 	Instance     string            `json:"instance"`
@@ -92,6 +100,8 @@
 		select {
 		case <-timer.C:
 		case <-d.adopted:
+			s.spread = d.statusPace(d.cfg.StatusSpread)
+			s.gap = d.statusPace(d.cfg.StatusGap)
 			s.adopted(d.cfg.Now(), d.jitter)
 		case <-ctx.Done():
 			timer.Stop()
@@ -101,6 +111,15 @@
 	}
 }
 
+// statusPace shortens a time that is meant for statusInstances when fewer instances share the store,
+// so that operators of a small deployment see an adoption at once.
+func (d *Directory) statusPace(full time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	share := full * time.Duration(d.instances) / statusInstances
+	return min(full, max(share, leastStatusPace))
+}
+
 func (d *Directory) writeStatus(ctx context.Context, w *statusWriter) error {
 	status := Status{
 		Instance:     d.cfg.Instance,
