Remove a shortcut of the heartbeat that the product can't use

Cause: a peer set could skip calls to peers that call by themselves, but only answers to own calls prove contact, so the daemon never enabled it; the budget test measured with it what the product does not do. Change: the shortcut and its test are gone. Conclusion: the measured arrangement is the one that runs.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -201,10 +201,8 @@
 	server, err := peer.NewServer(peer.ServerConfig{
 		Config: &gossip{daemon: d},
 		Quota:  d.quota,
-		// Heard stays unset: it would spare calls to peers that call by themselves, but only the
-		// answers to own calls prove contact, see manifest.Adoption.
-		TLS: d.cfg.PeerServer,
-		Log: d.log,
+		TLS:    d.cfg.PeerServer,
+		Log:    d.log,
 	})
 	if err != nil {
 		return err
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -385,27 +385,3 @@
 		}
 	}
 }
-
-// Guards against both ends of a pair sending a heartbeat in every period, and against a peer that
-// is heard but can't be called counting as reachable for long.
-func TestHeardPeerNeedsFewerCalls(t *testing.T) {
-	now, period := time.Now(), time.Second
-	ago := func(d time.Duration) time.Time { return now.Add(-d) }
-	cases := []struct {
-		name string
-		p    peerState
-		want bool
-	}{
-		{"never contacted", peerState{}, true},
-		{"heard in this period", peerState{reachable: true, heard: ago(period / 2), contacted: ago(period)}, false},
-		{"not heard in this period", peerState{reachable: true, heard: ago(2 * period), contacted: ago(period)}, true},
-		{"heard, but not called for long", peerState{reachable: true, heard: ago(0), contacted: ago(3 * period)}, true},
-		{"heard, but not reachable", peerState{heard: ago(0), contacted: ago(period)}, true},
-		{"call in progress", peerState{calling: true}, false},
-	}
-	for _, c := range cases {
-		if got := c.p.due(now, period); got != c.want {
-			t.Errorf("%s: due = %v, want %v", c.name, got, c.want)
-		}
-	}
-}
--- a/proxy/peer/server.go
+++ b/proxy/peer/server.go
@@ -35,9 +35,7 @@
 	Quota   QuotaHandler
 	TLS     *tls.Config // nil: plain TCP
 	Traffic *Traffic    // nil: not counted
-	// Heard is called with the address of each peer that sends gossip, see Set.Heard; nil: not called.
-	Heard func(address string)
-	Log   logrus.FieldLogger
+	Log     logrus.FieldLogger
 }
 
 // Server answers the calls of other instances.
@@ -52,28 +50,13 @@
 	QuotaHandler
 }
 
-// hearing reports the senders of gossip.
-type hearing struct {
-	ConfigHandler
-	heard func(address string)
-}
-
-func (h hearing) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
-	h.heard(in.From)
-	return h.ConfigHandler.Gossip(ctx, in)
-}
-
 // NewServer returns a server that passes calls to the handlers of cfg.
 func NewServer(cfg ServerConfig) (*Server, error) {
 	if cfg.Config == nil || cfg.Quota == nil || cfg.Log == nil {
 		return nil, errors.New("peer server lacks a handler or a log; set Config, Quota and Log")
 	}
 	mux := drpcmux.New()
-	config := cfg.Config
-	if cfg.Heard != nil {
-		config = hearing{config, cfg.Heard}
-	}
-	if err := peerpb.DRPCRegisterPeer(mux, handler{config, cfg.Quota}); err != nil {
+	if err := peerpb.DRPCRegisterPeer(mux, handler{cfg.Config, cfg.Quota}); err != nil {
 		return nil, errors.Wrap(err, "register the peer service")
 	}
 	return &Server{cfg: cfg, mux: mux}, nil
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -28,9 +28,6 @@
 	recentCalls = 5 * sampledPeers
 	// announceAtOnce bounds the calls of an announcement that are under way at a time.
 	announceAtOnce = 32
-	// contactEvery is the number of periods after which a peer is contacted even though it was heard
-	// of meanwhile: only an own call shows that the way to it is open.
-	contactEvery = 3
 	// jitterFraction spreads periods by up to this part, so that instances don't act together.
 	jitterFraction = 0.2
 )
@@ -65,9 +62,7 @@
 	tried     bool
 	reachable bool
 	calling   bool
-	leaving   bool      // the peer says that it drains
-	contacted time.Time // end of the last own call
-	heard     time.Time // of the last digest that the peer sent
+	leaving   bool // the peer says that it drains
 }
 
 // Status is a peer and what the heartbeat has found.
@@ -165,14 +160,15 @@
 	}
 }
 
-// choose returns the peers to contact and marks them, so that a slow call is not doubled.
+// choose returns the peers to contact and marks them, so that a slow call is not doubled. A peer that
+// calls by itself is contacted all the same: only the answers to own calls prove contact, see
+// manifest.Adoption.
 func (s *Set) choose() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	addresses := make([]string, 0, len(s.instances))
-	now := time.Now()
 	for _, instance := range s.instances {
-		if s.peers[instance.PeerAddress].due(now, s.cfg.Heartbeat) {
+		if !s.peers[instance.PeerAddress].calling {
 			addresses = append(addresses, instance.PeerAddress)
 		}
 	}
@@ -186,25 +182,6 @@
 	return addresses
 }
 
-// due reports whether the peer needs a call of our own in this period. Its own gossip tells as
-// much, so that a pair of peers exchanges about one digest per period.
-func (p *peerState) due(now time.Time, period time.Duration) bool {
-	if p.calling {
-		return false
-	}
-	fresh := now.Sub(p.heard) < period && now.Sub(p.contacted) < contactEvery*period
-	return !p.reachable || !fresh
-}
-
-// Heard notes that a peer sent gossip by itself; it is meant for ServerConfig.
-func (s *Set) Heard(address string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if p := s.peers[address]; p != nil {
-		p.heard = time.Now()
-	}
-}
-
 func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -234,7 +211,7 @@
 	changed := !p.tried || p.reachable != (err == nil)
 	s.recent = append(s.recent, err == nil)
 	s.recent = s.recent[max(0, len(s.recent)-recentCalls):]
-	p.tried, p.reachable, p.calling, p.contacted = true, err == nil, false, time.Now()
+	p.tried, p.reachable, p.calling = true, err == nil, false
 	if !changed {
 		return
 	}
--- a/proxy/quota/driver_test.go
+++ b/proxy/quota/driver_test.go
@@ -132,7 +132,7 @@
 func startInstance(t *testing.T, list *lockedList, i int, store *memoryStore, listener net.Listener, accounts []manifest.Account) *instance {
 	t.Helper()
 	n := newInstance(t, list, i, store)
-	server, err := peer.NewServer(peer.ServerConfig{Config: n, Quota: n, Traffic: n.traffic, Heard: n.set.Heard, Log: quietLog()})
+	server, err := peer.NewServer(peer.ServerConfig{Config: n, Quota: n, Traffic: n.traffic, Log: quietLog()})
 	if err != nil {
 		t.Fatal(err)
 	}
