Check pooled connections after a second of rest

Cause: TestSilentPaths/answers failed in one of two runs (transactions ended and their keys written after 7.3 s, limit 5 s). After a statement had found one connection silent in 3.4 s, the next statement met another that had rested meanwhile, and found it by the same slow way: connections were checked before use only after 5 s of rest. Change: connections are checked after 1 s of rest, which costs one round trip. Conclusion: one silent path costs one detection, not two.

--- a/proxy/pool/pool.go
+++ b/proxy/pool/pool.go
@@ -22,7 +22,7 @@
 // Defaults of Config.
 const (
 	DefaultConnectTimeout = 2 * time.Second
-	DefaultCheckAfter     = 5 * time.Second
+	DefaultCheckAfter     = time.Second
 	DefaultCheckTimeout   = time.Second
 	DefaultQuietAfter     = 2 * time.Second
 	// DefaultSilentGrace covers two retransmissions of a lost packet.
