--- a/cmd/internal/demo/demo_test.go
+++ b/cmd/internal/demo/demo_test.go
@@ -4,32 +4,38 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
 )
 
-// freePair returns an address whose port and the next one are free.
+// freePair returns an address whose port and the next one are free. It looks below the range that
+// the system takes ports of outgoing connections from, which other tests use by the thousand.
 func freePair(t *testing.T) (first, second string) {
 	t.Helper()
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		second := fmt.Sprintf("127.0.0.1:%d", port+1)
-		if next, err := net.Listen("tcp", second); err == nil {
-			_ = next.Close()
-			return fmt.Sprintf("127.0.0.1:%d", port), second
+	const low, span = 10_000, 20_000
+	for range 200 {
+		port := low + rand.IntN(span)
+		first, second = fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1)
+		if isFree(first) && isFree(second) {
+			return first, second
 		}
 	}
 	t.Fatal("no two adjacent ports are free")
 	return "", ""
 }
 
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 // Guards against a demo that breaks a promise, lacks a figure, or does not serve afterwards on the
 // addresses that it names.
 func TestDemo(t *testing.T) {
