Connect to servers and read their state in one place

Cause: read-through. The pool built its connection settings beside dbgroup.ConnConfig, the daemon read the probe's row beside dbgroup's client, and it made control clients in two places, one of which ignored Config.Dial. Change: the pool uses dbgroup.ConnConfig, identify uses dbgroup.ProbeOn, and one function makes control clients.

--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sync"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/sirupsen/logrus"
 
@@ -123,13 +122,7 @@
 
 // connect returns the control adapters of a server.
 func (g *groups) connect(s manifest.Server) group.Adapter {
-	client, err := dbgroup.NewClient(dbgroup.Config{
-		Server:   authority.ServerID(s.ID),
-		Address:  s.Address,
-		User:     g.cfg.UpstreamUser,
-		Password: g.cfg.UpstreamPassword,
-		Dial:     g.cfg.Dial,
-	})
+	client, err := g.cfg.control(authority.ServerID(s.ID), s.Address)
 	if err != nil {
 		return group.Adapter{Kept: unusable{err}, Fresh: unusable{err}}
 	}
@@ -260,16 +253,19 @@
 }
 
 // control returns a client for control connections, which take no client connection from the server.
-func (d *Daemon) control(address string) (*dbgroup.Client, error) {
+// The server's name may be empty where only its address is known.
+func (c Config) control(server authority.ServerID, address string) (*dbgroup.Client, error) {
 	return dbgroup.NewClient(dbgroup.Config{
+		Server:   server,
 		Address:  address,
-		User:     d.cfg.UpstreamUser,
-		Password: d.cfg.UpstreamPassword,
+		User:     c.UpstreamUser,
+		Password: c.UpstreamPassword,
+		Dial:     c.Dial,
 	})
 }
 
 func (d *Daemon) executing(ctx context.Context, address string, sessions []dbgroup.Session) (map[dbgroup.Session]bool, error) {
-	client, err := d.control(address)
+	client, err := d.cfg.control("", address)
 	if err != nil {
 		return nil, err
 	}
@@ -277,7 +273,7 @@
 }
 
 func (d *Daemon) terminate(ctx context.Context, address string, sessions []dbgroup.Session) error {
-	client, err := d.control(address)
+	client, err := d.cfg.control("", address)
 	if err != nil {
 		return err
 	}
@@ -291,13 +287,6 @@
 
 // identify returns the incarnation of the server behind a connection.
 func identify(ctx context.Context, c *pgconn.PgConn) (uint64, error) {
-	results, err := c.Exec(ctx, "SELECT * FROM cyclamenstile.probe()").ReadAll()
-	if err != nil {
-		return 0, err
-	}
-	if len(results) != 1 || len(results[0].Rows) != 1 {
-		return 0, errors.New("probe answered no row; see whether the server has the control functions")
-	}
-	state, err := dbgroup.ParseState(results[0].Rows[0])
+	state, err := dbgroup.ProbeOn(ctx, c)
 	return state.Incarnation, err
 }
--- a/proxy/dbgroup/client.go
+++ b/proxy/dbgroup/client.go
@@ -221,16 +221,30 @@
 }
 
 func (c *Client) run(ctx context.Context, conn *pgconn.PgConn, statement string, args ...string) (authority.ServerState, error) {
+	state, err := control(ctx, conn, statement, args...)
+	if err != nil {
+		return authority.ServerState{}, c.wrap(err, "control call")
+	}
+	return state, nil
+}
+
+// ProbeOn returns the state of the server behind an open connection.
+func ProbeOn(ctx context.Context, conn *pgconn.PgConn) (authority.ServerState, error) {
+	return control(ctx, conn, probeStatement)
+}
+
+// control runs a control function, which answers with one row.
+func control(ctx context.Context, conn *pgconn.PgConn, statement string, args ...string) (authority.ServerState, error) {
 	values := make([][]byte, len(args))
 	for i, a := range args {
 		values[i] = []byte(a)
 	}
 	result := conn.ExecParams(ctx, statement, values, nil, nil, nil).Read()
 	if result.Err != nil {
-		return authority.ServerState{}, c.wrap(result.Err, "control call")
+		return authority.ServerState{}, result.Err
 	}
 	if len(result.Rows) != 1 {
-		return authority.ServerState{}, errors.Newf("server %s answered a control call with %d rows instead of 1; check its version", c.cfg.Server, len(result.Rows))
+		return authority.ServerState{}, errors.Newf("the server answered a control call with %d rows instead of 1; check its version", len(result.Rows))
 	}
 	return ParseState(result.Rows[0])
 }
--- a/proxy/pool/conn.go
+++ b/proxy/pool/conn.go
@@ -26,14 +26,12 @@
 
 // connect opens a connection with the proxy's own credentials and learns the server's incarnation.
 func connect(ctx context.Context, cfg Config, address string) (*upstream, error) {
-	pc, err := pgconn.ParseConfig("postgres://" + address + "/postgres?sslmode=disable")
+	pc, err := dbgroup.ConnConfig(dbgroup.Config{
+		Address: address, User: cfg.User, Password: cfg.Password, Dial: metered(cfg.Dial),
+	})
 	if err != nil {
 		return nil, err
 	}
-	pc.User = cfg.User
-	pc.Password = cfg.Password
-	pc.DialFunc = pgconn.DialFunc(metered(cfg.Dial))
-	pc.Fallbacks = nil
 	c, err := pgconn.ConnectConfig(ctx, pc)
 	if err != nil {
 		return nil, err
