Report the use of server connections; wait for a checkout in the home tests

The test took any new connection at the primary for one that the home had lent, but the server's count contains control connections, which the home opens before the other instances know it. Ruled out: a home that ends without waiting for its lent connections (its log shows a drain of 1 ms with nothing lent). Change: each instance reports connections, slots and waiting statements per server that it is home to, which operators lacked for the alarm on late statements; the test waits until the home reports a connection of its own. Conclusion: a fault of the test's start, not of the drain; its checks and bounds are unchanged.

--- a/cmd/internal/homefault/home_test.go
+++ b/cmd/internal/homefault/home_test.go
@@ -3,8 +3,10 @@
 package homefault
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -118,12 +120,25 @@
 	})
 	s.waitFor("home ready", s.ready)
 	s.list(peerAddress)
-	s.primary().ResetUsage()
-	s.waitFor("connection of the new home", func() bool {
-		return s.write(0, "ready") == nil && s.primary().Usage().Opened > 0
+	// The server's own count of connections would not do: it contains control connections.
+	s.waitFor("connection lent by the new home", func() bool {
+		return s.write(0, "ready") == nil && s.lendsPrimary()
 	})
 }
 
+// lendsPrimary reports whether the home has opened a connection to the primary. The home serves no
+// callers itself, so it was opened for another instance.
+func (s *scene) lendsPrimary() bool {
+	answer, err := http.Get("http://" + s.ops + "/metrics")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	metrics, err := io.ReadAll(answer.Body)
+	series := fmt.Sprintf(`cyclamenstile_server_connections_opened_total{server="%s"} `, s.primary().ID())
+	return err == nil && bytes.Contains(metrics, []byte(series))
+}
+
 // ready asks the home whether it is ready for callers.
 func (s *scene) ready() bool {
 	answer, err := http.Get("http://" + s.ops + "/readyz")
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -105,6 +105,7 @@
 	tasks.Go(func() { d.locator.run(ctx) })
 	tasks.Go(func() { d.pool.Run(ctx) })
 	tasks.Go(func() { d.releaseIdle(ctx) })
+	tasks.Go(func() { newPoolMetrics(d.metrics.Scope, d.pool.Usage).run(ctx) })
 	tasks.Go(func() { d.quota.Run(ctx) })
 	tasks.Go(func() { d.burn.Run(ctx) })
 	tasks.Go(func() { d.reportEnd("peer listener", d.peerPort.Serve(ctx, d.listeners.peers)) })
--- /dev/null
+++ b/proxy/daemon/poolmetrics.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+)
+
+// poolMetricsPeriod is how often the use of servers is read, as often as metrics reach the endpoint.
+const poolMetricsPeriod = time.Second
+
+// poolMetrics reports how the connections and slots of servers are used.
+type poolMetrics struct {
+	scope  tally.Scope
+	usage  func() []pool.Usage
+	series map[authority.ServerID]*serverSeries
+}
+
+type serverSeries struct {
+	idle, lent, slots, waiting tally.Gauge
+	opened                     tally.Counter
+	reported                   uint64 // of the connections opened
+}
+
+func newPoolMetrics(scope tally.Scope, usage func() []pool.Usage) *poolMetrics {
+	return &poolMetrics{scope: scope, usage: usage, series: make(map[authority.ServerID]*serverSeries)}
+}
+
+func (m *poolMetrics) run(ctx context.Context) {
+	ticker := time.NewTicker(poolMetricsPeriod)
+	defer ticker.Stop()
+	for {
+		m.report()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// report sets the gauges. Those of a server that left the configuration fall to 0.
+func (m *poolMetrics) report() {
+	used := make(map[authority.ServerID]pool.Usage)
+	for _, u := range m.usage() {
+		used[u.Server] = u
+		m.of(u.Server)
+	}
+	for id, s := range m.series {
+		s.set(used[id])
+	}
+}
+
+func (m *poolMetrics) of(id authority.ServerID) *serverSeries {
+	if s, ok := m.series[id]; ok {
+		return s
+	}
+	scope := m.scope.Tagged(map[string]string{"server": string(id)})
+	s := &serverSeries{
+		idle:    scope.Tagged(map[string]string{"state": "idle"}).Gauge("server_connections"),
+		lent:    scope.Tagged(map[string]string{"state": "lent"}).Gauge("server_connections"),
+		slots:   scope.Gauge("server_slots_in_use"),
+		waiting: scope.Gauge("server_statements_waiting"),
+		opened:  scope.Counter("server_connections_opened_total"),
+	}
+	m.series[id] = s
+	return s
+}
+
+func (s *serverSeries) set(u pool.Usage) {
+	s.idle.Update(float64(u.Idle))
+	s.lent.Update(float64(u.Lent))
+	s.slots.Update(float64(u.SlotsInUse))
+	s.waiting.Update(float64(u.Waiting))
+	if u.OpenedTotal < s.reported {
+		s.reported = 0 // the server moved to another address, and its count began anew
+	}
+	s.opened.Inc(int64(u.OpenedTotal - s.reported))
+	s.reported = u.OpenedTotal
+}
--- a/proxy/pool/server.go
+++ b/proxy/pool/server.go
@@ -29,6 +29,7 @@
 	asking  bool              // a connection asks about quiet connections or ends silent ones
 	ending  []dbgroup.Session // whose connections were closed as silent
 	endAt   time.Duration     // when the server is asked to end them
+	opened  uint64            // connections opened so far
 	closed  bool
 }
 
@@ -214,6 +215,7 @@
 	if err != nil {
 		return nil, unreachable(r, err)
 	}
+	s.countOpened()
 	if u.incarnation != r.Target.Incarnation {
 		// The server restarted or rewound its log since it was chosen: what was known of its
 		// position does not hold for this connection.
--- /dev/null
+++ b/proxy/pool/usage.go
@@ -0,0 +1,48 @@
+package pool
+
+import (
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+// Usage tells how one server's slots and connections are used at a moment.
+type Usage struct {
+	Server      authority.ServerID
+	Idle        int    // open connections that rest in the pool
+	Lent        int    // open connections that run a statement or belong to a transaction
+	SlotsInUse  int    // statements in execution, or about to be sent
+	Waiting     int    // statements that wait for a slot or a connection
+	OpenedTotal uint64 // connections opened since the server joined the pool
+}
+
+// Usage returns the usage of each server that this pool has had a connection to or a request for.
+func (p *Pool) Usage() []Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []Usage
+	for id, s := range p.servers {
+		if u := s.usage(); u != (Usage{}) {
+			u.Server = id
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
+func (s *server) usage() Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slots, _ := s.queue.InUse()
+	return Usage{
+		Idle:        len(s.idle),
+		Lent:        len(s.lent),
+		SlotsInUse:  slots,
+		Waiting:     s.queue.Waiting(),
+		OpenedTotal: s.opened,
+	}
+}
+
+func (s *server) countOpened() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opened++
+}
