Refuse instance lists and peer addresses that two machines could share

Cause: an instance is known to the record of fractions by its peer address. Found by reading; not observed in a deployment. Conclusion: a restart under the same name at a new address waits for the list to follow, which is the price.

--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -44,7 +44,7 @@
 	f.StringVar(&c.Region, "region", "", "region of this instance")
 	f.StringVar(&c.FailureDomain, "failure-domain", "", "failure domain of this instance")
 	f.StringVar(&c.Listen, "listen", "127.0.0.1:6432", "IP:port for callers")
-	f.StringVar(&c.PeerListen, "peer-listen", "127.0.0.1:6433", "IP:port for other instances; they connect to it as written")
+	f.StringVar(&c.PeerListen, "peer-listen", "127.0.0.1:6433", "IP:port for other instances, as in the platform's instance list")
 	f.StringVar(&c.OpsListen, "ops-listen", "127.0.0.1:6434", "IP:port for metrics, health and readiness")
 	f.StringVar(&c.StoreURL, "store", "", "address of the platform's store, such as http://127.0.0.1:7000")
 	f.BoolVar(&c.AllowPlain, "allow-plain", false, "accept callers without TLS; their keys cross the network in clear text")
--- a/proxy/daemon/config.go
+++ b/proxy/daemon/config.go
@@ -123,9 +123,15 @@
 		if s.listener != nil {
 			continue
 		}
-		if _, err := netip.ParseAddrPort(s.value); err != nil {
+		address, err := netip.ParseAddrPort(s.value)
+		if err != nil {
 			fault(s.name, "is not an IP address with a port: "+quote(s.value), "write it like 127.0.0.1:6432")
 		}
+		// Peers and the record of fractions know an instance by this address, so that two instances
+		// that listen on all addresses would take each other's fractions for their own.
+		if s.name == "peer-listen" && err == nil && address.Addr().IsUnspecified() {
+			fault(s.name, "stands for all addresses: "+quote(s.value), "give the one that the platform's instance list names")
+		}
 	}
 	if problem := storeProblem(c.StoreURL); problem != "" {
 		fault("store", problem, "write it like http://127.0.0.1:7000")
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -125,6 +125,9 @@
 		return nil, err
 	}
 	self := l.daemon.listeners.peers.Addr().String()
+	if err := checkPlace(list, l.daemon.cfg.InstanceID, self); err != nil {
+		return nil, err
+	}
 	addresses := make([]string, 0, len(list))
 	for _, i := range list {
 		if i.PeerAddress != self {
--- /dev/null
+++ b/proxy/daemon/place_test.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/cyclamenstile/cyclamenstile/platform"
+)
+
+// Guards against two instances that listen on the same address of different machines and take each
+// other's part of the accounts' rates, and against refusing a list that only lags.
+func TestCheckPlace(t *testing.T) {
+	const self = "127.0.0.1:6433"
+	for name, c := range map[string]struct {
+		list   []platform.Instance
+		listed string // address of the error, empty for none
+	}{
+		"not listed yet":                {list: []platform.Instance{{ID: "b", PeerAddress: "127.0.0.1:6533"}}},
+		"loopback among others":         {list: []platform.Instance{{ID: "b", PeerAddress: "10.0.0.2:6433"}}, listed: "10.0.0.2:6433"},
+		"listed here":                   {list: []platform.Instance{{ID: "a", PeerAddress: self}}},
+		"predecessor's name":            {list: []platform.Instance{{ID: "b", PeerAddress: self}}},
+		"old and new address":           {list: []platform.Instance{{ID: "a", PeerAddress: "127.0.0.1:6533"}, {ID: "a", PeerAddress: self}}},
+		"listed at another address":     {list: []platform.Instance{{ID: "a", PeerAddress: "10.0.0.1:6433"}}, listed: "10.0.0.1:6433"},
+		"listed elsewhere among others": {list: []platform.Instance{{ID: "a", PeerAddress: "10.0.0.1:6433"}, {ID: "b", PeerAddress: "10.0.0.2:6433"}}, listed: "10.0.0.1:6433"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := checkPlace(c.list, "a", self)
+			var place *PlaceError
+			if !errors.As(err, &place) {
+				place = &PlaceError{}
+			}
+			if place.Listed != c.listed || (err == nil) != (c.listed == "") {
+				t.Errorf("error %v, want address %q in it", err, c.listed)
+			}
+		})
+	}
+}
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -126,7 +126,7 @@
 	}
 	if err != nil {
 		s.cfg.Log.WithField(FieldEvent, EventListFailed).WithError(err).
-			Warn("instance list can't be read; the last list stays in use")
+			Warn("instance list can't be read or used; the last list stays in use")
 		return
 	}
 	instances = slices.DeleteFunc(slices.Clone(instances), func(i platform.Instance) bool { return i.PeerAddress == s.cfg.Self })
