Ask other instances whether they have lost a primary that replicas hear

Ruled out: a shorter wait for all (one instance with a broken path would move a primary that the others use) and log positions that stand still (an idle database shows the same). The 8 s stay where others reach it or can't be asked. Safety rests on the fences as before; the randomized worlds now deliver late answers of instances that may be cut off from each other. Conclusion: the case is now as short as a crash, and costs no message at rest.

--- a/decision/authority/doc.go
+++ b/decision/authority/doc.go
@@ -27,5 +27,6 @@
 //     arrived.
 //   - A write of term T is confirmed only after a majority showed term T and no higher fence,
 //     each in a probe sent after the write was answered.
+//   - What other instances say about a primary decides only when to begin an attempt.
 //   - A sampled floor is at or past every write confirmed before the sample began.
 package authority
--- a/decision/authority/event.go
+++ b/decision/authority/event.go
@@ -79,6 +79,16 @@
 	Term   uint64
 }
 
+// PeerViews answers AskPeers.
+type PeerViews struct {
+	Server   ServerID
+	Term     uint64
+	Sent     time.Duration // read before the peers were asked
+	Asked    int           // peers that may reach the server
+	Lost     int           // of these, those that judge it lost
+	Reaching int           // of these, those that reach it or know a later primary
+}
+
 func (Tick) event()           {}
 func (ProbeResult) event()    {}
 func (ProbeFailure) event()   {}
@@ -87,6 +97,7 @@
 func (FenceFailure) event()   {}
 func (PromoteAnswer) event()  {}
 func (PromoteFailure) event() {}
+func (PeerViews) event()      {}
 
 // Action is an order of a Machine to its driver.
 type Action interface{ action() }
@@ -111,6 +122,14 @@
 	Reason Reason
 }
 
-func (Probe) action()   {}
-func (Fence) action()   {}
-func (Promote) action() {}
+// AskPeers orders the question to other instances whether they have lost a primary, see Machine.Judge.
+// A driver without peers leaves it unanswered.
+type AskPeers struct {
+	Server ServerID
+	Term   uint64
+}
+
+func (Probe) action()    {}
+func (Fence) action()    {}
+func (Promote) action()  {}
+func (AskPeers) action() {}
--- a/decision/authority/invariants_test.go
+++ b/decision/authority/invariants_test.go
@@ -190,6 +190,7 @@
 		return
 	}
 	w.tick(x)
+	w.answerQuestion(x)
 	w.exchange(x)
 }
 
@@ -218,9 +219,11 @@
 
 func (w *world) fault(x *instance) {
 	s := pick(w, w.servers)
-	switch w.between(0, 15) {
+	switch w.between(0, 16) {
 	case 0:
 		s.up = false
+	case 16:
+		x.alone = !x.alone
 	case 14, 15:
 		s.alone = !s.alone
 	case 9, 10:
--- a/decision/authority/machine.go
+++ b/decision/authority/machine.go
@@ -18,8 +18,12 @@
 	// DefaultSuspectAfter is how long a primary must have been silent, and how long replicas
 	// must have had no contact with it.
 	DefaultSuspectAfter = time.Second
-	// DefaultUnreachableAfter replaces DefaultSuspectAfter while replicas still hear the primary.
+	// DefaultUnreachableAfter replaces DefaultSuspectAfter while replicas still hear the primary and
+	// the other instances have not lost it too.
 	DefaultUnreachableAfter = 8 * time.Second
+	// DefaultAskInterval is the time between two questions to the other instances about a primary
+	// that replicas still hear. Instances judge a primary lost within half a second of each other.
+	DefaultAskInterval = 250 * time.Millisecond
 	// DefaultIsolatedAfter is how long a primary is left that answers although a majority of the
 	// other servers, all answering, don't hear it. No write is confirmed meanwhile, and what a route
 	// acknowledges at the primary alone would be lost, so it is far below DefaultUnreachableAfter;
@@ -54,6 +58,7 @@
 	HedgeAfter       time.Duration
 	SuspectAfter     time.Duration
 	UnreachableAfter time.Duration
+	AskInterval      time.Duration
 	IsolatedAfter    time.Duration
 	Damping          time.Duration
 	Jitter           time.Duration
@@ -72,6 +77,7 @@
 		HedgeAfter:       DefaultHedgeAfter,
 		SuspectAfter:     DefaultSuspectAfter,
 		UnreachableAfter: DefaultUnreachableAfter,
+		AskInterval:      DefaultAskInterval,
 		IsolatedAfter:    DefaultIsolatedAfter,
 		Damping:          DefaultDamping,
 		Jitter:           DefaultJitter,
@@ -121,6 +127,7 @@
 	leaving        bool
 	leavingSince   time.Duration
 	moves          int // attempts to move away from the leaving primary
+	survey         survey
 }
 
 // probing is what a machine knows about its own probes of one server.
@@ -210,8 +217,10 @@
 		m.promoteAccepted(now, e)
 	case PromoteFailure:
 		m.promoteFailed(now, e)
+	case PeerViews:
+		m.survey.take(e)
 	}
-	actions := m.decide(now)
+	actions := append(m.decide(now), m.ask(now)...)
 	return append(actions, m.probes(now)...)
 }
 
--- a/decision/authority/model_test.go
+++ b/decision/authority/model_test.go
@@ -155,6 +155,9 @@
 	placed  []*read
 	term    uint64
 	paused  bool
+
+	questions []authority.PeerViews // answers of the other instances under way
+	alone     bool                  // can't reach the other instances
 }
 
 // failer is the part of a test that the checks need.
@@ -216,7 +219,7 @@
 // eager lets a run of a few hundred steps see many failovers; safety must not rest on timings.
 var eager = authority.Timings{
 	IdleInterval: 10 * time.Millisecond, DemandInterval: time.Millisecond, HedgeAfter: 5 * time.Millisecond,
-	SuspectAfter: 20 * time.Millisecond, UnreachableAfter: 60 * time.Millisecond, IsolatedAfter: 40 * time.Millisecond, Damping: 30 * time.Millisecond,
+	SuspectAfter: 20 * time.Millisecond, UnreachableAfter: 60 * time.Millisecond, AskInterval: 5 * time.Millisecond, IsolatedAfter: 40 * time.Millisecond, Damping: 30 * time.Millisecond,
 	Jitter: 5 * time.Millisecond, Backoff: 10 * time.Millisecond, MaxBackoff: 40 * time.Millisecond,
 	AttemptTimeout: 100 * time.Millisecond, FenceGrace: 5 * time.Millisecond, StrandedAfter: 100 * time.Millisecond,
 }
@@ -247,6 +250,10 @@
 func (w *world) feed(x *instance, e authority.Event) {
 	x.machine.SetDemand(x.confirm.Waiting() > 0)
 	for _, a := range x.machine.Step(w.now, e) {
+		if ask, ok := a.(authority.AskPeers); ok {
+			x.questions = append(x.questions, w.survey(x, ask))
+			continue
+		}
 		c := &call{action: a, sent: w.now}
 		switch a := a.(type) {
 		case authority.Probe:
@@ -264,6 +271,33 @@
 	x.term = x.machine.View().Term
 }
 
+// survey asks the other instances at once; the answer is delivered later.
+func (w *world) survey(x *instance, ask authority.AskPeers) authority.PeerViews {
+	v := authority.PeerViews{Server: ask.Server, Term: ask.Term, Sent: w.now, Asked: len(w.instances) - 1}
+	for _, other := range w.instances {
+		if other == x || x.alone || other.alone || other.paused {
+			continue
+		}
+		switch other.machine.Judge(w.now, ask.Server, ask.Term) {
+		case authority.JudgementLost:
+			v.Lost++
+		case authority.JudgementReaches:
+			v.Reaching++
+		}
+	}
+	return v
+}
+
+// answerQuestion delivers the oldest answer of the other instances.
+func (w *world) answerQuestion(x *instance) {
+	if len(x.questions) == 0 {
+		return
+	}
+	v := x.questions[0]
+	x.questions = x.questions[1:]
+	w.feed(x, v)
+}
+
 // execute runs a call at its server.
 func (w *world) execute(x *instance, c *call) {
 	s := w.server(c.to)
--- a/decision/authority/promotion.go
+++ b/decision/authority/promotion.go
@@ -315,7 +315,7 @@
 	}
 	wait := primary.FailingSince + m.t.SuspectAfter - now
 	if m.heard(now) && m.Suspected(now, primary) {
-		wait = primary.FailingSince + m.t.UnreachableAfter - now
+		wait = m.abandonedWait(now, primary)
 	}
 	if m.damped(now, primary) {
 		wait = max(wait, m.view.PrimarySince+m.t.Damping-now)
--- a/decision/authority/reason.go
+++ b/decision/authority/reason.go
@@ -11,6 +11,9 @@
 const (
 	// ReasonFailed: the primary answers nobody.
 	ReasonFailed Reason = "primary_failed"
+	// ReasonAbandoned: replicas hear the primary, but a majority of the instances have lost it and
+	// no instance says that it reaches it.
+	ReasonAbandoned Reason = "primary_abandoned"
 	// ReasonUnreachable: replicas hear the primary, this instance has not for a long time.
 	ReasonUnreachable Reason = "primary_unreachable"
 	// ReasonIsolated: the primary answers, but a majority of the servers have lost contact with it
@@ -166,6 +169,9 @@
 	if !m.heard(now) {
 		return ReasonFailed, true
 	}
+	if m.abandoned(now, primary) {
+		return ReasonAbandoned, true
+	}
 	return ReasonUnreachable, silent >= m.t.UnreachableAfter
 }
 
--- a/decision/authority/scenario_test.go
+++ b/decision/authority/scenario_test.go
@@ -49,8 +49,23 @@
 	}
 }
 
-func cutOffFromOne(w *world) {
-	w.instances[0].cut[w.servers[0].id] = true
+// cutOffFrom separates the primary from the first n instances only.
+func cutOffFrom(n int) func(*world) {
+	return func(w *world) {
+		for _, x := range w.instances[:n] {
+			x.cut[w.servers[0].id] = true
+		}
+	}
+}
+
+// isolate separates the instances from each other, too.
+func isolate(fault func(*world)) func(*world) {
+	return func(w *world) {
+		fault(w)
+		for _, x := range w.instances {
+			x.alone = true
+		}
+	}
 }
 
 // Guards against a gap longer than the design's bounds, and against promotions that a slow or
@@ -60,8 +75,11 @@
 		{name: "no fault", instances: 3, fault: func(*world) {}},
 		{name: "crash", instances: 3, fault: crash(0), earliest: time.Second, latest: 3 * time.Second},
 		{name: "hung primary", instances: 3, fault: hang(0), earliest: time.Second, latest: 3 * time.Second},
-		{name: "primary cut off from the instances", instances: 3, fault: cutOff(0), earliest: 8 * time.Second, latest: 18 * time.Second},
-		{name: "primary cut off from one of the instances", instances: 3, fault: cutOffFromOne, earliest: 8 * time.Second, latest: 18 * time.Second},
+		{name: "primary cut off from the instances", instances: 3, fault: cutOff(0), earliest: time.Second, latest: 3 * time.Second},
+		{name: "primary cut off from the only instance", instances: 1, fault: cutOff(0), earliest: time.Second, latest: 3 * time.Second},
+		{name: "primary and instances cut off from the instances", instances: 3, fault: isolate(cutOff(0)), earliest: 8 * time.Second, latest: 18 * time.Second},
+		{name: "primary cut off from one of the instances", instances: 3, fault: cutOffFrom(1), earliest: 8 * time.Second, latest: 18 * time.Second},
+		{name: "primary cut off from most of the instances", instances: 3, fault: cutOffFrom(2), earliest: 8 * time.Second, latest: 18 * time.Second},
 		{name: "primary cut off from its peers", instances: 3, fault: cutOffFromPeers(0), earliest: 3 * time.Second, latest: 18 * time.Second, want: "s1"},
 		{name: "replica cut off from its peers", instances: 3, fault: cutOffFromPeers(1)},
 		{name: "slow primary", instances: 3, fault: func(w *world) { w.servers[0].delay = 280 * time.Millisecond }},
--- /dev/null
+++ b/decision/authority/survey.go
@@ -0,0 +1,82 @@
+package authority
+
+import "time"
+
+// survey holds what other instances say about a primary that does not answer this one while replicas
+// still hear it. Either the primary is cut off from all instances, so that nobody can write, or only
+// this instance has lost it and a promotion would disturb the others. Neither the servers nor this
+// instance's own probes can tell these cases apart.
+type survey struct {
+	asking bool
+	nextAt time.Duration
+	last   PeerViews
+}
+
+func (s *survey) take(e PeerViews) {
+	s.asking = false
+	s.last = e
+}
+
+// ask orders a question to the other instances while it can shorten the wait for a promotion.
+func (m *Machine) ask(now time.Duration) []Action {
+	primary := m.view.PrimaryView()
+	if primary == nil || m.Judge(now, primary.ID, m.view.Term) != JudgementLost || !m.heard(now) {
+		return nil
+	}
+	if m.survey.asking || now < m.survey.nextAt || m.abandoned(now, primary) {
+		return nil
+	}
+	m.survey.asking = true
+	m.survey.nextAt = now + m.t.AskInterval
+	return []Action{AskPeers{Server: primary.ID, Term: m.view.Term}}
+}
+
+// Judgement is what an instance says to another one about a primary.
+type Judgement int
+
+const (
+	// JudgementNone is given by an instance that knows no better.
+	JudgementNone Judgement = iota
+	// JudgementLost: the primary has left enough probes of the instance unanswered.
+	JudgementLost
+	// JudgementReaches: the primary answers the instance, or a later one has replaced it.
+	JudgementReaches
+)
+
+// Judge returns this instance's judgement of the server that is the primary of a term.
+func (m *Machine) Judge(now time.Duration, id ServerID, term uint64) Judgement {
+	primary := m.view.PrimaryView()
+	switch {
+	case m.view.Term > term:
+		return JudgementReaches
+	case primary == nil || primary.ID != id || m.view.Term != term:
+		return JudgementNone
+	case !primary.Failing && primary.Reachable(now, m.t.SuspectAfter):
+		return JudgementReaches
+	case primary.Failing && m.Suspected(now, primary):
+		return JudgementLost
+	}
+	return JudgementNone
+}
+
+// abandoned reports whether a majority of the asked instances, this one included, have lost the
+// primary lately and none of them reaches it. An instance that reaches few others finds no
+// majority and waits longer.
+func (m *Machine) abandoned(now time.Duration, primary *ServerView) bool {
+	s := m.survey.last
+	if s.Server != primary.ID || s.Term != m.view.Term || s.Sent < primary.FailingSince {
+		return false
+	}
+	recent := now-s.Sent <= m.t.SuspectAfter
+	return recent && s.Reaching == 0 && s.Lost+1 >= Majority(s.Asked+1)
+}
+
+// abandonedWait returns the least time until a primary that replicas hear may be replaced.
+func (m *Machine) abandonedWait(now time.Duration, primary *ServerView) time.Duration {
+	s := m.survey.last
+	current := s.Server == primary.ID && s.Term == m.view.Term && s.Sent >= primary.FailingSince
+	if current && s.Reaching > 0 {
+		return primary.FailingSince + m.t.UnreachableAfter - now
+	}
+	return 0
+}
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -195,6 +195,7 @@
 	d.locator = newLocator(set, d.listeners.peers.Addr().String(), d.cfg.Region)
 	d.router = &home.Router{Locator: d.locator, Local: d.pool, Remote: home.NewClient(d.homeCalls)}
 	d.groups.outstanding = d.router.Outstanding
+	d.groups.survey = (&surveyor{peers: set, calls: d.peerCalls}).ask
 	return nil
 }
 
@@ -202,6 +203,7 @@
 	server, err := peer.NewServer(peer.ServerConfig{
 		Config: &gossip{daemon: d},
 		Quota:  d.quota,
+		Judge:  judges{d.groups},
 		TLS:    d.cfg.PeerServer,
 		Log:    d.log,
 	})
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -27,6 +27,8 @@
 	metrics *telemetry.Metrics
 	// outstanding returns the statements of this instance at a server; set before start.
 	outstanding func(authority.ServerID) int
+	// survey asks other instances about a primary; set before start.
+	survey func(ctx context.Context, database string, server authority.ServerID, term uint64) (authority.PeerViews, bool)
 
 	mu      sync.Mutex
 	run     context.Context // nil before start
@@ -103,6 +105,9 @@
 		Observer:      newGroupMetrics(g.metrics.Scope, d.Name),
 		CoverPrimary:  cover,
 		Outstanding:   g.outstanding,
+		Survey: func(ctx context.Context, server authority.ServerID, term uint64) (authority.PeerViews, bool) {
+			return g.survey(ctx, d.Name, server, term)
+		},
 	})
 	if err != nil {
 		event(g.log, EventDatabaseSkipped).WithError(err).WithField("database", d.Name).
--- a/proxy/group/calls.go
+++ b/proxy/group/calls.go
@@ -26,6 +26,8 @@
 			g.logServer(EventPromoteOrdered, a.Server, a.Term).WithField("reason", a.Reason).Info("promoting the server")
 			g.cfg.Observer.PromotionAttempted(a.Server, a.Term, a.Reason)
 			go g.promote(a)
+		case authority.AskPeers:
+			go g.survey(a)
 		}
 	}
 }
@@ -108,6 +110,38 @@
 	g.step(authority.PromoteAnswer{Server: a.Server, Term: a.Term, State: state})
 }
 
+// survey asks the other instances. A question without an answer to count is answered with one that
+// proves nothing, so that the machine asks again.
+func (g *Group) survey(a authority.AskPeers) {
+	if g.cfg.Survey == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.run, surveyTimeout)
+	defer cancel()
+	sent := g.now()
+	views, ok := g.cfg.Survey(ctx, a.Server, a.Term)
+	if !ok {
+		views = authority.PeerViews{Asked: 1}
+	}
+	views.Server, views.Term, views.Sent = a.Server, a.Term, sent
+	g.step(views)
+}
+
+// Judge returns what this instance says to others about the primary of a term.
+func (g *Group) Judge(ctx context.Context, server authority.ServerID, term uint64) authority.Judgement {
+	result := make(chan authority.Judgement, 1)
+	if !g.post(ctx, func() { result <- g.machine.Judge(g.now(), server, term) }) {
+		return authority.JudgementNone
+	}
+	select {
+	case j := <-result:
+		return j
+	case <-g.stopped:
+	case <-ctx.Done():
+	}
+	return authority.JudgementNone
+}
+
 func (g *Group) step(e authority.Event) {
 	g.deliver(func() { g.perform(g.machine.Step(g.now(), e)) })
 }
--- a/proxy/group/config.go
+++ b/proxy/group/config.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,9 @@
 	DefaultProbeTimeout = 300 * time.Millisecond
 	// DefaultOrderTimeout bounds one fence or promotion.
 	DefaultOrderTimeout = 500 * time.Millisecond
+	// surveyTimeout bounds one question to the other instances: several round trips between regions,
+	// and less than the time that a server has to be silent to be judged lost.
+	surveyTimeout = 300 * time.Millisecond
 )
 
 // Adapter is the control side of one server over two kinds of connection.
@@ -56,6 +60,10 @@
 	// CoverPrimary has to be set when a route to this database acknowledges in primary mode:
 	// samples then include the primary's own position.
 	CoverPrimary bool
+	// Survey asks other instances whether they have lost a primary. It sets Asked, Lost and Reaching
+	// of the result and returns when ctx ends at the latest; ok is false when the other instances
+	// aren't known. Without it a primary that replicas still hear is left for UnreachableAfter.
+	Survey func(ctx context.Context, server authority.ServerID, term uint64) (views authority.PeerViews, ok bool)
 	// Outstanding returns the statements in execution on a server; nil counts none.
 	Outstanding func(authority.ServerID) int
 	// Timings default to those of the design.
--- a/proxy/peer/rendezvous.go
+++ b/proxy/peer/rendezvous.go
@@ -1,6 +1,11 @@
 package peer
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Rendezvous returns the name that is highest for key in rendezvous order, "" without names.
 // Removing another name never changes the choice, and the order of names does not matter.
@@ -15,6 +20,17 @@
 	return best
 }
 
+// First returns the n names that are highest for key in rendezvous order, or all if they are fewer.
+func First(key string, names []string, n int) []string {
+	if len(names) <= n {
+		return names
+	}
+	ordered := slices.SortedFunc(slices.Values(names), func(a, b string) int {
+		return cmp.Or(cmp.Compare(rendezvousScore(key, b), rendezvousScore(key, a)), cmp.Compare(b, a))
+	})
+	return ordered[:n]
+}
+
 func rendezvousScore(key, name string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
--- a/proxy/peer/server.go
+++ b/proxy/peer/server.go
@@ -29,12 +29,18 @@
 	HandBack(ctx context.Context, in *peerpb.HandBackRequest) (*peerpb.HandBackReply, error)
 }
 
+// JudgeHandler answers the question whether this instance still reaches a primary.
+type JudgeHandler interface {
+	Judge(ctx context.Context, in *peerpb.JudgeRequest) (*peerpb.JudgeReply, error)
+}
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Config  ConfigHandler
 	Quota   QuotaHandler
-	TLS     *tls.Config // nil: plain TCP
-	Traffic *Traffic    // nil: not counted
+	Judge   JudgeHandler // nil: this instance knows nothing about primaries
+	TLS     *tls.Config  // nil: plain TCP
+	Traffic *Traffic     // nil: not counted
 	Log     logrus.FieldLogger
 }
 
@@ -44,10 +50,18 @@
 	mux *drpcmux.Mux
 }
 
-// handler joins the two handlers into the generated interface.
+// handler joins the handlers into the generated interface.
 type handler struct {
 	ConfigHandler
 	QuotaHandler
+	JudgeHandler
+}
+
+// noJudge answers for an instance that knows nothing about primaries.
+type noJudge struct{}
+
+func (noJudge) Judge(context.Context, *peerpb.JudgeRequest) (*peerpb.JudgeReply, error) {
+	return &peerpb.JudgeReply{}, nil
 }
 
 // NewServer returns a server that passes calls to the handlers of cfg.
@@ -55,8 +69,11 @@
 	if cfg.Config == nil || cfg.Quota == nil || cfg.Log == nil {
 		return nil, errors.New("peer server lacks a handler or a log; set Config, Quota and Log")
 	}
+	if cfg.Judge == nil {
+		cfg.Judge = noJudge{}
+	}
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterPeer(mux, handler{cfg.Config, cfg.Quota}); err != nil {
+	if err := peerpb.DRPCRegisterPeer(mux, handler{cfg.Config, cfg.Quota, cfg.Judge}); err != nil {
 		return nil, errors.Wrap(err, "register the peer service")
 	}
 	return &Server{cfg: cfg, mux: mux}, nil
