Follow replaced certificates; run the released binaries over TLS

Cause: a certificate was read once at the start, so that its renewal needed a restart, which ends all sessions; and TLS was proved in the packages only. Change: the certificates for callers and peers are read again when their files change, looked at once in 10 s at most and only by handshakes; files that don't fit together leave the old one in use. One package makes the certificates of the bench and the tests.

--- a/cmd/internal/benchcmd/capacity_entry.go
+++ b/cmd/internal/benchcmd/capacity_entry.go
@@ -2,13 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"io"
-	"math/big"
 	"net"
 	"sync"
 	"time"
@@ -18,6 +13,7 @@
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/bench"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/selfsigned"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
 )
@@ -176,18 +172,17 @@
 
 // tlsServer returns the settings of a server with a new ECDSA P-256 certificate.
 func tlsServer() (*tls.Config, error) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	pair, err := selfsigned.New()
 	if err != nil {
 		return nil, err
 	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	certificate, err := tls.X509KeyPair(pair.Certificate, pair.Key)
 	if err != nil {
 		return nil, err
 	}
 	// Tickets would let later handshakes resume, and clients of a lost instance have none.
 	return &tls.Config{
-		Certificates:           []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		Certificates:           []tls.Certificate{certificate},
 		SessionTicketsDisabled: true,
 	}, nil
 }
--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -40,6 +41,7 @@
 	relayPeers   bool          // between servers
 	instances    int           // 2 if 0
 	crews        history.Limit // of the account crews, nearly unlimited if zero
+	tls          bool          // between callers and instances, and between instances
 	linkServers  bool          // between instances and servers; open connections can go silent there
 	// record keeps all that the instances send to servers; it needs relayServers.
 	record *recording
@@ -57,6 +59,8 @@
 	servers   []*server
 	instances []*instance
 	keys      map[string]string // of the accounts, in clear text
+	trust     *tls.Config       // of callers, nil without TLS
+	tlsFlags  []string          // of the instances
 
 	overwritten time.Time // when overwriteManifest was called
 }
@@ -89,6 +93,9 @@
 		s.instances = 2
 	}
 	d := &deployment{t: t, dir: t.TempDir(), setup: s, keys: map[string]string{marshals: rand.Text(), crews: rand.Text()}}
+	if s.tls {
+		d.makeCertificate()
+	}
 	d.startStore()
 	d.startServers()
 	d.applyManifest(d.manifest(1))
@@ -256,10 +263,18 @@
 }
 
 func (d *deployment) startInstance(n *instance) {
-	n.process = startProcess(d.t, d.dir, n.id, daemonBinary, "serve",
+	args := []string{
+		"serve",
 		"--instance-id", n.id, "--region", "local", "--failure-domain", "local-0",
 		"--listen", n.callers, "--peer-listen", n.peer, "--ops-listen", n.ops,
-		"--store", "http://"+d.toStore.address(), "--allow-plain", "--list-poll", "1s")
+		"--store", "http://" + d.toStore.address(), "--list-poll", "1s",
+	}
+	if d.setup.tls {
+		args = append(args, d.tlsFlags...)
+	} else {
+		args = append(args, "--allow-plain")
+	}
+	n.process = startProcess(d.t, d.dir, n.id, daemonBinary, args...)
 }
 
 // ready asks the readiness endpoint of instance i.
@@ -329,6 +344,7 @@
 	if err != nil {
 		return nil, err
 	}
+	config.TLSConfig = d.trust
 	return pgx.ConnectConfig(ctx, config)
 }
 
--- /dev/null
+++ b/cmd/internal/selfsigned/selfsigned.go
@@ -0,0 +1,52 @@
+// Package selfsigned makes certificates for measurements and tests.
+package selfsigned
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+)
+
+// validity outlasts every measurement and test.
+const validity = 24 * time.Hour
+
+// Pair is a certificate that signs itself, for both ends of a connection on 127.0.0.1, and its
+// ECDSA P-256 key, both in PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// New returns a new pair.
+func New() (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, err
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(now.UnixNano()),
+		NotBefore:             now.Add(-time.Hour),
+		NotAfter:              now.Add(validity),
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return Pair{}, err
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, err
+	}
+	return Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}),
+	}, nil
+}
--- /dev/null
+++ b/cmd/internal/serve/certificate_test.go
@@ -0,0 +1,78 @@
+package serve
+
+import (
+	"bytes"
+	"encoding/pem"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/selfsigned"
+)
+
+// Guards against an instance that shows an expired certificate until it is restarted, and against
+// one that refuses all callers because a replacement was incomplete or wrong.
+func TestCertificateFollowsFiles(t *testing.T) {
+	dir := t.TempDir()
+	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	write := func(name string, content []byte) {
+		t.Helper()
+		if err := os.WriteFile(name, content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first, second := newPair(t), newPair(t)
+	write(cert, first.Certificate)
+	write(key, first.Key)
+	log, hook := logtest.NewNullLogger()
+	log.SetLevel(logrus.InfoLevel)
+	c, err := newCertificate(cert, key, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := c.checked
+	c.now = func() time.Time { return now }
+	expect := func(when string, want selfsigned.Pair, event string) {
+		t.Helper()
+		block, _ := pem.Decode(want.Certificate)
+		if !bytes.Equal(c.current().Certificate[0], block.Bytes) {
+			t.Errorf("%s: another certificate is shown", when)
+		}
+		logged := ""
+		if e := hook.LastEntry(); e != nil {
+			logged, _ = e.Data["event"].(string)
+		}
+		if logged != event {
+			t.Errorf("%s: event %q, want %q", when, logged, event)
+		}
+		hook.Reset()
+	}
+	expect("unchanged", first, "")
+	write(cert, append([]byte("\n"), second.Certificate...))
+	expect("before the next look", first, "")
+	now = now.Add(certificateCheck)
+	expect("certificate without its key", first, EventCertificateUnusable)
+	now = now.Add(certificateCheck)
+	expect("still without its key", first, "")
+	write(key, append([]byte("\n"), second.Key...))
+	now = now.Add(certificateCheck)
+	expect("both replaced", second, EventCertificateRead)
+	if err := os.Remove(cert); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(certificateCheck)
+	expect("removed", second, EventCertificateUnusable)
+}
+
+func newPair(t *testing.T) selfsigned.Pair {
+	t.Helper()
+	pair, err := selfsigned.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair
+}
--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -48,9 +48,9 @@
 	f.StringVar(&c.OpsListen, "ops-listen", "127.0.0.1:6434", "IP:port for metrics, health and readiness")
 	f.StringVar(&c.StoreURL, "store", "", "address of the platform's store, such as http://127.0.0.1:7000")
 	f.BoolVar(&c.AllowPlain, "allow-plain", false, "accept callers without TLS; their keys cross the network in clear text")
-	f.StringVar(&s.tlsCert, "tls-cert", "", "PEM file with the certificate shown to callers")
+	f.StringVar(&s.tlsCert, "tls-cert", "", "PEM file with the certificate shown to callers; read again when it is replaced")
 	f.StringVar(&s.tlsKey, "tls-key", "", "PEM file with its private key")
-	f.StringVar(&s.peerCert, "peer-tls-cert", "", "PEM file with the certificate shown to other instances")
+	f.StringVar(&s.peerCert, "peer-tls-cert", "", "PEM file with the certificate shown to other instances; read again when it is replaced")
 	f.StringVar(&s.peerKey, "peer-tls-key", "", "PEM file with its private key")
 	f.StringVar(&s.peerCA, "peer-tls-ca", "", "PEM file with the authority that signed all instances' certificates")
 	f.StringVar(&c.UpstreamUser, "upstream-user", "cyclamenstile", "user of the proxy at the database servers")
@@ -126,11 +126,11 @@
 	}
 	// Not nil after a failure either, so that one wrong file is reported once.
 	s.config.TLS = &tls.Config{MinVersion: tls.VersionTLS12}
-	cert, err := tls.LoadX509KeyPair(s.tlsCert, s.tlsKey)
+	cert, err := newCertificate(s.tlsCert, s.tlsKey, s.config.Log)
 	if err != nil {
 		return errors.Wrap(err, "--tls-cert, --tls-key: can't be used; give PEM files of a certificate and its key")
 	}
-	s.config.TLS.Certificates = []tls.Certificate{cert}
+	s.config.TLS.GetCertificate = cert.forServer
 	return nil
 }
 
@@ -139,7 +139,7 @@
 	if s.peerCert == "" && s.peerKey == "" && s.peerCA == "" {
 		return nil
 	}
-	cert, err := tls.LoadX509KeyPair(s.peerCert, s.peerKey)
+	cert, err := newCertificate(s.peerCert, s.peerKey, s.config.Log)
 	if err != nil {
 		return errors.Wrap(err, "--peer-tls-cert, --peer-tls-key: can't be used; give PEM files of a certificate and its key")
 	}
@@ -152,15 +152,15 @@
 		return errors.New("--peer-tls-ca: holds no certificate; give the PEM file of the signing authority")
 	}
 	s.config.PeerServer = &tls.Config{
-		Certificates: []tls.Certificate{cert},
-		ClientCAs:    authorities,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
+		GetCertificate: cert.forServer,
+		ClientCAs:      authorities,
+		ClientAuth:     tls.RequireAndVerifyClientCert,
+		MinVersion:     tls.VersionTLS13,
 	}
 	s.config.PeerClient = &tls.Config{
-		Certificates: []tls.Certificate{cert},
-		RootCAs:      authorities,
-		MinVersion:   tls.VersionTLS13,
+		GetClientCertificate: cert.forClient,
+		RootCAs:              authorities,
+		MinVersion:           tls.VersionTLS13,
 	}
 	return nil
 }
