Close the control connections of a group view when it ends

Cause: a view that a manifest replaced or removed left its kept control connection to every server open; nothing closed them before the process ended. Change: group.Adapter has a Close, which Group.Run calls for all servers at once when it ends. A call under way gives its connection to a closed client, which closes it. Each view has clients of its own, so another view of the same servers keeps its connections. Before/after: control connections after two databases of 3 servers become one that moved (go test ./proxy/daemon -run EndedView): 9 and the test fails, 3 or fewer. Conclusion: changes of the manifest leave no connections behind.

--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -120,13 +120,14 @@
 	})
 }
 
-// connect returns the control adapters of a server.
+// connect returns the control adapters of a server for one view. Views share no connection, so that the
+// end of one cuts no probe of another.
 func (g *groups) connect(s manifest.Server) group.Adapter {
 	client, err := g.cfg.control(authority.ServerID(s.ID), s.Address)
 	if err != nil {
 		return group.Adapter{Kept: unusable{err}, Fresh: unusable{err}}
 	}
-	return group.Adapter{Kept: client, Fresh: freshServer{client}}
+	return group.Adapter{Kept: client, Fresh: freshServer{client}, Close: client.Close}
 }
 
 // freshServer probes over a new connection each time.
--- /dev/null
+++ b/proxy/daemon/databases_test.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
+	"github.com/cyclamenstile/cyclamenstile/standin/database"
+)
+
+// countedConn counts itself as open until it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// Guards against control connections that stay open at the servers when a manifest replaces or removes
+// a database, and against a removal that cuts the probes of another view of the same servers.
+func TestEndedViewClosesItsConnections(t *testing.T) {
+	servers, err := database.StartGroup(database.GroupConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer servers.Close()
+	var open atomic.Int64
+	cfg := Config{InstanceID: "i1", UpstreamUser: "proxy"}
+	cfg.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		open.Add(1)
+		return &countedConn{Conn: conn, open: &open}, nil
+	}
+	cfg.fill()
+	g := newGroups(cfg, cfg.Log, telemetry.New())
+	ctx, stop := context.WithCancel(t.Context())
+	deadline := time.Now().Add(30 * time.Second)
+	var tasks sync.WaitGroup
+	await := func(what string, done func(connections int) bool) {
+		t.Helper()
+		for !done(int(open.Load())) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: %d control connections are open", what, open.Load())
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	g.start(ctx, &tasks)
+
+	size := servers.Size()
+	g.set(manifest.Manifest{Databases: []manifest.Database{serversIn("a", "r", servers), serversIn("b", "r", servers)}})
+	await("two views keep one connection to each server", func(n int) bool { return n >= 2*size })
+	g.set(manifest.Manifest{Databases: []manifest.Database{serversIn("a", "moved", servers)}})
+	if _, err := (namedDatabase{g, "a"}).Primary(ctx); err != nil {
+		t.Errorf("view that stays: %v", err)
+	}
+	await("one view is replaced, one removed", func(n int) bool { return n <= size })
+	stop()
+	tasks.Wait()
+	await("all views have ended", func(n int) bool { return n == 0 })
+}
+
+// serversIn describes a database with all servers in one region.
+func serversIn(name, region string, g *database.Group) manifest.Database {
+	d := manifest.Database{Name: name}
+	for i := range g.Size() {
+		s := g.Server(i)
+		d.Servers = append(d.Servers, manifest.Server{ID: string(s.ID()), Address: s.Address(), Region: region})
+	}
+	return d
+}
--- a/proxy/group/config.go
+++ b/proxy/group/config.go
@@ -27,6 +27,9 @@
 	// Fresh opens a connection for each call, so that a connection gone silent doesn't hide a
 	// working server. Both may be called at the same time.
 	Fresh dbgroup.Server
+	// Close, if set, is called once when the group ends and closes what Kept and Fresh keep, also
+	// connections of calls that are still under way then.
+	Close func()
 }
 
 // Observer is told what a group does; a nil Observer is allowed. Its methods must not block.
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"math/rand"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -132,8 +133,9 @@
 	return time.Since(g.origin)
 }
 
-// Run probes and promotes until ctx ends. It is called once.
+// Run probes and promotes until ctx ends, and then closes the adapters. It is called once.
 func (g *Group) Run(ctx context.Context) error {
+	defer g.closeAdapters()
 	defer close(g.stopped)
 	g.run = ctx
 	timer := time.NewTimer(0)
@@ -151,6 +153,18 @@
 	}
 }
 
+// closeAdapters closes all adapters at the same time, because a server that went silent takes until the
+// timeout of its connection's end.
+func (g *Group) closeAdapters() {
+	var closing sync.WaitGroup
+	for _, a := range g.adapter {
+		if a.Close != nil {
+			closing.Go(a.Close)
+		}
+	}
+	closing.Wait()
+}
+
 // drainInbox takes what else is posted, so that one pass serves all of it.
 func (g *Group) drainInbox() {
 	for range inboxSize {
