Bound TLS handshakes and start-ups of callers

Cause: nothing bounded what callers that reconnect at once may use; thousands of handshakes shared the processors with the statements of connected sessions. Cancel requests still get through a reserve. Connections closed at accept are reported to the observer as well. Keepalive is set on admitted connections only.

--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
 // settings are the flags of the command.
@@ -57,6 +58,8 @@
 	f.StringVar(&s.passwordFile, "upstream-password-file", "", "file with the password of that user; empty if the servers trust the proxy")
 	f.DurationVar(&c.DrainTimeout, "drain-timeout", daemon.DefaultDrainTimeout, "time for open transactions at a planned stop")
 	f.IntVar(&c.MaxMessageBytes, "max-message-bytes", daemon.DefaultMaxMessageBytes, "largest message of a caller in bytes")
+	f.IntVar(&c.MaxStartups, "max-startups", engine.DefaultMaxStartups(), "callers that may be connecting at the same time; further ones are refused at once; the default is 256 per processor")
+	f.IntVar(&c.MaxHandshakes, "max-handshakes", engine.DefaultMaxHandshakes(), "TLS handshakes with callers that may compute at the same time; the default is half of the processors")
 	f.DurationVar(&c.ListPoll, "list-poll", daemon.DefaultListPoll, "period of reading the platform's instance list")
 	f.Float64Var(&c.ObjectiveAvailability, "objective-availability", daemon.DefaultObjectiveAvailability, "service-level objective: percentage of statements that are answered in time; the same on all instances")
 	f.DurationVar(&c.ObjectiveLatency, "objective-latency", daemon.DefaultObjectiveLatency, "service-level objective: time within which a statement is to be answered; the same on all instances")
--- a/proxy/daemon/config.go
+++ b/proxy/daemon/config.go
@@ -49,6 +49,11 @@
 	UpstreamUser     string
 	UpstreamPassword string
 
+	// MaxStartups bounds the connections of callers in start-up, and MaxHandshakes those whose TLS
+	// handshake computes at the same time.
+	MaxStartups   int
+	MaxHandshakes int
+
 	DrainTimeout    time.Duration
 	MaxMessageBytes int
 	ListPoll        time.Duration // of the platform's instance list
@@ -74,6 +79,8 @@
 func (c *Config) fill() {
 	c.DrainTimeout = cmp.Or(c.DrainTimeout, DefaultDrainTimeout)
 	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.MaxStartups = cmp.Or(c.MaxStartups, engine.DefaultMaxStartups())
+	c.MaxHandshakes = cmp.Or(c.MaxHandshakes, engine.DefaultMaxHandshakes())
 	c.ListPoll = cmp.Or(c.ListPoll, DefaultListPoll)
 	c.ObjectiveAvailability = cmp.Or(c.ObjectiveAvailability, DefaultObjectiveAvailability)
 	c.ObjectiveLatency = cmp.Or(c.ObjectiveLatency, DefaultObjectiveLatency)
@@ -140,6 +147,12 @@
 	if c.MaxMessageBytes < 1024 {
 		fault("max-message-bytes", "must be 1024 or more", "give the size of the largest statement")
 	}
+	if c.MaxStartups < 1 {
+		fault("max-startups", "must be 1 or more", "leave it out for the default")
+	}
+	if c.MaxHandshakes < 1 {
+		fault("max-handshakes", "must be 1 or more", "leave it out for the default")
+	}
 	if c.ListPoll <= 0 {
 		fault("list-poll", "must be above zero", "give a time such as 5s")
 	}
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -223,6 +223,8 @@
 		TLS:            d.cfg.TLS,
 		AllowPlain:     d.cfg.AllowPlain,
 		MaxMessageSize: d.cfg.MaxMessageBytes,
+		MaxStartups:    d.cfg.MaxStartups,
+		MaxHandshakes:  d.cfg.MaxHandshakes,
 		DrainTimeout:   d.cfg.DrainTimeout,
 		AllowRetry:     retries.allow,
 	})
--- a/proxy/engine/config.go
+++ b/proxy/engine/config.go
@@ -42,6 +42,8 @@
 	ServerVersion string
 
 	MaxSessions           int // callers connected at once, those in start-up included
+	MaxStartups           int // connections in start-up; further ones are refused at once
+	MaxHandshakes         int // TLS handshakes that compute at the same time
 	MaxStartupSize        int // bytes of a start-up packet or password message
 	MaxMessageSize        int // bytes of one message of a caller
 	MaxPipelineSize       int // bytes of the messages up to Sync
@@ -82,6 +84,8 @@
 		c.ServerVersion = "16.0"
 	}
 	orInt(&c.MaxSessions, DefaultMaxSessions)
+	orInt(&c.MaxStartups, DefaultMaxStartups())
+	orInt(&c.MaxHandshakes, DefaultMaxHandshakes())
 	orInt(&c.MaxStartupSize, DefaultMaxStartupSize)
 	orInt(&c.MaxMessageSize, DefaultMaxMessageSize)
 	orInt(&c.MaxPipelineSize, DefaultMaxPipelineSize)
--- a/proxy/engine/errors.go
+++ b/proxy/engine/errors.go
@@ -115,3 +115,9 @@
 		"this instance has no session left", "connect again later or to another instance").
 		WithRetryAfter(tooManySessionsRetry)
 }
+
+func errTooManyStartups() *outcome.Error {
+	return outcome.New(outcome.NotRun, codeTooManyConnections,
+		"too many callers connect to this instance at the same time", "connect again later or to another instance").
+		WithRetryAfter(tooManySessionsRetry)
+}
--- /dev/null
+++ b/proxy/engine/handshake.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"sync"
+)
+
+// DefaultMaxHandshakes is half of the processors, so that the other half serves connected sessions while
+// many callers reconnect.
+func DefaultMaxHandshakes() int {
+	return max(1, runtime.GOMAXPROCS(0)/2)
+}
+
+// DefaultMaxStartups lets a caller wait for a second or so before its handshake: 2.2 ms of processor time
+// each on half of the processors are 227 handshakes a second per processor.
+func DefaultMaxStartups() int {
+	return 256 * runtime.GOMAXPROCS(0)
+}
+
+// handshakeGate bounds the TLS handshakes that compute at the same time. Waiting ones are served in the
+// order of their arrival, those that have begun before new ones, so that work done is not wasted.
+type handshakeGate struct {
+	mu    sync.Mutex
+	free  int
+	begun []chan struct{}
+	fresh []chan struct{}
+}
+
+// enter waits for a place. ctx is to end with the server only: a place that is granted later is lost.
+func (g *handshakeGate) enter(ctx context.Context, begun bool) error {
+	turn := g.join(begun)
+	if turn == nil {
+		return nil
+	}
+	select {
+	case <-turn:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// join takes a free place and returns nil, or returns what is closed when a place is granted.
+func (g *handshakeGate) join(begun bool) chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.free > 0 {
+		g.free--
+		return nil
+	}
+	turn := make(chan struct{})
+	if begun {
+		g.begun = append(g.begun, turn)
+	} else {
+		g.fresh = append(g.fresh, turn)
+	}
+	return turn
+}
+
+// leave gives a place to the next one that waits.
+func (g *handshakeGate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	queue := &g.begun
+	if len(*queue) == 0 {
+		queue = &g.fresh
+	}
+	if len(*queue) == 0 {
+		g.free++
+		return
+	}
+	close((*queue)[0])
+	*queue = (*queue)[1:]
+}
+
+// gatedConn holds a place of the gate while its handshake computes and none while it waits for the
+// caller's bytes, so that slow callers hold up nobody. It is used by one goroutine.
+type gatedConn struct {
+	net.Conn
+	gate  *handshakeGate
+	ctx   context.Context // of the server
+	begun bool
+	held  bool
+	open  bool // the handshake is over
+}
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(b []byte) (int, error) {
+	if c.open {
+		return c.Conn.Read(b)
+	}
+	c.release()
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		return n, err
+	}
+	if err := c.gate.enter(c.ctx, c.begun); err != nil {
+		return 0, err
+	}
+	c.begun, c.held = true, true
+	return n, nil
+}
+
+// finish ends the part of the gate in the connection.
+func (c *gatedConn) finish() {
+	c.release()
+	c.open = true
+}
+
+func (c *gatedConn) release() {
+	if c.held {
+		c.held = false
+		c.gate.leave()
+	}
+}
--- a/proxy/engine/protocol_test.go
+++ b/proxy/engine/protocol_test.go
@@ -126,7 +126,7 @@
 	_ = c.Close(context.Background())
 }
 
-func testTLS(t *testing.T) *tls.Config {
+func testTLS(t testing.TB) *tls.Config {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		t.Fatal(err)
--- a/proxy/engine/server.go
+++ b/proxy/engine/server.go
@@ -16,9 +16,12 @@
 	acceptBackoffMin = 5 * time.Millisecond
 	acceptBackoffMax = time.Second
 
-	// startupReserve is the number of connections in start-up beyond MaxSessions, so that cancel
-	// requests and the refusal itself still get through when all sessions are taken.
+	// startupReserve is the number of connections in start-up beyond MaxSessions and MaxStartups, so
+	// that cancel requests and the refusal itself still get through when all places are taken.
 	startupReserve = 64
+	// excessTimeout bounds the start-up of a connection beyond MaxStartups, which is refused as soon
+	// as its first packet has arrived.
+	excessTimeout = time.Second
 
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find callers that went silent within
 	// about 30 s.
@@ -36,6 +39,7 @@
 	stop        context.CancelFunc
 	withdrawals withdrawals
 	statements  connectionStatements
+	handshakes  handshakeGate
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -52,14 +56,16 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	cfg = cfg.withDefaults()
 	return &Server{
-		cfg:       cfg.withDefaults(),
-		ctx:       ctx,
-		stop:      stop,
-		listeners: make(map[net.Listener]struct{}),
-		starting:  make(map[net.Conn]struct{}),
-		sessions:  make(map[uint32]*session),
-		drained:   make(chan struct{}),
+		cfg:        cfg,
+		ctx:        ctx,
+		stop:       stop,
+		handshakes: handshakeGate{free: cfg.MaxHandshakes},
+		listeners:  make(map[net.Listener]struct{}),
+		starting:   make(map[net.Conn]struct{}),
+		sessions:   make(map[uint32]*session),
+		drained:    make(chan struct{}),
 	}, nil
 }
 
@@ -106,12 +112,16 @@
 }
 
 func (s *Server) accept(conn net.Conn) {
-	setKeepAlive(conn)
-	if !s.admitConnection(conn) {
+	excess, err := s.admitConnection(conn)
+	if err != nil {
+		s.reportRefusal(conn, err)
 		_ = conn.Close()
 		return
 	}
-	go s.serveConnection(conn)
+	if !excess { // whose end is near
+		setKeepAlive(conn)
+	}
+	go s.serveConnection(conn, excess)
 }
 
 func setKeepAlive(conn net.Conn) {
@@ -128,24 +138,36 @@
 	setUserTimeout(tcp, userTimeout)
 }
 
-func (s *Server) admitConnection(conn net.Conn) bool {
+// admitConnection counts the connection and bounds its start-up. It returns whether the start-up is beyond
+// MaxStartups, or why the connection is to be closed unread.
+func (s *Server) admitConnection(conn net.Conn) (excess bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || s.open >= s.cfg.MaxSessions+startupReserve {
-		return false
+	switch {
+	case s.draining:
+		return false, errShutdown()
+	case s.open >= s.cfg.MaxSessions+startupReserve:
+		return false, errTooManySessions()
+	case len(s.starting) >= s.cfg.MaxStartups+startupReserve:
+		return false, errTooManyStartups()
+	}
+	excess = len(s.starting) >= s.cfg.MaxStartups
+	timeout := s.cfg.StartupTimeout
+	if excess {
+		timeout = min(timeout, excessTimeout)
 	}
 	// Set before the connection is known to Shutdown, which shortens it.
-	if conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)) != nil {
-		return false
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return false, err
 	}
 	s.open++
 	s.starting[conn] = struct{}{}
-	return true
+	return excess, nil
 }
 
-func (s *Server) serveConnection(conn net.Conn) {
+func (s *Server) serveConnection(conn net.Conn, excess bool) {
 	defer s.connectionDone()
-	session := s.start(conn)
+	session := s.start(conn, excess)
 	if session == nil {
 		return
 	}
@@ -153,8 +175,8 @@
 }
 
 // start runs the start-up in a frame of its own, so that its stack is free while the session idles.
-func (s *Server) start(conn net.Conn) *session {
-	session, err := s.startup(conn)
+func (s *Server) start(conn net.Conn, excess bool) *session {
+	session, err := s.startup(conn, excess)
 	s.mu.Lock()
 	delete(s.starting, conn)
 	s.mu.Unlock()
--- a/proxy/engine/startup.go
+++ b/proxy/engine/startup.go
@@ -38,11 +38,13 @@
 	srv       *Server
 	conn      net.Conn
 	encrypted bool
+	excess    bool // beyond MaxStartups: only a cancel request is served
+	mute      bool // the caller can't be told an error, since it waits for TLS
 }
 
 // startup returns a session that is ready for its first query. Its errors were told to the caller.
-func (s *Server) startup(conn net.Conn) (*session, error) {
-	st := &startup{srv: s, conn: conn}
+func (s *Server) startup(conn net.Conn, excess bool) (*session, error) {
+	st := &startup{srv: s, conn: conn, excess: excess}
 	m, err := st.firstMessage()
 	if err != nil {
 		return nil, st.fail(err)
@@ -57,7 +59,7 @@
 // fail tells the caller err if it is an outcome.
 func (st *startup) fail(err error) error {
 	e := outcome.As(err)
-	if e == nil {
+	if e == nil || st.mute {
 		return err
 	}
 	_ = st.send(errorResponse(severityFatal, e))
@@ -137,11 +139,19 @@
 		_, err := st.conn.Write([]byte{'N'})
 		return err
 	}
+	if st.excess {
+		// An error in the place of the answer would be read by drivers as one of an old server.
+		st.mute = true
+		return errTooManyStartups()
+	}
 	if _, err := st.conn.Write([]byte{'S'}); err != nil {
 		return err
 	}
-	secure := tls.Server(st.conn, st.srv.cfg.TLS)
-	if err := secure.HandshakeContext(st.srv.ctx); err != nil {
+	gated := &gatedConn{Conn: st.conn, gate: &st.srv.handshakes, ctx: st.srv.ctx}
+	secure := tls.Server(gated, st.srv.cfg.TLS)
+	err := secure.HandshakeContext(st.srv.ctx)
+	gated.finish()
+	if err != nil {
 		return err
 	}
 	st.conn = secure
@@ -159,6 +169,9 @@
 		return nil, outcome.New(outcome.Denied, outcome.CodeInvalidAuthorization,
 			"the connection is not encrypted", "connect with TLS (sslmode=require or stricter)")
 	}
+	if st.excess {
+		return nil, errTooManyStartups()
+	}
 	binary.BigEndian.PutUint32(body, pgproto3.ProtocolVersion30)
 	var m pgproto3.StartupMessage
 	if err := m.Decode(body); err != nil {
