Show what is unhealthy in the status of the instances

Cause: directory.Config.Health was not wired, so the column HEALTH was always empty, and an instance that had stopped was shown for ever. Before/after: go test ./proxy/daemon -run Status fails without Config.Health and without the report of changes (health of the database is "" after 30 s). Conclusion: the first look tells what is wrong without knowledge of the columns.

--- a/cmd/internal/ctl/status.go
+++ b/cmd/internal/ctl/status.go
@@ -19,9 +19,14 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
 )
 
+// unreportedAfter is three times the period of the status reports.
+const unreportedAfter = 3 * directory.DefaultStatusInterval
+
 type statusResult struct {
 	StoredVersion uint64           `json:"storedVersion"` // 0 if no manifest is stored
 	Instances     []instanceStatus `json:"instances"`
+	// Problems tells how many instances have each problem.
+	Problems map[string]int `json:"problems"`
 }
 
 // instanceStatus is what an instance last reported.
@@ -30,10 +35,13 @@
 	Current bool   `json:"current"` // has the stored version in force
 	Listed  bool   `json:"listed"`  // is in the platform's list, which lags
 	Fault   string `json:"fault,omitempty"`
+	// Problems is what an operator should look at; empty if all is well.
+	Problems []string `json:"problems"`
 }
 
 func (r statusResult) writeText(w io.Writer) {
 	fmt.Fprintf(w, "stored version %d\n", r.StoredVersion)
+	r.writeProblems(w)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "INSTANCE\tVERSION\tCURRENT\tLISTED\tKEYED WORK\tREPORTED\tHEALTH")
 	for _, i := range r.Instances {
@@ -43,18 +51,52 @@
 	_ = table.Flush()
 }
 
+// writeProblems sums up, so that a long table need not be read to see what is wrong.
+func (r statusResult) writeProblems(w io.Writer) {
+	well := 0
+	for _, i := range r.Instances {
+		if len(i.Problems) == 0 {
+			well++
+		}
+	}
+	fmt.Fprintf(w, "%d of %d instance(s) well\n", well, len(r.Instances))
+	for _, p := range slices.Sorted(maps.Keys(r.Problems)) {
+		fmt.Fprintf(w, "  %s: %d instance(s)\n", p, r.Problems[p])
+	}
+}
+
 func (i instanceStatus) healthText() string {
+	if len(i.Problems) == 0 {
+		return "ok"
+	}
+	return strings.Join(i.Problems, "; ")
+}
+
+// findProblems judges the report at the present time.
+func (i *instanceStatus) findProblems(now time.Time) {
+	i.Problems = []string{} // an empty list in JSON, not null
+	add := func(found bool, problem string) {
+		if found {
+			i.Problems = append(i.Problems, problem)
+		}
+	}
 	if i.Fault != "" {
-		return i.Fault
+		add(true, i.Fault)
+		return
+	}
+	add(!i.Current, "stored version not in force")
+	add(!i.KeyedAllowed, "refuses keyed work")
+	add(!i.Listed, "not in the platform's list")
+	add(now.Sub(i.ReportedAt) > unreportedAfter, "no report for "+unreportedAfter.String()+", see whether it runs")
+	for _, part := range slices.Sorted(maps.Keys(i.Health)) {
+		add(true, part+" "+i.Health[part])
 	}
-	// fmt prints maps in the order of their keys.
-	return strings.TrimSuffix(strings.TrimPrefix(fmt.Sprint(i.Health), "map["), "]")
 }
 
 func newStatus(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
-		Short: "Show which instance has which version in force, as last reported",
+		Short: "Show which instance has which version in force and what is wrong, as last reported",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return o.withStore(cmd, func(ctx context.Context, s session) error {
@@ -96,9 +138,20 @@
 			Fault:  "no status reported yet",
 		})
 	}
+	result.judge(time.Now())
 	return result, nil
 }
 
+func (r *statusResult) judge(now time.Time) {
+	r.Problems = map[string]int{}
+	for k := range r.Instances {
+		r.Instances[k].findProblems(now)
+		for _, p := range r.Instances[k].Problems {
+			r.Problems[p]++
+		}
+	}
+}
+
 // listedInstances returns the ids in the platform's list; a missing list is empty.
 func (s session) listedInstances(ctx context.Context) (map[string]bool, error) {
 	list, err := httpstore.InstanceList{Store: s.store}.Instances(ctx)
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -27,6 +27,10 @@
 // cutOffAllowance is the time beyond the drain timeout after which a stop cuts connections.
 const cutOffAllowance = 10 * time.Second
 
+// retireTimeout bounds the removal of the status at a stop, which must not hold it up while the store is
+// down.
+const retireTimeout = time.Second
+
 // homeConnsKept bounds the idle connections to a home instance, each of which carries one checked-out
 // connection at a time. Servers have up to 50 connections.
 const homeConnsKept = 64
@@ -54,6 +58,8 @@
 	burn      *burn.Meter
 
 	stopping atomic.Bool
+	// endReports stops the directory and waits for its end; set by start.
+	endReports func()
 }
 
 // New checks the settings, listens and assembles the instance.
@@ -100,7 +106,8 @@
 
 // start runs everything but the listener for callers.
 func (d *Daemon) start(ctx context.Context, tasks *sync.WaitGroup) {
-	tasks.Go(func() { d.directory.Run(ctx) })
+	d.startDirectory(ctx, tasks)
+	tasks.Go(func() { d.reportHealth(ctx) })
 	tasks.Go(func() { d.peers.Run(ctx) })
 	tasks.Go(func() { d.locator.run(ctx) })
 	tasks.Go(func() { d.pool.Run(ctx) })
@@ -115,6 +122,30 @@
 	d.groups.start(ctx, tasks)
 }
 
+// startDirectory runs the directory until ctx ends or endReports is called.
+func (d *Daemon) startDirectory(ctx context.Context, tasks *sync.WaitGroup) {
+	ctx, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	tasks.Go(func() {
+		defer close(ended)
+		d.directory.Run(ctx)
+	})
+	d.endReports = func() {
+		stop()
+		<-ended
+	}
+}
+
+// retire removes this instance's status, so that operators don't take it for one that has failed.
+func (d *Daemon) retire(ctx context.Context) {
+	d.endReports()
+	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	if err := d.directory.Retire(ctx); err != nil {
+		event(d.log, EventNotRetired).WithError(err).Warn("status was not removed; the status command shows it as not reported until the object is deleted")
+	}
+}
+
 func (d *Daemon) reportEnd(what string, err error) {
 	if err != nil && !d.stopping.Load() {
 		event(d.log, EventListenerEnded).WithError(err).Error(what + " ended; restart the instance")
@@ -124,6 +155,7 @@
 // shutdown drains callers first, hands back what this instance holds, and then closes the rest.
 func (d *Daemon) shutdown(ctx context.Context) error {
 	d.stopping.Store(true)
+	d.directory.ReportSoon()
 	event(d.log, EventStopping).WithField("drain_timeout", d.cfg.DrainTimeout).Info("instance stops taking callers and drains")
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout+cutOffAllowance)
 	defer cancel()
@@ -131,6 +163,7 @@
 	if err := d.quota.Drain(ctx); err != nil {
 		event(d.log, EventHandBackFailed).WithError(err).Warn("quota could not be handed back; it is free again when its time has passed")
 	}
+	d.retire(ctx)
 	d.pool.Close()
 	_ = d.homeCalls.Close()
 	_ = d.peerCalls.Close()
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -235,6 +235,7 @@
 		Store:    d.store,
 		Database: d.groups.database,
 		OnAdopt:  d.adopt,
+		Health:   d.health,
 		Log:      d.log,
 	})
 	return err
--- a/proxy/directory/adopt.go
+++ b/proxy/directory/adopt.go
@@ -53,11 +53,16 @@
 	if d.cfg.OnAdopt != nil {
 		d.cfg.OnAdopt(d.current.Load(), withdrawn)
 	}
+	d.ReportSoon()
+	return nil
+}
+
+// ReportSoon brings the next write of the status forward, as an adoption does. It doesn't block.
+func (d *Directory) ReportSoon() {
 	select {
-	case d.adopted <- struct{}{}:
-	default: // the status loop has not seen the previous adoption yet
+	case d.changed <- struct{}{}:
+	default: // the status loop has not seen the previous change yet
 	}
-	return nil
 }
 
 // adopt puts next in force and closes the grants that it took away.
--- a/proxy/directory/config.go
+++ b/proxy/directory/config.go
@@ -49,7 +49,7 @@
 	// OnAdopt is called for every adoption, in order, before Offer returns. It must not block
 	// and must not call Offer.
 	OnAdopt func(*manifest.Snapshot, manifest.Withdrawals)
-	// Health adds entries to the status object.
+	// Health adds entries to the status object; what is well has none. ReportSoon tells a change.
 	Health func() map[string]string
 	Log    logrus.FieldLogger
 	// Rand is used under a lock of the directory.
--- a/proxy/directory/directory.go
+++ b/proxy/directory/directory.go
@@ -40,7 +40,7 @@
 	current    atomic.Pointer[manifest.Snapshot]
 	keyedUntil atomic.Int64 // nanoseconds on the clock of Config.Now
 
-	adopted chan struct{} // wakes the status loop
+	changed chan struct{} // wakes the status loop
 }
 
 var _ engine.Directory = (*Directory)(nil)
@@ -58,7 +58,7 @@
 		grants:   map[manifest.Grant]chan struct{}{},
 
 		instances: statusInstances,
-		adopted:   make(chan struct{}, 1),
+		changed:   make(chan struct{}, 1),
 	}
 	d.keyedUntil.Store(neverKeyed)
 	return d, nil
--- a/proxy/directory/status.go
+++ b/proxy/directory/status.go
@@ -99,7 +99,7 @@
 		timer := time.NewTimer(s.due - now)
 		select {
 		case <-timer.C:
-		case <-d.adopted:
+		case <-d.changed:
 			s.spread = d.statusPace(d.cfg.StatusSpread)
 			s.gap = d.statusPace(d.cfg.StatusGap)
 			s.adopted(d.cfg.Now(), d.jitter)
