--- a/cmd/internal/ctl/script_test.go
+++ b/cmd/internal/ctl/script_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"testing"
 
@@ -51,6 +52,7 @@
 			"exits":   exits,
 			"store":   controlStore,
 			"version": derive,
+			"raise":   raise,
 			"keyhash": keyHash,
 
 			"instance": opsInstance,
@@ -105,6 +107,12 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[2]), doc, 0o600))
 }
 
+// raise FILE VERSION edits the version in a YAML file.
+func raise(ts *testscript.TestScript, _ bool, args []string) {
+	edited := regexp.MustCompile(`(?m)^version: .*$`).ReplaceAllString(ts.ReadFile(args[0]), "version: "+args[1])
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(edited), 0o600))
+}
+
 // keyHash FILE checks the JSON output of "keys new": the entry must hold the hash of the key.
 func keyHash(ts *testscript.TestScript, _ bool, args []string) {
 	var r newKeyResult
--- a/cmd/internal/ctl/status.go
+++ b/cmd/internal/ctl/status.go
@@ -46,7 +46,7 @@
 	fmt.Fprintln(table, "INSTANCE\tVERSION\tCURRENT\tLISTED\tKEYED WORK\tREPORTED\tHEALTH")
 	for _, i := range r.Instances {
 		fmt.Fprintf(table, "%s\t%d\t%t\t%t\t%t\t%s\t%s\n",
-			i.Instance, i.Version, i.Current, i.Listed, i.KeyedAllowed, i.ReportedAt.Format(time.RFC3339), i.healthText())
+			i.Instance, i.Version, i.Current, i.Listed, i.KeyedAllowed, i.reportedText(), i.healthText())
 	}
 	_ = table.Flush()
 }
@@ -65,6 +65,13 @@
 	}
 }
 
+func (i instanceStatus) reportedText() string {
+	if i.ReportedAt.IsZero() {
+		return "never"
+	}
+	return i.ReportedAt.Format(time.RFC3339)
+}
+
 func (i instanceStatus) healthText() string {
 	if len(i.Problems) == 0 {
 		return "ok"
--- a/proxy/daemon/health_test.go
+++ b/proxy/daemon/health_test.go
@@ -46,10 +46,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
-
 	_, peers, _ := d.Addresses()
 	put("instances/list", []byte(`[{"id":"i1","peerAddress":"`+peers+`"}]`))
 	m := manifest.Manifest{APIVersion: manifest.APIVersion, Version: 1,
@@ -64,6 +60,9 @@
 		t.Fatal(err)
 	}
 	put(manifest.StoreKey, doc)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
 	awaitHealth := func(want string) {
 		t.Helper()
 		var last string
