Show the fields of added items in a diff

Cause: an added database, account, key or route was one line with its path, so a review could not see what came. Change: the change holds the item's fields with their defaults, and the items in it are changes of their own. Settings that are off are left out. Before/after: "added accounts[depot-crews]" becomes "added accounts[depot-crews]: weight=2 rate=100 burst=100", followed by its keys with their hashes (cyclamenctl diff). Conclusion: a review of the diff sees all of an added item; nothing secret is in a manifest.

--- a/decision/manifest/diff.go
+++ b/decision/manifest/diff.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 )
 
 // ChangeKind tells what happened to a part of a manifest.
@@ -20,13 +21,18 @@
 	Kind ChangeKind `json:"kind"`
 	Path string     `json:"path"` // items by name, such as databases[orders].servers[orders-1].slots
 	Old  string     `json:"old,omitempty"`
-	New  string     `json:"new,omitempty"`
+	// New is the new value, or the fields of an added item with their defaults. Items that it contains
+	// are changes of their own.
+	New string `json:"new,omitempty"`
 }
 
 // String renders the change in one line.
 func (c Change) String() string {
-	if c.Kind == Changed {
+	switch {
+	case c.Kind == Changed:
 		return fmt.Sprintf("%s %s: %s -> %s", c.Kind, c.Path, c.Old, c.New)
+	case c.New != "":
+		return fmt.Sprintf("%s %s: %s", c.Kind, c.Path, c.New)
 	}
 	return fmt.Sprintf("%s %s", c.Kind, c.Path)
 }
@@ -71,13 +77,37 @@
 		case !has:
 			d.add(Change{Kind: Removed, Path: at})
 		case !had:
-			d.add(Change{Kind: Added, Path: at})
+			d.added(at, new)
 		case old.Kind() == reflect.Struct:
 			d.fields(at, old, new)
 		}
 	}
 }
 
+// added reports an item with its fields, and the items in it.
+func (d *differ) added(path string, item reflect.Value) {
+	if item.Kind() != reflect.Struct {
+		d.add(Change{Kind: Added, Path: path})
+		return
+	}
+	var fields []string
+	var lists []int
+	for i := 1; i < item.NumField(); i++ { // the first one is the name, which the path holds
+		value, tag := item.Field(i), item.Type().Field(i)
+		switch {
+		case value.Kind() == reflect.Slice && value.Type().Elem().Kind() == reflect.Struct:
+			lists = append(lists, i)
+		case value.IsZero() && strings.HasSuffix(tag.Tag.Get("json"), ",omitempty"):
+		default:
+			fields = append(fields, jsonName(tag)+"="+scalarText(value))
+		}
+	}
+	d.add(Change{Kind: Added, Path: path, New: strings.Join(fields, " ")})
+	for _, i := range lists {
+		d.items(field(path, jsonName(item.Type().Field(i))), reflect.Zero(item.Field(i).Type()), item.Field(i))
+	}
+}
+
 func scalarText(v reflect.Value) string {
 	if d, ok := v.Interface().(Duration); ok {
 		return d.Std().String()
--- a/decision/manifest/manifest_test.go
+++ b/decision/manifest/manifest_test.go
@@ -222,18 +222,23 @@
 func TestDiff(t *testing.T) {
 	from, to := testManifest(1), testManifest(2)
 	to.Databases[0].Servers[2].Leaving = true
-	to.Accounts = to.Accounts[:1]
+	to.Accounts = append(to.Accounts[:1], Account{Name: "c", Weight: 1, Rate: 5, Burst: 7, Keys: []Key{{ID: "c-1", SHA256: "00"}}})
 	to.Accounts[0].Keys = append(to.Accounts[0].Keys, Key{ID: "a-2", SHA256: SumKey("x").String()})
 	to.Routes[0].Accounts = []string{"a"}
 	to.Routes[0].ReadWait = Duration(2 * DefaultReadWait)
+	to.Routes = append(to.Routes, Route{Name: "z", Database: "orders", Accounts: []string{"a", "c"}, MaxStaleness: Duration(DefaultQueueTimeout)})
 	to.Routes[0], to.Routes[1] = to.Routes[1], to.Routes[0]
 	want := []string{
 		"changed version: 1 -> 2",
 		"changed databases[orders].servers[s2].leaving: false -> true",
-		"added accounts[a].keys[a-2]",
+		"added accounts[a].keys[a-2]: sha256=" + SumKey("x").String(),
 		"removed accounts[b]",
+		"added accounts[c]: weight=1 rate=5 burst=7",
+		"added accounts[c].keys[c-1]: sha256=00",
 		"removed routes[orders].accounts[b]",
 		"changed routes[orders].readWait: 50ms -> 100ms",
+		"added routes[z]: database=orders accounts=[a c] maxStaleness=2s acknowledge=majority sessionScope=any" +
+			" readWait=50ms statementTimeout=30s confirmTimeout=5s queueTimeout=2s",
 	}
 	got := Diff(from, to)
 	for i, c := range got {
