Apply changed settings to connected sessions

Cause: the engine kept the login from the start-up, so that a changed staleness, wait, timeout, weight or other setting of an adopted manifest applied to new logins only. Change: a session takes over the settings in force at the start of each unit; while the manifest stays the same this is one comparison. The session scope stays, and so does acknowledge: majority, since instances that have not adopted the change take samples that don't cover writes of the primary alone. Before/after: go test ./proxy/engine -run ChangedRoute fails without the refresh. Conclusion: an adopted manifest is in force for connected callers too.

--- a/proxy/directory/directory.go
+++ b/proxy/directory/directory.go
@@ -118,7 +118,7 @@
 		withdrawn = make(chan struct{})
 		d.grants[grant] = withdrawn
 	}
-	login := engine.Login{KeyID: grant.KeyID, Withdrawn: withdrawn}
+	login := engine.Login{KeyID: grant.KeyID, Version: snapshot.Version(), Withdrawn: withdrawn}
 	login.Route, _ = snapshot.Route(grant.Route)
 	login.Account, _ = snapshot.Account(grant.Account)
 	return login, nil
@@ -137,21 +137,24 @@
 	return nil
 }
 
-// Refresh returns the login with the settings of its route and account that are now in force.
-func (d *Directory) Refresh(l engine.Login) (engine.Login, error) {
-	if err := d.Check(l); err != nil {
-		return l, err
-	}
+// Refresh implements engine.Directory. It costs one comparison while the manifest stays the same.
+func (d *Directory) Refresh(l *engine.Login) {
 	snapshot := d.current.Load()
+	if snapshot == nil || snapshot.Version() == l.Version {
+		return
+	}
 	route, ok := snapshot.Route(l.Route.Name)
-	if !ok {
-		return l, errWithdrawn()
+	if !ok || route.Database != l.Route.Database {
+		return
 	}
-	l.Route = route
 	if l.KeyID != "" {
-		l.Account, _ = snapshot.Account(l.Account.Name)
+		account, ok := snapshot.Account(l.Account.Name)
+		if !ok {
+			return
+		}
+		l.Account = account
 	}
-	return l, nil
+	l.Route, l.Version = route, snapshot.Version()
 }
 
 // Database implements engine.Directory.
--- a/proxy/directory/directory_test.go
+++ b/proxy/directory/directory_test.go
@@ -263,7 +263,9 @@
 					t.Errorf("%s: Check = %v", name, err)
 				}
 			}
-			if refreshed, err := f.Refresh(logins["a orders"]); err == nil && c.name == "setting" && (!refreshed.Route.ReadOnly || refreshed.Account.Weight != 9) {
+			refreshed := logins["a orders"]
+			f.Refresh(&refreshed)
+			if c.name == "setting" && (!refreshed.Route.ReadOnly || refreshed.Account.Weight != 9 || refreshed.Version != 2) {
 				t.Errorf("Refresh = %+v, want the settings in force", refreshed)
 			}
 		})
--- a/proxy/engine/deps.go
+++ b/proxy/engine/deps.go
@@ -108,6 +108,8 @@
 	Route   manifest.Route // with defaults filled in
 	Account manifest.Account
 	KeyID   string
+	// Version is that of the manifest from which Route and Account were taken.
+	Version uint64
 	// Withdrawn is closed when the key, the account or its right to the route is withdrawn.
 	Withdrawn <-chan struct{}
 }
@@ -122,6 +124,9 @@
 	Authenticate(route, account, key string) (Login, error)
 	// Check reports whether statements of this login may run now.
 	Check(l Login) error
+	// Refresh brings the settings of l's route and account up to date with the manifest in force. It
+	// leaves a login as it is whose right is gone, which Check reports.
+	Refresh(l *Login)
 	// Database returns the view of a database by its manifest name.
 	Database(name string) (Database, error)
 }
--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -96,6 +96,7 @@
 	dials   int
 	dropped int
 	inUse   int
+	last    AcquireRequest
 	ended   int // statements whose slot was given back before their connection
 }
 
@@ -111,6 +112,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inUse++
+	p.last = r
 	if free := p.idle[r.Target.Address]; len(free) > 0 {
 		p.idle[r.Target.Address] = free[:len(free)-1]
 		return free[len(free)-1], nil
@@ -157,6 +159,12 @@
 	_ = c.Close()
 }
 
+func (p *fakePool) lastRequest() AcquireRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
 func (p *fakePool) counts() (dials, dropped, inUse int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -175,7 +183,9 @@
 // fakeDirectory knows the account "depot" with the key "secret".
 type fakeDirectory struct {
 	db        *fakeDatabase
+	mu        sync.Mutex
 	route     manifest.Route
+	weight    int
 	withdrawn chan struct{}
 }
 
@@ -195,6 +205,19 @@
 
 func (d *fakeDirectory) Check(Login) error { return nil }
 
+func (d *fakeDirectory) Refresh(l *Login) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.Route, l.Account.Weight = d.route, d.weight
+}
+
+// change edits what later statements are to run by.
+func (d *fakeDirectory) change(f func(route *manifest.Route, weight *int)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(&d.route, &d.weight)
+}
+
 func (d *fakeDirectory) Database(string) (Database, error) { return d.db, nil }
 
 // recorder keeps what the Observer was told.
--- a/proxy/engine/lifecycle_test.go
+++ b/proxy/engine/lifecycle_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -225,6 +226,38 @@
 	<-r.rec.closed
 }
 
+// Guards against connected sessions that go on by the settings of their login, against settings that change
+// the state with which a session began, and against writes that are acknowledged by less than it began with.
+func TestChangedRouteAppliesToConnectedSessions(t *testing.T) {
+	r := newRig(t)
+	c, open := r.connect(), r.connect()
+	queryText(t, c, "select 1")
+	exec(t, open, "begin")
+	exec(t, open, "insert a")
+	r.dir.change(func(route *manifest.Route, weight *int) {
+		route.MaxStaleness, route.ReadWait, route.QueueTimeout = manifest.Duration(time.Minute), 7, 9
+		route.SessionScope, route.Acknowledge = manifest.ScopeConnection, manifest.AcknowledgePrimary
+		*weight = 5
+	})
+	var byMajority atomic.Bool
+	r.db.setConfirm(func(context.Context) error { byMajority.Store(true); return nil })
+	queryText(t, c, "select 2")
+	if got := r.db.lastRead(); got.MaxStaleness != time.Minute || got.Wait != 7 {
+		t.Errorf("read placed by %+v, want the route's new settings", got)
+	}
+	if got := r.pool.lastRequest(); got.Weight != 5 || got.Timeout != 9 {
+		t.Errorf("connection asked for by %+v, want the new weight and timeout", got)
+	}
+	exec(t, c, "insert b")
+	if !byMajority.Load() {
+		t.Error("a session that began with majority acknowledges a write without it")
+	}
+	r.dir.change(func(route *manifest.Route, _ *int) { route.ReadOnly = true })
+	wantCode(t, c, "insert c", outcome.CodeReadOnly)
+	exec(t, open, "insert d")
+	exec(t, open, "commit")
+}
+
 // Guards against a graceful shutdown cutting statements or transactions, and against idle sessions
 // holding it up.
 func TestShutdown(t *testing.T) {
--- a/proxy/engine/receive.go
+++ b/proxy/engine/receive.go
@@ -5,12 +5,16 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/statement"
 )
 
 // handle takes one message of the caller. An error ends the session.
 func (n *session) handle(m pgproto3.FrontendMessage) error {
+	if n.unit == nil {
+		n.refresh() // once a unit, so that all of it runs by the same settings
+	}
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		return n.query(m)
@@ -28,6 +32,18 @@
 	return n.extended(m)
 }
 
+// refresh takes over the settings of the manifest in force. The session scope is the one under which the
+// session's state began. A session that acknowledges by majority goes on to do so: other instances may not
+// have adopted the manifest yet, and their samples wouldn't cover writes that only the primary has.
+func (n *session) refresh() {
+	before := n.login.Route
+	n.srv.cfg.Directory.Refresh(&n.login)
+	n.login.Route.SessionScope = before.SessionScope
+	if before.Acknowledge == manifest.AcknowledgeMajority {
+		n.login.Route.Acknowledge = before.Acknowledge
+	}
+}
+
 func (n *session) query(m *pgproto3.Query) error {
 	if n.unit != nil {
 		return errProtocol("a simple query came before the Sync of an extended one")
