Bound the cost of a call in the fair queue

Cause: above 1,024 accounts forgetIdle looked at all of them for each new one, and every grant, expiry and estimate looked at all known accounts to find those that wait. Change: forgetIdle looks at four accounts in turn, in an order that depends on the inputs only, which keeps idle ones at a quarter at most. Accounts that wait are kept apart. Conclusion: the queue's cost follows the accounts that wait.

--- a/decision/fairqueue/doc.go
+++ b/decision/fairqueue/doc.go
@@ -9,4 +9,5 @@
 //   - A request that can't be granted before its deadline is refused when it arrives, or on the
 //     first call after its deadline.
 //   - Memory is bounded by Config.QueuePerAccount requests for each account.
+//   - The cost of a call grows with the accounts that wait, not with those that are known.
 package fairqueue
--- a/decision/fairqueue/queue.go
+++ b/decision/fairqueue/queue.go
@@ -1,6 +1,7 @@
 package fairqueue
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,8 +13,13 @@
 // holdSmoothing is the weight of the newest hold time in the moving average.
 const holdSmoothing = 0.1
 
-// idleAccounts is the number of idle accounts above which their tags are forgotten.
-const idleAccounts = 1024
+const (
+	// idleAccounts is the number of accounts from which on the tags of idle ones are forgotten.
+	idleAccounts = 1024
+	// forgetStep is the number of accounts looked at for each new one. With four, idle accounts become
+	// fewer, although new ones come, as soon as they are more than a quarter.
+	forgetStep = 4
+)
 
 // Config holds the limits of one server's queue.
 type Config struct {
@@ -77,6 +83,9 @@
 	cfg      Config
 	virtual  float64
 	accounts map[string]*account
+	backlog  map[string]*account // those with waiting requests
+	order    []string            // names of the accounts, in an order that depends on the inputs only
+	cursor   int                 // in order, of the account that forgetIdle looks at next
 	running  map[RequestID]running
 	conns    int
 	waiting  int
@@ -88,6 +97,7 @@
 	return &Queue{
 		cfg:      cfg,
 		accounts: make(map[string]*account),
+		backlog:  make(map[string]*account),
 		running:  make(map[RequestID]running),
 		hold:     initialHold,
 	}
@@ -113,6 +123,7 @@
 	}
 	a.finish = w.start + w.cost
 	a.queue = append(a.queue, w)
+	q.backlog[r.Account] = a
 	q.waiting++
 	return Decision{Verdict: Queued}
 }
@@ -159,6 +170,7 @@
 	}
 	a.queue = slices.Delete(a.queue, i, i+1)
 	q.waiting--
+	q.settle(name, a)
 	return true
 }
 
@@ -166,7 +178,7 @@
 func (q *Queue) Expire(now time.Duration) []RequestID {
 	var expired []RequestID
 	for _, name := range q.names() {
-		a := q.accounts[name]
+		a := q.backlog[name]
 		a.queue = slices.DeleteFunc(a.queue, func(w waiting) bool {
 			if w.Deadline > now {
 				return false
@@ -174,6 +186,7 @@
 			expired = append(expired, w.ID)
 			return true
 		})
+		q.settle(name, a)
 	}
 	q.waiting -= len(expired)
 	return expired
@@ -191,11 +204,19 @@
 		w := a.queue[0]
 		a.queue = slices.Delete(a.queue, 0, 1)
 		q.waiting--
+		q.settle(w.Account, a)
 		q.grant(now, a, w)
 		granted = append(granted, w.ID)
 	}
 }
 
+// settle takes an account without waiting requests out of the backlog.
+func (q *Queue) settle(name string, a *account) {
+	if len(a.queue) == 0 {
+		delete(q.backlog, name)
+	}
+}
+
 // Waiting returns the number of queued requests.
 func (q *Queue) Waiting() int {
 	return q.waiting
@@ -212,22 +233,37 @@
 		q.forgetIdle()
 		a = &account{hold: q.hold}
 		q.accounts[name] = a
+		q.order = append(q.order, name)
 	}
 	return a
 }
 
-// forgetIdle drops accounts whose tags no longer matter, to bound memory.
+// forgetIdle drops accounts whose tags no longer matter, to bound memory. A call looks at a few accounts in
+// turn, so that its cost doesn't grow with their number.
 func (q *Queue) forgetIdle() {
-	if len(q.accounts) < idleAccounts {
-		return
-	}
-	for name, a := range q.accounts {
-		if len(a.queue) == 0 && a.held == 0 && a.finish <= q.virtual {
-			delete(q.accounts, name)
+	for range forgetStep {
+		if len(q.order) < idleAccounts {
+			return
 		}
+		q.cursor %= len(q.order)
+		name := q.order[q.cursor]
+		if !q.idle(q.accounts[name]) {
+			q.cursor++
+			continue
+		}
+		delete(q.accounts, name)
+		last := len(q.order) - 1
+		q.order[q.cursor] = q.order[last]
+		q.order[last] = ""
+		q.order = q.order[:last]
 	}
 }
 
+// idle reports whether an account that is forgotten and comes again gets the same place.
+func (q *Queue) idle(a *account) bool {
+	return len(a.queue) == 0 && a.held == 0 && a.finish <= q.virtual
+}
+
 // stamp gives r its place in virtual time.
 func (q *Queue) stamp(a *account, r Request) waiting {
 	r.Weight = max(r.Weight, 1)
@@ -258,8 +294,8 @@
 func (q *Queue) next(now time.Duration) *account {
 	var best *account
 	for _, name := range q.names() {
-		a := q.accounts[name]
-		if len(a.queue) == 0 || a.queue[0].Deadline <= now || !q.fits(a.queue[0].Request) {
+		a := q.backlog[name]
+		if a.queue[0].Deadline <= now || !q.fits(a.queue[0].Request) {
 			continue
 		}
 		if best == nil || a.queue[0].start < best.queue[0].start {
@@ -273,7 +309,7 @@
 // all slots, plus what is left of one statement in execution.
 func (q *Queue) estimate(w waiting) time.Duration {
 	var ahead time.Duration
-	for _, a := range q.accounts {
+	for _, a := range q.backlog {
 		ahead += time.Duration(a.ahead(w.start)) * a.hold
 	}
 	return (ahead + q.hold) / time.Duration(max(q.cfg.Slots, 1))
@@ -290,16 +326,9 @@
 	return i
 }
 
-// names lists the accounts in a fixed order, so that equal inputs give equal grants.
+// names lists the accounts with waiting requests in a fixed order, so that equal inputs give equal grants.
 func (q *Queue) names() []string {
-	names := make([]string, 0, len(q.accounts))
-	for name, a := range q.accounts {
-		if len(a.queue) > 0 {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(q.backlog))
 }
 
 func smooth(average, sample time.Duration) time.Duration {
--- a/decision/fairqueue/queue_test.go
+++ b/decision/fairqueue/queue_test.go
@@ -212,3 +212,69 @@
 			slots, len(m.running), conns, m.conns, m.q.Waiting(), len(m.queued))
 	}
 }
+
+// Guards against memory that grows with every account that ever came, against forgetting an account that
+// holds a slot, and against a new account that costs a look at all others.
+func TestIdleAccountsAreForgottenInSteps(t *testing.T) {
+	const busy, passing = 3 * idleAccounts, 20 * idleAccounts
+	q := New(Config{Slots: busy + 1, Connections: busy + 1, QueuePerAccount: 1})
+	run := func(now time.Duration, id RequestID, account string) {
+		if d := q.Submit(now, Request{ID: id, Account: account, Deadline: 1 << 62}); d.Verdict != Granted {
+			t.Fatalf("request %d: %+v", id, d)
+		}
+	}
+	end := func(now time.Duration, id RequestID) {
+		q.ReleaseSlot(now, id)
+		q.ReleaseConnection(now)
+	}
+	for id := range RequestID(busy) {
+		run(0, id, fmt.Sprint(id))
+	}
+	for id := RequestID(busy); id < busy+passing; id++ {
+		now := time.Duration(id) * ms
+		before, known := q.cursor, len(q.order)
+		run(now, id, fmt.Sprint(id))
+		looked := q.cursor - before
+		if looked < 0 {
+			looked += known // the turn has begun anew
+		}
+		if looked > forgetStep {
+			t.Fatalf("a new account cost a look at %d others", looked)
+		}
+		end(now+ms, id)
+		run(now, busy+passing+id, "steady") // its requests move the virtual time
+		end(now+ms, busy+passing+id)
+	}
+	if n := len(q.accounts); n < busy || n > busy+passing/10 || n != len(q.order) {
+		t.Errorf("%d accounts are known, %d in order, want the %d busy ones and few others", n, len(q.order), busy)
+	}
+	for id := range RequestID(busy) {
+		if q.accounts[fmt.Sprint(id)] == nil {
+			t.Fatalf("account %d was forgotten while it holds a slot", id)
+		}
+	}
+}
+
+// BenchmarkNewAccount measures the first request of an account beside accounts that hold slots.
+func BenchmarkNewAccount(b *testing.B) {
+	for _, present := range []int{500, 5_000, 50_000} {
+		b.Run(fmt.Sprint("present=", present), func(b *testing.B) {
+			q := New(Config{Slots: 1 << 40, Connections: 1 << 40, QueuePerAccount: 1})
+			names := make([]string, present+1)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+			}
+			for i := range present {
+				q.Submit(0, Request{ID: RequestID(i), Account: names[i], Deadline: 1 << 62})
+			}
+			now, id := time.Duration(0), RequestID(present)
+			for b.Loop() {
+				id++
+				now += ms
+				q.Submit(now, Request{ID: id, Account: fmt.Sprint("new", id), Deadline: 1 << 62})
+				q.ReleaseSlot(now+ms, id)
+				q.ReleaseConnection(now + ms)
+			}
+		})
+	}
+}
