Report a database without a majority in the status

Cause: a test that kills the servers one by one showed a database as served while its primary answered alone, although no write can be confirmed then. Change: the health names a lost majority. Before/after: go test ./cmd/internal/local -run StatusShows; before, the status held only the silent servers for 30 s. Conclusion: the first look shows every database on which writes can't succeed.

--- /dev/null
+++ b/cmd/internal/local/status_test.go
@@ -0,0 +1,65 @@
+package local_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
+)
+
+// Guards against a status that doesn't tell what is wrong with an instance or its databases, that goes on
+// telling it when it is over, or that stays behind when the instance has stopped.
+func TestStatusShowsHealth(t *testing.T) {
+	d := start(t, local.Config{Instances: 1, Accounts: oneAccount(), Routes: oneRoute()})
+	client, err := httpstore.New(httpstore.Config{BaseURL: d.Store.URL()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	await := func(what string, done func(status directory.Status, err error) bool) {
+		t.Helper()
+		for limit := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			var status directory.Status
+			object, err := client.Get(t.Context(), directory.StatusPrefix+d.Instances[0].ID)
+			_ = json.Unmarshal(object.Value, &status)
+			if done(status, err) {
+				return
+			}
+			if time.Now().After(limit) {
+				t.Fatalf("%s: status is %+v, %v", what, status, err)
+			}
+		}
+	}
+	part := "database " + local.DatabaseName
+	await("all is well", func(s directory.Status, _ error) bool { return s.Version > 0 && len(s.Health) == 0 })
+	d.Group.Kill(2)
+	await("server is killed", func(s directory.Status, _ error) bool { return s.Health[part] == "gets no answer from s3" })
+	open, err := connect(t, d, 0).Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Instances[0].Stop() }()
+	await("instance drains", func(s directory.Status, _ error) bool { return s.Health["instance"] == "drains" })
+	d.Group.Kill(1)
+	await("majority is killed", func(s directory.Status, _ error) bool {
+		return s.Health[part] == "has no majority, gets no answer from s2 s3"
+	})
+	d.Group.Kill(0)
+	await("all are killed", func(s directory.Status, _ error) bool {
+		return strings.HasPrefix(s.Health[part], "has no primary, has no majority")
+	})
+	_ = open.Rollback(context.Background())
+	if err := <-stopped; err != nil {
+		t.Errorf("instance stopped with %v", err)
+	}
+	await("instance has stopped", func(_ directory.Status, err error) bool { return errors.Is(err, platform.ErrNotFound) })
+}
--- a/proxy/daemon/health.go
+++ b/proxy/daemon/health.go
@@ -31,7 +31,7 @@
 	return health
 }
 
-// health lists the databases without a primary or with silent servers.
+// health lists the databases without a primary or a majority, or with silent servers.
 func (g *groups) health() map[string]string {
 	health := make(map[string]string)
 	for name, view := range g.views() {
@@ -89,6 +89,9 @@
 	if !h.Primary {
 		problems = append(problems, "has no primary")
 	}
+	if !h.Majority {
+		problems = append(problems, "has no majority")
+	}
 	if len(h.Silent) > 0 {
 		problems = append(problems, "gets no answer from "+joinServers(h.Silent))
 	}
--- a/proxy/group/health.go
+++ b/proxy/group/health.go
@@ -4,11 +4,12 @@
 
 // Health is what an operator has to know about a group.
 type Health struct {
-	Primary bool                 // one takes writes
-	Silent  []authority.ServerID // servers that don't answer probes
+	Primary  bool                 // a server takes writes
+	Majority bool                 // so many servers answer that writes can be confirmed
+	Silent   []authority.ServerID // servers that don't answer probes
 }
 
-// Health returns the present state as this instance sees it; without any view yet there is no primary.
+// Health returns the present state as this instance sees it; without any view yet there is none.
 func (g *Group) Health() Health {
 	p := g.published.Load()
 	if p == nil {
@@ -20,5 +21,7 @@
 			h.Silent = append(h.Silent, s.ID)
 		}
 	}
+	servers := len(p.view.Servers)
+	h.Majority = servers-len(h.Silent) >= authority.Majority(servers)
 	return h
 }
