--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -72,6 +72,7 @@
 		have, ok := g.members[d.Name]
 		if ok && !have.group.Serves(d.Servers) {
 			have.stop()
+			delete(g.members, d.Name)
 			ok = false
 		}
 		if !ok {
@@ -125,13 +126,14 @@
 	})
 }
 
-// connect returns the control adapters of a server.
+// connect returns the control adapters of a server for one view. Views share no connection, so that the
+// end of one cuts no probe of another.
 func (g *groups) connect(s manifest.Server) group.Adapter {
 	client, err := g.cfg.control(authority.ServerID(s.ID), s.Address)
 	if err != nil {
 		return group.Adapter{Kept: unusable{err}, Fresh: unusable{err}}
 	}
-	return group.Adapter{Kept: client, Fresh: freshServer{client}}
+	return group.Adapter{Kept: client, Fresh: freshServer{client}, Close: client.Close}
 }
 
 // freshServer probes over a new connection each time.
@@ -239,6 +241,7 @@
 		Store:    d.store,
 		Database: d.groups.database,
 		OnAdopt:  d.adopt,
+		Health:   d.health,
 		Log:      d.log,
 	})
 	return err
