--- a/proxy/engine/autocommit.go
+++ b/proxy/engine/autocommit.go
@@ -16,6 +16,8 @@
 	// wait has full jitter, so that sessions that failed together don't come back together.
 	retryBackoffMin = 5 * time.Millisecond
 	retryBackoffMax = 200 * time.Millisecond
+	// maxHomes is how many refusals as "not home" one unit follows: two more than a single failure needs.
+	maxHomes = 3
 	// maxBackoffDoublings keeps the back-off from overflowing.
 	maxBackoffDoublings = 10
 	// failoverRetry is the time after which a caller may try again when a server failed or is being
@@ -34,6 +36,7 @@
 	exclude     []authority.ServerID
 	// waitUntil is until when a write that is known not to have run waits for a new primary.
 	waitUntil time.Time
+	homes     int  // that refused because another one holds the server's connections now
 	primary   bool // the last failure proves that the write did not run on the primary
 }
 
@@ -48,7 +51,7 @@
 	for {
 		a.number++
 		report.Attempts = a.number
-		up, e, again := n.connect(ctx, a)
+		up, e, again := n.connect(ctx, u, a)
 		if e != nil && again && n.mayRetry(ctx, a) {
 			continue
 		}
@@ -57,6 +60,7 @@
 		}
 		n.reportTarget(report, up, started)
 		r := n.relay(ctx, up, u, a.plan)
+		report.Wait += up.waited()
 		report.Run = time.Since(started) - report.Wait
 		e, again, err := n.settle(ctx, up, u, a, &r, report)
 		if err != nil {
@@ -119,26 +123,45 @@
 }
 
 // connect chooses a server and gets a connection to it. again tells that another try may help.
-func (n *session) connect(ctx context.Context, a *attempt) (up *upstream, e *outcome.Error, again bool) {
+func (n *session) connect(ctx context.Context, u *unit, a *attempt) (up *upstream, e *outcome.Error, again bool) {
 	target, e := n.choose(ctx, a)
 	if e != nil {
 		return nil, e, false
 	}
 	conn, err := n.srv.cfg.Pool.Acquire(ctx, AcquireRequest{
-		Target:  target,
-		Account: n.login.Account.Name,
-		Weight:  n.login.Account.Weight,
-		Timeout: n.login.Route.QueueTimeout.Std(),
+		Target:   target,
+		Account:  n.login.Account.Name,
+		Weight:   n.login.Account.Weight,
+		Timeout:  n.login.Route.QueueTimeout.Std(),
+		Deferred: true,
+		WholeUse: !u.taints,
 	})
 	if err != nil {
 		e := n.waitError(ctx, err)
-		a.exclude = append(a.exclude, target.Server)
-		a.primary = !a.read && isConnectionFailure(e)
-		return nil, e, e.Kind == outcome.NotRun && (a.read || a.primary)
+		return nil, e, a.refused(target, e)
 	}
 	return n.srv.newUpstream(conn, target), nil, false
 }
 
+// refused notes that no connection to t was granted. It reports whether another try may help.
+func (a *attempt) refused(t Target, e *outcome.Error) bool {
+	a.exclude = append(a.exclude, t.Server)
+	a.primary = !a.read && isConnectionFailure(e)
+	return e.Kind == outcome.NotRun && (a.read || a.primary)
+}
+
+// homeMoved notes that the connections of a server are held elsewhere now. It reports whether the unit is
+// placed again without counting an attempt.
+func (a *attempt) homeMoved() bool {
+	a.homes++
+	if a.homes > maxHomes {
+		return false
+	}
+	a.number--
+	a.moved = true
+	return true
+}
+
 // isConnectionFailure tells a server that can't be reached, where another target may help, from a
 // full queue, where a repeated write would only add to the load.
 func isConnectionFailure(e *outcome.Error) bool {
--- a/proxy/engine/deps.go
+++ b/proxy/engine/deps.go
@@ -10,6 +10,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 )
 
@@ -89,6 +90,36 @@
 	Account string
 	Weight  int
 	Timeout time.Duration // in the queue
+	// Deferred allows a connection whose grant is still to come. Its first write then goes with the
+	// request, and if that is refused, reads return *RefusedError.
+	Deferred bool
+	// WholeUse promises that the first flush of a deferred connection holds all that it is needed for,
+	// unless it leaves a transaction open. The pool may take the connection back at the end of the
+	// answer; what is done with it afterwards has no effect.
+	WholeUse bool
+}
+
+// RefusedError is the error of reads on a deferred connection that was not granted. It proves that
+// nothing of what was written has reached a server.
+type RefusedError struct {
+	Told  *outcome.Error // of kind NotRun
+	Moved bool           // the server's connections are held by another instance now
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return e.Told.Error()
+}
+
+// Unwrap gives the outcome that the caller is told.
+func (e *RefusedError) Unwrap() error {
+	return e.Told
+}
+
+// Waiter is implemented by connections that may have waited in a queue during their first statement.
+type Waiter interface {
+	// Waited returns the time in that queue. It is called between two statements.
+	Waited() time.Duration
 }
 
 // Pool lends connections. Acquire returns *outcome.Error of kind NotRun when it can't in time.
--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -97,6 +98,9 @@
 	dropped int
 	inUse   int
 	ended   int // statements whose slot was given back before their connection
+	// late is called for each connection; its error is that of the first read of a deferred one.
+	late     func() error
+	requests []AcquireRequest
 }
 
 type fakeConn struct {
@@ -111,6 +115,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inUse++
+	p.requests = append(p.requests, r)
+	if err := p.lateError(r); err != nil {
+		return &fakeConn{discardConn{}, p, r.Target.Address, 0, pgproto3.NewFrontend(failingReader{err}, io.Discard)}, nil
+	}
 	if free := p.idle[r.Target.Address]; len(free) > 0 {
 		p.idle[r.Target.Address] = free[:len(free)-1]
 		return free[len(free)-1], nil
@@ -130,6 +138,25 @@
 	return &fakeConn{c, p, r.Target.Address, m.(*pgproto3.BackendKeyData).ProcessID, f}, nil
 }
 
+func (p *fakePool) lateError(r AcquireRequest) error {
+	if p.late == nil || !r.Deferred {
+		return nil
+	}
+	return p.late()
+}
+
+// failingReader fails the reads of a connection that was not granted.
+type failingReader struct{ err error }
+
+func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// discardConn has no other end.
+type discardConn struct{ net.Conn }
+
+func (discardConn) SetDeadline(time.Time) error { return nil }
+
+func (discardConn) Close() error { return nil }
+
 func (c *fakeConn) Frontend() *pgproto3.Frontend { return c.frontend }
 
 func (c *fakeConn) Cancel(context.Context) error {
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -461,3 +463,52 @@
 		})
 	}
 }
+
+// Guards against a refused statement that is reported as unknown, a statement in doubt that is repeated,
+// and a change of the home that uses up attempts.
+func TestLateRefusals(t *testing.T) {
+	full := outcome.New(outcome.NotRun, outcome.CodeInsufficient, "full", "wait")
+	down := outcome.New(outcome.NotRun, outcome.CodeConnectionFailure, "down", "wait")
+	canceled := outcome.New(outcome.NotRun, outcome.CodeQueryCanceled, "canceled", "none")
+	for name, test := range map[string]struct {
+		err        error
+		times      int
+		sql        string
+		idempotent bool
+		kind       string // of the caller's error, empty for success
+		acquired   int
+	}{
+		"queue full, write":              {&RefusedError{Told: full}, 1, "insert a", false, outcome.NotRun.String(), 1},
+		"queue full, read":               {&RefusedError{Told: full}, 1, "select 1", false, "", 2},
+		"server down, write":             {&RefusedError{Told: down}, 2, "insert a", false, "", 3},
+		"home moved, write":              {&RefusedError{Told: down, Moved: true}, 3, "insert a", false, "", 4},
+		"canceled in the queue, read":    {&RefusedError{Told: canceled}, 1, "select 1", false, outcome.NotRun.String(), 1},
+		"home died, write":               {io.ErrUnexpectedEOF, 1, "insert a", false, outcome.Unknown.String(), 1},
+		"home died, idempotent write":    {io.ErrUnexpectedEOF, 1, "insert a", true, "", 2},
+		"home died, read":                {io.ErrUnexpectedEOF, 1, "select 1", false, "", 2},
+		"home died, start of a write tx": {io.ErrUnexpectedEOF, 1, "begin", false, "", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, func(_ *Config, route *manifest.Route) { route.Idempotent = test.idempotent })
+			c := r.connect()
+			failures := 0
+			r.pool.late = func() error {
+				if failures == test.times {
+					return nil
+				}
+				failures++
+				return test.err
+			}
+			_, err := c.PgConn().Exec(context.Background(), test.sql).ReadAll()
+			var pg *pgconn.PgError
+			_ = errors.As(err, &pg)
+			switch {
+			case test.kind == "" && err != nil, test.kind != "" && (pg == nil || !strings.HasPrefix(pg.Detail, test.kind)):
+				t.Errorf("error %v, want %q", err, test.kind)
+			}
+			if n := len(r.pool.requests); n != test.acquired {
+				t.Errorf("%d connections asked for, want %d", n, test.acquired)
+			}
+		})
+	}
+}
--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -91,6 +91,11 @@
 
 // settleFailure handles a connection that failed before the end of the answer.
 func (n *session) settleFailure(up *upstream, a *attempt, r *result) (*outcome.Error, bool) {
+	var refused *RefusedError
+	if errors.As(r.err, &refused) {
+		up.drop()
+		return n.settleRefusal(up.target, a, refused)
+	}
 	killed := n.killedBy()
 	if killed == nil {
 		n.db.ReportFailure(up.target, r.err)
@@ -108,6 +113,18 @@
 	return errUnknown("the server's answer is missing: " + r.err.Error()), a.retry && !n.out.written
 }
 
+// settleRefusal handles a deferred connection that was not granted, which proves that the unit did not
+// run.
+func (n *session) settleRefusal(t Target, a *attempt, r *RefusedError) (*outcome.Error, bool) {
+	switch {
+	case r.Told.Code == outcome.CodeQueryCanceled:
+		return r.Told, false
+	case r.Moved && a.homeMoved():
+		return r.Told, true
+	}
+	return r.Told, a.refused(t, r.Told)
+}
+
 func (n *session) killedBy() *outcome.Error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/proxy/engine/upstream.go
+++ b/proxy/engine/upstream.go
@@ -35,6 +35,14 @@
 	return &upstream{Conn: c, frontend: f, target: t, known: &s.statements, stmts: stmts}
 }
 
+// waited returns the time in a queue that was spent during the relay.
+func (u *upstream) waited() time.Duration {
+	if w, ok := u.Conn.(Waiter); ok {
+		return w.Waited()
+	}
+	return 0
+}
+
 // giveBack releases a connection that is idle and outside a transaction.
 func (u *upstream) giveBack() {
 	reuse := !u.tainted.Load()
--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -36,9 +37,15 @@
 	return &Client{conns: conns, period: alivePeriod}
 }
 
-// Acquire checks a connection out of the home at address. Every failure is "not run": nothing of
-// a statement has been sent.
+// Acquire checks a connection out of the home at address. With r.Deferred it only connects to the
+// home, and the connection's first use may be refused. Every failure is "not run": nothing of a
+// statement has been sent.
 func (c *Client) Acquire(ctx context.Context, address string, r engine.AcquireRequest) (engine.Conn, error) {
+	return c.acquire(ctx, address, r, func() {})
+}
+
+// acquire also tells onFailure if the home turns out later not to answer or to be leaving.
+func (c *Client) acquire(ctx context.Context, address string, r engine.AcquireRequest, onFailure func()) (engine.Conn, error) {
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	stream, err := c.connect(streamCtx, cancel, address)
@@ -46,8 +53,13 @@
 		cancel()
 		return nil, homeUnreachable(r, err)
 	}
-	conn := newRemoteConn(stream, cancel, c.period, func() { c.conns.Renew(address) })
-	err = conn.open(r)
+	conn := newRemoteConn(stream, cancel, r, c.period)
+	conn.onSilent = func() { c.conns.Renew(address) }
+	conn.onFailure = onFailure
+	if !r.Deferred {
+		conn.onFailure = func() {} // the caller learns it from the error
+		err = conn.openAndWait()
+	}
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -55,10 +67,19 @@
 		return conn, nil
 	}
 	conn.close()
-	if outcome.As(err) != nil {
-		return nil, err
+	return nil, acquireError(r, err)
+}
+
+// acquireError tells a refusal of the home from a home that leaves or does not answer.
+func acquireError(r engine.AcquireRequest, err error) error {
+	var refused *engine.RefusedError
+	switch {
+	case !errors.As(err, &refused):
+		return homeUnreachable(r, err)
+	case refused.Moved:
+		return &unreachableError{refused.Told}
 	}
-	return nil, homeUnreachable(r, err)
+	return refused.Told
 }
 
 // connect opens the stream. A home whose address swallows packets would hold the statement up for the
--- /dev/null
+++ b/proxy/home/deferred_test.go
@@ -0,0 +1,356 @@
+package home
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/standin/link"
+)
+
+// deferred borrows a connection whose first statement goes with the request.
+func deferred(t testing.TB, client *Client, address string, r engine.AcquireRequest) engine.Conn {
+	t.Helper()
+	r.Deferred, r.WholeUse = true, true
+	c, err := client.Acquire(t.Context(), address, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// sendQuery sends a statement without waiting for its answer.
+func sendQuery(t testing.TB, c engine.Conn, sql string) {
+	t.Helper()
+	c.Frontend().SendQuery(&pgproto3.Query{String: sql})
+	if err := c.Frontend().Flush(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// serverEnd takes the statement that reaches the server.
+func (i *instance) serverEnd(t *testing.T) *pgproto3.Backend {
+	t.Helper()
+	far := receive(t, "connection", i.pool.servers)
+	server := pgproto3.NewBackend(far, far)
+	if _, err := server.Receive(); err != nil {
+		t.Fatal(err)
+	}
+	return server
+}
+
+func answerWith(t testing.TB, server *pgproto3.Backend, messages ...pgproto3.BackendMessage) {
+	t.Helper()
+	for _, m := range messages {
+		server.Send(m)
+	}
+	if err := server.Flush(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func refusalOf(err error) *engine.RefusedError {
+	var refused *engine.RefusedError
+	errors.As(err, &refused)
+	return refused
+}
+
+// Guards against a refusal that is reported as an unknown outcome although the statement never left the
+// home, against a refusal that loses its code or its time to retry, and against a home that leaves and is
+// asked again.
+func TestDeferredRefusals(t *testing.T) {
+	full := outcome.New(outcome.NotRun, outcome.CodeInsufficient, "full", "wait").WithRetryAfter(7 * time.Millisecond)
+	for name, test := range map[string]struct {
+		prepare func(*instance)
+		during  func(*testing.T, *instance, engine.Conn)
+		code    string
+		retry   time.Duration
+		moved   bool
+	}{
+		"full queue":   {prepare: func(i *instance) { i.pool.refusal = full }, code: full.Code, retry: full.RetryAfter},
+		"leaving home": {prepare: (*instance).Leave, code: outcome.CodeCannotConnectNow, moved: true},
+		"cancel request in the queue": {
+			prepare: func(i *instance) { i.pool.block, i.pool.refusal = true, full },
+			during: func(t *testing.T, i *instance, c engine.Conn) {
+				receive(t, "request at the home", i.pool.waiting)
+				if err := c.Cancel(t.Context()); err != nil {
+					t.Error(err)
+				}
+				receive(t, "end of the wait at the home", i.pool.ended)
+			},
+			code: outcome.CodeQueryCanceled,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := serve(t)
+			test.prepare(i)
+			var passed atomic.Int64
+			r := request()
+			r.Deferred, r.WholeUse = true, true
+			c, err := newClient(t).acquire(t.Context(), i.address, r, func() { passed.Add(1) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			sendQuery(t, c, "INSERT")
+			if test.during != nil {
+				test.during(t, i, c)
+			}
+			_, err = c.Frontend().Receive()
+			refused := refusalOf(err)
+			if refused == nil || refused.Told.Kind != outcome.NotRun || refused.Told.Code != test.code ||
+				refused.Told.RetryAfter != test.retry || refused.Moved != test.moved {
+				t.Errorf("error %#v", err)
+			}
+			if (passed.Load() == 1) != test.moved {
+				t.Errorf("passed over %d times", passed.Load())
+			}
+			c.Release(false)
+		})
+	}
+}
+
+// Guards against a statement that is reported as not run, and so repeated, although the home may have
+// sent it to the server before it failed.
+func TestHomeFailsAfterOpen(t *testing.T) {
+	for name, reached := range map[string]bool{"in execution": true, "in the queue": false} {
+		t.Run(name, func(t *testing.T) {
+			i := serve(t)
+			i.pool.block = !reached
+			path, err := link.Start(i.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := deferred(t, newClient(t), path.Address(), request())
+			sendQuery(t, c, "INSERT")
+			if reached {
+				i.serverEnd(t)
+			} else {
+				receive(t, "request at the home", i.pool.waiting)
+			}
+			path.Close()
+			_, err = c.Frontend().Receive()
+			if err == nil || outcome.As(err) != nil {
+				t.Errorf("error %v, want one that proves nothing", err)
+			}
+			c.Release(true)
+			if reached && receive(t, "release at the home", i.pool.released) {
+				t.Error("the home reuses the connection of a caller that is gone")
+			}
+		})
+	}
+}
+
+// Guards against a connection in doubt that is reused, against one that is given back before its use has
+// ended, and against a caller that sees less than the whole answer.
+func TestEndOfWholeUse(t *testing.T) {
+	idle, open := &pgproto3.ReadyForQuery{TxStatus: 'I'}, &pgproto3.ReadyForQuery{TxStatus: 'T'}
+	changed := &pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"}
+	done := &pgproto3.CommandComplete{CommandTag: []byte("DONE")}
+	for name, test := range map[string]struct {
+		requests int
+		answer   []pgproto3.BackendMessage
+		ends     bool
+		reuse    bool
+	}{
+		"statement":              {1, []pgproto3.BackendMessage{done, idle}, true, true},
+		"setting changed":        {1, []pgproto3.BackendMessage{changed, done, idle}, true, false},
+		"transaction opened":     {1, []pgproto3.BackendMessage{done, open}, false, false},
+		"several requests":       {3, []pgproto3.BackendMessage{done, open, done, open, done, idle}, true, true},
+		"first of several":       {3, []pgproto3.BackendMessage{done, idle}, false, false},
+		"statement without tail": {1, []pgproto3.BackendMessage{done}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := serve(t)
+			c := deferred(t, newClient(t), i.address, request())
+			for range test.requests {
+				c.Frontend().SendQuery(&pgproto3.Query{String: "SELECT 1"})
+			}
+			if err := c.Frontend().Flush(); err != nil {
+				t.Fatal(err)
+			}
+			server := i.serverEnd(t)
+			for range test.requests - 1 {
+				if _, err := server.Receive(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			answerWith(t, server, test.answer...)
+			if test.ends && receive(t, "release at the home", i.pool.released) != test.reuse {
+				t.Errorf("connection reused: %v", !test.reuse)
+			}
+			for n, want := range test.answer {
+				if got, err := c.Frontend().Receive(); err != nil || fmt.Sprintf("%T", got) != fmt.Sprintf("%T", want) {
+					t.Fatalf("message %d is %T, error %v, want %T", n, got, err, want)
+				}
+			}
+			c.Release(false)
+			if !test.ends && receive(t, "release at the home", i.pool.released) {
+				t.Error("a connection was reused in the midst of its use")
+			}
+		})
+	}
+}
+
+// Guards against a cancel request that leaves the connection in the pool, where it may cancel the
+// statement of another caller.
+func TestCancelDropsTheConnection(t *testing.T) {
+	i := serve(t)
+	c := deferred(t, newClient(t), i.address, request())
+	sendQuery(t, c, "SELECT 1")
+	server := i.serverEnd(t)
+	if err := c.Cancel(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "cancel request at the server", i.pool.cancels)
+	answerWith(t, server, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if receive(t, "release at the home", i.pool.released) {
+		t.Error("the home reuses a connection with a cancel request under way")
+	}
+}
+
+// Guards against the only slot being held by a caller that is slow to take its answer.
+func TestSlowCallerFreesTheSlot(t *testing.T) {
+	f := startSilenceFixture(t)
+	r := engine.AcquireRequest{Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline}
+	slow := deferred(t, f.client, f.link.Address(), r)
+	sendQuery(t, slow, "SELECT 1")
+	for range 3 {
+		c := deferred(t, f.client, f.link.Address(), r)
+		if err := run(c, "SELECT 1"); err != nil {
+			t.Fatal(err)
+		}
+		c.Release(true)
+	}
+	if err := receiveAnswer(slow); err != nil {
+		t.Error(err)
+	}
+	slow.Release(true)
+}
+
+// Guards against a transaction that loses its connection with its first statement, and against a
+// statement of another incarnation than the one that it was routed by.
+func TestDeferredTransaction(t *testing.T) {
+	f := startSilenceFixture(t)
+	r := engine.AcquireRequest{Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline}
+	c := deferred(t, f.client, f.link.Address(), r)
+	for _, sql := range []string{"BEGIN", "INSERT INTO kv VALUES ('a', 'b')"} {
+		if err := run(c, sql); err != nil {
+			t.Fatalf("%s: %v", sql, err)
+		}
+	}
+	if err := f.tryAcquire(20 * time.Millisecond); outcome.As(err) == nil {
+		t.Errorf("error %v while a transaction has the only connection, want a refusal", err)
+	}
+	if err := run(c, "COMMIT"); err != nil {
+		t.Fatal(err)
+	}
+	c.Release(true)
+	r.Target.Incarnation = 2
+	stale := deferred(t, f.client, f.link.Address(), r)
+	sendQuery(t, stale, "INSERT INTO kv VALUES ('c', 'd')")
+	if _, err := stale.Frontend().Receive(); refusalOf(err) == nil {
+		t.Errorf("error %v of a statement for another incarnation, want a refusal", err)
+	}
+	stale.Release(false)
+}
+
+// Guards against a message for each piece of a long answer, and against a first row that waits for the
+// rows behind it.
+func TestAnswersAreGathered(t *testing.T) {
+	const pieces = 200
+	i := serve(t)
+	c := deferred(t, newClient(t), i.address, request())
+	sendQuery(t, c, "SELECT")
+	server := i.serverEnd(t)
+	row := &pgproto3.DataRow{Values: [][]byte{make([]byte, 100)}}
+	answerWith(t, server, row)
+	if _, err := c.Frontend().Receive(); err != nil {
+		t.Fatalf("first row: %v", err)
+	}
+	go func() {
+		for range pieces {
+			answerWith(t, server, row)
+		}
+		answerWith(t, server, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}()
+	messages := 0
+	for buf := make([]byte, chunkBytes); !c.(*remoteConn).returned.Load(); messages++ {
+		if _, err := (reader{c.(*remoteConn)}).Read(buf); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if messages > pieces/2 {
+		t.Errorf("%d messages for %d pieces", messages, pieces)
+	}
+}
+
+const (
+	// betweenRegions is the latency between regions on the design page, one way.
+	betweenRegions = 20 * time.Millisecond
+	distantSlots   = 3
+	distantCallers = 24
+)
+
+// distantRate returns the statements/s through a home in another region.
+func distantRate(t testing.TB, isDeferred bool, statements int) float64 {
+	address := startHome(t, distantSlots, NewServer)
+	path, err := link.StartDelayed(address, betweenRegions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	calls := peer.NewClient(peer.ClientConfig{KeptPerPeer: distantCallers})
+	t.Cleanup(func() { _ = calls.Close() })
+	client := NewClient(calls)
+	r := engine.AcquireRequest{
+		Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline,
+		Deferred: isDeferred, WholeUse: isDeferred,
+	}
+	var left atomic.Int64
+	left.Store(int64(statements))
+	var callers sync.WaitGroup
+	started := time.Now()
+	for range distantCallers {
+		callers.Go(func() {
+			for left.Add(-1) >= 0 {
+				c, err := client.Acquire(t.Context(), path.Address(), r)
+				if err == nil {
+					err = run(c, "SELECT 1")
+					c.Release(err == nil)
+				}
+				if err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return float64(statements) / time.Since(started).Seconds()
+}
+
+// Guards against a slot that is held while messages cross regions: 3 slots would then carry at most one
+// statement each in a round trip.
+func TestDistantHomeCarriesMoreThanRoundTrips(t *testing.T) {
+	limit := distantSlots / (2 * betweenRegions).Seconds()
+	if rate := distantRate(t, true, 10*distantCallers); rate < limit {
+		t.Errorf("%.0f statements/s, want more than %.0f", rate, limit)
+	}
+}
+
+// BenchmarkDistantHome shows the statements/s through a home in another region, with the statement sent
+// after the grant and with the request.
+func BenchmarkDistantHome(b *testing.B) {
+	for name, isDeferred := range map[string]bool{"after the grant": false, "with the request": true} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportMetric(distantRate(b, isDeferred, b.N), "statements/s")
+		})
+	}
+}
--- a/proxy/home/drain.go
+++ b/proxy/home/drain.go
@@ -68,6 +68,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.granted[o] = struct{}{}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.over = l.overdue
 }
 
@@ -121,9 +123,16 @@
 	}
 }
 
+// endStatement gives the slot back between two statements.
 func (l *loan) endStatement() error {
+	l.using.Lock()
+	defer l.using.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.conn == nil {
+		return nil
+	}
+	l.conn.EndStatement()
 	l.between = true
 	if l.over {
 		return errDrained
@@ -131,7 +140,18 @@
 	return nil
 }
 
-func (l *loan) beginStatement() error {
+// beginStatement takes a slot again.
+func (l *loan) beginStatement(timeout time.Duration) error {
+	if err := l.leaveBetween(); err != nil {
+		return err
+	}
+	if err := l.takeSlot(timeout); err != nil {
+		return sendRefused(l.stream, err)
+	}
+	return l.stream.Send(granted(0))
+}
+
+func (l *loan) leaveBetween() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.over {
@@ -141,6 +161,16 @@
 	return nil
 }
 
+func (l *loan) takeSlot(timeout time.Duration) error {
+	l.using.Lock()
+	defer l.using.Unlock()
+	conn := l.current()
+	if conn == nil {
+		return errors.New("the loan has ended")
+	}
+	return conn.BeginStatement(l.stream.Context(), timeout)
+}
+
 func notHome(reason string) *homepb.FromHome {
 	return &homepb.FromHome{Body: &homepb.FromHome_Refused{Refused: &homepb.Refused{
 		Code:    outcome.CodeCannotConnectNow,
--- a/proxy/home/home_test.go
+++ b/proxy/home/home_test.go
@@ -31,12 +31,14 @@
 	ended    chan struct{} // takes one value for each blocked Acquire that has ended
 	servers  chan net.Conn // the other ends
 	released chan bool     // the reuse flags
+	cancels  chan struct{} // cancel requests
 }
 
 func newFakePool() *fakePool {
 	return &fakePool{
 		waiting: make(chan struct{}, 1), ended: make(chan struct{}, 1),
 		servers: make(chan net.Conn, 4), released: make(chan bool, 4),
+		cancels: make(chan struct{}, 4),
 	}
 }
 
@@ -61,11 +63,16 @@
 }
 
 func (c *fakeConn) Frontend() *pgproto3.Frontend                        { return c.frontend }
-func (c *fakeConn) Cancel(context.Context) error                        { return nil }
 func (c *fakeConn) EndStatement()                                       {}
 func (c *fakeConn) BeginStatement(context.Context, time.Duration) error { return nil }
 func (c *fakeConn) Release(reuse bool)                                  { c.pool.released <- reuse }
-func (c *fakeConn) Raw() net.Conn                                       { return c.Conn }
+
+func (c *fakeConn) Cancel(context.Context) error {
+	c.pool.cancels <- struct{}{}
+	return nil
+}
+
+func (c *fakeConn) Raw() net.Conn { return c.Conn }
 
 // instance is a served home.
 type instance struct {
--- /dev/null
+++ b/proxy/home/loan.go
@@ -0,0 +1,314 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcctx"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
+)
+
+// cancelTimeout bounds a cancel request to a server.
+const cancelTimeout = 2 * time.Second
+
+// longAgo as a deadline ends pending reads and writes.
+var longAgo = time.Unix(1, 0)
+
+// loan is one connection lent over a stream. One goroutine waits for the connection and sends the
+// server's answers; another receives the borrower's messages, so that a cancel request and the
+// borrower's end are noticed in the queue too.
+//
+// Invariants:
+//   - Refused is sent only before the first byte for the server has been written.
+//   - The connection is given back once. It is reused only if its answers were complete, it is outside
+//     a transaction, no ParameterStatus came with an early end and no cancel request is under way.
+type loan struct {
+	stream  homepb.DRPCHomes_CheckoutStream
+	request engine.AcquireRequest
+	data    []byte // of Open
+	pulse   *pulse
+	answer  answer
+	waited  time.Duration // in the queue
+
+	waiting     context.Context // of the wait in the queue
+	stopWaiting context.CancelFunc
+	writable    chan struct{} // closed when the data of Open has been written
+	done        chan struct{} // closed when the loan has ended
+	gone        chan struct{} // closed when no more comes from the borrower
+
+	received atomic.Uint64 // bytes of data
+	busy     atomic.Bool   // a message is being handled
+	stopping atomic.Bool   // the borrower has ended the loan or is gone
+
+	using sync.Mutex // held while the slot is given back or taken again
+
+	mu       sync.Mutex
+	conn     LocalConn // nil before the grant and after the end
+	reuse    bool      // the borrower says that the connection may be reused
+	canceled bool      // a cancel request was received
+	cause    error     // why this instance ended the loan
+	between  bool      // no statement is in execution: the borrower has given its slot back
+	over     bool      // the loan ends as soon as it is between statements
+}
+
+func newLoan(stream homepb.DRPCHomes_CheckoutStream, open *homepb.Open, period time.Duration) *loan {
+	l := &loan{
+		stream: stream, data: open.GetData(),
+		writable: make(chan struct{}), done: make(chan struct{}), gone: make(chan struct{}),
+		request: engine.AcquireRequest{
+			Target: engine.Target{
+				Server:      authority.ServerID(open.GetServer()),
+				Incarnation: open.GetIncarnation(),
+			},
+			Account: open.GetAccount(),
+			Weight:  int(open.GetWeight()),
+			Timeout: time.Duration(open.GetTimeoutUs()) * time.Microsecond,
+		},
+	}
+	l.received.Store(uint64(len(l.data)))
+	if open.GetWholeUse() {
+		l.answer.expect(l.data)
+	}
+	l.waiting, l.stopWaiting = context.WithCancel(stream.Context())
+	l.pulse = &pulse{period: period, patience: homePatience, send: l.sendAlive, silent: l.cutOff}
+	l.pulse.start()
+	return l
+}
+
+func (l *loan) close() {
+	l.pulse.stop()
+	l.stopWaiting()
+	close(l.done)
+}
+
+func (l *loan) sendAlive() error {
+	alive := &homepb.Alive{ReceivedBytes: l.received.Load(), Busy: l.busy.Load(), Granted: l.granted()}
+	return l.stream.Send(&homepb.FromHome{Body: &homepb.FromHome_Alive{Alive: alive}})
+}
+
+func (l *loan) granted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil
+}
+
+// cutOff closes the connection to a borrower that is not heard any more, which ends all that waits
+// for the stream.
+func (l *loan) cutOff() {
+	if transport, ok := drpcctx.Transport(l.stream.Context()); ok {
+		_ = transport.Close()
+		return
+	}
+	_ = l.stream.Close()
+}
+
+// acquire waits for a connection of the local pool. Every failure is "not run".
+func (l *loan) acquire(local engine.Pool) error {
+	began := time.Now()
+	conn, err := local.Acquire(l.waiting, l.request)
+	l.waited = time.Since(began)
+	lendable, ok := conn.(LocalConn)
+	if err == nil && !ok {
+		conn.Release(true)
+		return errors.New("local pool can't lend its connections")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ended := l.canceled || l.stopping.Load()
+	if err == nil && ended {
+		conn.Release(true)
+	}
+	switch {
+	case l.canceled:
+		return errCanceled()
+	case err != nil:
+		return err
+	case ended:
+		return errors.New("the caller's instance has ended the checkout")
+	}
+	l.conn = lendable
+	return nil
+}
+
+func errCanceled() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeQueryCanceled,
+		"the statement was canceled at the caller's request before it ran", "none needed")
+}
+
+// run sends the data of Open to the server and the server's answers to the borrower until the loan
+// ends.
+func (l *loan) run() error {
+	if err := l.begin(); err != nil {
+		l.giveBack(false)
+		return sendRefused(l.stream, err)
+	}
+	close(l.writable)
+	ended, err := l.sendAnswers()
+	if ended {
+		return err
+	}
+	l.giveBack(err == nil)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cause
+}
+
+// begin returns an error only if nothing has reached the server.
+func (l *loan) begin() error {
+	if len(l.data) == 0 {
+		_ = l.stream.Send(granted(l.takeWaited())) // a broken stream ends the loan through receive
+		return nil
+	}
+	if l.isCanceled() {
+		return errCanceled()
+	}
+	n, err := l.conn.Raw().Write(l.data)
+	if n == 0 && err != nil {
+		return outcome.New(outcome.NotRun, outcome.CodeConnectionFailure,
+			"the statement could not be sent to server "+string(l.request.Target.Server)+": "+err.Error(), "retry")
+	}
+	l.data = nil
+	return nil // after a write in part the connection's read fails too
+}
+
+func (l *loan) isCanceled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.canceled
+}
+
+// end returns the connection to the pool before the end of the answer is sent, so that a slow borrower
+// doesn't hold the slot. It then waits for the borrower to close the stream.
+func (l *loan) end(last []byte) error {
+	l.mu.Lock()
+	l.reuse = !l.answer.changed && !l.stopping.Load()
+	l.mu.Unlock()
+	l.giveBack(true)
+	body := &homepb.FromHome_Last{Last: &homepb.Last{Data: last}}
+	if err := l.stream.Send(&homepb.FromHome{Body: body, WaitedUs: l.takeWaited()}); err != nil {
+		return err
+	}
+	<-l.gone
+	return nil
+}
+
+// takeWaited returns the time in the queue for the first message after the grant, in microseconds.
+func (l *loan) takeWaited() int64 {
+	waited := l.waited
+	l.waited = 0
+	return waited.Microseconds()
+}
+
+// giveBack gives the connection back, for reuse only if complete and nobody objects.
+func (l *loan) giveBack(complete bool) {
+	l.using.Lock()
+	defer l.using.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn := l.conn
+	l.conn = nil
+	// A deadline is left by the end of the loan or by a wait for more of an answer.
+	cleared := conn.SetDeadline(time.Time{}) == nil
+	conn.Release(complete && l.reuse && !l.canceled && cleared)
+}
+
+// receive handles the borrower's messages until the stream ends. It has to take all of them, since an
+// untaken one would block the drpc connection.
+func (l *loan) receive() {
+	defer close(l.gone)
+	for {
+		l.pulse.waiting.Store(true)
+		m, err := l.stream.Recv()
+		l.pulse.waiting.Store(false)
+		l.pulse.progress.Add(1)
+		if err != nil {
+			l.stop(false, nil) // the borrower is gone: the connection is in doubt
+			return
+		}
+		if release := m.GetRelease(); release != nil {
+			l.stop(release.GetReuse(), nil)
+			continue
+		}
+		if err := l.handle(m); err != nil {
+			l.stop(false, err)
+		}
+	}
+}
+
+// stop ends the loan. The borrower releases a connection for reuse only after it has the whole answer,
+// so that no bytes are lost.
+func (l *loan) stop(reuse bool, cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopping.Swap(true) {
+		return
+	}
+	l.reuse = reuse
+	l.cause = cause
+	l.stopWaiting()
+	if l.conn != nil {
+		_ = l.conn.SetDeadline(longAgo)
+	}
+}
+
+func (l *loan) handle(m *homepb.ToHome) error {
+	l.received.Add(uint64(len(m.GetData())))
+	l.busy.Store(true)
+	defer l.busy.Store(false)
+	switch {
+	case m.GetAlive() != nil:
+	case m.GetCancel() != nil:
+		l.cancel()
+	case m.GetEndStatement() != nil:
+		return l.endStatement()
+	case m.GetBeginStatement() != nil:
+		return l.beginStatement(time.Duration(m.GetBeginStatement().GetTimeoutUs()) * time.Microsecond)
+	case m.GetData() != nil:
+		return l.write(m.GetData())
+	}
+	return nil
+}
+
+// write sends data that follows that of Open.
+func (l *loan) write(data []byte) error {
+	select {
+	case <-l.writable:
+	case <-l.done:
+		return nil
+	}
+	conn := l.current()
+	if conn == nil {
+		return nil
+	}
+	_, err := conn.Raw().Write(data)
+	return err
+}
+
+func (l *loan) current() LocalConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// cancel cancels the statement in execution, or ends its wait in the queue. A request that comes after
+// the end of the loan concerns nobody.
+func (l *loan) cancel() {
+	l.mu.Lock()
+	l.canceled = true
+	conn := l.conn
+	l.mu.Unlock()
+	l.stopWaiting()
+	if conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(l.stream.Context(), cancelTimeout)
+	defer cancel()
+	_ = conn.Cancel(ctx)
+}
--- a/proxy/home/pulse.go
+++ b/proxy/home/pulse.go
@@ -51,7 +51,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stopped = true
-	p.timer.Stop()
+	if p.timer != nil {
+		p.timer.Stop()
+	}
 }
 
 // tick ends one period.
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"slices"
 	"sync"
@@ -16,28 +17,44 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
 )
 
+// errEnded ends a checkout whose user set a deadline in the past.
+var errEnded = errors.Wrap(os.ErrDeadlineExceeded, "the use of the connection was ended")
+
 // remoteConn is a connection lent by another instance. It implements engine.Conn; one goroutine
 // at a time receives.
+//
+// Invariants:
+//   - Nothing is sent before Open; the first write goes with it unless the grant is awaited first.
+//   - A refusal is reported as *engine.RefusedError. Any other error after Open proves nothing.
+//   - The statement timeout begins with the grant.
 type remoteConn struct {
 	stream   homepb.DRPCHomes_CheckoutClient
 	cancel   context.CancelFunc
+	request  engine.AcquireRequest
 	frontend *pgproto3.Frontend
 	rest     []byte // received data that was not read yet
 	pulse    *pulse
 	onSilent func()
+	// onFailure is told that the home did not answer Open, or that it is home to nothing.
+	onFailure func()
 
+	opened   bool          // Open was sent; used by the sending goroutine
 	sent     atomic.Uint64 // bytes of data
 	homeGot  uint64        // of them, as the home last said; used by the receiving goroutine
+	waited   time.Duration // in the home's queue; used by the receiving goroutine
+	returned atomic.Bool   // the home has taken the connection back and the stream is closed
+
 	mu       sync.Mutex
 	deadline *time.Timer
-	cause    error // why the stream was cancelled
+	asking   bool          // Open was sent, and the grant is not known yet
+	allowed  time.Duration // deadline to set once it is; 0 for none
+	cause    error         // why the stream was cancelled
 }
 
-func newRemoteConn(stream homepb.DRPCHomes_CheckoutClient, cancel context.CancelFunc, period time.Duration, onSilent func()) *remoteConn {
-	c := &remoteConn{stream: stream, cancel: cancel, onSilent: onSilent}
+func newRemoteConn(stream homepb.DRPCHomes_CheckoutClient, cancel context.CancelFunc, r engine.AcquireRequest, period time.Duration) *remoteConn {
+	c := &remoteConn{stream: stream, cancel: cancel, request: r}
 	c.frontend = pgproto3.NewFrontend(reader{c}, writer{c})
 	c.pulse = &pulse{period: period, patience: borrowerPatience, send: c.sendAlive, silent: c.cutOff}
-	c.pulse.start()
 	return c
 }
 
@@ -54,10 +71,15 @@
 // end cancels the stream; cause is what waiting calls return.
 func (c *remoteConn) end(cause error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail(cause)
+}
+
+// fail is end with the lock held.
+func (c *remoteConn) fail(cause error) {
 	if c.cause == nil {
 		c.cause = cause
 	}
-	c.mu.Unlock()
 	c.cancel()
 }
 
@@ -74,20 +96,47 @@
 	for {
 		m, err := c.stream.Recv()
 		if err != nil {
-			return nil, c.explain(err)
+			return nil, c.failed(err)
+		}
+		if alive := m.GetAlive(); alive != nil {
+			c.noteAlive(alive)
+			continue
 		}
-		alive := m.GetAlive()
-		if alive == nil {
-			c.pulse.progress.Add(1)
-			return m, nil
+		c.pulse.progress.Add(1)
+		c.waited += time.Duration(m.GetWaitedUs()) * time.Microsecond
+		if refused := m.GetRefused(); refused != nil {
+			return nil, c.refused(refused)
 		}
-		c.noteAlive(alive)
+		c.noteGrant()
+		return m, nil
 	}
 }
 
+// failed returns why the stream ended. A home that ends before it has answered Open is passed over.
+func (c *remoteConn) failed(err error) error {
+	if c.noteGrant() && !errors.Is(c.explain(err), errEnded) {
+		c.onFailure()
+	}
+	return c.explain(err)
+}
+
+// refused returns the home's refusal. A home that leaves is passed over.
+func (c *remoteConn) refused(r *homepb.Refused) error {
+	c.noteGrant()
+	e := outcome.New(outcome.NotRun, r.GetCode(), r.GetMessage(), r.GetRemedy())
+	e = e.WithRetryAfter(time.Duration(r.GetRetryAfterUs()) * time.Microsecond)
+	if r.GetLeaving() {
+		c.onFailure()
+	}
+	return &engine.RefusedError{Told: e, Moved: r.GetLeaving()}
+}
+
 // noteAlive takes an Alive message for progress if the path to the home works too: data sent to it
 // arrives, or waits because the home is busy.
 func (c *remoteConn) noteAlive(a *homepb.Alive) {
+	if a.GetGranted() {
+		c.noteGrant()
+	}
 	arrives := a.GetReceivedBytes() > c.homeGot || a.GetReceivedBytes() == c.sent.Load()
 	c.homeGot = a.GetReceivedBytes()
 	if arrives || a.GetBusy() {
@@ -95,25 +144,67 @@
 	}
 }
 
-// open sends the request and waits for the grant.
-func (c *remoteConn) open(r engine.AcquireRequest) error {
-	if err := c.SetDeadline(time.Now().Add(r.Timeout + grantAllowance)); err != nil {
+// open sends the request with the first data for the server, which may be none. The data is the whole
+// use if the request says so and nothing follows.
+func (c *remoteConn) open(data []byte, complete bool) error {
+	c.opened = true
+	if err := c.ask(); err != nil {
 		return err
 	}
-	err := c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Open{Open: &homepb.Open{
-		Server:      string(r.Target.Server),
-		Incarnation: r.Target.Incarnation,
-		Account:     r.Account,
-		Weight:      int32(r.Weight),
-		TimeoutUs:   r.Timeout.Microseconds(),
+	c.pulse.start()
+	c.sent.Add(uint64(len(data)))
+	return c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Open{Open: &homepb.Open{
+		Server:      string(c.request.Target.Server),
+		Incarnation: c.request.Target.Incarnation,
+		Account:     c.request.Account,
+		Weight:      int32(c.request.Weight),
+		TimeoutUs:   c.request.Timeout.Microseconds(),
+		Data:        data,
+		WholeUse:    complete && c.request.WholeUse,
 	}}})
-	if err != nil {
-		return err
+}
+
+// ask begins the time in which the home has to grant a connection. It fails if the stream has ended.
+func (c *remoteConn) ask() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause != nil {
+		return c.cause
 	}
-	if err := c.awaitGrant(); err != nil {
+	c.asking = true
+	c.arm(c.request.Timeout + grantAllowance)
+	return nil
+}
+
+// noteGrant ends that time. It reports whether the grant was not known before.
+func (c *remoteConn) noteGrant() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.asking {
+		return false
+	}
+	c.asking = false
+	c.arm(c.allowed)
+	return true
+}
+
+// arm lets the stream end after d, or removes that bound if d is 0. The lock is held.
+func (c *remoteConn) arm(d time.Duration) {
+	if c.deadline != nil {
+		c.deadline.Stop()
+		c.deadline = nil
+	}
+	if d != 0 {
+		c.deadline = time.AfterFunc(d, c.expire)
+	}
+}
+
+// openAndWait sends the request without data and waits for the grant.
+func (c *remoteConn) openAndWait() error {
+	if err := c.open(nil, false); err != nil {
 		return err
 	}
-	return c.SetDeadline(time.Time{})
+	return c.awaitGrant()
 }
 
 func (c *remoteConn) awaitGrant() error {
@@ -121,18 +212,15 @@
 	if err != nil {
 		return err
 	}
-	if m.GetGranted() != nil {
-		return nil
+	if m.GetGranted() == nil {
+		return errors.New("home instance sent data before the grant; run the same release on all instances")
 	}
-	if refused := m.GetRefused(); refused != nil {
-		e := outcome.New(outcome.NotRun, refused.GetCode(), refused.GetMessage(), refused.GetRemedy())
-		e = e.WithRetryAfter(time.Duration(refused.GetRetryAfterUs()) * time.Microsecond)
-		if refused.GetLeaving() {
-			return &unreachableError{e}
-		}
-		return e
-	}
-	return errors.New("home instance sent data before the grant; run the same release on all instances")
+	return nil
+}
+
+// Waited implements engine.Waiter.
+func (c *remoteConn) Waited() time.Duration {
+	return c.waited
 }
 
 // Frontend implements engine.Conn.
@@ -140,19 +228,26 @@
 	return c.frontend
 }
 
-// SetDeadline implements engine.Conn. A stream has no deadline of its own, so a timer ends it.
+// SetDeadline implements engine.Conn. A stream has no deadline of its own, so a timer ends it. A
+// deadline in the future is counted from the grant.
 func (c *remoteConn) SetDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause != nil {
 		return c.cause
 	}
-	if c.deadline != nil {
-		c.deadline.Stop()
-		c.deadline = nil
-	}
+	var d time.Duration
 	if !t.IsZero() {
-		c.deadline = time.AfterFunc(time.Until(t), c.expire)
+		d = time.Until(t)
+	}
+	switch {
+	case c.returned.Load():
+	case d < 0:
+		c.fail(errEnded)
+	case c.asking, !c.opened:
+		c.allowed = d
+	default:
+		c.arm(d)
 	}
 	return nil
 }
@@ -173,12 +268,20 @@
 
 // Cancel implements engine.Conn.
 func (c *remoteConn) Cancel(context.Context) error {
-	return c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Cancel{Cancel: &homepb.Cancel{}}})
+	return c.send(&homepb.ToHome{Body: &homepb.ToHome_Cancel{Cancel: &homepb.Cancel{}}})
 }
 
 // EndStatement implements engine.Conn.
 func (c *remoteConn) EndStatement() {
-	_ = c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_EndStatement{EndStatement: &homepb.EndStatement{}}})
+	_ = c.send(&homepb.ToHome{Body: &homepb.ToHome_EndStatement{EndStatement: &homepb.EndStatement{}}})
+}
+
+// send sends a message unless the home has the connection back.
+func (c *remoteConn) send(m *homepb.ToHome) error {
+	if c.returned.Load() {
+		return nil
+	}
+	return c.stream.Send(m)
 }
 
 // BeginStatement implements engine.Conn.
@@ -196,27 +299,35 @@
 	return c.SetDeadline(time.Time{})
 }
 
-// Release implements engine.Conn.
+// Release implements engine.Conn. Closing the stream makes its drpc connection free for the next one.
 func (c *remoteConn) Release(reuse bool) {
-	_ = c.SetDeadline(time.Time{})
+	if c.returned.Load() {
+		return
+	}
+	c.mu.Lock()
+	c.arm(0)
+	c.mu.Unlock()
 	c.pulse.stop()
 	release := &homepb.Release{Reuse: reuse}
-	if err := c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Release{Release: release}}); err != nil {
+	if !c.opened || c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Release{Release: release}}) != nil {
 		c.cancel()
 		return
 	}
-	_ = c.stream.CloseSend()
-	// The home ends the stream; until then the drpc connection is not free for the next one.
-	go func() {
-		timer := time.AfterFunc(grantAllowance, c.cancel)
-		defer timer.Stop()
-		defer c.cancel()
-		for {
-			if _, err := c.stream.Recv(); err != nil {
-				return
-			}
-		}
-	}()
+	if c.stream.Close() != nil {
+		c.cancel()
+	}
+}
+
+// finish takes the end of the whole use, with which the home has the connection back.
+func (c *remoteConn) finish() {
+	c.mu.Lock()
+	c.returned.Store(true)
+	c.arm(0)
+	c.mu.Unlock()
+	c.pulse.stop()
+	if c.stream.Close() != nil {
+		c.cancel()
+	}
 }
 
 // reader and writer carry the bytes of the frontend over the stream.
@@ -228,11 +339,18 @@
 func (r reader) Read(p []byte) (int, error) {
 	c := r.c
 	for len(c.rest) == 0 {
+		if c.returned.Load() {
+			return 0, io.ErrUnexpectedEOF
+		}
 		m, err := c.recv()
 		if err != nil {
 			return 0, err
 		}
 		c.rest = m.GetData()
+		if last := m.GetLast(); last != nil {
+			c.rest = last.GetData()
+			c.finish()
+		}
 	}
 	n := copy(p, c.rest)
 	c.rest = c.rest[n:]
@@ -240,16 +358,35 @@
 }
 
 // Write sends p in pieces, so that the home's Alive messages show progress within a large pipeline and
-// no message exceeds drpc's limit of 4 MiB. A failed send may have reached the home, so it counts as at
-// least one byte: pgproto3 takes a write of none as proof that nothing was sent.
+// no message exceeds drpc's limit of 4 MiB. The first piece of all goes with Open. A failed send may have
+// reached the home, so it counts as at least one byte: pgproto3 takes a write of none as proof that
+// nothing was sent.
 func (w writer) Write(p []byte) (int, error) {
+	c := w.c
+	if err := c.ended(); err != nil && !c.opened {
+		return 0, err
+	}
 	written := 0
 	for piece := range slices.Chunk(p, chunkBytes) {
-		w.c.sent.Add(uint64(len(piece)))
-		if err := w.c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Data{Data: piece}}); err != nil {
-			return max(1, written), w.c.explain(err)
+		if err := c.sendPiece(piece, len(piece) == len(p)); err != nil {
+			return max(1, written), c.explain(err)
 		}
 		written += len(piece)
 	}
 	return written, nil
 }
+
+func (c *remoteConn) sendPiece(piece []byte, complete bool) error {
+	if !c.opened {
+		return c.open(piece, complete)
+	}
+	c.sent.Add(uint64(len(piece)))
+	return c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Data{Data: piece}})
+}
+
+// ended returns why the stream was cancelled, or nil.
+func (c *remoteConn) ended() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cause
+}
--- a/proxy/home/router.go
+++ b/proxy/home/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -58,6 +59,14 @@
 	c.Conn.Release(reuse)
 }
 
+// Waited implements engine.Waiter.
+func (c *counted) Waited() time.Duration {
+	if w, ok := c.Conn.(engine.Waiter); ok {
+		return w.Waited()
+	}
+	return 0
+}
+
 // Acquire implements engine.Pool.
 func (r *Router) Acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
 	counter := r.counter(req.Target.Server)
@@ -71,14 +80,14 @@
 }
 
 // acquire asks the home. An instance that does not answer is passed over at once, since
-// nothing of the statement was sent to it.
+// nothing of the statement was sent to it. One that fails later is passed over by later requests.
 func (r *Router) acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
 	for try := 1; ; try++ {
 		address, self := r.Locator.Home(req.Target.Server)
 		if self {
 			return r.Local.Acquire(ctx, req)
 		}
-		conn, err := r.Remote.Acquire(ctx, address, req)
+		conn, err := r.Remote.acquire(ctx, address, req, func() { r.Locator.Unreachable(address) })
 		var unreachable *unreachableError
 		if err == nil || !errors.As(err, &unreachable) || ctx.Err() != nil {
 			return conn, err
--- a/proxy/home/silence_test.go
+++ b/proxy/home/silence_test.go
@@ -34,7 +34,6 @@
 // silenceFixture is a home instance with a stand-in server, reached through a relay.
 type silenceFixture struct {
 	t      *testing.T
-	server *database.Server
 	link   *link.Link
 	home   *Server
 	client *Client
@@ -42,16 +41,13 @@
 
 func startSilenceFixture(t *testing.T) *silenceFixture {
 	t.Helper()
-	server, err := database.Start(database.Config{ID: "s1", Primary: true})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Kill)
-	local := pool.New(pool.Config{Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil }})
-	local.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: 1, MaxConnections: 1}})
-	f := &silenceFixture{t: t, server: server, home: NewServer(local)}
-	f.home.period = period
-	path, err := link.Start(serveHome(t, f.home))
+	f := &silenceFixture{t: t}
+	address := startHome(t, 1, func(local engine.Pool) *Server {
+		f.home = NewServer(local)
+		f.home.period = period
+		return f.home
+	})
+	path, err := link.Start(address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,8 +60,22 @@
 	return f
 }
 
+// startHome runs a stand-in server with that many slots and connections, and its home, and returns the
+// home's address.
+func startHome(t testing.TB, slots int, newServer func(engine.Pool) *Server) string {
+	t.Helper()
+	server, err := database.Start(database.Config{ID: "s1", Primary: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	local := pool.New(pool.Config{Identify: func(context.Context, *pgconn.PgConn) (uint64, error) { return 1, nil }})
+	local.SetServers([]manifest.Server{{ID: "s1", Address: server.Address(), Slots: slots, MaxConnections: slots}})
+	return serveHome(t, newServer(local))
+}
+
 // serveHome runs the service and returns its address.
-func serveHome(t *testing.T, service *Server) string {
+func serveHome(t testing.TB, service *Server) string {
 	t.Helper()
 	mux := drpcmux.New()
 	if err := homepb.DRPCRegisterHomes(mux, service); err != nil {
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Direction of traffic, seen from the process that connects.
@@ -31,6 +32,7 @@
 // Link relays TCP connections to one address.
 type Link struct {
 	to       string
+	delay    time.Duration // one way
 	listener net.Listener
 
 	mu     sync.Mutex
@@ -46,11 +48,16 @@
 
 // Start relays connections to the given IP:port.
 func Start(to string) (*Link, error) {
+	return StartDelayed(to, 0)
+}
+
+// StartDelayed relays connections to the given IP:port with a delay in each direction.
+func StartDelayed(to string, oneWay time.Duration) (*Link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{to: to, listener: listener, paths: make(map[*path]struct{}), closed: make(chan struct{})}
+	l := &Link{to: to, delay: oneWay, listener: listener, paths: make(map[*path]struct{}), closed: make(chan struct{})}
 	go l.accept()
 	return l, nil
 }
@@ -131,13 +138,19 @@
 // carry copies one direction until an end closes. A faulty direction keeps the end to itself.
 func (l *Link) carry(p *path, d Direction) {
 	from, to := p.ends[d], p.ends[directions-1-d]
+	send := to.Write
+	if l.delay > 0 {
+		late := newDelayed(to, l.delay)
+		defer close(late.pieces)
+		send = late.Write
+	}
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
 		switch fault(p.faults[d].Load()) {
 		case none:
 			if err == nil {
-				_, err = to.Write(buf[:n])
+				_, err = send(buf[:n])
 			}
 			if err != nil {
 				p.close()
@@ -165,3 +178,39 @@
 		_ = end.Close()
 	}
 }
+
+// piecesUnderWay bounds what a delayed direction holds.
+const piecesUnderWay = 1 << 12
+
+// delayed writes later.
+type delayed struct {
+	to     net.Conn
+	delay  time.Duration
+	pieces chan piece
+}
+
+type piece struct {
+	data []byte
+	due  time.Time
+}
+
+func newDelayed(to net.Conn, delay time.Duration) *delayed {
+	d := &delayed{to: to, delay: delay, pieces: make(chan piece, piecesUnderWay)}
+	go d.run()
+	return d
+}
+
+// Write takes data that is written after the delay.
+func (d *delayed) Write(data []byte) (int, error) {
+	d.pieces <- piece{append([]byte(nil), data...), time.Now().Add(d.delay)}
+	return len(data), nil
+}
+
+func (d *delayed) run() {
+	for p := range d.pieces {
+		time.Sleep(time.Until(p.due))
+		if _, err := d.to.Write(p.data); err != nil {
+			_ = d.to.Close()
+		}
+	}
+}
