Keep a stream to a home for one statement after another

Cause: most of the processor time of a checkout was the opening and closing of its stream: two messages, four goroutines and their hand-overs. Change: a stream whose loan has ended with the whole use serves the next loan of the same caller; streams rest for 5 s at most. A cancel request and the end of a use exclude each other, so that none reaches the next user. Conclusion: a stream costs more than the messages of a short statement.

--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -30,6 +30,7 @@
 type Client struct {
 	conns  Conns
 	period time.Duration // between Alive messages
+	lanes  lanes
 }
 
 // NewClient returns a client that reaches the other instances through conns.
@@ -46,30 +47,72 @@
 
 // acquire also tells onFailure if the home turns out later not to answer or to be leaving.
 func (c *Client) acquire(ctx context.Context, address string, r engine.AcquireRequest, onFailure func()) (engine.Conn, error) {
-	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stop := context.AfterFunc(ctx, cancel)
-	stream, err := c.connect(streamCtx, cancel, address)
-	if err != nil {
-		cancel()
+	if !r.Deferred {
+		return c.acquireNow(ctx, address, r)
+	}
+	if err := ctx.Err(); err != nil {
 		return nil, homeUnreachable(r, err)
 	}
-	conn := newRemoteConn(stream, cancel, r, c.period)
-	conn.onSilent = func() { c.conns.Renew(address) }
+	l := c.lanes.take(address)
+	if l == nil {
+		opened, err := c.open(ctx, address)
+		if err != nil {
+			return nil, homeUnreachable(r, err)
+		}
+		l = opened
+	}
+	conn := c.newConn(l, r)
 	conn.onFailure = onFailure
-	if !r.Deferred {
-		conn.onFailure = func() {} // the caller learns it from the error
-		err = conn.openAndWait()
+	return conn, nil
+}
+
+// acquireNow waits for the grant.
+func (c *Client) acquireNow(ctx context.Context, address string, r engine.AcquireRequest) (engine.Conn, error) {
+	l, err := c.open(ctx, address)
+	if err != nil {
+		return nil, homeUnreachable(r, err)
 	}
+	conn := c.newConn(l, r)
+	stop := context.AfterFunc(ctx, l.cancel)
+	err = conn.openAndWait()
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
 	if err == nil {
 		return conn, nil
 	}
-	conn.close()
+	conn.giveUp()
 	return nil, acquireError(r, err)
 }
 
+func (c *Client) newConn(l *lane, r engine.AcquireRequest) *remoteConn {
+	conn := newRemoteConn(l, r, c.period)
+	conn.onReturn = c.lanes.put
+	conn.onSilent = c.renew
+	return conn
+}
+
+// renew makes later requests to the home at address use new connections.
+func (c *Client) renew(address string) {
+	c.conns.Renew(address)
+	c.lanes.drop(address)
+}
+
+// open opens a stream that outlives ctx.
+func (c *Client) open(ctx context.Context, address string) (*lane, error) {
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	stream, err := c.connect(streamCtx, cancel, address)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &lane{address: address, stream: stream, cancel: cancel}, nil
+}
+
 // acquireError tells a refusal of the home from a home that leaves or does not answer.
 func acquireError(r engine.AcquireRequest, err error) error {
 	var refused *engine.RefusedError
--- /dev/null
+++ b/proxy/home/lanes.go
@@ -0,0 +1,98 @@
+package home
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
+)
+
+// laneExpiry is how long an unused stream is kept. A busy caller uses it again within milliseconds; an
+// idle one should not hold the goroutines that a stream has at both ends.
+const laneExpiry = 5 * time.Second
+
+// lane is a stream to a home that serves one loan after another. Opening a stream for each would cost
+// more than the statement's own messages.
+type lane struct {
+	address string
+	stream  homepb.DRPCHomes_CheckoutClient
+	cancel  context.CancelFunc
+	expiry  *time.Timer // while the lane is kept
+}
+
+// close ends the stream and leaves its drpc connection to others.
+func (l *lane) close() {
+	if l.stream.Close() != nil {
+		l.cancel()
+	}
+}
+
+// lanes keeps the streams that are free, by the home's address.
+type lanes struct {
+	mu   sync.Mutex
+	free map[string][]*lane
+}
+
+// take returns the lane that was used last and whose stream has not ended.
+func (s *lanes) take(address string) *lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for free := s.free[address]; len(free) > 0; free = s.free[address] {
+		l := free[len(free)-1]
+		s.free[address] = free[:len(free)-1]
+		l.expiry.Stop()
+		if l.stream.Context().Err() == nil {
+			return l
+		}
+	}
+	delete(s.free, address)
+	return nil
+}
+
+// put keeps a lane whose last loan has ended.
+func (s *lanes) put(l *lane) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.free == nil {
+		s.free = make(map[string][]*lane)
+	}
+	s.free[l.address] = append(s.free[l.address], l)
+	if l.expiry == nil {
+		l.expiry = time.AfterFunc(laneExpiry, func() { s.expire(l) })
+		return
+	}
+	l.expiry.Reset(laneExpiry)
+}
+
+// expire closes a lane unless it was taken meanwhile.
+func (s *lanes) expire(l *lane) {
+	if s.remove(l) {
+		l.close()
+	}
+}
+
+func (s *lanes) remove(l *lane) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	free := s.free[l.address]
+	i := slices.Index(free, l)
+	if i < 0 {
+		return false
+	}
+	s.free[l.address] = slices.Delete(free, i, i+1)
+	return true
+}
+
+// drop closes the free lanes to address.
+func (s *lanes) drop(address string) {
+	s.mu.Lock()
+	free := s.free[address]
+	delete(s.free, address)
+	s.mu.Unlock()
+	for _, l := range free {
+		l.expiry.Stop()
+		l.cancel()
+	}
+}
--- a/proxy/home/loan.go
+++ b/proxy/home/loan.go
@@ -21,8 +21,8 @@
 // longAgo as a deadline ends pending reads and writes.
 var longAgo = time.Unix(1, 0)
 
-// loan is one connection lent over a stream. One goroutine waits for the connection and sends the
-// server's answers; another receives the borrower's messages, so that a cancel request and the
+// loan is one use of a connection lent over a stream. One goroutine waits for the connection and sends
+// the server's answers; another receives the borrower's messages, so that a cancel request and the
 // borrower's end are noticed in the queue too.
 //
 // Invariants:
@@ -41,7 +41,6 @@
 	stopWaiting context.CancelFunc
 	writable    chan struct{} // closed when the data of Open has been written
 	done        chan struct{} // closed when the loan has ended
-	gone        chan struct{} // closed when no more comes from the borrower
 
 	received atomic.Uint64 // bytes of data
 	busy     atomic.Bool   // a message is being handled
@@ -61,7 +60,7 @@
 func newLoan(stream homepb.DRPCHomes_CheckoutStream, open *homepb.Open, period time.Duration) *loan {
 	l := &loan{
 		stream: stream, data: open.GetData(),
-		writable: make(chan struct{}), done: make(chan struct{}), gone: make(chan struct{}),
+		writable: make(chan struct{}), done: make(chan struct{}),
 		request: engine.AcquireRequest{
 			Target: engine.Target{
 				Server:      authority.ServerID(open.GetServer()),
@@ -143,21 +142,21 @@
 }
 
 // run sends the data of Open to the server and the server's answers to the borrower until the loan
-// ends.
-func (l *loan) run() error {
+// ends. It reports whether the borrower may use the stream again.
+func (l *loan) run() (again bool, err error) {
 	if err := l.begin(); err != nil {
 		l.giveBack(false)
-		return sendRefused(l.stream, err)
+		return false, sendRefused(l.stream, err)
 	}
 	close(l.writable)
 	ended, err := l.sendAnswers()
 	if ended {
-		return err
+		return err == nil, err
 	}
 	l.giveBack(err == nil)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.cause
+	return false, l.cause
 }
 
 // begin returns an error only if nothing has reached the server.
@@ -185,18 +184,15 @@
 }
 
 // end returns the connection to the pool before the end of the answer is sent, so that a slow borrower
-// doesn't hold the slot. It then waits for the borrower to close the stream.
+// doesn't hold the slot.
 func (l *loan) end(last []byte) error {
+	l.pulse.stop()
 	l.mu.Lock()
 	l.reuse = !l.answer.changed && !l.stopping.Load()
 	l.mu.Unlock()
 	l.giveBack(true)
 	body := &homepb.FromHome_Last{Last: &homepb.Last{Data: last}}
-	if err := l.stream.Send(&homepb.FromHome{Body: body, WaitedUs: l.takeWaited()}); err != nil {
-		return err
-	}
-	<-l.gone
-	return nil
+	return l.stream.Send(&homepb.FromHome{Body: body, WaitedUs: l.takeWaited()})
 }
 
 // takeWaited returns the time in the queue for the first message after the grant, in microseconds.
@@ -219,26 +215,22 @@
 	conn.Release(complete && l.reuse && !l.canceled && cleared)
 }
 
-// receive handles the borrower's messages until the stream ends. It has to take all of them, since an
-// untaken one would block the drpc connection.
-func (l *loan) receive() {
-	defer close(l.gone)
-	for {
-		l.pulse.waiting.Store(true)
-		m, err := l.stream.Recv()
-		l.pulse.waiting.Store(false)
-		l.pulse.progress.Add(1)
-		if err != nil {
-			l.stop(false, nil) // the borrower is gone: the connection is in doubt
-			return
-		}
-		if release := m.GetRelease(); release != nil {
-			l.stop(release.GetReuse(), nil)
-			continue
-		}
-		if err := l.handle(m); err != nil {
-			l.stop(false, err)
-		}
+// recv returns the borrower's next message.
+func (l *loan) recv() (*homepb.ToHome, error) {
+	l.pulse.waiting.Store(true)
+	defer l.pulse.waiting.Store(false)
+	return l.stream.Recv()
+}
+
+// take handles a message of the borrower.
+func (l *loan) take(m *homepb.ToHome) {
+	l.pulse.progress.Add(1)
+	if release := m.GetRelease(); release != nil {
+		l.stop(release.GetReuse(), nil)
+		return
+	}
+	if err := l.handle(m); err != nil {
+		l.stop(false, err)
 	}
 }
 
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -28,13 +28,13 @@
 //   - A refusal is reported as *engine.RefusedError. Any other error after Open proves nothing.
 //   - The statement timeout begins with the grant.
 type remoteConn struct {
-	stream   homepb.DRPCHomes_CheckoutClient
-	cancel   context.CancelFunc
+	*lane
 	request  engine.AcquireRequest
 	frontend *pgproto3.Frontend
 	rest     []byte // received data that was not read yet
 	pulse    *pulse
-	onSilent func()
+	onReturn func(*lane) // takes the lane when the home has the connection back
+	onSilent func(address string)
 	// onFailure is told that the home did not answer Open, or that it is home to nothing.
 	onFailure func()
 
@@ -42,7 +42,8 @@
 	sent     atomic.Uint64 // bytes of data
 	homeGot  uint64        // of them, as the home last said; used by the receiving goroutine
 	waited   time.Duration // in the home's queue; used by the receiving goroutine
-	returned atomic.Bool   // the home has taken the connection back and the stream is closed
+	returned atomic.Bool   // the home has the connection back, and the lane may serve another
+	asks     sync.Mutex    // held while a cancel request is sent
 
 	mu       sync.Mutex
 	deadline *time.Timer
@@ -51,8 +52,8 @@
 	cause    error         // why the stream was cancelled
 }
 
-func newRemoteConn(stream homepb.DRPCHomes_CheckoutClient, cancel context.CancelFunc, r engine.AcquireRequest, period time.Duration) *remoteConn {
-	c := &remoteConn{stream: stream, cancel: cancel, request: r}
+func newRemoteConn(l *lane, r engine.AcquireRequest, period time.Duration) *remoteConn {
+	c := &remoteConn{lane: l, request: r, onFailure: func() {}}
 	c.frontend = pgproto3.NewFrontend(reader{c}, writer{c})
 	c.pulse = &pulse{period: period, patience: borrowerPatience, send: c.sendAlive, silent: c.cutOff}
 	return c
@@ -65,7 +66,7 @@
 // cutOff ends a stream on which nothing is heard of the home, or whose data does not reach it.
 func (c *remoteConn) cutOff() {
 	c.end(errSilent)
-	c.onSilent()
+	c.onSilent(c.address)
 }
 
 // end cancels the stream; cause is what waiting calls return.
@@ -77,14 +78,17 @@
 
 // fail is end with the lock held.
 func (c *remoteConn) fail(cause error) {
+	if c.returned.Load() {
+		return
+	}
 	if c.cause == nil {
 		c.cause = cause
 	}
 	c.cancel()
 }
 
-// close ends the stream without a cause.
-func (c *remoteConn) close() {
+// giveUp ends the stream without a cause.
+func (c *remoteConn) giveUp() {
 	c.pulse.stop()
 	c.cancel()
 }
@@ -266,8 +270,10 @@
 	return err
 }
 
-// Cancel implements engine.Conn.
+// Cancel implements engine.Conn. The lock keeps the request from reaching the lane's next user.
 func (c *remoteConn) Cancel(context.Context) error {
+	c.asks.Lock()
+	defer c.asks.Unlock()
 	return c.send(&homepb.ToHome{Body: &homepb.ToHome_Cancel{Cancel: &homepb.Cancel{}}})
 }
 
@@ -309,24 +315,25 @@
 	c.mu.Unlock()
 	c.pulse.stop()
 	release := &homepb.Release{Reuse: reuse}
-	if !c.opened || c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Release{Release: release}}) != nil {
+	if c.opened && c.stream.Send(&homepb.ToHome{Body: &homepb.ToHome_Release{Release: release}}) != nil {
 		c.cancel()
 		return
 	}
-	if c.stream.Close() != nil {
-		c.cancel()
-	}
+	c.lane.close()
 }
 
 // finish takes the end of the whole use, with which the home has the connection back.
 func (c *remoteConn) finish() {
+	c.pulse.stop()
+	c.asks.Lock()
 	c.mu.Lock()
 	c.returned.Store(true)
 	c.arm(0)
+	usable := c.cause == nil
 	c.mu.Unlock()
-	c.pulse.stop()
-	if c.stream.Close() != nil {
-		c.cancel()
+	c.asks.Unlock()
+	if usable {
+		c.onReturn(c.lane)
 	}
 }
 
--- a/proxy/home/server.go
+++ b/proxy/home/server.go
@@ -4,8 +4,6 @@
 	"net"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
@@ -36,29 +34,33 @@
 	return &Server{local: local, loans: newLoans(), period: alivePeriod}
 }
 
-// Checkout lends one connection until the stream ends, or until the answer has ended where Open says
-// that it carries the whole use.
+// Checkout serves a borrower's loans, one after another. A loan whose end the home sees leaves the
+// stream free for the next one; every other loan ends the stream.
 func (s *Server) Checkout(stream homepb.DRPCHomes_CheckoutStream) error {
-	m, err := stream.Recv()
-	if err != nil {
-		return err
-	}
-	open := m.GetOpen()
-	if open == nil {
-		return errors.New("the first message of a checkout must be Open; run the same release on all instances")
+	b := newBorrower(stream, s.period)
+	defer close(b.done)
+	go b.receive()
+	for l := range b.loans {
+		again, err := s.lend(l)
+		if !again {
+			return err
+		}
 	}
+	return b.err
+}
+
+// lend serves one loan. It reports whether the borrower may use the stream again.
+func (s *Server) lend(l *loan) (again bool, err error) {
+	defer l.close()
 	if s.Ready != nil && !s.Ready() {
-		return stream.Send(notHome("this instance has no configuration in force yet"))
+		return false, l.stream.Send(notHome("this instance has no configuration in force yet"))
 	}
 	if !s.loans.begin() {
-		return stream.Send(notHome("this instance is stopping"))
+		return false, l.stream.Send(notHome("this instance is stopping"))
 	}
 	defer s.loans.end()
-	l := newLoan(stream, open, s.period)
-	defer l.close()
-	go l.receive()
 	if err := l.acquire(s.local); err != nil {
-		return sendRefused(stream, err)
+		return false, sendRefused(l.stream, err)
 	}
 	s.loans.add(l)
 	defer s.loans.remove(l)
