Keep the message buffers of lent connections

Cause: each checkout allocated a Frontend with a read buffer of 8 KiB, half of all bytes that it allocated. A kept stream whose home had ended was offered again, because the context of drpc's pool tells its end by Done only. Change: a Frontend serves one lent connection after another. The engine therefore remembers no prepared statements of lent connections, as it never could use them. A kept stream is checked by Done.

--- a/proxy/engine/deps.go
+++ b/proxy/engine/deps.go
@@ -116,8 +116,10 @@
 	return e.Told
 }
 
-// Waiter is implemented by connections that may have waited in a queue during their first statement.
-type Waiter interface {
+// LentConn is a Conn that another instance lends. Its Frontend serves another connection to a server
+// after each Release, and it may have waited in a queue during its first statement.
+type LentConn interface {
+	Conn
 	// Waited returns the time in that queue. It is called between two statements.
 	Waited() time.Duration
 }
--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -101,8 +101,14 @@
 	// late is called for each connection; its error is that of the first read of a deferred one.
 	late     func() error
 	requests []AcquireRequest
+	lends    bool // connections as another instance lends them
 }
 
+// lentConn is a connection of another instance.
+type lentConn struct{ *fakeConn }
+
+func (lentConn) Waited() time.Duration { return time.Hour }
+
 type fakeConn struct {
 	net.Conn
 	pool     *fakePool
@@ -111,7 +117,18 @@
 	frontend *pgproto3.Frontend
 }
 
-func (p *fakePool) Acquire(_ context.Context, r AcquireRequest) (Conn, error) {
+func (p *fakePool) Acquire(ctx context.Context, r AcquireRequest) (Conn, error) {
+	c, err := p.acquire(ctx, r)
+	if err == nil && p.lends {
+		return lentConn{c}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *fakePool) acquire(_ context.Context, r AcquireRequest) (*fakeConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inUse++
--- a/proxy/engine/placement_test.go
+++ b/proxy/engine/placement_test.go
@@ -464,6 +464,25 @@
 	}
 }
 
+// Guards against a statement that is taken for prepared on a lent connection, whose server connection is
+// another one at each use, and against a wait at the home that counts as execution.
+func TestLentConnections(t *testing.T) {
+	r := newRig(t)
+	r.db.replicas, r.pool.lends = nil, true
+	c := r.connect()
+	queryText(t, c, "select $1", "x")
+	before := r.primary.parses.Load()
+	for range 3 {
+		queryText(t, c, "select $1", "x")
+	}
+	if n := r.primary.parses.Load() - before; n != 3 {
+		t.Errorf("%d Parse messages for 3 statements, want one for each", n)
+	}
+	if got := r.rec.last(); got.Wait < time.Hour || got.Run > time.Minute {
+		t.Errorf("reported %+v, want the wait at the home as wait", got)
+	}
+}
+
 // Guards against a refused statement that is reported as unknown, a statement in doubt that is repeated,
 // and a change of the home that uses up attempts.
 func TestLateRefusals(t *testing.T) {
--- a/proxy/engine/upstream.go
+++ b/proxy/engine/upstream.go
@@ -31,14 +31,22 @@
 func (s *Server) newUpstream(c Conn, t Target) *upstream {
 	f := c.Frontend()
 	f.SetMaxBodyLen(s.cfg.MaxResultMessageSize)
-	stmts := s.statements.of(f, s.cfg.UpstreamStatements)
-	return &upstream{Conn: c, frontend: f, target: t, known: &s.statements, stmts: stmts}
+	return &upstream{Conn: c, frontend: f, target: t, known: &s.statements, stmts: s.statementsOf(c)}
+}
+
+// statementsOf returns what is known of the statements prepared on a connection. Of a lent one nothing
+// is, since each use may be on another connection to the server.
+func (s *Server) statementsOf(c Conn) *statementCache {
+	if _, lent := c.(LentConn); lent {
+		return &statementCache{limit: s.cfg.UpstreamStatements}
+	}
+	return s.statements.of(c.Frontend(), s.cfg.UpstreamStatements)
 }
 
 // waited returns the time in a queue that was spent during the relay.
 func (u *upstream) waited() time.Duration {
-	if w, ok := u.Conn.(Waiter); ok {
-		return w.Waited()
+	if lent, ok := u.Conn.(LentConn); ok {
+		return lent.Waited()
 	}
 	return 0
 }
--- a/proxy/home/answers.go
+++ b/proxy/home/answers.go
@@ -73,52 +73,69 @@
 func (l *loan) sendAnswers() (ended bool, err error) {
 	chunk := chunks.Get().(*[chunkBytes]byte)
 	defer chunks.Put(chunk)
-	held := 0        // bytes that are not sent yet
-	flowing := false // the first part of the present answer has been sent
-	gathers := false // the read has a deadline
+	g := gathering{loan: l}
 	for {
-		n, err := l.conn.Raw().Read(chunk[held:])
-		l.answer.take(chunk[held : held+n])
-		held += n
+		n, err := l.conn.Raw().Read(chunk[g.held:])
+		l.answer.take(chunk[g.held : g.held+n])
+		g.held += n
 		if l.answer.finished() {
-			return true, l.end(chunk[:held])
+			return true, l.end(chunk[:g.held])
 		}
-		if err == nil && flowing && held < chunkBytes && !l.answer.ended() {
-			if !gathers {
-				gathers = true
-				l.boundRead(time.Now().Add(gatherTime))
-			}
+		if err == nil && g.waits() {
 			continue
 		}
-		if sent := l.sendData(chunk[:held]); sent != nil {
-			return false, sent
+		if failed := g.send(chunk[:g.held]); failed != nil {
+			return false, failed
 		}
-		held, flowing = 0, !l.answer.ended()
-		if gathers {
-			gathers = false
-			l.boundRead(time.Time{})
-		}
-		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-			return false, nil
-		}
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false, err
+		case l.stopping.Load():
+			return false, nil
 		}
 	}
 }
 
-// boundRead sets the deadline of reads unless the loan is to end.
-func (l *loan) boundRead(t time.Time) {
-	_ = l.conn.Raw().SetReadDeadline(t)
-	if l.stopping.Load() {
-		_ = l.conn.SetDeadline(longAgo)
+// gathering collects parts of answers for one message.
+type gathering struct {
+	*loan
+	held    int  // bytes that are not sent yet
+	flowing bool // the first part of the present answer has been sent
+	bounded bool // reads have a deadline
+}
+
+// waits reports whether what is held waits for more, and sees to it that it doesn't wait for long.
+func (g *gathering) waits() bool {
+	if !g.flowing || g.held == chunkBytes || g.answer.ended() {
+		return false
 	}
+	if !g.bounded {
+		g.bounded = true
+		g.boundRead(time.Now().Add(gatherTime))
+	}
+	return true
 }
 
-func (l *loan) sendData(data []byte) error {
+// send sends what is held.
+func (g *gathering) send(data []byte) error {
+	g.held = 0
+	g.flowing = !g.answer.ended()
+	if g.bounded {
+		g.bounded = false
+		g.boundRead(time.Time{})
+	}
 	if len(data) == 0 {
 		return nil
 	}
 	body := &homepb.FromHome_Data{Data: data}
-	return l.stream.Send(&homepb.FromHome{Body: body, WaitedUs: l.takeWaited()})
+	return g.stream.Send(&homepb.FromHome{Body: body, WaitedUs: g.takeWaited()})
+}
+
+// boundRead sets the deadline of reads unless the loan is to end.
+func (l *loan) boundRead(t time.Time) {
+	_ = l.conn.Raw().SetReadDeadline(t)
+	if l.stopping.Load() {
+		_ = l.conn.SetDeadline(longAgo)
+	}
 }
--- a/proxy/home/deferred_test.go
+++ b/proxy/home/deferred_test.go
@@ -262,6 +262,86 @@
 	stale.Release(false)
 }
 
+// finishOne runs a statement of a whole use over i.
+func finishOne(t *testing.T, i *instance, c engine.Conn) {
+	t.Helper()
+	sendQuery(t, c, "SELECT 1")
+	answerWith(t, i.serverEnd(t), &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if _, err := c.Frontend().Receive(); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "release at the home", i.pool.released)
+}
+
+// Guards against a stream for each statement, and against a late deadline, cancel request or release of
+// one statement that harms the next one on its stream.
+func TestStreamServesOneStatementAfterAnother(t *testing.T) {
+	i := serve(t)
+	client := newClient(t)
+	first := deferred(t, client, i.address, request())
+	if err := first.SetDeadline(time.Now().Add(eventually)); err != nil {
+		t.Fatal(err)
+	}
+	finishOne(t, i, first)
+	second := deferred(t, client, i.address, request())
+	if first.(*remoteConn).lane != second.(*remoteConn).lane {
+		t.Error("the second statement has a stream of its own")
+	}
+	sendQuery(t, second, "SELECT 2")
+	server := i.serverEnd(t)
+	if err := errors.CombineErrors(first.Cancel(t.Context()), first.SetDeadline(longAgo)); err != nil {
+		t.Error(err)
+	}
+	first.Release(true)
+	answerWith(t, server, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if _, err := second.Frontend().Receive(); err != nil {
+		t.Errorf("second statement: %v", err)
+	}
+	if !receive(t, "release at the home", i.pool.released) || len(i.pool.cancels) > 0 {
+		t.Error("the cancel request of the first statement reached the second one's connection")
+	}
+	second.Release(true)
+}
+
+// Guards against a statement that goes to a dead or leaving home over a kept stream: it would be unknown
+// or refused to the caller although another home is there.
+func TestKeptStreamOfAnEndingHome(t *testing.T) {
+	i := serve(t)
+	path, err := link.Start(i.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := newClient(t)
+	finishOne(t, i, deferred(t, client, path.Address(), request()))
+	i.Leave()
+	leaving := deferred(t, client, path.Address(), request())
+	sendQuery(t, leaving, "INSERT")
+	if _, err := leaving.Frontend().Receive(); refusalOf(err) == nil || !refusalOf(err).Moved {
+		t.Errorf("error %v of a leaving home, want one that leads to the next home", err)
+	}
+	leaving.Release(false)
+
+	i = serve(t)
+	path, err = link.Start(i.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	finishOne(t, i, deferred(t, client, path.Address(), request()))
+	path.Close()
+	r := request()
+	r.Deferred = true
+	for end := time.Now().Add(eventually); ; time.Sleep(time.Millisecond) {
+		c, err := client.Acquire(t.Context(), path.Address(), r)
+		if isUnreachable(err) {
+			return
+		}
+		c.Release(false)
+		if time.Now().After(end) {
+			t.Fatalf("error %v of a dead home, want that it is unreachable", err)
+		}
+	}
+}
+
 // Guards against a message for each piece of a long answer, and against a first row that waits for the
 // rows behind it.
 func TestAnswersAreGathered(t *testing.T) {
@@ -283,7 +363,7 @@
 	}()
 	messages := 0
 	for buf := make([]byte, chunkBytes); !c.(*remoteConn).returned.Load(); messages++ {
-		if _, err := (reader{c.(*remoteConn)}).Read(buf); err != nil {
+		if _, err := c.(*remoteConn).frontend.Read(buf); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/proxy/home/lanes.go
+++ b/proxy/home/lanes.go
@@ -22,6 +22,17 @@
 	expiry  *time.Timer // while the lane is kept
 }
 
+// ended reports whether the stream has ended, as it does with its TCP connection. The context of drpc's
+// pool tells it by Done only.
+func (l *lane) ended() bool {
+	select {
+	case <-l.stream.Context().Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // close ends the stream and leaves its drpc connection to others.
 func (l *lane) close() {
 	if l.stream.Close() != nil {
@@ -43,7 +54,7 @@
 		l := free[len(free)-1]
 		s.free[address] = free[:len(free)-1]
 		l.expiry.Stop()
-		if l.stream.Context().Err() == nil {
+		if !l.ended() {
 			return l
 		}
 	}
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -20,7 +20,7 @@
 // errEnded ends a checkout whose user set a deadline in the past.
 var errEnded = errors.Wrap(os.ErrDeadlineExceeded, "the use of the connection was ended")
 
-// remoteConn is a connection lent by another instance. It implements engine.Conn; one goroutine
+// remoteConn is a connection lent by another instance. It implements engine.LentConn; one goroutine
 // at a time receives.
 //
 // Invariants:
@@ -30,7 +30,7 @@
 type remoteConn struct {
 	*lane
 	request  engine.AcquireRequest
-	frontend *pgproto3.Frontend
+	frontend *frontend
 	rest     []byte // received data that was not read yet
 	pulse    *pulse
 	onReturn func(*lane) // takes the lane when the home has the connection back
@@ -54,7 +54,8 @@
 
 func newRemoteConn(l *lane, r engine.AcquireRequest, period time.Duration) *remoteConn {
 	c := &remoteConn{lane: l, request: r, onFailure: func() {}}
-	c.frontend = pgproto3.NewFrontend(reader{c}, writer{c})
+	c.frontend = frontends.Get().(*frontend)
+	c.frontend.conn = c
 	c.pulse = &pulse{period: period, patience: borrowerPatience, send: c.sendAlive, silent: c.cutOff}
 	return c
 }
@@ -222,14 +223,14 @@
 	return nil
 }
 
-// Waited implements engine.Waiter.
+// Waited implements engine.LentConn.
 func (c *remoteConn) Waited() time.Duration {
 	return c.waited
 }
 
 // Frontend implements engine.Conn.
 func (c *remoteConn) Frontend() *pgproto3.Frontend {
-	return c.frontend
+	return c.frontend.Frontend
 }
 
 // SetDeadline implements engine.Conn. A stream has no deadline of its own, so a timer ends it. A
@@ -308,6 +309,7 @@
 // Release implements engine.Conn. Closing the stream makes its drpc connection free for the next one.
 func (c *remoteConn) Release(reuse bool) {
 	if c.returned.Load() {
+		c.frontend.giveBack(reuse && len(c.rest) == 0)
 		return
 	}
 	c.mu.Lock()
@@ -337,14 +339,31 @@
 	}
 }
 
-// reader and writer carry the bytes of the frontend over the stream.
-type (
-	reader struct{ c *remoteConn }
-	writer struct{ c *remoteConn }
-)
+// frontend carries PostgreSQL messages over the stream of its present connection.
+type frontend struct {
+	*pgproto3.Frontend
+	conn *remoteConn
+}
+
+// frontends are kept for other connections, because their buffers are the most that a short statement
+// allocates.
+var frontends = sync.Pool{New: func() any {
+	f := &frontend{}
+	f.Frontend = pgproto3.NewFrontend(f, f)
+	return f
+}}
+
+// giveBack keeps the frontend if it holds no part of a message.
+func (f *frontend) giveBack(empty bool) {
+	f.conn = nil
+	if empty {
+		frontends.Put(f)
+	}
+}
 
-func (r reader) Read(p []byte) (int, error) {
-	c := r.c
+// Read implements io.Reader with the server's answers.
+func (f *frontend) Read(p []byte) (int, error) {
+	c := f.conn
 	for len(c.rest) == 0 {
 		if c.returned.Load() {
 			return 0, io.ErrUnexpectedEOF
@@ -368,8 +387,8 @@
 // no message exceeds drpc's limit of 4 MiB. The first piece of all goes with Open. A failed send may have
 // reached the home, so it counts as at least one byte: pgproto3 takes a write of none as proof that
 // nothing was sent.
-func (w writer) Write(p []byte) (int, error) {
-	c := w.c
+func (f *frontend) Write(p []byte) (int, error) {
+	c := f.conn
 	if err := c.ended(); err != nil && !c.opened {
 		return 0, err
 	}
--- a/proxy/home/router.go
+++ b/proxy/home/router.go
@@ -59,12 +59,23 @@
 	c.Conn.Release(reuse)
 }
 
-// Waited implements engine.Waiter.
-func (c *counted) Waited() time.Duration {
-	if w, ok := c.Conn.(engine.Waiter); ok {
-		return w.Waited()
+// countedLent is counted for a connection of another instance.
+type countedLent struct {
+	counted
+	lent engine.LentConn
+}
+
+// Waited implements engine.LentConn.
+func (c *countedLent) Waited() time.Duration {
+	return c.lent.Waited()
+}
+
+func count(conn engine.Conn, counter *atomic.Int64) engine.Conn {
+	c := counted{conn, counter}
+	if lent, ok := conn.(engine.LentConn); ok {
+		return &countedLent{c, lent}
 	}
-	return 0
+	return &c
 }
 
 // Acquire implements engine.Pool.
@@ -76,7 +87,7 @@
 		counter.Add(-1)
 		return nil, err
 	}
-	return &counted{conn, counter}, nil
+	return count(conn, counter), nil
 }
 
 // acquire asks the home. An instance that does not answer is passed over at once, since
