Withdraw a statement from the queue of another instance

Cause: a key that was withdrawn while a statement waited in the home's queue gave "outcome unknown", and a statement in execution whose first answer took longer than the queue timeout and a second depended on one late Alive message. Before/after: go test -race ./proxy/home ./proxy/engine passes with cases for both. Conclusion: waiting in another instance's queue is reported as waiting in one's own.

--- a/proxy/engine/settle.go
+++ b/proxy/engine/settle.go
@@ -116,7 +116,10 @@
 // settleRefusal handles a deferred connection that was not granted, which proves that the unit did not
 // run.
 func (n *session) settleRefusal(t Target, a *attempt, r *RefusedError) (*outcome.Error, bool) {
+	killed := n.killedBy()
 	switch {
+	case killed != nil:
+		return killed, false
 	case r.Told.Code == outcome.CodeQueryCanceled:
 		return r.Told, false
 	case r.Moved && a.homeMoved():
--- a/proxy/home/deferred_test.go
+++ b/proxy/home/deferred_test.go
@@ -88,6 +88,17 @@
 			},
 			code: outcome.CodeQueryCanceled,
 		},
+		"use ended in the queue": {
+			prepare: func(i *instance) { i.pool.block, i.pool.refusal = true, full },
+			during: func(t *testing.T, i *instance, c engine.Conn) {
+				receive(t, "request at the home", i.pool.waiting)
+				if err := c.SetDeadline(longAgo); err != nil {
+					t.Error(err)
+				}
+				receive(t, "end of the wait at the home", i.pool.ended)
+			},
+			code: outcome.CodeQueryCanceled,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := serve(t)
@@ -235,6 +246,34 @@
 	slow.Release(true)
 }
 
+// Guards against a statement timeout that runs out in the queue, and against one in execution that is
+// given up because its grant is taken for missing.
+func TestTimeoutsOfDeferredStatements(t *testing.T) {
+	t.Parallel()
+	f := startSilenceFixture(t)
+	r := engine.AcquireRequest{Target: engine.Target{Server: "s1", Incarnation: 1}, Account: "a", Weight: 1, Timeout: deadline}
+	const short = 100 * time.Millisecond
+	holder := f.acquire()
+	queued := deferred(t, f.client, f.link.Address(), r)
+	if err := queued.SetDeadline(time.Now().Add(short)); err != nil {
+		t.Fatal(err)
+	}
+	sendQuery(t, queued, "SELECT 1")
+	time.Sleep(3 * short)
+	holder.Release(true)
+	if err := receiveAnswer(queued); err != nil {
+		t.Errorf("statement that waited longer than its timeout: %v", err)
+	}
+	queued.Release(true)
+	r.Timeout = short
+	long := deferred(t, f.client, f.link.Address(), r)
+	limit := r.Timeout + grantAllowance + borrowerPatience*period
+	if err := run(long, fmt.Sprintf("SELECT pg_sleep(%f)", (limit+period).Seconds())); err != nil {
+		t.Errorf("statement that ran longer than the time for its grant: %v", err)
+	}
+	long.Release(true)
+}
+
 // Guards against a transaction that loses its connection with its first statement, and against a
 // statement of another incarnation than the one that it was routed by.
 func TestDeferredTransaction(t *testing.T) {
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -113,7 +113,7 @@
 			return nil, c.refused(refused)
 		}
 		c.noteGrant()
-		return m, nil
+		return m, c.ended()
 	}
 }
 
@@ -177,7 +177,8 @@
 		return c.cause
 	}
 	c.asking = true
-	c.arm(c.request.Timeout + grantAllowance)
+	// A grant without an answer shows in the home's Alive messages.
+	c.arm(c.request.Timeout + grantAllowance + borrowerPatience*c.pulse.period)
 	return nil
 }
 
@@ -189,6 +190,10 @@
 		return false
 	}
 	c.asking = false
+	if c.cause != nil {
+		c.cancel()
+		return true
+	}
 	c.arm(c.allowed)
 	return true
 }
@@ -247,6 +252,8 @@
 	}
 	switch {
 	case c.returned.Load():
+	case d < 0 && c.asking:
+		c.withdraw()
 	case d < 0:
 		c.fail(errEnded)
 	case c.asking, !c.opened:
@@ -257,6 +264,14 @@
 	return nil
 }
 
+// withdraw ends a use whose grant is not known. The home may still prove that the statement did not run.
+// The lock is held.
+func (c *remoteConn) withdraw() {
+	c.cause = errEnded
+	c.arm(grantAllowance)
+	go func() { _ = c.Cancel(context.Background()) }()
+}
+
 func (c *remoteConn) expire() {
 	c.end(os.ErrDeadlineExceeded)
 }
