Tell a borrower that the server failed and not the home

Cause: read-through. A server that failed before the first byte of its answer ended the stream without a word, and the caller's instance passed the home over for 2 s, which makes a second home for the server. Change: the home tells of the grant before it ends such a stream. Before/after: TestFailureAfterOpen/server fails without the change and passes with it. Conclusion: only a home that did not answer is passed over.

--- a/proxy/home/deferred_test.go
+++ b/proxy/home/deferred_test.go
@@ -129,31 +129,53 @@
 }
 
 // Guards against a statement that is reported as not run, and so repeated, although the home may have
-// sent it to the server before it failed.
-func TestHomeFailsAfterOpen(t *testing.T) {
-	for name, reached := range map[string]bool{"in execution": true, "in the queue": false} {
+// sent it to the server before one of them failed, and against a home that is passed over because its
+// server failed.
+func TestFailureAfterOpen(t *testing.T) {
+	for name, test := range map[string]struct{ queued, server bool }{
+		"home, statement in execution": {},
+		"home, statement in the queue": {queued: true},
+		"server":                       {server: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			i := serve(t)
-			i.pool.block = !reached
+			i.pool.block = test.queued
 			path, err := link.Start(i.address)
 			if err != nil {
 				t.Fatal(err)
 			}
-			c := deferred(t, newClient(t), path.Address(), request())
+			var passed atomic.Int64
+			r := request()
+			r.Deferred, r.WholeUse = true, true
+			c, err := newClient(t).acquire(t.Context(), path.Address(), r, func() { passed.Add(1) })
+			if err != nil {
+				t.Fatal(err)
+			}
 			sendQuery(t, c, "INSERT")
-			if reached {
-				i.serverEnd(t)
-			} else {
+			if test.queued {
 				receive(t, "request at the home", i.pool.waiting)
+			} else {
+				far := receive(t, "connection", i.pool.servers)
+				if _, err := pgproto3.NewBackend(far, far).Receive(); err != nil {
+					t.Fatal(err)
+				}
+				if test.server {
+					_ = far.Close()
+				}
+			}
+			if !test.server {
+				path.Close()
 			}
-			path.Close()
 			_, err = c.Frontend().Receive()
 			if err == nil || outcome.As(err) != nil {
 				t.Errorf("error %v, want one that proves nothing", err)
 			}
+			if (passed.Load() == 1) == test.server {
+				t.Errorf("home passed over %d times", passed.Load())
+			}
 			c.Release(true)
-			if reached && receive(t, "release at the home", i.pool.released) {
-				t.Error("the home reuses the connection of a caller that is gone")
+			if !test.queued && receive(t, "release at the home", i.pool.released) {
+				t.Error("the home reuses the connection of a failed statement")
 			}
 		})
 	}
--- a/proxy/home/loan.go
+++ b/proxy/home/loan.go
@@ -36,6 +36,7 @@
 	pulse   *pulse
 	answer  answer
 	waited  time.Duration // in the queue
+	told    bool          // the borrower was told of the grant
 
 	waiting     context.Context // of the wait in the queue
 	stopWaiting context.CancelFunc
@@ -154,6 +155,10 @@
 		return err == nil, err
 	}
 	l.giveBack(err == nil)
+	if err != nil && !l.told {
+		// The server failed, not this home.
+		_ = l.stream.Send(granted(l.takeWaited()))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return false, l.cause
@@ -198,7 +203,7 @@
 // takeWaited returns the time in the queue for the first message after the grant, in microseconds.
 func (l *loan) takeWaited() int64 {
 	waited := l.waited
-	l.waited = 0
+	l.waited, l.told = 0, true
 	return waited.Microseconds()
 }
 
