Shorten the tests of deferred checkouts

Cause: two tests opened their checkout in the same way, and the cancel request had a test of its own beside the table of ends of use. Conclusion: nothing is tested less.

--- a/proxy/home/deferred_test.go
+++ b/proxy/home/deferred_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,19 @@
 	return c
 }
 
+// watched is deferred, with the number of times that the home was passed over.
+func watched(t *testing.T, address string) (c engine.Conn, passed *atomic.Int64) {
+	t.Helper()
+	passed = new(atomic.Int64)
+	r := request()
+	r.Deferred, r.WholeUse = true, true
+	c, err := newClient(t).acquire(t.Context(), address, r, func() { passed.Add(1) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, passed
+}
+
 // sendQuery sends a statement without waiting for its answer.
 func sendQuery(t testing.TB, c engine.Conn, sql string) {
 	t.Helper()
@@ -70,7 +84,7 @@
 	full := outcome.New(outcome.NotRun, outcome.CodeInsufficient, "full", "wait").WithRetryAfter(7 * time.Millisecond)
 	for name, test := range map[string]struct {
 		prepare func(*instance)
-		during  func(*testing.T, *instance, engine.Conn)
+		during  func(context.Context, engine.Conn) error // while it waits
 		code    string
 		retry   time.Duration
 		moved   bool
@@ -79,42 +93,28 @@
 		"leaving home": {prepare: (*instance).Leave, code: outcome.CodeCannotConnectNow, moved: true},
 		"cancel request in the queue": {
 			prepare: func(i *instance) { i.pool.block, i.pool.refusal = true, full },
-			during: func(t *testing.T, i *instance, c engine.Conn) {
-				receive(t, "request at the home", i.pool.waiting)
-				if err := c.Cancel(t.Context()); err != nil {
-					t.Error(err)
-				}
-				receive(t, "end of the wait at the home", i.pool.ended)
-			},
-			code: outcome.CodeQueryCanceled,
+			during:  func(ctx context.Context, c engine.Conn) error { return c.Cancel(ctx) },
+			code:    outcome.CodeQueryCanceled,
 		},
 		"use ended in the queue": {
 			prepare: func(i *instance) { i.pool.block, i.pool.refusal = true, full },
-			during: func(t *testing.T, i *instance, c engine.Conn) {
-				receive(t, "request at the home", i.pool.waiting)
-				if err := c.SetDeadline(longAgo); err != nil {
-					t.Error(err)
-				}
-				receive(t, "end of the wait at the home", i.pool.ended)
-			},
-			code: outcome.CodeQueryCanceled,
+			during:  func(_ context.Context, c engine.Conn) error { return c.SetDeadline(longAgo) },
+			code:    outcome.CodeQueryCanceled,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := serve(t)
 			test.prepare(i)
-			var passed atomic.Int64
-			r := request()
-			r.Deferred, r.WholeUse = true, true
-			c, err := newClient(t).acquire(t.Context(), i.address, r, func() { passed.Add(1) })
-			if err != nil {
-				t.Fatal(err)
-			}
+			c, passed := watched(t, i.address)
 			sendQuery(t, c, "INSERT")
 			if test.during != nil {
-				test.during(t, i, c)
+				receive(t, "request at the home", i.pool.waiting)
+				if err := test.during(t.Context(), c); err != nil {
+					t.Error(err)
+				}
+				receive(t, "end of the wait at the home", i.pool.ended)
 			}
-			_, err = c.Frontend().Receive()
+			_, err := c.Frontend().Receive()
 			refused := refusalOf(err)
 			if refused == nil || refused.Told.Kind != outcome.NotRun || refused.Told.Code != test.code ||
 				refused.Told.RetryAfter != test.retry || refused.Moved != test.moved {
@@ -144,13 +144,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var passed atomic.Int64
-			r := request()
-			r.Deferred, r.WholeUse = true, true
-			c, err := newClient(t).acquire(t.Context(), path.Address(), r, func() { passed.Add(1) })
-			if err != nil {
-				t.Fatal(err)
-			}
+			c, passed := watched(t, path.Address())
 			sendQuery(t, c, "INSERT")
 			if test.queued {
 				receive(t, "request at the home", i.pool.waiting)
@@ -181,7 +175,7 @@
 	}
 }
 
-// Guards against a connection in doubt that is reused, against one that is given back before its use has
+// Guards against a connection in doubt that is reused, as one with a cancel request under way, against one that is given back before its use has
 // ended, and against a caller that sees less than the whole answer.
 func TestEndOfWholeUse(t *testing.T) {
 	idle, open := &pgproto3.ReadyForQuery{TxStatus: 'I'}, &pgproto3.ReadyForQuery{TxStatus: 'T'}
@@ -192,13 +186,15 @@
 		answer   []pgproto3.BackendMessage
 		ends     bool
 		reuse    bool
+		cancel   bool
 	}{
-		"statement":              {1, []pgproto3.BackendMessage{done, idle}, true, true},
-		"setting changed":        {1, []pgproto3.BackendMessage{changed, done, idle}, true, false},
-		"transaction opened":     {1, []pgproto3.BackendMessage{done, open}, false, false},
-		"several requests":       {3, []pgproto3.BackendMessage{done, open, done, open, done, idle}, true, true},
-		"first of several":       {3, []pgproto3.BackendMessage{done, idle}, false, false},
-		"statement without tail": {1, []pgproto3.BackendMessage{done}, false, false},
+		"statement":              {1, []pgproto3.BackendMessage{done, idle}, true, true, false},
+		"cancel request":         {1, []pgproto3.BackendMessage{done, idle}, true, false, true},
+		"setting changed":        {1, []pgproto3.BackendMessage{changed, done, idle}, true, false, false},
+		"transaction opened":     {1, []pgproto3.BackendMessage{done, open}, false, false, false},
+		"several requests":       {3, []pgproto3.BackendMessage{done, open, done, open, done, idle}, true, true, false},
+		"first of several":       {3, []pgproto3.BackendMessage{done, idle}, false, false, false},
+		"statement without tail": {1, []pgproto3.BackendMessage{done}, false, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := serve(t)
@@ -215,6 +211,12 @@
 					t.Fatal(err)
 				}
 			}
+			if test.cancel {
+				if err := c.Cancel(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				receive(t, "cancel request at the server", i.pool.cancels)
+			}
 			answerWith(t, server, test.answer...)
 			if test.ends && receive(t, "release at the home", i.pool.released) != test.reuse {
 				t.Errorf("connection reused: %v", !test.reuse)
@@ -232,23 +234,6 @@
 	}
 }
 
-// Guards against a cancel request that leaves the connection in the pool, where it may cancel the
-// statement of another caller.
-func TestCancelDropsTheConnection(t *testing.T) {
-	i := serve(t)
-	c := deferred(t, newClient(t), i.address, request())
-	sendQuery(t, c, "SELECT 1")
-	server := i.serverEnd(t)
-	if err := c.Cancel(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	receive(t, "cancel request at the server", i.pool.cancels)
-	answerWith(t, server, &pgproto3.ReadyForQuery{TxStatus: 'I'})
-	if receive(t, "release at the home", i.pool.released) {
-		t.Error("the home reuses a connection with a cancel request under way")
-	}
-}
-
 // Guards against the only slot being held by a caller that is slow to take its answer.
 func TestSlowCallerFreesTheSlot(t *testing.T) {
 	f := startSilenceFixture(t)
