--- a/proxy/engine/fakes_test.go
+++ b/proxy/engine/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -96,10 +97,18 @@
 	dials   int
 	dropped int
 	inUse   int
-	last    AcquireRequest
 	ended   int // statements whose slot was given back before their connection
+	// late is called for each connection; its error is that of the first read of a deferred one.
+	late     func() error
+	requests []AcquireRequest
+	lends    bool // connections as another instance lends them
 }
 
+// lentConn is a connection of another instance.
+type lentConn struct{ *fakeConn }
+
+func (lentConn) Waited() time.Duration { return time.Hour }
+
 type fakeConn struct {
 	net.Conn
 	pool     *fakePool
@@ -108,11 +117,25 @@
 	frontend *pgproto3.Frontend
 }
 
-func (p *fakePool) Acquire(_ context.Context, r AcquireRequest) (Conn, error) {
+func (p *fakePool) Acquire(ctx context.Context, r AcquireRequest) (Conn, error) {
+	c, err := p.acquire(ctx, r)
+	if err == nil && p.lends {
+		return lentConn{c}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *fakePool) acquire(_ context.Context, r AcquireRequest) (*fakeConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inUse++
-	p.last = r
+	p.requests = append(p.requests, r)
+	if err := p.lateError(r); err != nil {
+		return &fakeConn{discardConn{}, p, r.Target.Address, 0, pgproto3.NewFrontend(failingReader{err}, io.Discard)}, nil
+	}
 	if free := p.idle[r.Target.Address]; len(free) > 0 {
 		p.idle[r.Target.Address] = free[:len(free)-1]
 		return free[len(free)-1], nil
@@ -132,6 +155,25 @@
 	return &fakeConn{c, p, r.Target.Address, m.(*pgproto3.BackendKeyData).ProcessID, f}, nil
 }
 
+func (p *fakePool) lateError(r AcquireRequest) error {
+	if p.late == nil || !r.Deferred {
+		return nil
+	}
+	return p.late()
+}
+
+// failingReader fails the reads of a connection that was not granted.
+type failingReader struct{ err error }
+
+func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// discardConn has no other end.
+type discardConn struct{ net.Conn }
+
+func (discardConn) SetDeadline(time.Time) error { return nil }
+
+func (discardConn) Close() error { return nil }
+
 func (c *fakeConn) Frontend() *pgproto3.Frontend { return c.frontend }
 
 func (c *fakeConn) Cancel(context.Context) error {
@@ -162,7 +204,10 @@
 func (p *fakePool) lastRequest() AcquireRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.last
+	if len(p.requests) == 0 {
+		return AcquireRequest{}
+	}
+	return p.requests[len(p.requests)-1]
 }
 
 func (p *fakePool) counts() (dials, dropped, inUse int) {
--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -29,6 +30,7 @@
 type Client struct {
 	conns  Conns
 	period time.Duration // between Alive messages
+	lanes  lanes
 }
 
 // NewClient returns a client that reaches the other instances through conns.
@@ -36,29 +38,91 @@
 	return &Client{conns: conns, period: alivePeriod}
 }
 
-// Acquire checks a connection out of the home at address. Every failure is "not run": nothing of
-// a statement has been sent.
+// Acquire checks a connection out of the home at address. With r.Deferred it only connects to the
+// home, and the connection's first use may be refused. Every failure is "not run": nothing of a
+// statement has been sent.
 func (c *Client) Acquire(ctx context.Context, address string, r engine.AcquireRequest) (engine.Conn, error) {
-	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stop := context.AfterFunc(ctx, cancel)
-	stream, err := c.connect(streamCtx, cancel, address)
+	return c.acquire(ctx, address, r, func() {})
+}
+
+// acquire also tells onFailure if the home turns out later not to answer or to be leaving.
+func (c *Client) acquire(ctx context.Context, address string, r engine.AcquireRequest, onFailure func()) (engine.Conn, error) {
+	if !r.Deferred {
+		return c.acquireNow(ctx, address, r)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, homeUnreachable(r, err)
+	}
+	l := c.lanes.take(address)
+	if l == nil {
+		opened, err := c.open(ctx, address)
+		if err != nil {
+			return nil, homeUnreachable(r, err)
+		}
+		l = opened
+	}
+	conn := c.newConn(l, r)
+	conn.onFailure = onFailure
+	return conn, nil
+}
+
+// acquireNow waits for the grant.
+func (c *Client) acquireNow(ctx context.Context, address string, r engine.AcquireRequest) (engine.Conn, error) {
+	l, err := c.open(ctx, address)
 	if err != nil {
-		cancel()
 		return nil, homeUnreachable(r, err)
 	}
-	conn := newRemoteConn(stream, cancel, c.period, func() { c.conns.Renew(address) })
-	err = conn.open(r)
+	conn := c.newConn(l, r)
+	stop := context.AfterFunc(ctx, l.cancel)
+	err = conn.openAndWait()
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
 	if err == nil {
 		return conn, nil
 	}
-	conn.close()
-	if outcome.As(err) != nil {
+	conn.giveUp()
+	return nil, acquireError(r, err)
+}
+
+func (c *Client) newConn(l *lane, r engine.AcquireRequest) *remoteConn {
+	conn := newRemoteConn(l, r, c.period)
+	conn.onReturn = c.lanes.put
+	conn.onSilent = c.renew
+	return conn
+}
+
+// renew makes later requests to the home at address use new connections.
+func (c *Client) renew(address string) {
+	c.conns.Renew(address)
+	c.lanes.drop(address)
+}
+
+// open opens a stream that outlives ctx.
+func (c *Client) open(ctx context.Context, address string) (*lane, error) {
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	stream, err := c.connect(streamCtx, cancel, address)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		cancel()
 		return nil, err
 	}
-	return nil, homeUnreachable(r, err)
+	return &lane{address: address, stream: stream, cancel: cancel}, nil
+}
+
+// acquireError tells a refusal of the home from a home that leaves or does not answer.
+func acquireError(r engine.AcquireRequest, err error) error {
+	var refused *engine.RefusedError
+	switch {
+	case !errors.As(err, &refused):
+		return homeUnreachable(r, err)
+	case refused.Moved:
+		return &unreachableError{refused.Told}
+	}
+	return refused.Told
 }
 
 // connect opens the stream. A home whose address swallows packets would hold the statement up for the
--- a/proxy/home/router.go
+++ b/proxy/home/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -58,6 +59,25 @@
 	c.Conn.Release(reuse)
 }
 
+// countedLent is counted for a connection of another instance.
+type countedLent struct {
+	counted
+	lent engine.LentConn
+}
+
+// Waited implements engine.LentConn.
+func (c *countedLent) Waited() time.Duration {
+	return c.lent.Waited()
+}
+
+func count(conn engine.Conn, counter *atomic.Int64) engine.Conn {
+	c := counted{conn, counter}
+	if lent, ok := conn.(engine.LentConn); ok {
+		return &countedLent{c, lent}
+	}
+	return &c
+}
+
 // Acquire implements engine.Pool.
 func (r *Router) Acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
 	counter := r.counter(req.Target.Server)
@@ -67,18 +87,18 @@
 		counter.Add(-1)
 		return nil, err
 	}
-	return &counted{conn, counter}, nil
+	return count(conn, counter), nil
 }
 
 // acquire asks the home. An instance that does not answer is passed over at once, since
-// nothing of the statement was sent to it.
+// nothing of the statement was sent to it. One that fails later is passed over by later requests.
 func (r *Router) acquire(ctx context.Context, req engine.AcquireRequest) (engine.Conn, error) {
 	for try := 1; ; try++ {
 		address, self := r.Locator.Home(req.Target.Server)
 		if self {
 			return r.Local.Acquire(ctx, req)
 		}
-		conn, err := r.Remote.Acquire(ctx, address, req)
+		conn, err := r.Remote.acquire(ctx, address, req, func() { r.Locator.Unreachable(address) })
 		var unreachable *unreachableError
 		if err == nil || !errors.As(err, &unreachable) || ctx.Err() != nil {
 			return conn, err
