Let keyed work rest on what peers have heard of others

Change: Adoption takes the evidence in peers' answers, under the rule that it takes none from a peer with a newer manifest. The digest has a field for it, the set of peers chooses whom to call by contact.Plan and tells when each call was sent. The directory knows its name in the list, which is the peer address; it had the instance's id there. TestSetSamplesLargeSets expected 3 calls a period above 16 peers; it now expects 4, and 2 from 256 peers on, exactly.

--- a/decision/manifest/adoption.go
+++ b/decision/manifest/adoption.go
@@ -6,10 +6,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 )
 
 // DefaultContactTimeout is how long keyed work goes on without contact to the store or to a
-// majority of the listed instances. It bounds how long a cut-off instance honours a withdrawn key.
+// majority of the listed instances; in large deployments it is twice that, see contact.Timeout. It
+// bounds how long a cut-off instance honours a withdrawn key.
 const DefaultContactTimeout = 5 * time.Second
 
 // ErrSameVersion reports two different manifests of one version.
@@ -17,7 +20,7 @@
 
 // AdoptionConfig configures an Adoption.
 type AdoptionConfig struct {
-	Self           string        // this instance's id in the list
+	Self           string        // this instance's name in the list
 	ContactTimeout time.Duration // 0: DefaultContactTimeout
 }
 
@@ -27,21 +30,22 @@
 	cfg       AdoptionConfig
 	current   *Snapshot // nil before the first adoption
 	revision  uint64    // highest store revision of the manifest object seen
-	store     contact
-	confirmed contact            // latest state of the store that this instance is known to have
-	peers     map[string]contact // by instance id
+	store     instant
+	confirmed instant            // latest state of the store that this instance is known to have
+	peers     map[string]instant // own calls, by the name in the list
 	listed    []string           // without Self
+	majority  *contact.Tracker   // what peers have heard of others
 }
 
-// contact is the time of the latest contact, if there was one.
-type contact struct {
+// instant is the time of the latest contact, if there was one.
+type instant struct {
 	at   time.Duration
 	seen bool
 }
 
-func (c *contact) raise(at time.Duration) {
-	if !c.seen || at > c.at {
-		*c = contact{at: at, seen: true}
+func (i *instant) raise(at time.Duration) {
+	if !i.seen || at > i.at {
+		*i = instant{at: at, seen: true}
 	}
 }
 
@@ -50,7 +54,7 @@
 	if cfg.ContactTimeout <= 0 {
 		cfg.ContactTimeout = DefaultContactTimeout
 	}
-	return &Adoption{cfg: cfg, peers: map[string]contact{}}
+	return &Adoption{cfg: cfg, peers: map[string]instant{}, majority: contact.NewTracker(cfg.Self)}
 }
 
 // Current returns the manifest in force, or nil.
@@ -141,11 +145,25 @@
 	Version    uint64
 	StoreKnown bool          // the peer has a confirmation
 	StoreAge   time.Duration // since that confirmation, when the peer answered
+	Evidence   contact.Evidence
+}
+
+// StateFor returns what to tell a peer: in a call, with the zero values, or in the answer to a call
+// that named the given caller and fingerprint of its list.
+func (a *Adoption) StateFor(now time.Duration, caller string, list uint64) PeerState {
+	p := PeerState{Instance: a.cfg.Self, Version: a.Version()}
+	p.StoreAge, p.StoreKnown = a.ConfirmedAge(now)
+	p.Evidence = contact.Evidence{List: a.majority.List()}
+	if caller != "" {
+		p.Evidence = a.majority.Evidence(now, caller, list)
+	}
+	return p
 }
 
 // PeerAnswered records a peer's answer to a request sent at the given time. It returns true if
 // the peer has a newer manifest, which is then to be fetched: until it is adopted, the peer's
-// answers prove only that this instance is behind.
+// answers prove only that this instance is behind. What peers have heard of others is taken under the
+// same rule, so it is only ever about instances whose version was no newer than the one in force here.
 func (a *Adoption) PeerAnswered(sent time.Duration, p PeerState) (newer bool) {
 	if p.Version > a.Version() {
 		return true
@@ -153,6 +171,7 @@
 	c := a.peers[p.Instance]
 	c.raise(sent)
 	a.peers[p.Instance] = c
+	a.majority.Answered(sent, p.Instance, p.Evidence)
 	if p.Version == a.Version() && p.StoreKnown {
 		a.confirmed.raise(sent - p.StoreAge)
 	}
@@ -160,9 +179,17 @@
 }
 
 // SetInstances replaces the list of instances. Contacts of instances no longer listed are dropped.
-func (a *Adoption) SetInstances(ids []string) {
-	listed := slices.Compact(slices.Sorted(slices.Values(ids)))
-	a.listed = slices.DeleteFunc(listed, func(id string) bool { return id == a.cfg.Self })
+// The list may name this instance or not.
+func (a *Adoption) SetInstances(members []contact.Member) {
+	a.majority.SetMembers(members)
+	listed := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.ID != a.cfg.Self {
+			listed = append(listed, m.ID)
+		}
+	}
+	slices.Sort(listed)
+	a.listed = slices.Compact(listed)
 	for id := range a.peers {
 		if _, ok := slices.BinarySearch(a.listed, id); !ok {
 			delete(a.peers, id)
@@ -177,28 +204,31 @@
 }
 
 // KeyedUntil returns until when keyed work may go on without further contact. It is false
-// before the first adoption and before the first contact.
-func (a *Adoption) KeyedUntil() (time.Duration, bool) {
+// before the first adoption and before the first contact. Now is not before the last contact.
+func (a *Adoption) KeyedUntil(now time.Duration) (time.Duration, bool) {
 	latest := a.store
 	if m := a.majorityContact(); m.seen {
 		latest.raise(m.at)
 	}
+	if at, ok := a.majority.MajorityAsOf(now); ok {
+		latest.raise(at)
+	}
 	if a.current == nil || !latest.seen {
 		return 0, false
 	}
-	return latest.at + a.cfg.ContactTimeout, true
+	return latest.at + contact.Timeout(a.cfg.ContactTimeout, len(a.listed)+1), true
 }
 
 // KeyedAllowed reports whether keyed work may go on now.
 func (a *Adoption) KeyedAllowed(now time.Duration) bool {
-	until, ok := a.KeyedUntil()
+	until, ok := a.KeyedUntil(now)
 	return ok && now <= until
 }
 
 // majorityContact returns the latest time at which this instance and the peers that answered
-// since then were a majority of the listed instances. An instance that is listed alone has no
+// its own calls since then were a majority of the listed instances. An instance that is listed alone has no
 // majority: nothing would distinguish its isolation from an outage of the store.
-func (a *Adoption) majorityContact() contact {
+func (a *Adoption) majorityContact() instant {
 	need := max((len(a.listed)+1)/2, 1)
 	times := make([]time.Duration, 0, len(a.listed))
 	for _, id := range a.listed {
@@ -207,10 +237,10 @@
 		}
 	}
 	if len(times) < need {
-		return contact{}
+		return instant{}
 	}
 	slices.Sort(times)
-	return contact{at: times[len(times)-need], seen: true}
+	return instant{at: times[len(times)-need], seen: true}
 }
 
 func withdrawals(from, to *Snapshot) Withdrawals {
--- a/decision/manifest/adoption_test.go
+++ b/decision/manifest/adoption_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 )
 
 func mustOffer(t *testing.T, a *Adoption, m Manifest) Withdrawals {
@@ -66,6 +68,31 @@
 	}
 }
 
+func names(n int) []string {
+	ids := []string{"i1"}
+	for i := range n - 1 {
+		ids = append(ids, fmt.Sprint("p", i))
+	}
+	return ids
+}
+
+// heardFrom is the evidence of an instance at a time after a call to another one, sent earlier.
+func heardFrom(self, other string, sent, now time.Duration, listed ...string) contact.Evidence {
+	own, its := contact.NewTracker(self), contact.NewTracker(other)
+	own.SetMembers(members(listed...))
+	its.SetMembers(members(listed...))
+	own.Answered(sent, other, its.Evidence(sent, self, own.List()))
+	return own.Evidence(now, "i1", own.List())
+}
+
+func members(ids ...string) []contact.Member {
+	var list []contact.Member
+	for _, id := range ids {
+		list = append(list, contact.Member{ID: id})
+	}
+	return list
+}
+
 // Guards against a cut-off instance that honours withdrawn keys, and against an outage of the
 // store alone stopping keyed work.
 func TestKeyedWork(t *testing.T) {
@@ -77,7 +104,14 @@
 	peer := func(at time.Duration, id string, version uint64) step {
 		return func(a *Adoption) { a.PeerAnswered(at, PeerState{Instance: id, Version: version}) }
 	}
-	listed := func(ids ...string) step { return func(a *Adoption) { a.SetInstances(ids) } }
+	// through is an answer of a that has heard from b.
+	through := func(at time.Duration, version uint64, ids ...string) step {
+		return func(a *Adoption) {
+			evidence := heardFrom("a", "b", at-s, at, ids...)
+			a.PeerAnswered(at, PeerState{Instance: "a", Version: version, Evidence: evidence})
+		}
+	}
+	listed := func(ids ...string) step { return func(a *Adoption) { a.SetInstances(members(ids...)) } }
 	cases := []struct {
 		name  string
 		steps []step
@@ -95,6 +129,11 @@
 		{"peer not listed", []step{listed("i1", "a", "b"), peer(10*s, "x", 3)}, 11 * s, false},
 		{"peer no longer listed", []step{listed("i1", "a"), peer(10*s, "a", 3), listed("i1", "b"), listed("i1", "a")}, 11 * s, false},
 		{"peer with a newer manifest", []step{listed("i1", "a"), peer(10*s, "a", 4)}, 11 * s, false},
+		{"majority through a peer", []step{listed("i1", "a", "b", "c", "d"), through(10*s, 3, "i1", "a", "b", "c", "d")}, 14 * s, true},
+		{"majority through a peer, too old", []step{listed("i1", "a", "b", "c", "d"), through(10*s, 3, "i1", "a", "b", "c", "d")}, 14*s + 1, false},
+		{"majority through a peer with a newer manifest", []step{listed("i1", "a", "b", "c", "d"), through(10*s, 4, "i1", "a", "b", "c", "d")}, 11 * s, false},
+		{"many listed", []step{listed(names(257)...), store(10*s, 7)}, 20 * s, true},
+		{"many listed, too long ago", []step{listed(names(257)...), store(10*s, 7)}, 20*s + 1, false},
 		{"listed alone", []step{listed("i1")}, 1 * s, false},
 	}
 	for _, c := range cases {
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -178,14 +178,16 @@
 	seed := rand.Int63()
 	g := &gossip{daemon: d}
 	set, err := peer.NewSet(peer.SetConfig{
-		Self:    d.listeners.peers.Addr().String(),
-		List:    &watchedList{InstanceList: httpstore.InstanceList{Store: d.store}, daemon: d},
-		Client:  d.peerCalls,
-		Config:  replies{g},
-		Digest:  g.digest,
-		Refresh: d.cfg.ListPoll,
-		Rand:    rand.New(rand.NewSource(seed)),
-		Log:     d.log,
+		Self:     d.listeners.peers.Addr().String(),
+		List:     &watchedList{InstanceList: httpstore.InstanceList{Store: d.store}, daemon: d},
+		Client:   d.peerCalls,
+		Config:   g,
+		Answered: g.answered,
+		Now:      d.directory.Now,
+		Digest:   g.digest,
+		Refresh:  d.cfg.ListPoll,
+		Rand:     rand.New(rand.NewSource(seed)),
+		Log:      d.log,
 	})
 	if err != nil {
 		return err
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -231,6 +231,7 @@
 	var err error
 	d.directory, err = directory.New(directory.Config{
 		Instance: d.cfg.InstanceID,
+		ListedAs: d.listeners.peers.Addr().String(),
 		Store:    d.store,
 		Database: d.groups.database,
 		OnAdopt:  d.adopt,
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
@@ -34,7 +35,8 @@
 	if in.GetManifestVersion() > g.daemon.directory.State().Version {
 		g.fetch(ctx, in)
 	}
-	return g.digest(), nil
+	state := g.daemon.directory.StateFor(in.GetFrom(), in.GetContact().GetList())
+	return g.digestOf(state), nil
 }
 
 // noteLeaving lets a peer that drains lose its servers at once.
@@ -54,8 +56,12 @@
 	return &peerpb.Manifest{Version: version, Document: document}, nil
 }
 
+// digest is what this instance sends in its calls.
 func (g *gossip) digest() *peerpb.Digest {
-	state := g.daemon.directory.State()
+	return g.digestOf(g.daemon.directory.State())
+}
+
+func (g *gossip) digestOf(state manifest.PeerState) *peerpb.Digest {
 	age := unknownAge
 	if state.StoreKnown {
 		age = uint64(state.StoreAge.Milliseconds())
@@ -66,6 +72,12 @@
 		StoreContactAgeMs: age,
 		FractionsVersion:  g.daemon.quota.FractionsVersion(),
 		Leaving:           g.daemon.stopping.Load(),
+		Contact: &peerpb.Contact{
+			List:   state.Evidence.List,
+			Ages:   state.Evidence.Ages,
+			Mates:  state.Evidence.Mates,
+			Groups: state.Evidence.Groups,
+		},
 	}
 }
 
@@ -87,28 +99,28 @@
 	}()
 }
 
-// replies takes the peers' answers to this instance's own gossip.
-type replies struct {
-	*gossip
-}
-
-// Gossip implements peer.ConfigHandler for answers. An answer is at most one heartbeat old,
-// because the call's deadline is.
-func (r replies) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
-	d := r.daemon
+// answered takes a peer's answer to this instance's own gossip, which was sent at the given time of the
+// directory's clock.
+func (g *gossip) answered(ctx context.Context, sent time.Duration, in *peerpb.Digest) {
+	d := g.daemon
 	d.quota.NoteFractionsVersion(in.GetFractionsVersion())
-	r.noteLeaving(in)
-	sent := d.directory.Now() - peer.DefaultHeartbeat
+	g.noteLeaving(in)
+	told := in.GetContact()
 	newer := d.directory.PeerAnswered(sent, manifest.PeerState{
 		Instance:   in.GetFrom(),
 		Version:    in.GetManifestVersion(),
 		StoreKnown: in.GetStoreContactAgeMs() != unknownAge,
 		StoreAge:   time.Duration(in.GetStoreContactAgeMs()) * time.Millisecond,
+		Evidence: contact.Evidence{
+			List:   told.GetList(),
+			Ages:   told.GetAges(),
+			Mates:  told.GetMates(),
+			Groups: told.GetGroups(),
+		},
 	})
 	if newer {
-		r.fetch(ctx, in)
+		g.fetch(ctx, in)
 	}
-	return nil, nil
 }
 
 // watchedList tells the directory which instances are listed, by peer address, whenever the list
@@ -124,14 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	self := l.daemon.listeners.peers.Addr().String()
-	addresses := make([]string, 0, len(list))
-	for _, i := range list {
-		if i.PeerAddress != self {
-			addresses = append(addresses, i.PeerAddress)
-		}
-	}
-	l.daemon.directory.SetInstances(addresses)
+	l.daemon.directory.SetInstances(peer.Members(list))
 	return list, nil
 }
 
--- a/proxy/directory/adopt.go
+++ b/proxy/directory/adopt.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 )
 
@@ -89,7 +90,7 @@
 
 // publishLocked makes the adoption's decision on keyed work visible to the statement path.
 func (d *Directory) publishLocked() {
-	until, ok := d.adoption.KeyedUntil()
+	until, ok := d.adoption.KeyedUntil(d.cfg.Now())
 	if !ok {
 		d.keyedUntil.Store(neverKeyed)
 		return
@@ -129,17 +130,17 @@
 	return d.document, version, true
 }
 
-// State returns what this instance tells its peers.
+// State returns what this instance tells in a call to a peer.
 func (d *Directory) State() manifest.PeerState {
+	return d.StateFor("", 0)
+}
+
+// StateFor returns what this instance answers to a call that named the given caller and the
+// fingerprint of its list.
+func (d *Directory) StateFor(caller string, list uint64) manifest.PeerState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	age, known := d.adoption.ConfirmedAge(d.cfg.Now())
-	return manifest.PeerState{
-		Instance:   d.cfg.Instance,
-		Version:    d.adoption.Version(),
-		StoreKnown: known,
-		StoreAge:   age,
-	}
+	return d.adoption.StateFor(d.cfg.Now(), caller, list)
 }
 
 // Now returns the time on the clock that PeerAnswered expects.
@@ -157,12 +158,18 @@
 	return newer
 }
 
-// SetInstances replaces the list of instances whose majority counts as contact.
-func (d *Directory) SetInstances(ids []string) {
+// SetInstances replaces the list of instances whose majority counts as contact. The list may name
+// this instance or not.
+func (d *Directory) SetInstances(members []contact.Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.adoption.SetInstances(ids)
-	d.instances = len(ids) + 1
+	d.adoption.SetInstances(members)
+	d.instances = 1
+	for _, m := range members {
+		if m.ID != d.cfg.ListedAs {
+			d.instances++
+		}
+	}
 	d.publishLocked()
 }
 
--- a/proxy/directory/config.go
+++ b/proxy/directory/config.go
@@ -43,6 +43,8 @@
 // others take defaults.
 type Config struct {
 	Instance string
+	// ListedAs is this instance's name in SetInstances, by default that of Instance.
+	ListedAs string
 	Store    platform.Store
 	// Database returns the view of a database by its manifest name.
 	Database func(name string) (engine.Database, error)
@@ -90,6 +92,7 @@
 	if c.WallClock == nil {
 		c.WallClock = time.Now
 	}
+	c.ListedAs = cmp.Or(c.ListedAs, c.Instance)
 	c.ContactTimeout = cmp.Or(c.ContactTimeout, manifest.DefaultContactTimeout)
 	c.WatchWait = cmp.Or(c.WatchWait, DefaultWatchWait)
 	c.WatchMargin = cmp.Or(c.WatchMargin, DefaultWatchMargin)
--- a/proxy/directory/directory.go
+++ b/proxy/directory/directory.go
@@ -54,7 +54,7 @@
 	d := &Directory{
 		cfg:      cfg,
 		jitter:   &jitter{rand: cfg.Rand},
-		adoption: manifest.NewAdoption(manifest.AdoptionConfig{Self: cfg.Instance, ContactTimeout: cfg.ContactTimeout}),
+		adoption: manifest.NewAdoption(manifest.AdoptionConfig{Self: cfg.ListedAs, ContactTimeout: cfg.ContactTimeout}),
 		grants:   map[manifest.Grant]chan struct{}{},
 
 		instances: statusInstances,
--- a/proxy/directory/directory_test.go
+++ b/proxy/directory/directory_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/platform"
@@ -356,7 +357,7 @@
 	if err := f.Check(login); !outcome.Is(err, outcome.NotRun) {
 		t.Errorf("Check after the contact timeout: %v, want not run", err)
 	}
-	f.SetInstances([]string{"i1", "i2", "i3"})
+	f.SetInstances([]contact.Member{{ID: "i1"}, {ID: "i2"}, {ID: "i3"}})
 	if newer := f.PeerAnswered(f.Now(), manifest.PeerState{Instance: "i2", Version: 2}); !newer {
 		t.Error("a peer's newer manifest was not noticed")
 	}
@@ -463,7 +464,7 @@
 		{5000, 15 * time.Second},
 	}
 	for _, c := range cases {
-		f.SetInstances(make([]string, c.peers))
+		f.SetInstances(make([]contact.Member, c.peers))
 		if got := f.statusPace(15 * time.Second); got != c.want {
 			t.Errorf("%d peers: %s, want %s", c.peers, got, c.want)
 		}
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -334,17 +334,13 @@
 
 // Guards against gossip that grows with the number of instances.
 func TestSetSamplesLargeSets(t *testing.T) {
-	for _, size := range []int{16, 17, 2100} {
+	for size, want := range map[int]int{16: 16, 17: 4, 255: 4, 256: 2, 2100: 2} {
 		list := make(fixedList, size)
 		for i := range list {
 			list[i].PeerAddress = fmt.Sprintf("127.0.0.1:%d", 10+i)
 		}
 		set := newTestSet(t, list)
 		set.refresh(context.Background())
-		want := 3
-		if size <= 16 {
-			want = size
-		}
 		if got := len(set.choose()); got != want {
 			t.Errorf("%d peers: %d contacted per period, want %d", size, got, want)
 		}
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 )
@@ -19,13 +20,8 @@
 	DefaultHeartbeat = time.Second
 	// DefaultRefresh is the period of reading the instance list.
 	DefaultRefresh = 5 * time.Second
-	// fullMeshPeers is the largest number of peers that are all contacted in every period.
-	fullMeshPeers = 16
-	// sampledPeers is the number of random peers contacted per period in larger sets.
-	sampledPeers = 3
-	// recentCalls is the number of last calls that tell how many of many peers are reachable: those
-	// of five periods.
-	recentCalls = 5 * sampledPeers
+	// recentCalls is the number of last calls that tell how many of many peers are reachable.
+	recentCalls = 15
 	// announceAtOnce bounds the calls of an announcement that are under way at a time.
 	announceAtOnce = 32
 	// jitterFraction spreads periods by up to this part, so that instances don't act together.
@@ -34,10 +30,14 @@
 
 // SetConfig configures a Set.
 type SetConfig struct {
-	Self      string // own peer address
-	List      platform.InstanceList
-	Client    *Client
-	Config    ConfigHandler // receives the digests of peers
+	Self   string // own peer address
+	List   platform.InstanceList
+	Client *Client
+	Config ConfigHandler // receives the digests of peers
+	// Answered, if set, receives the answers to own calls in place of Config, with the time of Now
+	// at which the call was sent.
+	Answered  func(ctx context.Context, sent time.Duration, in *peerpb.Digest)
+	Now       func() time.Duration // needed with Answered
 	Digest    func() *peerpb.Digest
 	Heartbeat time.Duration // 0: DefaultHeartbeat
 	Refresh   time.Duration // 0: DefaultRefresh
@@ -53,7 +53,8 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	instances []platform.Instance // without the own one
-	listed    bool                // the list was read at least once
+	plan      *contact.Plan
+	listed    bool // the list was read at least once
 	peers     map[string]*peerState
 	recent    []bool // whether the last calls succeeded, newest last
 }
@@ -84,7 +85,14 @@
 	if cfg.Refresh == 0 {
 		cfg.Refresh = DefaultRefresh
 	}
-	return &Set{cfg: cfg, random: cfg.Rand, peers: map[string]*peerState{}}, nil
+	if cfg.Answered == nil {
+		cfg.Now = func() time.Duration { return 0 }
+		cfg.Answered = func(ctx context.Context, _ time.Duration, in *peerpb.Digest) { _, _ = cfg.Config.Gossip(ctx, in) }
+	}
+	if cfg.Now == nil {
+		return nil, errors.New("peer set has no clock for Answered; set Now")
+	}
+	return &Set{cfg: cfg, random: cfg.Rand, plan: contact.NewPlan(cfg.Self, cfg.Rand), peers: map[string]*peerState{}}, nil
 }
 
 // Run reads the list and contacts peers until ctx ends.
@@ -129,14 +137,24 @@
 			Warn("instance list can't be read; the last list stays in use")
 		return
 	}
+	members := Members(instances)
 	instances = slices.DeleteFunc(slices.Clone(instances), func(i platform.Instance) bool { return i.PeerAddress == s.cfg.Self })
-	if s.adopt(instances) {
+	if s.adopt(instances, members) {
 		s.cfg.Log.WithFields(logrus.Fields{FieldEvent: EventPeersChanged, "peers": len(instances)}).
 			Info("instance list names other peers than before")
 	}
 }
 
-func (s *Set) adopt(instances []platform.Instance) (changed bool) {
+// Members returns the listed instances as package contact names them, by peer address.
+func Members(instances []platform.Instance) []contact.Member {
+	members := make([]contact.Member, 0, len(instances))
+	for _, i := range instances {
+		members = append(members, contact.Member{ID: i.PeerAddress, FailureDomain: i.FailureDomain})
+	}
+	return members
+}
+
+func (s *Set) adopt(instances []platform.Instance, members []contact.Member) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peers := make(map[string]*peerState, len(instances))
@@ -148,37 +166,52 @@
 		}
 	}
 	changed = changed || len(peers) != len(s.peers)
+	if changed || !s.listed {
+		s.plan.SetMembers(members)
+	}
 	s.instances, s.peers, s.listed = instances, peers, true
 	return changed
 }
 
-// beat contacts the peers of this period, spread over half of it.
+// beat contacts the peers of this period. Few peers are contacted together, in half of it; with many,
+// the calls are spread evenly, since what one brings goes out with the answers given before the next.
 func (s *Set) beat(ctx context.Context, wg *sync.WaitGroup) {
-	for _, address := range s.choose() {
+	addresses := s.choose()
+	for i, address := range addresses {
 		delay := s.jittered(s.cfg.Heartbeat / 4)
+		if s.many() {
+			delay = s.within(i, len(addresses))
+		}
 		wg.Go(func() { s.contact(ctx, address, delay) })
 	}
 }
 
+func (s *Set) many() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.instances) > contact.FullMeshPeers
+}
+
+// within returns a random time of the i-th of n parts of the period.
+func (s *Set) within(i, n int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration((float64(i) + s.random.Float64()) / float64(n) * float64(s.cfg.Heartbeat))
+}
+
 // choose returns the peers to contact and marks them, so that a slow call is not doubled. A peer that
 // calls by itself is contacted all the same: only the answers to own calls prove contact, see
 // manifest.Adoption.
 func (s *Set) choose() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	addresses := make([]string, 0, len(s.instances))
-	for _, instance := range s.instances {
-		if !s.peers[instance.PeerAddress].calling {
-			addresses = append(addresses, instance.PeerAddress)
+	var addresses []string
+	for _, address := range s.plan.Next() {
+		if p := s.peers[address]; p != nil && !p.calling {
+			p.calling = true
+			addresses = append(addresses, address)
 		}
 	}
-	if len(s.instances) > fullMeshPeers {
-		s.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		addresses = addresses[:min(sampledPeers, len(addresses))]
-	}
-	for _, address := range addresses {
-		s.peers[address].calling = true
-	}
 	return addresses
 }
 
@@ -191,13 +224,14 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
 	defer cancel()
+	sent := s.cfg.Now()
 	digest, err := s.cfg.Client.Gossip(callCtx, address, s.cfg.Digest())
 	if ctx.Err() != nil {
 		return
 	}
 	s.mark(address, err)
 	if err == nil {
-		_, _ = s.cfg.Config.Gossip(ctx, digest)
+		s.cfg.Answered(ctx, sent, digest)
 	}
 }
 
@@ -304,12 +338,12 @@
 }
 
 // MajorityReachable reports whether this instance reaches a majority of the listed instances,
-// itself included. With more than fullMeshPeers peers it is estimated from the last calls, which
-// went to random peers. It is false until the list was read.
+// itself included. With more than contact.FullMeshPeers peers it is estimated from the last calls, which
+// went to various peers. It is false until the list was read.
 func (s *Set) MajorityReachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.instances) > fullMeshPeers {
+	if len(s.instances) > contact.FullMeshPeers {
 		return 2*countTrue(s.recent) > len(s.recent)
 	}
 	reached := 1
