Describe and measure the proof of contact

Up to 256 instances all peers are called in turns instead of a window, so that dead ones are still found within N / 4 to N / 2 s. An unchanged list is not split again.

--- a/cmd/internal/benchcmd/capacity.go
+++ b/cmd/internal/benchcmd/capacity.go
@@ -104,7 +104,7 @@
 		quotaRequester("slow.near", quotaSlowRate, quotaNear), quotaRequester("slow.far", quotaSlowRate, quotaFar),
 		quotaRequester("fast.far", quotaFastRate, quotaFar), quotaPoll(), quotaLoans(), quotaDriver(),
 		manifestDatabases(), manifestAccounts(), manifestDelta(),
-		gossipCall(), gossipTerms(), gossipSpread(3), gossipSpread(1), peerSet(), instanceList(), storeCall(),
+		gossipCall(), contactCall(), contactList(), gossipTerms(), gossipSpread(3), gossipSpread(1), peerSet(), instanceList(), storeCall(),
 	}
 }
 
--- a/cmd/internal/benchcmd/capacity_config.go
+++ b/cmd/internal/benchcmd/capacity_config.go
@@ -14,6 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
@@ -155,10 +156,14 @@
 // gossipPeer answers gossip with a digest of today's content.
 type gossipPeer struct {
 	peerpb.DRPCPeerUnimplementedServer
+	answer func() *peerpb.Digest // nil: digest
 }
 
 // Gossip implements peer.ConfigHandler.
-func (*gossipPeer) Gossip(context.Context, *peerpb.Digest) (*peerpb.Digest, error) {
+func (p *gossipPeer) Gossip(context.Context, *peerpb.Digest) (*peerpb.Digest, error) {
+	if p.answer != nil {
+		return p.answer(), nil
+	}
 	return digest(), nil
 }
 
@@ -166,26 +171,58 @@
 	return &peerpb.Digest{From: callerName, ManifestVersion: 5400 * 365, StoreContactAgeMs: 1500}
 }
 
-// gossipCall measures gossip over one kept connection.
+// gossipCall measures gossip over one kept connection, with what a digest holds without evidence of
+// contact.
 func gossipCall() measurement {
+	return measuredGossip("config.gossip", &gossipPeer{}, ignored)
+}
+
+func ignored(*peerpb.Digest) {}
+
+// contactCall measures gossip between two instances of one group in a deployment of the design size.
+func contactCall() measurement {
+	members := peer.Members(spreadList(designNodes))
+	caller, callee := contact.NewTracker(members[0].ID), contact.NewTracker("")
+	caller.SetMembers(members)
+	for _, m := range members[1:] {
+		callee = contact.NewTracker(m.ID)
+		callee.SetMembers(members)
+		if len(callee.Evidence(0, members[0].ID, caller.List()).Mates) > 0 {
+			break
+		}
+	}
+	answer := func() *peerpb.Digest {
+		e := callee.Evidence(0, members[0].ID, caller.List())
+		d := digest()
+		d.Contact = &peerpb.Contact{List: e.List, Ages: e.Ages, Mates: e.Mates}
+		return d
+	}
+	return measuredGossip("config.contact", &gossipPeer{answer: answer}, func(d *peerpb.Digest) {
+		told := d.GetContact()
+		caller.Answered(0, callerName, contact.Evidence{List: told.GetList(), Ages: told.GetAges(), Mates: told.GetMates()})
+		caller.MajorityAsOf(0)
+	})
+}
+
+func measuredGossip(name string, answering *gossipPeer, take func(*peerpb.Digest)) measurement {
 	return measurement{
 		sizes: []int{500, 1000, 2000},
 		quantities: []quantity{
-			{"config.gossip.cpu", "µs", "call, both ends", "proxy/peer"},
-			{"config.gossip.bytes", "B", "call, both directions", "proxy/peer"},
+			{name + ".cpu", "µs", "call, both ends", "proxy/peer"},
+			{name + ".bytes", "B", "call, both directions", "proxy/peer"},
 		},
 		open: func(ctx context.Context) (runSize, func(), error) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				return nil, noStop, err
 			}
-			stopPeer, err := servePeer(ctx, listener, &gossipPeer{}, nil)
+			stopPeer, err := servePeer(ctx, listener, answering, nil)
 			if err != nil {
 				return nil, noStop, err
 			}
 			traffic := &peer.Traffic{}
 			client := peer.NewClient(peer.ClientConfig{Traffic: traffic})
-			call := func() error { return gossip(ctx, client, listener.Addr().String()) }
+			call := func() error { return gossip(ctx, client, listener.Addr().String(), take) }
 			run := func(size int) ([]float64, error) {
 				before := traffic.Sent.Load() + traffic.Received.Load()
 				processor, err := cost(func() error { return repeat(size, call) })
@@ -196,13 +233,62 @@
 	}
 }
 
-func gossip(ctx context.Context, client *peer.Client, address string) error {
+func gossip(ctx context.Context, client *peer.Client, address string, take func(*peerpb.Digest)) error {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	_, err := client.Gossip(ctx, address, digest())
+	d := digest()
+	d.Contact = &peerpb.Contact{List: 1 << 63}
+	d, err := client.Gossip(ctx, address, d)
+	if err == nil {
+		take(d)
+	}
 	return err
 }
 
+// contactList measures the reading of a changed list.
+func contactList() measurement {
+	return measurement{
+		sizes: []int{500, 1000, 2000},
+		quantities: []quantity{
+			{"config.contact.list.cpu", "µs", "listed instance, for one changed list", "decision/contact"},
+			{"config.contact.list.memory", "B", "listed instance", "decision/contact"},
+		},
+		open: alone(func(n int) ([]float64, error) {
+			const readings = 20
+			members := peer.Members(spreadList(n))
+			processor, err := cost(func() error {
+				for range readings {
+					readList(members)
+				}
+				return nil
+			})
+			if err != nil {
+				return nil, err
+			}
+			memory, err := held(func() (any, error) { return readList(members), nil })
+			return []float64{processor / readings, memory}, err
+		}),
+	}
+}
+
+// readList returns what an instance keeps of a list that it reads for the first time.
+func readList(members []contact.Member) any {
+	t, p := contact.NewTracker(members[0].ID), contact.NewPlan(members[0].ID, rand.New(rand.NewSource(1)))
+	t.SetMembers(members)
+	p.SetMembers(members)
+	return []any{t, p}
+}
+
+// spreadList is a list in the failure domains of the design size.
+func spreadList(n int) fixedList {
+	const domains = 13
+	list := largeList(n)
+	for i := range list {
+		list[i].FailureDomain = fmt.Sprintf("travancore-%d", i%domains)
+	}
+	return list
+}
+
 // gossipSpread counts the periods until all instances know a change that one of them begins with,
 // when each exchanges digests with a few random peers per period. The size is the binary logarithm
 // of the number of instances.
--- a/cmd/internal/benchcmd/capacity_home.go
+++ b/cmd/internal/benchcmd/capacity_home.go
@@ -223,7 +223,7 @@
 	}
 	return held(func() (any, error) {
 		for _, c := range clients {
-			if err := gossip(ctx, c, address); err != nil {
+			if err := gossip(ctx, c, address, ignored); err != nil {
 				return nil, err
 			}
 		}
--- a/decision/contact/plan.go
+++ b/decision/contact/plan.go
@@ -16,8 +16,9 @@
 	// largeListed is the number of listed instances above which an instance makes half of the calls,
 	// since it has 3 KB/s for all its control. Evidence then takes twice the time, see Timeout.
 	largeListed = 256
-	// window is the number of mates, and of others, that are called in turns. In a large deployment, with
-	// one call to each kind a period, a peer's turn comes every 16 s, so that its connection is kept.
+	// window is the number of mates, and of others, that a large deployment calls in turns. With one call
+	// to each kind a period, a peer's turn comes every 16 s, so that its connection is kept. Up to
+	// largeListed all are called in turns, which also tells soon which of them are dead.
 	window = 16
 	// periodsPerStep is the number of periods after which one of the window is replaced by the next, so
 	// that every peer is called at times and new connections stay rare.
@@ -25,7 +26,7 @@
 )
 
 // Plan chooses the peers that an instance calls: the next few mates and the next few others in fixed
-// orders, so that most calls use a kept connection. It is not safe for concurrent use.
+// orders. It is not safe for concurrent use.
 type Plan struct {
 	self    string
 	random  *rand.Rand
@@ -79,12 +80,11 @@
 // Next returns the peers to call in the next period, evenly spread over it, in this order.
 func (p *Plan) Next() []string {
 	p.periods++
-	peers := len(p.mates) + len(p.others)
-	if peers <= FullMeshPeers {
+	if len(p.mates)+len(p.others) <= FullMeshPeers {
 		return slices.Concat(p.mates, p.others)
 	}
 	calls := callsPerPeriod
-	if peers >= largeListed {
+	if p.large() {
 		calls /= 2
 	}
 	called := p.inTurn(p.mates, calls/2)
@@ -95,16 +95,23 @@
 
 // inTurn returns up to n peers, the next of those in the window.
 func (p *Plan) inTurn(peers []string, n int) []string {
-	size := min(window, len(peers))
+	first, size := 0, len(peers)
+	if p.large() {
+		first, size = p.periods/periodsPerStep, min(window, len(peers))
+	}
 	n = min(n, size)
 	next := make([]string, 0, callsPerPeriod)
 	for i := range n {
-		place := p.periods/periodsPerStep + (p.periods*n+i)%size
+		place := first + (p.periods*n+i)%size
 		next = append(next, peers[place%len(peers)])
 	}
 	return next
 }
 
+func (p *Plan) large() bool {
+	return len(p.mates)+len(p.others) >= largeListed
+}
+
 // Timeout returns how long a proof of contact lasts in a deployment of that many listed instances:
 // base up to 256 of them, and twice that above, where instances make half of the calls.
 func Timeout(base time.Duration, listed int) time.Duration {
--- a/decision/contact/sim_test.go
+++ b/decision/contact/sim_test.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// Bytes of a call besides the evidence, both directions: measured for a gossip call, and the allowance
-// for headers of docs/CAPACITY.md.
+// Bytes of a call besides the evidence, both directions: of config.contact.bytes in docs/CAPACITY.md
+// without the evidence, and the allowance for headers there.
 const (
-	callBytes   = 91 + 13 // with the fingerprint of the list and framing of the evidence
+	callBytes   = 124
 	headerBytes = 208
 )
 
@@ -219,3 +219,26 @@
 		}
 	}
 }
+
+// Guards against a peer that is never called, so that its death goes unnoticed, and against calls that
+// grow with the list.
+func TestEveryPeerIsCalled(t *testing.T) {
+	for _, size := range []int{2, 17, 18, 24, 100, 256} {
+		s := newNetwork(size, 3, 1)
+		for id, n := range s.nodes {
+			called := map[string]bool{}
+			for range size {
+				next := n.plan.Next()
+				if len(next) > FullMeshPeers || size > FullMeshPeers+1 && len(next) > callsPerPeriod {
+					t.Fatalf("%d instances: %d calls in a period", size, len(next))
+				}
+				for _, peer := range next {
+					called[peer] = true
+				}
+			}
+			if len(called) != size-1 || called[id] {
+				t.Fatalf("%d instances: %s calls %d peers in %d periods", size, id, len(called), size)
+			}
+		}
+	}
+}
--- a/decision/contact/tracker.go
+++ b/decision/contact/tracker.go
@@ -55,7 +55,8 @@
 // for concurrent use.
 type Tracker struct {
 	self   string
-	wanted int // groups
+	wanted int      // groups
+	named  []Member // as given
 	list   *grouping
 	listed int
 	own    int // own group
@@ -73,6 +74,10 @@
 // SetMembers replaces the list. It needs to name this instance, whose failure domain it tells; without
 // that, this instance counts as a member of an unnamed one. What is known of unchanged groups stays.
 func (t *Tracker) SetMembers(members []Member) {
+	if t.list.groups != nil && slices.Equal(members, t.named) {
+		return // the list is read every few seconds and seldom changes
+	}
+	t.named = slices.Clone(members)
 	t.setGrouping(newGrouping(withSelf(members, t.self), t.wanted))
 }
 
