--- a/proxy/directory/adopt.go
+++ b/proxy/directory/adopt.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 )
 
@@ -42,6 +43,28 @@
 	if err != nil {
 		return d.reject(err)
 	}
+	return d.offerLocked(document, next)
+}
+
+// OfferDeltas adopts the manifest to which differences lead from the one in force, if the whole is the
+// one that its sender has. The error manifest.ErrDeltaMismatch calls for the whole document.
+func (d *Directory) OfferDeltas(deltas [][]byte) error {
+	d.offers.Lock()
+	defer d.offers.Unlock()
+	current := d.current.Load()
+	if current == nil {
+		return manifest.ErrDeltaMismatch
+	}
+	next, err := current.Apply(deltas)
+	if err != nil {
+		return err
+	}
+	return d.offerLocked(nil, next)
+}
+
+// offerLocked adopts a snapshot with offers held. A document of nil stands for that of the snapshot.
+func (d *Directory) offerLocked(document []byte, next *manifest.Snapshot) error {
+	before := d.current.Load()
 	adopted, withdrawn, closed, err := d.adopt(document, next)
 	if err != nil {
 		return d.reject(err)
@@ -49,7 +72,8 @@
 	if !adopted {
 		return nil
 	}
-	d.logAdoption(m.Version, withdrawn, closed)
+	d.remember(before, next)
+	d.logAdoption(next.Version(), document == nil, withdrawn, closed)
 	if d.cfg.OnAdopt != nil {
 		d.cfg.OnAdopt(d.current.Load(), withdrawn)
 	}
@@ -94,7 +118,7 @@
 
 // publishLocked makes the adoption's decision on keyed work visible to the statement path.
 func (d *Directory) publishLocked() {
-	until, ok := d.adoption.KeyedUntil()
+	until, ok := d.adoption.KeyedUntil(d.cfg.Now())
 	if !ok {
 		d.keyedUntil.Store(neverKeyed)
 		return
@@ -107,8 +131,9 @@
 	return err
 }
 
-func (d *Directory) logAdoption(version uint64, w manifest.Withdrawals, closed int) {
-	event(d.cfg.Log, EventAdopted).WithField("version", version).Info("manifest is in force")
+func (d *Directory) logAdoption(version uint64, deltas bool, w manifest.Withdrawals, closed int) {
+	event(d.cfg.Log, EventAdopted).WithFields(logrus.Fields{"version": version, "by_differences": deltas}).
+		Info("manifest is in force")
 	if w.Empty() {
 		return
 	}
@@ -122,29 +147,71 @@
 	}).Info("adoption withdrew keys, accounts, routes or rights to routes")
 }
 
+// remember keeps the difference for peers that have the former manifest.
+func (d *Directory) remember(before, next *manifest.Snapshot) {
+	if before == nil {
+		return
+	}
+	history := d.deltas
+	history.Add(before, next) // outside d.mu, since it compares the whole manifests
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deltas = history
+}
+
 // Fetch returns the document and version of the manifest in force, if it has at least the
 // version asked for.
 func (d *Directory) Fetch(atLeast uint64) (document []byte, version uint64, ok bool) {
+	d.mu.Lock()
+	current, document := d.adoption.Current(), d.document
+	d.mu.Unlock()
+	if current == nil || current.Version() < atLeast {
+		return nil, 0, false
+	}
+	if document == nil {
+		document = d.pack(current)
+	}
+	return document, current.Version(), document != nil
+}
+
+// pack renders the manifest in force after it came as differences, once.
+func (d *Directory) pack(current *manifest.Snapshot) []byte {
+	document, err := current.Manifest().Pack()
+	if err != nil {
+		return nil // a valid manifest can always be encoded
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.adoption.Current() == current {
+		d.document = document
+	}
+	return document
+}
+
+// FetchDeltas returns the differences that lead from a version to the one in force, which has at least
+// the version asked for, if they are known.
+func (d *Directory) FetchDeltas(have, atLeast uint64) (deltas [][]byte, version uint64, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	version = d.adoption.Version()
-	if version == 0 || version < atLeast {
+	if version < atLeast {
 		return nil, 0, false
 	}
-	return d.document, version, true
+	deltas, ok = d.deltas.Between(have, version)
+	return deltas, version, ok
 }
 
-// State returns what this instance tells its peers.
+// State returns what this instance tells in a call to a peer.
 func (d *Directory) State() manifest.PeerState {
+	return d.StateFor("", 0)
+}
+
+// StateFor returns what this instance answers to a call that named the given caller and the
+// fingerprint of its list.
+func (d *Directory) StateFor(caller string, list uint64) manifest.PeerState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	age, known := d.adoption.ConfirmedAge(d.cfg.Now())
-	return manifest.PeerState{
-		Instance:   d.cfg.Instance,
-		Version:    d.adoption.Version(),
-		StoreKnown: known,
-		StoreAge:   age,
-	}
+	return d.adoption.StateFor(d.cfg.Now(), caller, list)
 }
 
 // Now returns the time on the clock that PeerAnswered expects.
@@ -162,12 +229,18 @@
 	return newer
 }
 
-// SetInstances replaces the list of instances whose majority counts as contact.
-func (d *Directory) SetInstances(ids []string) {
+// SetInstances replaces the list of instances whose majority counts as contact. The list may name
+// this instance or not.
+func (d *Directory) SetInstances(members []contact.Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.adoption.SetInstances(ids)
-	d.instances = len(ids) + 1
+	d.adoption.SetInstances(members)
+	d.instances = 1
+	for _, m := range members {
+		if m.ID != d.cfg.ListedAs {
+			d.instances++
+		}
+	}
 	d.publishLocked()
 }
 
