Reserve room for outstanding tokens only

Cause: the capacity of a pool was lowered by the rate times the token lifetime, the worst case of tokens under way, so an account could save up only its burst less 0.2 s of its rate. Accounts with a burst near that, and statements that rush in after a failover, were refused inside the rate. Change: level and outstanding tokens together stay within the whole capacity. Tokens are reported as used or unused, or end. A lender waits for the lifetime of tokens drawn at the end of a loan, and an owner hands fractions back only when no token drawn from them is left. A pool that loses capacity takes no unused tokens of before back, and the pool of a removed account stays while tokens of it are out. Stocks of all instances hold at most a quarter of a burst; an account with a burst too small for that has no stock and reports used tokens after 10 ms. The model waits 2 s for a grant as the driver does, instead of 5 ms. Tests: the random test also changes limits and removes accounts, and every window is checked against the largest limits in force in it. The check of delayed tokens after a hand-back uses the holder that lent the fractions and also covers loans that end; tokens of a hand-back that never reached it were outside the protocol. The row at 20 ms is now checked. Conclusion: the usable burst is the burst less what lies at other instances.

--- a/decision/quota/bound_test.go
+++ b/decision/quota/bound_test.go
@@ -6,26 +6,22 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 )
 
 // boundRun is one run of the model with faults, checked against the bound.
 type boundRun struct {
 	*sim
-	checks map[string]*boundCheck
-	err    error
-	next   int // number of the next new address
+	admissions map[string][]time.Duration
+	err        error
+	next       int // number of the next new address
 }
 
 func newBoundRun(cfg simConfig, nodes int, seed int64) *boundRun {
-	r := &boundRun{sim: newSim(cfg, seed), checks: map[string]*boundCheck{}}
-	for account, limits := range cfg.limits {
-		r.checks[account] = &boundCheck{limits: limits}
-	}
+	r := &boundRun{sim: newSim(cfg, seed), admissions: map[string][]time.Duration{}}
 	r.admitted = func(account string, at time.Duration) {
-		if over := r.checks[account].admit(at); over > 0 {
-			r.fail(fmt.Errorf("at %v account %s is %.2f tokens above its bound", at, account, over))
-		}
+		r.admissions[account] = append(r.admissions[account], at)
 	}
 	for range nodes {
 		r.list = append(r.list, r.newAddress())
@@ -36,6 +32,51 @@
 	return r
 }
 
+// tokensEnd is when tokens granted under earlier limits have ended, and with them the draws that
+// mix them with later ones.
+const tokensEnd = time.Duration(waitFactor * float64(MaxTokenLifetime+slotWidth))
+
+// checkBound checks every window of the run: an account gets at most the largest of the limits that
+// some process has in force in the window or that a token in use was granted under.
+func (r *boundRun) checkBound() error {
+	for i, from := range r.phases {
+		start := from.done + tokensEnd
+		if i == 0 {
+			start = 0
+		}
+		largest := map[string]Limits{}
+		for j := i; j < len(r.phases) && from.done >= 0; j++ {
+			end := r.now
+			if j+1 < len(r.phases) {
+				end = r.phases[j+1].first
+			}
+			for account, l := range r.phases[j].limits {
+				largest[account] = Limits{max(largest[account].Rate, l.Rate), max(largest[account].Burst, l.Burst)}
+			}
+			if err := r.checkWindows(start, end, largest); err != nil {
+				return errors.Wrapf(err, "limits %d to %d", i, j)
+			}
+		}
+	}
+	return r.err
+}
+
+// checkWindows checks every window between start and end against one bound.
+func (r *boundRun) checkWindows(start, end time.Duration, limits map[string]Limits) error {
+	for account, times := range r.admissions {
+		check := boundCheck{limits: limits[account]}
+		for _, at := range times {
+			if at < start || at >= end {
+				continue
+			}
+			if over := check.admit(at); over > 0 {
+				return errors.Newf("at %v account %s is %.2f tokens above its bound", at, account, over)
+			}
+		}
+	}
+	return nil
+}
+
 func (r *boundRun) fail(err error) {
 	if r.err == nil {
 		r.err = err
@@ -100,11 +141,24 @@
 	case "store outage":
 		r.storeDown = true
 		r.at(r.now+span, func() { r.storeDown = false })
+	case "limits":
+		r.change(r.drawLimits(), span)
 	case "list":
 		n.view = n.view[:1+r.random.Intn(len(n.view))]
 	}
 }
 
+// drawLimits returns other limits for every account, and removes some.
+func (r *boundRun) drawLimits() map[string]Limits {
+	out := map[string]Limits{}
+	for _, account := range r.accounts {
+		if r.random.Intn(4) > 0 {
+			out[account] = Limits{Rate: 5 + 300*r.random.Float64(), Burst: 1 + 100*r.random.Float64()}
+		}
+	}
+	return out
+}
+
 func (r *boundRun) watch(end time.Duration) {
 	r.at(r.now+7*time.Millisecond, func() {
 		if err := r.usableTwice(); err != nil {
@@ -118,13 +172,14 @@
 
 // Guards against any window in which an account gets more than burst + rate*w over all
 // instances, and against two users of one fraction, under pauses, crashes, lost and late
-// messages, store outages, differing lists and clocks that deviate by half a percent.
+// messages, store outages, differing lists, clocks that deviate by half a percent, and manifests
+// that change the limits, remove accounts and bring them back.
 func TestBoundUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const span = 20 * time.Second
 		cfg := simConfig{
 			limits: map[string]Limits{
-				"large": {Rate: 200, Burst: rapid.SampledFrom([]float64{40, 100, 400}).Draw(t, "burst")},
+				"large": {Rate: 200, Burst: rapid.SampledFrom([]float64{3, 40, 100, 400}).Draw(t, "burst")},
 				"small": {Rate: 10, Burst: 5},
 			},
 			latency:  rapid.SampledFrom([]time.Duration{500 * time.Microsecond, 20 * time.Millisecond}).Draw(t, "latency"),
@@ -137,7 +192,7 @@
 		r := newBoundRun(cfg, nodes, rapid.Int64().Draw(t, "seed"))
 		r.load(rapid.SampledFrom([]float64{0.5, 1.2, 4}).Draw(t, "load"), span)
 		r.watch(span)
-		kinds := rapid.SampledFrom([]string{"pause", "restart", "replace", "drain", "store outage", "list"})
+		kinds := rapid.SampledFrom([]string{"pause", "restart", "replace", "drain", "store outage", "list", "limits"})
 		for range rapid.IntRange(0, 10).Draw(t, "faults") {
 			at := time.Duration(rapid.IntRange(0, int(span.Milliseconds())).Draw(t, "at")) * time.Millisecond
 			length := time.Duration(rapid.IntRange(1, 4000).Draw(t, "length")) * time.Millisecond
@@ -145,8 +200,8 @@
 			r.at(at, func() { r.fault(kind, which, length) })
 		}
 		r.runUntil(span)
-		if r.err != nil {
-			t.Fatal(r.err)
+		if err := r.checkBound(); err != nil {
+			t.Fatal(err)
 		}
 	})
 }
@@ -240,3 +295,34 @@
 		}
 	})
 }
+
+// Guards against changed limits that stay without effect, or that an account which is removed and
+// comes back gets nothing. Each change reaches the instances within a second; two seconds later the
+// account gets its new rate, and checkBound sees every window.
+func TestLimitsTakeEffect(t *testing.T) {
+	const step, effect, lag = 6 * time.Second, 3 * time.Second, time.Second
+	one := func(rate, burst float64) map[string]Limits { return map[string]Limits{"a": {rate, burst}} }
+	steps := []map[string]Limits{one(100, 50), one(200, 100), one(50, 10), {}, one(100, 50), one(100, 5), one(100, 300)}
+	r := newBoundRun(simConfig{limits: steps[0], latency: 500 * time.Microsecond, clockOff: reachClockOff}, 4, 1)
+	for i, limits := range steps[1:] {
+		r.at(time.Duration(i+1)*step, func() { r.change(limits, lag) })
+	}
+	end := time.Duration(len(steps)) * step
+	r.load(3, end)
+	r.runUntil(end)
+	if err := r.checkBound(); err != nil {
+		t.Error(err)
+	}
+	for i, limits := range steps {
+		from, to := time.Duration(i)*step+effect, time.Duration(i+1)*step
+		got := 0.0
+		for _, at := range r.admissions["a"] {
+			if at >= from && at < to {
+				got++
+			}
+		}
+		if want := limits["a"].Rate * (to - from).Seconds(); got < (1-2*reachLimit)*want || want == 0 && got > 0 {
+			t.Errorf("limits %v: %.0f admitted in %v, want %.0f", limits, got, to-from, want)
+		}
+	}
+}
--- a/decision/quota/doc.go
+++ b/decision/quota/doc.go
@@ -17,22 +17,36 @@
 //     HoldTerm after it sent its last confirmed renewal, and others count a longer time from
 //     when they first saw that renewal.
 //   - A fraction is in one bucket at a time. The borrower stops LoanTerm after it sent its
-//     request; the lender waits longer, from when it got the request.
+//     request; the lender waits longer, from when it got the request, and for the lifetime of
+//     tokens drawn at the end of the loan. Fractions are handed back early only when no token
+//     drawn from them can be used any more.
 //   - A bucket that gains a fraction gains no tokens except those that another bucket gave up.
-//     A bucket that loses a fraction keeps at most its new capacity. So the levels of an
-//     account's buckets together never exceed the level of one bucket for the whole account.
-//   - A token is used at most its lifetime after it was drawn, since the lifetime counts from
-//     when the requester sent its request. Capacities are lowered by rate times lifetime, so the
-//     delay between draw and use can't add to a window.
+//     A bucket that loses a fraction keeps at most its new capacity.
+//   - Level and outstanding tokens of a pool together never exceed its capacity: a granted token
+//     keeps its room until it is reported as used or unused, or has ended. Its lifetime counts
+//     from when the requester sent its request.
 //   - Unused tokens return only to the bucket that they were drawn from, and only while that
-//     bucket still reserves room for them; it never refills the room that is reserved.
+//     bucket still reserves room for them and has lost no fraction since.
 //
-// Entitlement: an account gets its rate, less half a percent for fast clocks, through one instance
-// or many. What it can lose beyond that is tokens that lie at instances without use, which return,
-// and the first statements at an instance that is far from the owner: callers wait a few
-// milliseconds only, so until the first grant is back they get what the instance's own fractions
-// have. Buckets start empty, also after a fraction changed its holder.
+// Proof. Let V be the level of one bucket with the account's whole rate and burst that pays for
+// every statement when it is admitted; the bound holds if V never falls below 0. Let P be the sum
+// of the levels of all buckets, O the number of tokens that can still be used, and R the room
+// reserved for them, fractions in transit between two buckets counting as room. Then
+// P + O <= V, O <= R and P + R <= burst hold at all times:
+//
+//   - A grant moves tokens from P to O and to R. An admission by a token takes one from O and V,
+//     one by a holder's own fractions takes one from P and V.
+//   - The refill raises P at most at the rate of V. When V is full, P + O <= P + R <= burst = V.
+//   - An unused token leaves O before its room leaves R, and may then enter P in that room: as
+//     long as R has kept it, V exceeded P + O by it.
+//   - Fractions that change their bucket leave no token behind that can be used, or are in transit
+//     until the last one has ended. They take at most their part of the capacity along.
 //
-// An account needs a burst of at least 2 and should have a burst of at least 0.4 s of its rate:
-// with less, the token lifetime shrinks below 200 ms and grants reach only nearby instances.
+// So V >= P + O >= 0. When limits change, the proof holds with the largest limits in force, and
+// with the new ones alone as soon as the last instance has them and tokens of before have ended.
+//
+// Entitlement: an account gets its rate, less half a percent for fast clocks, through one instance
+// or many, and its burst less the tokens that lie at other instances. Stocks hold at most stockPart
+// of the burst; an account whose burst is too small for a token in stock everywhere has none, and
+// its statements wait for the owner. Buckets start empty, also after a fraction changed its holder.
 package quota
--- a/decision/quota/limits.go
+++ b/decision/quota/limits.go
@@ -28,10 +28,9 @@
 	// waitFactor lengthens the waits for another party's clock: 1.005/0.995 is below 1.0101,
 	// and the rest is a safety margin.
 	waitFactor = 1.02
-	// lifetimeFactor covers a requester whose clock runs slow while it counts a lifetime.
-	lifetimeFactor = 1.01
-	// promiseTerm is how long a lender waits for lent fractions.
-	promiseTerm = time.Duration(waitFactor * float64(LoanTerm))
+	// promiseTerm is how long a lender waits for lent fractions: the loan, and the lifetime of
+	// tokens drawn at its end.
+	promiseTerm = time.Duration(waitFactor * float64(LoanTerm+MaxTokenLifetime))
 	// abandonTerm is how long a renewal must stay unchanged before others claim its fractions.
 	abandonTerm = time.Duration(waitFactor * float64(HoldTerm))
 )
@@ -42,24 +41,14 @@
 	Burst float64 // statements
 }
 
-// Lifetime returns how long tokens of the account may be used. It shrinks for accounts with a
-// small burst, so that at least half of the burst above one statement stays usable.
-func (l Limits) Lifetime() time.Duration {
-	if l.Burst <= 1 {
-		return 0
-	}
-	if l.Rate <= 0 {
-		return MaxTokenLifetime
-	}
-	spare := (l.Burst - 1) / 2
-	seconds := spare / (l.Rate * lifetimeFactor)
-	return time.Duration(min(seconds, MaxTokenLifetime.Seconds()) * float64(time.Second))
-}
-
 // capacity returns the capacity of n fractions in tokens.
 func (l Limits) capacity(n int) float64 {
-	whole := l.Burst - l.Rate*lifetimeFactor*l.Lifetime().Seconds()
-	return max(whole, 0) * float64(n) / FractionCount
+	return max(l.Burst, 0) * float64(n) / FractionCount
+}
+
+// lengthened returns the time that another party's clock may need to count d, by the own clock.
+func lengthened(d time.Duration) time.Duration {
+	return time.Duration(waitFactor * float64(d))
 }
 
 // rate returns the refill rate of n fractions in tokens per second, slow enough for a clock
--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -14,11 +13,9 @@
 	renewLoanBefore = LoanTerm / 2
 	// askAgain is the time between requests to a holder that is not known to lend.
 	askAgain = 200 * time.Millisecond
-	// slotWidth groups draws, so that unused tokens can name the draw they came from.
-	slotWidth = 50 * time.Millisecond
-	// slotTerm is how long a draw's tokens keep their room in the bucket: their lifetime and
-	// the time until the next request of their holder.
-	slotTerm = 2 * MaxTokenLifetime
+	// leastLifetime is the shortest lifetime that tokens are granted with; a shorter one may be over
+	// before they arrive.
+	leastLifetime = 50 * time.Millisecond
 	// minRetryAfter keeps requesters from asking an empty pool again and again.
 	minRetryAfter = 20 * time.Millisecond
 	// maxRetryAfter bounds the advice of a pool with a very low rate.
@@ -78,6 +75,9 @@
 	lastDemand time.Duration // of the last grant request
 	demanded   bool
 	other      string // a borrower that a holder named
+
+	tokensUntil time.Duration // every token granted has ended by then
+	closing     bool          // the fractions are handed back at tokensUntil
 }
 
 // borrowed is what one holder has lent.
@@ -90,12 +90,6 @@
 	ignored   uint64 // answers up to this serial don't count: a later one came, or the loan was handed back
 }
 
-// pool is the bucket of one account and the draws that may still return tokens.
-type pool struct {
-	bucket Bucket
-	draws  map[uint64]float64 // slot to tokens whose fate is not known
-}
-
 // NewOwner returns an owner without loans. epoch is a random number of the process.
 func NewOwner(address string, epoch uint64) *Owner {
 	return &Owner{
@@ -104,14 +98,21 @@
 	}
 }
 
-// SetAccounts replaces the accounts of the shard. Accounts that stay keep their tokens.
+// SetAccounts replaces the accounts of the shard. Accounts that stay keep their tokens. The pool
+// of a removed account stays while tokens of it may be outstanding, in case the account returns.
 func (o *Owner) SetAccounts(now time.Duration, limits map[string]Limits) {
 	o.settle(now)
 	pools := make(map[string]*pool, len(limits))
+	for account, p := range o.pools {
+		p.advance(now)
+		if len(p.draws) > 0 {
+			pools[account] = p
+		}
+	}
 	for account := range limits {
 		pools[account] = o.pools[account]
 		if pools[account] == nil {
-			pools[account] = &pool{bucket: Bucket{at: now}, draws: map[uint64]float64{}}
+			pools[account] = &pool{bucket: Bucket{at: now}}
 		}
 	}
 	o.limits, o.pools = limits, pools
@@ -171,8 +172,7 @@
 	n := o.fractions().Count()
 	for account, p := range o.pools {
 		limits := o.limits[account]
-		p.advance(now)
-		p.bucket.Configure(now, limits.rate(n), limits.capacity(n))
+		p.configure(now, limits.rate(n), limits.capacity(n))
 	}
 }
 
@@ -232,11 +232,12 @@
 	}
 }
 
-// HandBacks ends the loans that are not wanted any more and returns the messages that say so.
-// The pool does not use these fractions from this call on.
+// HandBacks ends the loans that are not wanted any more, once no token drawn from them can be
+// used, and returns the messages that say so. The pool does not use these fractions after that.
 func (o *Owner) HandBacks(now time.Duration) []HandBackTo {
 	o.settle(now)
-	if o.active(now) || o.fractions() == 0 {
+	o.closing = !o.active(now) && o.fractions() != 0
+	if !o.closing || now < o.tokensUntil {
 		return nil
 	}
 	var out []HandBackTo
@@ -272,63 +273,41 @@
 	if d.Want > 0 {
 		o.lastDemand, o.demanded = now, true
 	}
-	p, limits := o.pools[d.Account], o.limits[d.Account]
-	if p == nil {
+	o.closing = o.closing && !o.active(now)
+	limits, known := o.limits[d.Account]
+	if !known {
 		return Grant{Account: d.Account, NoPool: true}
 	}
+	p := o.pools[d.Account]
 	p.advance(now)
-	o.settleDraws(p, d.Settled)
-	g := Grant{Account: d.Account, Slot: slotAt(now), Lifetime: limits.Lifetime()}
-	n := o.fractions().Count()
-	if n == 0 {
-		g.NoPool, g.Owner = true, o.other
-		return g
+	for _, s := range d.Settled {
+		if s.Epoch == o.epoch {
+			p.settle(s)
+		}
+	}
+	n, lifetime := o.fractions().Count(), o.lifetime(now)
+	if n == 0 || lifetime < leastLifetime {
+		return Grant{Account: d.Account, NoPool: true, Owner: o.other}
+	}
+	g := Grant{Account: d.Account, Lifetime: lifetime}
+	g.Tokens, g.Slot = p.draw(now, d.Want)
+	if g.Tokens > 0 {
+		o.tokensUntil = max(o.tokensUntil, now+lengthened(lifetime))
 	}
-	g.Tokens = max(0, min(d.Want, int(math.Floor(p.bucket.Level()))))
-	p.draw(g.Slot, float64(g.Tokens))
 	if g.Tokens < d.Want {
 		g.RetryAfter = refillTime(1-p.bucket.Level(), limits.rate(n))
 	}
 	return g
 }
 
-func slotAt(now time.Duration) uint64 {
-	return uint64(now / slotWidth)
-}
-
-func (p *pool) draw(slot uint64, n float64) {
-	if n > 0 && p.bucket.Take(n) {
-		p.bucket.Reserve(n)
-		p.draws[slot] += n
-	}
-}
-
-// advance refills the pool up to now. Draws that are too old for their tokens to return give
-// their room free at the time at which they became too old.
-func (p *pool) advance(now time.Duration) {
-	for _, slot := range slices.Sorted(maps.Keys(p.draws)) {
-		end := time.Duration(slot+1)*slotWidth + slotTerm
-		if end > now {
-			break
-		}
-		p.bucket.Advance(end)
-		p.bucket.Reserve(-p.draws[slot])
-		delete(p.draws, slot)
-	}
-	p.bucket.Advance(now)
-}
-
-// settleDraws frees the room of tokens whose fate is known and takes unused ones back.
-func (o *Owner) settleDraws(p *pool, settled []Settled) {
-	for _, s := range settled {
-		n := float64(s.Used + s.Unused)
-		if s.Epoch != o.epoch || s.Used < 0 || s.Unused < 0 || p.draws[s.Slot] < n {
-			continue
-		}
-		p.draws[s.Slot] -= n
-		p.bucket.Reserve(-n)
-		p.bucket.Add(float64(s.Unused))
+// lifetime returns the lifetime of tokens granted now. Those granted while the fractions are
+// about to be handed back end with the ones granted before.
+func (o *Owner) lifetime(now time.Duration) time.Duration {
+	if !o.closing {
+		return MaxTokenLifetime
 	}
+	left := time.Duration(float64(o.tokensUntil-now) / waitFactor)
+	return min(MaxTokenLifetime, left)
 }
 
 // refillTime returns how long a bucket takes to gain n tokens.
--- a/decision/quota/reach_test.go
+++ b/decision/quota/reach_test.go
@@ -14,6 +14,7 @@
 	reachWarmup = 2 * time.Second
 	reachSpan   = 62 * time.Second
 	reachMove   = 5 * time.Second // time after which an account's load moves to other instances
+	restTerm    = 3 * time.Second // above burst / rate of every account of reachLimits
 	reachLimit  = 0.01            // part refused inside the rate that is not reached
 	// reachClockOff is above what crystals deviate by. The bound is checked with more, which
 	// costs its part of the rate here.
@@ -65,9 +66,16 @@
 type loadShape struct {
 	skew    float64                      // part that goes to one instance, which changes every reachMove
 	factor  func(account string) float64 // of the account's rate
+	rest    time.Duration                // before the first statement
 	poisson bool                         // exponential gaps instead of one statement at a random moment of each period
 }
 
+// afterRest returns the shape with a rest in which all buckets fill.
+func (l loadShape) afterRest() loadShape {
+	l.rest = restTerm
+	return l
+}
+
 func (l loadShape) build(limits map[string]Limits, seed int64) []arrival {
 	random := rand.New(rand.NewSource(seed))
 	var out []arrival
@@ -87,7 +95,9 @@
 			if random.Float64() < l.skew {
 				a.node = (i + 3*int(a.at/reachMove)) % reachNodes
 			}
-			out = append(out, a)
+			if a.at >= l.rest {
+				out = append(out, a)
+			}
 		}
 	}
 	slices.SortFunc(out, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
@@ -121,8 +131,9 @@
 	}
 }
 
-// playQuota runs the machines in the network model.
-func playQuota(t *testing.T, limits map[string]Limits, load []arrival, latency time.Duration) (map[string]*score, int) {
+// playQuota runs the machines in the network model and returns the scores, the number of messages and
+// the 99th percentile of the waits of admitted statements.
+func playQuota(t *testing.T, limits map[string]Limits, load []arrival, latency time.Duration) (map[string]*score, int, time.Duration) {
 	r := newBoundRun(simConfig{limits: limits, latency: latency, clockOff: reachClockOff}, reachNodes, 1)
 	scores := map[string]*score{}
 	for account := range limits {
@@ -146,10 +157,11 @@
 		})
 	}
 	r.runUntil(reachSpan)
-	if r.err != nil {
-		t.Error(r.err)
+	if err := r.checkBound(); err != nil {
+		t.Error(err)
 	}
-	return scores, r.messages
+	slices.Sort(r.waits)
+	return scores, r.messages, r.waits[len(r.waits)*99/100].Round(100 * time.Microsecond)
 }
 
 // summary is one line of the table.
@@ -181,11 +193,9 @@
 // the same load are printed: static equal shares refuse what is skewed, local limiters without
 // coordination admit several times the rate.
 //
-// Two rows are checked in total only. An instance far from the owner keeps a token for an account
-// with little demand, and the buckets, which start empty, lack these at first. Random arrivals at
-// the full rate need the whole burst, which the central bucket that they are compared with has
-// from the start. Instances 20 ms apart are printed only: a moved load finds no tokens for a round
-// trip of 40 ms while callers wait 5 ms, which is 0.8% of a load that moves every 5 s.
+// The buckets start empty, so an account has no burst at first. Rows in which accounts need it, for
+// random arrivals or for tokens in stock far from the owner, are checked in total only; the same
+// loads after restTerm, when the buckets are full, are checked for each account.
 func TestReachesTheRate(t *testing.T) {
 	everyone := func(string) float64 { return 1 }
 	oneFloods := func(account string) float64 {
@@ -202,18 +212,21 @@
 		total   bool // the sum over the accounts is checked
 		each    bool // each account is checked
 	}{
-		{"all through one, moving", near, loadShape{1, everyone, false}, true, true},
-		{"70% through one, moving", near, loadShape{0.7, everyone, false}, true, true},
-		{"even over 8", near, loadShape{0, everyone, false}, true, true},
-		{"one account at 400%", near, loadShape{0.7, oneFloods, false}, true, true},
-		{"70% through one, 8 ms", region, loadShape{0.7, everyone, false}, true, false},
-		{"70% through one, 20 ms", regions, loadShape{0.7, everyone, false}, false, false},
-		{"70% through one, random", near, loadShape{0.7, everyone, true}, true, false},
+		{"all through one, moving", near, loadShape{skew: 1, factor: everyone}, true, true},
+		{"70% through one, moving", near, loadShape{skew: 0.7, factor: everyone}, true, true},
+		{"even over 8", near, loadShape{factor: everyone}, true, true},
+		{"one account at 400%", near, loadShape{skew: 0.7, factor: oneFloods}, true, true},
+		{"70% through one, 8 ms", region, loadShape{skew: 0.7, factor: everyone}, true, false},
+		{"70% through one, 20 ms", regions, loadShape{skew: 0.7, factor: everyone}, true, false},
+		{"70% through one, random", near, loadShape{skew: 0.7, factor: everyone, poisson: true}, true, false},
+		{"8 ms, full buckets", region, loadShape{skew: 0.7, factor: everyone}.afterRest(), true, true},
+		{"20 ms, full buckets", regions, loadShape{skew: 0.7, factor: everyone}.afterRest(), true, true},
+		{"random, full buckets", near, loadShape{skew: 0.7, factor: everyone, poisson: true}.afterRest(), true, true},
 	}
 	t.Logf("%-24s %-14s %13s %9s  %s", "load", "limiter", "most admitted", "refused", "worst account")
 	for _, c := range cases {
 		load := c.shape.build(reachLimits, 7)
-		scores, messages := playQuota(t, reachLimits, load, c.latency)
+		scores, messages, p99 := playQuota(t, reachLimits, load, c.latency)
 		lines := []struct {
 			name   string
 			scores map[string]*score
@@ -226,7 +239,7 @@
 			admitted, refused, worst, account := summary(reachLimits, line.scores)
 			t.Logf("%-24s %-14s %12.1f%% %8.2f%%  %.2f%% %s", c.name, line.name, 100*admitted, 100*refused, 100*worst, account)
 		}
-		t.Logf("%-24s %.0f messages/s per instance", c.name, float64(messages)/reachNodes/reachSpan.Seconds())
+		t.Logf("%-24s %.0f messages/s per instance, waits: p99 %v", c.name, float64(messages)/reachNodes/reachSpan.Seconds(), p99)
 		_, refused, worst, account := summary(reachLimits, scores)
 		if c.total && refused >= reachLimit {
 			t.Errorf("%s: %.2f%% refused inside the rate, want below %.0f%%", c.name, 100*refused, 100*reachLimit)
@@ -236,3 +249,58 @@
 		}
 	}
 }
+
+// rushLimits are accounts whose burst is 1 s, 0.5 s, 0.2 s and less of their rate.
+var rushLimits = map[string]Limits{
+	"a 1 s": {Rate: 100, Burst: 100}, "b 0.5 s": {Rate: 100, Burst: 50}, "c 0.2 s": {Rate: 100, Burst: 20},
+	"d 0.1 s": {Rate: 100, Burst: 10}, "e 0.05 s": {Rate: 100, Burst: 5},
+}
+
+// rushes returns a load of half of each account's rate, and every reachMove nine tenths of its burst
+// within 20 ms through one instance, as callers do who had to wait for a failover.
+func rushes(limits map[string]Limits, seed int64) []arrival {
+	random := rand.New(rand.NewSource(seed))
+	load := loadShape{skew: 0.7, factor: func(string) float64 { return 0.5 }}.build(limits, seed)
+	load = slices.DeleteFunc(load, func(a arrival) bool { return a.at%reachMove > reachMove-time.Second })
+	for at := reachMove; at < reachSpan; at += reachMove {
+		for i, account := range sortedKeys(limits) {
+			for range int(0.9 * limits[account].Burst) {
+				moment := at + time.Duration(random.Int63n(int64(20*time.Millisecond)))
+				load = append(load, arrival{moment, account, (i + int(at/reachMove)) % reachNodes})
+			}
+		}
+	}
+	slices.SortFunc(load, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return load
+}
+
+// reserving returns the limits that are usable when the capacity is lowered by the rate times the
+// token lifetime, the rule that reserves for the worst case instead of what is outstanding.
+func reserving(limits map[string]Limits) map[string]Limits {
+	out := map[string]Limits{}
+	for account, l := range limits {
+		lifetime := min(MaxTokenLifetime.Seconds(), (l.Burst-1)/2/(1.01*l.Rate))
+		out[account] = Limits{Rate: l.Rate, Burst: l.Burst - 1.01*l.Rate*lifetime}
+	}
+	return out
+}
+
+// Guards against refusals of what an account has saved up. The baseline is one central bucket with
+// the capacity that a constant reserve leaves. Instances far from each other are printed only: a
+// quarter of the burst can lie at other instances in stock.
+func TestReachesTheBurst(t *testing.T) {
+	const near = 500 * time.Microsecond
+	load := rushes(rushLimits, 7)
+	for _, latency := range []time.Duration{near, 8 * time.Millisecond, 20 * time.Millisecond} {
+		ours, _, _ := playQuota(t, rushLimits, load, latency)
+		baseline := play(rushLimits, load, newBucketPer(reserving(rushLimits), 1))
+		for _, account := range sortedKeys(rushLimits) {
+			refused := func(s *score) float64 { return 1 - float64(min(s.admitted, s.central))/float64(s.central) }
+			got := refused(ours[account])
+			t.Logf("%5v %-9s refused inside the rate %6.2f%%, constant reserve %6.2f%%", latency, account, 100*got, 100*refused(baseline[account]))
+			if latency == near && got >= reachLimit {
+				t.Errorf("account %s: %.2f%% refused inside its rate, want below %.0f%%", account, 100*got, 100*reachLimit)
+			}
+		}
+	}
+}
--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -29,13 +29,17 @@
 	refusalMemory = time.Second
 	// prefetchHorizon is the demand that a full stock covers.
 	prefetchHorizon = 100 * time.Millisecond
+	// stockPart is the part of an account's burst that all stocks together may hold.
+	stockPart = 0.25
+	// maxHorizon bounds the demand that a stock covers, since tokens end unused.
+	maxHorizon = MaxTokenLifetime / 2
 	// refreshLead is how long before their end tokens no longer count as stock, so that their
 	// replacement is there in time.
 	refreshLead = 60 * time.Millisecond
 	// warmTerm is how long an account without arrivals keeps one token in stock.
 	warmTerm = 10 * time.Second
 	// settleDelay is how long unused tokens wait for a request that takes them along.
-	settleDelay = 50 * time.Millisecond
+	settleDelay = 10 * time.Millisecond
 	// formingDelay is the time to the next request while the owner has no fractions yet.
 	formingDelay = 5 * time.Millisecond
 	// formingLimit is how long formingDelay applies; then failureDelay does.
@@ -57,6 +61,7 @@
 	owner         string // by the own list
 	redirect      string // named by an owner without fractions
 	redirectUntil time.Duration
+	instances     int           // that may keep a stock
 	roundTrip     time.Duration // moving average of the answers' times, 0 before the first
 	accounts      map[string]*stock
 	names         []string // of the accounts, sorted
@@ -77,6 +82,7 @@
 	inFlight     int // requests without an answer
 	pending      int // tokens that they ask for
 	nextAsk      time.Duration
+	settledSince time.Duration
 	unusedSince  time.Duration
 	starvedUntil time.Duration // the owner has no tokens before
 	formingSince time.Duration
@@ -128,9 +134,9 @@
 	r.names = slices.Sorted(maps.Keys(accounts))
 }
 
-// SetOwner names the pool owner by the own list.
-func (r *Requester) SetOwner(owner string) {
-	r.owner = owner
+// SetOwner names the pool owner by the own list, and the number of instances that may keep a stock.
+func (r *Requester) SetOwner(owner string, instances int) {
+	r.owner, r.instances = owner, instances
 }
 
 // target returns the owner to ask now.
@@ -151,7 +157,7 @@
 	for _, account := range r.names {
 		s := r.accounts[account]
 		s.expire(now)
-		want, due := s.due(now, localLevel(account), r.roundTrip)
+		want, due := s.due(now, localLevel(account), r.roundTrip, r.instances)
 		if !due {
 			continue
 		}
@@ -165,33 +171,52 @@
 }
 
 // due returns how many tokens to ask for, and whether to ask now.
-func (s *stock) due(now time.Duration, local float64, roundTrip time.Duration) (int, bool) {
+func (s *stock) due(now time.Duration, local float64, roundTrip time.Duration, instances int) (int, bool) {
 	if s.inFlight >= requestsInFlight || now < s.nextAsk || now < s.starvedUntil {
 		return 0, false
 	}
-	target := s.target(now, roundTrip)
+	target := s.target(now, roundTrip, instances)
 	need := target - s.fresh(now) - s.pending - int(local)
 	waiting := max(0, s.waiting-s.pending)
 	want := max(0, need) + waiting
 	if want > 0 && (waiting > 0 || 2*need >= target) {
 		return want, true
 	}
-	flush := s.unused() > 0 && now-s.unusedSince >= settleDelay
-	return 0, flush
+	return 0, s.reportDue(now, instances)
+}
+
+// reportDue reports whether settled tokens should be reported without asking for new ones: unused
+// ones, since others can use them, and used ones of a small burst, since the room that the owner
+// reserves for them is a large part of it.
+func (s *stock) reportDue(now time.Duration, instances int) bool {
+	if s.unused() > 0 && now-s.unusedSince >= settleDelay {
+		return true
+	}
+	return len(s.settled) > 0 && now-s.settledSince >= settleDelay && s.small(instances)
+}
+
+// small reports whether the burst is too small for a token in stock at each instance.
+func (s *stock) small(instances int) bool {
+	return s.limits.Burst*stockPart < float64(instances)
 }
 
 // target returns the stock that covers the demand until the next answer. An account with little
-// demand has no stock near its owner and one token far from it.
-func (s *stock) target(now, roundTrip time.Duration) int {
+// demand has no stock near its owner and one token far from it. The stocks of all instances leave
+// most of the burst in the pool, so an account with a small burst has none.
+func (s *stock) target(now, roundTrip time.Duration, instances int) int {
 	if !s.warm(now) {
 		return 0
 	}
-	horizon := min(prefetchHorizon+roundTrip, s.limits.Lifetime()/2)
-	expected := s.demand(now) * horizon.Seconds()
+	demand := s.demand(now)
+	expected := demand * min(prefetchHorizon+roundTrip, maxHorizon).Seconds()
 	if expected < littleDemand && roundTrip < nearRoundTrip {
 		return 0
 	}
-	return max(1, int(math.Ceil(expected+math.Sqrt(expected))))
+	allowed := int(s.limits.Burst * stockPart * min(1, demand/max(s.limits.Rate, 1)))
+	if !s.small(instances) {
+		allowed = max(1, allowed)
+	}
+	return min(allowed, max(1, int(math.Ceil(expected+math.Sqrt(expected)))))
 }
 
 // demand estimates the arrivals per second.
@@ -210,10 +235,9 @@
 
 // fresh returns the tokens that don't need a replacement yet.
 func (s *stock) fresh(now time.Duration) int {
-	lead := min(refreshLead, s.limits.Lifetime()/3)
 	n := 0
 	for _, b := range s.batches {
-		if b.expiry-now > lead {
+		if b.expiry-now > refreshLead {
 			n += b.tokens
 		}
 	}
@@ -240,6 +264,9 @@
 }
 
 func (s *stock) settle(now time.Duration, b batch, used, unused int) {
+	if len(s.settled) == 0 {
+		s.settledSince = now
+	}
 	if unused > 0 && s.unused() == 0 {
 		s.unusedSince = now
 	}
--- a/decision/quota/rules_test.go
+++ b/decision/quota/rules_test.go
@@ -62,20 +62,118 @@
 	}
 }
 
+// trio is a holder of all fractions, an owner and a requester at different instances.
+type trio struct {
+	*grantee
+	h *Holder
+	o *Owner
+}
+
+// lent is when the owner of a fullTrio borrows the fractions, which are full by then.
+const lent = 2 * second
+
+// fullTrio returns a trio whose owner has borrowed full fractions.
+func fullTrio() *trio {
+	r := &trio{newGrantee(), NewHolder(), NewOwner("owner", 1)}
+	r.h.SetAccounts(0, map[string]Limits{"a": ruleLimits})
+	r.h.SetUsable(0, allFractions, HoldTerm)
+	r.o.SetAccounts(0, map[string]Limits{"a": ruleLimits})
+	r.o.SetOwning(lent, true, []string{"holder"})
+	r.borrow(lent)
+	return r
+}
+
+// borrow lends the fractions to the owner if it asks for them.
+func (r *trio) borrow(now time.Duration) {
+	r.o.lastDemand, r.o.demanded = now, true
+	for _, ask := range r.o.Asks(now) {
+		r.o.Borrowed(now, now, "holder", ask.Request.Serial, r.h.Lend(now, ask.Request))
+	}
+}
+
+// useStock uses the tokens of the requester.
+func (r *trio) useStock(now time.Duration) {
+	r.use(now, func() bool { return r.accounts["a"].take(now) })
+}
+
+// useLocal uses the tokens of the holder's own fractions and returns their number.
+func (r *trio) useLocal(now time.Duration) int {
+	used := 0
+	r.use(now, func() bool {
+		if !r.h.Take(now, "a") {
+			return false
+		}
+		used++
+		return true
+	})
+	return used
+}
+
 // Guards against tokens used at the end of their lifetime together with what the fractions have
-// refilled at their holder, after the pool drew everything and handed them back.
-func TestDelayedTokensKeepTheBoundAfterHandBack(t *testing.T) {
-	const late = 199 * time.Millisecond
-	o, g, h := ownerWithLoan(t), newGrantee(), NewHolder()
-	h.SetAccounts(0, map[string]Limits{"a": ruleLimits})
-	g.draw(o, 0, time.Millisecond)
-	o.SetOwning(0, false, nil)
-	o.HandBacks(0)
-	h.SetUsable(0, allFractions, HoldTerm)
-	g.use(late, func() bool { return g.accounts["a"].take(late) })
-	g.use(late, func() bool { return h.Take(late, "a") })
-	if g.worst > 0 {
-		t.Errorf("%.1f tokens above the bound", g.worst)
+// refilled at their holder, after the pool drew everything and the loan was handed back or ended.
+func TestDelayedTokensKeepTheBoundAfterTheLoan(t *testing.T) {
+	const drawn = lent + LoanTerm - time.Millisecond
+	const late = drawn + MaxTokenLifetime - time.Millisecond
+	for _, handsBack := range []bool{true, false} {
+		r := fullTrio()
+		r.draw(r.o, drawn, drawn)
+		r.o.SetOwning(drawn, !handsBack, nil)
+		used := 0
+		for now := drawn; now < drawn+second; now += time.Millisecond {
+			for _, back := range r.o.HandBacks(now) {
+				r.h.HandBack(now, back.HandBack)
+			}
+			if now >= late {
+				r.useStock(now)
+				used += r.useLocal(now)
+			}
+		}
+		if r.worst > 0 {
+			t.Errorf("hands back %v: %.1f tokens above the bound", handsBack, r.worst)
+		}
+		if used < 10 {
+			t.Errorf("hands back %v: the holder used %d tokens of its fractions, want 10 at least", handsBack, used)
+		}
+	}
+}
+
+// Guards against unused tokens that return to a pool after the fractions that they were drawn from
+// have left it: the holder has refilled and used that room.
+func TestUnusedTokensDontReturnAfterTheLoan(t *testing.T) {
+	const drawn = lent + LoanTerm - time.Millisecond
+	const returned = drawn + slotWidth + slotTerm - 2*time.Millisecond
+	r := fullTrio()
+	g := r.o.Grant(drawn, Demand{Account: "a", Want: 1000})
+	r.useLocal(returned)
+	r.borrow(returned)
+	unused := Settled{Epoch: 1, Slot: g.Slot, Unused: g.Tokens}
+	again := r.o.Grant(returned, Demand{Account: "a", Want: 1000, Settled: []Settled{unused}})
+	for range again.Tokens {
+		r.worst = max(r.worst, r.check.admit(returned))
+	}
+	if r.o.fractions() != allFractions || g.Tokens == 0 {
+		t.Fatalf("the owner has fractions %x and drew %d tokens", r.o.fractions(), g.Tokens)
+	}
+	if r.worst > 0 {
+		t.Errorf("%.1f tokens above the bound", r.worst)
+	}
+}
+
+// Guards against an account that is removed and comes back: its pool must still count the tokens
+// that are outstanding at instances that have not heard of it.
+func TestReturningAccountCountsOutstandingTokens(t *testing.T) {
+	const late = lent + MaxTokenLifetime - time.Millisecond
+	r := fullTrio()
+	r.draw(r.o, lent, lent)
+	r.o.SetAccounts(lent+time.Millisecond, nil)
+	r.o.SetAccounts(lent+2*time.Millisecond, map[string]Limits{"a": ruleLimits})
+	r.useStock(late)
+	g := r.o.Grant(late, Demand{Account: "a", Want: 1000})
+	for range g.Tokens {
+		r.worst = max(r.worst, r.check.admit(late))
+	}
+	if r.worst > 0 {
+		t.Errorf("%.1f tokens above the bound", r.worst)
 	}
 }
 
@@ -177,9 +275,10 @@
 	if got := level(0, Settled{Epoch: 1, Slot: g.Slot, Unused: 31}); got != before+20 {
 		t.Errorf("more tokens returned than were drawn: level %.1f, want %.1f", got, before+20)
 	}
-	o.Grant(second, Demand{Account: "a", Want: 1000})
+	const forgotten = slotWidth + slotTerm
+	o.Grant(forgotten, Demand{Account: "a", Want: 1000})
 	before = o.pools["a"].bucket.Level()
-	if got := level(second, Settled{Epoch: 1, Slot: g.Slot, Unused: 30}); got != before {
+	if got := level(forgotten, Settled{Epoch: 1, Slot: g.Slot, Unused: 30}); got != before {
 		t.Errorf("tokens of a forgotten draw returned: level %.1f, want %.1f", got, before)
 	}
 }
--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -48,7 +48,7 @@
 
 // SetOwner names the pool owner by the instance's list, and the holders of fractions.
 func (s *Shard) SetOwner(now time.Duration, owner string, holders []string) {
-	s.requester.SetOwner(owner)
+	s.requester.SetOwner(owner, len(holders))
 	s.owner.SetOwning(now, owner == s.address, holders)
 }
 
--- a/decision/quota/sim_test.go
+++ b/decision/quota/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"time"
@@ -11,7 +12,7 @@
 const (
 	simPoll        = 5 * time.Millisecond
 	simRefresh     = 100 * time.Millisecond // of owners and usable fractions
-	simWait        = 5 * time.Millisecond   // of a statement for a grant on its way
+	simWait        = 2 * time.Second        // of a statement for the owner, as in the driver
 	simCallTimeout = 300 * time.Millisecond // of a request without an answer
 )
 
@@ -56,12 +57,13 @@
 	seq       int
 	queue     simQueue
 	nodes     map[string]*simNode // by address
-	ended     []*simNode          // processes that crashed
-	list      []string            // the platform's list
+	phases    []limitsPhase
+	list      []string // the platform's list
 	record    Record
 	version   uint64
 	storeDown bool
 	messages  int
+	waits     []time.Duration // of the statements admitted
 	admitted  func(account string, at time.Duration)
 	refused   func(account string)
 }
@@ -81,13 +83,17 @@
 	refreshAt   time.Duration // true time
 	waiters     map[string][]*simWaiter
 	epoch       uint64
+	adopted     int // index of the limits that it has in force
 }
 
-type simWaiter struct{ done bool }
+type simWaiter struct {
+	done  bool
+	began time.Duration
+}
 
 func newSim(cfg simConfig, seed int64) *sim {
 	return &sim{
-		cfg: cfg, accounts: sortedKeys(cfg.limits), random: rand.New(rand.NewSource(seed)), nodes: map[string]*simNode{},
+		cfg: cfg, accounts: sortedKeys(cfg.limits), phases: []limitsPhase{{limits: cfg.limits}}, random: rand.New(rand.NewSource(seed)), nodes: map[string]*simNode{},
 		admitted: func(string, time.Duration) {}, refused: func(string) {},
 	}
 }
@@ -111,23 +117,68 @@
 	n := &simNode{
 		s: s, address: address, alive: true, rate: 1 + s.cfg.clockOff*(2*s.random.Float64()-1),
 		offset: time.Duration(s.random.Int63n(int64(time.Hour))), shards: map[string]*Shard{},
-		waiters: map[string][]*simWaiter{}, epoch: s.random.Uint64(), view: slices.Clone(s.list),
+		waiters: map[string][]*simWaiter{}, epoch: s.random.Uint64(), view: slices.Clone(s.list), adopted: len(s.phases) - 1,
 	}
 	n.fractions = NewFractions(address, n.epoch, n.clock(), rand.New(rand.NewSource(s.random.Int63())))
 	for _, account := range s.accounts {
-		limits := s.cfg.limits[account]
-		shard := NewShard(address, n.epoch)
-		shard.SetAccounts(n.clock(), map[string]Limits{account: limits})
-		n.shards[account] = shard
+		n.shards[account] = NewShard(address, n.epoch)
 	}
 	s.nodes[address] = n
+	n.setAccounts()
 	n.loop()
 	return n
 }
 
+// setAccounts puts the adopted limits in force. An account that they leave out is removed.
+func (n *simNode) setAccounts() {
+	limits := n.s.phases[n.adopted].limits
+	for _, account := range n.s.accounts {
+		own := map[string]Limits{}
+		if l, listed := limits[account]; listed {
+			own[account] = l
+		}
+		n.shards[account].SetAccounts(n.clock(), own)
+	}
+}
+
 func (n *simNode) crash() {
 	n.alive = false
-	n.s.ended = append(n.s.ended, n)
+	n.s.noteAdopted()
+}
+
+// limitsPhase is limits and when the first process had them in force, and every one.
+type limitsPhase struct {
+	limits      map[string]Limits
+	first, done time.Duration // done is below 0 while some process has earlier limits
+}
+
+// change brings new limits to every process, to each within lag.
+func (s *sim) change(limits map[string]Limits, lag time.Duration) {
+	s.phases = append(s.phases, limitsPhase{limits: limits, first: s.now, done: -1})
+	latest := len(s.phases) - 1
+	for _, address := range sortedKeys(s.nodes) {
+		n := s.nodes[address]
+		s.at(s.now+time.Duration(s.random.Int63n(int64(lag))), func() { n.do(func() { n.adopt(latest) }) })
+	}
+}
+
+func (n *simNode) adopt(phase int) {
+	if phase <= n.adopted {
+		return
+	}
+	n.adopted = phase
+	n.setAccounts()
+	n.s.noteAdopted()
+}
+
+// noteAdopted notes since when every process has the limits of a phase or later ones.
+func (s *sim) noteAdopted() {
+	for i := range s.phases {
+		behind := func(n *simNode) bool { return n.alive && n.adopted < i }
+		if s.phases[i].done < 0 && !slices.ContainsFunc(slices.Collect(maps.Values(s.nodes)), behind) {
+			s.phases[i].done = s.now
+		}
+	}
 }
 
 func (n *simNode) clock() time.Duration {
@@ -364,6 +415,11 @@
 func (n *simNode) decide(account string, v Verdict, w *simWaiter) {
 	switch {
 	case v.Admitted:
+		wait := time.Duration(0)
+		if w != nil {
+			wait = n.s.now - w.began
+		}
+		n.s.waits = append(n.s.waits, wait)
 		n.s.admitted(account, n.s.now)
 	case !v.Wait:
 		n.s.refused(account)
@@ -380,7 +436,7 @@
 }
 
 func (n *simNode) wait(account string) {
-	w := &simWaiter{}
+	w := &simWaiter{began: n.s.now}
 	n.waiters[account] = append(n.waiters[account], w)
 	n.s.at(n.s.now+simWait, func() {
 		n.do(func() {
