Replace an owner that does not answer grant requests

Cause: a successor of a pool owner that is gone was chosen only when a heartbeat had failed, up to 1.25 s later where the address refuses connections and 2.25 s where it is silent; in a set of more than 16 peers, which are sampled, far later. Statements wait 2 s at most. Change: an instance whose grant request fails is not chosen as an owner for 3 s. An instance that is asked for tokens in an owner's place calls that owner itself, and takes over if it does not answer; otherwise it names the owner, so that a wrong suspicion costs one more round trip. Nothing of this touches the bound, since each fraction is lent once.

--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -154,9 +154,14 @@
 	s.requester.Failed(now, ask)
 }
 
-// Grant answers the demand of a requester as the pool owner.
+// Grant answers the demand of a requester as the pool owner. An instance that has no pool names the
+// owner by its own list, in case the requester's list differs.
 func (s *Shard) Grant(now time.Duration, d Demand) Grant {
-	return s.owner.Grant(now, d)
+	g := s.owner.Grant(now, d)
+	if g.NoPool && g.Owner == "" && s.requester.owner != s.address {
+		g.Owner = s.requester.owner
+	}
+	return g
 }
 
 // Lend answers a borrower.
--- a/proxy/quota/calls.go
+++ b/proxy/quota/calls.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
@@ -49,6 +51,9 @@
 	defer cancel()
 	d.count.asks.Add(1)
 	answer, err := d.cfg.Calls.Peer(ctx, address).Grant(ctx, &peerpb.GrantRequest{From: d.cfg.Self, Accounts: demandsToWire(b.asks)})
+	if !errors.Is(err, context.Canceled) {
+		d.sender.answered(address, err)
+	}
 	if err != nil {
 		d.count.asksFailed.Add(1)
 		d.cfg.Log.WithField(peer.FieldEvent, EventGrantFailed).WithField("peer", address).WithError(err).Debug("pool owner did not answer")
@@ -117,18 +122,17 @@
 // Grant answers a peer's request for tokens as the pool owner.
 func (d *Driver) Grant(_ context.Context, in *peerpb.GrantRequest) (*peerpb.Grants, error) {
 	out := &peerpb.Grants{Epoch: d.epoch}
-	wake := false
 	for _, a := range in.Accounts {
-		s := d.shards[shardOf(a.Account)]
+		shard := shardOf(a.Account)
+		s := d.shards[shard]
 		s.mu.Lock()
 		g := s.machine.Grant(d.cfg.Clock(), demandFromWire(a))
 		s.mu.Unlock()
-		wake = wake || g.NoPool
+		if g.NoPool {
+			d.sender.check(shard)
+		}
 		out.Accounts = append(out.Accounts, grantToWire(g))
 	}
-	if wake {
-		d.sender.wake()
-	}
 	return out, nil
 }
 
--- a/proxy/quota/driver_test.go
+++ b/proxy/quota/driver_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"math/rand"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -73,9 +75,10 @@
 // instance is a driver with its peers over loopback.
 type instance struct {
 	*Driver
-	set     *peer.Set
-	traffic *peer.Traffic
-	stop    func()
+	set      *peer.Set
+	traffic  *peer.Traffic
+	listener net.Listener
+	stop     func()
 }
 
 func (n *instance) digest() *peerpb.Digest {
@@ -132,6 +135,7 @@
 func startInstance(t *testing.T, list *lockedList, i int, store *memoryStore, listener net.Listener, accounts []manifest.Account) *instance {
 	t.Helper()
 	n := newInstance(t, list, i, store)
+	n.listener = listener
 	server, err := peer.NewServer(peer.ServerConfig{Config: n, Quota: n, Traffic: n.traffic, Log: quietLog()})
 	if err != nil {
 		t.Fatal(err)
@@ -363,3 +367,69 @@
 
 func (onlySelf) Live() []string { return []string{"127.0.0.1:1"} }
 func (onlySelf) Listed() int    { return 1 }
+
+// ownerGoneLimit is the longest wait for a token after an owner is gone: the end of its loans and the
+// time in which its successor borrows. A statement waits admitWait at most.
+const ownerGoneLimit = admitWait - 500*time.Millisecond
+
+// Guards against statements that wait long or get no answer when their pool owner is gone, both when
+// its address refuses connections and when it falls silent. The pool's tokens are lost with it, so
+// refusals above the rate are allowed at first.
+func TestOwnerGone(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		store := &memoryStore{}
+		nodes, _ := startCluster(t, 4, store, []manifest.Account{{Name: "milk", Rate: 400, Burst: 400}})
+		waitClaimed(t, store, 4)
+		var addresses []string
+		for _, n := range nodes {
+			addresses = append(addresses, n.cfg.Self)
+		}
+		owner := peer.Rendezvous("quota/"+strconv.Itoa(shardOf("milk")), addresses)
+		i := slices.Index(addresses, owner)
+		caller := nodes[(i+1)%len(nodes)]
+		admitOpenLoop(caller, 3*time.Second) // until the owner has all fractions
+		if silent {
+			nodes[i].hold(t)
+		}
+		var stopped sync.WaitGroup
+		stopped.Go(nodes[i].stop)
+		longest, refused := admitOpenLoop(caller, 4*time.Second)
+		stopped.Wait()
+		t.Logf("silent %v: longest wait %v, refused %v", silent, longest.Round(time.Millisecond), refused)
+		if refused[outcome.CodeInsufficient] > 0 || longest > ownerGoneLimit && !raceEnabled {
+			t.Errorf("silent %v: refused %v, longest wait %v, want at most %v", silent, refused, longest, ownerGoneLimit)
+		}
+	}
+}
+
+// admitOpenLoop sends 250 statements/s whatever the answers, and returns the longest wait and the
+// refusals by their code.
+func admitOpenLoop(n *instance, span time.Duration) (longest time.Duration, refused map[string]int) {
+	refused = map[string]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(4 * time.Millisecond) {
+		wg.Go(func() {
+			began := time.Now()
+			err := n.Admit(context.Background(), "milk")
+			mu.Lock()
+			defer mu.Unlock()
+			longest = max(longest, time.Since(began))
+			if e := outcome.As(err); e != nil {
+				refused[e.Code]++
+			}
+		})
+	}
+	wg.Wait()
+	return longest, refused
+}
+
+// hold keeps the address of an instance that stops open without answering.
+func (n *instance) hold(t *testing.T) {
+	t.Helper()
+	file, err := n.listener.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = file.Close() })
+}
--- a/proxy/quota/sender.go
+++ b/proxy/quota/sender.go
@@ -20,6 +20,10 @@
 	idleTick = time.Second
 	// ownerRefresh is the period of choosing owners from the list of peers.
 	ownerRefresh = 250 * time.Millisecond
+	// suspectTerm is how long an instance whose answers fail is not chosen as an owner. The
+	// heartbeat of a small set of peers finds out meanwhile; in a large one the term starts again
+	// with the next failed request.
+	suspectTerm = 3 * time.Second
 	// askTimeout bounds a grant request. Tokens of a later answer would have expired.
 	askTimeout = quota.MaxTokenLifetime
 	// loanTimeout bounds loan requests and hand-backs.
@@ -36,10 +40,16 @@
 	ownersAt  time.Duration
 	live      []string // that the owners were chosen from
 	holders   []string // that the owners were told
+	owners    [quota.ShardCount]string
+
+	mu       sync.Mutex
+	suspects map[string]time.Duration // until when an instance is not chosen
+	checks   map[int]bool             // shards whose owner should be called
+	changed  bool                     // suspects have changed since the owners were chosen
 }
 
 func newSender(d *Driver) *sender {
-	return &sender{driver: d, signal: make(chan struct{}, 1)}
+	return &sender{driver: d, signal: make(chan struct{}, 1), suspects: map[string]time.Duration{}, checks: map[int]bool{}}
 }
 
 // wake makes the sender look for messages now.
@@ -107,9 +117,70 @@
 	for _, address := range slices.Sorted(maps.Keys(batches)) {
 		s.send(ctx, address, batches[address])
 	}
+	s.checkOwners(ctx)
 	return busy
 }
 
+// answered notes whether an instance has answered a grant request. One that has not is no owner for
+// a while; two owners are harmless, so a slow one may be suspected wrongly.
+func (s *sender) answered(address string, err error) {
+	s.mu.Lock()
+	_, suspected := s.suspects[address]
+	s.changed = s.changed || suspected == (err == nil)
+	if err == nil {
+		delete(s.suspects, address)
+	} else {
+		s.suspects[address] = s.driver.cfg.Clock() + suspectTerm
+	}
+	s.mu.Unlock()
+	if err != nil && !suspected {
+		s.wake()
+	}
+}
+
+// check makes this instance call the owner of a shard. A peer that asks this instance for tokens in
+// the owner's place may have found that the owner is gone.
+func (s *sender) check(shard int) {
+	s.mu.Lock()
+	s.checks[shard] = true
+	s.mu.Unlock()
+	s.wake()
+}
+
+// checkOwners sends an empty grant request to each owner that check named.
+func (s *sender) checkOwners(ctx context.Context) {
+	s.mu.Lock()
+	owners := map[string]bool{}
+	for shard := range s.checks {
+		owners[s.owners[shard]] = true
+	}
+	clear(s.checks)
+	s.mu.Unlock()
+	delete(owners, s.driver.cfg.Self)
+	delete(owners, "")
+	for _, owner := range slices.Sorted(maps.Keys(owners)) {
+		s.calls.Go(func() { s.driver.ask(ctx, owner, &batch{}) })
+	}
+}
+
+// suspectsChanged reports whether suspects have changed since the last call.
+func (s *sender) suspectsChanged() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.changed
+	s.changed = false
+	return changed
+}
+
+// suspected returns the instances that don't answer grant requests.
+func (s *sender) suspected() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.driver.cfg.Clock()
+	maps.DeleteFunc(s.suspects, func(_ string, until time.Duration) bool { return now >= until })
+	return slices.Sorted(maps.Keys(s.suspects))
+}
+
 func collect(batches map[string]*batch, shard int, now time.Duration, w quota.Work) {
 	to := func(address string) *batch {
 		if batches[address] == nil {
@@ -152,7 +223,7 @@
 func (s *sender) chooseOwners() {
 	d := s.driver
 	now := d.cfg.Clock()
-	if s.live != nil && now-s.ownersAt < ownerRefresh {
+	if s.live != nil && now-s.ownersAt < ownerRefresh && !s.suspectsChanged() {
 		return
 	}
 	s.ownersAt = now
@@ -163,6 +234,9 @@
 	s.live, s.holders = live, holders
 	for i, sh := range d.shards {
 		owner := peer.Rendezvous("quota/"+strconv.Itoa(i), live)
+		s.mu.Lock()
+		s.owners[i] = owner
+		s.mu.Unlock()
 		sh.mu.Lock()
 		sh.machine.SetOwner(d.cfg.Clock(), owner, holders)
 		sh.mu.Unlock()
@@ -171,7 +245,8 @@
 
 // candidates returns the instances that can own a pool, sorted.
 func (s *sender) candidates() []string {
-	live := slices.Clone(s.driver.cfg.Peers.Live())
+	live, suspected := slices.Clone(s.driver.cfg.Peers.Live()), s.suspected()
+	live = slices.DeleteFunc(live, func(a string) bool { return slices.Contains(suspected, a) })
 	if s.notOwning.Load() {
 		live = slices.DeleteFunc(live, func(a string) bool { return a == s.driver.cfg.Self })
 	}
