Sample floors from the replicas alone

Cause: a sampled read ordered probes of all servers and waited for all answers, although the primary is at or past every replica, so that its answer lowers no floor.

Change: while only samples wait, the primary is left out as long as the others follow it, are a majority and answer within a demand interval. A sample ends at a majority when each missing server was seen at the floor already or is the primary of its term. Any majority's floor holds, so the proof is as before. The passive waiter for marks no longer counts as demand by a flag of the waiter instead of a count in the driver.

--- a/decision/authority/confirm.go
+++ b/decision/authority/confirm.go
@@ -33,6 +33,7 @@
 	Server      ServerID
 	Term        uint64
 	Incarnation uint64
+	Passive     bool // orders no probes, but is resolved by those that are due
 }
 
 // Resolution ends a wait.
@@ -63,6 +64,7 @@
 	servers []ServerID
 	fence   []uint64 // highest fence or term seen, by server
 	failing []bool
+	last    []ServerState // last answer, by server
 	waiters []*waiter
 }
 
@@ -84,12 +86,23 @@
 		servers:     slices.Clone(servers),
 		fence:       make([]uint64, len(servers)),
 		failing:     make([]bool, len(servers)),
+		last:        make([]ServerState, len(servers)),
 	}
 }
 
-// Waiting returns the number of unresolved waiters.
-func (c *Confirmations) Waiting() int {
-	return len(c.waiters)
+// Demand returns what the unresolved waiters need.
+func (c *Confirmations) Demand() Demand {
+	demand := DemandNone
+	for _, w := range c.waiters {
+		switch {
+		case w.Passive:
+		case w.Mode != ModeSample || c.CoverPrimary:
+			return DemandAll
+		default:
+			demand = DemandSample
+		}
+	}
+	return demand
 }
 
 // Add begins a wait. It is resolved at once if it can't be proven any more.
@@ -124,7 +137,7 @@
 	if i < 0 {
 		return nil
 	}
-	c.failing[i] = false
+	c.failing[i], c.last[i] = false, r.State
 	c.fence[i] = max(c.fence[i], r.State.FenceTerm, r.State.Term)
 	for _, w := range c.waiters {
 		if r.Seq > w.After {
@@ -269,7 +282,7 @@
 }
 
 // judgeSample resolves a sample once a majority has answered and every further server has
-// answered, is failing or had its grace.
+// answered, is failing, can't lower the floor or had its grace.
 func (c *Confirmations) judgeSample(now time.Duration, w *waiter) (Resolution, bool) {
 	answered := countTrue(w.answered)
 	if answered < Majority(len(c.servers)) {
@@ -278,10 +291,10 @@
 	if !w.hasMajor {
 		w.hasMajor, w.majorityAt = true, now
 	}
-	if !c.settled(w) && now-w.majorityAt < c.SampleGrace {
+	floor := sampledFloor(w, len(c.servers))
+	if !c.settled(w, floor) && now-w.majorityAt < c.SampleGrace {
 		return Resolution{}, false
 	}
-	floor := sampledFloor(w, len(c.servers))
 	if c.CoverPrimary {
 		p, ok := w.primaryPosition()
 		if !ok {
@@ -294,15 +307,24 @@
 	return r, true
 }
 
-func (c *Confirmations) settled(w *waiter) bool {
+func (c *Confirmations) settled(w *waiter, floor position.Position) bool {
 	for i := range c.servers {
-		if !w.answered[i] && !c.failing[i] {
+		if !w.answered[i] && !c.failing[i] && !c.reaches(i, floor) {
 			return false
 		}
 	}
 	return true
 }
 
+// reaches reports whether server i is expected to answer with floor or more, which doesn't lower a
+// sample: it was there already, or it is the primary of the floor's term. Any majority gives a floor
+// that holds, so that nothing but the height of the floor rests on it.
+func (c *Confirmations) reaches(i int, floor position.Position) bool {
+	s := &c.last[i]
+	leads := s.Role == RolePrimary && s.Term >= floor.Term
+	return leads || !s.Position().Less(floor)
+}
+
 // sampledFloor returns a position at or past every confirmed write. A confirmed write is on a
 // majority of the n servers and missing servers may all have it, so at least
 // majority - (n - answered) of the answers are at or past it; the lowest of that many highest
--- a/decision/authority/machine.go
+++ b/decision/authority/machine.go
@@ -103,7 +103,7 @@
 	t              Timings
 	view           View
 	seq            Seq
-	demand         bool
+	demand         Demand
 	wanted         Seq       // waiters need a probe of each server after this one
 	probing        []probing // by server
 	noPrimarySince time.Duration
@@ -178,11 +178,35 @@
 	m.wanted = m.seq
 }
 
-// SetDemand tells whether waiters are left, so that probes follow each other closely.
-func (m *Machine) SetDemand(demand bool) {
+// Demand tells what the waiters that are left need.
+type Demand int
+
+const (
+	// DemandNone means that nothing waits.
+	DemandNone Demand = iota
+	// DemandSample means that only samples wait. They need the replicas: the primary is at or past
+	// every replica, so that its answer lowers no floor, and is left out while the others answer.
+	DemandSample
+	// DemandAll means that the answers of all servers are needed.
+	DemandAll
+)
+
+// SetDemand tells which waiters are left. Probes then follow each other closely.
+func (m *Machine) SetDemand(demand Demand) {
 	m.demand = demand
 }
 
+// Busy reports whether a waiter for a sample could get no probe at once, since each server that it
+// needs has one in flight.
+func (m *Machine) Busy() bool {
+	for i := range m.probing {
+		if m.probing[i].inFlight == 0 && !m.spares(i) {
+			return false
+		}
+	}
+	return true
+}
+
 // SetLeaving marks servers that are to be emptied.
 func (m *Machine) SetLeaving(leaving []ServerID) {
 	for i := range m.view.Servers {
@@ -280,15 +304,44 @@
 		return p.lastSent, true, true
 	case failing:
 		return p.lastSent + m.t.HedgeAfter, true, true
-	case m.demand && p.lastSeq <= m.wanted:
+	case m.demand == DemandSample && m.spares(i):
+		return m.sparedUntil(i), false, true
+	case m.demand != DemandNone && p.lastSeq <= m.wanted:
 		return p.lastSent, false, true
-	case m.demand:
+	case m.demand != DemandNone:
 		return p.lastSent + m.t.DemandInterval, false, true
 	default:
 		return p.lastSent + m.t.IdleInterval, false, true
 	}
 }
 
+// spares reports whether samples can do without server i, because it is the primary and all others,
+// which are a majority, follow it.
+func (m *Machine) spares(i int) bool {
+	if m.view.Servers[i].ID != m.view.Primary || len(m.probing)-1 < Majority(len(m.probing)) {
+		return false
+	}
+	for j := range m.view.Servers {
+		s := &m.view.Servers[j]
+		if !s.Known || s.Failing || s.State.Term != m.view.Term || s.State.Fenced() {
+			return false
+		}
+	}
+	return true
+}
+
+// sparedUntil returns when server i is probed for samples after all: as soon as another server has
+// been silent for a demand interval, because a slow one must not hold up reads.
+func (m *Machine) sparedUntil(i int) time.Duration {
+	until := m.probing[i].lastSent + m.t.IdleInterval
+	for j := range m.probing {
+		if j != i && m.probing[j].inFlight > 0 {
+			until = min(until, m.probing[j].lastSent+m.t.DemandInterval)
+		}
+	}
+	return until
+}
+
 // NextTick returns when the machine wants a Tick if nothing else happens before.
 func (m *Machine) NextTick(now time.Duration) time.Duration {
 	next := now + m.t.IdleInterval
--- a/decision/authority/model_test.go
+++ b/decision/authority/model_test.go
@@ -245,7 +245,7 @@
 
 // feed gives an event to an instance and queues the calls that it orders.
 func (w *world) feed(x *instance, e authority.Event) {
-	x.machine.SetDemand(x.confirm.Waiting() > 0)
+	x.machine.SetDemand(x.confirm.Demand())
 	for _, a := range x.machine.Step(w.now, e) {
 		c := &call{action: a, sent: w.now}
 		switch a := a.(type) {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -178,12 +178,11 @@
 	return g.nextWake(now) - now
 }
 
-func (g *Group) demand() bool {
-	waiting := g.confirm.Waiting()
-	if g.marking {
-		waiting--
+func (g *Group) demand() authority.Demand {
+	if len(g.placements) > 0 || len(g.primaries) > 0 {
+		return authority.DemandAll
 	}
-	return waiting > 0 || len(g.placements) > 0 || len(g.primaries) > 0
+	return g.confirm.Demand()
 }
 
 func (g *Group) nextWake(now time.Duration) time.Duration {
@@ -264,6 +263,7 @@
 		Server:      primary.ID,
 		Term:        primary.State.Term,
 		Incarnation: primary.State.Incarnation,
+		Passive:     true,
 	}
 	g.wait(w, func(r proof) {
 		g.marking = false
