Share a sample among the reads that arrive during a probe

Cause: each sampled read posted to the owner of the group, which ran a whole pass, and had a waiter, a channel and a closure of its own, although the reads that arrive while a server is probed are resolved by the same next probes.

Change: reads join the sample that begins next. The owner begins it just before it may order probes, so that it covers every read that joined, and is woken for it only while no probe is in flight whose end would wake it. A read that gives up ends the sample only if no other waits.

--- a/proxy/group/calls.go
+++ b/proxy/group/calls.go
@@ -68,6 +68,7 @@
 
 func (g *Group) probed(r authority.ProbeResult) {
 	now := g.now()
+	g.beginSample()
 	actions := g.machine.Step(now, r)
 	// Published first, so that a caller whose sample this result completes finds the servers that
 	// it showed.
@@ -78,6 +79,7 @@
 
 func (g *Group) probeFailed(f authority.ProbeFailure) {
 	now := g.now()
+	g.beginSample()
 	actions := g.machine.Step(now, f)
 	g.finish(g.confirm.Failed(now, f.Server))
 	g.perform(actions)
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -30,6 +30,7 @@
 	places  routing.Config // not changed after New
 
 	published atomic.Pointer[published]
+	samples   samples
 
 	// The fields below belong to the goroutine of Run.
 
@@ -166,6 +167,7 @@
 // advance brings everything up to the present time and returns when to be called again.
 func (g *Group) advance() time.Duration {
 	now := g.now()
+	g.beginSample()
 	g.finish(g.confirm.Advance(now))
 	g.refuseProofs(now)
 	g.addMark(now)
@@ -173,6 +175,7 @@
 	g.servePrimaries(now)
 	g.machine.SetDemand(g.demand())
 	g.perform(g.machine.Step(now, authority.Tick{}))
+	g.attendSamples()
 	g.publish()
 	g.report()
 	return g.nextWake(now) - now
--- a/proxy/group/group_test.go
+++ b/proxy/group/group_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -206,3 +208,42 @@
 		t.Errorf("target %+v, error %v; want the primary with floor %v", again, err, uncovered.Sample)
 	}
 }
+
+// Guards against a read that joins a sample which has begun before the read arrived, and against a
+// read that ends the sample of others when it gives up.
+func TestSharedSamplesCoverConfirmedWrites(t *testing.T) {
+	const readers, reads = 8, 300
+	_, views, ctx := startStandIn(t, 0, 2)
+	w := &writer{g: views[0]}
+	defer w.close()
+	var confirmed atomic.Pointer[position.Position]
+	confirm := func() {
+		p := w.mustConfirm(t, ctx, manifest.AcknowledgeMajority)
+		confirmed.Store(&p)
+	}
+	confirm()
+	var running sync.WaitGroup
+	var left atomic.Int32
+	left.Store(readers)
+	for i := range readers {
+		running.Go(func() {
+			defer left.Add(-1)
+			for n := range reads {
+				covered := *confirmed.Load()
+				s, ok := views[1].takeSample(ctx)
+				if ok && n%readers == i {
+					s.leave()
+					continue
+				}
+				r, ok := s.await(ctx)
+				if !ok || !r.Proven || r.Position.Less(covered) {
+					t.Errorf("sample %v, %v; want at or past %v", r, ok, covered)
+				}
+			}
+		})
+	}
+	for left.Load() > 0 {
+		confirm()
+	}
+	running.Wait()
+}
--- a/proxy/group/published.go
+++ b/proxy/group/published.go
@@ -58,7 +58,7 @@
 	if !ok {
 		return t, false
 	}
-	w, ok := g.begin(ctx, authority.Waiter{Mode: authority.ModeSample})
+	w, ok := g.takeSample(ctx)
 	if !ok {
 		return t, false
 	}
--- a/proxy/group/read.go
+++ b/proxy/group/read.go
@@ -102,7 +102,11 @@
 	if !r.Sample || r.MaxStaleness > 0 {
 		return proof{}, nil
 	}
-	sample, ok := g.prove(ctx, authority.Waiter{Mode: authority.ModeSample})
+	s, ok := g.takeSample(ctx)
+	if !ok {
+		return proof{}, errNoMajority()
+	}
+	sample, ok := s.await(ctx)
 	if !ok || !sample.Proven {
 		return sample, errNoMajority()
 	}
