Probe over kept connections with a prepared statement

Cause: each probe had its statement parsed and its row described again, and decoded the history, which changes with a new term only.

Change: a kept connection prepares the probe at its first use. The parser of a connection keeps what seldom changes. A failed probe closes its connection, since a statement that was prepared before the function was replaced fails for good.

Not done: no sample for units that only prepare or describe, because the description or the error that they return depends on the schema, which an earlier write of the session may have changed.

--- a/proxy/dbgroup/client.go
+++ b/proxy/dbgroup/client.go
@@ -1,6 +1,7 @@
 package dbgroup
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -66,7 +67,7 @@
 	conf *pgconn.Config
 
 	mu     sync.Mutex
-	kept   *pgconn.PgConn
+	kept   *link
 	closed bool
 }
 
@@ -113,7 +114,22 @@
 
 // Probe returns the server's present state over the kept connection.
 func (c *Client) Probe(ctx context.Context) (authority.ServerState, error) {
-	return c.call(ctx, probeStatement)
+	if l := c.takeKept(); l != nil {
+		state, err := c.probeOn(ctx, l)
+		c.release(l)
+		if err == nil || errors.Is(err, ErrRefused) || ctx.Err() != nil {
+			return state, err
+		}
+	}
+	return c.ProbeFresh(ctx)
+}
+
+func (c *Client) probeOn(ctx context.Context, l *link) (authority.ServerState, error) {
+	state, err := l.probe(ctx)
+	if err != nil {
+		return authority.ServerState{}, c.wrap(err, "probe")
+	}
+	return state, nil
 }
 
 // ProbeFresh probes over a new connection, which tells a silent connection from a silent server.
@@ -122,7 +138,7 @@
 	if err != nil {
 		return authority.ServerState{}, err
 	}
-	defer c.release(conn)
+	defer c.release(&link{conn: conn})
 	return c.run(ctx, conn, probeStatement)
 }
 
@@ -196,18 +212,18 @@
 // Close closes the kept connection. Later calls use a connection each.
 func (c *Client) Close() {
 	c.mu.Lock()
-	conn := c.kept
+	l := c.kept
 	c.kept, c.closed = nil, true
 	c.mu.Unlock()
-	closeConn(conn)
+	l.close()
 }
 
 // call runs a control statement. All of them are idempotent, so a kept connection that turns out
 // to be broken is replaced once.
 func (c *Client) call(ctx context.Context, statement string, args ...string) (authority.ServerState, error) {
-	if conn := c.takeKept(); conn != nil {
-		state, err := c.run(ctx, conn, statement, args...)
-		c.release(conn)
+	if l := c.takeKept(); l != nil {
+		state, err := c.run(ctx, l.conn, statement, args...)
+		c.release(l)
 		if err == nil || errors.Is(err, ErrRefused) || ctx.Err() != nil {
 			return state, err
 		}
@@ -216,7 +232,7 @@
 	if err != nil {
 		return authority.ServerState{}, err
 	}
-	defer c.release(conn)
+	defer c.release(&link{conn: conn})
 	return c.run(ctx, conn, statement, args...)
 }
 
@@ -244,7 +260,7 @@
 		return authority.ServerState{}, result.Err
 	}
 	if len(result.Rows) != 1 {
-		return authority.ServerState{}, errors.Newf("the server answered a control call with %d rows instead of 1; check its version", len(result.Rows))
+		return authority.ServerState{}, errRows(len(result.Rows))
 	}
 	return ParseState(result.Rows[0])
 }
@@ -269,21 +285,21 @@
 	return wrapped
 }
 
-func (c *Client) takeKept() *pgconn.PgConn {
+func (c *Client) takeKept() *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conn := c.kept
+	l := c.kept
 	c.kept = nil
-	return conn
+	return l
 }
 
-func (c *Client) release(conn *pgconn.PgConn) {
+func (c *Client) release(l *link) {
 	c.mu.Lock()
-	if !c.closed && c.kept == nil && !conn.IsClosed() {
-		c.kept, conn = conn, nil
+	if !c.closed && c.kept == nil && !l.conn.IsClosed() {
+		c.kept, l = l, nil
 	}
 	c.mu.Unlock()
-	closeConn(conn)
+	l.close()
 }
 
 func closeConn(conn *pgconn.PgConn) {
@@ -306,28 +322,50 @@
 
 // ParseState decodes a row of StateColumns.
 func ParseState(row [][]byte) (authority.ServerState, error) {
+	return (&stateParser{}).parse(row)
+}
+
+// stateParser decodes rows of one server. What seldom changes is decoded again only when it has.
+type stateParser struct {
+	row [][]byte
+	err error // the first one of the row
+
+	last    authority.ServerState
+	history []byte // encoded form of last.History
+}
+
+func (p *stateParser) parse(row [][]byte) (authority.ServerState, error) {
 	if len(row) != len(StateColumns) {
 		return authority.ServerState{}, errors.Newf("server state has %d columns instead of %d; check the server's version", len(row), len(StateColumns))
 	}
-	p := stateParser{row: row}
+	p.row, p.err = row, nil
 	s := authority.ServerState{
-		Server:            authority.ServerID(row[0]),
+		Server:            changed(p.last.Server, row[0]),
 		Incarnation:       p.number(1),
-		Role:              authority.Role(row[2]),
+		Role:              changed(p.last.Role, row[2]),
 		Term:              p.number(3),
 		FenceTerm:         p.number(4),
-		FenceOwner:        string(row[5]),
+		FenceOwner:        changed(p.last.FenceOwner, row[5]),
 		LSN:               p.number(6),
+		History:           p.last.History,
 		PrimaryContactAge: time.Duration(min(p.number(8), maxAgeMicros)) * time.Microsecond,
 	}
-	p.decode(7, &s.History)
+	if p.last.History == nil || !bytes.Equal(p.history, row[7]) {
+		s.History = nil
+		p.decode(7, &s.History)
+	}
+	if p.err == nil {
+		p.last, p.history = s, append(p.history[:0], row[7]...)
+	}
 	return s, p.err
 }
 
-// stateParser keeps the first error of a row.
-type stateParser struct {
-	row [][]byte
-	err error
+// changed returns raw as a string, or last if it is the same.
+func changed[T ~string](last T, raw []byte) T {
+	if string(raw) == string(last) {
+		return last
+	}
+	return T(raw)
 }
 
 func (p *stateParser) number(column int) uint64 {
--- a/proxy/dbgroup/client_test.go
+++ b/proxy/dbgroup/client_test.go
@@ -32,6 +32,15 @@
 	if _, err := ParseState(row(good[:8])); err == nil {
 		t.Error("a row with a missing column is accepted")
 	}
+	later := []string{"s1", "2", "primary", "7", "7", "y", "6", `[{"term":1,"start":0},{"term":7,"start":4}]`, "0"}
+	var p stateParser
+	for _, values := range [][]string{good, good, later, {"s1", "2", "primary", "7", "7", "y", "6", "[", "0"}, later, good} {
+		want, wantErr := ParseState(row(values))
+		got, err := p.parse(row(values))
+		if (err == nil) != (wantErr == nil) || (err == nil && !reflect.DeepEqual(got, want)) {
+			t.Errorf("%+v after other rows, want %+v, error %v", got, want, err)
+		}
+	}
 }
 
 // Guards against an address that connects somewhere else than the manifest says.
--- /dev/null
+++ b/proxy/dbgroup/link.go
@@ -0,0 +1,62 @@
+package dbgroup
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/authority"
+)
+
+// preparedProbe names the probe statement of a kept connection.
+const preparedProbe = "cyclamenstile_probe"
+
+// link is a control connection that is kept between calls.
+type link struct {
+	conn     *pgconn.PgConn
+	prepared *pgconn.StatementDescription // nil until the first probe
+	parser   stateParser
+}
+
+// probe probes with a prepared statement, which spares the server its parsing and both ends the
+// description of the row. A failure closes the connection, since a statement that was prepared before
+// the function was replaced fails for good.
+func (l *link) probe(ctx context.Context) (authority.ServerState, error) {
+	state, err := l.execute(ctx)
+	if err != nil {
+		l.close()
+	}
+	return state, err
+}
+
+func (l *link) execute(ctx context.Context) (state authority.ServerState, err error) {
+	if l.prepared == nil {
+		if l.prepared, err = l.conn.Prepare(ctx, preparedProbe, probeStatement, nil); err != nil {
+			return state, err
+		}
+	}
+	rows := 0
+	result := l.conn.ExecStatement(ctx, l.prepared, nil, nil, nil)
+	for result.NextRow() {
+		rows++
+		state, err = l.parser.parse(result.Values())
+	}
+	if _, failure := result.Close(); failure != nil {
+		return authority.ServerState{}, failure
+	}
+	if rows != 1 {
+		return authority.ServerState{}, errRows(rows)
+	}
+	return state, err
+}
+
+func errRows(n int) error {
+	return errors.Newf("the server answered a control call with %d rows instead of 1; check its version", n)
+}
+
+func (l *link) close() {
+	if l != nil {
+		closeConn(l.conn)
+	}
+}
