Keep only the position and role of a server's last answer

Cause: samples need no more of it to tell whether a missing answer could lower their floor, and a view of a database is kept for each of 3,100 databases.

Change: the confirmations keep a position and a flag for each server instead of its whole state.

--- a/decision/authority/confirm.go
+++ b/decision/authority/confirm.go
@@ -64,10 +64,16 @@
 	servers []ServerID
 	fence   []uint64 // highest fence or term seen, by server
 	failing []bool
-	last    []ServerState // last answer, by server
+	last    []standing // by server
 	waiters []*waiter
 }
 
+// standing is what a server's last answer says about the height of its next one.
+type standing struct {
+	position position.Position
+	primary  bool
+}
+
 type waiter struct {
 	Waiter
 	located    bool // limit is known
@@ -86,7 +92,7 @@
 		servers:     slices.Clone(servers),
 		fence:       make([]uint64, len(servers)),
 		failing:     make([]bool, len(servers)),
-		last:        make([]ServerState, len(servers)),
+		last:        make([]standing, len(servers)),
 	}
 }
 
@@ -137,7 +143,7 @@
 	if i < 0 {
 		return nil
 	}
-	c.failing[i], c.last[i] = false, r.State
+	c.failing[i], c.last[i] = false, standing{r.State.Position(), r.State.Role == RolePrimary}
 	c.fence[i] = max(c.fence[i], r.State.FenceTerm, r.State.Term)
 	for _, w := range c.waiters {
 		if r.Seq > w.After {
@@ -320,9 +326,9 @@
 // sample: it was there already, or it is the primary of the floor's term. Any majority gives a floor
 // that holds, so that nothing but the height of the floor rests on it.
 func (c *Confirmations) reaches(i int, floor position.Position) bool {
-	s := &c.last[i]
-	leads := s.Role == RolePrimary && s.Term >= floor.Term
-	return leads || !s.Position().Less(floor)
+	s := c.last[i]
+	leads := s.primary && s.position.Term >= floor.Term
+	return leads || !s.position.Less(floor)
 }
 
 // sampledFloor returns a position at or past every confirmed write. A confirmed write is on a
