Sleep short service times exactly in the stand-in database

Cause: the stand-in's service time rests on the runtime's timers, which wait in whole milliseconds while the process is idle and are exact while it is busy.

Change: sleeps of up to 2 ms take a timer of the kernel, which the runtime's poller waits for as for a socket.

--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -137,6 +137,9 @@
 	if d <= 0 {
 		return nil
 	}
+	if d <= shortSleep && s.sleepShortly(d) {
+		return s.interruptedOrStopped()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -149,6 +152,28 @@
 	}
 }
 
+// shortSleep is the longest sleep that isn't interrupted while it lasts. The runtime's own timers are
+// rounded up to the next millisecond while the process is idle, and exact while it is busy, so that
+// with them a busier proxy seemed to be faster.
+const shortSleep = 2 * time.Millisecond
+
+// sleepShortly sleeps for d; it returns false where the session has no exact timer.
+func (s *session) sleepShortly(d time.Duration) bool {
+	if s.alarm == nil {
+		s.alarm = newAlarm()
+	}
+	return s.alarm != nil && s.alarm.wait(d)
+}
+
+func (s *session) interruptedOrStopped() error {
+	select {
+	case <-s.server.stop:
+		return errStopped
+	default:
+		return s.interrupted()
+	}
+}
+
 // prepareWrite checks that the session may write and locks the rows. Locks are taken outside a
 // slot, so that waiting for a lock can't keep its holder from a slot.
 func (s *session) prepareWrite(p *portal) error {
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -36,6 +36,8 @@
 
 	statements map[string]*statement
 	portals    map[string]*portal
+
+	alarm *alarm // nil until a short sleep needs it
 }
 
 // portal is a bound statement.
@@ -79,6 +81,7 @@
 // serve handles messages until the connection ends.
 func (s *session) serve() error {
 	defer s.abort()
+	defer s.closeAlarm()
 	for {
 		msg, err := s.backend.Receive()
 		if err != nil {
@@ -100,6 +103,12 @@
 	}
 }
 
+func (s *session) closeAlarm() {
+	if s.alarm != nil {
+		s.alarm.close()
+	}
+}
+
 // handle returns an error only if the connection must end.
 func (s *session) handle(msg pgproto3.FrontendMessage) error {
 	switch m := msg.(type) {
