--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -31,6 +31,7 @@
 	places  routing.Config // not changed after New
 
 	published atomic.Pointer[published]
+	samples   samples
 
 	// The fields below belong to the goroutine of Run.
 
@@ -180,6 +181,7 @@
 // advance brings everything up to the present time and returns when to be called again.
 func (g *Group) advance() time.Duration {
 	now := g.now()
+	g.beginSample()
 	g.finish(g.confirm.Advance(now))
 	g.refuseProofs(now)
 	g.addMark(now)
@@ -187,17 +189,17 @@
 	g.servePrimaries(now)
 	g.machine.SetDemand(g.demand())
 	g.perform(g.machine.Step(now, authority.Tick{}))
+	g.attendSamples()
 	g.publish()
 	g.report()
 	return g.nextWake(now) - now
 }
 
-func (g *Group) demand() bool {
-	waiting := g.confirm.Waiting()
-	if g.marking {
-		waiting--
+func (g *Group) demand() authority.Demand {
+	if len(g.placements) > 0 || len(g.primaries) > 0 {
+		return authority.DemandAll
 	}
-	return waiting > 0 || len(g.placements) > 0 || len(g.primaries) > 0
+	return g.confirm.Demand()
 }
 
 func (g *Group) nextWake(now time.Duration) time.Duration {
@@ -278,6 +280,7 @@
 		Server:      primary.ID,
 		Term:        primary.State.Term,
 		Incarnation: primary.State.Incarnation,
+		Passive:     true,
 	}
 	g.wait(w, func(r proof) {
 		g.marking = false
