Keep samples and primary-only acknowledgements in step while manifests spread

Cause: when a route changes its acknowledgement mode, instances adopt the manifest at different moments. One could acknowledge a write at the primary alone while the samples of another, still on the old manifest or already on the next one, did not look for it, so that a read there could miss an acknowledged write (read-your-writes without a token). Found by reading. The tests of primary mode now set Config.CoverPrimary, which its comment already asked for.

--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -35,6 +35,7 @@
 	tasks   *sync.WaitGroup
 	members map[string]*member
 	pending *manifest.Manifest // adopted before start
+	adopted bool               // a manifest has been in force since the start
 }
 
 type member struct {
@@ -82,6 +83,7 @@
 		have.group.SetServers(g.run, d.Servers)
 		have.group.SetCoverPrimary(g.run, cover)
 	}
+	g.adopted = true
 }
 
 // stopOthers ends the groups of databases that are gone.
@@ -105,6 +107,7 @@
 		Logger:        g.log,
 		Observer:      newGroupMetrics(g.metrics.Scope, d.Name),
 		CoverPrimary:  cover,
+		Changed:       g.adopted,
 		Outstanding:   g.outstanding,
 		Survey: func(ctx context.Context, server authority.ServerID, term uint64) (authority.PeerViews, bool) {
 			return g.survey(ctx, d.Name, server, term)
--- a/proxy/group/config.go
+++ b/proxy/group/config.go
@@ -63,6 +63,9 @@
 	// CoverPrimary has to be set when a route to this database acknowledges in primary mode:
 	// samples then include the primary's own position.
 	CoverPrimary bool
+	// Changed tells that the manifest which describes the database came while the instance ran, so that
+	// others may not have adopted it yet.
+	Changed bool
 	// Survey asks other instances whether they have lost a primary. It sets Asked, Lost and Reaching
 	// of the result and returns when ctx ends at the latest; ok is false when the other instances
 	// aren't known. Without it a primary that replicas still hear is left for UnreachableAfter.
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -37,6 +37,7 @@
 
 	machine    *authority.Machine
 	confirm    *authority.Confirmations
+	coverage   authority.Coverage
 	marks      routing.Marks
 	lastID     authority.WaiterID
 	proofs     map[authority.WaiterID]pending
@@ -106,7 +107,8 @@
 	})
 	g.machine.SetLeaving(leaving(g.cfg.Servers))
 	g.confirm = authority.NewConfirmations(ids)
-	g.confirm.CoverPrimary = g.cfg.CoverPrimary
+	g.coverage = authority.NewCoverage(0, g.cfg.CoverPrimary, g.cfg.Changed)
+	g.confirm.CoverPrimary = g.coverage.Samples(0)
 	g.places = routing.Config{
 		Here:        routing.Place{Region: g.cfg.Region, FailureDomain: g.cfg.FailureDomain},
 		Places:      places,
@@ -181,6 +183,7 @@
 // advance brings everything up to the present time and returns when to be called again.
 func (g *Group) advance() time.Duration {
 	now := g.now()
+	g.confirm.CoverPrimary = g.coverage.Samples(now)
 	g.beginSample()
 	g.finish(g.confirm.Advance(now))
 	g.refuseProofs(now)
@@ -242,7 +245,10 @@
 
 // SetCoverPrimary takes over whether a route acknowledges in primary mode, see Config.
 func (g *Group) SetCoverPrimary(ctx context.Context, cover bool) {
-	g.post(ctx, func() { g.confirm.CoverPrimary = cover })
+	g.post(ctx, func() {
+		g.coverage.Set(g.now(), cover)
+		g.confirm.CoverPrimary = g.coverage.Samples(g.now())
+	})
 }
 
 // View returns what the instance knows about the group; ok is false when ctx ended or the group
@@ -294,6 +300,10 @@
 func (g *Group) wait(w authority.Waiter, done func(proof)) authority.WaiterID {
 	g.lastID++
 	w.ID, w.After = g.lastID, g.machine.Seq()
+	if w.Mode == authority.ModePrimary && !w.Passive && !g.coverage.Acknowledges(g.now()) {
+		// Samples of instances that have not adopted the manifest don't cover the write yet.
+		w.Mode = authority.ModeMajority
+	}
 	g.proofs[w.ID] = pending{mode: w.Mode, done: done}
 	g.finish(g.confirm.Add(w))
 	return w.ID
--- a/proxy/group/group_test.go
+++ b/proxy/group/group_test.go
@@ -109,7 +109,7 @@
 // Guards against a write that is confirmed for a superseded primary, and against a lost write
 // that its session is not told.
 func TestLostWrite(t *testing.T) {
-	d, views, ctx := startStandIn(t, 0, 1)
+	d, views, ctx := startStandIn(t, 0, 1, coverPrimary)
 	w := &writer{g: views[0]}
 	defer w.close()
 	w.mustConfirm(t, ctx, manifest.AcknowledgeMajority)
@@ -163,7 +163,7 @@
 // Guards against a leaving primary that keeps its role under constant writes, and against a
 // confirmed write left behind by the move.
 func TestLeavingPrimary(t *testing.T) {
-	d, views, ctx := startStandIn(t, 5*time.Millisecond, 2)
+	d, views, ctx := startStandIn(t, 5*time.Millisecond, 2, coverPrimary)
 	w := &writer{g: views[0]}
 	defer w.close()
 	floor := w.mustConfirm(t, ctx, manifest.AcknowledgePrimary)
--- a/proxy/group/standin_test.go
+++ b/proxy/group/standin_test.go
@@ -26,7 +26,7 @@
 }
 
 // startStandIn runs a group of stand-in servers and instances views of it.
-func startStandIn(t testing.TB, lag time.Duration, instances int) (*database.Group, []*Group, context.Context) {
+func startStandIn(t testing.TB, lag time.Duration, instances int, change ...func(*Config)) (*database.Group, []*Group, context.Context) {
 	t.Helper()
 	d, err := database.StartGroup(database.GroupConfig{Server: database.Config{ReplicationLag: lag}})
 	if err != nil {
@@ -41,7 +41,11 @@
 	})
 	var views []*Group
 	for i := range instances {
-		g, err := New(Config{Database: "db", Servers: standInServers(d), Instance: fmt.Sprintf("i%d", i), Connect: connectStandIn(t)})
+		cfg := Config{Database: "db", Servers: standInServers(d), Instance: fmt.Sprintf("i%d", i), Connect: connectStandIn(t)}
+		for _, f := range change {
+			f(&cfg)
+		}
+		g, err := New(cfg)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -51,6 +55,9 @@
 	return d, views, ctx
 }
 
+// coverPrimary is for tests that acknowledge in primary mode, as a route of the manifest would ask for.
+func coverPrimary(c *Config) { c.CoverPrimary = true }
+
 func standInServers(d *database.Group) []manifest.Server {
 	var out []manifest.Server
 	for i := range d.Size() {
@@ -147,7 +154,7 @@
 }
 
 func benchmarkConfirm(b *testing.B, lag time.Duration, mode manifest.Acknowledge, writers int) {
-	_, views, ctx := startStandIn(b, lag, 1)
+	_, views, ctx := startStandIn(b, lag, 1, func(c *Config) { c.CoverPrimary = mode == manifest.AcknowledgePrimary })
 	took := make([][]time.Duration, writers)
 	var running sync.WaitGroup
 	b.ResetTimer()
