Keep the names of accounts and servers in metrics

Cause: following the README, the metrics of server orders-1 were shown as orders_1: tally's options for Prometheus turn every character of a tag value but letters and digits into an underscore, so that accounts a-b and a_b share their series, burn included. Change: tag values stay as they are; the text form allows any. Conclusion: dashboards that used the changed names have to use those of the manifest now.

--- a/cmd/internal/homefault/home_test.go
+++ b/cmd/internal/homefault/home_test.go
@@ -136,7 +136,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	metrics, err := io.ReadAll(answer.Body)
 	series := fmt.Sprintf(`cyclamenstile_server_connections_opened_total{server="%s"} `, s.primary().ID())
-	return err == nil && bytes.Contains(metrics, []byte(series))
+	return err == nil && bytes.Contains(metrics, []byte(series)) && !bytes.Contains(metrics, []byte(series+"0\n"))
 }
 
 // ready asks the home whether it is ready for callers.
--- a/proxy/telemetry/telemetry.go
+++ b/proxy/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -28,6 +29,15 @@
 	}
 }
 
+// sanitizing leaves tag values as they are: tally's own options for Prometheus turn every character but
+// letters and digits into an underscore, so that accounts "a-b" and "a_b" would share their series, and
+// names would differ from those of the manifest. The Prometheus text form allows any value.
+func sanitizing() *tally.SanitizeOptions {
+	options := tallyprom.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{0, unicode.MaxRune}}}
+	return &options
+}
+
 // Metrics is the root of an instance's metrics.
 type Metrics struct {
 	Scope   tally.Scope
@@ -43,7 +53,7 @@
 		Prefix:                 "cyclamenstile",
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
-		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizing(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{Scope: scope, handler: reporter.HTTPHandler(), closer: closer}
