Name kept streams to homes after what they are

Cause: read-through: the kept stream between instances was called a lane. Change: keptStream, streamPool, streamExpiry; the file is streams.go. Conclusion: no behaviour changes; go test ./proxy/home ./cmd/internal/homefault passes.

--- a/proxy/home/client.go
+++ b/proxy/home/client.go
@@ -28,9 +28,9 @@
 
 // Client checks connections out of home instances.
 type Client struct {
-	conns  Conns
-	period time.Duration // between Alive messages
-	lanes  lanes
+	conns   Conns
+	period  time.Duration // between Alive messages
+	streams streamPool
 }
 
 // NewClient returns a client that reaches the other instances through conns.
@@ -53,7 +53,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, homeUnreachable(r, err)
 	}
-	l := c.lanes.take(address)
+	l := c.streams.take(address)
 	if l == nil {
 		opened, err := c.open(ctx, address)
 		if err != nil {
@@ -85,9 +85,9 @@
 	return nil, acquireError(r, err)
 }
 
-func (c *Client) newConn(l *lane, r engine.AcquireRequest) *remoteConn {
+func (c *Client) newConn(l *keptStream, r engine.AcquireRequest) *remoteConn {
 	conn := newRemoteConn(l, r, c.period)
-	conn.onReturn = c.lanes.put
+	conn.onReturn = c.streams.put
 	conn.onSilent = c.renew
 	return conn
 }
@@ -95,11 +95,11 @@
 // renew makes later requests to the home at address use new connections.
 func (c *Client) renew(address string) {
 	c.conns.Renew(address)
-	c.lanes.drop(address)
+	c.streams.drop(address)
 }
 
 // open opens a stream that outlives ctx.
-func (c *Client) open(ctx context.Context, address string) (*lane, error) {
+func (c *Client) open(ctx context.Context, address string) (*keptStream, error) {
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	stream, err := c.connect(streamCtx, cancel, address)
@@ -110,7 +110,7 @@
 		cancel()
 		return nil, err
 	}
-	return &lane{address: address, stream: stream, cancel: cancel}, nil
+	return &keptStream{address: address, stream: stream, cancel: cancel}, nil
 }
 
 // acquireError tells a refusal of the home from a home that leaves or does not answer.
--- a/proxy/home/deferred_test.go
+++ b/proxy/home/deferred_test.go
@@ -330,7 +330,7 @@
 	}
 	finishOne(t, i, first)
 	second := deferred(t, client, i.address, request())
-	if first.(*remoteConn).lane != second.(*remoteConn).lane {
+	if first.(*remoteConn).keptStream != second.(*remoteConn).keptStream {
 		t.Error("the second statement has a stream of its own")
 	}
 	sendQuery(t, second, "SELECT 2")
--- a/proxy/home/remote.go
+++ b/proxy/home/remote.go
@@ -28,12 +28,12 @@
 //   - A refusal is reported as *engine.RefusedError. Any other error after Open proves nothing.
 //   - The statement timeout begins with the grant.
 type remoteConn struct {
-	*lane
+	*keptStream
 	request  engine.AcquireRequest
 	frontend *frontend
 	rest     []byte // received data that was not read yet
 	pulse    *pulse
-	onReturn func(*lane) // takes the lane when the home has the connection back
+	onReturn func(*keptStream) // takes the stream when the home has the connection back
 	onSilent func(address string)
 	// onFailure is told that the home did not answer Open, or that it is home to nothing.
 	onFailure func()
@@ -42,7 +42,7 @@
 	sent     atomic.Uint64 // bytes of data
 	homeGot  uint64        // of them, as the home last said; used by the receiving goroutine
 	waited   time.Duration // in the home's queue; used by the receiving goroutine
-	returned atomic.Bool   // the home has the connection back, and the lane may serve another
+	returned atomic.Bool   // the home has the connection back, and the stream may serve another
 	asks     sync.Mutex    // held while a cancel request is sent
 
 	mu       sync.Mutex
@@ -52,8 +52,8 @@
 	cause    error         // why the stream was cancelled
 }
 
-func newRemoteConn(l *lane, r engine.AcquireRequest, period time.Duration) *remoteConn {
-	c := &remoteConn{lane: l, request: r, onFailure: func() {}}
+func newRemoteConn(l *keptStream, r engine.AcquireRequest, period time.Duration) *remoteConn {
+	c := &remoteConn{keptStream: l, request: r, onFailure: func() {}}
 	c.frontend = frontends.Get().(*frontend)
 	c.frontend.conn = c
 	c.pulse = &pulse{period: period, patience: borrowerPatience, send: c.sendAlive, silent: c.cutOff}
@@ -286,7 +286,7 @@
 	return err
 }
 
-// Cancel implements engine.Conn. The lock keeps the request from reaching the lane's next user.
+// Cancel implements engine.Conn. The lock keeps the request from reaching the next user of the stream.
 func (c *remoteConn) Cancel(context.Context) error {
 	c.asks.Lock()
 	defer c.asks.Unlock()
@@ -336,7 +336,7 @@
 		c.cancel()
 		return
 	}
-	c.lane.close()
+	c.keptStream.close()
 }
 
 // finish takes the end of the whole use, with which the home has the connection back.
@@ -350,7 +350,7 @@
 	c.mu.Unlock()
 	c.asks.Unlock()
 	if usable {
-		c.onReturn(c.lane)
+		c.onReturn(c.keptStream)
 	}
 }
 
--- a/proxy/home/lanes.go
+++ b/proxy/home/streams.go
@@ -9,22 +9,22 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/home/homepb"
 )
 
-// laneExpiry is how long an unused stream is kept. A busy caller uses it again within milliseconds; an
+// streamExpiry is how long an unused stream is kept. A busy caller uses it again within milliseconds; an
 // idle one should not hold the goroutines that a stream has at both ends.
-const laneExpiry = 5 * time.Second
+const streamExpiry = 5 * time.Second
 
-// lane is a stream to a home that serves one loan after another. Opening a stream for each would cost
+// keptStream is a stream to a home that serves one loan after another. Opening a stream for each would cost
 // more than the statement's own messages.
-type lane struct {
+type keptStream struct {
 	address string
 	stream  homepb.DRPCHomes_CheckoutClient
 	cancel  context.CancelFunc
-	expiry  *time.Timer // while the lane is kept
+	expiry  *time.Timer // while it is kept
 }
 
 // ended reports whether the stream has ended, as it does with its TCP connection. The context of drpc's
 // pool tells it by Done only.
-func (l *lane) ended() bool {
+func (l *keptStream) ended() bool {
 	select {
 	case <-l.stream.Context().Done():
 		return true
@@ -34,20 +34,20 @@
 }
 
 // close ends the stream and leaves its drpc connection to others.
-func (l *lane) close() {
+func (l *keptStream) close() {
 	if l.stream.Close() != nil {
 		l.cancel()
 	}
 }
 
-// lanes keeps the streams that are free, by the home's address.
-type lanes struct {
+// streamPool keeps the streams that are free, by the home's address.
+type streamPool struct {
 	mu   sync.Mutex
-	free map[string][]*lane
+	free map[string][]*keptStream
 }
 
-// take returns the lane that was used last and whose stream has not ended.
-func (s *lanes) take(address string) *lane {
+// take returns the stream that was used last and has not ended.
+func (s *streamPool) take(address string) *keptStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for free := s.free[address]; len(free) > 0; free = s.free[address] {
@@ -62,29 +62,29 @@
 	return nil
 }
 
-// put keeps a lane whose last loan has ended.
-func (s *lanes) put(l *lane) {
+// put keeps a stream whose last loan has ended.
+func (s *streamPool) put(l *keptStream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.free == nil {
-		s.free = make(map[string][]*lane)
+		s.free = make(map[string][]*keptStream)
 	}
 	s.free[l.address] = append(s.free[l.address], l)
 	if l.expiry == nil {
-		l.expiry = time.AfterFunc(laneExpiry, func() { s.expire(l) })
+		l.expiry = time.AfterFunc(streamExpiry, func() { s.expire(l) })
 		return
 	}
-	l.expiry.Reset(laneExpiry)
+	l.expiry.Reset(streamExpiry)
 }
 
-// expire closes a lane unless it was taken meanwhile.
-func (s *lanes) expire(l *lane) {
+// expire closes a stream unless it was taken meanwhile.
+func (s *streamPool) expire(l *keptStream) {
 	if s.remove(l) {
 		l.close()
 	}
 }
 
-func (s *lanes) remove(l *lane) bool {
+func (s *streamPool) remove(l *keptStream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	free := s.free[l.address]
@@ -96,8 +96,8 @@
 	return true
 }
 
-// drop closes the free lanes to address.
-func (s *lanes) drop(address string) {
+// drop closes the free streams to address.
+func (s *streamPool) drop(address string) {
 	s.mu.Lock()
 	free := s.free[address]
 	delete(s.free, address)
