Name the stand-in's kernel timer after what it is

Cause: read-through: the timer that makes short service times exact was called an alarm. Conclusion: no behaviour changes; go test ./standin/database passes.

--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -159,10 +159,10 @@
 
 // sleepShortly sleeps for d; it returns false where the session has no exact timer.
 func (s *session) sleepShortly(d time.Duration) bool {
-	if s.alarm == nil {
-		s.alarm = newAlarm()
+	if s.preciseTimer == nil {
+		s.preciseTimer = newPreciseTimer()
 	}
-	return s.alarm != nil && s.alarm.wait(d)
+	return s.preciseTimer != nil && s.preciseTimer.wait(d)
 }
 
 func (s *session) interruptedOrStopped() error {
--- a/standin/database/precise_linux.go
+++ b/standin/database/precise_linux.go
@@ -7,24 +7,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// alarm is a timer of the kernel, which the runtime's network poller waits for like a socket. Its
+// preciseTimer is a timer of the kernel, which the runtime's network poller waits for like a socket. Its
 // accuracy doesn't depend on how busy the process is. Source: timerfd_create(2).
-type alarm struct {
+type preciseTimer struct {
 	file *os.File
 	raw  int
 }
 
-// newAlarm returns nil where the kernel gives no timer.
-func newAlarm() *alarm {
+// newPreciseTimer returns nil where the kernel gives no timer.
+func newPreciseTimer() *preciseTimer {
 	fd, err := unix.TimerfdCreate(unix.CLOCK_MONOTONIC, unix.TFD_NONBLOCK|unix.TFD_CLOEXEC)
 	if err != nil {
 		return nil
 	}
-	return &alarm{file: os.NewFile(uintptr(fd), "timerfd"), raw: fd}
+	return &preciseTimer{file: os.NewFile(uintptr(fd), "timerfd"), raw: fd}
 }
 
 // wait returns after d, false if the kernel's timer failed.
-func (a *alarm) wait(d time.Duration) bool {
+func (a *preciseTimer) wait(d time.Duration) bool {
 	spec := unix.ItimerSpec{Value: unix.NsecToTimespec(int64(d))}
 	if unix.TimerfdSettime(a.raw, 0, &spec, nil) != nil {
 		return false
@@ -34,6 +34,6 @@
 	return err == nil
 }
 
-func (a *alarm) close() {
+func (a *preciseTimer) close() {
 	_ = a.file.Close()
 }
--- a/standin/database/precise_other.go
+++ b/standin/database/precise_other.go
@@ -4,11 +4,11 @@
 
 import "time"
 
-// alarm stands for the timer that only Linux has.
-type alarm struct{}
+// preciseTimer stands for the timer that only Linux has.
+type preciseTimer struct{}
 
-func newAlarm() *alarm { return nil }
+func newPreciseTimer() *preciseTimer { return nil }
 
-func (*alarm) wait(time.Duration) bool { return false }
+func (*preciseTimer) wait(time.Duration) bool { return false }
 
-func (*alarm) close() {}
+func (*preciseTimer) close() {}
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -37,7 +37,7 @@
 	statements map[string]*statement
 	portals    map[string]*portal
 
-	alarm *alarm // nil until a short sleep needs it
+	preciseTimer *preciseTimer // nil until a short sleep needs it
 }
 
 // portal is a bound statement.
@@ -81,7 +81,7 @@
 // serve handles messages until the connection ends.
 func (s *session) serve() error {
 	defer s.abort()
-	defer s.closeAlarm()
+	defer s.closeTimer()
 	for {
 		msg, err := s.backend.Receive()
 		if err != nil {
@@ -103,9 +103,9 @@
 	}
 }
 
-func (s *session) closeAlarm() {
-	if s.alarm != nil {
-		s.alarm.close()
+func (s *session) closeTimer() {
+	if s.preciseTimer != nil {
+		s.preciseTimer.close()
 	}
 }
 
