--- a/proxy/daemon/survey.go
+++ b/proxy/daemon/survey.go
@@ -9,8 +9,8 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 )
 
-// maxSurveyed bounds the instances that are asked about a primary: twice the 8 entry instances of a
-// deployment today, and two rows of the hash order beyond.
+// maxSurveyed bounds the instances that are asked about a primary. It is twice the number of instances of
+// a deployment today, so that all are asked there; in larger ones the answers of the first in hash order do.
 const maxSurveyed = 16
 
 // surveyor asks other instances about a primary.
