--- a/decision/manifest/fuzz_test.go
+++ b/decision/manifest/fuzz_test.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"testing"
 )
@@ -30,3 +31,31 @@
 		}
 	})
 }
+
+// Guards against a difference from a peer that ends the process, or that brings a manifest into force whose
+// content is not the one that it announces.
+func FuzzApplyDelta(f *testing.F) {
+	from := mustSnapshot(f, testManifest(1))
+	m := testManifest(2)
+	m.Accounts[0].Rate++
+	to := mustSnapshot(f, m)
+	d, _ := NewDelta(from, to)
+	whole, err := json.Marshal(d)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add([]byte(`{"from":1,"to":2,"sum":"","accounts":{"gone":["a","a"],"put":[{"name":"a"},{"name":"a"}]}}`))
+	f.Add([]byte(`{"from":1,"to":18446744073709551615,"databases":{"put":[{"servers":null}]}}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, doc []byte) {
+		got, err := from.Apply([][]byte{doc})
+		if err != nil {
+			return
+		}
+		var told Delta
+		if err := json.Unmarshal(doc, &told); err != nil || told.Sum != hex.EncodeToString(got.digest[:]) || got.Version() != told.To {
+			t.Fatalf("version %d came into force by %s", got.Version(), doc)
+		}
+	})
+}
