Wait for a time or the end of a context in one place

Cause: reading the whole change: the wait that a context ends stood ten times (apply, demo, load, benches, store stand-in, retries, watch, heartbeat), and the loop that calls a function once a period six times. Change: package proxy/wait with For and Every; all of them call it. Where the timer and the end of the context came together, either could win; now the end of the context does.

--- a/cmd/internal/benchcmd/failover_causes.go
+++ b/cmd/internal/benchcmd/failover_causes.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
@@ -132,12 +134,6 @@
 
 // pause waits for d, or returns the error of ctx.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	wait.For(ctx, d)
+	return ctx.Err()
 }
--- a/cmd/internal/benchcmd/fairness_run.go
+++ b/cmd/internal/benchcmd/fairness_run.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
 )
 
@@ -157,7 +158,7 @@
 		account := f.account(oneAccount, factor*f.rate(oneShare))
 		one, oneErr = f.load(ctx, "one", oneSessions, settleTime+length, account)
 	})
-	wait(ctx, settleTime)
+	wait.For(ctx, settleTime)
 	running.Go(func() { during(ctx) })
 	all := make([]load.Account, 0, fairnessOthers)
 	for _, a := range f.deployment.Accounts {
@@ -191,7 +192,7 @@
 	f.round++
 	group := f.deployment.Group
 	others, _, err := f.send(ctx, f.o.factor, killAfter+afterKill, func(ctx context.Context) {
-		wait(ctx, killAfter)
+		wait.For(ctx, killAfter)
 		group.Kill(group.Primary())
 	})
 	if err != nil {
@@ -211,13 +212,3 @@
 	}
 	return c, nil
 }
-
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/cmd/internal/ctl/apply.go
+++ b/cmd/internal/ctl/apply.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // retryPause is the time between two attempts to find out how a put ended.
@@ -116,7 +117,7 @@
 				return true, nil
 			}
 		}
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			return false, errors.Wrap(err, "outcome of the change is unknown; run the same command again, which is safe")
 		}
 	}
@@ -131,17 +132,6 @@
 	return &manifest.ConflictError{Stored: now.manifest.Version, IfVersion: base.manifest.Version}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func newApply(o *options) *cobra.Command {
 	var ifVersion uint64
 	cmd := &cobra.Command{
--- a/cmd/internal/demo/mover.go
+++ b/cmd/internal/demo/mover.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
@@ -33,7 +34,7 @@
 		from := i % len(m.conns)
 		to := (i + 1) % len(m.conns)
 		m.move(ctx, from, to, fmt.Sprint(i))
-		sleep(ctx, moverPause)
+		wait.For(ctx, moverPause)
 	}
 	for _, c := range m.conns {
 		if c != nil {
--- a/cmd/internal/demo/policy.go
+++ b/cmd/internal/demo/policy.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // Parts of the run at which the events happen.
@@ -102,7 +103,7 @@
 // load sends one account's statements.
 func (r *policyRun) load(ctx context.Context, o offer) error {
 	delay := r.at(o.from)
-	if !sleep(ctx, delay) {
+	if !wait.For(ctx, delay) {
 		return nil
 	}
 	if o.from > 0 {
@@ -144,13 +145,13 @@
 
 // failures kills the primary and restarts it later.
 func (r *policyRun) failures(ctx context.Context) error {
-	if !sleep(ctx, r.at(killAt)) {
+	if !wait.For(ctx, r.at(killAt)) {
 		return nil
 	}
 	killed := r.deployment.Group.Primary()
 	r.cfg.say("  primary %s is killed", r.deployment.Group.Server(killed).ID())
 	r.deployment.Group.Kill(killed)
-	if !sleep(ctx, r.at(restartAt-killAt)) {
+	if !wait.For(ctx, r.at(restartAt-killAt)) {
 		return nil
 	}
 	r.cfg.say("  it starts again")
@@ -159,7 +160,7 @@
 
 // withdraw withdraws an account's key and measures how long a connected caller can go on with it.
 func (r *policyRun) withdraw(ctx context.Context) error {
-	if !sleep(ctx, r.at(withdrawAt)) {
+	if !wait.For(ctx, r.at(withdrawAt)) {
 		return nil
 	}
 	callers, err := r.connectAll(ctx, withdrawnAccount)
@@ -177,7 +178,7 @@
 		if len(callers) > 0 {
 			last = time.Now()
 		}
-		if !sleep(ctx, 5*time.Millisecond) {
+		if !wait.For(ctx, 5*time.Millisecond) {
 			break
 		}
 	}
@@ -210,17 +211,6 @@
 	return out
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // limits returns the bounds that an account's admissions are checked against.
 func limits(o offer) map[string]history.Limit {
 	return map[string]history.Limit{o.Name: {Rate: o.Rate, Burst: o.Burst}}
--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
@@ -81,7 +82,7 @@
 // connection, or has fallen behind by more than maxBacklog, are missed.
 func (s *session) runAtRate(ctx context.Context) {
 	due := time.Now().Add(time.Duration(s.random.Int64N(int64(s.interval))))
-	for ; sleepUntil(ctx, due); due = due.Add(s.interval) {
+	for ; wait.For(ctx, time.Until(due)); due = due.Add(s.interval) {
 		if time.Since(due) > maxBacklog || !s.connected(ctx) {
 			s.counts.Missed++
 			continue
@@ -103,19 +104,7 @@
 }
 
 func (s *session) pause(ctx context.Context) {
-	wait := time.Duration(s.random.Int64N(int64(2 * retryPause)))
-	sleepUntil(ctx, time.Now().Add(wait))
-}
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	wait.For(ctx, time.Duration(s.random.Int64N(int64(2*retryPause))))
 }
 
 // statement runs one statement to its end, also beyond the end of the run: a statement that is
--- a/proxy/burn/meter.go
+++ b/proxy/burn/meter.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/burn"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // Path is where the report is served on the operations listener.
@@ -121,16 +122,7 @@
 
 // Run keeps the gauges up to date until ctx ends.
 func (m *Meter) Run(ctx context.Context) {
-	ticker := time.NewTicker(updateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.update()
-		}
-	}
+	wait.Every(ctx, updateInterval, m.update)
 }
 
 func (m *Meter) update() {
--- a/proxy/daemon/health.go
+++ b/proxy/daemon/health.go
@@ -10,6 +10,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/proxy/group"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // maxReportedDatabases bounds the databases in a status object, whose value may have 1 MB at most and is
@@ -57,19 +58,13 @@
 
 // reportHealth brings the status report forward when the health changes.
 func (d *Daemon) reportHealth(ctx context.Context) {
-	ticks := time.NewTicker(healthPeriod)
-	defer ticks.Stop()
-	for last := d.health(); ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C:
-		}
+	last := d.health()
+	wait.Every(ctx, healthPeriod, func() {
 		if now := d.health(); !maps.Equal(last, now) {
 			last = now
 			d.directory.ReportSoon()
 		}
-	}
+	})
 }
 
 // views returns the present groups by database.
--- a/proxy/daemon/locator.go
+++ b/proxy/daemon/locator.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // locatorRefresh is how often the homes follow the reachable peers.
@@ -102,16 +103,8 @@
 }
 
 func (l *locator) run(ctx context.Context) {
-	ticker := time.NewTicker(locatorRefresh)
-	defer ticker.Stop()
-	for {
-		l.refresh(time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	l.refresh(time.Now())
+	wait.Every(ctx, locatorRefresh, func() { l.refresh(time.Now()) })
 }
 
 func (l *locator) refresh(now time.Time) {
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
@@ -165,14 +166,6 @@
 // releaseIdle closes the idle connections to servers that have another home now, so that they don't
 // count against the server's limit beside those of that home.
 func (d *Daemon) releaseIdle(ctx context.Context) {
-	ticker := time.NewTicker(releaseIdlePeriod)
-	defer ticker.Stop()
-	for {
-		d.pool.ReleaseIdle(d.locator.isHome)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	d.pool.ReleaseIdle(d.locator.isHome)
+	wait.Every(ctx, releaseIdlePeriod, func() { d.pool.ReleaseIdle(d.locator.isHome) })
 }
--- a/proxy/daemon/poolmetrics.go
+++ b/proxy/daemon/poolmetrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/proxy/pool"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // poolMetricsPeriod is how often the use of servers is read, as often as metrics reach the endpoint.
@@ -31,16 +32,8 @@
 }
 
 func (m *poolMetrics) run(ctx context.Context) {
-	ticker := time.NewTicker(poolMetricsPeriod)
-	defer ticker.Stop()
-	for {
-		m.report()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	m.report()
+	wait.Every(ctx, poolMetricsPeriod, m.report)
 }
 
 // report sets the gauges. Those of a server that left the configuration fall to 0.
--- a/proxy/directory/jitter.go
+++ b/proxy/directory/jitter.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,13 +31,3 @@
 	}
 	return j.upTo(min(ceiling, limit))
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/proxy/directory/watch.go
+++ b/proxy/directory/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // watchMarginShare is the part of the contact timeout that is left when the answer of a watch is
@@ -24,13 +25,13 @@
 		if err != nil {
 			failures++
 			d.logStoreLost(failures, err)
-			sleep(ctx, d.jitter.backoff(failures, d.cfg.BackoffBase, d.cfg.BackoffCap))
+			wait.For(ctx, d.jitter.backoff(failures, d.cfg.BackoffBase, d.cfg.BackoffCap))
 			continue
 		}
 		d.logStoreBack(failures)
 		failures = 0
 		after = next
-		sleep(ctx, d.jitter.upTo(d.cfg.WatchSpread))
+		wait.For(ctx, d.jitter.upTo(d.cfg.WatchSpread))
 	}
 }
 
--- a/proxy/engine/autocommit.go
+++ b/proxy/engine/autocommit.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
@@ -112,14 +113,7 @@
 	if number < maxBackoffDoublings {
 		limit = min(retryBackoffMin<<number, retryBackoffMax)
 	}
-	timer := time.NewTimer(rand.N(limit))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, rand.N(limit))
 }
 
 // connect chooses a server and gets a connection to it. again tells that another try may help.
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
@@ -106,14 +107,7 @@
 }
 
 func (s *Set) every(ctx context.Context, period time.Duration, step func(context.Context)) {
-	for {
-		timer := time.NewTimer(s.jittered(period))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
+	for wait.For(ctx, s.jittered(period)) {
 		step(ctx)
 	}
 }
@@ -216,12 +210,7 @@
 }
 
 func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	wait.For(ctx, delay)
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
 	defer cancel()
 	sent := s.cfg.Now()
--- a/proxy/pool/silence.go
+++ b/proxy/pool/silence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // watchInterval is the time between two looks at the connections in use.
@@ -15,16 +16,7 @@
 	if p.cfg.Executing == nil {
 		return
 	}
-	ticker := time.NewTicker(min(watchInterval, p.cfg.QuietAfter/2))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.watch(ctx)
-		}
-	}
+	wait.Every(ctx, min(watchInterval, p.cfg.QuietAfter/2), func() { p.watch(ctx) })
 }
 
 func (p *Pool) watch(ctx context.Context) {
--- /dev/null
+++ b/proxy/wait/wait.go
@@ -0,0 +1,34 @@
+// Package wait waits for a time or for the end of a context, whichever comes first.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d and reports whether ctx has not ended by then. A wait of 0 or less ends at once.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Every calls f once a period, the first time after one, until ctx ends. Calls that a slow one holds up
+// are left out.
+func Every(ctx context.Context, period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // MaxWatchWait is the store's own limit of a watch without changes.
@@ -60,14 +61,7 @@
 	if d <= 0 {
 		return true
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
 
 func (h *Handler) get(w http.ResponseWriter, r *http.Request) {
