Share what the pool and the engine, and the daemon and its bench, wrote twice

Cause: reading the whole change: the wait for ReadyForQuery after a query whose answer matters to nobody stood in the engine's rollback and in the pool's check; the peer address was taken from the listener in six places; evidence of contact was turned into messages in the daemon and again in the capacity bench; two recording relays of the process tests had the same loop. Change: engine.EndsIdle, Daemon.peerAddress, peer.EvidenceToWire and EvidenceFromWire, passOn in the tests, whose assertions are unchanged.

--- a/cmd/internal/benchcmd/capacity_config.go
+++ b/cmd/internal/benchcmd/capacity_config.go
@@ -219,14 +219,12 @@
 		}
 	}
 	answer := func() *peerpb.Digest {
-		e := callee.Evidence(0, members[0].ID, caller.List())
 		d := digest()
-		d.Contact = &peerpb.Contact{List: e.List, Ages: e.Ages, Mates: e.Mates}
+		d.Contact = peer.EvidenceToWire(callee.Evidence(0, members[0].ID, caller.List()))
 		return d
 	}
 	return measuredGossip("config.contact", &gossipPeer{answer: answer}, func(d *peerpb.Digest) {
-		told := d.GetContact()
-		caller.Answered(0, callerName, contact.Evidence{List: told.GetList(), Ages: told.GetAges(), Mates: told.GetMates()})
+		caller.Answered(0, callerName, peer.EvidenceFromWire(d.GetContact()))
 		caller.MajorityAsOf(0)
 	})
 }
--- a/cmd/internal/processtest/spy_test.go
+++ b/cmd/internal/processtest/spy_test.go
@@ -30,6 +30,15 @@
 // Pipe implements toxics.Toxic.
 func (s *spyToxic) Pipe(stub *toxics.ToxicStub) {
 	found, _ := allSightings.Load(s.ID)
+	passOn(stub, func(data []byte) {
+		if bytes.Contains(data, []byte(s.Text)) {
+			found.(*sightings).n.Add(1)
+		}
+	})
+}
+
+// passOn shows what passes the relay to see and sends it on.
+func passOn(stub *toxics.ToxicStub, see func(data []byte)) {
 	for {
 		select {
 		case <-stub.Interrupt:
@@ -39,9 +48,7 @@
 				stub.Close()
 				return
 			}
-			if bytes.Contains(c.Data, []byte(s.Text)) {
-				found.(*sightings).n.Add(1)
-			}
+			see(c.Data)
 			stub.Output <- c
 		}
 	}
@@ -113,19 +120,7 @@
 	found, _ := allRecordings.Load(r.ID)
 	kept := found.(*recording)
 	b := kept.open()
-	for {
-		select {
-		case <-stub.Interrupt:
-			return
-		case c := <-stub.Input:
-			if c == nil {
-				stub.Close()
-				return
-			}
-			kept.add(b, c.Data)
-			stub.Output <- c
-		}
-	}
+	passOn(stub, func(data []byte) { kept.add(b, data) })
 }
 
 // record keeps the requests through the relay.
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -82,7 +82,12 @@
 
 // Addresses returns where callers, peers and operators connect.
 func (d *Daemon) Addresses() (callers, peers, ops string) {
-	return d.listeners.callers.Addr().String(), d.listeners.peers.Addr().String(), d.listeners.ops.Addr().String()
+	return d.listeners.callers.Addr().String(), d.peerAddress(), d.listeners.ops.Addr().String()
+}
+
+// peerAddress is the name of this instance among its peers, IP:port.
+func (d *Daemon) peerAddress() string {
+	return d.listeners.peers.Addr().String()
 }
 
 // Run serves until ctx ends and then stops gracefully: it cuts no request in flight.
@@ -212,7 +217,7 @@
 	seed := rand.Int63()
 	g := &gossip{daemon: d}
 	set, err := peer.NewSet(peer.SetConfig{
-		Self:     d.listeners.peers.Addr().String(),
+		Self:     d.peerAddress(),
 		List:     &watchedList{InstanceList: httpstore.InstanceList{Store: d.store}, daemon: d},
 		Client:   d.peerCalls,
 		Config:   g,
@@ -227,7 +232,7 @@
 		return err
 	}
 	d.peers = set
-	d.locator = newLocator(set, d.listeners.peers.Addr().String(), d.cfg.Region)
+	d.locator = newLocator(set, d.peerAddress(), d.cfg.Region)
 	d.router = &home.Router{Locator: d.locator, Local: d.pool, Remote: home.NewClient(d.homeCalls)}
 	d.groups.outstanding = d.router.Outstanding
 	d.groups.survey = (&surveyor{peers: set, calls: d.peerCalls}).ask
--- a/proxy/daemon/databases.go
+++ b/proxy/daemon/databases.go
@@ -241,7 +241,7 @@
 	var err error
 	d.directory, err = directory.New(directory.Config{
 		Instance: d.cfg.InstanceID,
-		ListedAs: d.listeners.peers.Addr().String(),
+		ListedAs: d.peerAddress(),
 		Store:    d.store,
 		Database: d.groups.database,
 		OnAdopt:  d.adopt,
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
@@ -71,17 +70,12 @@
 		age = uint64(state.StoreAge.Milliseconds())
 	}
 	return &peerpb.Digest{
-		From:              g.daemon.listeners.peers.Addr().String(),
+		From:              g.daemon.peerAddress(),
 		ManifestVersion:   state.Version,
 		StoreContactAgeMs: age,
 		FractionsVersion:  g.daemon.quota.FractionsVersion(),
 		Leaving:           g.daemon.stopping.Load(),
-		Contact: &peerpb.Contact{
-			List:   state.Evidence.List,
-			Ages:   state.Evidence.Ages,
-			Mates:  state.Evidence.Mates,
-			Groups: state.Evidence.Groups,
-		},
+		Contact:           peer.EvidenceToWire(state.Evidence),
 	}
 }
 
@@ -124,18 +118,12 @@
 	d := g.daemon
 	d.quota.NoteFractionsVersion(in.GetFractionsVersion())
 	g.noteLeaving(in)
-	told := in.GetContact()
 	newer := d.directory.PeerAnswered(sent, manifest.PeerState{
 		Instance:   in.GetFrom(),
 		Version:    in.GetManifestVersion(),
 		StoreKnown: in.GetStoreContactAgeMs() != unknownAge,
 		StoreAge:   time.Duration(in.GetStoreContactAgeMs()) * time.Millisecond,
-		Evidence: contact.Evidence{
-			List:   told.GetList(),
-			Ages:   told.GetAges(),
-			Mates:  told.GetMates(),
-			Groups: told.GetGroups(),
-		},
+		Evidence:   peer.EvidenceFromWire(in.GetContact()),
 	})
 	if newer {
 		g.fetch(ctx, in)
@@ -155,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	self := l.daemon.listeners.peers.Addr().String()
+	self := l.daemon.peerAddress()
 	if err := checkPlace(list, l.daemon.cfg.InstanceID, self); err != nil {
 		return nil, err
 	}
--- a/proxy/daemon/quota.go
+++ b/proxy/daemon/quota.go
@@ -58,7 +58,7 @@
 		return nil
 	}
 	driver, err := quota.New(quota.Config{
-		Self:  d.listeners.peers.Addr().String(),
+		Self:  d.peerAddress(),
 		Store: d.store,
 		Peers: d.peers,
 		Calls: d.peerCalls,
--- a/proxy/engine/transaction.go
+++ b/proxy/engine/transaction.go
@@ -79,12 +79,18 @@
 	if u.SetDeadline(time.Now().Add(rollbackTimeout)) != nil {
 		return false
 	}
-	u.frontend.Send(&pgproto3.Query{String: "ROLLBACK"})
-	if u.frontend.Flush() != nil {
+	return EndsIdle(u.frontend, "ROLLBACK")
+}
+
+// EndsIdle runs a query whose answer matters to nobody, and reports whether the connection is idle
+// outside a transaction afterwards. The caller sets the deadline.
+func EndsIdle(f *pgproto3.Frontend, sql string) bool {
+	f.Send(&pgproto3.Query{String: sql})
+	if f.Flush() != nil {
 		return false
 	}
 	for {
-		m, err := u.frontend.Receive()
+		m, err := f.Receive()
 		if err != nil {
 			return false
 		}
--- a/proxy/pool/conn.go
+++ b/proxy/pool/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/fairqueue"
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
+	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
 // upstream is one connection to a server.
@@ -72,19 +73,7 @@
 func (u *upstream) usable(timeout time.Duration) bool {
 	_ = u.conn.SetDeadline(time.Now().Add(timeout))
 	defer func() { _ = u.conn.SetDeadline(time.Time{}) }()
-	u.frontend.Send(&pgproto3.Query{})
-	if u.frontend.Flush() != nil {
-		return false
-	}
-	for {
-		m, err := u.frontend.Receive()
-		if err != nil {
-			return false
-		}
-		if ready, ok := m.(*pgproto3.ReadyForQuery); ok {
-			return ready.TxStatus == 'I'
-		}
-	}
+	return engine.EndsIdle(u.frontend, "")
 }
 
 // cancel sends a cancel request for the running statement over a connection of its own.
