Set whether samples cover the primary in one place

Cause: the flag of the confirmations was set when a group is made, when the manifest changes and at the beginning of every pass of the owner, which follows both at once. Change: only the pass sets it. Conclusion: go test ./proxy/group passes.

--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -108,7 +108,6 @@
 	g.machine.SetLeaving(leaving(g.cfg.Servers))
 	g.confirm = authority.NewConfirmations(ids)
 	g.coverage = authority.NewCoverage(0, g.cfg.CoverPrimary, g.cfg.Changed)
-	g.confirm.CoverPrimary = g.coverage.Samples(0)
 	g.places = routing.Config{
 		Here:        routing.Place{Region: g.cfg.Region, FailureDomain: g.cfg.FailureDomain},
 		Places:      places,
@@ -245,10 +244,7 @@
 
 // SetCoverPrimary takes over whether a route acknowledges in primary mode, see Config.
 func (g *Group) SetCoverPrimary(ctx context.Context, cover bool) {
-	g.post(ctx, func() {
-		g.coverage.Set(g.now(), cover)
-		g.confirm.CoverPrimary = g.coverage.Samples(g.now())
-	})
+	g.post(ctx, func() { g.coverage.Set(g.now(), cover) })
 }
 
 // View returns what the instance knows about the group; ok is false when ctx ended or the group
