Publish the view of a group once per probe result

Cause: the result of a probe published a copy of the view before it resolved waiters, and the pass of the owner right after it published the same again. Change: the pass publishes only what has changed since: a failed probe or a leaving mark, which with probe results are all that change the view.

--- a/proxy/group/calls.go
+++ b/proxy/group/calls.go
@@ -83,6 +83,7 @@
 	now := g.now()
 	g.beginSample()
 	actions := g.machine.Step(now, f)
+	g.viewChanged = true
 	g.finish(g.confirm.Failed(now, f.Server))
 	g.perform(actions)
 }
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -45,7 +45,10 @@
 	primaries  []*primaryWait
 	marking    bool // a passive waiter for the next mark is present
 	known      knownState
-	run        context.Context
+	// viewChanged tells that the machine's view has changed since it was published: by the result of
+	// a probe or by a leaving mark, since nothing else changes it.
+	viewChanged bool
+	run         context.Context
 }
 
 // pending is a wait for a proof.
@@ -80,6 +83,8 @@
 		inbox:   make(chan func(), inboxSize),
 		stopped: make(chan struct{}),
 		proofs:  map[authority.WaiterID]pending{},
+
+		viewChanged: true,
 	}
 	g.assemble()
 	return g, nil
@@ -192,7 +197,9 @@
 	g.machine.SetDemand(g.demand())
 	g.perform(g.machine.Step(now, authority.Tick{}))
 	g.attendSamples()
-	g.publish()
+	if g.viewChanged {
+		g.publish()
+	}
 	g.report()
 	return g.nextWake(now) - now
 }
@@ -239,7 +246,10 @@
 
 // SetServers takes over the leaving marks of a new manifest, see Serves for other changes.
 func (g *Group) SetServers(ctx context.Context, servers []manifest.Server) {
-	g.post(ctx, func() { g.machine.SetLeaving(leaving(servers)) })
+	g.post(ctx, func() {
+		g.machine.SetLeaving(leaving(servers))
+		g.viewChanged = true
+	})
 }
 
 // SetCoverPrimary takes over whether a route acknowledges in primary mode, see Config.
--- a/proxy/group/published.go
+++ b/proxy/group/published.go
@@ -23,6 +23,7 @@
 	p := &published{view: g.machine.View().Clone()}
 	p.primary, p.hasPrimary = g.primaryNow()
 	g.published.Store(p)
+	g.viewChanged = false
 }
 
 // placeNow returns a replica that fits the request by the published view. A staleness bound needs
