Move the store's interfaces and HTTP client out of platform

The folder platform/ is to hold the translation to the users' platform and nothing else. What lay there (the store's interface, the instance list, the client of the stand-in's HTTP store) is the product's own and becomes the module objectstore. No behaviour changes.

--- a/cmd/internal/benchcmd/capacity_config.go
+++ b/cmd/internal/benchcmd/capacity_config.go
@@ -16,8 +16,8 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
@@ -367,17 +367,17 @@
 }
 
 // fixedList is a list of instances that does not change.
-type fixedList []platform.Instance
+type fixedList []objectstore.Instance
 
-// Instances implements platform.InstanceList.
-func (l fixedList) Instances(context.Context) ([]platform.Instance, error) {
+// Instances implements objectstore.InstanceList.
+func (l fixedList) Instances(context.Context) ([]objectstore.Instance, error) {
 	return l, nil
 }
 
 func largeList(n int) fixedList {
 	list := make(fixedList, n)
 	for i, address := range nodeNames(0, n) {
-		list[i] = platform.Instance{
+		list[i] = objectstore.Instance{
 			ID: fmt.Sprintf("proxy-%05d", i), PeerAddress: address,
 			Region: "travancore", FailureDomain: "travancore-1",
 		}
--- a/cmd/internal/benchcmd/capacity_driver.go
+++ b/cmd/internal/benchcmd/capacity_driver.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/quota"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
--- a/cmd/internal/ctl/apply.go
+++ b/cmd/internal/ctl/apply.go
@@ -12,8 +12,8 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
@@ -22,7 +22,7 @@
 
 // session is one command's access to the store.
 type session struct {
-	store platform.Store
+	store objectstore.Store
 }
 
 // withStore runs f with the store and within the command's time.
@@ -49,7 +49,7 @@
 // load reads the stored manifest. It isn't validated, so that one with faults can be replaced.
 func (s session) load(ctx context.Context) (stored, error) {
 	object, err := s.store.Get(ctx, manifest.StoreKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
@@ -97,15 +97,15 @@
 // lets it take effect once at most.
 func (s session) put(ctx context.Context, doc []byte, base stored) (readBack bool, err error) {
 	_, err = s.store.Put(ctx, manifest.StoreKey, doc, base.object)
-	if err == nil || errors.Is(err, platform.ErrTooLarge) {
+	if err == nil || errors.Is(err, objectstore.ErrTooLarge) {
 		return false, err
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return false, s.conflict(ctx, base)
 	}
 	for {
 		object, getErr := s.store.Get(ctx, manifest.StoreKey)
-		found := getErr == nil || errors.Is(getErr, platform.ErrNotFound)
+		found := getErr == nil || errors.Is(getErr, objectstore.ErrNotFound)
 		switch {
 		case found && bytes.Equal(object.Value, doc):
 			return true, nil
@@ -127,7 +127,7 @@
 func (s session) conflict(ctx context.Context, base stored) error {
 	now, err := s.load(ctx)
 	if err != nil {
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	}
 	return &manifest.ConflictError{Stored: now.manifest.Version, IfVersion: base.manifest.Version}
 }
--- a/cmd/internal/ctl/drain.go
+++ b/cmd/internal/ctl/drain.go
@@ -5,7 +5,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 func newDrain(o *options) *cobra.Command {
@@ -38,5 +38,5 @@
 			}
 		}
 	}
-	return next, errors.Wrapf(platform.ErrNotFound, "server %q is not in the stored manifest", server)
+	return next, errors.Wrapf(objectstore.ErrNotFound, "server %q is not in the stored manifest", server)
 }
--- a/cmd/internal/ctl/exit.go
+++ b/cmd/internal/ctl/exit.go
@@ -10,8 +10,8 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 )
 
 // Exit codes; rootHelp documents them.
@@ -40,7 +40,7 @@
 		return exitUsage, "usage"
 	case errors.As(err, &faults):
 		return exitFaults, "faults"
-	case errors.As(err, &conflict), errors.Is(err, platform.ErrConflict):
+	case errors.As(err, &conflict), errors.Is(err, objectstore.ErrConflict):
 		return exitConflict, "conflict"
 	case errors.Is(err, httpstore.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return exitUnavailable, "unavailable"
@@ -48,7 +48,7 @@
 		return exitAlarm, "alarm"
 	case errors.Is(err, errInstances):
 		return exitUnavailable, "unavailable"
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		return exitNotFound, "not_found"
 	}
 	return exitOther, "other"
--- a/cmd/internal/ctl/fetch.go
+++ b/cmd/internal/ctl/fetch.go
@@ -12,7 +12,7 @@
 	"go.yaml.in/yaml/v2"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 // fetchHeader goes before a fetched manifest; the versions are the stored one, the next one, and the
@@ -57,7 +57,7 @@
 // writeManifest writes a stored manifest to a new file, or to standard output if name is empty.
 func (o *options) writeManifest(cmd *cobra.Command, base stored, name string) error {
 	if base.object == 0 {
-		return errors.Wrap(platform.ErrNotFound, "no manifest is stored; apply the first one with --if-version 0")
+		return errors.Wrap(objectstore.ErrNotFound, "no manifest is stored; apply the first one with --if-version 0")
 	}
 	if name == "" && o.json {
 		return writeJSON(cmd.OutOrStdout(), base.manifest)
--- a/cmd/internal/ctl/keys.go
+++ b/cmd/internal/ctl/keys.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 const (
@@ -94,5 +94,5 @@
 			return next, nil
 		}
 	}
-	return next, errors.Wrapf(platform.ErrNotFound, "account %q has no key %q in the stored manifest", account, id)
+	return next, errors.Wrapf(objectstore.ErrNotFound, "account %q has no key %q in the stored manifest", account, id)
 }
--- a/cmd/internal/ctl/script_test.go
+++ b/cmd/internal/ctl/script_test.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
 )
 
--- a/cmd/internal/ctl/status.go
+++ b/cmd/internal/ctl/status.go
@@ -14,8 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
 )
 
@@ -162,7 +162,7 @@
 // listedInstances returns the ids in the platform's list; a missing list is empty.
 func (s session) listedInstances(ctx context.Context) (map[string]bool, error) {
 	list, err := httpstore.InstanceList{Store: s.store}.Instances(ctx)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return nil, err
 	}
 	ids := make(map[string]bool, len(list))
--- a/cmd/internal/homefault/home_test.go
+++ b/cmd/internal/homefault/home_test.go
@@ -23,7 +23,7 @@
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/serve"
 	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
@@ -178,9 +178,9 @@
 
 func (s *scene) list(home string) {
 	s.t.Helper()
-	var list []platform.Instance
+	var list []objectstore.Instance
 	for i, address := range s.addresses(home) {
-		list = append(list, platform.Instance{
+		list = append(list, objectstore.Instance{
 			ID: fmt.Sprint("instance-", i), PeerAddress: address, Region: "local", FailureDomain: "local-a",
 		})
 	}
--- a/cmd/internal/local/local.go
+++ b/cmd/internal/local/local.go
@@ -16,8 +16,8 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
@@ -262,7 +262,7 @@
 
 func (d *Deployment) startInstances(ctx context.Context) error {
 	daemons := make([]*daemon.Daemon, 0, d.cfg.Instances)
-	var list []platform.Instance
+	var list []objectstore.Instance
 	for i := range d.cfg.Instances {
 		cfg, err := d.instanceConfig(i)
 		if err != nil {
@@ -273,7 +273,7 @@
 			return err
 		}
 		_, peerAddress, _ := dm.Addresses()
-		list = append(list, platform.Instance{
+		list = append(list, objectstore.Instance{
 			ID: cfg.InstanceID, PeerAddress: peerAddress, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
 		})
 		daemons = append(daemons, dm)
@@ -288,13 +288,13 @@
 }
 
 // SetInstances writes the platform's instance list.
-func (d *Deployment) SetInstances(ctx context.Context, list []platform.Instance) error {
+func (d *Deployment) SetInstances(ctx context.Context, list []objectstore.Instance) error {
 	value, err := json.Marshal(list)
 	if err != nil {
 		return err
 	}
 	object, err := d.client.Get(ctx, httpstore.InstancesKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return err
 	}
 	_, err = d.client.Put(ctx, httpstore.InstancesKey, value, object.Version)
--- a/cmd/internal/local/status_test.go
+++ b/cmd/internal/local/status_test.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
 )
 
@@ -61,5 +61,5 @@
 	if err := <-stopped; err != nil {
 		t.Errorf("instance stopped with %v", err)
 	}
-	await("instance has stopped", func(_ directory.Status, err error) bool { return errors.Is(err, platform.ErrNotFound) })
+	await("instance has stopped", func(_ directory.Status, err error) bool { return errors.Is(err, objectstore.ErrNotFound) })
 }
--- a/cmd/internal/processtest/deployment_test.go
+++ b/cmd/internal/processtest/deployment_test.go
@@ -19,8 +19,8 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/standin/link"
 )
@@ -241,11 +241,11 @@
 }
 
 func (d *deployment) startInstances() {
-	var list []platform.Instance
+	var list []objectstore.Instance
 	for i := range d.setup.instances {
 		n := &instance{id: fmt.Sprintf("proxy-%d", i+1), callers: freeAddress(d.t), peer: freeAddress(d.t), ops: freeAddress(d.t)}
 		d.instances = append(d.instances, n)
-		list = append(list, platform.Instance{ID: n.id, PeerAddress: n.peer, Region: "local", FailureDomain: "local-0"})
+		list = append(list, objectstore.Instance{ID: n.id, PeerAddress: n.peer, Region: "local", FailureDomain: "local-0"})
 	}
 	value, err := json.Marshal(list)
 	if err != nil {
--- a/cmd/internal/standincmd/standin.go
+++ b/cmd/internal/standincmd/standin.go
@@ -15,8 +15,8 @@
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/ctl"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/flagenv"
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
 )
@@ -63,13 +63,13 @@
 	if len(instances) == 0 {
 		return nil
 	}
-	var list []platform.Instance
+	var list []objectstore.Instance
 	for _, text := range instances {
 		name, address, err := parsePair("instance", text)
 		if err != nil {
 			return err
 		}
-		list = append(list, platform.Instance{ID: name, PeerAddress: address})
+		list = append(list, objectstore.Instance{ID: name, PeerAddress: address})
 	}
 	value, err := json.Marshal(list)
 	if err != nil {
--- a/platform/httpstore/client.go
+++ b/objectstore/httpstore/client.go
@@ -24,7 +24,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 const (
@@ -56,13 +56,13 @@
 	Transport   http.RoundTripper // nil: a transport of its own
 }
 
-// Client implements platform.Store. It is safe for concurrent use.
+// Client implements objectstore.Store. It is safe for concurrent use.
 type Client struct {
 	cfg  Config
 	http *http.Client
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ objectstore.Store = (*Client)(nil)
 
 // New checks the address and returns a client; it doesn't connect yet.
 func New(cfg Config) (*Client, error) {
@@ -93,30 +93,30 @@
 	c.http.CloseIdleConnections()
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	resp, err := c.object(ctx, http.MethodGet, key, nil, nil)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	defer drainBody(resp)
 	version, err := ParseETag(resp.Header.Get("ETag"))
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
-	value, err := readBody(resp, platform.MaxValueBytes)
+	value, err := readBody(resp, objectstore.MaxValueBytes)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
-	return platform.Object{Key: key, Value: value, Version: version}, nil
+	return objectstore.Object{Key: key, Value: value, Version: version}, nil
 }
 
-// Put implements platform.Store.
+// Put implements objectstore.Store.
 func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, errors.Wrapf(platform.ErrTooLarge, "key %q, %d bytes", key, len(value))
+	if len(value) > objectstore.MaxValueBytes {
+		return 0, errors.Wrapf(objectstore.ErrTooLarge, "key %q, %d bytes", key, len(value))
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
@@ -128,7 +128,7 @@
 	return ParseETag(resp.Header.Get("ETag"))
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (c *Client) Delete(ctx context.Context, key string, ifVersion uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
@@ -141,8 +141,8 @@
 	return nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+// List implements objectstore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]objectstore.Object, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	body, err := c.changes(ctx, ObjectsPath, url.Values{ParamPrefix: {prefix}})
@@ -152,10 +152,10 @@
 	return body.objects(), body.Revision, nil
 }
 
-// Watch implements platform.Store. It asks the store to answer before the deadline of ctx. A
+// Watch implements objectstore.Store. It asks the store to answer before the deadline of ctx. A
 // store that has not answered by then is an error, so that a silent connection is closed and
 // not taken for contact.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Object, uint64, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]objectstore.Object, uint64, error) {
 	wait := c.watchWait(ctx)
 	ctx, cancel := context.WithTimeout(ctx, wait+c.cfg.WatchMargin)
 	defer cancel()
@@ -242,11 +242,11 @@
 	case status >= 200 && status < 300:
 		return nil
 	case status == http.StatusNotFound:
-		return platform.ErrNotFound
+		return objectstore.ErrNotFound
 	case status == http.StatusPreconditionFailed:
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	case status == http.StatusRequestEntityTooLarge:
-		return platform.ErrTooLarge
+		return objectstore.ErrTooLarge
 	case status >= 500 || status == http.StatusTooManyRequests:
 		return errors.Wrapf(ErrUnavailable, "status %d", status)
 	}
--- a/platform/httpstore/instances.go
+++ b/objectstore/httpstore/instances.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 // InstancesKey is the object that holds the platform's list of instances as a JSON array. Only
@@ -15,14 +15,14 @@
 
 // InstanceList reads the platform's list of instances from the store, one Get per call.
 type InstanceList struct {
-	Store platform.Store
+	Store objectstore.Store
 }
 
-var _ platform.InstanceList = InstanceList{}
+var _ objectstore.InstanceList = InstanceList{}
 
-// Instances implements platform.InstanceList. A missing list is platform.ErrNotFound, which
+// Instances implements objectstore.InstanceList. A missing list is objectstore.ErrNotFound, which
 // differs from an empty one.
-func (l InstanceList) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (l InstanceList) Instances(ctx context.Context) ([]objectstore.Instance, error) {
 	obj, err := l.Store.Get(ctx, InstancesKey)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the list of instances")
@@ -31,8 +31,8 @@
 }
 
 // DecodeInstances reads the value of InstancesKey.
-func DecodeInstances(value []byte) ([]platform.Instance, error) {
-	var list []platform.Instance
+func DecodeInstances(value []byte) ([]objectstore.Instance, error) {
+	var list []objectstore.Instance
 	if err := json.Unmarshal(value, &list); err != nil {
 		return nil, errors.Wrap(err, "list of instances is not a JSON array; have the platform write it again")
 	}
--- a/platform/httpstore/wire.go
+++ b/objectstore/httpstore/wire.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 // Paths of the store's HTTP interface. A listing is a GET of ObjectsPath without a key.
@@ -72,10 +72,10 @@
 	return ObjectsPath + "/" + strings.Join(parts, "/"), nil
 }
 
-func (c Changes) objects() []platform.Object {
-	out := make([]platform.Object, 0, len(c.Objects))
+func (c Changes) objects() []objectstore.Object {
+	out := make([]objectstore.Object, 0, len(c.Objects))
 	for _, o := range c.Objects {
-		out = append(out, platform.Object(o))
+		out = append(out, objectstore.Object(o))
 	}
 	return out
 }
--- a/platform/store.go
+++ b/objectstore/store.go
@@ -1,6 +1,6 @@
-// Package platform holds the narrow interfaces to what the platform gives: its object store and
+// Package objectstore holds the narrow interfaces to what the platform gives: its object store and
 // its list of instances.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/burn"
 	"github.com/cyclamenstile/cyclamenstile/proxy/directory"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
@@ -133,12 +133,12 @@
 // watchedList tells the directory which instances are listed, by peer address, whenever the list
 // is read.
 type watchedList struct {
-	platform.InstanceList
+	objectstore.InstanceList
 	daemon *Daemon
 }
 
-// Instances implements platform.InstanceList.
-func (l *watchedList) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements objectstore.InstanceList.
+func (l *watchedList) Instances(ctx context.Context) ([]objectstore.Instance, error) {
 	list, err := l.InstanceList.Instances(ctx)
 	if err != nil {
 		return nil, err
--- a/proxy/daemon/place.go
+++ b/proxy/daemon/place.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 // PlaceError is the error of an instance list that this instance can't belong to with the peer
@@ -24,8 +24,8 @@
 // can't reach this one because it listens on a loopback address. Two instances that listen on the
 // same loopback address of different machines would each take the fractions recorded for that
 // address for their own and admit more than the accounts' rates.
-func checkPlace(list []platform.Instance, id, self string) error {
-	var wrong *platform.Instance
+func checkPlace(list []objectstore.Instance, id, self string) error {
+	var wrong *objectstore.Instance
 	for _, i := range list {
 		if i.PeerAddress == self {
 			return nil
--- a/proxy/daemon/place_test.go
+++ b/proxy/daemon/place_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 // Guards against two instances that listen on the same address of different machines and take each
@@ -12,16 +12,16 @@
 func TestCheckPlace(t *testing.T) {
 	const self = "127.0.0.1:6433"
 	for name, c := range map[string]struct {
-		list   []platform.Instance
+		list   []objectstore.Instance
 		listed string // address of the error, empty for none
 	}{
-		"not listed yet":                {list: []platform.Instance{{ID: "b", PeerAddress: "127.0.0.1:6533"}}},
-		"loopback among others":         {list: []platform.Instance{{ID: "b", PeerAddress: "10.0.0.2:6433"}}, listed: "10.0.0.2:6433"},
-		"listed here":                   {list: []platform.Instance{{ID: "a", PeerAddress: self}}},
-		"predecessor's name":            {list: []platform.Instance{{ID: "b", PeerAddress: self}}},
-		"old and new address":           {list: []platform.Instance{{ID: "a", PeerAddress: "127.0.0.1:6533"}, {ID: "a", PeerAddress: self}}},
-		"listed at another address":     {list: []platform.Instance{{ID: "a", PeerAddress: "10.0.0.1:6433"}}, listed: "10.0.0.1:6433"},
-		"listed elsewhere among others": {list: []platform.Instance{{ID: "a", PeerAddress: "10.0.0.1:6433"}, {ID: "b", PeerAddress: "10.0.0.2:6433"}}, listed: "10.0.0.1:6433"},
+		"not listed yet":                {list: []objectstore.Instance{{ID: "b", PeerAddress: "127.0.0.1:6533"}}},
+		"loopback among others":         {list: []objectstore.Instance{{ID: "b", PeerAddress: "10.0.0.2:6433"}}, listed: "10.0.0.2:6433"},
+		"listed here":                   {list: []objectstore.Instance{{ID: "a", PeerAddress: self}}},
+		"predecessor's name":            {list: []objectstore.Instance{{ID: "b", PeerAddress: self}}},
+		"old and new address":           {list: []objectstore.Instance{{ID: "a", PeerAddress: "127.0.0.1:6533"}, {ID: "a", PeerAddress: self}}},
+		"listed at another address":     {list: []objectstore.Instance{{ID: "a", PeerAddress: "10.0.0.1:6433"}}, listed: "10.0.0.1:6433"},
+		"listed elsewhere among others": {list: []objectstore.Instance{{ID: "a", PeerAddress: "10.0.0.1:6433"}, {ID: "b", PeerAddress: "10.0.0.2:6433"}}, listed: "10.0.0.1:6433"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := checkPlace(c.list, "a", self)
--- a/proxy/directory/config.go
+++ b/proxy/directory/config.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 )
 
@@ -45,7 +45,7 @@
 	Instance string
 	// ListedAs is this instance's name in SetInstances, by default that of Instance.
 	ListedAs string
-	Store    platform.Store
+	Store    objectstore.Store
 	// Database returns the view of a database by its manifest name.
 	Database func(name string) (engine.Database, error)
 	// OnAdopt is called for every adoption, in order, before Offer returns. It must not block
--- a/proxy/directory/directory_test.go
+++ b/proxy/directory/directory_test.go
@@ -18,8 +18,8 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/contact"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/standin/store"
 )
@@ -535,7 +535,7 @@
 		if err := f.Retire(t.Context()); err != nil {
 			t.Errorf("Retire: %v", err)
 		}
-		if _, err := f.readStatus(); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := f.readStatus(); !errors.Is(err, objectstore.ErrNotFound) {
 			t.Errorf("status after Retire: %v, want ErrNotFound", err)
 		}
 	}
@@ -611,14 +611,14 @@
 
 // idleStore answers every watch without change, after the wait and a slow way back.
 type idleStore struct {
-	platform.Store
+	objectstore.Store
 	clock   *clock
 	delay   time.Duration
 	watches int
 	atEnd   func()
 }
 
-func (s *idleStore) Watch(ctx context.Context, _ string, after uint64) ([]platform.Object, uint64, error) {
+func (s *idleStore) Watch(ctx context.Context, _ string, after uint64) ([]objectstore.Object, uint64, error) {
 	deadline, _ := ctx.Deadline()
 	s.clock.advance(time.Until(deadline) - DefaultWatchMargin + s.delay)
 	s.watches++
--- a/proxy/directory/status.go
+++ b/proxy/directory/status.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 // StatusPrefix begins the keys of the status objects; the instance id follows.
@@ -151,7 +151,7 @@
 
 // statusWriter remembers the version of the status object, so that a regular write is one call.
 type statusWriter struct {
-	store   platform.Store
+	store   objectstore.Store
 	key     string
 	known   bool
 	version uint64
@@ -175,7 +175,7 @@
 		return nil
 	}
 	object, err := w.store.Get(ctx, w.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return err
 	}
 	w.version = object.Version
--- a/proxy/directory/watch.go
+++ b/proxy/directory/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
@@ -66,7 +66,7 @@
 
 // takeChanges offers the manifest among the changes and returns its revision. A refused
 // manifest is logged and doesn't hold up the watch.
-func (d *Directory) takeChanges(changes []platform.Object) (revision uint64) {
+func (d *Directory) takeChanges(changes []objectstore.Object) (revision uint64) {
 	for _, object := range changes {
 		if object.Key != manifest.StoreKey {
 			continue
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 )
 
@@ -207,13 +207,13 @@
 	}
 }
 
-type fixedList []platform.Instance
+type fixedList []objectstore.Instance
 
-func (l fixedList) Instances(context.Context) ([]platform.Instance, error) {
+func (l fixedList) Instances(context.Context) ([]objectstore.Instance, error) {
 	return l, nil
 }
 
-func newTestSet(t *testing.T, list platform.InstanceList) *Set {
+func newTestSet(t *testing.T, list objectstore.InstanceList) *Set {
 	t.Helper()
 	set, err := NewSet(SetConfig{
 		Self: "127.0.0.1:1", List: list, Client: newTestClient(t, ClientConfig{}), Config: testHandler{},
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/contact"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
@@ -32,7 +32,7 @@
 // SetConfig configures a Set.
 type SetConfig struct {
 	Self   string // own peer address
-	List   platform.InstanceList
+	List   objectstore.InstanceList
 	Client *Client
 	Config ConfigHandler // receives the digests of peers
 	// Answered, if set, receives the answers to own calls in place of Config, with the time of Now
@@ -53,7 +53,7 @@
 
 	mu        sync.Mutex
 	random    *rand.Rand
-	instances []platform.Instance // without the own one
+	instances []objectstore.Instance // without the own one
 	plan      *contact.Plan
 	listed    bool // the list was read at least once
 	peers     map[string]*peerState
@@ -69,7 +69,7 @@
 
 // Status is a peer and what the heartbeat has found.
 type Status struct {
-	Instance  platform.Instance
+	Instance  objectstore.Instance
 	Tried     bool // at least one heartbeat has ended
 	Reachable bool
 	Leaving   bool // the peer's last digest said that it drains
@@ -122,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Refresh)
 	defer cancel()
 	instances, err := s.cfg.List.Instances(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		// The platform has not written a list: this instance works alone.
 		instances, err = nil, nil
 	}
@@ -132,7 +132,7 @@
 		return
 	}
 	members := Members(instances)
-	instances = slices.DeleteFunc(slices.Clone(instances), func(i platform.Instance) bool { return i.PeerAddress == s.cfg.Self })
+	instances = slices.DeleteFunc(slices.Clone(instances), func(i objectstore.Instance) bool { return i.PeerAddress == s.cfg.Self })
 	if s.adopt(instances, members) {
 		s.cfg.Log.WithFields(logrus.Fields{FieldEvent: EventPeersChanged, "peers": len(instances)}).
 			Info("instance list names other peers than before")
@@ -140,7 +140,7 @@
 }
 
 // Members returns the listed instances as package contact names them, by peer address.
-func Members(instances []platform.Instance) []contact.Member {
+func Members(instances []objectstore.Instance) []contact.Member {
 	members := make([]contact.Member, 0, len(instances))
 	for _, i := range instances {
 		members = append(members, contact.Member{ID: i.PeerAddress, FailureDomain: i.FailureDomain})
@@ -148,7 +148,7 @@
 	return members
 }
 
-func (s *Set) adopt(instances []platform.Instance, members []contact.Member) (changed bool) {
+func (s *Set) adopt(instances []objectstore.Instance, members []contact.Member) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peers := make(map[string]*peerState, len(instances))
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -17,7 +17,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 )
@@ -44,7 +44,7 @@
 // Config configures a Driver.
 type Config struct {
 	Self  string // peer address that this process has bound
-	Store platform.Store
+	Store objectstore.Store
 	Peers Peers
 	Calls Caller
 	Rand  *rand.Rand
--- a/proxy/quota/driver_test.go
+++ b/proxy/quota/driver_test.go
@@ -20,7 +20,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
@@ -33,17 +33,17 @@
 
 // memoryStore has one object. lose makes the answers of writes get lost after they took effect.
 type memoryStore struct {
-	platform.Store
+	objectstore.Store
 	mu     sync.Mutex
-	object platform.Object
+	object objectstore.Object
 	lose   int
 }
 
-func (m *memoryStore) Get(context.Context, string) (platform.Object, error) {
+func (m *memoryStore) Get(context.Context, string) (objectstore.Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.object.Version == 0 {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return m.object, nil
 }
@@ -52,9 +52,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.object.Version != ifVersion {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
-	m.object = platform.Object{Key: key, Value: value, Version: ifVersion + 1}
+	m.object = objectstore.Object{Key: key, Value: value, Version: ifVersion + 1}
 	if m.lose > 0 {
 		m.lose--
 		return 0, errors.New("answer lost")
@@ -97,13 +97,13 @@
 // lockedList is an instance list that a test changes.
 type lockedList struct {
 	mu        sync.Mutex
-	instances []platform.Instance
+	instances []objectstore.Instance
 }
 
-func (l *lockedList) Instances(context.Context) ([]platform.Instance, error) {
+func (l *lockedList) Instances(context.Context) ([]objectstore.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Instance(nil), l.instances...), nil
+	return append([]objectstore.Instance(nil), l.instances...), nil
 }
 
 func (l *lockedList) setLeaving(i int) {
@@ -123,7 +123,7 @@
 			t.Fatal(err)
 		}
 		listeners = append(listeners, listener)
-		list.instances = append(list.instances, platform.Instance{PeerAddress: listener.Addr().String()})
+		list.instances = append(list.instances, objectstore.Instance{PeerAddress: listener.Addr().String()})
 	}
 	var out []*instance
 	for i, listener := range listeners {
--- a/proxy/quota/keeper.go
+++ b/proxy/quota/keeper.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
-	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 )
 
@@ -149,7 +149,7 @@
 	}
 	err := k.write(ctx)
 	k.apply()
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		k.driver.cfg.Log.WithField(peer.FieldEvent, EventRecordConflict).Debug("another instance wrote the record of fractions first")
 		return k.upTo(conflictDelay)
 	}
@@ -167,7 +167,7 @@
 	defer cancel()
 	k.driver.count.reads.Add(1)
 	object, err := k.driver.cfg.Store.Get(ctx, quota.RecordKey)
-	if errors.Is(err, platform.ErrNotFound) && k.version() == 0 {
+	if errors.Is(err, objectstore.ErrNotFound) && k.version() == 0 {
 		k.observe(quota.Record{}, 0)
 		return nil
 	}
--- a/standin/store/contract_test.go
+++ b/standin/store/contract_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 )
 
 const (
@@ -36,7 +36,7 @@
 	return server, client, ctx
 }
 
-func mustPut(t *testing.T, ctx context.Context, s platform.Store, key, value string, ifVersion uint64) uint64 {
+func mustPut(t *testing.T, ctx context.Context, s objectstore.Store, key, value string, ifVersion uint64) uint64 {
 	t.Helper()
 	version, err := s.Put(ctx, key, []byte(value), ifVersion)
 	if err != nil {
@@ -48,7 +48,7 @@
 // Guards against a writer overwriting a change that it has not read.
 func TestConditionalWrites(t *testing.T) {
 	_, client, ctx := startStore(t)
-	if _, err := client.Get(ctx, testKey); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := client.Get(ctx, testKey); !errors.Is(err, objectstore.ErrNotFound) {
 		t.Fatalf("Get of an absent object = %v, want ErrNotFound", err)
 	}
 	first := mustPut(t, ctx, client, testKey, "one", 0)
@@ -57,11 +57,11 @@
 		t.Errorf("version went from %d to %d, want it to grow", first, second)
 	}
 	for _, stale := range []uint64{0, first, second + 1} {
-		if _, err := client.Put(ctx, testKey, []byte("three"), stale); !errors.Is(err, platform.ErrConflict) {
+		if _, err := client.Put(ctx, testKey, []byte("three"), stale); !errors.Is(err, objectstore.ErrConflict) {
 			t.Errorf("Put on version %d = %v, want ErrConflict", stale, err)
 		}
 	}
-	if err := client.Delete(ctx, testKey, first); !errors.Is(err, platform.ErrConflict) {
+	if err := client.Delete(ctx, testKey, first); !errors.Is(err, objectstore.ErrConflict) {
 		t.Errorf("Delete of version %d = %v, want ErrConflict", first, err)
 	}
 	obj, err := client.Get(ctx, testKey)
@@ -77,10 +77,10 @@
 	if err := client.Delete(ctx, testKey, version); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Get(ctx, testKey); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := client.Get(ctx, testKey); !errors.Is(err, objectstore.ErrNotFound) {
 		t.Errorf("Get after Delete = %v, want ErrNotFound", err)
 	}
-	if err := client.Delete(ctx, testKey, version); !errors.Is(err, platform.ErrConflict) {
+	if err := client.Delete(ctx, testKey, version); !errors.Is(err, objectstore.ErrConflict) {
 		t.Errorf("second Delete = %v, want ErrConflict", err)
 	}
 	changes, _, err := client.Watch(ctx, testKey, version)
@@ -137,7 +137,7 @@
 		t.Fatal(err)
 	}
 	defer client.Close()
-	got := make(chan []platform.Object, 1)
+	got := make(chan []objectstore.Object, 1)
 	go func() {
 		changes, _, _ := client.Watch(context.Background(), "config/", 0)
 		got <- changes
@@ -157,12 +157,12 @@
 // Guards against a value that the platform would refuse, on either side of the wire.
 func TestTooLargeValue(t *testing.T) {
 	server, client, ctx := startStore(t)
-	largest := bytes.Repeat([]byte("x"), platform.MaxValueBytes)
+	largest := bytes.Repeat([]byte("x"), objectstore.MaxValueBytes)
 	if _, err := client.Put(ctx, testKey, largest, 0); err != nil {
 		t.Errorf("Put of 1 MiB = %v, want success", err)
 	}
 	tooLarge := append(largest, 'x')
-	if _, err := client.Put(ctx, "other", tooLarge, 0); !errors.Is(err, platform.ErrTooLarge) {
+	if _, err := client.Put(ctx, "other", tooLarge, 0); !errors.Is(err, objectstore.ErrTooLarge) {
 		t.Errorf("Put of 1 MiB and a byte = %v, want ErrTooLarge", err)
 	}
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPut, server.URL()+httpstore.ObjectsPath+"/raw", bytes.NewReader(tooLarge))
@@ -248,13 +248,13 @@
 func TestInstanceList(t *testing.T) {
 	_, client, ctx := startStore(t)
 	list := httpstore.InstanceList{Store: client}
-	if _, err := list.Instances(ctx); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := list.Instances(ctx); !errors.Is(err, objectstore.ErrNotFound) {
 		t.Errorf("missing list = %v, want ErrNotFound", err)
 	}
 	body := `[{"id":"i1","peerAddress":"10.0.0.1:7000","region":"sask","failureDomain":"sask-a","leaving":true}]`
 	mustPut(t, ctx, client, httpstore.InstancesKey, body, 0)
 	got, err := list.Instances(ctx)
-	want := platform.Instance{ID: "i1", PeerAddress: "10.0.0.1:7000", Region: "sask", FailureDomain: "sask-a", Leaving: true}
+	want := objectstore.Instance{ID: "i1", PeerAddress: "10.0.0.1:7000", Region: "sask", FailureDomain: "sask-a", Leaving: true}
 	if err != nil || len(got) != 1 || got[0] != want {
 		t.Errorf("Instances = %+v, %v, want %+v", got, err, want)
 	}
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -10,8 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
@@ -78,7 +78,7 @@
 }
 
 func (h *Handler) put(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectstore.MaxValueBytes))
 	if err != nil {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
--- a/standin/store/memory.go
+++ b/standin/store/memory.go
@@ -6,8 +6,8 @@
 	"strings"
 	"sync"
 
-	"github.com/cyclamenstile/cyclamenstile/platform"
-	"github.com/cyclamenstile/cyclamenstile/platform/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
 )
 
 // snapshot is the store's content at one revision. Values are never changed in place.
@@ -76,7 +76,7 @@
 	defer m.mu.Unlock()
 	present := m.now.version(key)
 	if present != ifVersion || (deleted && present == 0) {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
 	m.now.revision++
 	m.now.objects[key] = httpstore.Change{Key: key, Value: value, Version: m.now.revision, Deleted: deleted}
