Replace lost and leaving primaries, and adopt the newest of several configurations

Failover: decision/failover decides by own probes and the word of the other instances; an order takes its fence from the revision of a conditional write. A primary that leaves steps down first.

--- a/decision/catalog/freshness.go
+++ b/decision/catalog/freshness.go
@@ -9,13 +9,9 @@
 	known bool
 }
 
-// Read notes an answer of the store to a call that was sent at the given time: nothing older is missing.
-func (f *Freshness) Read(sent time.Duration) {
-	f.note(sent)
-}
-
-// Waited notes that a watch sent at the given time ended without a change. The store had waited until the end
-// of the watch if that was due when the answer came; an earlier answer proves only the time of sending.
+// Waited notes that a call sent at the given time, which asked the store to wait for changes, ended without one.
+// The store has waited until the end of that time if it was over when the answer came; an earlier answer proves only
+// the time of sending. A call that reads everything waits for 0.
 func (f *Freshness) Waited(sent, wait, received time.Duration) {
 	if received-sent >= wait {
 		f.note(sent + wait)
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -53,7 +53,7 @@
 	deniedAt     time.Duration // it refused to lead; 0: it did not
 	ledAt        time.Duration // it last proved to lead; 0: never
 	position     position.Position
-	positionAt   time.Duration
+	answeredAt   time.Duration // 0: never
 	laggedAt     time.Duration
 }
 
@@ -164,10 +164,8 @@
 	}
 	s.failures = 0
 	s.avoidUntil = 0
-	if s.position.Less(p) {
-		s.position = p
-		s.positionAt = now
-	}
+	s.answeredAt = now
+	s.position = position.Max(s.position, p)
 }
 
 // Failed notes that a statement sent to a server got no answer.
@@ -245,6 +243,31 @@
 	return best.ID, true
 }
 
+// Primary returns the server that leads as far as is known: the one that proved it last, else the one whose entry
+// says so.
+func (g *Group) Primary() (id string, ok bool) {
+	var best *server
+	for _, s := range g.servers {
+		claims := s.ledAt != 0 || s.Primary && s.deniedAt == 0
+		if claims && (best == nil || leadsBefore(s, best)) {
+			best = s
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.ID, true
+}
+
+// LastAnswer returns how long ago a server last answered.
+func (g *Group) LastAnswer(now time.Duration, id string) (age time.Duration, ok bool) {
+	s := g.servers[id]
+	if s == nil || s.answeredAt == 0 {
+		return 0, false
+	}
+	return now - s.answeredAt, true
+}
+
 func (s *server) denied(now time.Duration) bool {
 	return s.deniedAt != 0 && now-s.deniedAt < denialTerm
 }
--- a/decision/placement/samples.go
+++ b/decision/placement/samples.go
@@ -68,4 +68,3 @@
 	last := s.ring[len(s.ring)-1]
 	return last.position, last.sent, true
 }
-
--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -235,7 +235,7 @@
 	d.locator = newLocator(set, d.peerAddress(), d.cfg.Region)
 	d.router = &home.Router{Locator: d.locator, Local: d.pool, Remote: home.NewClient(d.homeCalls)}
 	d.groups.outstanding = d.router.Outstanding
-	d.groups.survey = (&surveyor{peers: set, calls: d.peerCalls}).ask
+	d.groups.survey = askPeers(&peer.Surveyor{Peers: set, Calls: d.peerCalls})
 	return nil
 }
 
--- a/proxy/node/directory.go
+++ b/proxy/node/directory.go
@@ -35,13 +35,15 @@
 
 // Fresh implements gateway.Directory.
 func (d *directory) Fresh() bool {
-	if d.trust {
-		return true
-	}
+	return d.trust || d.freshWithin(d.expiry)
+}
+
+// freshWithin reports whether the configuration was known to be the newest at most age ago.
+func (d *directory) freshWithin(limit time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	age, known := d.fresh.Age(d.now())
-	return known && age <= d.expiry
+	return known && age <= limit
 }
 
 // offer takes a configuration of the store. One that is not newer than that in force is ignored.
--- /dev/null
+++ b/proxy/node/failover.go
@@ -0,0 +1,358 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/failover"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
+)
+
+const (
+	// claimsKind holds an object for each database; writing it makes an instance the one that orders the
+	// next promotion, and its revision is the fence of the order.
+	claimsKind = "promotions"
+	// failoverTick is the period of looking at the primaries; a suspicion is looked at at once.
+	failoverTick = 100 * time.Millisecond
+	// probeTimeout bounds a probe and the question to other instances, which includes their probes.
+	probeTimeout  = 400 * time.Millisecond
+	surveyTimeout = 700 * time.Millisecond
+	// freshAnswer is how recent an answer of a server has to be to count as reaching it.
+	freshAnswer = 300 * time.Millisecond
+	// claimJitter spreads the claims of instances that notice a loss together.
+	claimJitter = 120 * time.Millisecond
+	// claimHold is how recent a claim of another instance has to be to be left alone.
+	claimHold = 2500 * time.Millisecond
+	// catchUpTimeout and catchUpPoll bound the wait for a successor to receive what a primary that stepped
+	// down has written.
+	catchUpTimeout = time.Second
+	catchUpPoll    = 30 * time.Millisecond
+	// promoteTimeout bounds one call for a promotion, and orderTimeout a whole order.
+	promoteTimeout = 1500 * time.Millisecond
+	orderTimeout   = 5 * time.Second
+)
+
+// Errors of an order.
+var (
+	errClaimed     = errors.New("another instance orders the promotion")
+	errNoSuccessor = errors.New("no server can be promoted: none answers")
+)
+
+// claim is the value of a promotion object.
+type claim struct {
+	Instance string `json:"instance"`
+	Server   string `json:"server"`
+}
+
+// promotions drives package failover for all databases.
+type promotions struct {
+	node     *Node
+	promoter *platform.Promoter
+	surveyor *peer.Surveyor
+	log      logrus.FieldLogger
+	nudge    chan struct{}
+
+	mu       sync.Mutex
+	machines map[string]*failover.Machine
+	// claims holds the revisions of the claims last seen, and since when.
+	claims map[string]seenClaim
+}
+
+type seenClaim struct {
+	revision uint64
+	at       time.Duration
+}
+
+func newPromotions(n *Node, promoter *platform.Promoter) *promotions {
+	return &promotions{
+		node: n, promoter: promoter, log: n.log,
+		surveyor: &peer.Surveyor{Peers: n.peers, Calls: n.calls},
+		nudge:    make(chan struct{}, 1),
+		machines: map[string]*failover.Machine{},
+		claims:   map[string]seenClaim{},
+	}
+}
+
+// suspect notes a server that did not answer a statement.
+func (p *promotions) suspect(database, server string) {
+	p.with(database, func(m *failover.Machine) { m.Suspect(boottime.Now(), server) })
+	select {
+	case p.nudge <- struct{}{}:
+	default:
+	}
+}
+
+func (p *promotions) with(database string, f func(*failover.Machine)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.machines[database]
+	if m == nil {
+		m = &failover.Machine{}
+		p.machines[database] = m
+	}
+	f(m)
+}
+
+// run looks at the primaries until ctx ends.
+func (p *promotions) run(ctx context.Context) {
+	ticker := time.NewTicker(failoverTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.nudge:
+		case <-ticker.C:
+		}
+		for _, database := range p.node.gateway.Databases() {
+			p.look(ctx, database)
+		}
+	}
+}
+
+// look lets the machine of a database decide and carries its action out beside.
+func (p *promotions) look(ctx context.Context, database string) {
+	if len(p.node.gateway.Servers(database)) == 0 {
+		return
+	}
+	primary, missing, _ := p.node.gateway.Primary(database)
+	var action failover.Action
+	var reason failover.Reason
+	p.with(database, func(m *failover.Machine) {
+		action, reason = m.Step(boottime.Now(), failover.Primary{ID: primary.ID, Leaving: primary.Leaving, Missing: missing})
+	})
+	switch action {
+	case failover.Probe:
+		go p.probe(ctx, primary)
+	case failover.AskPeers:
+		go p.ask(ctx, primary)
+	case failover.Replace, failover.HandOver:
+		event(p.log, EventPrimaryLost).WithFields(logrus.Fields{
+			"database": database, "server": primary.ID, "reason": string(reason),
+		}).Warn("primary is to be replaced")
+		go p.order(ctx, database, primary, action == failover.HandOver)
+	}
+}
+
+func (p *promotions) probe(ctx context.Context, s discovery.Server) {
+	answered := p.reaches(ctx, s)
+	p.with(s.Database, func(m *failover.Machine) { m.Probed(s.ID, answered) })
+}
+
+// reaches reports whether a server answers a probe.
+func (p *promotions) reaches(ctx context.Context, s discovery.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := p.node.gateway.Probe(ctx, s)
+	return err == nil || errors.Is(err, gateway.ErrBusy)
+}
+
+func (p *promotions) ask(ctx context.Context, s discovery.Server) {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	survey, _ := p.surveyor.Ask(ctx, s.Database, s.ID, 0)
+	p.with(s.Database, func(m *failover.Machine) { m.Surveyed(s.ID, failover.Survey(survey)) })
+}
+
+// Judge implements peer.JudgeHandler.
+func (p *promotions) Judge(ctx context.Context, in *peerpb.JudgeRequest) (*peerpb.JudgeReply, error) {
+	reply := &peerpb.JudgeReply{}
+	primary, _, ok := p.node.gateway.Primary(in.GetDatabase())
+	switch {
+	case !ok:
+		reply.Judgement = peerpb.Judgement_LOST
+	case primary.ID != in.GetServer():
+		reply.Judgement = peerpb.Judgement_REACHES // another one leads already
+	case p.answeredLately(primary), p.reaches(ctx, primary):
+		reply.Judgement = peerpb.Judgement_REACHES
+	default:
+		reply.Judgement = peerpb.Judgement_LOST
+		p.suspect(primary.Database, primary.ID)
+	}
+	return reply, nil
+}
+
+func (p *promotions) answeredLately(s discovery.Server) bool {
+	age, known := p.node.gateway.LastAnswer(s.Database, s.ID)
+	return known && age < freshAnswer
+}
+
+// order replaces a primary and tells the machine how it went.
+func (p *promotions) order(ctx context.Context, database string, old discovery.Server, handOver bool) {
+	wait.For(ctx, rand.N(claimJitter))
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := p.replace(ctx, database, old, handOver)
+	now := boottime.Now()
+	log := p.log.WithFields(logrus.Fields{"database": database, "old": old.ID})
+	switch {
+	case errors.Is(err, errClaimed):
+		event(log, EventClaimLost).Info("another instance orders the promotion")
+		p.with(database, func(m *failover.Machine) { m.Elsewhere(now) })
+		return
+	case err != nil:
+		event(log, EventPromotionFailed).WithError(err).Warn("promotion was not accepted; it is tried again")
+	}
+	p.with(database, func(m *failover.Machine) { m.Ordered(now, err == nil) })
+}
+
+func (p *promotions) replace(ctx context.Context, database string, old discovery.Server, handOver bool) error {
+	successor, err := p.successor(ctx, database, old.ID)
+	if err != nil {
+		return err
+	}
+	fence, err := p.claim(ctx, database, old.ID, successor.ID)
+	if err != nil {
+		return err
+	}
+	event(p.log, EventPromoting).WithFields(logrus.Fields{
+		"database": database, "old": old.ID, "server": successor.ID, "fence": fence, "hand_over": handOver,
+	}).Info("promotion is ordered")
+	if handOver {
+		p.stepDown(ctx, old, successor)
+	}
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	if err := p.promoter.Promote(call, database, successor.ID, fence); err != nil {
+		return err
+	}
+	event(p.log, EventPromoted).WithFields(logrus.Fields{
+		"database": database, "server": successor.ID, "fence": fence,
+	}).Info("promotion was accepted")
+	return nil
+}
+
+// candidate is a server that answered a probe.
+type candidate struct {
+	server discovery.Server
+	status placement.Status
+}
+
+// successor returns the server that has received most of the log.
+func (p *promotions) successor(ctx context.Context, database, old string) (discovery.Server, error) {
+	var mu sync.Mutex
+	var candidates []candidate
+	var probes sync.WaitGroup
+	for _, s := range p.node.gateway.Servers(database) {
+		if s.ID == old || s.Leaving {
+			continue
+		}
+		probes.Go(func() {
+			probe, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			status, err := p.node.gateway.Probe(probe, s)
+			if err != nil && !errors.Is(err, gateway.ErrBusy) {
+				return // not reached, so not a candidate
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			candidates = append(candidates, candidate{s, status})
+		})
+	}
+	probes.Wait()
+	if len(candidates) == 0 {
+		return discovery.Server{}, errNoSuccessor
+	}
+	best := slices.MaxFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(a.status.Received.Compare(b.status.Received), cmp.Compare(b.server.ID, a.server.ID))
+	})
+	return best.server, nil
+}
+
+// claim makes this instance the one that orders the next promotion and returns the fence.
+func (p *promotions) claim(ctx context.Context, database, old, server string) (uint64, error) {
+	key := claimsKind + "/" + database
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	store := p.node.store
+	var held claim
+	object, err := store.Get(ctx, key)
+	switch {
+	case errors.Is(err, objectstore.ErrNotFound):
+	case err != nil:
+		return 0, err
+	default:
+		if err := json.Unmarshal(object.Value, &held); err != nil {
+			held = claim{} // written by a program of another kind; the conditional write replaces it
+		}
+	}
+	if held.Server != old && p.heldElsewhere(database, object.Version, held) {
+		return 0, errClaimed
+	}
+	value, err := json.Marshal(claim{Instance: p.node.settings.Instance, Server: server})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode a claim")
+	}
+	revision, err := store.Put(ctx, key, value, object.Version)
+	if errors.Is(err, objectstore.ErrConflict) {
+		return 0, errClaimed
+	}
+	if err != nil {
+		return 0, err
+	}
+	p.note(database, revision)
+	return revision, nil
+}
+
+// heldElsewhere reports whether another instance has claimed lately a promotion that has not made its server the
+// primary. How old a claim is when it is first seen is not known, so that it counts as new.
+func (p *promotions) heldElsewhere(database string, revision uint64, held claim) bool {
+	if revision == 0 || held.Instance == p.node.settings.Instance {
+		return false
+	}
+	p.mu.Lock()
+	seen, known := p.claims[database]
+	p.mu.Unlock()
+	if !known || seen.revision != revision {
+		p.note(database, revision)
+		return true
+	}
+	return boottime.Now()-seen.at < claimHold
+}
+
+func (p *promotions) note(database string, revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.claims[database] = seenClaim{revision, boottime.Now()}
+}
+
+// stepDown stops the writes of a primary that leaves and waits until its successor has received them. A failure
+// does not hold up the promotion, which ends the old one's lead in any case.
+func (p *promotions) stepDown(ctx context.Context, old, successor discovery.Server) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	status, err := p.node.gateway.Probe(ctx, old)
+	if err == nil {
+		status, err = p.node.gateway.StepDown(ctx, old, status.Term+1)
+	}
+	if err != nil {
+		event(p.log, EventPromotionFailed).WithField("server", old.ID).WithError(err).
+			Warn("primary that leaves could not be asked to step down; its last commits may be lost")
+		return
+	}
+	for {
+		next, err := p.node.gateway.Probe(ctx, successor)
+		if err == nil && !next.Received.Less(status.Received) {
+			return
+		}
+		if !wait.For(ctx, catchUpPoll) {
+			return
+		}
+	}
+}
--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -18,6 +18,8 @@
 	callTimeout = 1500 * time.Millisecond
 	// watchAllowance is the time beyond its wait after which a watch counts as lost.
 	watchAllowance = 800 * time.Millisecond
+	// hurriedWait is the wait of a watch that is to prove contact soon.
+	hurriedWait = 20 * time.Millisecond
 	// retryMin and retryMax bound the wait after a failed call, which is random so that the instances
 	// don't call together.
 	retryMin = 100 * time.Millisecond
@@ -31,11 +33,14 @@
 	wait  time.Duration // of one watch
 	now   func() time.Duration
 	log   logrus.FieldLogger
-	// listed and changed take the objects. waited is told about watches that ended, with the time when they
-	// were sent.
+	// listed and changed take the objects.
 	listed  func(all []platform.Object)
 	changed func(some []platform.Object)
-	waited  func(sent time.Duration, changes int)
+	// contact is told about answers after which nothing that the store held when the call was sent is missing:
+	// lists, and watches that ended without a change, with the time that they were asked to wait.
+	contact func(sent, waited time.Duration)
+	// hurry, if set, asks for watches that end at once.
+	hurry func() bool
 
 	revision uint64
 	known    bool
@@ -70,15 +75,19 @@
 	}
 	f.revision, f.known = revision, true
 	f.listed(objects)
-	f.waited(sent, 1)
+	f.contact(sent, 0)
 	return nil
 }
 
 func (f *follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+watchAllowance)
+	wait := f.wait
+	if f.hurry != nil && f.hurry() {
+		wait = hurriedWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchAllowance)
 	defer cancel()
 	sent := f.now()
-	objects, revision, err := f.store.Watch(ctx, f.kind, f.revision, f.wait)
+	objects, revision, err := f.store.Watch(ctx, f.kind, f.revision, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.known = false
 		return err
@@ -88,9 +97,11 @@
 	}
 	f.revision = max(f.revision, revision)
 	if len(objects) > 0 {
+		// More changes may follow in the next answer.
 		f.changed(objects)
+		return nil
 	}
-	f.waited(sent, len(objects))
+	f.contact(sent, wait)
 	return nil
 }
 
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -65,6 +65,7 @@
 	server    *peer.Server
 	servers   *registry
 	instances instanceList
+	failover  *promotions
 
 	stopping   atomic.Bool
 	haveServer atomic.Bool
@@ -154,7 +155,9 @@
 	if err != nil {
 		return err
 	}
-	n.server, err = peer.NewServer(peer.ServerConfig{Config: h, Quota: n.quota, Log: n.log})
+	promoter := platform.NewPromoter(n.settings.Promotion, n.settings.Instance, tcp.Dialer(tcp.CallTimeout).DialContext)
+	n.failover = newPromotions(n, promoter)
+	n.server, err = peer.NewServer(peer.ServerConfig{Config: h, Quota: n.quota, Judge: n.failover, Log: n.log})
 	return err
 }
 
@@ -186,6 +189,7 @@
 		Now:         boottime.Now,
 		Log:         gateway.NewJournal(n.log, n.metrics.Scope),
 	})
+	n.gateway.OnSuspect(n.failover.suspect)
 	n.servers = &registry{log: n.log, regions: n.settings.Regions, publish: n.gateway.SetServers}
 	return nil
 }
@@ -212,6 +216,7 @@
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.quota.Run(ctx) })
 	tasks.Go(func() { n.gateway.Run(ctx) })
+	tasks.Go(func() { n.failover.run(ctx) })
 	tasks.Go(func() { n.reportEnd("peers", n.server.Serve(ctx, n.peerPort)) })
 	tasks.Go(func() { n.reportEnd("readiness", telemetry.Serve(ctx, n.ready, n.readyHandler())) })
 	tasks.Go(func() { n.watchReadiness(ctx) })
@@ -227,16 +232,11 @@
 func (n *Node) configFollower() *follower {
 	f := &follower{store: n.store, kind: platform.ConfigKind, wait: configWait, now: boottime.Now, log: n.log}
 	f.listed, f.changed = n.adopt, n.adopt
-	f.waited = func(sent time.Duration, changes int) {
+	f.contact = func(sent, waited time.Duration) {
 		received := boottime.Now()
-		n.directory.prove(func(p *catalog.Freshness) {
-			if changes > 0 {
-				p.Read(sent)
-				return
-			}
-			p.Waited(sent, configWait, received)
-		})
+		n.directory.prove(func(p *catalog.Freshness) { p.Waited(sent, waited, received) })
 	}
+	f.hurry = func() bool { return !n.directory.freshWithin(configWait / 2) }
 	return f
 }
 
@@ -253,7 +253,7 @@
 func (n *Node) serverFollower() *follower {
 	f := &follower{store: n.store, kind: platform.ServersKind, wait: serversWait, now: boottime.Now, log: n.log}
 	f.listed, f.changed = n.servers.listed, n.servers.changed
-	f.waited = func(time.Duration, int) { n.haveServer.Store(true) }
+	f.contact = func(time.Duration, time.Duration) { n.haveServer.Store(true) }
 	return f
 }
 
--- /dev/null
+++ b/proxy/peer/survey.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+// maxSurveyed bounds the instances that are asked about a primary. It is twice the number of instances of
+// a deployment today, so that all are asked there; in larger ones the answers of the first in hash order do.
+const maxSurveyed = 16
+
+// Survey counts what other instances say about a primary.
+type Survey struct {
+	Asked, Lost, Reaching int
+}
+
+// Surveyor asks other instances about a primary.
+type Surveyor struct {
+	Peers *Set
+	Calls *Client
+}
+
+// Ask asks the listed instances that don't leave, or those that come first in the hash order of the
+// database. An instance that does not answer in time counts as asked only. known is false when the list of
+// instances was not read yet.
+func (s *Surveyor) Ask(ctx context.Context, database, server string, term uint64) (survey Survey, known bool) {
+	if s.Peers.Listed() == 0 {
+		return Survey{}, false
+	}
+	addresses := s.choose(database)
+	replies := make([]peerpb.Judgement, len(addresses))
+	request := &peerpb.JudgeRequest{Database: database, Server: server, Term: term}
+	var calls sync.WaitGroup
+	for i, address := range addresses {
+		calls.Go(func() {
+			// Without an answer the judgement is NONE.
+			reply, err := s.Calls.Peer(ctx, address).Judge(ctx, request)
+			if err == nil {
+				replies[i] = reply.GetJudgement()
+			}
+		})
+	}
+	calls.Wait()
+	return count(replies), true
+}
+
+func (s *Surveyor) choose(database string) []string {
+	var addresses []string
+	for _, p := range s.Peers.Peers() {
+		if !p.Instance.Leaving && !p.Leaving {
+			addresses = append(addresses, p.Instance.PeerAddress)
+		}
+	}
+	return First(database, addresses, maxSurveyed)
+}
+
+func count(replies []peerpb.Judgement) Survey {
+	views := Survey{Asked: len(replies)}
+	for _, r := range replies {
+		switch r {
+		case peerpb.Judgement_LOST:
+			views.Lost++
+		case peerpb.Judgement_REACHES:
+			views.Reaching++
+		}
+	}
+	return views
+}
