Hold quota by a watched assignment on the platform

Machines here may be lost at any time, and without the store keyed work ends after 4.5 s anyway, so an hour's hold gains nothing.

Change: instances watch one assignment in the store. A proof of contact lets a holder use its fractions for 8.5 s; fractions that move rest until the earlier holder's proof and loans have ended. decision/quota.Tenure.

--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -46,6 +46,10 @@
 	EventPromotionFailed = "CYC-6020"
 	// EventClaimLost: another instance orders the promotion.
 	EventClaimLost = "CYC-6021"
+	// EventLinesDropped: log lines were dropped because the output did not take them (package asynclog).
+	EventLinesDropped = "CYC-6022"
+	// EventAssignmentInvalid: the assignment of quota in the store has no valid form.
+	EventAssignmentInvalid = "CYC-6023"
 )
 
 // event returns an entry with the number of an event.
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	quotadecision "github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
@@ -33,7 +34,10 @@
 	// serversWait is how long a watch for servers waits. Its loss delays the news of servers that leave.
 	serversWait = 5 * time.Second
 	// listPeriod is how often the list of instances is read.
-	listPeriod = 5 * time.Second
+	listPeriod = 2 * time.Second
+	// quotaWait is how long a watch for the assignment of quota waits. A holder needs a proof of contact
+	// within decision/quota.ProofTerm.
+	quotaWait = 6 * time.Second
 	// readyPeriod is how often the reason for not being ready is looked at.
 	readyPeriod = 100 * time.Millisecond
 	// handOver is the time from the begin of a stop for which new sessions are still served: the platform
@@ -48,6 +52,9 @@
 	collectPercent = 40
 )
 
+// quotaKind is the kind of the assignment of quota.
+const quotaKind = "quota"
+
 // Node is one instance. Use New, then Run.
 type Node struct {
 	settings Settings
@@ -151,6 +158,8 @@
 		Calls: n.calls,
 		Rand:  rand.New(rand.NewSource(rand.Int63())),
 		Log:   n.log,
+
+		Assignment: &quota.AssignmentConfig{Live: set.Live},
 	})
 	if err != nil {
 		return err
@@ -213,6 +222,7 @@
 	tasks.Go(func() { n.register(ctx) })
 	tasks.Go(func() { n.configFollower().run(ctx) })
 	tasks.Go(func() { n.serverFollower().run(ctx) })
+	tasks.Go(func() { n.quotaFollower().run(ctx) })
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.quota.Run(ctx) })
 	tasks.Go(func() { n.gateway.Run(ctx) })
@@ -257,6 +267,28 @@
 	return f
 }
 
+func (n *Node) quotaFollower() *follower {
+	f := &follower{store: n.store, kind: quotaKind, wait: quotaWait, now: boottime.Now, log: n.log}
+	take := func(objects []platform.Object) {
+		for _, o := range objects {
+			if quotaKind+"/"+o.Name != quotadecision.AssignmentKey || o.Deleted {
+				continue
+			}
+			if err := n.quota.ObserveAssignment(o.Spec, o.Revision); err != nil {
+				event(n.log, EventAssignmentInvalid).WithError(err).Error("assignment of quota can't be read")
+			}
+		}
+	}
+	f.listed, f.changed = take, take
+	f.contact = func(sent, waited time.Duration) {
+		if boottime.Now()-sent < waited {
+			waited = 0
+		}
+		n.quota.ProveAssignment(sent + waited)
+	}
+	return f
+}
+
 // register writes the entry of this instance until the store has taken it.
 func (n *Node) register(ctx context.Context) {
 	entry := objectstore.Instance{
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -51,6 +51,8 @@
 	Rand  *rand.Rand
 	Log   logrus.FieldLogger
 	Clock func() time.Duration // nil: time since the machine booted
+	// Assignment, if set, holds fractions by a watched assignment in place of renewed claims.
+	Assignment *AssignmentConfig
 	// Process tells this process from earlier and other ones; 0: a random number. Two processes
 	// with the same number would share fractions.
 	Process uint64
@@ -80,10 +82,21 @@
 	epoch  uint64
 	shards [quota.ShardCount]*shard
 	count  counters
-	keeper *keeper
+	keeper holding
 	sender *sender
 }
 
+// holding keeps this instance's fractions: by claims that are renewed in the store (keeper), or by an
+// assignment that all instances watch (watcher).
+type holding interface {
+	run(ctx context.Context)
+	drain(ctx context.Context) error
+	ready() error
+	holders() []string
+	version() uint64
+	note(version uint64)
+}
+
 // shard is a machine with its lock.
 type shard struct {
 	mu       sync.Mutex
@@ -110,6 +123,9 @@
 		d.shards[i] = &shard{machine: quota.NewShard(cfg.Self, d.epoch), answered: make(chan struct{})}
 	}
 	d.keeper = newKeeper(d, rand.New(rand.NewSource(cfg.Rand.Int63())))
+	if cfg.Assignment != nil {
+		d.keeper = newWatcher(d, *cfg.Assignment)
+	}
 	d.sender = newSender(d)
 	return d, nil
 }
@@ -214,6 +230,26 @@
 	}
 }
 
+// apply gives the usable fractions to all shards.
+func (d *Driver) apply(usable quota.Mask, until time.Duration) {
+	for _, s := range d.shards {
+		s.mu.Lock()
+		s.machine.SetUsable(d.cfg.Clock(), usable, until)
+		s.mu.Unlock()
+	}
+}
+
+// lent returns the fractions with open loans in any shard.
+func (d *Driver) lent() quota.Mask {
+	var lent quota.Mask
+	for _, s := range d.shards {
+		s.mu.Lock()
+		lent |= s.machine.Lent(d.cfg.Clock())
+		s.mu.Unlock()
+	}
+	return lent
+}
+
 // notify lets waiting statements try again. The caller holds s.mu.
 func (s *shard) notify() {
 	close(s.answered)
--- a/proxy/quota/keeper.go
+++ b/proxy/quota/keeper.go
@@ -216,12 +216,7 @@
 func (k *keeper) plan() (quota.Record, uint64, bool) {
 	k.apply()
 	d := k.driver
-	var lent quota.Mask
-	for _, s := range d.shards {
-		s.mu.Lock()
-		lent |= s.machine.Lent(d.cfg.Clock())
-		s.mu.Unlock()
-	}
+	lent := d.lent()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	record, wanted := k.fractions.Plan(d.cfg.Clock(), d.cfg.Peers.Listed(), lent)
@@ -240,11 +235,7 @@
 	if !changed {
 		return
 	}
-	for _, s := range k.driver.shards {
-		s.mu.Lock()
-		s.machine.SetUsable(k.driver.cfg.Clock(), usable, until)
-		s.mu.Unlock()
-	}
+	k.driver.apply(usable, until)
 	if usable != before {
 		k.driver.cfg.Log.WithFields(logrus.Fields{peer.FieldEvent: EventFractions, "fractions": usable.Count()}).
 			Info("this instance holds other fractions than before")
--- /dev/null
+++ b/proxy/quota/watcher.go
@@ -0,0 +1,218 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
+)
+
+// watcherTick is the period of looking for a change to make.
+const watcherTick = 200 * time.Millisecond
+
+// AssignmentConfig is needed to hold fractions by a watched assignment.
+type AssignmentConfig struct {
+	// Live returns the peer addresses of the instances that answer, this one included.
+	Live func() []string
+}
+
+// watcher holds fractions by an assignment in the store that all instances watch. The daemon reports what the
+// watch brings through the driver's methods ObserveAssignment and ProveAssignment.
+type watcher struct {
+	driver *Driver
+	cfg    AssignmentConfig
+
+	mu      sync.Mutex
+	tenure  *quota.Tenure
+	usable  quota.Mask
+	until   time.Duration
+	lastSee map[string]time.Duration // when a holder was last live
+	retryAt time.Duration
+	drained chan struct{}
+}
+
+func newWatcher(d *Driver, cfg AssignmentConfig) *watcher {
+	return &watcher{
+		driver: d, cfg: cfg, tenure: quota.NewTenure(d.cfg.Self, d.cfg.Clock()),
+		lastSee: map[string]time.Duration{}, drained: make(chan struct{}),
+	}
+}
+
+// ObserveAssignment takes an assignment that the watch has brought.
+func (d *Driver) ObserveAssignment(value []byte, version uint64) error {
+	w, ok := d.keeper.(*watcher)
+	if !ok {
+		return errors.AssertionFailedf("the quota was not configured with an assignment")
+	}
+	a, err := quota.DecodeAssignment(value)
+	if err != nil {
+		return err
+	}
+	w.observe(a, version)
+	return nil
+}
+
+// ProveAssignment notes that no newer assignment existed as of a time of the driver's clock.
+func (d *Driver) ProveAssignment(asOf time.Duration) {
+	w, ok := d.keeper.(*watcher)
+	if !ok {
+		return
+	}
+	w.mu.Lock()
+	w.tenure.Proven(asOf)
+	w.mu.Unlock()
+	w.apply()
+}
+
+func (w *watcher) observe(a quota.Assignment, version uint64) {
+	w.mu.Lock()
+	w.tenure.Observe(w.driver.cfg.Clock(), a, version)
+	w.mu.Unlock()
+	w.apply()
+}
+
+func (w *watcher) run(ctx context.Context) {
+	wait.Every(ctx, watcherTick, func() {
+		w.apply()
+		w.change(ctx)
+	})
+}
+
+// apply gives the usable fractions to the shards if they have changed.
+func (w *watcher) apply() {
+	w.mu.Lock()
+	usable, until := w.tenure.Usable(w.driver.cfg.Clock())
+	changed, other := usable != w.usable || until != w.until, usable != w.usable
+	w.usable, w.until = usable, until
+	w.noteDrained()
+	w.mu.Unlock()
+	if changed {
+		w.driver.apply(usable, until)
+	}
+	if other {
+		w.driver.cfg.Log.WithFields(logrus.Fields{peer.FieldEvent: EventFractions, "fractions": usable.Count()}).
+			Info("this instance holds other fractions than before")
+	}
+}
+
+// noteDrained closes drained once nothing is held. The caller holds mu.
+func (w *watcher) noteDrained() {
+	select {
+	case <-w.drained:
+	default:
+		if w.tenure.Drained() {
+			close(w.drained)
+		}
+	}
+}
+
+// change writes another assignment if one is wanted.
+func (w *watcher) change(ctx context.Context) {
+	lent := w.driver.lent()
+	live := w.cfg.Live()
+	w.mu.Lock()
+	now := w.driver.cfg.Clock()
+	members := quota.Members{Live: len(live), Gone: w.gone(now, live)}
+	planned, wanted := w.tenure.Plan(now, members, lent)
+	version := w.tenure.Version()
+	wanted = wanted && now >= w.retryAt
+	w.mu.Unlock()
+	if !wanted {
+		return
+	}
+	if err := w.write(ctx, planned, version); err != nil {
+		w.failed(err)
+	}
+}
+
+// gone returns the holders that were not live for quota.GoneTerm. The caller holds mu.
+func (w *watcher) gone(now time.Duration, live []string) []string {
+	var out []string
+	for _, holder := range w.tenure.Holders() {
+		seen, known := w.lastSee[holder]
+		switch {
+		case !known || slices.Contains(live, holder):
+			w.lastSee[holder] = now
+		case now-seen >= quota.GoneTerm:
+			out = append(out, holder)
+		}
+	}
+	return out
+}
+
+func (w *watcher) write(ctx context.Context, planned quota.Assignment, version uint64) error {
+	value, err := planned.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	w.driver.count.writes.Add(1)
+	written, err := w.driver.cfg.Store.Put(ctx, quota.AssignmentKey, value, version)
+	if err != nil {
+		return err
+	}
+	w.observe(planned, written)
+	return nil
+}
+
+// failed delays the next write. The watch brings what another instance has written.
+func (w *watcher) failed(err error) {
+	if errors.Is(err, objectstore.ErrConflict) {
+		w.driver.cfg.Log.WithField(peer.FieldEvent, EventRecordConflict).Debug("another instance wrote the assignment first")
+	} else {
+		w.driver.cfg.Log.WithField(peer.FieldEvent, EventRecordNotWritten).WithError(err).Warn("assignment of fractions can't be written")
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retryAt = w.driver.cfg.Clock() + rand.N(2*conflictDelay)
+}
+
+// errAssignmentUnknown is the reason why an instance should get no callers yet.
+var errAssignmentUnknown = errors.New("the assignment of fractions was not read yet; see whether the store answers")
+
+func (w *watcher) ready() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.tenure.Known() {
+		return errAssignmentUnknown
+	}
+	return nil
+}
+
+func (w *watcher) holders() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tenure.Holders()
+}
+
+func (w *watcher) version() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tenure.Version()
+}
+
+// note does nothing: the watch brings newer versions.
+func (w *watcher) note(uint64) {}
+
+func (w *watcher) drain(ctx context.Context) error {
+	w.mu.Lock()
+	w.tenure.Drain()
+	w.mu.Unlock()
+	w.apply()
+	select {
+	case <-w.drained:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "fractions were not handed back in time; others take them over")
+	}
+}
