--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -3,8 +3,9 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
@@ -24,7 +25,12 @@
 		Short: "Run one instance of the proxy on the users' platform",
 		Long:  help,
 		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return run(cmd, path) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := flagenv.Apply(cmd.Flags()); err != nil {
+				return err
+			}
+			return run(cmd, path)
+		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "path of the settings file")
 	flagenv.Describe(cmd)
@@ -32,38 +38,29 @@
 }
 
 func run(cmd *cobra.Command, path string) error {
-	if err := flagenv.Apply(cmd.Flags()); err != nil {
-		return err
-	}
-	settings, err := node.ReadSettings(cmd.Flag("settings").Value.String())
-	if err != nil {
-		return err
-	}
-	log, out, err := newLog(settings.LogLevel)
+	settings, err := node.ReadSettings(path)
 	if err != nil {
 		return err
 	}
+	log, out := newLog(settings.Level())
 	defer out.Close()
 	n, err := node.New(settings, log)
 	if err != nil {
 		return err
 	}
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	go n.Reload(cmd.Context(), path, hangUp, log.SetLevel)
 	return n.Run(cmd.Context())
 }
 
 // newLog returns a log of JSON lines on standard output that never blocks.
-func newLog(level string) (*logrus.Logger, *asynclog.Writer, error) {
+func newLog(level logrus.Level) (*logrus.Logger, *asynclog.Writer) {
 	log := logrus.New()
 	out := asynclog.New(os.Stdout)
 	log.SetOutput(out)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
-	if level == "" {
-		return log, out, nil
-	}
-	parsed, err := logrus.ParseLevel(level)
-	if err != nil {
-		return nil, nil, errors.Newf("logLevel: %q is not a level; use debug, info, warning or error", level)
-	}
-	log.SetLevel(parsed)
-	return log, out, nil
+	log.SetLevel(level)
+	return log, out
 }
--- a/decision/catalog/freshness.go
+++ b/decision/catalog/freshness.go
@@ -11,19 +11,16 @@
 
 // Waited notes that a call sent at the given time, which asked the store to wait for changes, ended without one.
 // The store has waited until the end of that time if it was over when the answer came; an earlier answer proves only
-// the time of sending. A call that reads everything waits for 0.
-func (f *Freshness) Waited(sent, wait, received time.Duration) {
+// the time of sending. A call that reads everything waits for 0. It returns the time as of which nothing is missing.
+func (f *Freshness) Waited(sent, wait, received time.Duration) time.Duration {
+	asOf := sent
 	if received-sent >= wait {
-		f.note(sent + wait)
-		return
+		asOf += wait
 	}
-	f.note(sent)
-}
-
-func (f *Freshness) note(asOf time.Duration) {
 	if !f.known || asOf > f.asOf {
 		f.asOf, f.known = asOf, true
 	}
+	return f.asOf
 }
 
 // Age returns how long ago the configuration was known to be the newest.
--- a/proxy/node/directory.go
+++ b/proxy/node/directory.go
@@ -17,8 +17,7 @@
 type directory struct {
 	log    logrus.FieldLogger
 	now    func() time.Duration
-	trust  bool // keys without a fresh proof
-	expiry time.Duration
+	bounds func() Bounds
 
 	mu       sync.Mutex
 	snapshot *catalog.Snapshot
@@ -35,7 +34,8 @@
 
 // Fresh implements gateway.Directory.
 func (d *directory) Fresh() bool {
-	return d.trust || d.freshWithin(d.expiry)
+	b := d.bounds()
+	return b.TrustKeysWhenCutOff || d.freshWithin(time.Duration(freshPart*float64(b.KeyWithdrawal())))
 }
 
 // freshWithin reports whether the configuration was known to be the newest at most age ago.
--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -15,7 +15,7 @@
 const (
 	// callTimeout bounds a call to the store that does not wait. The store answers in milliseconds, and
 	// in some hundred when it is slow.
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = time.Second
 	// watchAllowance is the time beyond its wait after which a watch counts as lost.
 	watchAllowance = 800 * time.Millisecond
 	// hurriedWait is the wait of a watch that is to prove contact soon.
@@ -52,9 +52,12 @@
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		f.report(ctx, err)
-		if err != nil && !errors.Is(err, platform.ErrHistoryGone) {
-			wait.For(ctx, retryMin+rand.N(retryMax-retryMin))
+		if err == nil || errors.Is(err, platform.ErrHistoryGone) {
+			continue
 		}
+		// A list proves contact at once, where another watch may hang like the last one.
+		f.known = false
+		wait.For(ctx, retryMin+rand.N(retryMax-retryMin))
 	}
 }
 
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -57,7 +57,8 @@
 
 // Node is one instance. Use New, then Run.
 type Node struct {
-	settings Settings
+	settings Settings // as at the start
+	live     atomic.Pointer[Settings]
 	log      logrus.FieldLogger
 	metrics  *telemetry.Metrics
 
@@ -85,6 +86,7 @@
 	}
 	debug.SetGCPercent(collectPercent)
 	n := &Node{settings: settings, log: log.WithField("instance", settings.Instance), metrics: telemetry.New()}
+	n.live.Store(&settings)
 	for _, step := range []func() error{n.listen, n.openStore, n.assemblePeers, n.assembleGateway} {
 		if err := step(); err != nil {
 			n.closeListeners()
@@ -127,8 +129,7 @@
 	n.instances = instanceList{n.store}
 	n.directory = &directory{
 		log: n.log, now: boottime.Now,
-		trust:   n.settings.Bounds.TrustKeysWhenCutOff,
-		expiry:  time.Duration(freshPart * float64(n.settings.Bounds.KeyWithdrawal())),
+		bounds:  func() Bounds { return n.live.Load().Bounds },
 		adopted: func(s *catalog.Snapshot) { n.quota.SetAccounts(s.Accounts()) },
 	}
 	return nil
@@ -279,12 +280,15 @@
 			}
 		}
 	}
+	var proven catalog.Freshness
 	f.listed, f.changed = take, take
 	f.contact = func(sent, waited time.Duration) {
-		if boottime.Now()-sent < waited {
-			waited = 0
-		}
-		n.quota.ProveAssignment(sent + waited)
+		asOf := proven.Waited(sent, waited, boottime.Now())
+		n.quota.ProveAssignment(asOf)
+	}
+	f.hurry = func() bool {
+		age, known := proven.Age(boottime.Now())
+		return !known || age > quotaWait/3
 	}
 	return f
 }
@@ -349,7 +353,7 @@
 // shutdown lets the platform take this instance out of rotation, then ends the sessions.
 func (n *Node) shutdown(ctx context.Context) {
 	n.stopping.Store(true)
-	grace := n.settings.Bounds.Grace()
+	grace := n.live.Load().Bounds.Grace()
 	event(n.log, EventStopping).WithField("sessions", n.gateway.Sessions()).Info("instance stops taking callers")
 	ctx, cancel := context.WithTimeout(ctx, grace-stopAllowance)
 	defer cancel()
--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -4,11 +4,13 @@
 package node
 
 import (
+	"cmp"
 	"net/netip"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"sigs.k8s.io/yaml"
 )
 
@@ -26,6 +28,18 @@
 	LogLevel  string            `json:"logLevel"`
 }
 
+// defaultLogLevel is used where the settings name none.
+const defaultLogLevel = "info"
+
+// Level is the level of the log. The settings have to be valid.
+func (s Settings) Level() logrus.Level {
+	level, err := logrus.ParseLevel(cmp.Or(s.LogLevel, defaultLogLevel))
+	if err != nil {
+		return logrus.InfoLevel
+	}
+	return level
+}
+
 // Place tells where the instance is.
 type Place struct {
 	Region        string `json:"region"`
@@ -106,6 +120,9 @@
 			faults = append(faults, errors.Newf("%s: %v is not above zero; give a time", f.name, f.value))
 		}
 	}
+	if _, err := logrus.ParseLevel(cmp.Or(s.LogLevel, defaultLogLevel)); err != nil {
+		faults = append(faults, errors.Newf("logLevel: %q is not a level; use debug, info, warning or error", s.LogLevel))
+	}
 	if s.MemoryMiB < 0 {
 		faults = append(faults, errors.New("memoryMiB: is below zero; leave it out for no limit"))
 	}
