--- /dev/null
+++ b/decision/connlimit/connlimit_test.go
@@ -0,0 +1,48 @@
+package connlimit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against instances that together exceed a server's limit by what they keep for themselves.
+func TestSharesFitTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 64).Draw(t, "instances")
+		l := Limit{Max: rapid.IntRange(instances, 400).Draw(t, "max"), Instances: instances}
+		if l.Share() < 1 || l.Share()*instances > l.Max {
+			t.Fatalf("%d instances with %d each exceed %d", instances, l.Share(), l.Max)
+		}
+		if l.Ceiling() < l.Share() {
+			t.Fatalf("ceiling %d is below the share %d", l.Ceiling(), l.Share())
+		}
+	})
+}
+
+// Guards against connections that are opened at a full server, and against statements that wait while a
+// connection that does not fit lies idle.
+func TestNext(t *testing.T) {
+	l := Limit{Max: 23, Instances: 8} // a share of 2, a ceiling of 11
+	full := 100 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		use  Use
+		want Step
+	}{
+		{"inside the share", Use{Open: 1}, Open},
+		{"inside the share, but refused lately", Use{Open: 1, FullUntil: full}, Wait},
+		{"share used, one idle", Use{Open: 2, Idle: 1}, Replace},
+		{"refused lately, one idle", Use{Open: 1, Idle: 1, FullUntil: full}, Replace},
+		{"share used, all busy", Use{Open: 2}, Open},
+		{"ceiling reached", Use{Open: 11}, Wait},
+	} {
+		if got := l.Next(0, c.use); got != c.want {
+			t.Errorf("%s: step %d, want %d", c.name, got, c.want)
+		}
+	}
+	if l.Keep(3) != IdleBorrowed || l.Keep(2) != IdleShare {
+		t.Error("borrowed connections are kept like those of the share")
+	}
+}
--- /dev/null
+++ b/decision/placement/placement_test.go
@@ -0,0 +1,174 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
+
+const ms = time.Millisecond
+
+func pos(term, lsn uint64) position.Position {
+	return position.Position{Term: term, LSN: lsn}
+}
+
+func group() *Group {
+	g := NewGroup(Place{Region: "here", FailureDomain: "here-a"})
+	g.Register(0, []discovery.Server{
+		{ID: "p", Region: "far", Primary: true, Revision: 1},
+		{ID: "r1", Region: "here", Revision: 2},
+		{ID: "r2", Region: "far", Revision: 3},
+	})
+	return g
+}
+
+// Guards against stale reads: a floor has to cover every commit acknowledged before the bound, whatever the order
+// in which the leader's answers come.
+func TestFloorCoversAcknowledgedCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Samples
+		var now time.Duration
+		var log uint64
+		type commit struct {
+			at  time.Duration
+			lsn uint64
+		}
+		var acknowledged []commit
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 200).Draw(t, "gap")) * ms
+			log += uint64(rapid.IntRange(0, 3).Draw(t, "commits"))
+			acknowledged = append(acknowledged, commit{now, log})
+			if rapid.Bool().Draw(t, "sampled") {
+				// The leader answers some time after the request was sent.
+				sent := now - time.Duration(rapid.IntRange(0, 100).Draw(t, "delay"))*ms
+				s.Add(sent, pos(1, log))
+			}
+			staleness := time.Duration(rapid.IntRange(600, 3000).Draw(t, "staleness")) * ms
+			floor, ok := s.Floor(now, staleness)
+			if !ok {
+				continue
+			}
+			for _, c := range acknowledged {
+				if c.at < now-staleness && c.lsn > floor.LSN {
+					t.Fatalf("at %s the floor %s for %s lacks commit %d acknowledged at %s", now, floor, staleness, c.lsn, c.at)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a floor of a term whose end a promotion has rolled back: no replica would ever reach it.
+func TestSamplesFollowTheNewestTerm(t *testing.T) {
+	var s Samples
+	s.Add(100*ms, pos(3, 1207))
+	s.Add(200*ms, pos(4, 1203))
+	s.Add(260*ms, pos(3, 1209)) // late answer of the old leader
+	if floor, ok := s.Floor(300*ms, time.Second); !ok || floor != pos(4, 1203) {
+		t.Errorf("floor is %s, %t", floor, ok)
+	}
+	if _, ok := s.Floor(5*time.Second, time.Second); ok {
+		t.Error("an old sample still gives a floor")
+	}
+}
+
+// Guards against reads that leave the region while a near replica can answer them.
+func TestReadsStayNear(t *testing.T) {
+	g := group()
+	if id, ok := g.Replica(0, pos(1, 1), 2, nil); !ok || id != "r1" {
+		t.Errorf("read goes to %q", id)
+	}
+	if id, _ := g.Replica(0, pos(1, 1), 2, []string{"r1"}); id != "p" && id != "r2" {
+		t.Errorf("read goes to %q after r1 was excluded", id)
+	}
+}
+
+// Guards against a queue at the near replica while others idle.
+func TestReadsLeaveABusyReplica(t *testing.T) {
+	g := group()
+	for range 12 {
+		g.Sent("r1")
+	}
+	if id, _ := g.Replica(0, pos(1, 1), 2, nil); id == "r1" {
+		t.Error("read goes to a replica with a long queue")
+	}
+}
+
+// Guards against reads sent again and again to a replica that lacks the position, and against a replica that is
+// passed over although it has caught up.
+func TestLaggingReplicaIsPassedOver(t *testing.T) {
+	g := group()
+	g.Lagged(100*ms, "r1")
+	if id, _ := g.Replica(150*ms, pos(1, 50), 2, nil); id == "r1" {
+		t.Error("read goes to a replica that just lacked the position")
+	}
+	g.Alive(160*ms, "r1", pos(1, 60))
+	if id, _ := g.Replica(170*ms, pos(1, 50), 2, nil); id != "r1" {
+		t.Errorf("read goes to %q although r1 has caught up", id)
+	}
+}
+
+// Guards against writes sent to a server that refused to lead, and against a promotion that is not noticed before
+// the entries show it.
+func TestLeaderIsLookedForAfterARefusal(t *testing.T) {
+	g := group()
+	if id, _ := g.Leader(0, nil); id != "p" {
+		t.Fatalf("leader is %q", id)
+	}
+	g.Denied(10*ms, "p")
+	id, ok := g.Leader(20*ms, nil)
+	if !ok || id == "p" {
+		t.Fatalf("leader is %q, %t after p refused", id, ok)
+	}
+	g.Led(30*ms, 25*ms, "r2", pos(2, 10))
+	if id, _ := g.Leader(300*ms, nil); id != "r2" {
+		t.Errorf("leader is %q although r2 has proven to lead", id)
+	}
+	if id, ok := g.Primary(); !ok || id != "r2" {
+		t.Errorf("primary is %q, %t", id, ok)
+	}
+}
+
+// Guards against new work for servers that leave, whose entries are gone, or that don't answer.
+func TestUnusableServersGetNoReads(t *testing.T) {
+	g := group()
+	g.Unreachable(0, "r1")
+	if id, _ := g.Replica(50*ms, pos(1, 1), 2, nil); id == "r1" {
+		t.Error("read goes to a server that does not answer")
+	}
+	g.Alive(60*ms, "r1", position.Position{})
+	g.Register(100*ms, []discovery.Server{{ID: "r1", Region: "here", Leaving: true, Revision: 9}, {ID: "r2", Region: "far", Revision: 3}})
+	for range 3 {
+		if id, _ := g.Replica(110*ms, pos(1, 1), 2, nil); id != "r2" {
+			t.Errorf("read goes to %q", id)
+		}
+	}
+}
+
+// Guards against a server that is dropped because the store was away for a moment, and against one that stays.
+func TestMissingEntriesAreKeptForAWhile(t *testing.T) {
+	g := group()
+	g.Register(time.Second, nil)
+	if !g.Missing("p") || len(g.Servers()) != 3 {
+		t.Fatalf("%d servers, p missing %t", len(g.Servers()), g.Missing("p"))
+	}
+	g.Register(2*time.Second, []discovery.Server{{ID: "p", Region: "far", Primary: true, Revision: 11}})
+	g.Expire(time.Second + goneGrace + ms)
+	if g.Missing("p") || len(g.Servers()) != 1 {
+		t.Errorf("%d servers, p missing %t", len(g.Servers()), g.Missing("p"))
+	}
+}
+
+// Guards against positions and refusals of one run of a server that are taken for those of the next.
+func TestRestartedServerIsANewOne(t *testing.T) {
+	g := group()
+	g.Alive(10*ms, "r1", pos(1, 500))
+	g.Lagged(20*ms, "r1")
+	g.Register(30*ms, []discovery.Server{{ID: "r1", Region: "here", Started: 77, Revision: 20}, {ID: "p", Region: "far", Primary: true, Revision: 1}})
+	if _, known := g.LastAnswer(40*ms, "r1"); known {
+		t.Error("an answer of the earlier run is still known")
+	}
+}
--- /dev/null
+++ b/decision/quota/tenure_test.go
@@ -0,0 +1,183 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// tenureWorld is a store with one assignment, and instances that read it late, stand still and start anew.
+type tenureWorld struct {
+	t          *rapid.T
+	now        time.Duration
+	assignment Assignment
+	version    uint64
+	history    map[uint64]Assignment
+	nodes      []*tenureNode
+}
+
+type tenureNode struct {
+	address string
+	tenure  *Tenure
+	behind  bool // reads an old version without a proof
+	// lentUntil is until when another instance may use what this one has lent.
+	lentUntil map[Mask]time.Duration
+}
+
+func (w *tenureWorld) node(i int) *tenureNode {
+	return w.nodes[i]
+}
+
+func (w *tenureWorld) restart(n *tenureNode) {
+	n.tenure = NewTenure(n.address, w.now)
+	n.behind = false
+}
+
+func (w *tenureWorld) read(n *tenureNode) {
+	n.tenure.Observe(w.now, w.assignment, w.version)
+	n.tenure.Proven(w.now)
+}
+
+func (w *tenureWorld) write(n *tenureNode, live int, gone []string) {
+	next, wanted := n.tenure.Plan(w.now, Members{Live: live, Gone: gone}, 0)
+	if !wanted || n.tenure.Version() != w.version {
+		return
+	}
+	w.version++
+	w.assignment = next
+	n.tenure.Observe(w.now, next, w.version)
+}
+
+// check fails if two processes may use the same fraction, counting what each could have lent just before.
+func (w *tenureWorld) check() {
+	for _, n := range w.nodes {
+		usable, _ := n.tenure.Usable(w.now)
+		for bit := Mask(1); bit != 0; bit <<= 1 {
+			if usable&bit != 0 {
+				n.lentUntil[bit] = w.now + LoanTerm + MaxTokenLifetime
+			}
+		}
+	}
+	for _, n := range w.nodes {
+		usable, _ := n.tenure.Usable(w.now)
+		for _, other := range w.nodes {
+			if other == n {
+				continue
+			}
+			for bit, until := range other.lentUntil {
+				if usable&bit != 0 && w.now < until {
+					w.t.Fatalf("at %s %s uses fraction %x, which %s may have lent until %s", w.now, n.address, uint64(bit), other.address, until)
+				}
+			}
+		}
+	}
+}
+
+// Guards against quota that is given out twice: whatever instances read late, stand still, start anew or are taken
+// for gone, no fraction is usable at one while another may use it or has lent it.
+func TestNoFractionHasTwoUsers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &tenureWorld{t: t}
+		for i := range 4 {
+			n := &tenureNode{address: fmt.Sprint("n", i), lentUntil: map[Mask]time.Duration{}}
+			w.nodes = append(w.nodes, n)
+			w.restart(n)
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			w.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "gap")) * time.Millisecond
+			n := w.node(rapid.IntRange(0, 3).Draw(t, "node"))
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				w.restart(n)
+			case 1:
+				n.tenure.Drain()
+			case 2, 3, 4:
+				gone := w.node(rapid.IntRange(0, 3).Draw(t, "gone"))
+				var names []string
+				if gone != n {
+					names = []string{gone.address}
+				}
+				w.write(n, rapid.IntRange(1, 4).Draw(t, "live"), names)
+			default:
+				w.read(n)
+			}
+			w.check()
+		}
+	})
+}
+
+// Guards against quota that is stranded with a lost holder.
+func TestFractionsOfALostHolderAreUsedAgain(t *testing.T) {
+	w := &tenureWorld{}
+	for i := range 3 {
+		n := &tenureNode{address: fmt.Sprint("n", i), lentUntil: map[Mask]time.Duration{}}
+		w.nodes = append(w.nodes, n)
+		w.restart(n)
+	}
+	run := func(d time.Duration, nodes []*tenureNode, gone []string) {
+		for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
+			for _, n := range nodes {
+				w.read(n)
+				w.write(n, len(nodes), gone)
+			}
+		}
+	}
+	total := func(nodes []*tenureNode) int {
+		var all Mask
+		for _, n := range nodes {
+			usable, _ := n.tenure.Usable(w.now)
+			all |= usable
+		}
+		return all.Count()
+	}
+	run(leftoverTerm+promiseTerm+time.Second, w.nodes, nil)
+	if got := total(w.nodes); got != FractionCount {
+		t.Fatalf("%d fractions usable after the start", got)
+	}
+	left := w.nodes[1:]
+	run(handoverTerm+time.Second, left, []string{"n0"})
+	if got := total(left); got != FractionCount {
+		t.Errorf("%d fractions usable %s after a holder was lost", got, handoverTerm+time.Second)
+	}
+}
+
+// Guards against an instance that gets no quota because the others hold all of it.
+func TestLateInstanceGetsFractions(t *testing.T) {
+	w := &tenureWorld{}
+	first := &tenureNode{address: "first", lentUntil: map[Mask]time.Duration{}}
+	w.restart(first)
+	for range 60 {
+		w.now += 200 * time.Millisecond
+		w.read(first)
+		w.write(first, 1, nil)
+	}
+	late := &tenureNode{address: "late", lentUntil: map[Mask]time.Duration{}}
+	w.restart(late)
+	for range 80 {
+		w.now += 200 * time.Millisecond
+		for _, n := range []*tenureNode{late, first} {
+			w.read(n)
+			w.write(n, 2, nil)
+		}
+	}
+	usable, _ := late.tenure.Usable(w.now)
+	if usable.Count() != FractionCount/2 {
+		t.Errorf("late instance may use %d fractions", usable.Count())
+	}
+}
+
+// Guards against a restarted process that uses what its predecessor has lent, and against one that waits longer.
+func TestRestartedProcessWaitsForLoans(t *testing.T) {
+	started := 100 * time.Second
+	n := NewTenure("a", started)
+	n.Observe(started, Assignment{Tenants: []Tenant{{Address: "a", Fractions: 0xff}}}, 5)
+	n.Proven(started)
+	if usable, _ := n.Usable(started + promiseTerm - 1); usable != 0 {
+		t.Errorf("uses %x while loans of its predecessor are open", uint64(usable))
+	}
+	if usable, _ := n.Usable(started + promiseTerm); usable != 0xff {
+		t.Errorf("uses %x after they have ended", uint64(usable))
+	}
+}
--- a/proxy/gateway/journal.go
+++ b/proxy/gateway/journal.go
@@ -68,7 +68,7 @@
 
 func (j *Journal) statement(number string, n *session, stmt sessionstate.Statement) *logrus.Entry {
 	return j.event(number).WithFields(logrus.Fields{
-		"id": stmt.ID, "kind": stmt.Kind.String(), "route": n.route, "tx": n.state.Tx.String(),
+		"id": stmt.ID, "kind": stmt.Kind.String(), "route": n.route, "account": n.account, "tx": n.state.Tx.String(),
 	})
 }
 
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -39,6 +39,8 @@
 	codec CallerCodec
 	route string
 	sum   manifest.KeySum
+	// account is the one that the key belonged to when it was last checked.
+	account string
 
 	state sessionstate.State
 	floor position.Position // of the session's own commits
@@ -100,6 +102,7 @@
 	if !grant.Route.Open && !n.gw.cfg.Directory.Fresh() {
 		return grant, errNotFresh
 	}
+	n.account = grant.Account
 	return withDefaults(grant), nil
 }
 
--- a/proxy/node/directory.go
+++ b/proxy/node/directory.go
@@ -63,6 +63,11 @@
 	event(d.log, EventConfig).WithFields(logrus.Fields{
 		"version": c.Version, "routes": len(c.Routes), "accounts": len(c.Accounts),
 	}).Info("configuration is in force")
+	for _, a := range c.Accounts {
+		event(d.log, EventAccount).WithFields(logrus.Fields{
+			"version": c.Version, "account": a.Name, "rate": a.Rate, "burst": a.Burst, "keys": len(a.Keys),
+		}).Debug("limits of a client account")
+	}
 	d.adopted(s)
 }
 
--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -50,6 +50,8 @@
 	EventLinesDropped = "CYC-6022"
 	// EventAssignmentInvalid: the assignment of quota in the store has no valid form.
 	EventAssignmentInvalid = "CYC-6023"
+	// EventAccount: the limits of a client account in the configuration in force.
+	EventAccount = "CYC-6024"
 )
 
 // event returns an entry with the number of an event.
