--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -22,6 +22,8 @@
 	goneGrace = 2500 * time.Millisecond
 	// lagTerm is how long a replica that lacked a position is passed over for positions above its own.
 	lagTerm = 200 * time.Millisecond
+	// parallelShare is how many statements of one instance a server is expected to run at once.
+	parallelShare = 2
 	// Assumed round trips until a connection has shown the real one.
 	roundTripNear = time.Millisecond
 	roundTripFar  = 50 * time.Millisecond
@@ -136,7 +138,7 @@
 	return !ok || s.missingSince != 0
 }
 
-// Sent counts a statement that is on its way to a server; Answered or Failed ends it.
+// Sent counts a statement that is on its way to a server; Answered or Unsent ends it.
 func (g *Group) Sent(id string) {
 	if s := g.servers[id]; s != nil {
 		s.inFlight++
@@ -168,14 +170,11 @@
 	s.position = position.Max(s.position, p)
 }
 
-// Failed notes that a statement sent to a server got no answer.
-func (g *Group) Failed(now time.Duration, id string) {
-	s := g.servers[id]
-	if s == nil {
-		return
+// Unsent ends what Sent began, without an answer.
+func (g *Group) Unsent(id string) {
+	if s := g.servers[id]; s != nil {
+		s.inFlight = max(s.inFlight-1, 0)
 	}
-	s.inFlight = max(s.inFlight-1, 0)
-	g.Unreachable(now, id)
 }
 
 // Unreachable notes a failed connection to a server.
@@ -288,14 +287,14 @@
 }
 
 // Replica returns the server on which a read with a floor probably ends first.
-func (g *Group) Replica(now time.Duration, floor position.Position, parallel int, exclude []string) (id string, ok bool) {
+func (g *Group) Replica(now time.Duration, floor position.Position, exclude []string) (id string, ok bool) {
 	var best *server
 	var bestCost time.Duration
 	for _, s := range g.servers {
 		if s.Leaving || s.missingSince != 0 || s.avoidUntil > now || slices.Contains(exclude, s.ID) || s.lacks(now, floor) {
 			continue
 		}
-		cost := s.cost(now, g.here, parallel)
+		cost := s.cost(now, g.here)
 		if best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
 			best, bestCost = s, cost
 		}
@@ -311,12 +310,12 @@
 	return s.laggedAt != 0 && now-s.laggedAt < lagTerm && s.position.Less(floor)
 }
 
-// cost is the expected time to the answer of one more statement. parallel statements of this instance
-// run at once; further ones wait.
-func (s *server) cost(now time.Duration, here Place, parallel int) time.Duration {
-	ahead := max(s.inFlight+1-parallel, 0)
+// cost is the expected time to the answer of one more statement. Beyond parallelShare statements of this instance,
+// further ones wait for those before them.
+func (s *server) cost(now time.Duration, here Place) time.Duration {
+	ahead := max(s.inFlight+1-parallelShare, 0)
 	service := s.decayedService(now)
-	return s.trip(here) + service + service*time.Duration(ahead)/time.Duration(max(parallel, 1))
+	return s.trip(here) + service + service*time.Duration(ahead)/parallelShare
 }
 
 func (s *server) trip(here Place) time.Duration {
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -78,10 +78,10 @@
 // Guards against reads that leave the region while a near replica can answer them.
 func TestReadsStayNear(t *testing.T) {
 	g := group()
-	if id, ok := g.Replica(0, pos(1, 1), 2, nil); !ok || id != "r1" {
+	if id, ok := g.Replica(0, pos(1, 1), nil); !ok || id != "r1" {
 		t.Errorf("read goes to %q", id)
 	}
-	if id, _ := g.Replica(0, pos(1, 1), 2, []string{"r1"}); id != "p" && id != "r2" {
+	if id, _ := g.Replica(0, pos(1, 1), []string{"r1"}); id != "p" && id != "r2" {
 		t.Errorf("read goes to %q after r1 was excluded", id)
 	}
 }
@@ -92,7 +92,7 @@
 	for range 12 {
 		g.Sent("r1")
 	}
-	if id, _ := g.Replica(0, pos(1, 1), 2, nil); id == "r1" {
+	if id, _ := g.Replica(0, pos(1, 1), nil); id == "r1" {
 		t.Error("read goes to a replica with a long queue")
 	}
 }
@@ -102,11 +102,11 @@
 func TestLaggingReplicaIsPassedOver(t *testing.T) {
 	g := group()
 	g.Lagged(100*ms, "r1")
-	if id, _ := g.Replica(150*ms, pos(1, 50), 2, nil); id == "r1" {
+	if id, _ := g.Replica(150*ms, pos(1, 50), nil); id == "r1" {
 		t.Error("read goes to a replica that just lacked the position")
 	}
 	g.Alive(160*ms, "r1", pos(1, 60))
-	if id, _ := g.Replica(170*ms, pos(1, 50), 2, nil); id != "r1" {
+	if id, _ := g.Replica(170*ms, pos(1, 50), nil); id != "r1" {
 		t.Errorf("read goes to %q although r1 has caught up", id)
 	}
 }
@@ -136,13 +136,13 @@
 func TestUnusableServersGetNoReads(t *testing.T) {
 	g := group()
 	g.Unreachable(0, "r1")
-	if id, _ := g.Replica(50*ms, pos(1, 1), 2, nil); id == "r1" {
+	if id, _ := g.Replica(50*ms, pos(1, 1), nil); id == "r1" {
 		t.Error("read goes to a server that does not answer")
 	}
 	g.Alive(60*ms, "r1", position.Position{})
 	g.Register(100*ms, []discovery.Server{{ID: "r1", Region: "here", Leaving: true, Revision: 9}, {ID: "r2", Region: "far", Revision: 3}})
 	for range 3 {
-		if id, _ := g.Replica(110*ms, pos(1, 1), 2, nil); id != "r2" {
+		if id, _ := g.Replica(110*ms, pos(1, 1), nil); id != "r2" {
 			t.Errorf("read goes to %q", id)
 		}
 	}
--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
@@ -71,15 +72,20 @@
 
 // Config assembles a Gateway.
 type Config struct {
-	Here         placement.Place
-	Directory    Directory
-	Quota        Quota
-	Dial         func(ctx context.Context, network, address string) (net.Conn, error)
-	CallerCodec  func(net.Conn) CallerCodec
-	ServerCodec  func(net.Conn) ServerCodec
-	ParseStatus  func(row []byte) (placement.Status, error)
-	Instances    func() int           // that share the servers' connections
-	Now          func() time.Duration // a clock that goes on while the machine is suspended
-	Log          *Journal
-	StopDeadline time.Duration // from the begin of a stop until open transactions are ended
+	Here        placement.Place
+	Directory   Directory
+	Quota       Quota
+	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	CallerCodec func(net.Conn) CallerCodec
+	ServerCodec func(net.Conn) ServerCodec
+	ParseStatus func(row []byte) (placement.Status, error)
+	// Lender returns the peer address of the instance that holds an account's connections to a server, empty for
+	// this one. suspected tells which instances did not answer lately. Nil: each instance holds its own.
+	Lender func(s discovery.Server, account string, suspected func(address string) bool) string
+	// Conns reaches the other instances; needed with Lender.
+	Conns Conns
+	// Instances returns how many instances share the connections to a server.
+	Instances func(s discovery.Server) int
+	Now       func() time.Duration // a clock that goes on while the machine is suspended
+	Log       *Journal
 }
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
@@ -20,10 +21,12 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	cfg  Config
-	pool *pool
-	ctx  context.Context
-	end  context.CancelFunc
+	cfg     Config
+	pool    *pool
+	lending *lending
+	leaving atomic.Bool // no connections are lent any more
+	ctx     context.Context
+	end     context.CancelFunc
 
 	mu       sync.Mutex
 	views    map[string]*view
@@ -35,18 +38,18 @@
 	running sync.WaitGroup // sessions
 }
 
-// New returns a gateway; Run keeps its connections in order.
+// New returns a gateway; Maintain keeps its connections in order.
 func New(cfg Config) *Gateway {
 	ctx, end := context.WithCancel(context.Background())
 	return &Gateway{
-		cfg: cfg, pool: newPool(cfg), ctx: ctx, end: end,
+		cfg: cfg, pool: newPool(cfg), lending: newLending(cfg.Conns, cfg.Now), ctx: ctx, end: end,
 		views: map[string]*view{}, sessions: map[*session]struct{}{},
 		onSuspect: func(string, string) {},
 	}
 }
 
-// Run looks after idle connections until ctx ends.
-func (g *Gateway) Run(ctx context.Context) {
+// Maintain looks after idle connections until ctx ends.
+func (g *Gateway) Maintain(ctx context.Context) {
 	wait.Every(ctx, reapPeriod, func() { g.pool.reap(g.usable) })
 }
 
@@ -142,6 +145,11 @@
 	return len(g.sessions)
 }
 
+// StopLending makes other instances look for connections elsewhere. Transactions that use some go on.
+func (g *Gateway) StopLending() {
+	g.leaving.Store(true)
+}
+
 // EndIdle ends the sessions that wait for a request and have no open transaction, so that their callers
 // connect to another instance.
 func (g *Gateway) EndIdle() {
@@ -193,9 +201,12 @@
 // rollBack ends what is open on a connection and gives it back, without holding up the caller.
 func (g *Gateway) rollBack(u *upstream) {
 	if u.state == sessionstate.Idle {
+		u.setInside = false
 		g.pool.release(u, true)
 		return
 	}
+	u.unknown = u.unknown || u.setInside
+	u.setInside = false
 	u.deadline(rollBackTimeout)
 	u.codec.Rollback()
 	if err := u.codec.Flush(); err != nil {
--- /dev/null
+++ b/proxy/gateway/lend.go
@@ -0,0 +1,302 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+	"github.com/cyclamenstile/cyclamenstile/proxy/gateway/lendpb"
+)
+
+const (
+	// lendAllowance is the time for the way to a lender and back, beyond that of the work.
+	lendAllowance = 150 * time.Millisecond
+	// suspectTerm is how long a lender that did not answer is passed over.
+	suspectTerm = 2 * time.Second
+)
+
+// Conns gives drpc connections to instances by peer address; *peer.Client is one.
+type Conns interface {
+	Conn(ctx context.Context, address string) drpc.Conn
+	// Renew makes later calls to address use new connections only.
+	Renew(address string)
+}
+
+// lenderGoneError proves that nothing was sent to a server, because the lender was not reached or stops.
+type lenderGoneError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *lenderGoneError) Error() string {
+	return e.cause.Error()
+}
+
+// lending is the client side of borrowed connections.
+type lending struct {
+	conns Conns
+	now   func() time.Duration
+
+	mu       sync.Mutex
+	suspects map[string]time.Duration // until when a lender is passed over
+}
+
+func newLending(conns Conns, now func() time.Duration) *lending {
+	return &lending{conns: conns, now: now, suspects: map[string]time.Duration{}}
+}
+
+// lender returns the instance that holds the connections of an account to a server, empty for this one.
+func (g *Gateway) lender(d destination) string {
+	if g.cfg.Lender == nil {
+		return ""
+	}
+	return g.cfg.Lender(d.server, d.account, g.lending.suspected)
+}
+
+// suspected reports whether an instance did not answer lately.
+func (l *lending) suspected(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now() < l.suspects[address]
+}
+
+func (l *lending) suspect(address string) {
+	l.conns.Renew(address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.suspects[address] = l.now() + suspectTerm
+}
+
+// run lets a lender run one statement.
+func (l *lending) run(ctx context.Context, address string, d destination, w *work) (report, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout+lendAllowance)
+	defer cancel()
+	client := lendpb.NewDRPCLenderClient(l.conns.Conn(ctx, address))
+	out, err := client.Run(ctx, toOrder(&d, w))
+	if err != nil {
+		return report{}, l.failed(address, err)
+	}
+	return fromReport(out)
+}
+
+// failed notes a lender that did not answer. A connection that could not be opened proves that nothing was sent.
+func (l *lending) failed(address string, err error) error {
+	l.suspect(address)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &lenderGoneError{cause: err}
+	}
+	return &silentError{sent: true, lender: address, cause: err}
+}
+
+// open lets a lender begin a transaction with its first statement.
+func (l *lending) open(ctx context.Context, address string, d destination, w *work) (link, report, error) {
+	stream, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	client, err := lendpb.NewDRPCLenderClient(l.conns.Conn(stream, address)).Transact(stream)
+	if err != nil {
+		cancel()
+		return nil, report{}, l.failed(address, err)
+	}
+	r := &remoteLink{lending: l, address: address, stream: client, cancel: cancel}
+	rep, err := r.exchange(toOrder(&d, w), w.timeout)
+	if err != nil || rep.notOpened {
+		r.release()
+		return nil, rep, err
+	}
+	return r, rep, nil
+}
+
+// remoteLink is a link over a connection that another instance lends.
+type remoteLink struct {
+	lending *lending
+	address string
+	stream  lendpb.DRPCLender_TransactClient
+	cancel  context.CancelFunc
+}
+
+func (r *remoteLink) perform(_ context.Context, w *work) (report, error) {
+	return r.exchange(toOrder(nil, w), w.timeout)
+}
+
+func (r *remoteLink) exchange(order *lendpb.Order, timeout time.Duration) (report, error) {
+	timer := time.AfterFunc(timeout+lendAllowance, r.cancel)
+	defer timer.Stop()
+	if err := r.stream.Send(order); err != nil {
+		return report{}, r.lending.failed(r.address, err)
+	}
+	out, err := r.stream.Recv()
+	if err != nil {
+		return report{}, r.lending.failed(r.address, err)
+	}
+	return fromReport(out)
+}
+
+func (r *remoteLink) release() {
+	_ = r.stream.Close() // the lender rolls back at the end of the stream, however it ends
+	r.cancel()
+}
+
+// toOrder translates work; d is nil in a transaction that has its connection.
+func toOrder(d *destination, w *work) *lendpb.Order {
+	o := &lendpb.Order{
+		Values:    w.values,
+		Opening:   lendpb.Opening(w.opening),
+		AfterTerm: w.after.Term,
+		AfterLsn:  w.after.LSN,
+		TimeoutMs: uint32(max(w.timeout.Milliseconds(), 1)),
+		Statement: &lendpb.Statement{
+			Id: w.stmt.ID, Kind: int32(w.stmt.Kind), Text: w.stmt.Text, Value: w.stmt.Value,
+			Writes: w.uses.Writes, Shape: w.uses.Shape,
+		},
+	}
+	if d == nil {
+		return o
+	}
+	o.Account = d.account
+	o.Priority = int32(d.priority)
+	o.Server = &lendpb.Server{
+		Id: d.server.ID, Database: d.server.Database, Address: d.server.Address, Started: d.server.Started,
+		MaxConnections: int32(d.maxConnections),
+	}
+	return o
+}
+
+func fromOrder(o *lendpb.Order) *work {
+	s := o.GetStatement()
+	return &work{
+		values:  o.GetValues(),
+		opening: opening(o.GetOpening()),
+		after:   position.Position{Term: o.GetAfterTerm(), LSN: o.GetAfterLsn()},
+		stmt:    sessionstate.Statement{ID: s.GetId(), Kind: sessionstate.Kind(s.GetKind()), Text: s.GetText(), Value: s.GetValue()},
+		uses:    sessionstate.Prepared{Writes: s.GetWrites(), Shape: s.GetShape()},
+		timeout: time.Duration(o.GetTimeoutMs()) * time.Millisecond,
+	}
+}
+
+func destinationOf(o *lendpb.Order) destination {
+	s := o.GetServer()
+	return destination{
+		server: discovery.Server{
+			ID: s.GetId(), Database: s.GetDatabase(), Address: s.GetAddress(), Started: s.GetStarted(),
+		},
+		maxConnections: int(s.GetMaxConnections()),
+		account:        o.GetAccount(),
+		priority:       int(o.GetPriority()),
+	}
+}
+
+// toReport translates the result of work.
+func toReport(r report, err error) *lendpb.Report {
+	out := &lendpb.Report{
+		NotOpened: r.notOpened, Rows: r.answer.rows, Receipt: r.answer.receipt, Code: r.answer.code, Text: r.answer.text,
+		State: int32(r.state), Term: r.position.Term, Lsn: r.position.LSN, TookUs: uint32(r.took.Microseconds()),
+	}
+	var notPlaced *notPlacedError
+	var silent *silentError
+	switch {
+	case err == nil:
+	case errors.As(err, &notPlaced) && notPlaced.full:
+		out.Placing, out.Failure = lendpb.Placing_FULL, err.Error()
+	case errors.As(err, &silent):
+		out.Silent, out.Sent, out.Failure = true, silent.sent, err.Error()
+	default:
+		out.Placing, out.Failure = lendpb.Placing_UNREACHABLE, err.Error()
+	}
+	return out
+}
+
+// fromReport translates a lender's result. Its error is a *notPlacedError, a *lenderGoneError or a *silentError.
+func fromReport(in *lendpb.Report) (report, error) {
+	switch {
+	case in.GetPlacing() == lendpb.Placing_LEAVING:
+		return report{}, &lenderGoneError{cause: errors.New(in.GetFailure())}
+	case in.GetPlacing() != lendpb.Placing_PLACED:
+		return report{}, &notPlacedError{full: in.GetPlacing() == lendpb.Placing_FULL, cause: errors.New(in.GetFailure())}
+	case in.GetSilent():
+		return report{}, &silentError{sent: in.GetSent(), cause: errors.New(in.GetFailure())}
+	}
+	return report{
+		answer: answer{
+			rows: in.GetRows(), receipt: in.GetReceipt(), code: in.GetCode(), text: in.GetText(),
+			complete: in.GetCode() == "",
+		},
+		notOpened: in.GetNotOpened(),
+		state:     sessionstate.TxState(in.GetState()),
+		position:  position.Position{Term: in.GetTerm(), LSN: in.GetLsn()},
+		took:      time.Duration(in.GetTookUs()) * time.Microsecond,
+	}, nil
+}
+
+// Run implements lendpb.DRPCLenderServer.
+func (g *Gateway) Run(ctx context.Context, in *lendpb.Order) (*lendpb.Report, error) {
+	if g.leaving.Load() {
+		return leavingReport(), nil
+	}
+	w := fromOrder(in)
+	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	r, err := g.runLocal(ctx, destinationOf(in), w)
+	return toReport(r, err), nil
+}
+
+func leavingReport() *lendpb.Report {
+	return &lendpb.Report{Placing: lendpb.Placing_LEAVING, Failure: "the instance stops"}
+}
+
+// Transact implements lendpb.DRPCLenderServer.
+func (g *Gateway) Transact(stream lendpb.DRPCLender_TransactStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if g.leaving.Load() {
+		return stream.Send(leavingReport())
+	}
+	l, err := g.lend(stream, first)
+	if l == nil {
+		return err
+	}
+	defer l.release()
+	return g.serveLoan(stream, l)
+}
+
+// lend begins a borrower's transaction. The link is nil unless it was opened.
+func (g *Gateway) lend(stream lendpb.DRPCLender_TransactStream, first *lendpb.Order) (*localLink, error) {
+	w := fromOrder(first)
+	ctx, cancel := context.WithTimeout(stream.Context(), w.timeout)
+	defer cancel()
+	l, err := g.acquire(ctx, destinationOf(first), w.values)
+	if err != nil {
+		return nil, stream.Send(toReport(report{}, err))
+	}
+	r, err := l.perform(ctx, w)
+	if sendErr := stream.Send(toReport(r, err)); sendErr != nil || err != nil || r.notOpened {
+		l.release()
+		return nil, sendErr
+	}
+	return l, nil
+}
+
+// serveLoan runs a borrower's further statements until its transaction or the stream ends.
+func (g *Gateway) serveLoan(stream lendpb.DRPCLender_TransactStream, l *localLink) error {
+	for {
+		order, err := stream.Recv()
+		if err != nil {
+			return nil // the borrower is done or gone; what is open is rolled back
+		}
+		r, err := l.perform(stream.Context(), fromOrder(order))
+		if sendErr := stream.Send(toReport(r, err)); sendErr != nil || err != nil {
+			return sendErr
+		}
+		if l.up.state == sessionstate.Idle {
+			return nil
+		}
+	}
+}
--- a/proxy/gateway/pool.go
+++ b/proxy/gateway/pool.go
@@ -53,8 +53,9 @@
 
 // waiter is a statement that waits for a connection.
 type waiter struct {
-	account string
-	granted chan *upstream // nil: the waiter may open one, which is counted already
+	account  string
+	priority int            // 0 is the highest
+	granted  chan *upstream // nil: the waiter may open one, which is counted already
 }
 
 func newPool(cfg Config) *pool {
@@ -63,9 +64,10 @@
 
 // acquire returns a connection to a server for an account. It fails with errConnections, errServerFull or
 // the error of the connection; all of them prove that nothing was sent.
-func (p *pool) acquire(ctx context.Context, s discovery.Server, maxConnections int, account string, values map[string]string) (*upstream, error) {
+func (p *pool) acquire(ctx context.Context, d destination, values map[string]string) (*upstream, error) {
+	account := d.account
 	p.mu.Lock()
-	sp := p.server(s, maxConnections)
+	sp := p.server(d.server, d.maxConnections)
 	if u := sp.takeIdle(account, values); u != nil {
 		p.mu.Unlock()
 		return u, nil
@@ -81,12 +83,21 @@
 		p.discard(old)
 		return p.open(ctx, sp, account)
 	}
-	w := &waiter{account: account, granted: make(chan *upstream, 1)}
-	sp.waiters = append(sp.waiters, w)
+	w := &waiter{account: account, priority: d.priority, granted: make(chan *upstream, 1)}
+	sp.enqueue(w)
 	p.mu.Unlock()
 	return p.await(ctx, sp, w)
 }
 
+// enqueue adds a waiter behind those of its priority.
+func (sp *serverPool) enqueue(w *waiter) {
+	i := slices.IndexFunc(sp.waiters, func(other *waiter) bool { return other.priority > w.priority })
+	if i < 0 {
+		i = len(sp.waiters)
+	}
+	sp.waiters = slices.Insert(sp.waiters, i, w)
+}
+
 // server returns the pool of a server; a server that was started anew gets a new one.
 func (p *pool) server(s discovery.Server, maxConnections int) *serverPool {
 	sp := p.servers[s.ID]
@@ -95,7 +106,7 @@
 		sp = &serverPool{id: s.ID, database: s.Database, address: s.Address, started: s.Started}
 		p.servers[s.ID] = sp
 	}
-	sp.limit = connlimit.Limit{Max: maxConnections, Instances: p.cfg.Instances()}
+	sp.limit = connlimit.Limit{Max: maxConnections, Instances: p.cfg.Instances(s)}
 	return sp
 }
 
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -212,7 +212,7 @@
 // answerLocally answers a request that needs no server.
 func (n *session) answerLocally(stmt sessionstate.Statement, began time.Duration) error {
 	if stmt.Kind == sessionstate.Begin || stmt.Kind == sessionstate.BeginReadOnly {
-		if e := n.beginTransaction(stmt, began); e != nil {
+		if e := n.beginTransaction(stmt); e != nil {
 			n.state.Ended()
 			n.refuse(stmt, e, began)
 			return endsSession(e)
@@ -229,7 +229,8 @@
 	}
 	grant, e := n.authorize()
 	if e == nil && n.tx != nil {
-		return n.runInTransaction(request{stmt: stmt, verdict: verdict, grant: grant, began: began})
+		n.runInTransaction(request{stmt: stmt, verdict: verdict, grant: grant, began: began})
+		return nil
 	}
 	if e == nil {
 		e = n.admit(grant)
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
-	"github.com/cyclamenstile/cyclamenstile/decision/connlimit"
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
@@ -31,7 +30,7 @@
 	began   time.Duration
 }
 
-// try is the progress of a statement over several servers.
+// try is the progress of a statement, or of the begin of a transaction, over several servers.
 type try struct {
 	request
 	view     *view
@@ -39,16 +38,10 @@
 	left     context.Context // ends with the statement's time
 	number   int
 	exclude  []string
-	onLeader bool // the statement has to be run by the leader
+	onLeader bool // the leader has to run it
 	floor    position.Position
 	last     *outcome.Error // of the last try
-	lastSent bool           // the last try reached a server
-}
-
-// placed is a server chosen for a try, with a connection to it.
-type placed struct {
-	server discovery.Server
-	up     *upstream
+	maySent  bool           // the last try may have run the statement
 }
 
 // runSingle runs a statement outside a transaction and answers it.
@@ -60,12 +53,12 @@
 	}
 	defer done()
 	for t.mayTry() {
-		p, e := n.place(t)
+		s, e := n.place(t)
 		if e != nil {
 			n.refuse(r.stmt, e, r.began)
 			return
 		}
-		if n.attempt(t, p) {
+		if n.attempt(t, s) {
 			return
 		}
 	}
@@ -93,26 +86,17 @@
 	return t.number <= maxTries && t.left.Err() == nil
 }
 
-// place chooses a server and gets a connection to it. It waits while no server fits, within the time of the
-// statement.
-func (n *session) place(t *try) (placed, *outcome.Error) {
+// place chooses a server. It waits while none fits, within the time of the statement.
+func (n *session) place(t *try) (discovery.Server, *outcome.Error) {
 	for {
-		s, ok := n.choose(t)
 		changed := t.view.changes()
-		if !ok {
-			if !waitChange(t.left, changed, leaderPause) {
-				return placed{}, t.refusal(errNoServer)
-			}
-			t.exclude = t.exclude[:0]
-			continue
+		if s, ok := n.choose(t); ok {
+			return s, nil
 		}
-		up, err := n.connect(t, s)
-		if err == nil {
-			return placed{s, up}, nil
-		}
-		if e := n.connectFailed(t, s, err); e != nil {
-			return placed{}, e
+		if !waitChange(t.left, changed, leaderPause) {
+			return discovery.Server{}, t.refusal(errNoServer)
 		}
+		t.exclude = t.exclude[:0]
 	}
 }
 
@@ -122,8 +106,7 @@
 	if !t.onLeader {
 		floor, known := t.view.floor(t.grant.Route.MaxStaleness, n.floor)
 		if known {
-			parallel := connlimit.Limit{Max: t.database.MaxConnections, Instances: n.gw.cfg.Instances()}.Share()
-			if s, ok := t.view.replica(floor, parallel, t.exclude); ok {
+			if s, ok := t.view.replica(floor, t.exclude); ok {
 				t.floor = floor
 				return s, true
 			}
@@ -137,126 +120,58 @@
 	return t.floor.IsZero()
 }
 
-func (n *session) connect(t *try, s discovery.Server) (*upstream, error) {
-	ctx, cancel := context.WithTimeout(t.left, connectTimeout)
-	defer cancel()
-	return n.gw.pool.acquire(ctx, s, t.database.MaxConnections, accountName(t.grant), n.state.Values())
+// refusal is what a statement is told that was not placed again. An earlier try that may have run counts more.
+func (t *try) refusal(e *outcome.Error) *outcome.Error {
+	if t.maySent {
+		return t.last
+	}
+	return e
 }
 
 // anonymous is the account that servers are told on open routes.
 const anonymous = "-"
 
-func accountName(g catalog.Grant) string {
-	if g.Account == "" {
-		return anonymous
-	}
-	return g.Account
-}
-
-// connectFailed notes a failed connection. It returns an error when the statement has to be refused.
-func (n *session) connectFailed(t *try, s discovery.Server, err error) *outcome.Error {
-	full := errors.Is(err, errServerFull) || errors.Is(err, errConnections)
-	if !full {
-		t.view.unreachable(s.ID)
-		n.gw.cfg.Log.unreachable(s, err)
-		n.gw.suspect(t.view, s.ID)
-	}
-	t.last = errNoServer
-	if full {
-		t.last = errQueueFull
-	}
-	if t.left.Err() != nil {
-		return t.refusal(t.last)
-	}
-	if !t.leads() {
-		t.exclude = append(t.exclude, s.ID)
-		return nil
+func (t *try) destination(s discovery.Server) destination {
+	d := destination{
+		server: s, maxConnections: t.database.MaxConnections,
+		account: t.grant.Account, priority: t.grant.Route.Priority,
 	}
-	if !waitChange(t.left, t.view.changes(), leaderPause) {
-		return t.refusal(t.last)
+	if d.account == "" {
+		d.account = anonymous
 	}
-	return nil
-}
-
-// refusal is what a statement is told that was not placed again. An earlier try that may have run counts more.
-func (t *try) refusal(e *outcome.Error) *outcome.Error {
-	if t.lastSent {
-		return t.last
-	}
-	return e
+	return d
 }
 
 // attempt runs the statement on one server. It reports whether the statement was answered; otherwise it may be
 // tried again.
-func (n *session) attempt(t *try, p placed) bool {
+func (n *session) attempt(t *try, s discovery.Server) bool {
+	w := &work{values: n.state.Values(), after: t.floor, stmt: t.stmt, uses: t.verdict.Uses, timeout: t.timeout()}
+	if t.leads() && !t.verdict.Writes {
+		// Only the leader accepts the transaction; a write proves the same by itself.
+		w.opening = openLeader
+	}
 	sent := n.gw.cfg.Now()
-	t.view.sent(p.server.ID)
-	a, reached, err := n.exchange(t, p.up)
-	took := n.gw.cfg.Now() - sent
+	t.view.sent(s.ID)
+	ctx, cancel := context.WithTimeout(t.left, w.timeout)
+	defer cancel()
+	r, err := n.gw.runOnce(ctx, t.destination(s), w)
 	if err != nil {
-		return n.attemptFailed(t, p, reached, err)
+		return n.attemptFailed(t, s, err)
 	}
-	t.view.answered(p.server.ID, took, p.up.position)
-	if a.code != "" {
-		return n.attemptRefused(t, p, a)
+	t.view.answered(s.ID, n.gw.cfg.Now()-sent, r.position)
+	if r.answer.code != "" {
+		return n.attemptRefused(t, s, r.answer)
 	}
 	if t.leads() {
-		t.view.led(sent, p.server.ID, p.up.position)
+		t.view.led(sent, s.ID, r.position)
 	}
 	if t.verdict.Writes {
-		n.floor = position.Max(n.floor, p.up.position)
+		n.floor = position.Max(n.floor, r.position)
 	}
-	n.deliver(t, p, a)
-	n.endProof(p)
+	n.deliver(t.stmt, s, t.number, t.began, r.answer)
 	return true
 }
 
-// exchange sends the statement and returns the answer. reached is false when the statement itself is known not
-// to have been sent.
-func (n *session) exchange(t *try, up *upstream) (a answer, reached bool, err error) {
-	up.deadline(t.timeout())
-	var p *sessionstate.Prepared
-	if t.stmt.Kind == sessionstate.Execute {
-		p = &t.verdict.Uses
-	}
-	queued := up.setup(n.state.Values(), p)
-	if t.proves() {
-		up.codec.Begin()
-		queued++
-	}
-	if queued > 0 {
-		if err := up.codec.Flush(); err != nil {
-			return a, false, err
-		}
-		a, err := up.settle(queued)
-		if err != nil || a.code != "" {
-			up.unknown = true
-			return a, false, err
-		}
-	}
-	up.query(t.stmt, t.verdict, t.floor)
-	if err := up.codec.Flush(); err != nil {
-		return a, true, err
-	}
-	a, err = up.receive()
-	return a, true, err
-}
-
-// proves reports whether the statement is wrapped in a transaction of the proxy's own, which only the leader
-// accepts. A write proves the same by itself.
-func (t *try) proves() bool {
-	return t.leads() && !t.verdict.Writes
-}
-
-// query queues a caller's statement.
-func (u *upstream) query(stmt sessionstate.Statement, verdict sessionstate.Verdict, after position.Position) {
-	if stmt.Kind == sessionstate.Execute {
-		u.codec.Execute(stmt, preparedName(verdict.Uses), after)
-		return
-	}
-	u.codec.Query(stmt, after)
-}
-
 // timeout is how long this try may take: a read leaves time for another server.
 func (t *try) timeout() time.Duration {
 	deadline, _ := t.left.Deadline()
@@ -267,38 +182,63 @@
 	return min(max(left/2, firstReadTimeout), left)
 }
 
-// attemptFailed notes that the server gave no answer. A read is tried elsewhere; what became of a write is not
-// known once it was sent.
-func (n *session) attemptFailed(t *try, p placed, reached bool, err error) bool {
-	n.gw.pool.release(p.up, false)
-	t.view.failed(p.server.ID)
-	n.gw.cfg.Log.noAnswer(n, t.stmt, p.server, reached, err)
-	n.gw.suspect(t.view, p.server.ID)
-	if reached && t.verdict.Writes {
+// attemptFailed notes that no answer came. A read is tried elsewhere; what became of a write is not known once it
+// was sent. It reports whether the caller was told.
+func (n *session) attemptFailed(t *try, s discovery.Server, err error) bool {
+	var notPlaced *notPlacedError
+	if errors.As(err, &notPlaced) {
+		n.placingFailed(t, s, notPlaced)
+		return false
+	}
+	var silent *silentError
+	sent := !errors.As(err, &silent) || silent.sent
+	n.gw.cfg.Log.noAnswer(n, t.stmt, s, sent, err)
+	t.view.unsent(s.ID)
+	if silent == nil || silent.lender == "" {
+		t.view.unreachable(s.ID)
+		n.gw.suspect(t.view, s.ID)
+		t.exclude = append(t.exclude, s.ID)
+	}
+	if sent && t.verdict.Writes {
 		n.refuse(t.stmt, errOutcomeUnknown, t.began)
 		return true
 	}
-	t.last, t.lastSent = errTimedOut, reached
-	t.exclude = append(t.exclude, p.server.ID)
+	t.last, t.maySent = errTimedOut, sent
 	return false
 }
 
-// attemptRefused notes a server's error. It reports whether the caller was told.
-func (n *session) attemptRefused(t *try, p placed, a answer) bool {
-	if a.code == outcome.CodeUndefinedStatement {
-		p.up.unknown = true // prepared anew by the next try
+// placingFailed notes that no connection to a server was had in time.
+func (n *session) placingFailed(t *try, s discovery.Server, err *notPlacedError) {
+	t.view.unsent(s.ID)
+	t.number-- // nothing was sent
+	if err.full {
+		t.last = errQueueFull
+	} else {
+		t.last = errNoServer
+		t.view.unreachable(s.ID)
+		n.gw.cfg.Log.unreachable(s, err)
+		n.gw.suspect(t.view, s.ID)
+	}
+	t.maySent = false
+	if !t.leads() {
+		t.exclude = append(t.exclude, s.ID)
+		return
 	}
-	n.endProof(p)
-	t.last, t.lastSent = serverError(a), !provesNotRun(a.code)
+	waitChange(t.left, t.view.changes(), leaderPause)
+}
+
+// attemptRefused notes a server's error. It reports whether the caller was told.
+func (n *session) attemptRefused(t *try, s discovery.Server, a answer) bool {
+	t.last, t.maySent = serverError(a), !provesNotRun(a.code)
 	switch a.code {
 	case outcome.CodeReadOnly:
-		t.view.denied(p.server.ID)
+		t.view.denied(s.ID)
 		t.number--
 		return false
 	case outcome.CodeNotCaughtUp:
-		t.view.lagged(p.server.ID)
+		t.view.lagged(s.ID)
 	case outcome.CodeUndefinedStatement:
-		return false
+		return false // prepared anew by the next try
 	case outcome.CodeInsufficient, outcome.CodeInternal, outcome.CodeQueryCanceled:
 		if t.onLeader {
 			n.refuse(t.stmt, t.last, t.began)
@@ -308,26 +248,17 @@
 		n.refuse(t.stmt, t.last, t.began)
 		return true
 	}
-	t.exclude = append(t.exclude, p.server.ID)
+	t.exclude = append(t.exclude, s.ID)
 	return false
 }
 
-// endProof gives the connection back, after the end of the transaction that proved the lead.
-func (n *session) endProof(p placed) {
-	if p.up.state == sessionstate.Idle {
-		n.gw.pool.release(p.up, true)
-		return
-	}
-	n.gw.rollBack(p.up)
-}
-
 // deliver answers the caller with what the server said.
-func (n *session) deliver(t *try, p placed, a answer) {
+func (n *session) deliver(stmt sessionstate.Statement, s discovery.Server, tries int, began time.Duration, a answer) {
 	for _, row := range a.rows {
 		n.codec.Row(row)
 	}
 	n.codec.Complete(a.receipt)
-	n.gw.cfg.Log.served(n, t.stmt, p.server, t.number, n.gw.cfg.Now()-t.began)
+	n.gw.cfg.Log.served(n, stmt, s, tries, n.gw.cfg.Now()-began)
 }
 
 // waitChange waits for a change, the pause at most. It returns false when ctx has ended.
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
@@ -10,17 +14,17 @@
 
 // transaction is a caller's open transaction. It gets a server with its first statement.
 type transaction struct {
-	try         *try
-	done        func()
-	placed      placed // without a connection before the first statement
+	link        link // nil before the first statement
+	view        *view
+	server      discovery.Server
+	leads       bool // the server accepted it as the leader
 	readOnly    bool
 	wrote       bool
-	setUp       bool // session values or prepared statements were sent inside the transaction
 	idleTimeout time.Duration
 }
 
 // beginTransaction charges the operation; the server is chosen with the first statement.
-func (n *session) beginTransaction(stmt sessionstate.Statement, began time.Duration) *outcome.Error {
+func (n *session) beginTransaction(stmt sessionstate.Statement) *outcome.Error {
 	grant, e := n.authorize()
 	if e != nil {
 		return e
@@ -36,55 +40,76 @@
 }
 
 // runInTransaction runs a statement of the open transaction.
-func (n *session) runInTransaction(r request) error {
-	if n.tx.placed.up == nil {
-		if e := n.openTransaction(r); e != nil {
-			n.failTransaction(r, e)
-			return nil
-		}
+func (n *session) runInTransaction(r request) {
+	if n.tx.link == nil {
+		n.openTransaction(r)
+		return
 	}
-	a, err := n.statement(r)
+	w := n.workInTransaction(r)
+	sent := n.gw.cfg.Now()
+	rep, err := n.tx.link.perform(n.gw.ctx, w)
 	if err != nil {
-		n.gw.cfg.Log.noAnswer(n, r.stmt, n.tx.placed.server, true, err)
-		n.gw.suspect(n.tx.try.view, n.tx.placed.server.ID)
+		n.transactionSilent(r, n.tx.view, n.tx.server, err)
 		n.failTransaction(r, errTransactionLost)
-		return nil
+		return
 	}
-	if a.code != "" {
-		n.transactionRefused(r, a)
-		return nil
+	n.answerInTransaction(r, rep, sent, 1)
+}
+
+func (n *session) workInTransaction(r request) *work {
+	left := r.grant.Route.StatementTimeout - (n.gw.cfg.Now() - r.began)
+	return &work{values: n.state.Values(), stmt: r.stmt, uses: r.verdict.Uses, timeout: max(left, time.Millisecond)}
+}
+
+// transactionSilent notes that a statement of a transaction got no answer.
+func (n *session) transactionSilent(r request, v *view, s discovery.Server, err error) {
+	var silent *silentError
+	fromServer := !errors.As(err, &silent) || silent.lender == ""
+	n.gw.cfg.Log.noAnswer(n, r.stmt, s, true, err)
+	if fromServer {
+		v.unreachable(s.ID)
+		n.gw.suspect(v, s.ID)
 	}
-	n.tx.wrote = n.tx.wrote || r.verdict.Writes
-	for _, row := range a.rows {
-		n.codec.Row(row)
+}
+
+// answerInTransaction passes on what the server said to a statement.
+func (n *session) answerInTransaction(r request, rep report, sent time.Duration, tries int) {
+	tx := n.tx
+	if rep.answer.code != "" {
+		n.transactionRefused(r, rep.answer)
+		return
 	}
-	n.codec.Complete(a.receipt)
-	n.gw.cfg.Log.served(n, r.stmt, n.tx.placed.server, n.tx.try.number, n.gw.cfg.Now()-r.began)
-	return nil
+	if tx.leads {
+		// The leader answers statements of such a transaction only while it leads.
+		tx.view.led(sent, tx.server.ID, rep.position)
+	}
+	tx.wrote = tx.wrote || r.verdict.Writes
+	n.deliver(r.stmt, tx.server, tries, r.began, rep.answer)
 }
 
-// openTransaction finds a server that accepts the transaction and begins it there.
-func (n *session) openTransaction(r request) *outcome.Error {
+// openTransaction finds a server that accepts the transaction, and begins it there with its first statement.
+func (n *session) openTransaction(r request) {
 	t, done, e := n.newTry(r)
 	if e != nil {
-		return e
+		n.failTransaction(r, e)
+		return
 	}
 	defer done()
 	t.onLeader = !n.tx.readOnly || r.grant.Route.MaxStaleness == 0
 	for t.mayTry() {
-		p, e := n.place(t)
+		s, e := n.place(t)
 		if e != nil {
-			return e
+			n.failTransaction(r, notRun(e))
+			return
 		}
-		if n.beginOn(t, p) {
-			n.tx.try, n.tx.placed = t, p
-			return nil
+		if n.openOn(t, s) {
+			return
 		}
 	}
-	return notRun(t.last)
+	n.failTransaction(r, notRun(t.last))
 }
 
-// notRun is the refusal of a transaction of which no statement was sent.
+// notRun is the refusal of a transaction that is rolled back as a whole.
 func notRun(e *outcome.Error) *outcome.Error {
 	if e.Kind == outcome.NotRun {
 		return e
@@ -92,88 +117,65 @@
 	return errNoServer
 }
 
-// beginOn begins the transaction on a server and reports whether it was accepted.
-func (n *session) beginOn(t *try, p placed) bool {
-	p.up.deadline(t.timeout())
-	queued := p.up.setup(n.state.Values(), nil)
+// openOn begins the transaction on a server. It reports whether the caller was answered.
+func (n *session) openOn(t *try, s discovery.Server) bool {
+	w := &work{
+		values: n.state.Values(), opening: openReadOnly, after: t.floor,
+		stmt: t.stmt, uses: t.verdict.Uses, timeout: t.timeout(),
+	}
 	if t.leads() {
-		p.up.codec.Begin()
-	} else {
-		p.up.codec.BeginReadOnly(t.floor)
+		w.opening = openLeader
 	}
 	sent := n.gw.cfg.Now()
-	t.view.sent(p.server.ID)
-	err := p.up.codec.Flush()
-	var a answer
-	if err == nil {
-		a, err = p.up.settle(queued + 1)
-	}
+	t.view.sent(s.ID)
+	ctx, cancel := context.WithTimeout(t.left, w.timeout)
+	defer cancel()
+	l, rep, err := n.gw.openLink(ctx, t.destination(s), w)
 	if err != nil {
-		n.attemptFailed(t, p, false, err)
-		return false
+		return n.openFailed(t, s, err)
 	}
-	t.view.answered(p.server.ID, n.gw.cfg.Now()-sent, p.up.position)
-	if a.code != "" {
-		p.up.unknown = true
-		n.beginRefused(t, p, a)
+	t.view.answered(s.ID, n.gw.cfg.Now()-sent, rep.position)
+	if l == nil {
+		n.openRefused(t, s, rep.answer)
 		return false
 	}
-	if t.leads() {
-		t.view.led(sent, p.server.ID, p.up.position)
-	}
+	n.tx.link, n.tx.view, n.tx.server, n.tx.leads = l, t.view, s, t.leads()
+	n.answerInTransaction(t.request, rep, sent, t.number)
 	return true
 }
 
-func (n *session) beginRefused(t *try, p placed, a answer) {
-	n.endProof(p)
+// openFailed notes that no answer came to the begin or the first statement. Nothing of the transaction is kept, so
+// that it can begin elsewhere.
+func (n *session) openFailed(t *try, s discovery.Server, err error) bool {
+	var notPlaced *notPlacedError
+	if errors.As(err, &notPlaced) {
+		n.placingFailed(t, s, notPlaced)
+		return false
+	}
+	t.view.unsent(s.ID)
+	n.transactionSilent(t.request, t.view, s, err)
+	t.last = errTransactionLost
+	t.exclude = append(t.exclude, s.ID)
+	return false
+}
+
+func (n *session) openRefused(t *try, s discovery.Server, a answer) {
 	t.last = notRun(serverError(a))
 	switch a.code {
 	case outcome.CodeReadOnly:
-		t.view.denied(p.server.ID)
+		t.view.denied(s.ID)
 		t.number--
+		return
 	case outcome.CodeNotCaughtUp:
-		t.view.lagged(p.server.ID)
-		t.exclude = append(t.exclude, p.server.ID)
-	default:
-		t.exclude = append(t.exclude, p.server.ID)
-	}
-}
-
-// statement sends a statement on the transaction's connection.
-func (n *session) statement(r request) (answer, error) {
-	up := n.tx.placed.up
-	up.deadline(r.grant.Route.StatementTimeout - (n.gw.cfg.Now() - r.began))
-	var p *sessionstate.Prepared
-	if r.stmt.Kind == sessionstate.Execute {
-		p = &r.verdict.Uses
-	}
-	if queued := up.setup(n.state.Values(), p); queued > 0 {
-		if err := up.codec.Flush(); err != nil {
-			return answer{}, err
-		}
-		n.tx.setUp = true
-		a, err := up.settle(queued)
-		if err != nil || a.code != "" {
-			up.unknown = true
-			return a, err
-		}
-	}
-	sent := n.gw.cfg.Now()
-	up.query(r.stmt, r.verdict, position.Position{})
-	if err := up.codec.Flush(); err != nil {
-		return answer{}, err
-	}
-	a, err := up.receive()
-	if err == nil && a.code == "" && n.tx.try.leads() {
-		n.tx.try.view.led(sent, n.tx.placed.server.ID, up.position)
+		t.view.lagged(s.ID)
 	}
-	return a, err
+	t.exclude = append(t.exclude, s.ID)
 }
 
 // transactionRefused passes on a server's error; the transaction is rolled back.
 func (n *session) transactionRefused(r request, a answer) {
 	if a.code == outcome.CodeReadOnly {
-		n.tx.try.view.denied(n.tx.placed.server.ID)
+		n.tx.view.denied(n.tx.server.ID)
 	}
 	e := serverError(a)
 	if e.Kind != outcome.NotRun {
@@ -194,86 +196,64 @@
 func (n *session) abandon() {
 	tx := n.tx
 	n.tx = nil
-	n.rollBack(tx)
-}
-
-// rollBack ends a transaction that is not to be committed.
-func (n *session) rollBack(tx *transaction) {
-	if tx == nil || tx.placed.up == nil {
-		return
+	if tx != nil && tx.link != nil {
+		tx.link.release()
 	}
-	if tx.setUp {
-		// The server may take back what was set inside the transaction.
-		tx.placed.up.unknown = true
-	}
-	n.gw.rollBack(tx.placed.up)
 }
 
 // finish answers COMMIT and ROLLBACK.
 func (n *session) finish(stmt sessionstate.Statement, began time.Duration) error {
-	failed := n.state.Tx == sessionstate.Failed
-	tx := n.tx
-	n.tx = nil
-	n.state.Ended()
 	if stmt.Kind == sessionstate.Rollback {
-		n.rollBack(tx)
+		n.abandon()
+		n.state.Ended()
 		n.codec.Complete("")
 		return nil
 	}
-	if failed || tx == nil {
-		n.refuse(stmt, errFailedTransaction, began)
-		return nil
-	}
-	if tx.placed.up == nil {
-		// Nothing was sent, so no server can give the receipt that a commit needs.
+	failed := n.state.Tx == sessionstate.Failed
+	tx := n.tx
+	n.tx = nil
+	n.state.Ended()
+	if failed || tx == nil || tx.link == nil {
+		// Without a server there is no receipt, which the answer to a commit needs.
 		n.refuse(stmt, errFailedTransaction, began)
 		return nil
 	}
+	defer tx.link.release()
 	return n.commit(tx, stmt, began)
 }
 
 // commit sends COMMIT and passes on the answer.
 func (n *session) commit(tx *transaction, stmt sessionstate.Statement, began time.Duration) error {
-	up, server := tx.placed.up, tx.placed.server
 	grant, e := n.authorize()
 	if e != nil {
-		n.rollBack(tx)
 		n.refuse(stmt, e, began)
 		return endsSession(e)
 	}
-	up.deadline(grant.Route.StatementTimeout)
+	r := request{stmt: stmt, grant: grant, began: began}
 	sent := n.gw.cfg.Now()
-	up.codec.Query(stmt, position.Position{})
-	err := up.codec.Flush()
-	var a answer
-	if err == nil {
-		a, err = up.receive()
-	}
+	rep, err := tx.link.perform(n.gw.ctx, n.workInTransaction(r))
 	if err != nil {
-		n.gw.pool.release(up, false)
-		n.gw.cfg.Log.noAnswer(n, stmt, server, true, err)
-		n.gw.suspect(tx.try.view, server.ID)
-		n.refuse(stmt, tx.unanswered(), began)
+		n.transactionSilent(r, tx.view, tx.server, err)
+		n.refuse(stmt, tx.unanswered(err), began)
 		return nil
 	}
-	if a.code != "" {
-		n.rollBack(tx)
-		n.refuse(stmt, tx.commitError(a), began)
+	if rep.answer.code != "" {
+		n.refuse(stmt, tx.commitError(rep.answer), began)
 		return nil
 	}
-	n.gw.rollBack(up)
-	if tx.try.leads() && tx.wrote {
-		tx.try.view.led(sent, server.ID, up.position)
-		n.floor = position.Max(n.floor, up.position)
+	if tx.leads && tx.wrote {
+		tx.view.led(sent, tx.server.ID, rep.position)
+		n.floor = position.Max(n.floor, rep.position)
 	}
-	n.codec.Complete(a.receipt)
-	n.gw.cfg.Log.served(n, stmt, server, 1, n.gw.cfg.Now()-began)
+	n.deliver(stmt, tx.server, 1, began, rep.answer)
 	return nil
 }
 
 // unanswered is what a caller is told whose COMMIT got no answer.
-func (tx *transaction) unanswered() *outcome.Error {
-	if tx.wrote {
+func (tx *transaction) unanswered(err error) *outcome.Error {
+	var silent *silentError
+	sent := !errors.As(err, &silent) || silent.sent
+	if tx.wrote && sent {
 		return errOutcomeUnknown
 	}
 	return errTransactionLost
--- a/proxy/gateway/upstream.go
+++ b/proxy/gateway/upstream.go
@@ -30,9 +30,12 @@
 	values   map[string]string // session values that the server holds
 	prepared map[string]bool   // names of statements prepared there
 	unknown  bool              // the values and prepared statements are not known
-	state    sessionstate.TxState
-	position position.Position // of the last answer
-	idleAt   time.Duration     // when it was given back
+	// setInside tells that values or prepared statements were sent inside the open transaction, so that its
+	// rollback may take them back.
+	setInside bool
+	state     sessionstate.TxState
+	position  position.Position // of the last answer
+	idleAt    time.Duration     // when it was given back
 }
 
 // answer is what a server said to one request.
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -60,9 +60,9 @@
 	return s, ok
 }
 
-func (v *view) replica(floor position.Position, parallel int, exclude []string) (s discovery.Server, ok bool) {
+func (v *view) replica(floor position.Position, exclude []string) (s discovery.Server, ok bool) {
 	v.with(func(now time.Duration, g *placement.Group) {
-		id, found := g.Replica(now, floor, parallel, exclude)
+		id, found := g.Replica(now, floor, exclude)
 		if found {
 			s, ok = g.Server(id)
 		}
@@ -86,8 +86,9 @@
 	v.with(func(now time.Duration, g *placement.Group) { g.Answered(now, id, took, p) })
 }
 
-func (v *view) failed(id string) {
-	v.with(func(now time.Duration, g *placement.Group) { g.Failed(now, id) })
+// unsent ends what sent began, without an answer.
+func (v *view) unsent(id string) {
+	v.with(func(_ time.Duration, g *placement.Group) { g.Unsent(id) })
 }
 
 func (v *view) unreachable(id string) {
--- /dev/null
+++ b/proxy/gateway/work.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+)
+
+// opening tells how a transaction is begun before a statement.
+type opening int
+
+const (
+	openNone opening = iota
+	// openLeader begins a transaction that only the leader accepts.
+	openLeader
+	openReadOnly
+)
+
+// work is what a server connection is to do in one go.
+type work struct {
+	values  map[string]string // session values that the statement needs
+	opening opening
+	after   position.Position // that the server's log must have
+	stmt    sessionstate.Statement
+	uses    sessionstate.Prepared // of an execution
+	timeout time.Duration
+}
+
+// prepared returns the prepared statement that the work needs, or nil.
+func (w *work) prepared() *sessionstate.Prepared {
+	if w.stmt.Kind != sessionstate.Execute {
+		return nil
+	}
+	return &w.uses
+}
+
+// report is how far work came on a server that answered.
+type report struct {
+	answer answer // to the statement, or to what was refused before it
+	// notOpened tells that the statement was not sent, because the server refused what comes before it.
+	notOpened bool
+	state     sessionstate.TxState
+	position  position.Position // of the server's log
+	took      time.Duration     // at the connection
+}
+
+// destination names the connections that may run a statement.
+type destination struct {
+	server         discovery.Server
+	maxConnections int
+	account        string
+	priority       int // 0 is the highest
+}
+
+// notPlacedError proves that nothing of the work was sent to a server.
+type notPlacedError struct {
+	full  bool // the server may be well; there was no connection in time
+	cause error
+}
+
+// Error implements error.
+func (e *notPlacedError) Error() string {
+	return e.cause.Error()
+}
+
+// Unwrap implements errors.Unwrap.
+func (e *notPlacedError) Unwrap() error {
+	return e.cause
+}
+
+// silentError tells that no answer came to work that was begun.
+type silentError struct {
+	sent   bool   // the statement itself may have reached the server
+	lender string // the instance that did not answer; empty if it was the server
+	cause  error
+}
+
+// Error implements error.
+func (e *silentError) Error() string {
+	return e.cause.Error()
+}
+
+// Unwrap implements errors.Unwrap.
+func (e *silentError) Unwrap() error {
+	return e.cause
+}
+
+// perform does work on the connection. Its error is a *silentError.
+func (u *upstream) perform(w *work) (report, error) {
+	began := time.Now()
+	u.deadline(w.timeout)
+	r, sent, err := u.steps(w)
+	if err != nil {
+		return r, &silentError{sent: sent, cause: err}
+	}
+	r.state, r.position, r.took = u.state, u.position, time.Since(began)
+	return r, nil
+}
+
+// steps sends what comes before the statement and then the statement. A connection whose preparation was refused
+// must not run the statement, which would meet other values or no transaction.
+func (u *upstream) steps(w *work) (r report, sent bool, err error) {
+	inTransaction := u.state != sessionstate.Idle
+	queued := u.setup(w.values, w.prepared())
+	u.setInside = u.setInside || inTransaction && queued > 0
+	u.begin(w)
+	if queued > 0 || w.opening != openNone {
+		if r.answer, err = u.prelude(queued, w.opening); err != nil || r.answer.code != "" {
+			r.notOpened = true
+			return r, false, err
+		}
+	}
+	u.query(w)
+	if err := u.codec.Flush(); err != nil {
+		return r, true, err
+	}
+	r.answer, err = u.receive()
+	return r, true, err
+}
+
+// begin queues the opening of a transaction.
+func (u *upstream) begin(w *work) {
+	switch w.opening {
+	case openLeader:
+		u.codec.Begin()
+	case openReadOnly:
+		u.codec.BeginReadOnly(w.after)
+	}
+}
+
+// prelude reads the answers to what comes before the statement.
+func (u *upstream) prelude(queued int, o opening) (answer, error) {
+	if err := u.codec.Flush(); err != nil {
+		return answer{}, err
+	}
+	a, err := u.settle(queued)
+	if err != nil {
+		return a, err
+	}
+	u.unknown = u.unknown || a.code != ""
+	if o == openNone {
+		return a, nil
+	}
+	opened, err := u.receive()
+	if err != nil || a.code != "" {
+		return a, err
+	}
+	return opened, nil
+}
+
+// query queues a caller's statement.
+func (u *upstream) query(w *work) {
+	after := w.after
+	if w.opening != openNone || u.state != sessionstate.Idle {
+		after = position.Position{} // the transaction was opened with it
+	}
+	if w.stmt.Kind == sessionstate.Execute {
+		u.codec.Execute(w.stmt, preparedName(w.uses), after)
+		return
+	}
+	u.codec.Query(w.stmt, after)
+}
+
+// link is a server connection for the statements of one transaction.
+type link interface {
+	// perform does work; its error is a *silentError.
+	perform(ctx context.Context, w *work) (report, error)
+	// release gives the connection back and rolls back what is open. After a failed perform it is closed.
+	release()
+}
+
+// localLink is a link over a connection of this instance.
+type localLink struct {
+	gw     *Gateway
+	up     *upstream
+	failed bool
+}
+
+func (l *localLink) perform(_ context.Context, w *work) (report, error) {
+	r, err := l.up.perform(w)
+	l.failed = l.failed || err != nil
+	return r, err
+}
+
+func (l *localLink) release() {
+	if l.failed {
+		l.gw.pool.release(l.up, false)
+		return
+	}
+	l.gw.rollBack(l.up)
+}
+
+// acquire gets a connection of this instance. Its error is a *notPlacedError.
+func (g *Gateway) acquire(ctx context.Context, d destination, values map[string]string) (*localLink, error) {
+	up, err := g.pool.acquire(ctx, d, values)
+	if err == nil {
+		return &localLink{gw: g, up: up}, nil
+	}
+	full := errors.Is(err, errServerFull) || errors.Is(err, errConnections)
+	return nil, &notPlacedError{full: full, cause: err}
+}
+
+// runOnce runs one statement outside a transaction, over a connection of this instance or one that another
+// instance lends. Its error is a *notPlacedError or a *silentError.
+func (g *Gateway) runOnce(ctx context.Context, d destination, w *work) (report, error) {
+	if lender := g.lender(d); lender != "" {
+		r, err := g.lending.run(ctx, lender, d, w)
+		if !retryDirectly(err, w) {
+			return r, err
+		}
+	}
+	return g.runLocal(ctx, d, w)
+}
+
+// runLocal runs one statement over a connection of this instance.
+func (g *Gateway) runLocal(ctx context.Context, d destination, w *work) (report, error) {
+	l, err := g.acquire(ctx, d, w.values)
+	if err != nil {
+		return report{}, err
+	}
+	defer l.release()
+	return l.perform(ctx, w)
+}
+
+// retryDirectly reports whether work that a lender failed to place is done over a connection of this instance.
+func retryDirectly(err error, w *work) bool {
+	var notPlaced *lenderGoneError
+	return errors.As(err, &notPlaced)
+}
+
+// openLink begins a transaction with its first statement. The link is nil unless the transaction was opened.
+func (g *Gateway) openLink(ctx context.Context, d destination, w *work) (link, report, error) {
+	if lender := g.lender(d); lender != "" {
+		l, r, err := g.lending.open(ctx, lender, d, w)
+		if !retryDirectly(err, w) {
+			return l, r, err
+		}
+	}
+	l, err := g.acquire(ctx, d, w.values)
+	if err != nil {
+		return nil, report{}, err
+	}
+	r, err := l.perform(ctx, w)
+	if err != nil || r.notOpened {
+		l.release()
+		return nil, r, err
+	}
+	return l, r, nil
+}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
+	"github.com/cyclamenstile/cyclamenstile/proxy/gateway/lendpb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/quota"
 	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
@@ -47,6 +48,8 @@
 	stopAllowance = 700 * time.Millisecond
 	// handBackTimeout bounds the hand-back of the quota at a stop.
 	handBackTimeout = 400 * time.Millisecond
+	// lendConnsKept bounds the idle connections to one lender. Each carries one statement at a time.
+	lendConnsKept = 32
 	// collectPercent is the growth of memory between two garbage collections. Memory at its peak is dearer
 	// here than processor time.
 	collectPercent = 40
@@ -70,6 +73,8 @@
 	quota     *quota.Driver
 	peers     *peer.Set
 	calls     *peer.Client
+	lendCalls *peer.Client
+	lenders   *lenders
 	server    *peer.Server
 	servers   *registry
 	instances instanceList
@@ -137,6 +142,7 @@
 
 func (n *Node) assemblePeers() error {
 	n.calls = peer.NewClient(peer.ClientConfig{})
+	n.lendCalls = peer.NewClient(peer.ClientConfig{KeptPerPeer: lendConnsKept})
 	h := heartbeat{n}
 	set, err := peer.NewSet(peer.SetConfig{
 		Self:    n.settings.Listen.Peers,
@@ -152,6 +158,7 @@
 		return err
 	}
 	n.peers = set
+	n.lenders = &lenders{peers: set, self: n.settings.Listen.Peers, place: n.settings.Place}
 	n.quota, err = quota.New(quota.Config{
 		Self:  n.settings.Listen.Peers,
 		Store: quotaStore{n.store},
@@ -195,11 +202,16 @@
 		CallerCodec: func(c net.Conn) gateway.CallerCodec { return platform.NewCaller(c) },
 		ServerCodec: func(c net.Conn) gateway.ServerCodec { return platform.NewServer(c) },
 		ParseStatus: platform.ParseStatus,
-		Instances:   func() int { return max(n.peers.Listed(), 1) },
+		Lender:      n.lenders.choose,
+		Conns:       n.lendCalls,
+		Instances:   n.lenders.sharing,
 		Now:         boottime.Now,
 		Log:         gateway.NewJournal(n.log, n.metrics.Scope),
 	})
 	n.gateway.OnSuspect(n.failover.suspect)
+	if err := lendpb.DRPCRegisterLender(n.server.Mux(), n.gateway); err != nil {
+		return errors.Wrap(err, "register the lender service")
+	}
 	n.servers = &registry{log: n.log, regions: n.settings.Regions, publish: n.gateway.SetServers}
 	return nil
 }
@@ -226,7 +238,7 @@
 	tasks.Go(func() { n.quotaFollower().run(ctx) })
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.quota.Run(ctx) })
-	tasks.Go(func() { n.gateway.Run(ctx) })
+	tasks.Go(func() { n.gateway.Maintain(ctx) })
 	tasks.Go(func() { n.failover.run(ctx) })
 	tasks.Go(func() { n.reportEnd("peers", n.server.Serve(ctx, n.peerPort)) })
 	tasks.Go(func() { n.reportEnd("readiness", telemetry.Serve(ctx, n.ready, n.readyHandler())) })
@@ -359,6 +371,7 @@
 	defer cancel()
 	var handBack sync.WaitGroup
 	handBack.Go(func() { n.handBack(ctx) })
+	n.gateway.StopLending()
 	wait.For(ctx, handOver)
 	n.gateway.Shutdown(ctx, grace/2-handOver)
 	handBack.Wait()
