--- a/decision/failover/machine.go
+++ b/decision/failover/machine.go
@@ -158,11 +158,11 @@
 		if reason := m.replaceable(now, p); reason != ReasonNone {
 			return m.order(Replace, reason)
 		}
-		if !m.asking && (m.askedAt == 0 || now-m.askedAt >= surveyPeriod) {
-			m.asking = true
-			m.askedAt = now
-			return AskPeers, ReasonUnanswered
-		}
+	}
+	if m.failures > 0 && !m.asking && (m.askedAt == 0 || now-m.askedAt >= surveyPeriod) {
+		m.asking = true
+		m.askedAt = now
+		return AskPeers, ReasonUnanswered
 	}
 	if !m.probing && (m.failures == 0 || now-m.probedAt >= probePeriod) {
 		m.probing = true
--- a/decision/quota/tenure.go
+++ b/decision/quota/tenure.go
@@ -21,8 +21,9 @@
 	// leftoverTerm is how long after its start an instance claims no free fractions above its share, so that
 	// instances which start together find theirs.
 	leftoverTerm = 3 * time.Second
-	// GoneTerm is how long a holder has to be unreachable before its fractions are given to others.
-	GoneTerm = 6 * time.Second
+	// GoneTerm is how long a holder has to be unreachable before its fractions are given to others. Fractions
+	// that move rest for about ten seconds, so that it has to outlast a partition that heals by itself.
+	GoneTerm = 15 * time.Second
 )
 
 // Tenant is one holder in an assignment.
@@ -190,7 +191,10 @@
 	next := Assignment{Tenants: slices.Clone(t.assignment.Tenants)}
 	share := (FractionCount + m.Live - 1) / max(m.Live, 1)
 	planned = t.claimFree(now, planned, share)
-	planned = claimGone(&next, planned, share, m.Gone)
+	if 2*len(m.Gone) <= len(t.assignment.Tenants) {
+		// An instance that reaches less than half of the holders is probably cut off itself.
+		planned = claimGone(&next, planned, share, m.Gone)
+	}
 	if planned.Fractions == 0 {
 		planned = claimFullest(&next, planned, share)
 	}
--- a/decision/quota/tenure_test.go
+++ b/decision/quota/tenure_test.go
@@ -181,3 +181,17 @@
 		t.Errorf("uses %x after they have ended", uint64(usable))
 	}
 }
+
+// Guards against a partition after which all fractions rest, because each side has taken those of the other.
+func TestMinorityTakesNothing(t *testing.T) {
+	a := Assignment{Tenants: []Tenant{{Address: "a", Fractions: 0xf}, {Address: "b", Fractions: 0xf0}, {Address: "c", Fractions: 0xf00}, {Address: "d", Fractions: ^Mask(0xfff)}}}
+	n := NewTenure("a", 0)
+	n.Observe(time.Minute, a, 7)
+	n.Proven(time.Minute)
+	if next, wanted := n.Plan(time.Minute, Members{Live: 1, Gone: []string{"b", "c", "d"}}, 0); wanted {
+		t.Errorf("an instance that reaches nobody plans %+v", next)
+	}
+	if _, wanted := n.Plan(time.Minute, Members{Live: 3, Gone: []string{"b"}}, 0); !wanted {
+		t.Error("fractions of a lost holder are left alone")
+	}
+}
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -45,11 +45,16 @@
 	now   func() time.Duration
 
 	mu       sync.Mutex
-	suspects map[string]time.Duration // until when a lender is passed over
+	suspects map[suspect]time.Duration // until when a lender is passed over
+}
+
+// suspect is a lender that does not answer, or that does not reach a server.
+type suspect struct {
+	lender, server string // any server if empty
 }
 
 func newLending(conns Conns, now func() time.Duration) *lending {
-	return &lending{conns: conns, now: now, suspects: map[string]time.Duration{}}
+	return &lending{conns: conns, now: now, suspects: map[suspect]time.Duration{}}
 }
 
 // lender returns the instance that holds the connections of an account to a server, empty for this one.
@@ -57,21 +62,30 @@
 	if g.cfg.Lender == nil {
 		return ""
 	}
-	return g.cfg.Lender(d.server, d.account, g.lending.suspected)
+	return g.cfg.Lender(d.server, d.account, func(address string) bool { return g.lending.suspected(address, d.server.ID) })
 }
 
-// suspected reports whether an instance did not answer lately.
-func (l *lending) suspected(address string) bool {
+// suspected reports whether an instance did not answer lately, or did not reach a server.
+func (l *lending) suspected(address, server string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.now() < l.suspects[address]
+	now := l.now()
+	return now < l.suspects[suspect{lender: address}] || now < l.suspects[suspect{address, server}]
 }
 
-func (l *lending) suspect(address string) {
-	l.conns.Renew(address)
+func (l *lending) suspect(s suspect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.suspects[address] = l.now() + suspectTerm
+	l.suspects[s] = l.now() + suspectTerm
+}
+
+// notReached notes that a lender does not reach a server, which another one may.
+func (l *lending) notReached(address, server string, err error) {
+	var notPlaced *notPlacedError
+	var silent *silentError
+	if errors.As(err, &notPlaced) && !notPlaced.full || errors.As(err, &silent) && silent.lender == "" {
+		l.suspect(suspect{address, server})
+	}
 }
 
 // run lets a lender run one statement.
@@ -83,12 +97,15 @@
 	if err != nil {
 		return report{}, l.failed(address, err)
 	}
-	return fromReport(out)
+	r, err := fromReport(out)
+	l.notReached(address, d.server.ID, err)
+	return r, err
 }
 
 // failed notes a lender that did not answer. A connection that could not be opened proves that nothing was sent.
 func (l *lending) failed(address string, err error) error {
-	l.suspect(address)
+	l.conns.Renew(address)
+	l.suspect(suspect{lender: address})
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return &lenderGoneError{cause: err}
@@ -106,6 +123,7 @@
 	}
 	r := &remoteLink{lending: l, address: address, stream: client, cancel: cancel}
 	rep, err := r.exchange(toOrder(&d, w), w.timeout)
+	l.notReached(address, d.server.ID, err)
 	if err != nil || rep.notOpened {
 		r.release()
 		return nil, rep, err
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -210,7 +210,7 @@
 func (g *Gateway) runOnce(ctx context.Context, d destination, w *work) (report, error) {
 	if lender := g.lender(d); lender != "" {
 		r, err := g.lending.run(ctx, lender, d, w)
-		if !retryDirectly(err, w) {
+		if !retryDirectly(err) {
 			return r, err
 		}
 	}
@@ -228,16 +228,16 @@
 }
 
 // retryDirectly reports whether work that a lender failed to place is done over a connection of this instance.
-func retryDirectly(err error, w *work) bool {
-	var notPlaced *lenderGoneError
-	return errors.As(err, &notPlaced)
+func retryDirectly(err error) bool {
+	var gone *lenderGoneError
+	return errors.As(err, &gone)
 }
 
 // openLink begins a transaction with its first statement. The link is nil unless the transaction was opened.
 func (g *Gateway) openLink(ctx context.Context, d destination, w *work) (link, report, error) {
 	if lender := g.lender(d); lender != "" {
 		l, r, err := g.lending.open(ctx, lender, d, w)
-		if !retryDirectly(err, w) {
+		if !retryDirectly(err) {
 			return l, r, err
 		}
 	}
