Follow a promotion although the old leader proved its lead last

A promotion in an entry ends the lead of all others now, and a server that does not answer does not hide the others. Test: TestPromotedServerReplacesACrashedLeader, red before.

--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -97,11 +97,19 @@
 		return
 	}
 	if e.Primary && !s.Primary {
-		s.deniedAt = 0
+		g.promoted(s)
 	}
 	s.Server = e
 }
 
+// promoted notes that the entry of a server shows its promotion, which ends the lead of all others.
+func (g *Group) promoted(s *server) {
+	for _, other := range g.servers {
+		other.ledAt = 0
+	}
+	s.deniedAt = 0
+}
+
 // Expire removes servers whose entries have been missing for long. It reports whether any was removed.
 func (g *Group) Expire(now time.Duration) bool {
 	before := len(g.servers)
@@ -229,14 +237,15 @@
 func (g *Group) Leader(now time.Duration, exclude []string) (id string, ok bool) {
 	var best *server
 	for _, s := range g.servers {
-		if s.Leaving && s.ledAt == 0 || slices.Contains(exclude, s.ID) || s.denied(now) {
+		unusable := s.Leaving && s.ledAt == 0 || s.avoidUntil > now || s.denied(now)
+		if unusable || slices.Contains(exclude, s.ID) {
 			continue
 		}
 		if best == nil || leadsBefore(s, best) {
 			best = s
 		}
 	}
-	if best == nil || best.avoidUntil > now {
+	if best == nil {
 		return "", false
 	}
 	return best.ID, true
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -172,3 +172,25 @@
 		t.Error("an answer of the earlier run is still known")
 	}
 }
+
+// Guards against a crashed leader that is preferred over the server that was promoted in its place, because it
+// proved to lead before (paysheet scale-2: writes stopped for 5 s after the promotion).
+func TestPromotedServerReplacesACrashedLeader(t *testing.T) {
+	g := group()
+	g.Led(time.Second, time.Second, "p", pos(1, 10))
+	g.Unreachable(2*time.Second, "p")
+	if id, ok := g.Leader(2*time.Second+10*ms, nil); !ok || id == "p" {
+		t.Errorf("leader is %q, %t while p does not answer", id, ok)
+	}
+	g.Register(3*time.Second, []discovery.Server{
+		{ID: "p", Region: "far", Primary: true, Revision: 1},
+		{ID: "r1", Region: "here", Primary: true, Revision: 30},
+		{ID: "r2", Region: "far", Revision: 3},
+	})
+	if id, ok := g.Leader(10*time.Second, nil); !ok || id != "r1" {
+		t.Errorf("leader is %q, %t after the entry of r1 shows its promotion", id, ok)
+	}
+	if id, ok := g.Primary(); !ok || id != "r1" {
+		t.Errorf("primary is %q, %t", id, ok)
+	}
+}
