Admit on the operator's tolerance while quota is in disorder

Change: operators allow an overage and a slack per window; each instance may use its part of half of that for an account whose owner is silent or lacks fractions. An instance claims no free fractions above its share, so that fewer rest with it when it is lost.

The property test of tenure found two faults of its kind: its own model passed no open loans to Plan (mended in the model, which now tells what the present process knows from what earlier ones lent), and a process that stops right after its start gave back fractions that its predecessor may have lent (mended: nothing is given back within the promise term).

--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -44,6 +44,7 @@
 	Slot       uint64
 	Lifetime   time.Duration // from sending the request
 	RetryAfter time.Duration // above 0 when the pool gave less than wanted
+	Partial    bool          // fractions are missing in the pool, so that the account may have more tokens
 	NoPool     bool          // this owner has no fractions of the account
 	Owner      string        // with NoPool: another owner to ask, "" if none is known
 }
@@ -289,7 +290,7 @@
 	if n == 0 || lifetime < leastLifetime {
 		return Grant{Account: d.Account, NoPool: true, Owner: o.other}
 	}
-	g := Grant{Account: d.Account, Lifetime: lifetime}
+	g := Grant{Account: d.Account, Lifetime: lifetime, Partial: n < FractionCount}
 	g.Tokens, g.Slot = p.draw(now, d.Want)
 	if g.Tokens > 0 {
 		o.tokensUntil = max(o.tokensUntil, now+lengthened(lifetime))
--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -85,6 +85,7 @@
 	settledSince time.Duration
 	unusedSince  time.Duration
 	starvedUntil time.Duration // the owner has no tokens before
+	partial      bool          // its pool lacked fractions when it last answered
 	formingSince time.Duration
 	forming      bool
 }
@@ -306,6 +307,7 @@
 		s.batches = append(s.batches, batch{g.Tokens, sentAt + g.Lifetime, epoch, g.Slot})
 		s.expire(now)
 	}
+	s.partial = g.Partial
 	if g.RetryAfter > 0 {
 		s.starvedUntil = now + g.RetryAfter
 	}
--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -8,6 +8,7 @@
 	Wait       bool          // a request to the owner is on its way or due; Retry when it is answered
 	RetryAfter time.Duration // with a refusal
 	AboveRate  bool          // with a refusal: the owner has said that no token is left
+	Partial    bool          // with AboveRate: the owner's pool lacks fractions
 }
 
 // Work is the messages to send for a shard.
@@ -117,7 +118,7 @@
 func (s *Shard) refusal(now time.Duration, d *stock) Verdict {
 	retryAfter := d.retryAfter(now)
 	d.refusals.add(now, refusalMemory)
-	return Verdict{RetryAfter: retryAfter, AboveRate: now < d.starvedUntil}
+	return Verdict{RetryAfter: retryAfter, AboveRate: now < d.starvedUntil, Partial: d.partial}
 }
 
 // Poll returns the messages to send now.
--- a/decision/quota/tenure.go
+++ b/decision/quota/tenure.go
@@ -18,8 +18,8 @@
 	// handoverTerm is how long fractions rest that another holder had: it may use them until its last proof
 	// has expired, and what it has lent by then until the end of the loan.
 	handoverTerm = time.Duration(waitFactor*float64(ProofTerm)) + promiseTerm
-	// leftoverTerm is how long after its start an instance claims no free fractions above its share, so that
-	// instances which start together find theirs.
+	// leftoverTerm is how long after its start an instance claims only a first share, because it may not know
+	// the others that start with it.
 	leftoverTerm = 3 * time.Second
 	// GoneTerm is how long a holder has to be unreachable before its fractions are given to others. Fractions
 	// that move rest for about ten seconds, so that it has to outlast a partition that heals by itself.
@@ -182,6 +182,9 @@
 	}
 	own := t.assignment.of(t.address)
 	if t.draining {
+		if now < t.started+promiseTerm {
+			return Assignment{}, false // an earlier process at this address may have lent them
+		}
 		return t.release(own, lent)
 	}
 	planned := own
@@ -216,13 +219,13 @@
 	return t.assignment.with(own), true
 }
 
-// claimFree takes free fractions up to the share, and the rest of them when other instances had time for theirs.
+// claimFree takes free fractions up to the share. An instance with more would strand more when it is lost.
 func (t *Tenure) claimFree(now time.Duration, own Tenant, share int) Tenant {
-	free := allFractions &^ t.assignment.assigned()
 	if now < t.started+leftoverTerm {
-		free = free.lowest(min(share, FractionCount/firstShare) - own.Fractions.Count())
+		share = min(share, FractionCount/firstShare)
 	}
-	own.Fractions |= free
+	free := allFractions &^ t.assignment.assigned()
+	own.Fractions |= free.lowest(share - own.Fractions.Count())
 	return own
 }
 
--- a/decision/quota/tenure_test.go
+++ b/decision/quota/tenure_test.go
@@ -21,9 +21,9 @@
 type tenureNode struct {
 	address string
 	tenure  *Tenure
-	behind  bool // reads an old version without a proof
 	// lentUntil is until when another instance may use what this one has lent.
 	lentUntil map[Mask]time.Duration
+	known     map[Mask]time.Duration // of these, what the present process knows of
 }
 
 func (w *tenureWorld) node(i int) *tenureNode {
@@ -32,7 +32,7 @@
 
 func (w *tenureWorld) restart(n *tenureNode) {
 	n.tenure = NewTenure(n.address, w.now)
-	n.behind = false
+	n.known = map[Mask]time.Duration{}
 }
 
 func (w *tenureWorld) read(n *tenureNode) {
@@ -41,7 +41,13 @@
 }
 
 func (w *tenureWorld) write(n *tenureNode, live int, gone []string) {
-	next, wanted := n.tenure.Plan(w.now, Members{Live: live, Gone: gone}, 0)
+	var lent Mask
+	for bit, until := range n.known {
+		if w.now < until {
+			lent |= bit
+		}
+	}
+	next, wanted := n.tenure.Plan(w.now, Members{Live: live, Gone: gone}, lent)
 	if !wanted || n.tenure.Version() != w.version {
 		return
 	}
@@ -57,6 +63,7 @@
 		for bit := Mask(1); bit != 0; bit <<= 1 {
 			if usable&bit != 0 {
 				n.lentUntil[bit] = w.now + LoanTerm + MaxTokenLifetime
+				n.known[bit] = n.lentUntil[bit]
 			}
 		}
 	}
@@ -195,3 +202,15 @@
 		t.Error("fractions of a lost holder are left alone")
 	}
 }
+
+// Guards against an instance that claims what others leave: when it is lost, its fractions rest with it (paysheet
+// trouble-3: 24 of 64 fractions were lost with one of six instances).
+func TestNoInstanceClaimsMoreThanItsShare(t *testing.T) {
+	n := NewTenure("a", 0)
+	n.Observe(time.Minute, Assignment{Tenants: []Tenant{{Address: "b", Fractions: 0xff}, {Address: "c", Fractions: 0xff00}}}, 3)
+	n.Proven(time.Minute)
+	next, _ := n.Plan(time.Minute, Members{Live: 6}, 0)
+	if got := next.of("a").Fractions.Count(); got != 11 {
+		t.Errorf("one of six instances claims %d fractions", got)
+	}
+}
--- /dev/null
+++ b/decision/quota/tolerance_test.go
@@ -0,0 +1,79 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against instances that together admit more on the tolerance than the operator allows, also when each of
+// them starts anew once within a window.
+func TestReservesStayWithinTheTolerance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tolerance := Tolerance{
+			Window:  5 * time.Second,
+			Overage: float64(rapid.IntRange(0, 30).Draw(t, "overage")) / 100,
+			Slack:   float64(rapid.IntRange(0, 50).Draw(t, "slack")),
+		}
+		limits := Limits{Rate: float64(rapid.IntRange(1, 500).Draw(t, "rate")), Burst: float64(rapid.IntRange(1, 500).Draw(t, "burst"))}
+		instances := rapid.IntRange(1, 20).Draw(t, "instances")
+		admitted := 0
+		for range instances {
+			for range restarts {
+				var r Reserve
+				for now := time.Duration(0); now < tolerance.Window; now += 20 * time.Millisecond {
+					if r.Take(now, tolerance, limits, instances) {
+						admitted++
+					}
+				}
+			}
+		}
+		allowed := tolerance.Overage*(limits.Rate*tolerance.Window.Seconds()+limits.Burst) + tolerance.Slack
+		if float64(admitted) > allowed {
+			t.Fatalf("%d statements admitted, %g allowed", admitted, allowed)
+		}
+	})
+}
+
+// Guards against a reserve that never fills again, and against one without a tolerance.
+func TestReserveFillsWithTheWindow(t *testing.T) {
+	tolerance := Tolerance{Window: 5 * time.Second, Slack: 8}
+	var r Reserve
+	for i := range 4 {
+		if !r.Take(0, tolerance, Limits{}, 1) {
+			t.Fatalf("statement %d is refused", i)
+		}
+	}
+	if r.Take(5*time.Second, tolerance, Limits{}, 1) {
+		t.Error("a fifth statement is admitted within the window")
+	}
+	if !r.Take(6*time.Second, tolerance, Limits{}, 1) {
+		t.Error("the reserve is empty after the window")
+	}
+	if (&Reserve{}).Take(0, Tolerance{}, Limits{Rate: 1e6, Burst: 1e6}, 1) {
+		t.Error("admitted without a tolerance")
+	}
+}
+
+// Guards against an account that is told to be above its rate by an owner that lacks fractions.
+func TestOwnerTellsThatItsPoolIsPartial(t *testing.T) {
+	o := NewOwner("o", 1)
+	o.SetAccounts(0, map[string]Limits{"a": {Rate: 10, Burst: 10}})
+	o.SetOwning(0, true, []string{"h", "i"})
+	o.Grant(0, Demand{Account: "a", Want: 1})
+	for _, ask := range o.Asks(0) {
+		if ask.Holder == "h" {
+			o.Borrowed(time.Millisecond, 0, "h", ask.Request.Serial, Loan{Fractions: 0xff})
+		}
+	}
+	if g := o.Grant(2*time.Millisecond, Demand{Account: "a", Want: 1}); !g.Partial {
+		t.Errorf("grant of a pool with 8 of 64 fractions: %+v", g)
+	}
+	for _, ask := range o.Asks(time.Second / 2) {
+		o.Borrowed(time.Second/2, time.Second/2, ask.Holder, ask.Request.Serial, Loan{Fractions: map[string]Mask{"h": 0xff, "i": ^Mask(0xff)}[ask.Holder]})
+	}
+	if g := o.Grant(time.Second/2+time.Millisecond, Demand{Account: "a", Want: 1}); g.Partial {
+		t.Errorf("grant of a whole pool: %+v", g)
+	}
+}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -167,6 +167,7 @@
 		Rand:  rand.New(rand.NewSource(rand.Int63())),
 		Log:   n.log,
 
+		Tolerance:  n.settings.Quota.tolerance(),
 		Assignment: &quota.AssignmentConfig{Live: set.Live},
 	})
 	if err != nil {
--- a/proxy/node/reload.go
+++ b/proxy/node/reload.go
@@ -72,6 +72,7 @@
 		{"listen", s.Listen != next.Listen},
 		{"store", s.Store != next.Store},
 		{"promotion", s.Promotion != next.Promotion},
+		{"quota", s.Quota != next.Quota},
 		{"memoryMiB", s.MemoryMiB != next.MemoryMiB},
 	} {
 		if f.changed {
--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"sigs.k8s.io/yaml"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 )
 
 // Settings are those of one instance. deploy/settings.yaml shows them all.
@@ -24,6 +26,7 @@
 	// Regions maps each failure domain to its region.
 	Regions   map[string]string `json:"regions"`
 	Bounds    Bounds            `json:"bounds"`
+	Quota     Quota             `json:"quota"`
 	MemoryMiB int64             `json:"memoryMiB"` // above which the process is ended
 	LogLevel  string            `json:"logLevel"`
 }
@@ -63,6 +66,22 @@
 	TrustKeysWhenCutOff bool `json:"trustKeysWhenCutOff"`
 }
 
+// Quota is what client accounts may get beyond their limits while instances fail: within any window, the given part
+// of what the limits allow, and some statements.
+type Quota struct {
+	WindowSeconds   float64 `json:"windowSeconds"`
+	Overage         float64 `json:"overage"`
+	SlackStatements float64 `json:"slackStatements"`
+}
+
+func (q Quota) tolerance() quota.Tolerance {
+	return quota.Tolerance{
+		Window:  time.Duration(q.WindowSeconds * float64(time.Second)),
+		Overage: q.Overage,
+		Slack:   q.SlackStatements,
+	}
+}
+
 // Grace is StopSeconds as a duration.
 func (b Bounds) Grace() time.Duration {
 	return time.Duration(b.StopSeconds * float64(time.Second))
@@ -123,6 +142,18 @@
 	if _, err := logrus.ParseLevel(cmp.Or(s.LogLevel, defaultLogLevel)); err != nil {
 		faults = append(faults, errors.Newf("logLevel: %q is not a level; use debug, info, warning or error", s.LogLevel))
 	}
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{
+		{"quota.windowSeconds", s.Quota.WindowSeconds},
+		{"quota.overage", s.Quota.Overage},
+		{"quota.slackStatements", s.Quota.SlackStatements},
+	} {
+		if !(f.value >= 0) {
+			faults = append(faults, errors.Newf("%s: %v is below zero; write 0 for no tolerance", f.name, f.value))
+		}
+	}
 	if s.MemoryMiB < 0 {
 		faults = append(faults, errors.New("memoryMiB: is below zero; leave it out for no limit"))
 	}
--- a/proxy/quota/calls.go
+++ b/proxy/quota/calls.go
@@ -197,14 +197,14 @@
 
 func grantToWire(g quota.Grant) *peerpb.AccountGrant {
 	return &peerpb.AccountGrant{
-		Account: g.Account, Tokens: uint32(g.Tokens), Slot: g.Slot, NoPool: g.NoPool, Owner: g.Owner,
+		Account: g.Account, Tokens: uint32(g.Tokens), Slot: g.Slot, NoPool: g.NoPool, Owner: g.Owner, Partial: g.Partial,
 		LifetimeUs: uint64(g.Lifetime / time.Microsecond), RetryAfterUs: uint64(g.RetryAfter / time.Microsecond),
 	}
 }
 
 func grantFromWire(g *peerpb.AccountGrant) quota.Grant {
 	return quota.Grant{
-		Account: g.Account, Tokens: int(g.Tokens), Slot: g.Slot, NoPool: g.NoPool, Owner: g.Owner,
+		Account: g.Account, Tokens: int(g.Tokens), Slot: g.Slot, NoPool: g.NoPool, Owner: g.Owner, Partial: g.Partial,
 		Lifetime:   time.Duration(g.LifetimeUs) * time.Microsecond,
 		RetryAfter: time.Duration(g.RetryAfterUs) * time.Microsecond,
 	}
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -51,6 +51,8 @@
 	Rand  *rand.Rand
 	Log   logrus.FieldLogger
 	Clock func() time.Duration // nil: time since the machine booted
+	// Tolerance is what accounts may get beyond their limits while instances fail. The zero value is nothing.
+	Tolerance quota.Tolerance
 	// Assignment, if set, holds fractions by a watched assignment in place of renewed claims.
 	Assignment *AssignmentConfig
 	// Process tells this process from earlier and other ones; 0: a random number. Two processes
@@ -65,11 +67,13 @@
 	AsksFailed, LoansFailed uint64
 	StoreReads, StoreWrites uint64
 	Waited                  uint64 // statements that waited for a grant
+	Reserved                uint64 // statements admitted on the tolerance
 }
 
 // counters holds the fields of Stats.
 type counters struct {
 	admitted, refused, waited atomic.Uint64
+	reserved                  atomic.Uint64
 	asks, loans, handBacks    atomic.Uint64
 	asksFailed, loansFailed   atomic.Uint64
 	reads, writes             atomic.Uint64
@@ -102,6 +106,7 @@
 	mu       sync.Mutex
 	machine  *quota.Shard
 	limits   map[string]quota.Limits
+	reserves map[string]*quota.Reserve
 	answered chan struct{} // closed and replaced after each answer to a grant request
 }
 
@@ -120,7 +125,10 @@
 	}
 	d := &Driver{cfg: cfg, epoch: cfg.Process}
 	for i := range d.shards {
-		d.shards[i] = &shard{machine: quota.NewShard(cfg.Self, d.epoch), answered: make(chan struct{})}
+		d.shards[i] = &shard{
+			machine: quota.NewShard(cfg.Self, d.epoch), answered: make(chan struct{}),
+			reserves: map[string]*quota.Reserve{},
+		}
 	}
 	d.keeper = newKeeper(d, rand.New(rand.NewSource(cfg.Rand.Int63())))
 	if cfg.Assignment != nil {
@@ -193,6 +201,10 @@
 		d.count.admitted.Add(1)
 		return nil
 	}
+	if d.reserve(s, account, verdict) {
+		d.count.reserved.Add(1)
+		return nil
+	}
 	d.count.refused.Add(1)
 	if !verdict.AboveRate {
 		return refusal(outcome.CodeInsufficient, account, "got no answer about its rate in time",
@@ -202,6 +214,25 @@
 		"repeat the request after the given time, or ask the operator for a higher rate", verdict)
 }
 
+// reserve admits a refused statement on the tolerance, unless the owner of a whole pool has no token left.
+func (d *Driver) reserve(s *shard, account string, v quota.Verdict) bool {
+	if v.AboveRate && !v.Partial {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limits, known := s.limits[account]
+	if !known {
+		return false
+	}
+	r := s.reserves[account]
+	if r == nil {
+		r = &quota.Reserve{}
+		s.reserves[account] = r
+	}
+	return r.Take(d.cfg.Clock(), d.cfg.Tolerance, limits, d.cfg.Peers.Listed())
+}
+
 func refusal(code, account, reason, remedy string, v quota.Verdict) error {
 	message := "client account " + strconv.Quote(account) + " " + reason
 	return outcome.New(outcome.NotRun, code, message, remedy).WithRetryAfter(v.RetryAfter)
@@ -285,7 +316,7 @@
 func (d *Driver) Stats() Stats {
 	c := &d.count
 	return Stats{
-		Admitted: c.admitted.Load(), Refused: c.refused.Load(), Waited: c.waited.Load(),
+		Admitted: c.admitted.Load(), Refused: c.refused.Load(), Waited: c.waited.Load(), Reserved: c.reserved.Load(),
 		Asks: c.asks.Load(), Loans: c.loans.Load(), HandBacks: c.handBacks.Load(),
 		AsksFailed: c.asksFailed.Load(), LoansFailed: c.loansFailed.Load(),
 		StoreReads: c.reads.Load(), StoreWrites: c.writes.Load(),
