--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -104,7 +104,9 @@
 
 // failed notes a lender that did not answer. A connection that could not be opened proves that nothing was sent.
 func (l *lending) failed(address string, err error) error {
-	l.conns.Renew(address)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		l.conns.Renew(address) // the path has gone silent, which mostly concerns all open connections
+	}
 	l.suspect(suspect{lender: address})
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -48,8 +48,10 @@
 	stopAllowance = 700 * time.Millisecond
 	// handBackTimeout bounds the hand-back of the quota at a stop.
 	handBackTimeout = 400 * time.Millisecond
-	// lendConnsKept bounds the idle connections to one lender. Each carries one statement at a time.
-	lendConnsKept = 32
+	// lendConnsKept bounds the idle connections to one lender, each of which carries one statement at a time, and
+	// lendConnExpiry closes them. An idle connection costs some 20 KB at both ends.
+	lendConnsKept  = 8
+	lendConnExpiry = 6 * time.Second
 	// collectPercent is the growth of memory between two garbage collections. Memory at its peak is dearer
 	// here than processor time.
 	collectPercent = 40
@@ -142,7 +144,7 @@
 
 func (n *Node) assemblePeers() error {
 	n.calls = peer.NewClient(peer.ClientConfig{})
-	n.lendCalls = peer.NewClient(peer.ClientConfig{KeptPerPeer: lendConnsKept})
+	n.lendCalls = peer.NewClient(peer.ClientConfig{KeptPerPeer: lendConnsKept, IdleExpiry: lendConnExpiry})
 	h := heartbeat{n}
 	set, err := peer.NewSet(peer.SetConfig{
 		Self:    n.settings.Listen.Peers,
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -18,9 +18,8 @@
 )
 
 const (
-	// idleExpiry closes kept connections that no call has used. It is above the heartbeat
-	// period, so that heartbeats don't open connections.
-	idleExpiry = 30 * time.Second
+	// defaultIdleExpiry is that of ClientConfig.
+	defaultIdleExpiry = 30 * time.Second
 	// defaultKeptPerPeer bounds the idle connections to one peer; calls in progress may use more.
 	defaultKeptPerPeer = 8
 )
@@ -31,6 +30,9 @@
 	Traffic *Traffic    // nil: not counted
 	// KeptPerPeer bounds the idle connections to one peer; 0 keeps a few, which suits short calls.
 	KeptPerPeer int
+	// IdleExpiry closes kept connections that no call has used; 0 takes the default, which exceeds the
+	// heartbeat period, so that heartbeats don't open connections.
+	IdleExpiry time.Duration
 	// UserTimeout is that of the sockets; 0 stands for tcp.CallTimeout.
 	UserTimeout time.Duration
 	// Dial opens a TCP connection; nil uses tcp.Dialer with UserTimeout.
@@ -56,7 +58,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
-	options := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: cmp.Or(cfg.KeptPerPeer, defaultKeptPerPeer)}
+	options := drpcpool.Options{Expiration: cmp.Or(cfg.IdleExpiry, defaultIdleExpiry), KeyCapacity: cmp.Or(cfg.KeptPerPeer, defaultKeptPerPeer)}
 	if cfg.Dial == nil {
 		cfg.Dial = tcp.Dialer(cmp.Or(cfg.UserTimeout, tcp.CallTimeout)).DialContext
 	}
