Let one instance of a region watch the store and relay it

Change: the instance of a region that comes first by rendezvous hashing watches the store; the others follow it over drpc, with the age of its knowledge, and turn to the store when it fails or knows too little. Changes that come in quick succession are gathered. The list of instances is watched like the rest instead of being read every 2 s.

--- a/proxy/node/directory.go
+++ b/proxy/node/directory.go
@@ -42,8 +42,7 @@
 func (d *directory) freshWithin(limit time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	age, known := d.fresh.Age(d.now())
-	return known && age <= limit
+	return d.fresh.Within(d.now(), limit)
 }
 
 // offer takes a configuration of the store. One that is not newer than that in force is ignored.
@@ -72,8 +71,8 @@
 }
 
 // prove notes a proof of freshness.
-func (d *directory) prove(note func(*catalog.Freshness)) {
+func (d *directory) prove(asOf time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	note(&d.fresh)
+	d.fresh.Prove(asOf)
 }
--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,31 +14,59 @@
 // instancesKind holds an entry for each instance, named by the instance.
 const instancesKind = "instances"
 
-// instanceList is the list of instances in the store. It implements objectstore.InstanceList.
+// errNotListed tells that the list was not read yet.
+var errNotListed = errors.New("the list of instances was not read yet; see whether the store answers")
+
+// instanceList is the list of instances, as a follower has read it. It implements objectstore.InstanceList.
 type instanceList struct {
 	store *platform.Store
+
+	mu      sync.Mutex
+	entries map[string]objectstore.Instance
+	known   bool
 }
 
-// Instances implements objectstore.InstanceList. It accepts data that is seconds old, as a list of instances
-// always is.
-func (l instanceList) Instances(ctx context.Context) ([]objectstore.Instance, error) {
-	objects, _, err := l.store.List(ctx, instancesKind, true)
-	if err != nil {
-		return nil, err
+func newInstanceList(store *platform.Store) *instanceList {
+	return &instanceList{store: store, entries: map[string]objectstore.Instance{}}
+}
+
+// Instances implements objectstore.InstanceList.
+func (l *instanceList) Instances(context.Context) ([]objectstore.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.known {
+		return nil, errNotListed
 	}
-	out := make([]objectstore.Instance, 0, len(objects))
-	for _, o := range objects {
-		var i objectstore.Instance
-		if err := json.Unmarshal(o.Spec, &i); err != nil {
-			return nil, errors.Wrapf(err, "entry of instance %s can't be read; remove it", o.Name)
-		}
+	out := make([]objectstore.Instance, 0, len(l.entries))
+	for _, i := range l.entries {
 		out = append(out, i)
 	}
 	return out, nil
 }
 
+func (l *instanceList) listed(all []platform.Object) {
+	l.mu.Lock()
+	clear(l.entries)
+	l.known = true
+	l.mu.Unlock()
+	l.changed(all)
+}
+
+func (l *instanceList) changed(some []platform.Object) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range some {
+		var i objectstore.Instance
+		if o.Deleted || json.Unmarshal(o.Spec, &i) != nil {
+			delete(l.entries, o.Name) // an entry of another form names no instance
+			continue
+		}
+		l.entries[o.Name] = i
+	}
+}
+
 // register writes the entry of an instance.
-func (l instanceList) register(ctx context.Context, i objectstore.Instance) error {
+func (l *instanceList) register(ctx context.Context, i objectstore.Instance) error {
 	value, err := json.Marshal(i)
 	if err != nil {
 		return errors.Wrap(err, "encode the entry of this instance")
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway/lendpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/node/relaypb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/quota"
 	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
@@ -29,16 +30,20 @@
 )
 
 const (
-	// configWait is how long a watch for configurations waits. Its end proves that keys are still valid, so
-	// that it has to be well within the time for withdrawing a key.
-	configWait = 2 * time.Second
-	// serversWait is how long a watch for servers waits. Its loss delays the news of servers that leave.
-	serversWait = 5 * time.Second
-	// listPeriod is how often the list of instances is read.
-	listPeriod = 2 * time.Second
-	// quotaWait is how long a watch for the assignment of quota waits. A holder needs a proof of contact
-	// within decision/quota.ProofTerm.
-	quotaWait = 6 * time.Second
+	// configWait is how long a watch for configurations waits. Its end proves that keys are still valid, here and
+	// at the instances that follow this one, so that it has to be well within the time for withdrawing a key.
+	configWait = 1200 * time.Millisecond
+	// serversWait, quotaWait and instancesWait are those of the other watches. The age of a relay's knowledge has to
+	// stay below maxRelayAge.
+	serversWait   = 2 * time.Second
+	quotaWait     = 2 * time.Second
+	instancesWait = 2 * time.Second
+	// serversGap, quotaGap and instancesGap let changes gather that come in quick succession, as at a start.
+	serversGap   = 100 * time.Millisecond
+	quotaGap     = 300 * time.Millisecond
+	instancesGap = 500 * time.Millisecond
+	// listPeriod is how often the set of peers takes the list of instances that was read last.
+	listPeriod = 500 * time.Millisecond
 	// readyPeriod is how often the reason for not being ready is looked at.
 	readyPeriod = 100 * time.Millisecond
 	// handOver is the time from the begin of a stop for which new sessions are still served: the platform
@@ -79,7 +84,8 @@
 	lenders   *lenders
 	server    *peer.Server
 	servers   *registry
-	instances instanceList
+	instances *instanceList
+	relays    *relays
 	failover  *promotions
 
 	stopping   atomic.Bool
@@ -133,7 +139,7 @@
 func (n *Node) openStore() error {
 	dial := tcp.Dialer(tcp.CallTimeout).DialContext
 	n.store = platform.NewStore(n.settings.Store, dial)
-	n.instances = instanceList{n.store}
+	n.instances = newInstanceList(n.store)
 	n.directory = &directory{
 		log: n.log, now: boottime.Now,
 		bounds:  func() Bounds { return n.live.Load().Bounds },
@@ -160,6 +166,7 @@
 		return err
 	}
 	n.peers = set
+	n.relays = newRelays(n, boottime.Now, platform.ConfigKind, platform.ServersKind, quotaKind, instancesKind)
 	n.lenders = &lenders{peers: set, self: n.settings.Listen.Peers, place: n.settings.Place}
 	n.quota, err = quota.New(quota.Config{
 		Self:  n.settings.Listen.Peers,
@@ -215,6 +222,9 @@
 	if err := lendpb.DRPCRegisterLender(n.server.Mux(), n.gateway); err != nil {
 		return errors.Wrap(err, "register the lender service")
 	}
+	if err := relaypb.DRPCRegisterRelay(n.server.Mux(), n.relays); err != nil {
+		return errors.Wrap(err, "register the relay service")
+	}
 	n.servers = &registry{log: n.log, regions: n.settings.Regions, publish: n.gateway.SetServers}
 	return nil
 }
@@ -239,6 +249,7 @@
 	tasks.Go(func() { n.configFollower().run(ctx) })
 	tasks.Go(func() { n.serverFollower().run(ctx) })
 	tasks.Go(func() { n.quotaFollower().run(ctx) })
+	tasks.Go(func() { n.instanceFollower().run(ctx) })
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.quota.Run(ctx) })
 	tasks.Go(func() { n.gateway.Maintain(ctx) })
@@ -255,14 +266,17 @@
 	}
 }
 
-func (n *Node) configFollower() *follower {
-	f := &follower{store: n.store, kind: platform.ConfigKind, wait: configWait, now: boottime.Now, log: n.log}
-	f.listed, f.changed = n.adopt, n.adopt
-	f.contact = func(sent, waited time.Duration) {
-		received := boottime.Now()
-		n.directory.prove(func(p *catalog.Freshness) { p.Waited(sent, waited, received) })
+// follower returns a follower of a kind of objects.
+func (n *Node) follower(kind string, wait, gap time.Duration) *follower {
+	return &follower{
+		store: n.store, relays: n.relays, copy: n.relays.copies[kind], kind: kind, wait: wait, gap: gap,
+		now: boottime.Now, log: n.log,
 	}
-	f.hurry = func() bool { return !n.directory.freshWithin(configWait / 2) }
+}
+
+func (n *Node) configFollower() *follower {
+	f := n.follower(platform.ConfigKind, configWait, 0)
+	f.listed, f.changed, f.contact = n.adopt, n.adopt, n.directory.prove
 	return f
 }
 
@@ -277,14 +291,21 @@
 }
 
 func (n *Node) serverFollower() *follower {
-	f := &follower{store: n.store, kind: platform.ServersKind, wait: serversWait, now: boottime.Now, log: n.log}
+	f := n.follower(platform.ServersKind, serversWait, serversGap)
 	f.listed, f.changed = n.servers.listed, n.servers.changed
-	f.contact = func(time.Duration, time.Duration) { n.haveServer.Store(true) }
+	f.contact = func(time.Duration) { n.haveServer.Store(true) }
+	return f
+}
+
+func (n *Node) instanceFollower() *follower {
+	f := n.follower(instancesKind, instancesWait, instancesGap)
+	f.listed, f.changed = n.instances.listed, n.instances.changed
+	f.contact = func(time.Duration) {}
 	return f
 }
 
 func (n *Node) quotaFollower() *follower {
-	f := &follower{store: n.store, kind: quotaKind, wait: quotaWait, now: boottime.Now, log: n.log}
+	f := n.follower(quotaKind, quotaWait, quotaGap)
 	take := func(objects []platform.Object) {
 		for _, o := range objects {
 			if quotaKind+"/"+o.Name != quotadecision.AssignmentKey || o.Deleted {
@@ -295,16 +316,7 @@
 			}
 		}
 	}
-	var proven catalog.Freshness
-	f.listed, f.changed = take, take
-	f.contact = func(sent, waited time.Duration) {
-		asOf := proven.Waited(sent, waited, boottime.Now())
-		n.quota.ProveAssignment(asOf)
-	}
-	f.hurry = func() bool {
-		age, known := proven.Age(boottime.Now())
-		return !known || age > quotaWait/3
-	}
+	f.listed, f.changed, f.contact = take, take, n.quota.ProveAssignment
 	return f
 }
 
