Test the gateway on a stand-in of the platform's databases

standin/linedb speaks the line protocol with terms, positions, transactions and faults. A refused statement in an open transaction fails the transaction now, as one refused by the server does.

--- /dev/null
+++ b/proxy/gateway/gateway_test.go
@@ -0,0 +1,338 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+)
+
+// Guards against a session that does not see its own write, on either kind of route, through the replica.
+func TestSessionsReadTheirWrites(t *testing.T) {
+	b := newBench(t)
+	for _, route := range []string{"strict", "stale"} {
+		c := b.open(route)
+		c.want("w1", "WRITE item-"+route+" v1", "receipt|READY I -")
+		c.want("r1", "READ item-"+route, "row v1|receipt|READY I -")
+		b.group.SetLag("r", 1)
+		c.want("w2", "WRITE item-"+route+" v2", "receipt|READY I -")
+		c.want("r2", "READ item-"+route, "row v2|receipt|READY I -")
+		b.group.SetLag("r", 0)
+	}
+}
+
+// Guards against a read on a strict route that is answered by a server which has lost the lead.
+func TestStrictReadsProveTheLead(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	c.want("w1", "WRITE x old", "receipt|READY I -")
+	b.group.Promote("r") // the entries still name p
+	other := b.open("strict")
+	other.want("w2", "WRITE x new", "receipt|READY I -")
+	c.want("r1", "READ x", "row new|receipt|READY I -")
+	for _, run := range b.group.Runs() {
+		if run.ID == "r1" && run.Server != "r" {
+			t.Errorf("read ran on %s", run.Server)
+		}
+	}
+}
+
+// Guards against a write that takes effect twice, or whose caller is told that it has not run.
+func TestUnansweredWriteIsInDoubt(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	b.group.LoseAnswers("p", 1)
+	c.want("w1", "WRITE x v", "INDOUBT|READY I -")
+	effects := 0
+	for _, run := range b.group.Runs() {
+		if run.ID == "w1" && run.Effect {
+			effects++
+		}
+	}
+	if effects != 1 {
+		t.Errorf("the write took effect %d times", effects)
+	}
+	c.want("r1", "READ x", "row v|receipt|READY I -")
+}
+
+// Guards against reads that fail with one lost answer although another server can give it.
+func TestUnansweredReadIsRepeated(t *testing.T) {
+	b := newBench(t)
+	c := b.open("stale")
+	c.want("w1", "WRITE x v", "receipt|READY I -")
+	for _, id := range []string{"p", "r"} {
+		b.group.LoseAnswers(id, 1)
+		c.want("r-"+id, "READ x", "row v|receipt|READY I -")
+		b.group.LoseAnswers(id, 0)
+	}
+}
+
+// Guards against a transaction whose statements meet different connections, a commit without the server's receipt, and
+// a rollback that keeps something.
+func TestTransactions(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("w1", "WRITE x v1", "receipt|READY T -")
+	c.want("r1", "READ x", "row v1|receipt|READY T -")
+	other := b.open("strict")
+	other.want("r2", "READ x", "row -|receipt|READY I -")
+	c.want("c1", "COMMIT", "receipt|READY I -")
+	other.want("r3", "READ x", "row v1|receipt|READY I -")
+
+	c.want("b2", "BEGIN", "done|READY T -")
+	c.want("w2", "WRITE x v2", "receipt|READY T -")
+	c.want("e2", "ROLLBACK", "done|READY I -")
+	c.want("r4", "READ x", "row v1|receipt|READY I -")
+
+	c.want("b3", "BEGIN READ", "done|READY T -")
+	c.want("w3", "WRITE x v3", "READONLY|READY E -")
+	c.want("r5", "READ x", "MALFORMED|READY E -")
+	c.want("e3", "COMMIT", "ABORTED|READY I -")
+}
+
+// Guards against a transaction that is reported as rolled back although it was committed, or the other way round.
+func TestTransactionThatLosesItsServer(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("w1", "WRITE x lost", "receipt|READY T -")
+	b.group.LoseAnswers("p", 1)
+	c.want("w2", "WRITE x lost", "ABORTED|READY E -")
+	c.want("e1", "ROLLBACK", "done|READY I -")
+	c.want("r1", "READ x", "row -|receipt|READY I -")
+
+	c.want("b2", "BEGIN", "done|READY T -")
+	c.want("w3", "WRITE x kept", "receipt|READY T -")
+	b.group.LoseAnswers("p", 1)
+	c.want("c2", "COMMIT", "INDOUBT|READY I -")
+	c.want("r2", "READ x", "row kept|receipt|READY I -")
+}
+
+// Guards against values and prepared statements of one session that another one meets on a shared connection.
+func TestSharedConnectionsKeepSessionsApart(t *testing.T) {
+	b := newBench(t)
+	first, second := b.open("stale"), b.open("stale")
+	first.want("s1", "SET zone one", "done|READY I -")
+	first.want("p1", "PREPARE q WRITE shape-a", "done|READY I -")
+	second.want("s2", "SET lang two", "done|READY I -")
+	second.want("p2", "PREPARE q READ shape-b", "done|READY I -")
+	first.want("e1", "EXECUTE q item v", "receipt|READY I -")
+	second.want("e2", "EXECUTE q item", "row v|receipt|READY I -")
+	first.want("e3", "EXECUTE q item w", "receipt|READY I -")
+	b.open("stale").want("r1", "READ item", "row w|receipt|READY I -")
+	want := map[string]string{"e1": "zone=one", "e2": "lang=two", "e3": "zone=one", "r1": ""}
+	shapes := map[string]string{"e1": "WRITE shape-a", "e2": "READ shape-b", "e3": "WRITE shape-a"}
+	for _, run := range b.group.Runs() {
+		if values, ok := want[run.ID]; ok && run.Values != values {
+			t.Errorf("%s ran with values %q, want %q", run.ID, run.Values, values)
+		}
+		if shape, ok := shapes[run.ID]; ok && !strings.HasPrefix(run.Text, shape) {
+			t.Errorf("%s ran as %q, want %s", run.ID, run.Text, shape)
+		}
+	}
+	second.want("d2", "DEALLOC q", "done|READY I -")
+	second.want("e4", "EXECUTE q item", "NOSTMT|READY I -")
+}
+
+// Guards against values that were set inside a transaction which was rolled back, and that the next session meets.
+func TestValuesSetInsideATransactionAreNotLeftBehind(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("r1", "READ x", "row -|receipt|READY T -")
+	c.want("s1", "SET zone one", "done|READY T -")
+	c.want("r2", "READ x", "row -|receipt|READY T -")
+	c.want("e1", "ROLLBACK", "done|READY I -")
+	b.open("strict").want("r3", "READ x", "row -|receipt|READY I -")
+	c.want("r4", "READ x", "row -|receipt|READY I -")
+	want := map[string]string{"r2": "zone=one", "r3": "", "r4": "zone=one"}
+	for _, run := range b.group.Runs() {
+		if values, ok := want[run.ID]; ok && run.Values != values {
+			t.Errorf("%s ran with values %q, want %q", run.ID, run.Values, values)
+		}
+	}
+}
+
+// Guards against requests of callers without a right, also on sessions that were open when it ended.
+func TestKeysAreChecked(t *testing.T) {
+	b := newBench(t)
+	if _, answer := b.dial("strict", "wrong"); !strings.HasPrefix(answer, "ERROR NOAUTH") {
+		t.Errorf("a wrong key is answered with %q", answer)
+	}
+	if _, answer := b.dial("nowhere", testKey); !strings.HasPrefix(answer, "ERROR NODB") {
+		t.Errorf("an unknown route is answered with %q", answer)
+	}
+	if _, answer := b.dial("open", "wrong"); answer != "READY I -" {
+		t.Errorf("an open route is answered with %q", answer)
+	}
+	c := b.open("strict")
+	inTx := b.open("strict")
+	inTx.want("b1", "BEGIN", "done|READY T -")
+	inTx.want("w1", "WRITE x v", "receipt|READY T -")
+	b.directory.set(func(d *testDirectory) {
+		d.snapshot = catalog.NewSnapshot(catalog.Catalog{
+			Version: 2,
+			Routes:  []catalog.Route{{Name: "strict", Database: database}}, Databases: []catalog.Database{{Name: database, MaxConnections: 16}},
+		})
+	})
+	c.want("r1", "READ x", "NOAUTH|READY I -")
+	inTx.want("c1", "COMMIT", "NOAUTH|READY I -")
+	for _, run := range b.group.Runs() {
+		if run.ID == "r1" || run.Effect {
+			t.Errorf("%s ran for a withdrawn key", run.ID)
+		}
+	}
+}
+
+// Guards against keys that are trusted although the configuration may be old.
+func TestStaleConfigurationFailsClosed(t *testing.T) {
+	b := newBench(t)
+	c := b.open("stale")
+	b.directory.set(func(d *testDirectory) { d.stale = true })
+	c.want("r1", "READ x", "BUSY|READY I -")
+	open, answer := b.dial("open", "")
+	if answer != "READY I -" {
+		t.Fatalf("open route is answered with %q", answer)
+	}
+	open.want("r2", "READ x", "row -|receipt|READY I -")
+}
+
+// Guards against refusals of the quota that leave a transaction open, and against operations that are charged twice.
+func TestQuotaChargesOperations(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("w1", "WRITE x 1", "receipt|READY T -")
+	c.want("w2", "WRITE x 2", "receipt|READY T -")
+	c.want("c1", "COMMIT", "receipt|READY I -")
+	c.want("s1", "SET a b", "done|READY I -")
+	c.want("r1", "READ x", "row 2|receipt|READY I -")
+	if b.quota.admitted != 2 {
+		t.Errorf("%d operations were charged, want 2", b.quota.admitted)
+	}
+	b.quota.mu.Lock()
+	b.quota.err = outcome.New(outcome.NotRun, outcome.CodeTooManyRequests, "above its rate", "").WithRetryAfter(time.Second)
+	b.quota.mu.Unlock()
+	c.want("b2", "BEGIN", "BUSY|READY I -")
+	c.want("r2", "READ x", "BUSY|READY I -")
+}
+
+// Guards against statements that fail with "no connection" while others hold the server's connections for a moment.
+func TestFullServerIsWaitedFor(t *testing.T) {
+	b := newBench(t)
+	b.group.SetMaxConnections(1)
+	holder, c := b.open("strict"), b.open("strict")
+	holder.want("b1", "BEGIN", "done|READY T -")
+	holder.want("w1", "WRITE x v", "receipt|READY T -")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(200 * time.Millisecond)
+		holder.want("c1", "COMMIT", "receipt|READY I -")
+	}()
+	c.want("r1", "READ x", "row v|receipt|READY I -")
+	<-done
+}
+
+// Guards against callers that are held until their time is over although no server can answer, and against a refusal
+// that does not say that nothing has run.
+func TestNoServerIsToldInTime(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	b.group.Server("p").Stop()
+	b.group.Server("r").Stop()
+	began := time.Now()
+	c.want("w1", "WRITE x v", "BUSY|READY I -")
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("refused after %s", took)
+	}
+}
+
+// Guards against reads that hang with a server which accepts connections and never answers.
+func TestSilentReplicaIsPassedOver(t *testing.T) {
+	b := newBench(t)
+	c := b.open("stale")
+	c.want("w1", "WRITE x v", "receipt|READY I -")
+	b.group.SetSilent("r", true)
+	began := time.Now()
+	for _, id := range []string{"r1", "r2", "r3"} {
+		c.want(id, "READ x", "row v|receipt|READY I -")
+	}
+	if took := time.Since(began); took > 4*time.Second {
+		t.Errorf("three reads took %s beside a silent replica", took)
+	}
+}
+
+// Guards against malformed requests that end the session or reach a server.
+func TestMalformedRequests(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	for _, text := range []string{"", "DROP x", "BEGIN WRITE", "COMMIT now", "PREPARE q", "PREPARE q DELETE x", "READ", "SET", "AFTER 1.1 READ x", "STATUS"} {
+		c.want("m", text, "MALFORMED|READY I -")
+	}
+	c.want("-", "READ x", "MALFORMED|READY I -")
+	c.want("r", "READ x", "row -|receipt|READY I -")
+	if runs := b.group.Runs(); len(runs) != 1 {
+		t.Errorf("%d statements ran", len(runs))
+	}
+}
+
+// Guards against a stop that cuts an open transaction, or that waits for idle sessions.
+func TestStopEndsIdleSessionsAndFinishesTransactions(t *testing.T) {
+	b := newBench(t)
+	idle, busy := b.open("strict"), b.open("strict")
+	busy.want("b1", "BEGIN", "done|READY T -")
+	busy.want("w1", "WRITE x v", "receipt|READY T -")
+	stopped := make(chan struct{})
+	go func() {
+		b.gateway.Shutdown(t.Context(), 5*time.Second)
+		close(stopped)
+	}()
+	if line := idle.line(); line != "closed" {
+		t.Errorf("idle session gets %q", line)
+	}
+	busy.want("c1", "COMMIT", "receipt|READY I -")
+	if line := busy.line(); line != "closed" {
+		t.Errorf("session gets %q after its transaction", line)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(4 * time.Second):
+		t.Error("the stop waits although no session is left")
+	}
+}
+
+// Guards against idle transactions that hold a connection for good.
+func TestIdleTransactionIsRolledBack(t *testing.T) {
+	b := newBench(t)
+	b.directory.set(func(d *testDirectory) { d.snapshot = catalogWithIdle(200 * time.Millisecond) })
+	c := b.open("strict")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("w1", "WRITE x v", "receipt|READY T -")
+	time.Sleep(600 * time.Millisecond)
+	c.want("w2", "WRITE x w", "ABORTED|READY E -")
+	c.want("e1", "ROLLBACK", "done|READY I -")
+	c.want("r1", "READ x", "row -|receipt|READY I -")
+}
+
+func catalogWithIdle(idle time.Duration) *catalog.Snapshot {
+	s := testCatalog()
+	routes := []catalog.Route{{Name: "strict", Database: database, StatementTimeout: 2 * time.Second, Target: time.Second, IdleInTransaction: idle}}
+	return catalog.NewSnapshot(catalog.Catalog{Version: 2, Routes: routes, Databases: s.Databases(), Accounts: s.Accounts()})
+}
+
+// Guards against connections that are opened anew for each statement.
+func TestConnectionsAreReused(t *testing.T) {
+	b := newBench(t)
+	c := b.open("strict")
+	for range 20 {
+		c.want("w", "WRITE x v", "receipt|READY I -")
+		c.want("r", "READ x", "row v|receipt|READY I -")
+	}
+	if opened := b.group.Opened(); opened > 3 {
+		t.Errorf("%d connections for 40 statements of one session", opened)
+	}
+}
--- /dev/null
+++ b/proxy/gateway/helpers_test.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+	"github.com/cyclamenstile/cyclamenstile/standin/linedb"
+)
+
+const (
+	database = "db"
+	testKey  = "key-of-a"
+)
+
+// testDirectory is a configuration that tests change.
+type testDirectory struct {
+	mu       sync.Mutex
+	snapshot *catalog.Snapshot
+	stale    bool
+}
+
+func (d *testDirectory) Current() *catalog.Snapshot {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.snapshot
+}
+
+func (d *testDirectory) Fresh() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.stale
+}
+
+func (d *testDirectory) set(f func(d *testDirectory)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d)
+}
+
+// testQuota refuses when full is set, and counts.
+type testQuota struct {
+	mu       sync.Mutex
+	err      error
+	admitted int
+}
+
+func (q *testQuota) Admit(context.Context, string) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err == nil {
+		q.admitted++
+	}
+	return q.err
+}
+
+func testCatalog() *catalog.Snapshot {
+	sum := manifest.SumKey(testKey).String()
+	route := func(name string, staleness time.Duration) catalog.Route {
+		return catalog.Route{
+			Name: name, Database: database, MaxStaleness: staleness,
+			StatementTimeout: 2 * time.Second, Target: time.Second, IdleInTransaction: 10 * time.Second,
+		}
+	}
+	open := route("open", 2*time.Second)
+	open.Open = true
+	return catalog.NewSnapshot(catalog.Catalog{
+		Version:   1,
+		Routes:    []catalog.Route{route("strict", 0), route("stale", 3*time.Second), open},
+		Databases: []catalog.Database{{Name: database, MaxConnections: 16}},
+		Accounts:  []manifest.Account{{Name: "a", Keys: []manifest.Key{{ID: sum[:8], SHA256: sum}}}},
+	})
+}
+
+// bench is a gateway in front of a group of stand-in servers.
+type bench struct {
+	t         *testing.T
+	group     *linedb.Group
+	gateway   *Gateway
+	directory *testDirectory
+	quota     *testQuota
+	address   string
+}
+
+func newBench(t *testing.T, change ...func(*Config)) *bench {
+	t.Helper()
+	group, err := linedb.New(database, "p", "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(group.Close)
+	return newBenchOn(t, group, change...)
+}
+
+func newBenchOn(t *testing.T, group *linedb.Group, change ...func(*Config)) *bench {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b := &bench{t: t, group: group, directory: &testDirectory{snapshot: testCatalog()}, quota: &testQuota{}}
+	cfg := Config{
+		Here:        placement.Place{Region: "here", FailureDomain: "here-a"},
+		Directory:   b.directory,
+		Quota:       b.quota,
+		Dial:        (&net.Dialer{}).DialContext,
+		CallerCodec: func(c net.Conn) CallerCodec { return platform.NewCaller(c) },
+		ServerCodec: func(c net.Conn) ServerCodec { return platform.NewServer(c) },
+		ParseStatus: platform.ParseStatus,
+		Instances:   func(discovery.Server) int { return 1 },
+		Now:         boottime.Now,
+		Log:         NewJournal(log, tally.NoopScope),
+	}
+	for _, f := range change {
+		f(&cfg)
+	}
+	b.gateway = New(cfg)
+	b.register("p")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.address = l.Addr().String()
+	go b.gateway.Serve(l)
+	t.Cleanup(func() {
+		_ = l.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		b.gateway.Shutdown(ctx, 0)
+	})
+	return b
+}
+
+// register enters both servers, of which one says that it is the primary.
+func (b *bench) register(primary string) {
+	var entries []discovery.Server
+	for i, id := range []string{"p", "r"} {
+		entries = append(entries, discovery.Server{
+			ID: id, Database: database, Address: b.group.Address(id), Region: "here", Slots: 4,
+			Primary: id == primary, Revision: uint64(i + 1),
+		})
+	}
+	b.gateway.SetServers(entries)
+}
+
+// caller is a client that speaks the line protocol.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// dial opens a session and returns the first answer with it.
+func (b *bench) dial(route, key string) (*caller, string) {
+	b.t.Helper()
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	c := &caller{t: b.t, conn: conn, in: bufio.NewReader(conn)}
+	c.send("STARTUP " + route + " " + key)
+	return c, c.line()
+}
+
+// open opens a session that has to succeed.
+func (b *bench) open(route string) *caller {
+	b.t.Helper()
+	c, answer := b.dial(route, testKey)
+	if answer != "READY I -" {
+		b.t.Fatalf("session is answered with %q", answer)
+	}
+	return c
+}
+
+func (c *caller) send(line string) {
+	if _, err := c.conn.Write([]byte(line + "\r\n")); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *caller) line() string {
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return "closed"
+	}
+	return strings.TrimRight(line, "\r\n")
+}
+
+// ask sends a query and returns the lines of the answer, joined by "|", with receipts and texts of errors cut off.
+func (c *caller) ask(id, text string) string {
+	c.t.Helper()
+	c.send("QUERY " + id + " " + text)
+	var out []string
+	for {
+		line := c.line()
+		f := strings.Fields(line)
+		switch f[0] {
+		case "COMPLETE":
+			line = "done"
+			if strings.HasPrefix(f[1], "receipt-") && strings.HasSuffix(f[1], "-"+id) {
+				line = "receipt"
+			}
+		case "ERROR":
+			line = f[1]
+		case "DATAROW":
+			line = "row " + strings.Join(f[1:], " ")
+		}
+		out = append(out, line)
+		if f[0] == "READY" || line == "closed" {
+			return strings.Join(out, "|")
+		}
+	}
+}
+
+// want fails unless the answer is as given.
+func (c *caller) want(id, text, answer string) {
+	c.t.Helper()
+	if got := c.ask(id, text); got != answer {
+		c.t.Errorf("%s is answered with %q, want %q", text, got, answer)
+	}
+}
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -201,7 +201,7 @@
 	verdict := n.state.Step(stmt)
 	switch verdict.Action {
 	case sessionstate.Refuse:
-		n.refuse(stmt, verdict.Err, began)
+		n.refuseInState(stmt, verdict.Err, began)
 		return nil
 	case sessionstate.Answer:
 		return n.answerLocally(stmt, began)
