--- /dev/null
+++ b/proxy/gateway/lend_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/proxy/gateway/lendpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/standin/linedb"
+)
+
+// pair is a borrower and a lender in front of the same servers.
+type pair struct {
+	borrower, lender *bench
+	address          string // of the lender
+	stop             func() // ends the lender's drpc server
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	group, err := linedb.New(database, "p", "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(group.Close)
+	p := &pair{lender: newBenchOn(t, group)}
+	mux := drpcmux.New()
+	if err := lendpb.DRPCRegisterLender(mux, p.lender.gateway); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.address = l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = drpcserver.New(mux).Serve(ctx, l)
+	}()
+	p.stop = func() {
+		cancel()
+		<-served
+	}
+	t.Cleanup(p.stop)
+	calls := peer.NewClient(peer.ClientConfig{})
+	t.Cleanup(func() { _ = calls.Close() })
+	p.borrower = newBenchOn(t, group, func(c *Config) {
+		c.Conns = calls
+		c.Lender = func(_ discovery.Server, _ string, suspected func(string) bool) string {
+			if suspected(p.address) {
+				return ""
+			}
+			return p.address
+		}
+	})
+	return p
+}
+
+// Guards against statements and transactions through a lender that lose values, rows, receipts or positions.
+func TestStatementsThroughALender(t *testing.T) {
+	p := newPair(t)
+	c := p.borrower.open("stale")
+	c.want("s1", "SET zone one", "done|READY I -")
+	c.want("p1", "PREPARE q WRITE shape", "done|READY I -")
+	c.want("w1", "WRITE x v1", "receipt|READY I -")
+	c.want("r1", "READ x", "row v1|receipt|READY I -")
+	c.want("e1", "EXECUTE q x v2", "receipt|READY I -")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("w2", "WRITE x v3", "receipt|READY T -")
+	c.want("r2", "READ x", "row v3|receipt|READY T -")
+	c.want("c1", "COMMIT", "receipt|READY I -")
+	c.want("b2", "BEGIN READ", "done|READY T -")
+	c.want("r3", "READ x", "row v3|receipt|READY T -")
+	c.want("e2", "ROLLBACK", "done|READY I -")
+	for _, run := range p.borrower.group.Runs() {
+		if run.Values != "zone=one" || run.Account != "a" {
+			t.Errorf("%s ran for %s with values %q", run.ID, run.Account, run.Values)
+		}
+	}
+	if n := len(p.borrower.gateway.pool.servers); n != 0 {
+		t.Errorf("the borrower holds connections to %d servers of its own", n)
+	}
+}
+
+// Guards against a transaction that stays open at the server after its caller has left the borrower.
+func TestLoanEndsWithTheCaller(t *testing.T) {
+	p := newPair(t)
+	c := p.borrower.open("strict")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("w1", "WRITE x lost", "receipt|READY T -")
+	_ = c.conn.Close()
+	p.lender.group.SetMaxConnections(1) // so that the connection has to come back
+	other := p.borrower.open("strict")
+	other.want("r1", "READ x", "row -|receipt|READY I -")
+}
+
+// Guards against callers that get errors because the lender of their connections stops or is gone.
+func TestLenderThatLeaves(t *testing.T) {
+	p := newPair(t)
+	c := p.borrower.open("strict")
+	c.want("w1", "WRITE x v1", "receipt|READY I -")
+	p.lender.gateway.StopLending()
+	c.want("w2", "WRITE x v2", "receipt|READY I -")
+	c.want("b1", "BEGIN", "done|READY T -")
+	c.want("w3", "WRITE x v3", "receipt|READY T -")
+	c.want("c1", "COMMIT", "receipt|READY I -")
+}
+
+// Guards against a write that is repeated because its lender died with the answer, and against reads that fail with
+// the lender.
+func TestLenderThatDies(t *testing.T) {
+	p := newPair(t)
+	c := p.borrower.open("strict")
+	c.want("w1", "WRITE x v1", "receipt|READY I -")
+	p.stop()
+	answer := c.ask("w2", "WRITE x v2")
+	if answer != "receipt|READY I -" && answer != "INDOUBT|READY I -" {
+		t.Errorf("a write beside a dead lender is answered with %q", answer)
+	}
+	c.want("r1", "READ x", "row "+c.read(answer)+"|receipt|READY I -")
+	effects := 0
+	for _, run := range p.borrower.group.Runs() {
+		if run.ID == "w2" && run.Effect {
+			effects++
+		}
+	}
+	if effects > 1 || answer == "receipt|READY I -" && effects != 1 {
+		t.Errorf("the write took effect %d times and was answered with %q", effects, answer)
+	}
+}
+
+// read returns what x holds after w2 was answered, which in doubt is either value: the lender had died before.
+func (c *caller) read(answer string) string {
+	if answer == "receipt|READY I -" {
+		return "v2"
+	}
+	return "v1"
+}
+
+// Guards against a lender that is not passed over although it does not reach the server.
+func TestLenderWithoutAPathIsPassedOver(t *testing.T) {
+	l := newLending(nil, func() time.Duration { return time.Minute })
+	l.notReached("lender", "s", &notPlacedError{full: true})
+	if l.suspected("lender", "s") {
+		t.Error("a full server counts against its lender")
+	}
+	l.notReached("lender", "s", &notPlacedError{})
+	if !l.suspected("lender", "s") || l.suspected("lender", "other") {
+		t.Error("a lender without a path to one server is passed over for another one, or not at all")
+	}
+}
