Log decisions within budgets, and serve metrics on an address of their own

Each line about a statement carries its id, the configuration's version and what decided; refusals and failures have a larger budget than successes, and what is left out is counted and told.

--- a/decision/failover/machine.go
+++ b/decision/failover/machine.go
@@ -85,13 +85,14 @@
 	absentAt  time.Duration // no server has claimed to be the primary since; 0: one does
 }
 
-// Suspect notes that a server did not answer a statement.
-func (m *Machine) Suspect(now time.Duration, server string) {
+// Suspect notes that a server did not answer a statement. It reports whether that puts the primary in question.
+func (m *Machine) Suspect(now time.Duration, server string) bool {
 	if server != m.primary || m.suspected {
-		return
+		return false
 	}
 	m.suspected = true
 	m.lostAt = now
+	return true
 }
 
 // Suspected reports whether the primary is in question.
--- a/proxy/asynclog/asynclog.go
+++ b/proxy/asynclog/asynclog.go
@@ -3,11 +3,12 @@
 package asynclog
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -63,6 +64,14 @@
 	}
 }
 
+// log returns a log that writes to out itself.
+func (w *Writer) log(out io.Writer) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	return log
+}
+
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
 	var told uint64
@@ -71,7 +80,8 @@
 		_, _ = out.Write(line) // there is no place to report a failed log
 		if dropped := w.Dropped(); dropped != told {
 			told = dropped
-			_, _ = fmt.Fprintf(out, `{"event":"CYC-6022","level":"warning","dropped":%d,"msg":"log lines were dropped because the output did not take them"}`+"\n", dropped)
+			w.log(out).WithFields(logrus.Fields{"event": EventLinesDropped, "dropped": dropped}).
+				Warn("log lines were dropped because the output did not take them")
 		}
 	}
 }
--- /dev/null
+++ b/proxy/gateway/events.go
@@ -0,0 +1,25 @@
+package gateway
+
+// Numbers of the events that this package logs, in the field "event".
+const (
+	// EventServed: a statement was answered with a server's result.
+	EventServed = "CYC-7001"
+	// EventRefused: a statement was answered with an error.
+	EventRefused = "CYC-7002"
+	// EventNoAnswer: a server, or the instance that lends a connection to it, did not answer a statement.
+	EventNoAnswer = "CYC-7003"
+	// EventUnreachable: no connection to a server could be opened.
+	EventUnreachable = "CYC-7004"
+	// EventSessionRefused: a caller's session was not opened.
+	EventSessionRefused = "CYC-7005"
+	// EventSessionBroken: a caller's connection failed.
+	EventSessionBroken = "CYC-7006"
+	// EventIdleTransaction: a transaction was rolled back because its caller rested for too long.
+	EventIdleTransaction = "CYC-7007"
+	// EventAcceptFailed: a caller's connection could not be accepted.
+	EventAcceptFailed = "CYC-7008"
+	// EventTriedAgain: a server refused a statement, which is placed again.
+	EventTriedAgain = "CYC-7009"
+	// EventLinesLeftOut: lines of an event were left out because there were too many.
+	EventLinesLeftOut = "CYC-7010"
+)
--- a/proxy/gateway/helpers_test.go
+++ b/proxy/gateway/helpers_test.go
@@ -121,7 +121,7 @@
 		ParseStatus: platform.ParseStatus,
 		Instances:   func(discovery.Server) int { return 1 },
 		Now:         boottime.Now,
-		Log:         NewJournal(log, tally.NoopScope),
+		Log:         NewJournal(log, tally.NoopScope, boottime.Now),
 	}
 	for _, f := range change {
 		f(&cfg)
--- a/proxy/gateway/journal.go
+++ b/proxy/gateway/journal.go
@@ -1,74 +1,100 @@
 package gateway
 
 import (
+	"io"
+	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"net"
-
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/logbudget"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
 )
 
-// Numbers of the events that this package logs, in the field "event".
+// Lines of one event: refusals and failures go before successes, which are only sampled under load. A line costs some
+// ten microseconds of processor time.
 const (
-	// EventServed: a statement was answered with a server's result.
-	EventServed = "CYC-7001"
-	// EventRefused: a statement was answered with an error.
-	EventRefused = "CYC-7002"
-	// EventNoAnswer: a server did not answer a statement.
-	EventNoAnswer = "CYC-7003"
-	// EventUnreachable: no connection to a server could be opened.
-	EventUnreachable = "CYC-7004"
-	// EventSessionRefused: a caller's session was not opened.
-	EventSessionRefused = "CYC-7005"
-	// EventSessionBroken: a caller's connection failed.
-	EventSessionBroken = "CYC-7006"
-	// EventIdleTransaction: a transaction was rolled back because its caller rested for too long.
-	EventIdleTransaction = "CYC-7007"
-	// EventAcceptFailed: a caller's connection could not be accepted.
-	EventAcceptFailed = "CYC-7008"
+	linesPerSecond       = 20
+	lineBurst            = 60
+	servedLinesPerSecond = 5
+	servedLineBurst      = 20
 )
 
 // fieldEvent carries the number of an event.
 const fieldEvent = "event"
 
-// Journal logs and counts what the gateway decides. Keys never appear in it.
+// Journal logs and counts what the gateway decides. Keys never appear in it. It is safe for concurrent use.
 type Journal struct {
 	log   logrus.FieldLogger
+	none  *logrus.Logger // takes the lines that exceed a budget
+	now   func() time.Duration
 	count counters
+
+	mu      sync.Mutex
+	budgets map[string]*logbudget.Budget
 }
 
 type counters struct {
-	served, refused, unanswered, connects tally.Counter
-	duration, roundTrip                   tally.Histogram
+	served, refused, unanswered, connects, leftOut tally.Counter
+	duration, roundTrip                            tally.Histogram
 }
 
 // NewJournal returns a journal that logs to log and counts in scope.
-func NewJournal(log logrus.FieldLogger, scope tally.Scope) *Journal {
+func NewJournal(log logrus.FieldLogger, scope tally.Scope, now func() time.Duration) *Journal {
 	scope = scope.SubScope("gateway")
-	return &Journal{log: log, count: counters{
+	none := logrus.New()
+	none.SetOutput(io.Discard)
+	none.SetLevel(logrus.PanicLevel)
+	return &Journal{log: log, none: none, now: now, budgets: map[string]*logbudget.Budget{}, count: counters{
 		served:     scope.Counter("served_total"),
 		refused:    scope.Counter("refused_total"),
 		unanswered: scope.Counter("unanswered_total"),
 		connects:   scope.Counter("connects_total"),
-		duration:   scope.Histogram("statement_seconds", telemetry.DurationBuckets()),
+		leftOut:    scope.Counter("log_lines_left_out_total"),
+		duration:   scope.Histogram("served_seconds", telemetry.DurationBuckets()),
 		roundTrip:  scope.Histogram("connect_seconds", telemetry.DurationBuckets()),
 	}}
 }
 
+// event returns an entry for a line of an event, which goes nowhere when there were too many.
 func (j *Journal) event(number string) *logrus.Entry {
+	ok, leftOut := j.allow(number)
+	if !ok {
+		j.count.leftOut.Inc(1)
+		return logrus.NewEntry(j.none)
+	}
+	if leftOut > 0 {
+		j.log.WithFields(logrus.Fields{fieldEvent: EventLinesLeftOut, "of": number, "lines": leftOut}).
+			Info("lines of an event were left out")
+	}
 	return j.log.WithField(fieldEvent, number)
 }
 
+func (j *Journal) allow(number string) (ok bool, leftOut uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	b := j.budgets[number]
+	if b == nil {
+		b = &logbudget.Budget{PerSecond: linesPerSecond, Burst: lineBurst}
+		if number == EventServed {
+			b = &logbudget.Budget{PerSecond: servedLinesPerSecond, Burst: servedLineBurst}
+		}
+		j.budgets[number] = b
+	}
+	return b.Allow(j.now())
+}
+
+// statement returns an entry for a line about a statement, with the configuration that decided on it.
 func (j *Journal) statement(number string, n *session, stmt sessionstate.Statement) *logrus.Entry {
 	return j.event(number).WithFields(logrus.Fields{
 		"id": stmt.ID, "kind": stmt.Kind.String(), "route": n.route, "account": n.account, "tx": n.state.Tx.String(),
+		"config": n.configVersion(),
 	})
 }
 
@@ -76,22 +102,39 @@
 	j.count.served.Inc(1)
 	j.count.duration.RecordValue(took.Seconds())
 	j.statement(EventServed, n, stmt).WithFields(logrus.Fields{
-		"server": s.ID, "tries": tries, "took_ms": took.Milliseconds(),
-	}).Debug("statement served")
+		"server": s.ID, "tries": tries, "took_ms": took.Milliseconds(), "floor": n.floor.String(),
+	}).Info("statement served")
 }
 
 func (j *Journal) refused(n *session, stmt sessionstate.Statement, e *outcome.Error, took time.Duration) {
 	j.count.refused.Inc(1)
 	j.statement(EventRefused, n, stmt).WithFields(logrus.Fields{
-		"outcome": e.Kind.String(), "code": e.Code, "took_ms": took.Milliseconds(),
+		"outcome": e.Kind.String(), "code": e.Code, "took_ms": took.Milliseconds(), "retry_after_ms": e.RetryAfter.Milliseconds(),
 	}).Info(e.Message)
 }
 
+// triedAgain tells why a server did not run a statement, and by which belief it was chosen.
+func (j *Journal) triedAgain(n *session, t *try, s discovery.Server, code string) {
+	j.statement(EventTriedAgain, n, t.stmt).WithFields(logrus.Fields{
+		"server": s.ID, "code": code, "tries": t.number, "as_leader": t.leads(), "floor": t.floor.String(),
+		"entry_primary": s.Primary, "entry_revision": s.Revision,
+	}).Info("server refused the statement; it is placed again")
+}
+
 func (j *Journal) noAnswer(n *session, stmt sessionstate.Statement, s discovery.Server, sent bool, err error) {
 	j.count.unanswered.Inc(1)
 	j.statement(EventNoAnswer, n, stmt).WithFields(logrus.Fields{
-		"server": s.ID, "sent": sent,
-	}).WithError(err).Warn("server did not answer the statement")
+		"server": s.ID, "sent": sent, "lender": lenderOf(err),
+	}).WithError(err).Warn("statement got no answer")
+}
+
+// lenderOf returns the instance that did not answer, empty if it was the server.
+func lenderOf(err error) string {
+	var silent *silentError
+	if errors.As(err, &silent) {
+		return silent.lender
+	}
+	return ""
 }
 
 func (j *Journal) unreachable(s discovery.Server, err error) {
@@ -101,15 +144,21 @@
 }
 
 func (j *Journal) sessionRefused(n *session, e *outcome.Error) {
-	j.event(EventSessionRefused).WithFields(logrus.Fields{"route": n.route, "code": e.Code}).Info(e.Message)
+	j.event(EventSessionRefused).WithFields(logrus.Fields{
+		"route": n.route, "code": e.Code, "config": n.configVersion(),
+	}).Info(e.Message)
 }
 
 func (j *Journal) sessionBroken(n *session, err error) {
-	j.event(EventSessionBroken).WithField("route", n.route).WithError(err).Info("caller's connection ended")
+	j.event(EventSessionBroken).WithFields(logrus.Fields{
+		"route": n.route, "account": n.account, "tx": n.state.Tx.String(),
+	}).WithError(err).Info("caller's connection ended")
 }
 
 func (j *Journal) idleTransaction(n *session) {
-	j.event(EventIdleTransaction).WithField("route", n.route).Info("idle transaction rolled back")
+	j.event(EventIdleTransaction).WithFields(logrus.Fields{
+		"route": n.route, "account": n.account, "limit_ms": n.tx.idleTimeout.Milliseconds(),
+	}).Info("idle transaction rolled back")
 }
 
 func (j *Journal) acceptFailed(err error) {
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -116,6 +116,14 @@
 	return g
 }
 
+// configVersion is the version of the configuration in force, 0 before the first.
+func (n *session) configVersion() uint64 {
+	if s := n.gw.cfg.Directory.Current(); s != nil {
+		return s.Version()
+	}
+	return 0
+}
+
 // loop serves requests until the session ends.
 func (n *session) loop() error {
 	for {
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -230,6 +230,7 @@
 // attemptRefused notes a server's error. It reports whether the caller was told.
 func (n *session) attemptRefused(t *try, s discovery.Server, a answer) bool {
 	t.last, t.maySent = serverError(a), !provesNotRun(a.code)
+	n.gw.cfg.Log.triedAgain(n, t, s, a.code)
 	switch a.code {
 	case outcome.CodeReadOnly:
 		t.view.denied(s.ID)
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -161,6 +161,7 @@
 
 func (n *session) openRefused(t *try, s discovery.Server, a answer) {
 	t.last = notRun(serverError(a))
+	n.gw.cfg.Log.triedAgain(n, t, s, a.code)
 	switch a.code {
 	case outcome.CodeReadOnly:
 		t.view.denied(s.ID)
--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -16,7 +16,7 @@
 	EventReloadFailed = "CYC-6005"
 	// EventConfig: another configuration is in force.
 	EventConfig = "CYC-6006"
-	// EventConfigRefused: a configuration in the store was not adopted.
+	// EventConfigRefused: a configuration in the store is older than that in force.
 	EventConfigRefused = "CYC-6007"
 	// EventStoreLost: the store does not answer calls of one kind any more.
 	EventStoreLost = "CYC-6008"
@@ -26,7 +26,7 @@
 	EventServerChanged = "CYC-6010"
 	// EventServerIgnored: an entry names no server that can be used.
 	EventServerIgnored = "CYC-6011"
-	// EventReady: the instance became ready for callers, or stopped being ready.
+	// EventReady: the instance became ready for callers.
 	EventReady = "CYC-6012"
 	// EventRegisterFailed: the entry of this instance was not written.
 	EventRegisterFailed = "CYC-6013"
@@ -34,10 +34,10 @@
 	EventHandBackFailed = "CYC-6014"
 	// EventListenerEnded: a listener ended.
 	EventListenerEnded = "CYC-6015"
-	// EventPrimaryLost: the primary of a database does not answer.
+	// EventPrimaryLost: the primary of a database is to be replaced.
 	EventPrimaryLost = "CYC-6016"
-	// EventPrimaryBack: it answers again.
-	EventPrimaryBack = "CYC-6017"
+	// EventPrimarySuspected: the primary of a database does not answer this instance.
+	EventPrimarySuspected = "CYC-6017"
 	// EventPromoting: this instance orders the promotion of a server.
 	EventPromoting = "CYC-6018"
 	// EventPromoted: the platform has accepted it.
@@ -46,12 +46,14 @@
 	EventPromotionFailed = "CYC-6020"
 	// EventClaimLost: another instance orders the promotion.
 	EventClaimLost = "CYC-6021"
-	// EventLinesDropped: log lines were dropped because the output did not take them (package asynclog).
-	EventLinesDropped = "CYC-6022"
 	// EventAssignmentInvalid: the assignment of quota in the store has no valid form.
 	EventAssignmentInvalid = "CYC-6023"
 	// EventAccount: the limits of a client account in the configuration in force.
 	EventAccount = "CYC-6024"
+	// EventConfigUnreadable: the configuration in the store can't be read.
+	EventConfigUnreadable = "CYC-6025"
+	// EventNotReady: the instance stopped being ready for callers.
+	EventNotReady = "CYC-6026"
 )
 
 // event returns an entry with the number of an event.
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -91,7 +91,12 @@
 
 // suspect notes a server that did not answer a statement.
 func (p *promotions) suspect(database, server string) {
-	p.with(database, func(m *failover.Machine) { m.Suspect(boottime.Now(), server) })
+	var began bool
+	p.with(database, func(m *failover.Machine) { began = m.Suspect(boottime.Now(), server) })
+	if began {
+		event(p.log, EventPrimarySuspected).WithFields(logrus.Fields{"database": database, "server": server}).
+			Warn("primary did not answer; it is probed")
+	}
 	select {
 	case p.nudge <- struct{}{}:
 	default:
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -72,7 +72,7 @@
 	log      logrus.FieldLogger
 	metrics  *telemetry.Metrics
 
-	callers, ready, peerPort net.Listener
+	callers, ready, peerPort, metricsPort net.Listener
 
 	store     *platform.Store
 	directory *directory
@@ -118,7 +118,11 @@
 		{&n.callers, n.settings.Listen.Callers, "listen.callers"},
 		{&n.ready, n.settings.Listen.Ready, "listen.ready"},
 		{&n.peerPort, n.settings.Listen.Peers, "listen.peers"},
+		{&n.metricsPort, n.settings.Listen.Metrics, "listen.metrics"},
 	} {
+		if l.address == "" {
+			continue // no metrics
+		}
 		listener, err := tcp.ListenConfig(tcp.CallTimeout).Listen(context.Background(), "tcp", l.address)
 		if err != nil {
 			return errors.Wrapf(err, "%s: can't listen; choose an address of this machine that is free", l.setting)
@@ -129,7 +133,7 @@
 }
 
 func (n *Node) closeListeners() {
-	for _, l := range []net.Listener{n.callers, n.ready, n.peerPort} {
+	for _, l := range []net.Listener{n.callers, n.ready, n.peerPort, n.metricsPort} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -216,7 +220,7 @@
 		Conns:       n.lendCalls,
 		Instances:   n.lenders.sharing,
 		Now:         boottime.Now,
-		Log:         gateway.NewJournal(n.log, n.metrics.Scope),
+		Log:         gateway.NewJournal(n.log, n.metrics.Scope, boottime.Now),
 	})
 	n.gateway.OnSuspect(n.failover.suspect)
 	if err := lendpb.DRPCRegisterLender(n.server.Mux(), n.gateway); err != nil {
@@ -257,6 +261,11 @@
 	tasks.Go(func() { n.reportEnd("peers", n.server.Serve(ctx, n.peerPort)) })
 	tasks.Go(func() { n.reportEnd("readiness", telemetry.Serve(ctx, n.ready, n.readyHandler())) })
 	tasks.Go(func() { n.watchReadiness(ctx) })
+	if n.metricsPort != nil {
+		tasks.Go(func() {
+			n.reportEnd("metrics", telemetry.Serve(ctx, n.metricsPort, n.metrics.Handler(n.notReady, nil)))
+		})
+	}
 	go n.gateway.Serve(n.callers) // ends with the listener
 }
 
@@ -284,7 +293,7 @@
 	c, found, err := platform.DecodeConfig(objects)
 	switch {
 	case err != nil:
-		event(n.log, EventConfigRefused).WithError(err).Error("configuration can't be read")
+		event(n.log, EventConfigUnreadable).WithError(err).Error("configuration can't be read")
 	case found:
 		n.directory.offer(c)
 	}
@@ -354,7 +363,7 @@
 }
 
 func (n *Node) readyHandler() http.Handler {
-	return platform.ReadyHandler(n.notReady, n.metrics.Handler(n.notReady, nil))
+	return platform.ReadyHandler(n.notReady)
 }
 
 // watchReadiness logs changes of readiness, and sends callers away that this instance can't serve.
@@ -370,7 +379,7 @@
 			event(n.log, EventReady).Info("ready for callers")
 			return
 		}
-		event(n.log, EventReady).WithError(now).Warn("not ready for callers")
+		event(n.log, EventNotReady).WithError(now).Warn("not ready for callers")
 		if !n.stopping.Load() {
 			n.gateway.EndIdle()
 		}
--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -54,6 +54,7 @@
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
 	Peers   string `json:"peers"`
+	Metrics string `json:"metrics"` // empty: none
 }
 
 // Bounds are the times within which the instance has to act.
@@ -128,6 +129,9 @@
 			faults = append(faults, errors.Newf("%s: %q is not an IP address with a port; write it like 127.0.0.1:6432", f.name, f.value))
 		}
 	}
+	if _, err := netip.ParseAddrPort(s.Listen.Metrics); s.Listen.Metrics != "" && err != nil {
+		faults = append(faults, errors.Newf("listen.metrics: %q is not an IP address with a port; write it like 127.0.0.1:9600, or leave it out", s.Listen.Metrics))
+	}
 	for _, f := range []struct {
 		name  string
 		value float64
