Let statements to a server in turn, and refuse hopeless ones at once

Cause: under overload a server got as many statements as there were connections and ran them in the order of arrival; callers of patient routes held up urgent ones, and statements that could not be run in time were held until their time was over. Change: the holder of a server's connections sends two statements for each slot and queues the rest with decision/fairqueue, by the priority of their routes and fairly among accounts; one whose turn comes too late is refused when it comes, with the time to return. Statements of open transactions go first. Tests: TestOverload, TestHopelessStatementIsRefusedAtOnce.

--- a/proxy/gateway/errors.go
+++ b/proxy/gateway/errors.go
@@ -26,6 +26,8 @@
 		"no server can run the request now", "repeat the request").WithRetryAfter(retryLater)
 	errQueueFull = outcome.New(outcome.NotRun, outcome.CodeInsufficient,
 		"no connection to a server became free in time", "repeat the request").WithRetryAfter(retrySoon)
+	errBusy = outcome.New(outcome.NotRun, outcome.CodeInsufficient,
+		"the server is too busy to run the request in time", "repeat it after the given time")
 	errOutcomeUnknown = outcome.New(outcome.Unknown, outcome.CodeStatementUnknown,
 		"the server did not say what became of the request", "read the data before writing it again")
 	errTimedOut = outcome.New(outcome.Unknown, outcome.CodeQueryCanceled,
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	views    map[string]*view
 	sessions map[*session]struct{}
+	gates    map[gateKey]*gate
 	stopping bool
 	// onSuspect is told about servers that did not answer.
 	onSuspect func(database, server string)
@@ -43,14 +44,17 @@
 	ctx, end := context.WithCancel(context.Background())
 	return &Gateway{
 		cfg: cfg, pool: newPool(cfg), lending: newLending(cfg.Conns, cfg.Now), ctx: ctx, end: end,
-		views: map[string]*view{}, sessions: map[*session]struct{}{},
+		views: map[string]*view{}, sessions: map[*session]struct{}{}, gates: map[gateKey]*gate{},
 		onSuspect: func(string, string) {},
 	}
 }
 
 // Maintain looks after idle connections until ctx ends.
 func (g *Gateway) Maintain(ctx context.Context) {
-	wait.Every(ctx, reapPeriod, func() { g.pool.reap(g.usable) })
+	wait.Every(ctx, reapPeriod, func() {
+		g.pool.reap(g.usable)
+		g.dropGates()
+	})
 }
 
 // usable reports whether a server may still get work.
@@ -114,7 +118,7 @@
 		conn, err := l.Accept()
 		switch {
 		case err == nil:
-			g.begin(conn)
+			g.open(conn)
 		case g.ctx.Err() != nil || isClosed(err):
 			return
 		default:
@@ -124,7 +128,8 @@
 	}
 }
 
-func (g *Gateway) begin(conn net.Conn) {
+// open begins the session of a caller.
+func (g *Gateway) open(conn net.Conn) {
 	n := &session{gw: g, conn: conn, codec: g.cfg.CallerCodec(conn)}
 	g.mu.Lock()
 	g.sessions[n] = struct{}{}
--- a/proxy/gateway/helpers_test.go
+++ b/proxy/gateway/helpers_test.go
@@ -78,9 +78,11 @@
 	}
 	open := route("open", 2*time.Second)
 	open.Open = true
+	urgent, patient := route("urgent", 0), route("patient", 0)
+	urgent.Priority, patient.Priority = 0, 3
 	return catalog.NewSnapshot(catalog.Catalog{
 		Version:   1,
-		Routes:    []catalog.Route{route("strict", 0), route("stale", 3*time.Second), open},
+		Routes:    []catalog.Route{route("strict", 0), route("stale", 3*time.Second), open, urgent, patient},
 		Databases: []catalog.Database{{Name: database, MaxConnections: 16}},
 		Accounts:  []manifest.Account{{Name: "a", Keys: []manifest.Key{{ID: sum[:8], SHA256: sum}}}},
 	})
@@ -94,6 +96,14 @@
 	directory *testDirectory
 	quota     *testQuota
 	address   string
+	slots     int // of each server, by its entry
+}
+
+// setWork gives the leader slots, each of which a statement occupies for a time.
+func (b *bench) setWork(slots int, work time.Duration) {
+	b.group.SetWork("p", slots, work)
+	b.slots = slots
+	b.register("p")
 }
 
 func newBench(t *testing.T, change ...func(*Config)) *bench {
@@ -110,7 +120,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b := &bench{t: t, group: group, directory: &testDirectory{snapshot: testCatalog()}, quota: &testQuota{}}
+	b := &bench{t: t, group: group, directory: &testDirectory{snapshot: testCatalog()}, quota: &testQuota{}, slots: 4}
 	cfg := Config{
 		Here:        placement.Place{Region: "here", FailureDomain: "here-a"},
 		Directory:   b.directory,
@@ -148,7 +158,7 @@
 	var entries []discovery.Server
 	for i, id := range []string{"p", "r"} {
 		entries = append(entries, discovery.Server{
-			ID: id, Database: database, Address: b.group.Address(id), Region: "here", Slots: 4,
+			ID: id, Database: database, Address: b.group.Address(id), Region: "here", Slots: b.slots,
 			Primary: id == primary, Revision: uint64(i + 1),
 		})
 	}
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -183,7 +183,8 @@
 	o.Priority = int32(d.priority)
 	o.Server = &lendpb.Server{
 		Id: d.server.ID, Database: d.server.Database, Address: d.server.Address, Started: d.server.Started,
-		MaxConnections: int32(d.maxConnections),
+		MaxConnections: int32(d.maxConnections), Slots: int32(d.server.Slots),
+		Region: d.server.Region, FailureDomain: d.server.FailureDomain,
 	}
 	return o
 }
@@ -205,6 +206,7 @@
 	return destination{
 		server: discovery.Server{
 			ID: s.GetId(), Database: s.GetDatabase(), Address: s.GetAddress(), Started: s.GetStarted(),
+			Slots: int(s.GetSlots()), Region: s.GetRegion(), FailureDomain: s.GetFailureDomain(),
 		},
 		maxConnections: int(s.GetMaxConnections()),
 		account:        o.GetAccount(),
@@ -222,6 +224,9 @@
 	var silent *silentError
 	switch {
 	case err == nil:
+	case errors.As(err, &notPlaced) && notPlaced.busy:
+		out.Placing, out.Failure = lendpb.Placing_BUSY, err.Error()
+		out.RetryAfterMs = uint32(notPlaced.retryAfter.Milliseconds())
 	case errors.As(err, &notPlaced) && notPlaced.full:
 		out.Placing, out.Failure = lendpb.Placing_FULL, err.Error()
 	case errors.As(err, &silent):
@@ -237,6 +242,8 @@
 	switch {
 	case in.GetPlacing() == lendpb.Placing_LEAVING:
 		return report{}, &lenderGoneError{cause: errors.New(in.GetFailure())}
+	case in.GetPlacing() == lendpb.Placing_BUSY:
+		return report{}, noTurn(time.Duration(in.GetRetryAfterMs()) * time.Millisecond)
 	case in.GetPlacing() != lendpb.Placing_PLACED:
 		return report{}, &notPlacedError{full: in.GetPlacing() == lendpb.Placing_FULL, cause: errors.New(in.GetFailure())}
 	case in.GetSilent():
@@ -279,33 +286,23 @@
 	if g.leaving.Load() {
 		return stream.Send(leavingReport())
 	}
-	l, err := g.lend(stream, first)
-	if l == nil {
-		return err
-	}
-	defer l.release()
-	return g.serveLoan(stream, l)
-}
-
-// lend begins a borrower's transaction. The link is nil unless it was opened.
-func (g *Gateway) lend(stream lendpb.DRPCLender_TransactStream, first *lendpb.Order) (*localLink, error) {
 	w := fromOrder(first)
 	ctx, cancel := context.WithTimeout(stream.Context(), w.timeout)
 	defer cancel()
-	l, err := g.acquire(ctx, destinationOf(first), w.values)
-	if err != nil {
-		return nil, stream.Send(toReport(report{}, err))
+	l, r, err := g.openLocal(ctx, destinationOf(first), w)
+	sendErr := stream.Send(toReport(r, err))
+	if l == nil {
+		return sendErr
 	}
-	r, err := l.perform(ctx, w)
-	if sendErr := stream.Send(toReport(r, err)); sendErr != nil || err != nil || r.notOpened {
-		l.release()
-		return nil, sendErr
+	defer l.release()
+	if sendErr != nil || r.state == sessionstate.Idle {
+		return sendErr
 	}
-	return l, nil
+	return g.serveLoan(stream, l)
 }
 
 // serveLoan runs a borrower's further statements until its transaction or the stream ends.
-func (g *Gateway) serveLoan(stream lendpb.DRPCLender_TransactStream, l *localLink) error {
+func (g *Gateway) serveLoan(stream lendpb.DRPCLender_TransactStream, l link) error {
 	for {
 		order, err := stream.Recv()
 		if err != nil {
@@ -315,7 +312,7 @@
 		if sendErr := stream.Send(toReport(r, err)); sendErr != nil || err != nil {
 			return sendErr
 		}
-		if l.up.state == sessionstate.Idle {
+		if r.state == sessionstate.Idle {
 			return nil
 		}
 	}
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -187,8 +187,7 @@
 func (n *session) attemptFailed(t *try, s discovery.Server, err error) bool {
 	var notPlaced *notPlacedError
 	if errors.As(err, &notPlaced) {
-		n.placingFailed(t, s, notPlaced)
-		return false
+		return n.placingFailed(t, s, notPlaced)
 	}
 	var silent *silentError
 	sent := !errors.As(err, &silent) || silent.sent
@@ -207,24 +206,33 @@
 	return false
 }
 
-// placingFailed notes that no connection to a server was had in time.
-func (n *session) placingFailed(t *try, s discovery.Server, err *notPlacedError) {
+// placingFailed notes that no connection to a server was had in time. It reports whether the caller was told: where
+// waiting is of no use and no other server may run the statement, it is refused at once.
+func (n *session) placingFailed(t *try, s discovery.Server, err *notPlacedError) bool {
 	t.view.unsent(s.ID)
 	t.number-- // nothing was sent
-	if err.full {
+	switch {
+	case err.busy:
+		t.last = errBusy.WithRetryAfter(err.retryAfter)
+	case err.full:
 		t.last = errQueueFull
-	} else {
+	default:
 		t.last = errNoServer
 		t.view.unreachable(s.ID)
 		n.gw.cfg.Log.unreachable(s, err)
 		n.gw.suspect(t.view, s.ID)
 	}
 	t.maySent = false
-	if !t.leads() {
+	switch {
+	case !t.leads():
 		t.exclude = append(t.exclude, s.ID)
-		return
+	case err.busy:
+		n.refuseInState(t.stmt, t.last, t.began)
+		return true
+	default:
+		waitChange(t.left, t.view.changes(), leaderPause)
 	}
-	waitChange(t.left, t.view.changes(), leaderPause)
+	return false
 }
 
 // attemptRefused notes a server's error. It reports whether the caller was told.
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -149,8 +149,7 @@
 func (n *session) openFailed(t *try, s discovery.Server, err error) bool {
 	var notPlaced *notPlacedError
 	if errors.As(err, &notPlaced) {
-		n.placingFailed(t, s, notPlaced)
-		return false
+		return n.placingFailed(t, s, notPlaced)
 	}
 	t.view.unsent(s.ID)
 	n.transactionSilent(t.request, t.view, s, err)
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 )
@@ -59,8 +60,11 @@
 
 // notPlacedError proves that nothing of the work was sent to a server.
 type notPlacedError struct {
-	full  bool // the server may be well; there was no connection in time
-	cause error
+	full bool // the server may be well; there was no connection in time
+	// busy tells that the queue at the server is longer than the statement's time, so that waiting is of no use.
+	busy       bool
+	retryAfter time.Duration // with busy
+	cause      error
 }
 
 // Error implements error.
@@ -176,12 +180,27 @@
 
 // localLink is a link over a connection of this instance.
 type localLink struct {
-	gw     *Gateway
-	up     *upstream
-	failed bool
+	gw          *Gateway
+	destination destination
+	up          *upstream
+	failed      bool
 }
 
-func (l *localLink) perform(_ context.Context, w *work) (report, error) {
+// perform does work in an open transaction. A busy server refuses it as if it had said so itself.
+func (l *localLink) perform(ctx context.Context, w *work) (report, error) {
+	d := l.destination
+	d.priority = 0 // what an open transaction holds is free sooner if it goes on first
+	leave, err := l.gw.enter(ctx, d, w)
+	if err != nil {
+		refused := answer{code: outcome.CodeInsufficient, text: err.Error()}
+		return report{answer: refused, notOpened: true, state: l.up.state, position: l.up.position}, nil
+	}
+	defer leave()
+	return l.performNow(w)
+}
+
+// performNow does work whose turn it is.
+func (l *localLink) performNow(w *work) (report, error) {
 	r, err := l.up.perform(w)
 	l.failed = l.failed || err != nil
 	return r, err
@@ -195,14 +214,24 @@
 	l.gw.rollBack(l.up)
 }
 
-// acquire gets a connection of this instance. Its error is a *notPlacedError.
-func (g *Gateway) acquire(ctx context.Context, d destination, values map[string]string) (*localLink, error) {
-	up, err := g.pool.acquire(ctx, d, values)
-	if err == nil {
-		return &localLink{gw: g, up: up}, nil
+// begin waits for the turn of the first work on a connection of this instance, gets the connection and does the work.
+// Its error is a *notPlacedError, then the link is nil, or a *silentError.
+func (g *Gateway) begin(ctx context.Context, d destination, w *work) (*localLink, report, error) {
+	leave, err := g.enter(ctx, d, w)
+	if err != nil {
+		return nil, report{}, err
+	}
+	defer leave()
+	began := time.Now()
+	up, err := g.pool.acquire(ctx, d, w.values)
+	if err != nil {
+		full := errors.Is(err, errServerFull) || errors.Is(err, errConnections)
+		return nil, report{}, &notPlacedError{full: full, cause: err}
 	}
-	full := errors.Is(err, errServerFull) || errors.Is(err, errConnections)
-	return nil, &notPlacedError{full: full, cause: err}
+	w.timeout = max(w.timeout-time.Since(began), time.Millisecond)
+	l := &localLink{gw: g, destination: d, up: up}
+	r, err := l.performNow(w)
+	return l, r, err
 }
 
 // runOnce runs one statement outside a transaction, over a connection of this instance or one that another
@@ -219,12 +248,11 @@
 
 // runLocal runs one statement over a connection of this instance.
 func (g *Gateway) runLocal(ctx context.Context, d destination, w *work) (report, error) {
-	l, err := g.acquire(ctx, d, w.values)
-	if err != nil {
-		return report{}, err
+	l, r, err := g.begin(ctx, d, w)
+	if l != nil {
+		l.release()
 	}
-	defer l.release()
-	return l.perform(ctx, w)
+	return r, err
 }
 
 // retryDirectly reports whether work that a lender failed to place is done over a connection of this instance.
@@ -241,11 +269,15 @@
 			return l, r, err
 		}
 	}
-	l, err := g.acquire(ctx, d, w.values)
-	if err != nil {
-		return nil, report{}, err
+	return g.openLocal(ctx, d, w)
+}
+
+// openLocal begins a transaction on a connection of this instance. The link is nil unless it was opened.
+func (g *Gateway) openLocal(ctx context.Context, d destination, w *work) (link, report, error) {
+	l, r, err := g.begin(ctx, d, w)
+	if l == nil {
+		return nil, r, err
 	}
-	r, err := l.perform(ctx, w)
 	if err != nil || r.notOpened {
 		l.release()
 		return nil, r, err
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -60,6 +60,8 @@
 	refuse  string
 	silent  bool
 	stopped bool
+	work    time.Duration // of each read, write and commit
+	slots   chan struct{} // nil: no limit
 }
 
 // New starts a group with the given servers, of which the first leads.
@@ -141,6 +143,14 @@
 	g.servers[id].refuse = word
 }
 
+// SetWork makes each read, write and commit of a server occupy one of its slots for a time.
+func (g *Group) SetWork(id string, slots int, work time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].slots = make(chan struct{}, slots)
+	g.servers[id].work = work
+}
+
 // SetSilent makes a server accept connections and never answer.
 func (g *Group) SetSilent(id string, silent bool) {
 	g.mu.Lock()
@@ -209,6 +219,7 @@
 			return
 		}
 		id, text, _ := strings.Cut(rest, " ")
+		c.occupy(text)
 		answer := c.query(id, text)
 		if answer == "" {
 			return // the answer is lost
@@ -219,6 +230,29 @@
 	}
 }
 
+// occupy takes a slot for the time that a read, write or commit works.
+func (c *session) occupy(text string) {
+	c.server.group.mu.Lock()
+	slots, work := c.server.slots, c.server.work
+	c.server.group.mu.Unlock()
+	word, rest, _ := strings.Cut(text, " ")
+	if word == "AFTER" {
+		_, rest, _ = strings.Cut(rest, " ")
+		word, _, _ = strings.Cut(rest, " ")
+	}
+	switch word {
+	case "READ", "WRITE", "EXECUTE", "COMMIT":
+	default:
+		return
+	}
+	if slots == nil {
+		return
+	}
+	slots <- struct{}{}
+	time.Sleep(work)
+	<-slots
+}
+
 func (c *session) line() (string, error) {
 	line, err := c.in.ReadString('\n')
 	return strings.TrimRight(line, "\r\n"), err
