Assign quota in one write, and join through a relay

Change: the instance that comes first by rendezvous hashing assigns fractions to all; a starting instance enters itself, reads the list of instances and follows a relay for the rest; peers that were not called yet count as usable, so that all choose the same relay and lenders.

--- a/decision/quota/tenure.go
+++ b/decision/quota/tenure.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -170,8 +172,11 @@
 
 // Members is what the instance knows of the others.
 type Members struct {
-	Live int      // instances that answer, this one included
+	Live []string // peer addresses of the instances that answer, this one included
 	Gone []string // holders that have not answered for GoneTerm
+	// Planner tells that this instance assigns fractions to all. Two planners are harmless, since the writes are
+	// conditional, but cost calls.
+	Planner bool
 }
 
 // Plan returns the assignment to write on top of Version, or false if no change is wanted. lent are the fractions
@@ -187,86 +192,142 @@
 		}
 		return t.release(own, lent)
 	}
-	planned := own
+	plan := newAssignmentPlan(t.assignment)
 	if own.Resting != 0 && now >= t.restUntil {
-		planned.Resting = 0
+		plan.rested(t.address)
 	}
-	next := Assignment{Tenants: slices.Clone(t.assignment.Tenants)}
-	share := (FractionCount + m.Live - 1) / max(m.Live, 1)
-	planned = t.claimFree(now, planned, share)
+	if m.Planner {
+		t.assign(now, plan, m)
+	}
+	return plan.result(t.assignment)
+}
+
+// assign gives out the fractions that nobody holds and those of holders that are gone, and gives instances without
+// any a part of what others have too much.
+func (t *Tenure) assign(now time.Duration, plan *assignmentPlan, m Members) {
+	live := max(len(m.Live), 1)
+	share := (FractionCount + live - 1) / live
+	limit := share
+	if now < t.started+leftoverTerm {
+		limit = min(share, FractionCount/firstShare)
+	}
+	plan.give(m.Live, allFractions&^t.assignment.assigned(), 0, limit)
 	if 2*len(m.Gone) <= len(t.assignment.Tenants) {
 		// An instance that reaches less than half of the holders is probably cut off itself.
-		planned = claimGone(&next, planned, share, m.Gone)
-	}
-	if planned.Fractions == 0 {
-		planned = claimFullest(&next, planned, share)
+		lost := plan.take(m.Gone)
+		plan.give(m.Live, lost, lost, share)
 	}
-	if planned == own {
-		return Assignment{}, false
+	surplus := plan.surplus(m.Live, share)
+	plan.give(m.Live, surplus, surplus, share)
+}
+
+// assignmentPlan is an assignment that is being changed.
+type assignmentPlan struct {
+	tenants map[string]Tenant
+}
+
+func newAssignmentPlan(a Assignment) *assignmentPlan {
+	p := &assignmentPlan{tenants: make(map[string]Tenant, len(a.Tenants))}
+	for _, t := range a.Tenants {
+		p.tenants[t.Address] = t
 	}
-	return next.with(planned), true
+	return p
 }
 
-// release gives back what is not lent any more.
-func (t *Tenure) release(own Tenant, lent Mask) (Assignment, bool) {
-	// Resting fractions were never used here, but their earlier holder may still use them: the next holder
-	// has to let them rest again, which a free fraction would not. They stay until others take them over.
-	free := own.Fractions &^ own.Resting &^ lent
-	if free == 0 {
-		return Assignment{}, false
+// rested lets an instance use what has rested with it.
+func (p *assignmentPlan) rested(address string) {
+	t := p.tenants[address]
+	t.Resting = 0
+	p.tenants[address] = t
+}
+
+// give deals fractions to the instances with the fewest, up to a limit for each. Those in resting rest there.
+func (p *assignmentPlan) give(live []string, fractions, resting Mask, limit int) {
+	for fractions != 0 {
+		address, ok := p.poorest(live, limit)
+		if !ok {
+			return
+		}
+		bit := fractions.lowest(1)
+		fractions &^= bit
+		t := p.tenants[address]
+		t.Address = address
+		t.Fractions |= bit
+		t.Resting |= bit & resting
+		p.tenants[address] = t
 	}
-	own.Fractions &^= free
-	return t.assignment.with(own), true
 }
 
-// claimFree takes free fractions up to the share. An instance with more would strand more when it is lost.
-func (t *Tenure) claimFree(now time.Duration, own Tenant, share int) Tenant {
-	if now < t.started+leftoverTerm {
-		share = min(share, FractionCount/firstShare)
+// poorest returns the instance with the fewest fractions, if it has less than the limit.
+func (p *assignmentPlan) poorest(live []string, limit int) (string, bool) {
+	best, fewest := "", limit
+	for _, address := range live {
+		if n := p.tenants[address].Fractions.Count(); n < fewest || n == fewest && n < limit && address < best {
+			best, fewest = address, n
+		}
 	}
-	free := allFractions &^ t.assignment.assigned()
-	own.Fractions |= free.lowest(share - own.Fractions.Count())
-	return own
+	return best, best != ""
 }
 
-// firstShare bounds what an instance claims right after its start, when it may not know the others yet.
-const firstShare = 8
+// take takes all fractions of some holders.
+func (p *assignmentPlan) take(holders []string) Mask {
+	var out Mask
+	for _, address := range holders {
+		out |= p.tenants[address].Fractions
+		delete(p.tenants, address)
+	}
+	return out
+}
 
-// claimGone takes fractions of holders that are gone, up to the share.
-func claimGone(a *Assignment, own Tenant, share int, gone []string) Tenant {
-	for i := range a.Tenants {
-		holder := &a.Tenants[i]
-		if holder.Address == own.Address || !slices.Contains(gone, holder.Address) {
-			continue
+// surplus takes what exceeds the share of those with too much, as far as instances without any need it.
+func (p *assignmentPlan) surplus(live []string, share int) Mask {
+	wanted := 0
+	for _, address := range live {
+		if p.tenants[address].Fractions == 0 {
+			wanted++
+		}
+	}
+	var out Mask
+	for _, address := range live {
+		t := p.tenants[address]
+		moved := t.Fractions.lowest(min(t.Fractions.Count()-share, wanted*share-out.Count()))
+		t.Fractions &^= moved
+		t.Resting &^= moved
+		out |= moved
+		if moved != 0 {
+			p.tenants[address] = t
 		}
-		own = move(holder, own, share-own.Fractions.Count())
 	}
-	return own
+	return out
 }
 
-// claimFullest takes fractions of the holder with the most of them, for an instance that has none.
-func claimFullest(a *Assignment, own Tenant, share int) Tenant {
-	if len(a.Tenants) == 0 {
-		return own
+// result returns the assignment if it differs from the one before.
+func (p *assignmentPlan) result(before Assignment) (Assignment, bool) {
+	var next Assignment
+	for _, address := range slices.Sorted(maps.Keys(p.tenants)) {
+		if t := p.tenants[address]; t.Fractions != 0 {
+			next.Tenants = append(next.Tenants, t)
+		}
 	}
-	fullest := slices.MaxFunc(a.Tenants, func(x, y Tenant) int {
-		return x.Fractions.Count() - y.Fractions.Count()
-	})
-	i := slices.IndexFunc(a.Tenants, func(x Tenant) bool { return x.Address == fullest.Address })
-	surplus := fullest.Fractions.Count() - share
-	return move(&a.Tenants[i], own, min(surplus, share))
+	sorted := slices.SortedFunc(slices.Values(before.Tenants), func(a, b Tenant) int { return strings.Compare(a.Address, b.Address) })
+	return next, !slices.Equal(sorted, next.Tenants)
 }
 
-// move moves up to n fractions to another holder, where they rest.
-func move(from *Tenant, to Tenant, n int) Tenant {
-	moved := from.Fractions.lowest(n)
-	from.Fractions &^= moved
-	from.Resting &^= moved
-	to.Fractions |= moved
-	to.Resting |= moved
-	return to
+// release gives back what is not lent any more.
+func (t *Tenure) release(own Tenant, lent Mask) (Assignment, bool) {
+	// Resting fractions were never used here, but their earlier holder may still use them: the next holder
+	// has to let them rest again, which a free fraction would not. They stay until others take them over.
+	free := own.Fractions &^ own.Resting &^ lent
+	if free == 0 {
+		return Assignment{}, false
+	}
+	own.Fractions &^= free
+	return t.assignment.with(own), true
 }
 
+// firstShare bounds what an instance is given while the planner, right after its start, may not know the others yet.
+const firstShare = 8
+
 // with returns a copy with one holder's part replaced. Holders without fractions are left out.
 func (a Assignment) with(own Tenant) Assignment {
 	out := Assignment{}
--- a/decision/quota/tenure_test.go
+++ b/decision/quota/tenure_test.go
@@ -40,14 +40,14 @@
 	n.tenure.Proven(w.now)
 }
 
-func (w *tenureWorld) write(n *tenureNode, live int, gone []string) {
+func (w *tenureWorld) write(n *tenureNode, live, gone []string) {
 	var lent Mask
 	for bit, until := range n.known {
 		if w.now < until {
 			lent |= bit
 		}
 	}
-	next, wanted := n.tenure.Plan(w.now, Members{Live: live, Gone: gone}, lent)
+	next, wanted := n.tenure.Plan(w.now, Members{Live: live, Gone: gone, Planner: true}, lent)
 	if !wanted || n.tenure.Version() != w.version {
 		return
 	}
@@ -106,7 +106,13 @@
 				if gone != n {
 					names = []string{gone.address}
 				}
-				w.write(n, rapid.IntRange(1, 4).Draw(t, "live"), names)
+				live := []string{n.address}
+				for _, other := range w.nodes {
+					if other != n && rapid.Bool().Draw(t, "live") {
+						live = append(live, other.address)
+					}
+				}
+				w.write(n, live, names)
 			default:
 				w.read(n)
 			}
@@ -115,6 +121,14 @@
 	})
 }
 
+func addresses(nodes []*tenureNode) []string {
+	var out []string
+	for _, n := range nodes {
+		out = append(out, n.address)
+	}
+	return out
+}
+
 // Guards against quota that is stranded with a lost holder.
 func TestFractionsOfALostHolderAreUsedAgain(t *testing.T) {
 	w := &tenureWorld{}
@@ -127,7 +141,7 @@
 		for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
 			for _, n := range nodes {
 				w.read(n)
-				w.write(n, len(nodes), gone)
+				w.write(n, addresses(nodes), gone)
 			}
 		}
 	}
@@ -158,7 +172,7 @@
 	for range 60 {
 		w.now += 200 * time.Millisecond
 		w.read(first)
-		w.write(first, 1, nil)
+		w.write(first, []string{"first"}, nil)
 	}
 	late := &tenureNode{address: "late", lentUntil: map[Mask]time.Duration{}}
 	w.restart(late)
@@ -166,7 +180,7 @@
 		w.now += 200 * time.Millisecond
 		for _, n := range []*tenureNode{late, first} {
 			w.read(n)
-			w.write(n, 2, nil)
+			w.write(n, []string{"first", "late"}, nil)
 		}
 	}
 	usable, _ := late.tenure.Usable(w.now)
@@ -195,22 +209,48 @@
 	n := NewTenure("a", 0)
 	n.Observe(time.Minute, a, 7)
 	n.Proven(time.Minute)
-	if next, wanted := n.Plan(time.Minute, Members{Live: 1, Gone: []string{"b", "c", "d"}}, 0); wanted {
+	if next, wanted := n.Plan(time.Minute, Members{Live: []string{"a"}, Gone: []string{"b", "c", "d"}, Planner: true}, 0); wanted {
 		t.Errorf("an instance that reaches nobody plans %+v", next)
 	}
-	if _, wanted := n.Plan(time.Minute, Members{Live: 3, Gone: []string{"b"}}, 0); !wanted {
+	if _, wanted := n.Plan(time.Minute, Members{Live: []string{"a", "c", "d"}, Gone: []string{"b"}, Planner: true}, 0); !wanted {
 		t.Error("fractions of a lost holder are left alone")
 	}
 }
 
-// Guards against an instance that claims what others leave: when it is lost, its fractions rest with it (paysheet
-// trouble-3: 24 of 64 fractions were lost with one of six instances).
-func TestNoInstanceClaimsMoreThanItsShare(t *testing.T) {
+// Guards against an instance that is given what belongs to others: when it is lost, its fractions rest with it
+// (paysheet trouble-3: 24 of 64 fractions were lost with one of six instances).
+func TestNoInstanceGetsMoreThanItsShare(t *testing.T) {
 	n := NewTenure("a", 0)
 	n.Observe(time.Minute, Assignment{Tenants: []Tenant{{Address: "b", Fractions: 0xff}, {Address: "c", Fractions: 0xff00}}}, 3)
 	n.Proven(time.Minute)
-	next, _ := n.Plan(time.Minute, Members{Live: 6}, 0)
-	if got := next.of("a").Fractions.Count(); got != 11 {
-		t.Errorf("one of six instances claims %d fractions", got)
+	next, _ := n.Plan(time.Minute, Members{Live: []string{"a", "b", "c", "d", "e", "f"}, Planner: true}, 0)
+	for _, tenant := range next.Tenants {
+		if got := tenant.Fractions.Count(); got < 8 || got > 11 {
+			t.Errorf("%s of six instances gets %d fractions", tenant.Address, got)
+		}
+	}
+	if next.assigned() != allFractions {
+		t.Errorf("fractions are left over: %+v", next)
+	}
+	if _, wanted := n.Plan(time.Minute, Members{Live: []string{"a", "b"}}, 0); wanted {
+		t.Error("an instance that is not the planner changes the assignment")
+	}
+}
+
+// Guards against a fleet that writes its assignment once for each instance.
+func TestOneWriteAssignsToAll(t *testing.T) {
+	var live []string
+	for i := range 59 {
+		live = append(live, fmt.Sprint("n", 10+i))
+	}
+	n := NewTenure(live[0], 0)
+	n.Proven(time.Minute)
+	next, wanted := n.Plan(time.Minute, Members{Live: live, Planner: true}, 0)
+	if !wanted || len(next.Tenants) != 59 || next.assigned() != allFractions {
+		t.Errorf("%d of 59 instances hold fractions, %d assigned", len(next.Tenants), next.assigned().Count())
+	}
+	n.Observe(time.Minute, next, 1)
+	if again, wanted := n.Plan(time.Minute, Members{Live: live, Planner: true}, 0); wanted {
+		t.Errorf("the assignment is changed again: %+v", again)
 	}
 }
--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -65,11 +65,11 @@
 	}
 }
 
-// register writes the entry of an instance.
-func (l *instanceList) register(ctx context.Context, i objectstore.Instance) error {
+// register writes the entry of an instance and reports whether it is new.
+func (l *instanceList) register(ctx context.Context, i objectstore.Instance) (created bool, err error) {
 	value, err := json.Marshal(i)
 	if err != nil {
-		return errors.Wrap(err, "encode the entry of this instance")
+		return false, errors.Wrap(err, "encode the entry of this instance")
 	}
 	return l.store.Overwrite(ctx, instancesKind+"/"+i.ID, value)
 }
--- a/proxy/node/lenders.go
+++ b/proxy/node/lenders.go
@@ -56,9 +56,10 @@
 	return all
 }
 
-// usable reports whether an instance answers and does not leave.
+// usable reports whether an instance does not leave and answered when it was last called. In a large fleet each
+// instance calls a few others only; those that were not called count as usable, so that all choose alike.
 func usable(p peer.Status) bool {
-	return p.Reachable && !p.Leaving && !p.Instance.Leaving
+	return (p.Reachable || !p.Tried) && !p.Leaving && !p.Instance.Leaving
 }
 
 func placeOf(i objectstore.Instance) Place {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -43,7 +43,12 @@
 	quotaGap     = 300 * time.Millisecond
 	instancesGap = 500 * time.Millisecond
 	// listPeriod is how often the set of peers takes the list of instances that was read last.
-	listPeriod = 500 * time.Millisecond
+	listPeriod = 200 * time.Millisecond
+	// gatherTime is how long a new instance waits before it reads the list of instances, because others that start
+	// with it enter themselves meanwhile. One that has started anew is in the list already.
+	gatherTime = 700 * time.Millisecond
+	// joinTimeout bounds the wait for the list of instances before the store is asked for everything else directly.
+	joinTimeout = 2 * time.Second
 	// readyPeriod is how often the reason for not being ready is looked at.
 	readyPeriod = 100 * time.Millisecond
 	// handOver is the time from the begin of a stop for which new sessions are still served: the platform
@@ -249,11 +254,17 @@
 }
 
 func (n *Node) start(ctx context.Context, tasks *sync.WaitGroup) {
-	tasks.Go(func() { n.register(ctx) })
-	tasks.Go(func() { n.configFollower().run(ctx) })
-	tasks.Go(func() { n.serverFollower().run(ctx) })
-	tasks.Go(func() { n.quotaFollower().run(ctx) })
-	tasks.Go(func() { n.instanceFollower().run(ctx) })
+	joined := make(chan struct{})
+	tasks.Go(func() {
+		n.register(ctx)
+		n.instanceFollower(joined).run(ctx)
+	})
+	for _, f := range []*follower{n.configFollower(), n.serverFollower(), n.quotaFollower()} {
+		tasks.Go(func() {
+			awaitJoin(ctx, joined)
+			f.run(ctx)
+		})
+	}
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.quota.Run(ctx) })
 	tasks.Go(func() { n.gateway.Maintain(ctx) })
@@ -306,13 +317,29 @@
 	return f
 }
 
-func (n *Node) instanceFollower() *follower {
+// instanceFollower returns the follower of the list of instances, which closes joined once it was read.
+func (n *Node) instanceFollower(joined chan<- struct{}) *follower {
 	f := n.follower(instancesKind, instancesWait, instancesGap)
 	f.listed, f.changed = n.instances.listed, n.instances.changed
-	f.contact = func(time.Duration) {}
+	join := sync.OnceFunc(func() {
+		n.peers.RefreshNow()
+		close(joined)
+	})
+	f.contact = func(time.Duration) { join() }
 	return f
 }
 
+// awaitJoin waits until the other instances are known, so that a relay among them can be asked in place of the store.
+func awaitJoin(ctx context.Context, joined <-chan struct{}) {
+	timer := time.NewTimer(joinTimeout)
+	defer timer.Stop()
+	select {
+	case <-joined:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) quotaFollower() *follower {
 	f := n.follower(quotaKind, quotaWait, quotaGap)
 	take := func(objects []platform.Object) {
@@ -337,8 +364,11 @@
 	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := n.instances.register(call, entry)
+		created, err := n.instances.register(call, entry)
 		cancel()
+		if err == nil && created {
+			wait.For(ctx, gatherTime)
+		}
 		if err == nil {
 			return
 		}
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -106,6 +106,11 @@
 	s.every(ctx, s.cfg.Heartbeat, func(ctx context.Context) { s.beat(ctx, &wg) })
 }
 
+// RefreshNow takes the list of instances at once.
+func (s *Set) RefreshNow() {
+	s.refresh(context.Background())
+}
+
 func (s *Set) every(ctx context.Context, period time.Duration, step func(context.Context)) {
 	for wait.For(ctx, s.jittered(period)) {
 		step(ctx)
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -121,7 +121,10 @@
 	live := w.cfg.Live()
 	w.mu.Lock()
 	now := w.driver.cfg.Clock()
-	members := quota.Members{Live: len(live), Gone: w.gone(now, live)}
+	members := quota.Members{
+		Live: live, Gone: w.gone(now, live),
+		Planner: peer.Rendezvous(quota.AssignmentKey, live) == w.driver.cfg.Self,
+	}
 	planned, wanted := w.tenure.Plan(now, members, lent)
 	version := w.tenure.Version()
 	wanted = wanted && now >= w.retryAt
