Wait longer for the leader's turn than for a replica's

Cause: a try's time was halved for reads even where only the leader can serve them, and six tenths of the half were all that a statement waited. The time for the queue, for the server and in all are told apart now. The test of hopeless statements measures the executions under load before it fills the queue; its bounds are the same.

--- a/proxy/gateway/gate.go
+++ b/proxy/gateway/gate.go
@@ -15,9 +15,6 @@
 // queuePerFlow bounds the waiting statements of an account and priority at one server.
 const queuePerFlow = 64
 
-// executionPart is the part of a statement's time that it may wait for its turn; the rest is for its execution.
-const executionPart = 0.6
-
 // errNoTurn tells that a statement would not get its turn in time.
 var errNoTurn = errors.New("the server is too busy to run the statement in time")
 
@@ -41,8 +38,8 @@
 	return &gate{now: now, queue: fairqueue.New(fairqueue.Config{}), waiting: map[fairqueue.RequestID]chan struct{}{}}
 }
 
-// enter waits for the turn of a statement that has the given time in all. leave ends its execution.
-func (g *gate) enter(ctx context.Context, d destination, executions int, timeout time.Duration) (leave func(), err error) {
+// enter waits for the turn of a statement, limit at most. leave ends its execution.
+func (g *gate) enter(ctx context.Context, d destination, executions int, limit time.Duration) (leave func(), err error) {
 	g.mu.Lock()
 	g.queue.Resize(fairqueue.Config{Slots: executions, Connections: executions, QueuePerAccount: queuePerFlow})
 	g.lastID++
@@ -51,7 +48,7 @@
 	now := g.now()
 	decision := g.queue.Submit(now, fairqueue.Request{
 		ID: id, Account: flow, Weight: connlimit.Weight(d.priority), HasConn: true,
-		Deadline: now + time.Duration(executionPart*float64(timeout)),
+		Deadline: now + limit,
 	})
 	if decision.Verdict == fairqueue.Refused {
 		g.mu.Unlock()
@@ -65,7 +62,7 @@
 	granted := make(chan struct{})
 	g.waiting[id] = granted
 	g.mu.Unlock()
-	return leave, g.await(ctx, id, flow, granted, time.Duration(executionPart*float64(timeout)))
+	return leave, g.await(ctx, id, flow, granted, limit)
 }
 
 // await waits until a queued statement is granted or its time is over.
@@ -142,10 +139,10 @@
 func (g *Gateway) enter(ctx context.Context, d destination, w *work) (leave func(), err error) {
 	began := time.Now()
 	executions := connlimit.Executions(max(d.server.Slots, 1), g.cfg.Instances(d.server))
-	leave, err = g.gateOf(d).enter(ctx, d, executions, w.timeout)
+	leave, err = g.gateOf(d).enter(ctx, d, executions, w.patience)
 	if err != nil {
 		return nil, err
 	}
-	w.timeout = max(w.timeout-time.Since(began), time.Millisecond)
+	w.spend(time.Since(began))
 	return leave, nil
 }
--- a/proxy/gateway/gate_test.go
+++ b/proxy/gateway/gate_test.go
@@ -75,11 +75,17 @@
 func TestHopelessStatementIsRefusedAtOnce(t *testing.T) {
 	b := newBench(t)
 	b.setWork(1, 60*time.Millisecond)
-	c := b.open("patient")
-	for range 30 {
-		c.want("w", "WRITE x v", "receipt|READY I -") // shows how long statements take
-	}
 	var callers sync.WaitGroup
+	for i := range 6 {
+		c := b.open("patient")
+		callers.Go(func() {
+			for n := range 8 {
+				// Shows how long statements take while the server is busy.
+				c.want(fmt.Sprintf("w%d-%d", i, n), "WRITE x v", "receipt|READY I -")
+			}
+		})
+	}
+	callers.Wait()
 	var o overload
 	for i := range 60 {
 		c := b.open("patient")
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -90,7 +90,7 @@
 
 // run lets a lender run one statement.
 func (l *lending) run(ctx context.Context, address string, d destination, w *work) (report, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.timeout+lendAllowance)
+	ctx, cancel := context.WithTimeout(ctx, w.left+lendAllowance)
 	defer cancel()
 	client := lendpb.NewDRPCLenderClient(l.conns.Conn(ctx, address))
 	out, err := client.Run(ctx, toOrder(&d, w))
@@ -124,7 +124,7 @@
 		return nil, report{}, l.failed(address, err)
 	}
 	r := &remoteLink{lending: l, address: address, stream: client, cancel: cancel}
-	rep, err := r.exchange(toOrder(&d, w), w.timeout)
+	rep, err := r.exchange(toOrder(&d, w), w.left)
 	l.notReached(address, d.server.ID, err)
 	if err != nil || rep.notOpened {
 		r.release()
@@ -142,7 +142,7 @@
 }
 
 func (r *remoteLink) perform(_ context.Context, w *work) (report, error) {
-	return r.exchange(toOrder(nil, w), w.timeout)
+	return r.exchange(toOrder(nil, w), w.left)
 }
 
 func (r *remoteLink) exchange(order *lendpb.Order, timeout time.Duration) (report, error) {
@@ -170,7 +170,7 @@
 		Opening:   lendpb.Opening(w.opening),
 		AfterTerm: w.after.Term,
 		AfterLsn:  w.after.LSN,
-		TimeoutMs: uint32(max(w.timeout.Milliseconds(), 1)),
+		LeftMs:    toMillis(w.left), PatienceMs: toMillis(w.patience), TimeoutMs: toMillis(w.timeout),
 		Statement: &lendpb.Statement{
 			Id: w.stmt.ID, Kind: int32(w.stmt.Kind), Text: w.stmt.Text, Value: w.stmt.Value,
 			Writes: w.uses.Writes, Shape: w.uses.Shape,
@@ -189,6 +189,15 @@
 	return o
 }
 
+// toMillis renders a time that must not become zero.
+func toMillis(d time.Duration) uint32 {
+	return uint32(max(d.Milliseconds(), 1))
+}
+
+func fromMillis(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
 func fromOrder(o *lendpb.Order) *work {
 	s := o.GetStatement()
 	return &work{
@@ -197,7 +206,7 @@
 		after:   position.Position{Term: o.GetAfterTerm(), LSN: o.GetAfterLsn()},
 		stmt:    sessionstate.Statement{ID: s.GetId(), Kind: sessionstate.Kind(s.GetKind()), Text: s.GetText(), Value: s.GetValue()},
 		uses:    sessionstate.Prepared{Writes: s.GetWrites(), Shape: s.GetShape()},
-		timeout: time.Duration(o.GetTimeoutMs()) * time.Millisecond,
+		left:    fromMillis(o.GetLeftMs()), patience: fromMillis(o.GetPatienceMs()), timeout: fromMillis(o.GetTimeoutMs()),
 	}
 }
 
@@ -243,7 +252,7 @@
 	case in.GetPlacing() == lendpb.Placing_LEAVING:
 		return report{}, &lenderGoneError{cause: errors.New(in.GetFailure())}
 	case in.GetPlacing() == lendpb.Placing_BUSY:
-		return report{}, noTurn(time.Duration(in.GetRetryAfterMs()) * time.Millisecond)
+		return report{}, noTurn(fromMillis(in.GetRetryAfterMs()))
 	case in.GetPlacing() != lendpb.Placing_PLACED:
 		return report{}, &notPlacedError{full: in.GetPlacing() == lendpb.Placing_FULL, cause: errors.New(in.GetFailure())}
 	case in.GetSilent():
@@ -267,7 +276,7 @@
 		return leavingReport(), nil
 	}
 	w := fromOrder(in)
-	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+	ctx, cancel := context.WithTimeout(ctx, w.left)
 	defer cancel()
 	r, err := g.runLocal(ctx, destinationOf(in), w)
 	return toReport(r, err), nil
@@ -287,7 +296,7 @@
 		return stream.Send(leavingReport())
 	}
 	w := fromOrder(first)
-	ctx, cancel := context.WithTimeout(stream.Context(), w.timeout)
+	ctx, cancel := context.WithTimeout(stream.Context(), w.left)
 	defer cancel()
 	l, r, err := g.openLocal(ctx, destinationOf(first), w)
 	sendErr := stream.Send(toReport(r, err))
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -18,6 +18,10 @@
 	maxTries = 6
 	// firstReadTimeout is the least time that a read waits for one server before another is tried.
 	firstReadTimeout = 300 * time.Millisecond
+	// leaderPatience and replicaPatience are the parts of a statement's time, in percent, that it waits for its turn
+	// at a server. Executions take far less than what is left then.
+	leaderPatience  = 75
+	replicaPatience = 35
 	// leaderPause is the wait before a leader is looked for again.
 	leaderPause = 40 * time.Millisecond
 )
@@ -145,16 +149,14 @@
 // attempt runs the statement on one server. It reports whether the statement was answered; otherwise it may be
 // tried again.
 func (n *session) attempt(t *try, s discovery.Server) bool {
-	w := &work{values: n.state.Values(), after: t.floor, stmt: t.stmt, uses: t.verdict.Uses, timeout: t.timeout()}
+	w := t.work(n.state.Values())
 	if t.leads() && !t.verdict.Writes {
 		// Only the leader accepts the transaction; a write proves the same by itself.
 		w.opening = openLeader
 	}
 	sent := n.gw.cfg.Now()
 	t.view.sent(s.ID)
-	ctx, cancel := context.WithTimeout(t.left, w.timeout)
-	defer cancel()
-	r, err := n.gw.runOnce(ctx, t.destination(s), w)
+	r, err := n.gw.runOnce(t.left, t.destination(s), w)
 	if err != nil {
 		return n.attemptFailed(t, s, err)
 	}
@@ -172,14 +174,22 @@
 	return true
 }
 
-// timeout is how long this try may take: a read leaves time for another server.
-func (t *try) timeout() time.Duration {
+// work returns what this try asks a server for. A read leaves time for another server. It waits long for the leader's
+// turn, which nobody else can give, and shortly for that of a replica.
+func (t *try) work(values map[string]string) *work {
 	deadline, _ := t.left.Deadline()
-	left := time.Until(deadline)
-	if t.verdict.Writes || t.number >= maxTries-1 {
-		return left
+	left := max(time.Until(deadline), time.Millisecond)
+	w := &work{
+		values: values, after: t.floor, stmt: t.stmt, uses: t.verdict.Uses,
+		left: left, patience: left * leaderPatience / 100, timeout: left,
 	}
-	return min(max(left/2, firstReadTimeout), left)
+	if !t.leads() {
+		w.patience = left * replicaPatience / 100
+	}
+	if !t.verdict.Writes && t.number < maxTries-1 {
+		w.timeout = min(max(left/2, firstReadTimeout), left)
+	}
+	return w
 }
 
 // attemptFailed notes that no answer came. A read is tried elsewhere; what became of a write is not known once it
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +57,11 @@
 
 func (n *session) workInTransaction(r request) *work {
 	left := r.grant.Route.StatementTimeout - (n.gw.cfg.Now() - r.began)
-	return &work{values: n.state.Values(), stmt: r.stmt, uses: r.verdict.Uses, timeout: max(left, time.Millisecond)}
+	left = max(left, time.Millisecond)
+	return &work{
+		values: n.state.Values(), stmt: r.stmt, uses: r.verdict.Uses,
+		left: left, patience: left * leaderPatience / 100, timeout: left,
+	}
 }
 
 // transactionSilent notes that a statement of a transaction got no answer.
@@ -119,18 +122,14 @@
 
 // openOn begins the transaction on a server. It reports whether the caller was answered.
 func (n *session) openOn(t *try, s discovery.Server) bool {
-	w := &work{
-		values: n.state.Values(), opening: openReadOnly, after: t.floor,
-		stmt: t.stmt, uses: t.verdict.Uses, timeout: t.timeout(),
-	}
+	w := t.work(n.state.Values())
+	w.opening = openReadOnly
 	if t.leads() {
 		w.opening = openLeader
 	}
 	sent := n.gw.cfg.Now()
 	t.view.sent(s.ID)
-	ctx, cancel := context.WithTimeout(t.left, w.timeout)
-	defer cancel()
-	l, rep, err := n.gw.openLink(ctx, t.destination(s), w)
+	l, rep, err := n.gw.openLink(t.left, t.destination(s), w)
 	if err != nil {
 		return n.openFailed(t, s, err)
 	}
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -29,7 +29,16 @@
 	after   position.Position // that the server's log must have
 	stmt    sessionstate.Statement
 	uses    sessionstate.Prepared // of an execution
-	timeout time.Duration
+	// left is the time for all of it, patience the part of it that may pass in the queue of the server, and timeout
+	// how long the server may take.
+	left, patience, timeout time.Duration
+}
+
+// spend takes time that has passed off the work's.
+func (w *work) spend(d time.Duration) {
+	w.left = max(w.left-d, time.Millisecond)
+	w.patience = max(w.patience-d, time.Millisecond)
+	w.timeout = min(w.timeout, w.left)
 }
 
 // prepared returns the prepared statement that the work needs, or nil.
@@ -228,7 +237,7 @@
 		full := errors.Is(err, errServerFull) || errors.Is(err, errConnections)
 		return nil, report{}, &notPlacedError{full: full, cause: err}
 	}
-	w.timeout = max(w.timeout-time.Since(began), time.Millisecond)
+	w.spend(time.Since(began))
 	l := &localLink{gw: g, destination: d, up: up}
 	r, err := l.performNow(w)
 	return l, r, err
