--- /dev/null
+++ b/cmd/internal/ctl/explain.go
@@ -0,0 +1,209 @@
+package ctl
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
+	"github.com/cyclamenstile/cyclamenstile/proxy/node"
+	"github.com/cyclamenstile/cyclamenstile/proxy/quota"
+)
+
+// errNoLines tells that the logs hold nothing about a request.
+var errNoLines = errors.New("no log line has this request id; see whether the logs cover its time, and the metric log_lines_left_out_total")
+
+// maxLogLine is longer than any line that an instance writes, in bytes.
+const maxLogLine = 1 << 20
+
+// beliefEvents tell what an instance believed of its surroundings: the configuration, the store, its readiness and its
+// quota.
+var beliefEvents = []string{
+	node.EventConfig, node.EventStoreLost, node.EventStoreBack, node.EventReady, node.EventNotReady, quota.EventFractions,
+}
+
+// serverEvents tell what an instance believed of one server or of the primary of a database.
+var serverEvents = []string{
+	node.EventServerChanged, node.EventPrimaryLost, node.EventPrimarySuspected, node.EventPromoting, node.EventPromoted,
+	node.EventPromotionFailed, node.EventClaimLost, gateway.EventUnreachable,
+}
+
+// logLine is one line of an instance's log.
+type logLine struct {
+	Instance string         `json:"instance"`
+	Time     string         `json:"time"`
+	Event    string         `json:"event"`
+	Message  string         `json:"message"`
+	Fields   map[string]any `json:"fields"`
+}
+
+// story is what the logs tell about one request.
+type story struct {
+	ID string `json:"id"`
+	// Lines name the request, in the order of their time.
+	Lines []logLine `json:"lines"`
+	// Beliefs are the last lines before the request's end about what the instances and servers concerned did.
+	Beliefs []logLine `json:"beliefs"`
+}
+
+func newExplain(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID [FILE...]",
+		Short: "Tell from logs what became of a request, and what decided it",
+		Long: `explain reads the log lines of instances from files, or from standard input, and prints those about one
+request and the last ones before its end about the configuration, the store, and the servers concerned.`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLogs(cmd.InOrStdin(), args[1:])
+			if err != nil {
+				return err
+			}
+			s := explain(args[0], lines)
+			if len(s.Lines) == 0 {
+				return errNoLines
+			}
+			return o.print(cmd.OutOrStdout(), s)
+		},
+	}
+}
+
+// readLogs reads the lines of all files, or of stdin without any. What is not a JSON object is left out.
+func readLogs(stdin io.Reader, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return readLog(stdin)
+	}
+	var out []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "log can't be read; check the path")
+		}
+		lines, err := readLog(f)
+		_ = f.Close() // only read from
+		if err != nil {
+			return nil, errors.Wrapf(err, "read %s", name)
+		}
+		out = append(out, lines...)
+	}
+	slices.SortStableFunc(out, func(a, b logLine) int { return strings.Compare(a.Time, b.Time) })
+	return out, nil
+}
+
+func readLog(r io.Reader) ([]logLine, error) {
+	var out []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLogLine)
+	for scanner.Scan() {
+		if line, ok := parseLine(scanner.Text()); ok {
+			out = append(out, line)
+		}
+	}
+	return out, errors.Wrap(scanner.Err(), "read a log")
+}
+
+// parseLine reads a line, which a collector may have prefixed.
+func parseLine(text string) (logLine, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return logLine{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(text[start:]), &fields) != nil {
+		return logLine{}, false
+	}
+	take := func(name string) string {
+		value, _ := fields[name].(string)
+		delete(fields, name)
+		return value
+	}
+	line := logLine{Instance: take("instance"), Time: take("time"), Event: take("event"), Message: take("msg")}
+	delete(fields, "level")
+	line.Fields = fields
+	return line, line.Event != ""
+}
+
+// explain picks the lines that tell about a request.
+func explain(id string, lines []logLine) story {
+	s := story{ID: id}
+	last := -1
+	for i, line := range lines {
+		if line.Fields["id"] == id {
+			s.Lines = append(s.Lines, line)
+			last = i
+		}
+	}
+	if last < 0 {
+		return s
+	}
+	seen := map[string]bool{}
+	for _, line := range slices.Backward(lines[:last]) {
+		if key := beliefKey(line, s.Lines); key != "" && !seen[key] {
+			seen[key] = true
+			s.Beliefs = append(s.Beliefs, line)
+		}
+	}
+	slices.Reverse(s.Beliefs)
+	return s
+}
+
+// beliefKey names what a line tells about the request's surroundings, so that only the last such line counts; empty if
+// the line is not about them.
+func beliefKey(line logLine, request []logLine) string {
+	for _, about := range request {
+		server, _ := about.Fields["server"].(string)
+		switch {
+		case slices.Contains(beliefEvents, line.Event) && line.Instance == about.Instance:
+			return strings.Join([]string{line.Instance, topic(line), fmt.Sprint(line.Fields["kind"])}, " ")
+		case slices.Contains(serverEvents, line.Event) && server != "" && (line.Fields["server"] == server || line.Fields["old"] == server):
+			return line.Event + " " + server
+		}
+	}
+	return ""
+}
+
+// topic joins the events that end each other.
+func topic(line logLine) string {
+	switch line.Event {
+	case node.EventStoreLost, node.EventStoreBack:
+		return "store"
+	case node.EventReady, node.EventNotReady:
+		return "readiness"
+	}
+	return line.Event
+}
+
+func (s story) writeText(w io.Writer) {
+	fmt.Fprintf(w, "request %s\n", s.ID)
+	for _, line := range s.Lines {
+		line.writeText(w)
+	}
+	fmt.Fprintln(w, "what was believed before its end")
+	for _, line := range s.Beliefs {
+		line.writeText(w)
+	}
+}
+
+func (l logLine) writeText(w io.Writer) {
+	fmt.Fprintf(w, "  %s %s %s %s\n", l.Time, l.Instance, l.Event, l.Message)
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var parts []string
+	for _, name := range names {
+		if name != "id" {
+			parts = append(parts, fmt.Sprintf("%s=%v", name, l.Fields[name]))
+		}
+	}
+	if len(parts) > 0 {
+		fmt.Fprintf(w, "      %s\n", strings.Join(parts, " "))
+	}
+}
--- a/cmd/internal/serve/main.go
+++ b/cmd/internal/serve/main.go
@@ -50,7 +50,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(New(), edge.New())
+	root.AddCommand(New(), edge.New(), edge.NewCheckSettings())
 	return root
 }
 
--- a/proxy/gateway/events.go
+++ b/proxy/gateway/events.go
@@ -22,4 +22,6 @@
 	EventTriedAgain = "CYC-7009"
 	// EventLinesLeftOut: lines of an event were left out because there were too many.
 	EventLinesLeftOut = "CYC-7010"
+	// EventLoanFailed: a statement that another instance asked for got no answer, or no connection.
+	EventLoanFailed = "CYC-7011"
 )
--- a/proxy/gateway/journal.go
+++ b/proxy/gateway/journal.go
@@ -137,6 +137,13 @@
 	return ""
 }
 
+// loanFailed tells why this instance, as a lender, could not answer a statement of another one.
+func (j *Journal) loanFailed(w *work, d destination, err error) {
+	j.event(EventLoanFailed).WithFields(logrus.Fields{
+		"id": w.stmt.ID, "account": d.account, "server": d.server.ID, "left_ms": w.left.Milliseconds(),
+	}).WithError(err).Info("statement of another instance was not answered")
+}
+
 func (j *Journal) unreachable(s discovery.Server, err error) {
 	j.event(EventUnreachable).WithFields(logrus.Fields{
 		"server": s.ID, "database": s.Database,
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -278,7 +278,11 @@
 	w := fromOrder(in)
 	ctx, cancel := context.WithTimeout(ctx, w.left)
 	defer cancel()
-	r, err := g.runLocal(ctx, destinationOf(in), w)
+	d := destinationOf(in)
+	r, err := g.runLocal(ctx, d, w)
+	if err != nil {
+		g.cfg.Log.loanFailed(w, d, err)
+	}
 	return toReport(r, err), nil
 }
 
@@ -298,7 +302,11 @@
 	w := fromOrder(first)
 	ctx, cancel := context.WithTimeout(stream.Context(), w.left)
 	defer cancel()
-	l, r, err := g.openLocal(ctx, destinationOf(first), w)
+	d := destinationOf(first)
+	l, r, err := g.openLocal(ctx, d, w)
+	if err != nil {
+		g.cfg.Log.loanFailed(w, d, err)
+	}
 	sendErr := stream.Send(toReport(r, err))
 	if l == nil {
 		return sendErr
--- a/proxy/node/node_test.go
+++ b/proxy/node/node_test.go
@@ -122,8 +122,15 @@
 	}
 }
 
-func server(name, state string) platform.Object {
-	return platform.Object{Name: name, Revision: 1, Spec: []byte(`{"service":"db","address":"10.0.0.9:8080","zone":"z1","slots":3,"state":"` + state + `","cold_left_ms":0,"db_role":"replica","sequence":4}`)}
+func server(t *testing.T, name string, leaving bool) platform.Object {
+	t.Helper()
+	spec, err := platform.EncodeServer(discovery.Server{
+		Database: "db", Address: "10.0.0.9:8080", FailureDomain: "z1", Slots: 3, Leaving: leaving,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Object{Name: name, Revision: 1, Spec: spec}
 }
 
 // Guards against foreign entries that remove or hide others, and against a change that is lost.
@@ -131,15 +138,15 @@
 	var last []discovery.Server
 	r := &registry{log: silent(), regions: map[string]string{}, publish: func(s []discovery.Server) { last = s }}
 	foreign := platform.Object{Name: "i-2", Spec: []byte("nonsense")}
-	r.listed([]platform.Object{server("i-1", "ready"), foreign, server("i-3", "ready")})
+	r.listed([]platform.Object{server(t, "i-1", false), foreign, server(t, "i-3", false)})
 	if len(last) != 2 {
 		t.Fatalf("%d servers", len(last))
 	}
-	r.changed([]platform.Object{server("i-1", "draining"), {Name: "i-3", Deleted: true}})
+	r.changed([]platform.Object{server(t, "i-1", true), {Name: "i-3", Deleted: true}})
 	if len(last) != 1 || !last[0].Leaving {
 		t.Errorf("servers %+v", last)
 	}
-	r.changed([]platform.Object{{Name: "i-1", Spec: []byte(`{"state":"ready"}`)}})
+	r.changed([]platform.Object{{Name: "i-1", Spec: []byte(`{"foreign":true}`)}})
 	if len(last) != 0 {
 		t.Errorf("servers %+v after the entry was overwritten", last)
 	}
--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -98,7 +98,7 @@
 	var s Settings
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return s, errors.Wrap(err, "settings can't be read; check the path in CYCLAMENSTILE_SETTINGS")
+		return s, errors.Wrap(err, "settings can't be read; check the path given with --settings")
 	}
 	if err := yaml.Unmarshal(data, &s); err != nil {
 		return s, errors.Wrapf(err, "settings %s are not valid; compare them with deploy/settings.yaml", path)
