Add a fault soak of real processes, and a stand-in of the platform

cyclamenctl soak runs instances as processes between stand-ins of the platform's store, promotions and databases, and injects faults from outside: relays that cut, delay and silence, signals, restarts, compactions, withdrawn keys. It checks sessions, strict reads, at-most-once writes, true refusals, keys, rates and recovery.

--- a/cmd/internal/benchcmd/deployment.go
+++ b/cmd/internal/benchcmd/deployment.go
@@ -10,6 +10,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/relay"
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
@@ -123,9 +124,9 @@
 type deployment struct {
 	*local.Deployment
 	size    size
-	network *network // from instances to servers and to other instances
-	peers   *network // between servers
-	callers []*relay // by instance
+	network *network       // from instances to servers and to other instances
+	peers   *network       // between servers
+	callers []*relay.Relay // by instance
 }
 
 // settings are what a bench varies.
@@ -213,7 +214,7 @@
 
 func (d *deployment) startCallers() error {
 	for _, i := range d.Instances {
-		r, err := startRelay(i.Address, callerDelay, callerDelay)
+		r, err := relay.Start(i.Address, callerDelay, callerDelay)
 		if err != nil {
 			return err
 		}
@@ -224,7 +225,7 @@
 
 func (d *deployment) close() {
 	for _, r := range d.callers {
-		r.proxy.Stop()
+		r.Cut()
 	}
 	if d.Deployment != nil {
 		d.Deployment.Close()
@@ -244,7 +245,7 @@
 }
 
 // loadThrough returns the load of all accounts through entry relays.
-func loadThrough(entries []*relay, key func(account string) string, route string, seed uint64, duration time.Duration) load.Config {
+func loadThrough(entries []*relay.Relay, key func(account string) string, route string, seed uint64, duration time.Duration) load.Config {
 	c := load.Config{
 		Database:    route,
 		Connections: clientAccounts * sessionsPerAccount,
@@ -254,7 +255,7 @@
 		Run:         route,
 	}
 	for _, r := range entries {
-		c.Addresses = append(c.Addresses, r.proxy.Listen)
+		c.Addresses = append(c.Addresses, r.Proxy.Listen)
 	}
 	for i := range clientAccounts {
 		name := clientName(i)
--- a/cmd/internal/benchcmd/failover_plain.go
+++ b/cmd/internal/benchcmd/failover_plain.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/relay"
 	"github.com/cyclamenstile/cyclamenstile/decision/authority"
 	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
@@ -31,7 +32,7 @@
 	group   *database.Group
 	network *network // of callers and script to servers
 	peers   *network
-	entries []*relay // by region
+	entries []*relay.Relay // by region
 	primary int
 }
 
@@ -62,7 +63,7 @@
 		if err != nil {
 			return err
 		}
-		entry, err := startRelay(through, callerDelay, callerDelay)
+		entry, err := relay.Start(through, callerDelay, callerDelay)
 		if err != nil {
 			return err
 		}
@@ -73,7 +74,7 @@
 
 func (p *plainFailover) close() {
 	for _, e := range p.entries {
-		e.proxy.Stop()
+		e.Cut()
 	}
 	p.group.Close()
 	p.network.close()
@@ -156,8 +157,8 @@
 		if err != nil {
 			return err
 		}
-		to := &toxiproxy.Proxy{Listen: e.proxy.Listen, Upstream: through, Enabled: true}
-		if err := e.proxy.Update(to); err != nil {
+		to := &toxiproxy.Proxy{Listen: e.Proxy.Listen, Upstream: through, Enabled: true}
+		if err := e.Proxy.Update(to); err != nil {
 			return errors.Wrap(err, "move an entry address")
 		}
 	}
--- /dev/null
+++ b/cmd/internal/soak/command.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+// errBroken tells that a promise was broken.
+var errBroken = errors.New("a promise was broken; the result names the seed and the logs")
+
+// NewCommand returns the soak command.
+func NewCommand() *cobra.Command {
+	cfg := Config{}
+	var seeds int
+	var verbose bool
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Run real instances under random faults and check the promises",
+		Long: `soak starts instances as processes, databases and the platform as stand-ins, and injects faults from outside. It prints
+one JSON line a seed and fails if a promise was broken. Nothing but loopback is used.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Log = io.Discard
+			if verbose {
+				cfg.Log = cmd.ErrOrStderr()
+			}
+			return runSeeds(cmd, cfg, seeds)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&cfg.Binary, "binary", besides("cyclamenstile"), "the daemon to run")
+	f.StringVar(&cfg.Dir, "dir", "", "folder for settings and logs; default: a temporary one, kept after a broken promise")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "first seed")
+	f.IntVar(&seeds, "seeds", 1, "number of seeds, one after the other")
+	f.DurationVar(&cfg.Duration, "duration", 15*time.Second, "time of the faults in each run")
+	f.IntVar(&cfg.Processes, "processes", 4, "instances")
+	f.IntVar(&cfg.Databases, "databases", 2, "databases of three servers each")
+	f.IntVar(&cfg.Callers, "callers", 16, "callers")
+	f.BoolVar(&verbose, "verbose", false, "print each fault")
+	return cmd
+}
+
+// besides returns the path of a program in the folder of this one.
+func besides(name string) string {
+	self, err := os.Executable()
+	if err != nil {
+		return name
+	}
+	return filepath.Join(filepath.Dir(self), name)
+}
+
+func runSeeds(cmd *cobra.Command, cfg Config, seeds int) error {
+	broken := false
+	first := cfg.Seed
+	for n := range seeds {
+		cfg.Seed = first + uint64(n)
+		result, err := Run(cmd.Context(), cfg)
+		if err != nil {
+			return err
+		}
+		line, err := json.Marshal(result)
+		if err != nil {
+			return errors.Wrap(err, "encode a result")
+		}
+		if _, err := fmt.Fprintln(cmd.OutOrStdout(), string(line)); err != nil {
+			return errors.Wrap(err, "print a result")
+		}
+		broken = broken || len(result.Violations) > 0
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/soak/process.go
@@ -0,0 +1,158 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/relay"
+)
+
+const (
+	stopGrace  = 6 * time.Second
+	readyPoll  = 50 * time.Millisecond
+	startLimit = 20 * time.Second
+)
+
+const settingsTemplate = `instance: %[1]s
+place: {region: %[2]s, failureDomain: %[2]s}
+listen: {callers: "%[3]s", ready: "%[4]s", peers: "%[5]s"}
+store: "%[6]s"
+promotion: "%[6]s"
+regions: {north: north, south: south, west: west}
+bounds: {stopSeconds: %[7]d, keyWithdrawalMillis: %[8]d}
+quota: {windowSeconds: %[9]d, overage: %[10]g, slackStatements: %[11]d}
+logLevel: info
+`
+
+// Bounds of the promises, as the settings of the instances have them.
+const (
+	keyWithdrawal = 5 * time.Second
+	quotaWindow   = 5 * time.Second
+	quotaOverage  = 0.1
+	quotaSlack    = 20
+)
+
+// instance is one process under test.
+type instance struct {
+	name     string
+	binary   string
+	settings string
+	log      string
+	callers  string // address
+	ready    string
+	store    *relay.Relay
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{} // closed when the process has ended
+	stopped bool          // by SIGSTOP
+}
+
+// newInstance writes the settings of an instance; start runs it.
+func newInstance(w *world, binary, dir, name, zone string) (*instance, error) {
+	var addresses [3]string
+	for i := range addresses {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses[i] = a
+	}
+	r, err := relay.Start(w.platform.Address(), 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{
+		name: name, binary: binary, callers: addresses[0], ready: addresses[1], store: r,
+		settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"),
+	}
+	text := fmt.Sprintf(settingsTemplate, name, zone, addresses[0], addresses[1], addresses[2], r.Address(),
+		int(stopGrace.Seconds()), keyWithdrawal.Milliseconds(), int(quotaWindow.Seconds()), quotaOverage, quotaSlack)
+	return i, errors.Wrap(os.WriteFile(i.settings, []byte(text), 0o600), "write settings")
+}
+
+// start runs the process; its log is appended.
+func (i *instance) start() error {
+	log, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open a log")
+	}
+	defer func() { _ = log.Close() }() // the process has its own descriptor
+	cmd := exec.Command(i.binary, "edge", "--settings", i.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start an instance; check --binary")
+	}
+	done := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // killed processes are expected
+		close(done)
+	}()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cmd, i.done, i.stopped = cmd, done, false
+	return nil
+}
+
+func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cmd == nil {
+		return
+	}
+	switch s {
+	case syscall.SIGSTOP:
+		i.stopped = true
+	case syscall.SIGCONT:
+		i.stopped = false
+	}
+	_ = i.cmd.Process.Signal(s) // the process may have ended
+}
+
+// end ends the process with a signal, and kills it after its grace.
+func (i *instance) end(s syscall.Signal) {
+	i.mu.Lock()
+	cmd, done := i.cmd, i.done
+	i.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	i.signal(syscall.SIGCONT)
+	i.signal(s)
+	select {
+	case <-done:
+		return
+	case <-time.After(stopGrace):
+	}
+	_ = cmd.Process.Kill()
+	<-done
+}
+
+// isReady reports whether the instance wants callers.
+func (i *instance) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + i.ready + readyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until the instance wants callers.
+func (i *instance) awaitReady() error {
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(readyPoll) {
+		if i.isReady() {
+			return nil
+		}
+	}
+	return errors.Newf("instance %s is not ready after %s; see its log", i.name, startLimit)
+}
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -21,6 +21,8 @@
 	Values string
 	// InTx tells that it ran inside a transaction.
 	InTx bool
+	// At is when it ran.
+	At time.Time
 	// Effect tells that it was a write or commit which took effect.
 	Effect bool
 }
@@ -99,6 +101,13 @@
 	return slices.Clone(g.runs)
 }
 
+// Leader returns the server that leads, empty for none.
+func (g *Group) Leader() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader
+}
+
 // Opened returns the number of sessions opened at all servers so far.
 func (g *Group) Opened() int {
 	g.mu.Lock()
@@ -384,7 +393,7 @@
 	if c.server.refuse != "" {
 		return c.fail(c.server.refuse)
 	}
-	run := Run{Server: c.server.ID, Account: c.account, ID: id, Text: text, Values: c.rendered(), InTx: c.state != "I"}
+	run := Run{Server: c.server.ID, Account: c.account, ID: id, Text: text, Values: c.rendered(), InTx: c.state != "I", At: time.Now()}
 	writes := word == "WRITE"
 	item, value, _ := strings.Cut(rest, " ")
 	if word == "EXECUTE" {
