--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -75,8 +75,11 @@
 			r.value = f[1]
 		case "COMPLETE":
 			word = "done"
-			if strings.HasPrefix(f[1], "receipt-") {
+			switch {
+			case strings.HasPrefix(f[1], "receipt-") && strings.HasSuffix(f[1], "-"+id):
 				word = "receipt"
+			case f[1] != "-":
+				word = foreignAnswer
 			}
 		case "ERROR":
 			word = f[1]
@@ -87,6 +90,9 @@
 	}
 }
 
+// foreignAnswer is an answer with the receipt of another request.
+const foreignAnswer = "foreign"
+
 // promises are the words that say that nothing is kept.
 var promises = map[string]bool{
 	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true, "NOAUTH": true, "MALFORMED": true,
@@ -162,6 +168,15 @@
 	}
 }
 
+// ask sends a query on the open session. An answer with the receipt of another request is a broken promise.
+func (c *caller) ask(id, text string) reply {
+	r := c.active.ask(id, text)
+	if r.word == foreignAnswer {
+		c.run.violate("%s: %s was answered with the receipt of another request", c.name, id)
+	}
+	return r
+}
+
 func (c *caller) id() string {
 	c.count++
 	return fmt.Sprintf("%s-%d", c.name, c.count)
@@ -186,11 +201,11 @@
 func (c *caller) write() {
 	id := c.id()
 	value := c.count
-	c.note(id, value, c.active.ask(id, fmt.Sprintf("WRITE %s %d", c.item, value)))
+	c.note(id, value, c.ask(id, fmt.Sprintf("WRITE %s %d", c.item, value)))
 }
 
 func (c *caller) transact() {
-	if r := c.active.ask(c.id(), "BEGIN"); r.word != "done" {
+	if r := c.ask(c.id(), "BEGIN"); r.word != "done" {
 		if r.word == "broken" || r.word == "NOAUTH" {
 			c.leave()
 		}
@@ -198,7 +213,7 @@
 	}
 	id := c.id()
 	value := c.count
-	if r := c.active.ask(id, fmt.Sprintf("WRITE %s %d", c.item, value)); r.word != "receipt" {
+	if r := c.ask(id, fmt.Sprintf("WRITE %s %d", c.item, value)); r.word != "receipt" {
 		c.abort(r)
 		return
 	}
@@ -207,13 +222,13 @@
 		return
 	}
 	commit := c.id()
-	c.note(commit, value, c.active.ask(commit, "COMMIT"))
+	c.note(commit, value, c.ask(commit, "COMMIT"))
 }
 
 // abort ends a transaction that is not committed.
 func (c *caller) abort(r reply) {
 	if r.state == "T" || r.state == "E" {
-		r = c.active.ask(c.id(), "ROLLBACK")
+		r = c.ask(c.id(), "ROLLBACK")
 	}
 	if r.word != "done" {
 		c.leave()
@@ -224,7 +239,7 @@
 func (c *caller) read() {
 	sent := time.Now()
 	id := c.id()
-	r := c.active.ask(id, "READ "+c.item)
+	r := c.ask(id, "READ "+c.item)
 	if c.account == greedy {
 		c.run.noteSent(id, sent)
 	}
@@ -238,7 +253,7 @@
 	value, _ := strconv.Atoi(r.value) // "-" is no value, 0
 	if !strings.HasSuffix(c.route, "-strict") {
 		if value < c.written {
-			c.run.violate("%s: read %s gave %q, but its session has written %d", c.name, id, r.value, c.written)
+			c.run.violate("%s: read %s gave %q, but its session has written %d; %s", c.name, id, r.value, c.written, c.run.story(c.item))
 		}
 		return
 	}
@@ -246,7 +261,7 @@
 		c.acked = max(c.acked, value)
 		return
 	}
-	c.run.violate("%s: read %s gave %q, but %d was acknowledged", c.name, id, r.value, c.acked)
+	c.run.violate("%s: read %s gave %q, but %d was acknowledged; %s", c.name, id, r.value, c.acked, c.run.story(c.item))
 }
 
 // ledger is what callers were told, for the check at the end.
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -122,6 +123,20 @@
 	return result, nil
 }
 
+// story tells what the servers have run lately on an item, and on transactions.
+func (r *run) story(item string) string {
+	const last = 8
+	var lines []string
+	for _, group := range r.world.databases {
+		for _, each := range group.Runs() {
+			if strings.Contains(each.Text, " "+item+" ") || strings.HasSuffix(each.Text, " "+item) {
+				lines = append(lines, fmt.Sprintf("%s %s at %s (%q, effect %t, in transaction %t)", each.At.Format("15:04:05.000"), each.ID, each.Server, each.Text, each.Effect, each.InTx))
+			}
+		}
+	}
+	return strings.Join(lines[max(len(lines)-last, 0):], "; ")
+}
+
 func (r *run) startAll() error {
 	for n := range r.cfg.Processes {
 		i, err := newInstance(r.world, r.cfg.Binary, r.cfg.Dir, fmt.Sprintf("edge-%d", n), zones[n%len(zones)])
