Allow writes in doubt to take effect late in the soak's check

The users' pages say that an order without an answer may be executed seconds later, and nothing is promised for one in doubt. The check allows just the values in doubt; all others stay as strict.

--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -235,7 +235,9 @@
 	}
 }
 
-// read checks that every acknowledged write is seen, and on routes that accept older data those of the own session.
+// read checks that every acknowledged write is seen, and on routes that accept older data those of the own session. A
+// write in doubt may take effect at any later time, over newer ones: its bytes can lie in a relay whose sender has
+// closed the connection already.
 func (c *caller) read() {
 	sent := time.Now()
 	id := c.id()
@@ -252,13 +254,13 @@
 	c.run.served()
 	value, _ := strconv.Atoi(r.value) // "-" is no value, 0
 	if !strings.HasSuffix(c.route, "-strict") {
-		if value < c.written {
+		if value < c.written && !c.doubt[value] {
 			c.run.violate("%s: read %s gave %q, but its session has written %d; %s", c.name, id, r.value, c.written, c.run.story(c.item))
 		}
 		return
 	}
-	if value == c.acked || value > c.acked && c.doubt[value] {
-		c.acked = max(c.acked, value)
+	if value == c.acked || c.doubt[value] {
+		c.acked = value
 		return
 	}
 	c.run.violate("%s: read %s gave %q, but %d was acknowledged; %s", c.name, id, r.value, c.acked, c.run.story(c.item))
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -13,6 +13,7 @@
 	cause string
 }{
 	{1, "never failed; keeps the soak itself working"},
+	{103, "a write in doubt took effect late, over acknowledged ones; the check did not allow that, which the users' pages do"},
 }
 
 // Guards against promises that the real programs break under faults from outside.
