--- a/cmd/internal/soak/command.go
+++ b/cmd/internal/soak/command.go
@@ -65,6 +65,9 @@
 		if err != nil {
 			return err
 		}
+		if cmd.Context().Err() != nil {
+			return errors.New("the soak was interrupted; its last run says nothing")
+		}
 		line, err := json.Marshal(result)
 		if err != nil {
 			return errors.Wrap(err, "encode a result")
--- a/decision/quota/tenure_test.go
+++ b/decision/quota/tenure_test.go
@@ -14,7 +14,6 @@
 	now        time.Duration
 	assignment Assignment
 	version    uint64
-	history    map[uint64]Assignment
 	nodes      []*tenureNode
 }
 
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -62,7 +62,7 @@
 	}
 	err := n.loop()
 	n.abandon()
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, errLeave) {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, errLeave) {
 		n.gw.cfg.Log.sessionBroken(n, err)
 	}
 }
@@ -124,7 +124,7 @@
 	return 0
 }
 
-// loop serves requests until the session ends.
+// loop serves requests until the session ends, and tells why it ended.
 func (n *session) loop() error {
 	for {
 		stmt, err := n.next()
