--- a/proxy/quota/sender.go
+++ b/proxy/quota/sender.go
@@ -20,6 +20,8 @@
 	idleTick = time.Second
 	// ownerRefresh is the period of choosing owners from the list of peers.
 	ownerRefresh = 250 * time.Millisecond
+	// maxOwners bounds the instances that own pools; see maxHolders for the reason.
+	maxOwners = 8
 	// suspectTerm is how long an instance whose answers fail is not chosen as an owner. The
 	// heartbeat of a small set of peers finds out meanwhile; in a large one the term starts again
 	// with the next failed request.
@@ -227,7 +229,8 @@
 		return
 	}
 	s.ownersAt = now
-	live, holders := s.candidates(), d.keeper.holders()
+	live, holders := peer.First("quota/owners", s.candidates(), maxOwners), d.keeper.holders()
+	slices.Sort(live)
 	if slices.Equal(live, s.live) && slices.Equal(holders, s.holders) {
 		return
 	}
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -16,8 +16,13 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
-// watcherTick is the period of looking for a change to make.
-const watcherTick = 200 * time.Millisecond
+const (
+	// watcherTick is the period of looking for a change to make.
+	watcherTick = 200 * time.Millisecond
+	// maxHolders bounds the instances that hold fractions. Each owner borrows from each holder twice in a loan's
+	// term, which would grow with the square of the fleet; with 16, one lost holder takes a sixteenth with it.
+	maxHolders = 16
+)
 
 // AssignmentConfig is needed to hold fractions by a watched assignment.
 type AssignmentConfig struct {
@@ -122,7 +127,7 @@
 	w.mu.Lock()
 	now := w.driver.cfg.Clock()
 	members := quota.Members{
-		Live: live, Gone: w.gone(now, live),
+		Live: peer.First(quota.AssignmentKey, live, maxHolders), Gone: w.gone(now, live),
 		Planner: peer.Rendezvous(quota.AssignmentKey, live) == w.driver.cfg.Self,
 	}
 	planned, wanted := w.tenure.Plan(now, members, lent)
