Split the node's watches and stop from its assembly, and use the memory limit

The settings' memory limit was read and not used; the collector works harder from three quarters of it on. The readiness path is named once, in platform/.

--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/relay"
+	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
 const (
@@ -139,7 +140,7 @@
 // isReady reports whether the instance wants callers.
 func (i *instance) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + i.ready + readyPath)
+	resp, err := client.Get("http://" + i.ready + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -16,9 +16,6 @@
 	"github.com/cyclamenstile/cyclamenstile/standin/linedb"
 )
 
-// readyPath is where instances tell whether they want callers.
-const readyPath = "/cyclamenstile/readyz"
-
 const (
 	// recoveryLimit is the time after the last fault within which callers have to be served again.
 	recoveryLimit = 15 * time.Second
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -15,7 +15,6 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
-	quotadecision "github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
@@ -30,34 +29,13 @@
 )
 
 const (
-	// configWait is how long a watch for configurations waits. Its end proves that keys are still valid, here and
-	// at the instances that follow this one, so that it has to be well within the time for withdrawing a key.
-	configWait = 1200 * time.Millisecond
-	// serversWait, quotaWait and instancesWait are those of the other watches. The age of a relay's knowledge has to
-	// stay below maxRelayAge.
-	serversWait   = 2 * time.Second
-	quotaWait     = 2 * time.Second
-	instancesWait = 2 * time.Second
-	// serversGap, quotaGap and instancesGap let changes gather that come in quick succession, as at a start.
-	serversGap   = 100 * time.Millisecond
-	quotaGap     = 300 * time.Millisecond
-	instancesGap = 500 * time.Millisecond
 	// listPeriod is how often the set of peers takes the list of instances that was read last.
 	listPeriod = 200 * time.Millisecond
 	// gatherTime is how long a new instance waits before it reads the list of instances, because others that start
 	// with it enter themselves meanwhile. One that has started anew is in the list already.
 	gatherTime = 700 * time.Millisecond
-	// joinTimeout bounds the wait for the list of instances before the store is asked for everything else directly.
-	joinTimeout = 2 * time.Second
 	// readyPeriod is how often the reason for not being ready is looked at.
 	readyPeriod = 100 * time.Millisecond
-	// handOver is the time from the begin of a stop for which new sessions are still served: the platform
-	// takes an instance out of rotation after two failed checks, one second apart.
-	handOver = 2200 * time.Millisecond
-	// stopAllowance is kept free before the process would be ended.
-	stopAllowance = 700 * time.Millisecond
-	// handBackTimeout bounds the hand-back of the quota at a stop.
-	handBackTimeout = 400 * time.Millisecond
 	// lendConnsKept bounds the idle connections to one lender, each of which carries one statement at a time, and
 	// lendConnExpiry closes them. An idle connection costs some 20 KB at both ends.
 	lendConnsKept  = 8
@@ -65,11 +43,11 @@
 	// collectPercent is the growth of memory between two garbage collections. Memory at its peak is dearer
 	// here than processor time.
 	collectPercent = 40
+	// memoryPart is the part of the memory that the process may use, in percent, from which on the collector works
+	// harder. The rest is for stacks and what is not in the heap.
+	memoryPart = 75
 )
 
-// quotaKind is the kind of the assignment of quota.
-const quotaKind = "quota"
-
 // Node is one instance. Use New, then Run.
 type Node struct {
 	settings Settings // as at the start
@@ -103,6 +81,9 @@
 		return nil, err
 	}
 	debug.SetGCPercent(collectPercent)
+	if settings.MemoryMiB > 0 {
+		debug.SetMemoryLimit(settings.MemoryMiB << 20 * memoryPart / 100)
+	}
 	n := &Node{settings: settings, log: log.WithField("instance", settings.Instance), metrics: telemetry.New()}
 	n.live.Store(&settings)
 	for _, step := range []func() error{n.listen, n.openStore, n.assemblePeers, n.assembleGateway} {
@@ -286,76 +267,6 @@
 	}
 }
 
-// follower returns a follower of a kind of objects.
-func (n *Node) follower(kind string, wait, gap time.Duration) *follower {
-	return &follower{
-		store: n.store, relays: n.relays, copy: n.relays.copies[kind], kind: kind, wait: wait, gap: gap,
-		now: boottime.Now, log: n.log,
-	}
-}
-
-func (n *Node) configFollower() *follower {
-	f := n.follower(platform.ConfigKind, configWait, 0)
-	f.listed, f.changed, f.contact = n.adopt, n.adopt, n.directory.prove
-	return f
-}
-
-func (n *Node) adopt(objects []platform.Object) {
-	c, found, err := platform.DecodeConfig(objects)
-	switch {
-	case err != nil:
-		event(n.log, EventConfigUnreadable).WithError(err).Error("configuration can't be read")
-	case found:
-		n.directory.offer(c)
-	}
-}
-
-func (n *Node) serverFollower() *follower {
-	f := n.follower(platform.ServersKind, serversWait, serversGap)
-	f.listed, f.changed = n.servers.listed, n.servers.changed
-	f.contact = func(time.Duration) { n.haveServer.Store(true) }
-	return f
-}
-
-// instanceFollower returns the follower of the list of instances, which closes joined once it was read.
-func (n *Node) instanceFollower(joined chan<- struct{}) *follower {
-	f := n.follower(instancesKind, instancesWait, instancesGap)
-	f.listed, f.changed = n.instances.listed, n.instances.changed
-	join := sync.OnceFunc(func() {
-		n.peers.RefreshNow()
-		close(joined)
-	})
-	f.contact = func(time.Duration) { join() }
-	return f
-}
-
-// awaitJoin waits until the other instances are known, so that a relay among them can be asked in place of the store.
-func awaitJoin(ctx context.Context, joined <-chan struct{}) {
-	timer := time.NewTimer(joinTimeout)
-	defer timer.Stop()
-	select {
-	case <-joined:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-func (n *Node) quotaFollower() *follower {
-	f := n.follower(quotaKind, quotaWait, quotaGap)
-	take := func(objects []platform.Object) {
-		for _, o := range objects {
-			if quotaKind+"/"+o.Name != quotadecision.AssignmentKey || o.Deleted {
-				continue
-			}
-			if err := n.quota.ObserveAssignment(o.Spec, o.Revision); err != nil {
-				event(n.log, EventAssignmentInvalid).WithError(err).Error("assignment of quota can't be read")
-			}
-		}
-	}
-	f.listed, f.changed, f.contact = take, take, n.quota.ProveAssignment
-	return f
-}
-
 // register writes the entry of this instance until the store has taken it.
 func (n *Node) register(ctx context.Context) {
 	entry := objectstore.Instance{
@@ -415,32 +326,3 @@
 		}
 	})
 }
-
-// shutdown lets the platform take this instance out of rotation, then ends the sessions.
-func (n *Node) shutdown(ctx context.Context) {
-	n.stopping.Store(true)
-	grace := n.live.Load().Bounds.Grace()
-	event(n.log, EventStopping).WithField("sessions", n.gateway.Sessions()).Info("instance stops taking callers")
-	ctx, cancel := context.WithTimeout(ctx, grace-stopAllowance)
-	defer cancel()
-	var handBack sync.WaitGroup
-	handBack.Go(func() { n.handBack(ctx) })
-	n.gateway.StopLending()
-	wait.For(ctx, handOver)
-	n.gateway.Shutdown(ctx, grace/2-handOver)
-	handBack.Wait()
-	n.closeListeners()
-	n.store.Close()
-	event(n.log, EventStopped).WithField("sessions", n.gateway.Sessions()).Info("instance stopped")
-}
-
-// handBack gives the quota back once sessions come elsewhere.
-func (n *Node) handBack(ctx context.Context) {
-	wait.For(ctx, handOver)
-	n.peers.Announce(ctx)
-	ctx, cancel := context.WithTimeout(ctx, handBackTimeout)
-	defer cancel()
-	if err := n.quota.Drain(ctx); err != nil {
-		event(n.log, EventHandBackFailed).WithError(err).Warn("quota was not handed back; it is free again when its time has passed")
-	}
-}
