--- a/decision/placement/samples.go
+++ b/decision/placement/samples.go
@@ -59,12 +59,3 @@
 	}
 	return position.Position{}, false
 }
-
-// Newest returns the latest sample and when its request was sent.
-func (s *Samples) Newest() (p position.Position, sent time.Duration, ok bool) {
-	if len(s.ring) == 0 {
-		return position.Position{}, 0, false
-	}
-	last := s.ring[len(s.ring)-1]
-	return last.position, last.sent, true
-}
