--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -130,7 +130,7 @@
 
 // open begins the session of a caller.
 func (g *Gateway) open(conn net.Conn) {
-	n := &session{gw: g, conn: conn, codec: g.cfg.CallerCodec(conn)}
+	n := &session{gw: g, conn: conn, codec: g.cfg.CallerCodec(callerConn{conn})}
 	g.mu.Lock()
 	g.sessions[n] = struct{}{}
 	n.stopping = g.stopping
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -1,12 +1,21 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
 // Guards against a session that does not see its own write, on either kind of route, through the replica.
@@ -336,3 +345,38 @@
 		t.Errorf("%d connections for 40 statements of one session", opened)
 	}
 }
+
+// slowQuota refuses after a time.
+type slowQuota time.Duration
+
+func (q slowQuota) Admit(context.Context, string) error {
+	time.Sleep(time.Duration(q))
+	return errBusy
+}
+
+// Guards against an answer that is lost because its request took longer than an answer may take to be sent.
+func TestLateAnswerReachesTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ours, theirs := net.Pipe()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		began := time.Now()
+		clock := func() time.Duration { return time.Since(began) }
+		g := New(Config{
+			Directory:   &testDirectory{snapshot: testCatalog()},
+			Quota:       slowQuota(writeTimeout + time.Second),
+			CallerCodec: func(c net.Conn) CallerCodec { return platform.NewCaller(c) },
+			Now:         clock,
+			Log:         NewJournal(log, tally.NoopScope, clock),
+		})
+		g.open(ours)
+		c := &caller{t: t, conn: theirs, in: bufio.NewReader(theirs)}
+		c.send("STARTUP strict " + testKey)
+		if got := c.line(); got != "READY I -" {
+			t.Fatalf("session is answered with %q", got)
+		}
+		c.want("1", "READ x", "BUSY|READY I -")
+		_ = theirs.Close()
+		g.running.Wait()
+	})
+}
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -76,7 +77,9 @@
 func (l *lending) suspect(s suspect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.suspects[s] = l.now() + suspectTerm
+	now := l.now()
+	maps.DeleteFunc(l.suspects, func(_ suspect, until time.Duration) bool { return until <= now })
+	l.suspects[s] = now + suspectTerm
 }
 
 // notReached notes that a lender does not reach a server, which another one may.
--- a/proxy/gateway/lend_test.go
+++ b/proxy/gateway/lend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -157,3 +158,16 @@
 		t.Error("a lender without a path to one server is passed over for another one, or not at all")
 	}
 }
+
+// Guards against a record for every lender that ever failed, which grows for as long as the process runs.
+func TestSuspectsAreForgotten(t *testing.T) {
+	var now time.Duration
+	l := newLending(nil, func() time.Duration { return now })
+	for i := range 100 {
+		l.suspect(suspect{lender: "lender-" + strconv.Itoa(i)})
+		now += suspectTerm
+	}
+	if len(l.suspects) > 2 {
+		t.Errorf("%d lenders are remembered, want those of the last %s", len(l.suspects), suspectTerm)
+	}
+}
--- a/proxy/gateway/pool.go
+++ b/proxy/gateway/pool.go
@@ -126,8 +126,8 @@
 
 // await waits for a connection or for the right to open one.
 func (p *pool) await(ctx context.Context, sp *serverPool, w *waiter) (*upstream, error) {
-	timer := time.NewTicker(connlimit.FullBackoff)
-	defer timer.Stop()
+	ticker := time.NewTicker(connlimit.FullBackoff)
+	defer ticker.Stop()
 	for {
 		select {
 		case u := <-w.granted:
@@ -135,7 +135,7 @@
 				return u, nil
 			}
 			return p.open(ctx, sp, w.account)
-		case <-timer.C:
+		case <-ticker.C:
 			if p.mayOpen(sp, w) {
 				return p.open(ctx, sp, w.account)
 			}
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -19,13 +19,26 @@
 const (
 	// startupTimeout bounds the wait for a caller's first message. Callers wait 2 s for the answer.
 	startupTimeout = 5 * time.Second
-	// writeTimeout bounds the sending of an answer to a caller that does not read.
+	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 10 * time.Second
 	// defaultStatementTimeout and defaultTarget stand in for settings that a route lacks.
 	defaultStatementTimeout = 5 * time.Second
 	defaultTarget           = time.Second
 )
 
+// callerConn is a connection to a caller whose writes are bounded one by one.
+type callerConn struct {
+	net.Conn
+}
+
+// Write implements net.Conn.
+func (c callerConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
 // longAgo as a deadline wakes a blocked read.
 var longAgo = time.Unix(1, 0)
 
@@ -132,7 +145,6 @@
 			return err
 		}
 		began := n.gw.cfg.Now()
-		_ = n.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		end := n.handle(stmt, began)
 		n.codec.Ready(n.state.Tx)
 		if err := n.codec.Flush(); err != nil {
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -178,7 +179,9 @@
 func (r *relays) suspect(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.suspects[address] = r.now() + relaySuspectTerm
+	now := r.now()
+	maps.DeleteFunc(r.suspects, func(_ string, until time.Duration) bool { return until <= now })
+	r.suspects[address] = now + relaySuspectTerm
 }
 
 // follow asks a relay for the changes after a revision. A relay that fails or knows too little is passed over for a
