Forget the quota's former holders

Reading the code again: the watcher kept when each former holder was last live. The record grew with every replaced instance, and a holder that came back and was not live at once counted as gone with its first look, since its old record was used.

TestFormerHoldersAreForgotten failed with 'holder a counts as gone when it is first seen' and 3 remembered holders, and passes.

--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -36,19 +37,19 @@
 	driver *Driver
 	cfg    AssignmentConfig
 
-	mu      sync.Mutex
-	tenure  *quota.Tenure
-	usable  quota.Mask
-	until   time.Duration
-	lastSee map[string]time.Duration // when a holder was last live
-	retryAt time.Duration
-	drained chan struct{}
+	mu       sync.Mutex
+	tenure   *quota.Tenure
+	usable   quota.Mask
+	until    time.Duration
+	lastSeen map[string]time.Duration // when a holder was last live
+	retryAt  time.Duration
+	drained  chan struct{}
 }
 
 func newWatcher(d *Driver, cfg AssignmentConfig) *watcher {
 	return &watcher{
 		driver: d, cfg: cfg, tenure: quota.NewTenure(d.cfg.Self, d.cfg.Clock()),
-		lastSee: map[string]time.Duration{}, drained: make(chan struct{}),
+		lastSeen: map[string]time.Duration{}, drained: make(chan struct{}),
 	}
 }
 
@@ -145,11 +146,13 @@
 // gone returns the holders that were not live for quota.GoneTerm. The caller holds mu.
 func (w *watcher) gone(now time.Duration, live []string) []string {
 	var out []string
-	for _, holder := range w.tenure.Holders() {
-		seen, known := w.lastSee[holder]
+	holders := w.tenure.Holders()
+	maps.DeleteFunc(w.lastSeen, func(holder string, _ time.Duration) bool { return !slices.Contains(holders, holder) })
+	for _, holder := range holders {
+		seen, known := w.lastSeen[holder]
 		switch {
 		case !known || slices.Contains(live, holder):
-			w.lastSee[holder] = now
+			w.lastSeen[holder] = now
 		case now-seen >= quota.GoneTerm:
 			out = append(out, holder)
 		}
