Use one allocator of ports in tests and the soak

The soak wrote again what processtest had, and homefault still closed a port that the system chose before it chose the next, which is the fault that ended an instance of the soak. Also removes a field of the soak's instances that nothing read.

--- a/cmd/internal/homefault/home_test.go
+++ b/cmd/internal/homefault/home_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"github.com/jackc/pgx/v5"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/freeport"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/serve"
@@ -164,12 +164,11 @@
 
 func (s *scene) freeAddress() string {
 	s.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (s *scene) addresses(home string) []string {
--- a/cmd/internal/processtest/process_test.go
+++ b/cmd/internal/processtest/process_test.go
@@ -4,16 +4,15 @@
 	"bufio"
 	"bytes"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/freeport"
 )
 
 // process is a child of the test.
@@ -112,30 +111,14 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-const (
-	// Ports below the range from which Linux draws those of outgoing connections.
-	firstPort = 10_000
-	lastPort  = 32_000
-)
-
-// nextPort starts at a random port, so that test processes at the same time seldom meet.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(firstPort + rand.IntN(lastPort-firstPort))) }
-
-// freeAddress returns an address on loopback that no other call returns soon.
+// freeAddress returns a loopback address for a process of the test.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
+	address, err := freeport.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 // runCtl runs cyclamenctl to its end.
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/freeport"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/relay"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 )
@@ -51,17 +52,16 @@
 	ready    string
 	store    *relay.Relay
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan struct{} // closed when the process has ended
-	stopped bool          // by SIGSTOP
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the process has ended
 }
 
 // newInstance writes the settings of an instance; start runs it.
 func newInstance(w *world, binary, dir, name, zone string) (*instance, error) {
 	var addresses [3]string
 	for i := range addresses {
-		a, err := freeAddress()
+		a, err := freeport.Address()
 		if err != nil {
 			return nil, err
 		}
@@ -99,7 +99,7 @@
 	}()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.cmd, i.done, i.stopped = cmd, done, false
+	i.cmd, i.done = cmd, done
 	return nil
 }
 
@@ -109,12 +109,6 @@
 	if i.cmd == nil {
 		return
 	}
-	switch s {
-	case syscall.SIGSTOP:
-		i.stopped = true
-	case syscall.SIGCONT:
-		i.stopped = false
-	}
 	_ = i.cmd.Process.Signal(s) // the process may have ended
 }
 
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -38,19 +38,3 @@
 		}
 	}
 }
-
-// TestFreeAddressesDiffer guards against two listeners of an instance that get the same port, which
-// ends the instance at its start: the operating system gives a port out again once it is free.
-func TestFreeAddressesDiffer(t *testing.T) {
-	seen := make(map[string]bool)
-	for range 2000 {
-		address, err := freeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if seen[address] {
-			t.Fatalf("the address %s was returned twice", address)
-		}
-		seen[address] = true
-	}
-}
--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -179,36 +176,3 @@
 		w.platform.Close()
 	}
 }
-
-const (
-	// firstPort to lastPort lie below the ports that operating systems give to outgoing connections;
-	// such a connection could otherwise take the port of an instance that is down.
-	firstPort = 20_000
-	lastPort  = 32_767
-)
-
-// ports gives each port once, from a random start, so that soaks in several processes rarely meet.
-var ports = struct {
-	mu   sync.Mutex
-	next int
-}{next: firstPort + rand.IntN(lastPort-firstPort+1)}
-
-// freeAddress returns a loopback address that nothing listens on and that no other call returns until
-// all ports have been tried.
-func freeAddress() (string, error) {
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	for range lastPort - firstPort + 1 {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
-		ports.next++
-		if ports.next > lastPort {
-			ports.next = firstPort
-		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // in use
-		}
-		return address, errors.Wrap(l.Close(), "free a port")
-	}
-	return "", errors.Newf("no port from %d to %d is free; end other programs that listen there", firstPort, lastPort)
-}
