Call the mechanisms that exist in place of copies beside them

- Lenders and relays that don't answer were kept in two maps with the same rules: package decision/suspicion.
- Whether a peer may get work was decided in node once more: peer.Status.Usable, which the set's own lists use too.
- Two waits for a change: wait.Change.
- The record and the assignment of fractions are written by one method, and a draining holder gives back through the same plan as every other change of an assignment.
- quota.Config asks for the two methods of a store that it uses, so that node needs no wrapper with methods that only fail.
- Whether a server of a pool or gate is usable is looked up in its own database.

Removes what nothing called: placement.Group.Connected and the round trip that it would have measured, failover.Machine.Alive. Behaviour stays as it is.

--- a/decision/failover/machine.go
+++ b/decision/failover/machine.go
@@ -104,13 +104,6 @@
 	return m.suspected || m.absentAt != 0
 }
 
-// Alive notes an answer of a server.
-func (m *Machine) Alive(server string) {
-	if server == m.primary {
-		m.clear()
-	}
-}
-
 func (m *Machine) clear() {
 	m.suspected = false
 	m.failures = 0
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -24,7 +24,7 @@
 	lagTerm = 200 * time.Millisecond
 	// parallelShare is how many statements of one instance a server is expected to run at once.
 	parallelShare = 2
-	// Assumed round trips until a connection has shown the real one.
+	// Assumed round trips inside a region and between regions.
 	roundTripNear = time.Millisecond
 	roundTripFar  = 50 * time.Millisecond
 	// initialService is assumed for the execution of a statement until one has been measured.
@@ -46,7 +46,6 @@
 type server struct {
 	discovery.Server
 	missingSince time.Duration // its entry is missing since; 0: it is there
-	roundTrip    time.Duration // 0: not measured
 	service      time.Duration // moving average of the time from request to answer, less the round trip
 	servedAt     time.Duration
 	inFlight     int
@@ -195,17 +194,6 @@
 	s.avoidUntil = now + min(avoidTerm<<min(s.failures-1, 10), avoidLimit)
 }
 
-// Connected notes the round trip that a new connection showed.
-func (g *Group) Connected(id string, roundTrip time.Duration) {
-	s := g.servers[id]
-	if s == nil {
-		return
-	}
-	if s.roundTrip == 0 || roundTrip < s.roundTrip {
-		s.roundTrip = roundTrip
-	}
-}
-
 // Led notes that a server proved to lead when it answered a request sent at the given time.
 func (g *Group) Led(now, sent time.Duration, id string, p position.Position) {
 	s := g.servers[id]
@@ -328,10 +316,7 @@
 }
 
 func (s *server) trip(here Place) time.Duration {
-	switch {
-	case s.roundTrip != 0:
-		return s.roundTrip
-	case s.Region == here.Region:
+	if s.Region == here.Region {
 		return roundTripNear
 	}
 	return roundTripFar
--- a/decision/quota/tenure.go
+++ b/decision/quota/tenure.go
@@ -28,6 +28,9 @@
 	GoneTerm = 15 * time.Second
 )
 
+// firstShare bounds what an instance is given while the planner, right after its start, may not know the others yet.
+const firstShare = 8
+
 // Tenant is one holder in an assignment.
 type Tenant struct {
 	Address   string `json:"address"` // peer address
@@ -190,9 +193,12 @@
 		if now < t.started+promiseTerm {
 			return Assignment{}, false // an earlier process at this address may have lent them
 		}
-		return t.release(own, lent)
 	}
 	plan := newAssignmentPlan(t.assignment)
+	if t.draining {
+		plan.release(t.address, lent)
+		return plan.result(t.assignment)
+	}
 	if own.Resting != 0 && now >= t.restUntil {
 		plan.rested(t.address)
 	}
@@ -241,6 +247,15 @@
 	p.tenants[address] = t
 }
 
+// release gives back what an instance holds and has not lent. Resting fractions were never used there, but their
+// earlier holder may still use them: the next holder has to let them rest again, which a free fraction would not. They
+// stay until others take them over.
+func (p *assignmentPlan) release(address string, lent Mask) {
+	t := p.tenants[address]
+	t.Fractions &= t.Resting | lent
+	p.tenants[address] = t
+}
+
 // give deals fractions to the instances with the fewest, up to a limit for each. Those in resting rest there.
 func (p *assignmentPlan) give(live []string, fractions, resting Mask, limit int) {
 	for fractions != 0 {
@@ -312,32 +327,3 @@
 	sorted := slices.SortedFunc(slices.Values(before.Tenants), func(a, b Tenant) int { return strings.Compare(a.Address, b.Address) })
 	return next, !slices.Equal(sorted, next.Tenants)
 }
-
-// release gives back what is not lent any more.
-func (t *Tenure) release(own Tenant, lent Mask) (Assignment, bool) {
-	// Resting fractions were never used here, but their earlier holder may still use them: the next holder
-	// has to let them rest again, which a free fraction would not. They stay until others take them over.
-	free := own.Fractions &^ own.Resting &^ lent
-	if free == 0 {
-		return Assignment{}, false
-	}
-	own.Fractions &^= free
-	return t.assignment.with(own), true
-}
-
-// firstShare bounds what an instance is given while the planner, right after its start, may not know the others yet.
-const firstShare = 8
-
-// with returns a copy with one holder's part replaced. Holders without fractions are left out.
-func (a Assignment) with(own Tenant) Assignment {
-	out := Assignment{}
-	for _, t := range a.Tenants {
-		if t.Address != own.Address && t.Fractions != 0 {
-			out.Tenants = append(out.Tenants, t)
-		}
-	}
-	if own.Fractions != 0 {
-		out.Tenants = append(out.Tenants, own)
-	}
-	return out
-}
--- a/proxy/gateway/gate.go
+++ b/proxy/gateway/gate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -103,32 +105,27 @@
 // dropGates forgets the gates of servers that are gone.
 func (g *Gateway) dropGates() {
 	g.mu.Lock()
-	ids := make([]gateKey, 0, len(g.gates))
-	for key := range g.gates {
-		ids = append(ids, key)
-	}
+	keys := slices.Collect(maps.Keys(g.gates))
 	g.mu.Unlock()
-	for _, key := range ids {
-		if g.usable(key.server) {
-			continue
-		}
-		g.mu.Lock()
+	gone := slices.DeleteFunc(keys, func(key gateKey) bool { return g.usable(key.database, key.server) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, key := range gone {
 		delete(g.gates, key)
-		g.mu.Unlock()
 	}
 }
 
 // gateKey names one run of a server.
 type gateKey struct {
-	server  string
-	started int64
+	database, server string
+	started          int64
 }
 
 // gateOf returns the gate of a server.
 func (g *Gateway) gateOf(d destination) *gate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	key := gateKey{d.server.ID, d.server.Started}
+	key := gateKey{d.server.Database, d.server.ID, d.server.Started}
 	if g.gates[key] == nil {
 		g.gates[key] = newGate(g.cfg.Now)
 	}
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
@@ -57,20 +58,20 @@
 	})
 }
 
-// usable reports whether a server may still get work.
-func (g *Gateway) usable(id string) bool {
+// usable reports whether a server of a database may still get work.
+func (g *Gateway) usable(database, id string) (ok bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, v := range g.views {
-		v.mu.Lock()
-		v.group.Expire(v.now())
-		s, known := v.group.Server(id)
-		v.mu.Unlock()
-		if known {
-			return !s.Leaving
-		}
+	v := g.views[database]
+	g.mu.Unlock()
+	if v == nil {
+		return false
 	}
-	return false
+	v.with(func(now time.Duration, group *placement.Group) {
+		group.Expire(now)
+		s, known := group.Server(id)
+		ok = known && !s.Leaving
+	})
+	return ok
 }
 
 // SetServers takes the entries of all registered servers.
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+	"github.com/cyclamenstile/cyclamenstile/decision/suspicion"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway/lendpb"
 )
 
@@ -46,7 +46,7 @@
 	now   func() time.Duration
 
 	mu       sync.Mutex
-	suspects map[suspect]time.Duration // until when a lender is passed over
+	suspects suspicion.List[suspect] // lenders that are passed over
 }
 
 // suspect is a lender that does not answer, or that does not reach a server.
@@ -55,7 +55,7 @@
 }
 
 func newLending(conns Conns, now func() time.Duration) *lending {
-	return &lending{conns: conns, now: now, suspects: map[suspect]time.Duration{}}
+	return &lending{conns: conns, now: now}
 }
 
 // lender returns the instance that holds the connections of an account to a server, empty for this one.
@@ -71,15 +71,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	return now < l.suspects[suspect{lender: address}] || now < l.suspects[suspect{address, server}]
+	return l.suspects.Holds(now, suspect{lender: address}) || l.suspects.Holds(now, suspect{address, server})
 }
 
 func (l *lending) suspect(s suspect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
-	maps.DeleteFunc(l.suspects, func(_ suspect, until time.Duration) bool { return until <= now })
-	l.suspects[s] = now + suspectTerm
+	l.suspects.Add(l.now(), s, suspectTerm)
 }
 
 // notReached notes that a lender does not reach a server, which another one may.
--- a/proxy/gateway/lend_test.go
+++ b/proxy/gateway/lend_test.go
@@ -167,7 +167,7 @@
 		l.suspect(suspect{lender: "lender-" + strconv.Itoa(i)})
 		now += suspectTerm
 	}
-	if len(l.suspects) > 2 {
-		t.Errorf("%d lenders are remembered, want those of the last %s", len(l.suspects), suspectTerm)
+	if l.suspects.Len() > 2 {
+		t.Errorf("%d lenders are remembered, want those of the last %s", l.suspects.Len(), suspectTerm)
 	}
 }
--- a/proxy/gateway/pool.go
+++ b/proxy/gateway/pool.go
@@ -327,12 +327,12 @@
 }
 
 // reap closes connections that were idle for long, and those of servers that keep reports as unused.
-func (p *pool) reap(keep func(id string) bool) {
+func (p *pool) reap(keep func(database, id string) bool) {
 	p.mu.Lock()
 	var drop []*upstream
 	now := p.cfg.Now()
 	for id, sp := range p.servers {
-		if !keep(id) {
+		if !keep(sp.database, id) {
 			p.retire(sp)
 			if sp.use.Open <= 0 {
 				delete(p.servers, id)
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
@@ -97,7 +98,7 @@
 		if s, ok := n.choose(t); ok {
 			return s, nil
 		}
-		if !waitChange(t.left, changed, leaderPause) {
+		if !wait.Change(t.left, changed, leaderPause) {
 			return discovery.Server{}, t.refusal(errNoServer)
 		}
 		t.exclude = t.exclude[:0]
@@ -240,7 +241,7 @@
 		n.refuseInState(t.stmt, t.last, t.began)
 		return true
 	default:
-		waitChange(t.left, t.view.changes(), leaderPause)
+		wait.Change(t.left, t.view.changes(), leaderPause)
 	}
 	return false
 }
@@ -279,16 +280,3 @@
 	n.codec.Complete(a.receipt)
 	n.gw.cfg.Log.served(n, stmt, s, tries, n.gw.cfg.Now()-began)
 }
-
-// waitChange waits for a change, the pause at most. It returns false when ctx has ended.
-func waitChange(ctx context.Context, changed <-chan struct{}, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
--- a/proxy/node/lenders.go
+++ b/proxy/node/lenders.go
@@ -43,7 +43,7 @@
 	}
 	add(l.self, l.place)
 	for _, p := range l.peers.Peers() {
-		if usable(p) && !suspected(p.Instance.PeerAddress) {
+		if p.Usable() && !suspected(p.Instance.PeerAddress) {
 			add(p.Instance.PeerAddress, placeOf(p.Instance))
 		}
 	}
@@ -56,12 +56,6 @@
 	return all
 }
 
-// usable reports whether an instance does not leave and answered when it was last called. In a large fleet each
-// instance calls a few others only; those that were not called count as usable, so that all choose alike.
-func usable(p peer.Status) bool {
-	return (p.Reachable || !p.Tried) && !p.Leaving && !p.Instance.Leaving
-}
-
 func placeOf(i objectstore.Instance) Place {
 	return Place{Region: i.Region, FailureDomain: i.FailureDomain}
 }
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -160,7 +160,7 @@
 	n.lenders = &lenders{peers: set, self: n.settings.Listen.Peers, place: n.settings.Place}
 	n.quota, err = quota.New(quota.Config{
 		Self:  n.settings.Listen.Peers,
-		Store: quotaStore{n.store},
+		Store: n.store,
 		Peers: set,
 		Calls: n.calls,
 		Rand:  rand.New(rand.NewSource(rand.Int63())),
@@ -178,21 +178,6 @@
 	return err
 }
 
-// quotaStore is the part of objectstore.Store that package quota uses.
-type quotaStore struct {
-	*platform.Store
-}
-
-// List implements objectstore.Store.
-func (quotaStore) List(context.Context, string) ([]objectstore.Object, uint64, error) {
-	return nil, 0, errors.AssertionFailedf("quota lists no objects")
-}
-
-// Watch implements objectstore.Store.
-func (quotaStore) Watch(context.Context, string, uint64) ([]objectstore.Object, uint64, error) {
-	return nil, 0, errors.AssertionFailedf("quota watches no objects")
-}
-
 func (n *Node) assembleGateway() error {
 	n.gateway = gateway.New(gateway.Config{
 		Here:        placement.Place{Region: n.settings.Place.Region, FailureDomain: n.settings.Place.FailureDomain},
@@ -242,7 +227,7 @@
 	})
 	for _, f := range []*follower{n.configFollower(), n.serverFollower(), n.quotaFollower()} {
 		tasks.Go(func() {
-			awaitJoin(ctx, joined)
+			wait.Change(ctx, joined, joinTimeout) // so that a relay can be asked in place of the store
 			f.run(ctx)
 		})
 	}
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/suspicion"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/node/relaypb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
@@ -140,13 +140,13 @@
 	copies map[string]*copyOf // by kind; never changes
 
 	mu       sync.Mutex
-	suspects map[string]time.Duration // until when a relay is passed over
+	suspects suspicion.List[string] // relays that are passed over
 }
 
 func newRelays(n *Node, now func() time.Duration, kinds ...string) *relays {
 	r := &relays{
 		now: now, calls: n.lendCalls, peers: n.peers, self: n.settings.Listen.Peers, place: n.settings.Place,
-		copies: map[string]*copyOf{}, suspects: map[string]time.Duration{},
+		copies: map[string]*copyOf{},
 	}
 	for _, kind := range kinds {
 		r.copies[kind] = newCopy(now)
@@ -159,7 +159,7 @@
 func (r *relays) choose() string {
 	candidates := []string{r.self}
 	for _, p := range r.peers.Peers() {
-		if usable(p) && p.Instance.Region == r.place.Region && !r.suspected(p.Instance.PeerAddress) {
+		if p.Usable() && p.Instance.Region == r.place.Region && !r.suspected(p.Instance.PeerAddress) {
 			candidates = append(candidates, p.Instance.PeerAddress)
 		}
 	}
@@ -173,15 +173,13 @@
 func (r *relays) suspected(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.now() < r.suspects[address]
+	return r.suspects.Holds(r.now(), address)
 }
 
 func (r *relays) suspect(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	maps.DeleteFunc(r.suspects, func(_ string, until time.Duration) bool { return until <= now })
-	r.suspects[address] = now + relaySuspectTerm
+	r.suspects.Add(r.now(), address, relaySuspectTerm)
 }
 
 // follow asks a relay for the changes after a revision. A relay that fails or knows too little is passed over for a
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -72,17 +71,6 @@
 	return f
 }
 
-// awaitJoin waits until the other instances are known, so that a relay among them can be asked in place of the store.
-func awaitJoin(ctx context.Context, joined <-chan struct{}) {
-	timer := time.NewTimer(joinTimeout)
-	defer timer.Stop()
-	select {
-	case <-joined:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (n *Node) quotaFollower() *follower {
 	f := n.follower(quotaKind, quotaWait, quotaGap)
 	take := func(objects []platform.Object) {
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -75,6 +75,17 @@
 	Leaving   bool // the peer's last digest said that it drains
 }
 
+// live reports whether the peer neither leaves by the platform's list nor failed its last heartbeat. One that was not
+// tried yet counts as live, so that the instances of a large fleet, which call only a few others, choose alike.
+func (p Status) live() bool {
+	return !p.Instance.Leaving && (p.Reachable || !p.Tried)
+}
+
+// Usable reports whether the peer is live and has not announced its drain.
+func (p Status) Usable() bool {
+	return p.live() && !p.Leaving
+}
+
 // NewSet returns a set without peers; Run fills it.
 func NewSet(cfg SetConfig) (*Set, error) {
 	if cfg.Self == "" || cfg.List == nil || cfg.Client == nil || cfg.Config == nil || cfg.Digest == nil || cfg.Rand == nil || cfg.Log == nil {
@@ -295,19 +306,20 @@
 // Live returns the peer addresses of this instance and of the listed peers that neither leave by
 // the platform's list nor failed their last heartbeat. Peers that were not tried yet count as live.
 func (s *Set) Live() []string {
-	return s.live(func(Status) bool { return true })
+	return s.addresses(Status.live)
 }
 
 // Homes returns the live instances without the peers that have announced their drain. Those still
 // answer other calls, until they have handed back what they hold.
 func (s *Set) Homes() []string {
-	return s.live(func(p Status) bool { return !p.Leaving })
+	return s.addresses(Status.Usable)
 }
 
-func (s *Set) live(also func(Status) bool) []string {
+// addresses returns this instance and the peers that a condition holds for.
+func (s *Set) addresses(counts func(Status) bool) []string {
 	out := []string{s.cfg.Self}
 	for _, p := range s.Peers() {
-		if !p.Instance.Leaving && (p.Reachable || !p.Tried) && also(p) {
+		if counts(p) {
 			out = append(out, p.Instance.PeerAddress)
 		}
 	}
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -42,10 +42,16 @@
 	Peer(ctx context.Context, address string) peerpb.DRPCPeerClient
 }
 
+// Store is the part of objectstore.Store that holds the record or the assignment of fractions.
+type Store interface {
+	Get(ctx context.Context, key string) (objectstore.Object, error)
+	Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error)
+}
+
 // Config configures a Driver.
 type Config struct {
 	Self  string // peer address that this process has bound
-	Store objectstore.Store
+	Store Store
 	Peers Peers
 	Calls Caller
 	Rand  *rand.Rand
@@ -306,6 +312,14 @@
 	return d.keeper.version()
 }
 
+// put writes an object of the store within storeTimeout, and counts the call.
+func (d *Driver) put(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	d.count.writes.Add(1)
+	return d.cfg.Store.Put(ctx, key, value, version)
+}
+
 // NoteFractionsVersion takes the version that a peer has seen; a higher one than the own makes
 // the driver read the record soon.
 func (d *Driver) NoteFractionsVersion(version uint64) {
--- a/proxy/quota/keeper.go
+++ b/proxy/quota/keeper.go
@@ -200,10 +200,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	k.driver.count.writes.Add(1)
-	written, err := k.driver.cfg.Store.Put(ctx, quota.RecordKey, data, version)
+	written, err := k.driver.put(ctx, quota.RecordKey, data, version)
 	if err != nil {
 		return err
 	}
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -165,10 +165,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	w.driver.count.writes.Add(1)
-	written, err := w.driver.cfg.Store.Put(ctx, quota.AssignmentKey, value, version)
+	written, err := w.driver.put(ctx, quota.AssignmentKey, value, version)
 	if err != nil {
 		return err
 	}
--- a/proxy/wait/wait.go
+++ b/proxy/wait/wait.go
@@ -18,6 +18,19 @@
 	}
 }
 
+// Change waits for a channel that is closed at a change, limit at most, and reports whether ctx has not ended before.
+func Change(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // Every calls f once a period, the first time after one, until ctx ends. Calls that a slow one holds up
 // are left out.
 func Every(ctx context.Context, period time.Duration, f func()) {
