Sort the possible lenders by place once, not for each statement

Each statement asked three times which instances may hold connections to its server, and each time copied the state of every peer: work that grows with the fleet on the path of a statement. The set of peers now tells a version of what it knows, and lenders keep the instances sorted by place until it changes. The list of instances is returned in one order, so that the same list is the same version.

The choice stays as it was (TestLendersFollowPeers, TestVersionFollowsPeers).

--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -37,11 +40,9 @@
 	if !l.known {
 		return nil, errNotListed
 	}
-	out := make([]objectstore.Instance, 0, len(l.entries))
-	for _, i := range l.entries {
-		out = append(out, i)
-	}
-	return out, nil
+	return slices.SortedFunc(maps.Values(l.entries), func(a, b objectstore.Instance) int {
+		return strings.Compare(a.PeerAddress, b.PeerAddress)
+	}), nil
 }
 
 func (l *instanceList) listed(all []platform.Object) {
--- a/proxy/node/lenders.go
+++ b/proxy/node/lenders.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"slices"
+	"sync"
+
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
@@ -12,6 +15,22 @@
 	peers *peer.Set
 	self  string // peer address
 	place Place
+
+	mu      sync.Mutex
+	known   *usableInstances
+	version uint64 // of the peers that known was made from
+}
+
+// usableInstances are the peer addresses of the instances that may lend, by their place. They never change.
+type usableInstances struct {
+	all              []string
+	byRegion, byZone map[string][]string
+}
+
+func (u *usableInstances) add(address string, place Place) {
+	u.all = append(u.all, address)
+	u.byRegion[place.Region] = append(u.byRegion[place.Region], address)
+	u.byZone[place.FailureDomain] = append(u.byZone[place.FailureDomain], address)
 }
 
 // choose returns the peer address of the lender, empty for this instance.
@@ -29,31 +48,43 @@
 }
 
 // candidates returns the instances that may hold connections to a server: those of its failure domain, else of its
-// region, else all.
+// region, else all. This instance is never suspected.
 func (l *lenders) candidates(s discovery.Server, suspected func(address string) bool) []string {
-	var near, region, all []string
-	add := func(address string, place Place) {
-		all = append(all, address)
-		if place.Region == s.Region {
-			region = append(region, address)
-		}
-		if place.FailureDomain == s.FailureDomain {
-			near = append(near, address)
+	u := l.usable()
+	excluded := func(address string) bool { return address != l.self && suspected(address) }
+	for _, some := range [][]string{u.byZone[s.FailureDomain], u.byRegion[s.Region]} {
+		if left := without(some, excluded); len(left) > 0 {
+			return left
 		}
 	}
-	add(l.self, l.place)
+	return without(u.all, excluded)
+}
+
+// without returns the names that are not excluded. It copies them only if some are.
+func without(names []string, excluded func(string) bool) []string {
+	if !slices.ContainsFunc(names, excluded) {
+		return names
+	}
+	return slices.DeleteFunc(slices.Clone(names), excluded)
+}
+
+// usable sorts the instances by place, anew only when the peers have changed: each statement asks several times.
+func (l *lenders) usable() *usableInstances {
+	version := l.peers.Version()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known != nil && l.version == version {
+		return l.known
+	}
+	u := &usableInstances{byRegion: map[string][]string{}, byZone: map[string][]string{}}
+	u.add(l.self, l.place)
 	for _, p := range l.peers.Peers() {
-		if p.Usable() && !suspected(p.Instance.PeerAddress) {
-			add(p.Instance.PeerAddress, placeOf(p.Instance))
+		if p.Usable() {
+			u.add(p.Instance.PeerAddress, placeOf(p.Instance))
 		}
 	}
-	switch {
-	case len(near) > 0:
-		return near
-	case len(region) > 0:
-		return region
-	}
-	return all
+	l.known, l.version = u, version
+	return u
 }
 
 func placeOf(i objectstore.Instance) Place {
--- /dev/null
+++ b/proxy/node/lenders_test.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"io"
+	"math/rand"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+)
+
+// listOf is a list of instances that a test gives.
+type listOf []objectstore.Instance
+
+func (l listOf) Instances(context.Context) ([]objectstore.Instance, error) {
+	return l, nil
+}
+
+// Guards against lenders outside a server's failure domain while one inside may lend, and against the choice of one
+// that drains or is suspected, also after the instances were sorted by place once.
+func TestLendersFollowPeers(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	near := objectstore.Instance{PeerAddress: "127.0.0.1:2", Region: "r", FailureDomain: "r-b"}
+	far := objectstore.Instance{PeerAddress: "127.0.0.1:3", Region: "s", FailureDomain: "s-a"}
+	set, err := peer.NewSet(peer.SetConfig{
+		Self: "127.0.0.1:1", List: listOf{near, far}, Client: peer.NewClient(peer.ClientConfig{}), Config: heartbeat{},
+		Digest: func() *peerpb.Digest { return &peerpb.Digest{} }, Rand: rand.New(rand.NewSource(1)), Log: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.RefreshNow()
+	l := &lenders{peers: set, self: "127.0.0.1:1", place: Place{Region: "r", FailureDomain: "r-a"}}
+	none := func(string) bool { return false }
+	server := discovery.Server{ID: "s", Region: "r", FailureDomain: "r-b"}
+	if got := l.choose(server, "a", none); got != near.PeerAddress {
+		t.Errorf("lender %q, want the instance of the server's failure domain", got)
+	}
+	if got := l.choose(server, "a", func(address string) bool { return address == near.PeerAddress }); got != "" {
+		t.Errorf("lender %q, want this instance, the only other one of the region", got)
+	}
+	set.NoteLeaving(near.PeerAddress, true)
+	if got := l.choose(server, "a", none); got != "" {
+		t.Errorf("lender %q after the drain of the first, want this instance", got)
+	}
+	if got := l.sharing(server); got != 1 {
+		t.Errorf("%d instances share a server of the region, want 1", got)
+	}
+}
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -381,3 +381,33 @@
 		}
 	}
 }
+
+// Guards against users of Version that keep what Peers returned before a peer failed, drained or was listed.
+func TestVersionFollowsPeers(t *testing.T) {
+	list := fixedList{{PeerAddress: "127.0.0.1:3"}, {PeerAddress: "127.0.0.1:2"}}
+	set := newTestSet(t, list)
+	last := set.Version()
+	for _, step := range []struct {
+		name    string
+		do      func()
+		changes bool
+	}{
+		{"the first list", func() { set.refresh(context.Background()) }, true},
+		{"the same list", func() { set.refresh(context.Background()) }, false},
+		{"a drain", func() { set.NoteLeaving("127.0.0.1:2", true) }, true},
+		{"the same drain", func() { set.NoteLeaving("127.0.0.1:2", true) }, false},
+		{"a first answer", func() { set.mark("127.0.0.1:3", nil) }, true},
+		{"a further answer", func() { set.mark("127.0.0.1:3", nil) }, false},
+		{"a failure", func() { set.mark("127.0.0.1:3", context.DeadlineExceeded) }, true},
+		{"another list", func() {
+			set.cfg.List = fixedList{list[0], {PeerAddress: "127.0.0.1:2", Leaving: true}}
+			set.refresh(context.Background())
+		}, true},
+	} {
+		step.do()
+		if changed := set.Version() != last; changed != step.changes {
+			t.Errorf("%s: version changed %t, want %t", step.name, changed, step.changes)
+		}
+		last = set.Version()
+	}
+}
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -57,6 +57,7 @@
 	plan      *contact.Plan
 	listed    bool // the list was read at least once
 	peers     map[string]*peerState
+	version   uint64 // of what Peers returns
 	recent    []bool // whether the last calls succeeded, newest last
 }
 
@@ -176,6 +177,9 @@
 		}
 	}
 	changed = changed || len(peers) != len(s.peers)
+	if !slices.Equal(instances, s.instances) {
+		s.version++
+	}
 	if changed || !s.listed {
 		s.plan.SetMembers(members)
 	}
@@ -254,6 +258,7 @@
 	if !changed {
 		return
 	}
+	s.version++
 	log := s.cfg.Log.WithField("peer", address)
 	if err != nil {
 		log.WithField(FieldEvent, EventPeerUnreachable).WithError(err).Warn("peer does not answer the heartbeat")
@@ -262,6 +267,13 @@
 	log.WithField(FieldEvent, EventPeerReachable).Info("peer answers the heartbeat")
 }
 
+// Version changes with each change of what Peers returns.
+func (s *Set) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Peers returns all listed peers in list order.
 func (s *Set) Peers() []Status {
 	s.mu.Lock()
@@ -278,8 +290,9 @@
 func (s *Set) NoteLeaving(address string, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.peers[address]; p != nil {
+	if p := s.peers[address]; p != nil && p.leaving != leaving {
 		p.leaving = leaving
+		s.version++
 	}
 }
 
