End a session whose key is withdrawn before it is watched

The hang of TestWithdrawnKey was a fault of the engine, not of the test. Sessions of one key share a goroutine that ends them at the withdrawal.

TestWithdrawalBeforeTheSessionIsWatched failed before and passes.

--- a/proxy/engine/withdraw.go
+++ b/proxy/engine/withdraw.go
@@ -14,12 +14,22 @@
 	empty    chan struct{} // closed when the last session has left
 }
 
-// add watches the session's key until the session is removed.
+// add watches the session's key until the session is removed. A key that was withdrawn since its check at the start-up
+// ends the session here: the goroutine of its group may have ended the sessions that it knew already.
 func (w *withdrawals) add(s *session) {
 	c := s.login.Withdrawn
 	if c == nil {
 		return
 	}
+	w.join(c, s)
+	select {
+	case <-c:
+		s.withdraw()
+	default:
+	}
+}
+
+func (w *withdrawals) join(c <-chan struct{}, s *session) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.groups == nil {
