Show what load and servers saw when a process test fails early

A test that failed while its load ran ended without the load's failures and without the terms of the servers, so the hour's outage gave no cause.

--- a/cmd/internal/processtest/run_test.go
+++ b/cmd/internal/processtest/run_test.go
@@ -22,6 +22,8 @@
 	stop  context.CancelFunc
 	done  chan *load.Result
 
+	finished bool // finish was called
+
 	watching sync.WaitGroup
 	mu       sync.Mutex
 	events   []history.Event // supersessions
@@ -52,7 +54,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &run{d: d, start: time.Now(), stop: stop, done: make(chan *load.Result, 1), terms: map[uint64]bool{1: true}}
-	d.t.Cleanup(stop)
+	d.t.Cleanup(r.reportUnfinished)
 	go r.generate(ctx, c)
 	for i := range d.servers {
 		r.watching.Go(func() { r.watchTerms(ctx, i) })
@@ -102,11 +104,31 @@
 	r.events = append(r.events, history.Event{Kind: history.Superseded, At: time.Since(r.start), Term: term})
 }
 
+// reportUnfinished ends the load of a test that failed before finish, and shows what its sessions and the servers saw.
+func (r *run) reportUnfinished() {
+	t := r.d.t
+	r.stop()
+	if r.finished || !t.Failed() {
+		return
+	}
+	for i, server := range r.d.servers {
+		state, ok := r.d.state(i)
+		t.Logf("server %s: reachable %v, %+v", server.id, ok, state)
+	}
+	r.watching.Wait()
+	result := r.await()
+	for account, c := range result.Counts {
+		t.Logf("%s: %+v, failed %v", account, c, result.Failures[account])
+	}
+	t.Logf("longest write gap %s, terms %v", result.WriteGap, r.terms)
+}
+
 // finish ends the load, reads the final content from the primary and checks the history.
 func (r *run) finish() *load.Result {
 	t := r.d.t
 	t.Helper()
 	r.stop()
+	r.finished = true
 	result := r.await()
 	r.watching.Wait()
 	result.History.Events = append(result.History.Events, r.events...)
