--- /dev/null
+++ b/cmd/internal/platformlocal/deployment.go
@@ -0,0 +1,80 @@
+package platformlocal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+)
+
+// Config describes a deployment.
+type Config struct {
+	Binary    string // the daemon
+	Dir       string // for settings and logs of the instances
+	Instances int
+	Databases Databases
+	Accounts  []Account
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	*World
+	Instances []*Instance
+}
+
+// Start starts a deployment and waits until every instance wants callers.
+func Start(cfg Config) (*Deployment, error) {
+	w, err := NewWorld(cfg.Databases, cfg.Accounts)
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{World: w}
+	if err := d.startInstances(cfg); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) startInstances(cfg Config) error {
+	for n := range cfg.Instances {
+		i, err := newInstance(d.World, cfg.Binary, cfg.Dir, fmt.Sprintf("edge-%d", n), Zones[n%len(Zones)])
+		if err != nil {
+			return err
+		}
+		d.Instances = append(d.Instances, i)
+		if err := i.Start(); err != nil {
+			return err
+		}
+	}
+	for _, i := range d.Instances {
+		if err := i.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close kills the instances and stops what is around them.
+func (d *Deployment) Close() {
+	var ends sync.WaitGroup
+	for _, i := range d.Instances {
+		ends.Go(func() {
+			i.End(syscall.SIGKILL)
+			i.Store.Cut()
+		})
+	}
+	ends.Wait()
+	d.World.Close()
+}
+
+// DaemonBinary returns the path of the daemon in the folder of this program.
+func DaemonBinary() string {
+	const name = "cyclamenstile"
+	self, err := os.Executable()
+	if err != nil {
+		return name
+	}
+	return filepath.Join(filepath.Dir(self), name)
+}
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/platformlocal/instance.go
@@ -1,4 +1,4 @@
-package soak
+package platformlocal
 
 import (
 	"fmt"
@@ -19,7 +19,7 @@
 
 const (
 	stopGrace  = 6 * time.Second
-	readyPoll  = 50 * time.Millisecond
+	ReadyPoll  = 50 * time.Millisecond
 	startLimit = 20 * time.Second
 )
 
@@ -29,36 +29,36 @@
 store: "%[6]s"
 promotion: "%[6]s"
 regions: {north: north, south: south, west: west}
-bounds: {stopSeconds: %[7]d, keyWithdrawalMillis: %[8]d}
+bounds: {stopSeconds: %[7]d, KeyWithdrawalMillis: %[8]d}
 quota: {windowSeconds: %[9]d, overage: %[10]g, slackStatements: %[11]d}
 logLevel: info
 `
 
 // Bounds of the promises, as the settings of the instances have them.
 const (
-	keyWithdrawal = 5 * time.Second
-	quotaWindow   = 5 * time.Second
-	quotaOverage  = 0.1
-	quotaSlack    = 20
+	KeyWithdrawal = 5 * time.Second
+	QuotaWindow   = 5 * time.Second
+	QuotaOverage  = 0.1
+	QuotaSlack    = 20
 )
 
-// instance is one process under test.
-type instance struct {
-	name     string
+// Instance is one process of the daemon.
+type Instance struct {
+	Name     string
 	binary   string
 	settings string
 	log      string
-	callers  string // address
+	Callers  string // address
 	ready    string
-	store    *relay.Relay
+	Store    *relay.Relay
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{} // closed when the process has ended
 }
 
-// newInstance writes the settings of an instance; start runs it.
-func newInstance(w *world, binary, dir, name, zone string) (*instance, error) {
+// newInstance writes the settings of an instance; Start runs it.
+func newInstance(w *World, binary, dir, name, zone string) (*Instance, error) {
 	var addresses [3]string
 	for i := range addresses {
 		a, err := freeport.Address()
@@ -67,21 +67,21 @@
 		}
 		addresses[i] = a
 	}
-	r, err := relay.Start(w.platform.Address(), 0, 0)
+	r, err := relay.Start(w.Platform.Address(), 0, 0)
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{
-		name: name, binary: binary, callers: addresses[0], ready: addresses[1], store: r,
+	i := &Instance{
+		Name: name, binary: binary, Callers: addresses[0], ready: addresses[1], Store: r,
 		settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"),
 	}
 	text := fmt.Sprintf(settingsTemplate, name, zone, addresses[0], addresses[1], addresses[2], r.Address(),
-		int(stopGrace.Seconds()), keyWithdrawal.Milliseconds(), int(quotaWindow.Seconds()), quotaOverage, quotaSlack)
+		int(stopGrace.Seconds()), KeyWithdrawal.Milliseconds(), int(QuotaWindow.Seconds()), QuotaOverage, QuotaSlack)
 	return i, errors.Wrap(os.WriteFile(i.settings, []byte(text), 0o600), "write settings")
 }
 
-// start runs the process; its log is appended.
-func (i *instance) start() error {
+// Start runs the process; its log is appended.
+func (i *Instance) Start() error {
 	log, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open a log")
@@ -103,7 +103,7 @@
 	return nil
 }
 
-func (i *instance) signal(s syscall.Signal) {
+func (i *Instance) Signal(s syscall.Signal) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.cmd == nil {
@@ -112,16 +112,16 @@
 	_ = i.cmd.Process.Signal(s) // the process may have ended
 }
 
-// end ends the process with a signal, and kills it after its grace.
-func (i *instance) end(s syscall.Signal) {
+// End ends the process with a signal, and kills it after its grace.
+func (i *Instance) End(s syscall.Signal) {
 	i.mu.Lock()
 	cmd, done := i.cmd, i.done
 	i.mu.Unlock()
 	if cmd == nil {
 		return
 	}
-	i.signal(syscall.SIGCONT)
-	i.signal(s)
+	i.Signal(syscall.SIGCONT)
+	i.Signal(s)
 	select {
 	case <-done:
 		return
@@ -131,8 +131,8 @@
 	<-done
 }
 
-// isReady reports whether the instance wants callers.
-func (i *instance) isReady() bool {
+// Ready reports whether the instance wants callers.
+func (i *Instance) Ready() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + i.ready + platform.ReadyPath)
 	if err != nil {
@@ -143,11 +143,11 @@
 }
 
 // awaitReady waits until the instance wants callers.
-func (i *instance) awaitReady() error {
-	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(readyPoll) {
-		if i.isReady() {
+func (i *Instance) awaitReady() error {
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(ReadyPoll) {
+		if i.Ready() {
 			return nil
 		}
 	}
-	return errors.Newf("instance %s is not ready after %s; see its log", i.name, startLimit)
+	return errors.Newf("instance %s is not ready after %s; see its log", i.Name, startLimit)
 }
--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -1,102 +1,18 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
-)
 
-const (
-	// answerLimit is longer than an instance takes for any answer that it gives.
-	answerLimit = 4 * time.Second
-	pause       = 15 * time.Millisecond
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/lineclient"
 )
 
-// session is a caller's connection, in the line protocol.
-type session struct {
-	conn net.Conn
-	in   *bufio.Reader
-}
-
-// reply is what a caller was told.
-type reply struct {
-	word  string // receipt, done, an error word, or "broken"
-	value string // of a row
-	state string
-}
-
-func dial(address, route, key string) *session {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return nil
-	}
-	s := &session{conn: conn, in: bufio.NewReader(conn)}
-	if !s.send("STARTUP "+route+" "+key) || !strings.HasPrefix(s.line(), "READY") {
-		_ = conn.Close()
-		return nil
-	}
-	return s
-}
-
-func (s *session) send(line string) bool {
-	_ = s.conn.SetDeadline(time.Now().Add(answerLimit))
-	_, err := s.conn.Write([]byte(line + "\r\n"))
-	return err == nil
-}
-
-func (s *session) line() string {
-	line, err := s.in.ReadString('\n')
-	if err != nil {
-		return ""
-	}
-	return strings.TrimRight(line, "\r\n")
-}
-
-// ask sends a query and reads its answer.
-func (s *session) ask(id, text string) reply {
-	r := reply{word: "broken"}
-	if !s.send("QUERY " + id + " " + text) {
-		return r
-	}
-	word := ""
-	for {
-		f := strings.Fields(s.line())
-		if len(f) < 2 {
-			return reply{word: "broken"}
-		}
-		switch f[0] {
-		case "DATAROW":
-			r.value = f[1]
-		case "COMPLETE":
-			word = "done"
-			switch {
-			case strings.HasPrefix(f[1], "receipt-") && strings.HasSuffix(f[1], "-"+id):
-				word = "receipt"
-			case f[1] != "-":
-				word = foreignAnswer
-			}
-		case "ERROR":
-			word = f[1]
-		case "READY":
-			r.word, r.state = word, f[1]
-			return r
-		}
-	}
-}
-
-// foreignAnswer is an answer with the receipt of another request.
-const foreignAnswer = "foreign"
-
-// promises are the words that say that nothing is kept.
-var promises = map[string]bool{
-	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true, "NOAUTH": true, "MALFORMED": true,
-}
+const pause = 15 * time.Millisecond
 
 // caller works on an item of its own, of which it knows every acknowledged value.
 type caller struct {
@@ -109,7 +25,7 @@
 	count  int
 	acked  int
 	doubt  map[int]bool // values that may have been written
-	active *session
+	active *lineclient.Session
 	route  string
 	// written is what the present session has written and was acknowledged.
 	written int
@@ -117,23 +33,28 @@
 
 // connect opens a session through a random instance, of which the caller uses the strict or the stale route.
 func (c *caller) connect() bool {
-	i := c.run.instances[c.random.IntN(len(c.run.instances))]
+	i := c.run.deployed.Instances[c.random.IntN(len(c.run.deployed.Instances))]
 	c.route = c.database() + suffixes[c.random.IntN(len(suffixes))]
 	c.written = 0
-	c.active = dial(i.callers, c.route, keys[c.account])
-	return c.active != nil
+	session, err := lineclient.Dial(i.Callers, c.route, keys[c.account])
+	if err != nil {
+		return false // the instance may be down or silent; the next attempt takes another one
+	}
+	c.active = session
+	return true
 }
 
 var suffixes = []string{"-strict", "-stale"}
 
 // database is where the caller's item lies.
 func (c *caller) database() string {
-	return c.run.names[len(c.name)%len(c.run.names)]
+	names := c.run.deployed.Names()
+	return names[len(c.name)%len(names)]
 }
 
 func (c *caller) leave() {
 	if c.active != nil {
-		_ = c.active.conn.Close()
+		c.active.Close()
 	}
 	c.active = nil
 }
@@ -169,9 +90,9 @@
 }
 
 // ask sends a query on the open session. An answer with the receipt of another request is a broken promise.
-func (c *caller) ask(id, text string) reply {
-	r := c.active.ask(id, text)
-	if r.word == foreignAnswer {
+func (c *caller) ask(id, text string) lineclient.Reply {
+	r := c.active.Ask(id, text)
+	if r.Word == lineclient.Foreign {
 		c.run.violate("%s: %s was answered with the receipt of another request", c.name, id)
 	}
 	return r
@@ -183,17 +104,17 @@
 }
 
 // note takes the answer to a write, or to the commit of one.
-func (c *caller) note(id string, value int, r reply) {
+func (c *caller) note(id string, value int, r lineclient.Reply) {
 	switch {
-	case r.word == "receipt":
+	case r.Word == lineclient.Receipt:
 		c.acked, c.written = value, value
 		c.run.served()
-	case promises[r.word]:
+	case lineclient.Promise(r.Word):
 		c.run.refuse(id)
 	default:
 		c.doubt[value] = true
 	}
-	if r.word == "broken" || r.word == "NOAUTH" {
+	if r.Word == lineclient.Broken || r.Word == "NOAUTH" {
 		c.leave()
 	}
 }
@@ -205,20 +126,20 @@
 }
 
 func (c *caller) transact() {
-	if r := c.ask(c.id(), "BEGIN"); r.word != "done" {
-		if r.word == "broken" || r.word == "NOAUTH" {
+	if r := c.ask(c.id(), "BEGIN"); r.Word != lineclient.Done {
+		if r.Word == lineclient.Broken || r.Word == "NOAUTH" {
 			c.leave()
 		}
 		return
 	}
 	id := c.id()
 	value := c.count
-	if r := c.ask(id, fmt.Sprintf("WRITE %s %d", c.item, value)); r.word != "receipt" {
+	if r := c.ask(id, fmt.Sprintf("WRITE %s %d", c.item, value)); r.Word != lineclient.Receipt {
 		c.abort(r)
 		return
 	}
 	if c.random.IntN(4) == 0 {
-		c.abort(reply{state: "T"})
+		c.abort(lineclient.Reply{State: lineclient.InTransaction})
 		return
 	}
 	commit := c.id()
@@ -226,11 +147,11 @@
 }
 
 // abort ends a transaction that is not committed.
-func (c *caller) abort(r reply) {
-	if r.state == "T" || r.state == "E" {
+func (c *caller) abort(r lineclient.Reply) {
+	if r.State == lineclient.InTransaction || r.State == lineclient.Failed {
 		r = c.ask(c.id(), "ROLLBACK")
 	}
-	if r.word != "done" {
+	if r.Word != lineclient.Done {
 		c.leave()
 	}
 }
@@ -245,17 +166,17 @@
 	if c.account == greedy {
 		c.run.noteSent(id, sent)
 	}
-	if r.word != "receipt" {
-		if r.word == "broken" || r.word == "NOAUTH" {
+	if r.Word != lineclient.Receipt {
+		if r.Word == lineclient.Broken || r.Word == "NOAUTH" {
 			c.leave()
 		}
 		return
 	}
 	c.run.served()
-	value, _ := strconv.Atoi(r.value) // "-" is no value, 0
+	value, _ := strconv.Atoi(r.Value) // "-" is no value, 0
 	if !strings.HasSuffix(c.route, "-strict") {
 		if value < c.written && !c.doubt[value] {
-			c.run.violate("%s: read %s gave %q, but its session has written %d; %s", c.name, id, r.value, c.written, c.run.story(c.item))
+			c.run.violate("%s: read %s gave %q, but its session has written %d; %s", c.name, id, r.Value, c.written, c.run.story(c.item))
 		}
 		return
 	}
@@ -263,7 +184,7 @@
 		c.acked = value
 		return
 	}
-	c.run.violate("%s: read %s gave %q, but %d was acknowledged; %s", c.name, id, r.value, c.acked, c.run.story(c.item))
+	c.run.violate("%s: read %s gave %q, but %d was acknowledged; %s", c.name, id, r.Value, c.acked, c.run.story(c.item))
 }
 
 // ledger is what callers were told, for the check at the end.
--- a/cmd/internal/soak/command.go
+++ b/cmd/internal/soak/command.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
 )
 
 // errBroken tells that a promise was broken.
@@ -35,7 +35,7 @@
 		},
 	}
 	f := cmd.Flags()
-	f.StringVar(&cfg.Binary, "binary", besides("cyclamenstile"), "the daemon to run")
+	f.StringVar(&cfg.Binary, "binary", platformlocal.DaemonBinary(), "the daemon to run")
 	f.StringVar(&cfg.Dir, "dir", "", "folder for settings and logs; default: a temporary one, kept after a broken promise")
 	f.Uint64Var(&cfg.Seed, "seed", 1, "first seed")
 	f.IntVar(&seeds, "seeds", 1, "number of seeds, one after the other")
@@ -47,15 +47,6 @@
 	return cmd
 }
 
-// besides returns the path of a program in the folder of this one.
-func besides(name string) string {
-	self, err := os.Executable()
-	if err != nil {
-		return name
-	}
-	return filepath.Join(filepath.Dir(self), name)
-}
-
 func runSeeds(cmd *cobra.Command, cfg Config, seeds int) error {
 	broken := false
 	first := cfg.Seed
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/relay"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
@@ -39,51 +41,50 @@
 
 // inject begins one fault. A later step of it runs beside.
 func (f *faults) inject(ctx context.Context) {
-	i := f.run.instances[f.random.IntN(len(f.run.instances))]
+	i := f.run.deployed.Instances[f.random.IntN(len(f.run.deployed.Instances))]
 	s := f.server()
 	span := 200*time.Millisecond + rand0(f.random, faultSpan)
 	kind := f.random.IntN(11)
-	f.run.logf("fault %d at instance %s, server %s, for %s", kind, i.name, s.id, span.Round(time.Millisecond))
+	f.run.logf("fault %d at instance %s, server %s, for %s", kind, i.Name, s.ID, span.Round(time.Millisecond))
 	switch kind {
 	case 0:
 		f.beside(func() { f.restart(i, syscall.SIGKILL, span/4) })
 	case 1:
 		f.beside(func() { f.restart(i, syscall.SIGTERM, span/8) })
 	case 2:
-		i.signal(syscall.SIGSTOP)
-		f.after(ctx, span, func() { i.signal(syscall.SIGCONT) })
+		i.Signal(syscall.SIGSTOP)
+		f.after(ctx, span, func() { i.Signal(syscall.SIGCONT) })
 	case 3:
-		i.signal(syscall.SIGHUP)
+		i.Signal(syscall.SIGHUP)
 	case 4:
-		f.silence(ctx, i.store, span)
+		f.silence(ctx, i.Store, span)
 	case 5:
-		i.store.Cut()
-		f.after(ctx, span, func() { f.must(i.store.Heal()) })
+		i.Store.Cut()
+		f.after(ctx, span, func() { f.must(i.Store.Heal()) })
 	case 6:
-		f.silence(ctx, s.relay, span)
+		f.silence(ctx, s.Relay, span)
 	case 7:
-		f.delay(ctx, s.relay, span)
+		f.delay(ctx, s.Relay, span)
 	case 8:
-		f.run.world.databases[f.database(s)].LoseAnswers(s.id, 1+f.random.IntN(4))
+		f.run.deployed.Group(f.database(s)).LoseAnswers(s.ID, 1+f.random.IntN(4))
 	case 9:
-		f.run.world.platform.Compact()
-		f.must(f.run.world.configure(f.random.IntN(2) == 0))
+		f.run.deployed.Platform.Compact()
+		f.must(f.run.configure(f.random.IntN(2) == 0))
 	case 10:
-		f.oneWay(ctx, s.relay, span)
+		f.oneWay(ctx, s.Relay, span)
 	}
 }
 
-func (f *faults) server() *upstream {
-	servers := f.run.world.servers[f.run.names[f.random.IntN(len(f.run.names))]]
+func (f *faults) server() *platformlocal.Server {
+	names := f.run.deployed.Names()
+	servers := f.run.deployed.Servers(names[f.random.IntN(len(names))])
 	return servers[f.random.IntN(len(servers))]
 }
 
-func (f *faults) database(s *upstream) string {
-	for name, servers := range f.run.world.servers {
-		for _, other := range servers {
-			if other == s {
-				return name
-			}
+func (f *faults) database(s *platformlocal.Server) string {
+	for _, name := range f.run.deployed.Names() {
+		if slices.Contains(f.run.deployed.Servers(name), s) {
+			return name
 		}
 	}
 	return ""
@@ -108,14 +109,14 @@
 }
 
 // restart ends an instance and starts it again after a pause.
-func (f *faults) restart(i *instance, s syscall.Signal, d time.Duration) {
+func (f *faults) restart(i *platformlocal.Instance, s syscall.Signal, d time.Duration) {
 	if !f.run.claim(i) {
 		return // it is being restarted already
 	}
 	defer f.run.unclaim(i)
-	i.end(s)
+	i.End(s)
 	time.Sleep(d)
-	f.must(i.start())
+	f.must(i.Start())
 }
 
 // silence swallows what passes a relay. A relay that is silent already is left alone.
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -8,11 +8,11 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
 	"github.com/cyclamenstile/cyclamenstile/standin/linedb"
 )
 
@@ -49,13 +49,12 @@
 // run is a run in progress.
 type run struct {
 	ledger
-	cfg       Config
-	world     *world
-	names     []string // of the databases
-	instances []*instance
+	cfg      Config
+	deployed *platformlocal.Deployment
+	keys     withdrawals
 
 	claims   sync.Mutex
-	claimed  map[*instance]bool
+	claimed  map[*platformlocal.Instance]bool
 	logMutex sync.Mutex
 }
 
@@ -66,7 +65,7 @@
 }
 
 // claim makes the caller the one that restarts an instance.
-func (r *run) claim(i *instance) bool {
+func (r *run) claim(i *platformlocal.Instance) bool {
 	r.claims.Lock()
 	defer r.claims.Unlock()
 	if r.claimed[i] {
@@ -76,7 +75,7 @@
 	return true
 }
 
-func (r *run) unclaim(i *instance) {
+func (r *run) unclaim(i *platformlocal.Instance) {
 	r.claims.Lock()
 	defer r.claims.Unlock()
 	r.claimed[i] = false
@@ -92,27 +91,23 @@
 		}
 		cfg.Dir = dir
 	}
-	r := &run{cfg: cfg, claimed: map[*instance]bool{}}
+	r := &run{cfg: cfg, claimed: map[*platformlocal.Instance]bool{}}
 	r.refused, r.sent = map[string]bool{}, map[string]time.Time{}
-	w, err := newWorld(cfg.Databases)
+	d, err := platformlocal.Start(platformlocal.Config{
+		Binary: cfg.Binary, Dir: cfg.Dir, Instances: cfg.Processes, Accounts: accounts,
+		Databases: platformlocal.Databases{
+			Count: cfg.Databases, Slots: serverSlots, Work: serverWork, MaxConnections: serverConnections,
+		},
+	})
 	if err != nil {
 		return Result{}, err
 	}
-	defer w.close()
-	r.world = w
-	for i := range cfg.Databases {
-		r.names = append(r.names, fmt.Sprintf("db%d", i))
-	}
-	defer r.endAll()
-	if err := r.startAll(); err != nil {
-		return Result{}, err
-	}
+	defer d.Close()
+	r.deployed = d
 	r.play(ctx)
 	r.checkRuns()
 	result := Result{Seed: cfg.Seed, Answers: r.count(), Violations: r.violations, Logs: cfg.Dir}
-	for _, group := range w.databases {
-		result.Statements += len(group.Runs())
-	}
+	result.Statements = len(d.Runs())
 	if temporary && len(r.violations) == 0 {
 		_ = os.RemoveAll(cfg.Dir) // a folder that stays behind does no harm
 		result.Logs = ""
@@ -124,55 +119,23 @@
 func (r *run) story(item string) string {
 	const last = 8
 	var lines []string
-	for _, group := range r.world.databases {
-		for _, each := range group.Runs() {
-			if strings.Contains(each.Text, " "+item+" ") || strings.HasSuffix(each.Text, " "+item) {
-				lines = append(lines, fmt.Sprintf("%s %s at %s (%q, effect %t, in transaction %t)", each.At.Format("15:04:05.000"), each.ID, each.Server, each.Text, each.Effect, each.InTx))
-			}
+	for _, each := range r.deployed.Runs() {
+		if strings.Contains(each.Text, " "+item+" ") || strings.HasSuffix(each.Text, " "+item) {
+			lines = append(lines, fmt.Sprintf("%s %s at %s (%q, effect %t, in transaction %t)", each.At.Format("15:04:05.000"), each.ID, each.Server, each.Text, each.Effect, each.InTx))
 		}
 	}
 	return strings.Join(lines[max(len(lines)-last, 0):], "; ")
 }
 
-func (r *run) startAll() error {
-	for n := range r.cfg.Processes {
-		i, err := newInstance(r.world, r.cfg.Binary, r.cfg.Dir, fmt.Sprintf("edge-%d", n), zones[n%len(zones)])
-		if err != nil {
-			return err
-		}
-		r.instances = append(r.instances, i)
-		if err := i.start(); err != nil {
-			return err
-		}
-	}
-	for _, i := range r.instances {
-		if err := i.awaitReady(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (r *run) endAll() {
-	var ends sync.WaitGroup
-	for _, i := range r.instances {
-		ends.Go(func() {
-			i.end(syscall.SIGKILL)
-			i.store.Cut()
-		})
-	}
-	ends.Wait()
-}
-
 // play runs callers and faults, then waits until callers are served again.
 func (r *run) play(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.cfg.Seed, 1))
 	working, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
-	accounts := []string{steady, steady, withdrawn, greedy}
+	roles := []string{steady, steady, withdrawn, greedy}
 	for n := range r.cfg.Callers {
 		c := &caller{
-			run: r, name: fmt.Sprintf("c%d", n), account: accounts[n%len(accounts)], item: fmt.Sprintf("item-%d", n),
+			run: r, name: fmt.Sprintf("c%d", n), account: roles[n%len(roles)], item: fmt.Sprintf("item-%d", n),
 			random: rand.New(rand.NewPCG(r.cfg.Seed, uint64(n)+2)), doubt: map[int]bool{},
 		}
 		callers.Go(func() { c.loop(working) })
@@ -188,11 +151,11 @@
 
 // recover checks that callers are served after the last fault.
 func (r *run) recover() {
-	if err := r.world.configure(true); err != nil {
+	if err := r.configure(true); err != nil {
 		r.violate("the soak itself failed: %v", err)
 	}
 	before := r.count()
-	for end := time.Now().Add(recoveryLimit); time.Now().Before(end); time.Sleep(readyPoll) {
+	for end := time.Now().Add(recoveryLimit); time.Now().Before(end); time.Sleep(platformlocal.ReadyPoll) {
 		if r.count()-before >= recoveryCount && r.allReady() {
 			return
 		}
@@ -201,8 +164,8 @@
 }
 
 func (r *run) allReady() bool {
-	for _, i := range r.instances {
-		if !i.isReady() {
+	for _, i := range r.deployed.Instances {
+		if !i.Ready() {
 			return false
 		}
 	}
@@ -212,11 +175,8 @@
 // checkRuns checks what the servers have run.
 func (r *run) checkRuns() {
 	effects := map[string]int{}
-	withdrawals := r.world.withdrawals()
-	var all []linedb.Run
-	for _, group := range r.world.databases {
-		all = append(all, group.Runs()...)
-	}
+	withdrawals := r.keys.spans()
+	all := r.deployed.Runs()
 	for _, each := range all {
 		if each.Effect {
 			effects[each.ID]++
@@ -239,7 +199,7 @@
 		r.violate("statement %s ran for %q", each.ID, each.Account)
 	}
 	for _, s := range withdrawals {
-		if each.Account == withdrawn && each.At.After(s.from.Add(keyWithdrawal+withdrawalSlack)) && each.At.Before(s.to) {
+		if each.Account == withdrawn && each.At.After(s.from.Add(platformlocal.KeyWithdrawal+withdrawalSlack)) && each.At.Before(s.to) {
 			r.violate("statement %s ran %s after its key was withdrawn", each.ID, each.At.Sub(s.from))
 		}
 	}
@@ -256,16 +216,16 @@
 			reads = append(reads, pair{sent, each.At})
 		}
 	}
-	allowed := int((greedyRate*quotaWindow.Seconds()+greedyBurst)*(1+quotaOverage) + quotaSlack)
+	allowed := int((greedyRate*platformlocal.QuotaWindow.Seconds()+greedyBurst)*(1+platformlocal.QuotaOverage) + platformlocal.QuotaSlack)
 	for _, first := range reads {
 		n := 0
 		for _, other := range reads {
-			if !other.sent.Before(first.sent) && other.ran.Sub(first.sent) <= quotaWindow {
+			if !other.sent.Before(first.sent) && other.ran.Sub(first.sent) <= platformlocal.QuotaWindow {
 				n++
 			}
 		}
 		if n > allowed {
-			r.violations = append(r.violations, fmt.Sprintf("account %s ran %d operations in %s, %d are allowed", greedy, n, quotaWindow, allowed))
+			r.violations = append(r.violations, fmt.Sprintf("account %s ran %d operations in %s, %d are allowed", greedy, n, platformlocal.QuotaWindow, allowed))
 			return
 		}
 	}
