Run the demo on a stand-in of the users' platform

Load, mover and events work on a stage, of which the PostgreSQL deployment and the platform's are two. Limits of memory belong to the process and move from the node to edge.

--- a/cmd/internal/demo/command.go
+++ b/cmd/internal/demo/command.go
@@ -22,7 +22,10 @@
 
 With --listen the first instance serves on that address and the second on the next port, from the
 start and after the report until it is interrupted; any PostgreSQL client can connect as user
-visitor with password demo to database orders.`
+visitor with password demo to database orders.
+
+With --platform the instances serve the users' line protocol on a stand-in of the users' platform,
+and there is no plain policy beside them.`
 
 // errBroken makes the command's exit code 1.
 var errBroken = errors.New("a promise was broken; see the report")
@@ -43,6 +46,7 @@
 	f := cmd.Flags()
 	f.DurationVar(&c.Duration, "duration", DefaultDuration, "load on both policies together")
 	f.Uint64Var(&c.Seed, "seed", 1, "seed of the load")
+	f.BoolVar(&c.Platform, "platform", false, "run on the stand-in of the users' platform")
 	f.StringVar(&c.Listen, "listen", "", "IP:port to go on serving on after the report")
 	return cmd
 }
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -30,6 +30,7 @@
 	Duration time.Duration // of both policies together
 	Seed     uint64
 	Listen   string // IP:port; the second instance takes the next port. Empty: none
+	Platform bool   // run on the stand-in of the users' platform, without a plain policy
 	Progress io.Writer
 	// Report is called with the report before the demo goes on serving.
 	Report func(*Report) error
@@ -43,6 +44,9 @@
 	if c.Listen == "" {
 		return nil
 	}
+	if c.Platform {
+		return errors.New("--listen: it serves PostgreSQL clients, which the users' platform has not; leave out --listen or --platform")
+	}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return errors.Newf("--listen: %q is not IP:port; write it like 127.0.0.1:6432", c.Listen)
 	}
@@ -85,30 +89,49 @@
 	}
 }
 
-// Run runs both policies, ours first, so that Listen is served from the start. It hands the report
-// to Config.Report and then serves until ctx ends if Listen is set.
+// Run runs both policies, ours first, so that Listen is served from the start; on the users' platform ours alone. It
+// hands the report to Config.Report and then serves until ctx ends if Listen is set.
 func Run(ctx context.Context, c Config) (*Report, error) {
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
+	if c.Platform {
+		return c.runOnPlatform(ctx)
+	}
+	return c.runBoth(ctx)
+}
+
+func (c Config) runOnPlatform(ctx context.Context) (*Report, error) {
+	c.say("cyclamenstile on the stand-in of the users' platform")
+	figures, err := platformFigures(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{Figures: figures, Seed: c.Seed}
+	return report, c.Report(report)
+}
+
+func (c Config) runBoth(ctx context.Context) (*Report, error) {
 	listeners, err := c.listeners()
 	if err != nil {
 		return nil, err
 	}
 	half := c.Duration / 2
 	c.say("cyclamenstile")
-	ours, err := startPolicy(ctx, c, half, nil, listeners)
+	ours, err := startPolicy(ctx, c, nil, listeners)
 	if err != nil {
 		return nil, err
 	}
-	defer ours.deployment.Close()
+	defer ours.close()
 	report := &Report{Seed: c.Seed}
-	if report.Figures, err = ours.figures(ctx); err != nil {
+	if report.Figures, err = newPolicyRun(c, half, ours).figures(ctx); err != nil {
 		return nil, err
 	}
-	if report.Baseline, err = baseline(ctx, c, half); err != nil {
+	plain, err := baseline(ctx, c, half)
+	if err != nil {
 		return nil, errors.Wrap(err, "run the plain policy")
 	}
+	report.Baseline = &plain
 	if err := c.Report(report); err != nil || listeners == nil {
 		return report, err
 	}
@@ -118,12 +141,12 @@
 
 func baseline(ctx context.Context, c Config, duration time.Duration) (Figures, error) {
 	c.say("plain policy: all reads on the primary, static shares of the rates")
-	plain, err := startPolicy(ctx, c, duration, &daemon.PlainPolicy{Instances: instances}, nil)
+	plain, err := startPolicy(ctx, c, &daemon.PlainPolicy{Instances: instances}, nil)
 	if err != nil {
 		return Figures{}, err
 	}
-	defer plain.deployment.Close()
-	return plain.figures(ctx)
+	defer plain.close()
+	return newPolicyRun(c, duration, plain).figures(ctx)
 }
 
 // serve shows how to connect and waits for an interrupt.
--- a/cmd/internal/demo/demo_test.go
+++ b/cmd/internal/demo/demo_test.go
@@ -36,6 +36,11 @@
 	return true
 }
 
+const (
+	upsert      = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = excluded.value"
+	selectValue = "SELECT value FROM kv WHERE key = $1"
+)
+
 // Guards against a demo that breaks a promise, lacks a figure, or does not serve afterwards on the
 // addresses that it names.
 func TestDemo(t *testing.T) {
@@ -77,12 +82,12 @@
 	}
 	defer func() { _ = reader.Close(ctx) }()
 	for i := range 100 {
-		if _, err := writer.Exec(ctx, moverUpsert, "visitor", fmt.Sprint(i)); err != nil {
+		if _, err := writer.Exec(ctx, upsert, "visitor", fmt.Sprint(i)); err != nil {
 			t.Error(err)
 			return
 		}
 		var got string
-		if err := reader.QueryRow(ctx, moverSelect, "visitor").Scan(&got); err != nil || got != fmt.Sprint(i) {
+		if err := reader.QueryRow(ctx, selectValue, "visitor").Scan(&got); err != nil || got != fmt.Sprint(i) {
 			t.Errorf("read %q after writing %d: %v", got, i, err)
 			return
 		}
--- a/cmd/internal/demo/figures.go
+++ b/cmd/internal/demo/figures.go
@@ -21,27 +21,29 @@
 
 // Figures are the brief's measures of one policy.
 type Figures struct {
-	Statements         int      `json:"statements"`
-	ReplicaReadShare   float64  `json:"replica_read_share"`
-	SessionMoves       int      `json:"session_moves"`
-	StaleReads         int      `json:"stale_reads"`
-	WriteGapMillis     int64    `json:"write_gap_ms"`
-	LostAckedWrites    int      `json:"lost_acked_writes"`
-	WorstAccountShare  float64  `json:"worst_account_share"` // of its entitlement
-	WorstAccount       string   `json:"worst_account"`
-	RefusedInsideRate  int      `json:"refused_inside_rate"`
-	AdmittedOverRate   int      `json:"admitted_over_rate"`
-	FalseNotRun        int      `json:"false_not_run"`
-	OutcomeUnknown     int      `json:"outcome_unknown"`
-	KeyWithdrawalMilli int64    `json:"key_withdrawal_ms"`
-	Violations         []string `json:"violations"`
+	Statements        int     `json:"statements"`
+	ReplicaReadShare  float64 `json:"replica_read_share"`
+	SessionMoves      int     `json:"session_moves"`
+	StaleReads        int     `json:"stale_reads"`
+	WriteGapMillis    int64   `json:"write_gap_ms"`
+	LostAckedWrites   int     `json:"lost_acked_writes"`
+	WorstAccountShare float64 `json:"worst_account_share"` // of its entitlement
+	WorstAccount      string  `json:"worst_account"`
+	RefusedInsideRate int     `json:"refused_inside_rate"`
+	AdmittedOverRate  int     `json:"admitted_over_rate"`
+	FalseNotRun       int     `json:"false_not_run"`
+	OutcomeUnknown    int     `json:"outcome_unknown"`
+	// Failures are the statements that failed, by account and reason.
+	Failures           map[string]map[string]int `json:"failures"`
+	KeyWithdrawalMilli int64                     `json:"key_withdrawal_ms"`
+	Violations         []string                  `json:"violations"`
 }
 
-// Report holds the figures of both policies.
+// Report holds the figures of both policies. On the users' platform there is no plain policy to compare with.
 type Report struct {
 	Figures
-	Baseline Figures `json:"baseline"`
-	Seed     uint64  `json:"seed"`
+	Baseline *Figures `json:"baseline,omitempty"`
+	Seed     uint64   `json:"seed"`
 }
 
 // Broken reports whether any promise was broken.
@@ -52,25 +54,24 @@
 // measure checks the histories and sums up what the callers experienced.
 func (r *policyRun) measure(ctx context.Context) (Figures, error) {
 	f := Figures{
+		Failures:           map[string]map[string]int{},
 		Violations:         []string{},
 		SessionMoves:       r.mover.moves,
 		StaleReads:         r.mover.stale,
 		Statements:         2 * r.mover.moves,
 		KeyWithdrawalMilli: r.withdrawal.Milliseconds(),
 		WorstAccountShare:  1,
-	}
-	if n := r.statements.reads.Load(); n > 0 {
-		f.ReplicaReadShare = float64(r.statements.onReplica.Load()) / float64(n)
+		ReplicaReadShare:   r.stage.replicaReadShare(),
 	}
 	for _, o := range offers() {
 		result := r.results[o.Name]
 		if result == nil {
 			continue
 		}
-		if err := r.readFinal(ctx, result); err != nil {
+		if err := r.stage.content(ctx, result); err != nil {
 			return f, err
 		}
-		result.History.Limits = limits(o)
+		result.History.Limits = map[string]history.Limit{o.Name: r.stage.tolerated(history.Limit{Rate: o.Rate, Burst: o.Burst})}
 		f.add(o, result)
 	}
 	f.promise(f.StaleReads == 0, "a moved session read an older state %d times", f.StaleReads)
@@ -79,16 +80,12 @@
 	return f, nil
 }
 
-func (r *policyRun) readFinal(ctx context.Context, result *load.Result) error {
-	primary := r.deployment.Group.Server(r.deployment.Group.Primary())
-	return result.ReadFinal(ctx, primary.Address(), "", load.Account{Name: "demo"})
-}
-
 // add counts one account's history.
 func (f *Figures) add(o offer, result *load.Result) {
 	counts := result.Counts[o.Name]
 	f.Statements += counts.Sent
 	f.OutcomeUnknown += counts.Unknown
+	f.Failures[o.Name] = result.Failures[o.Name]
 	if o.from == 0 && o.Name != withdrawnAccount {
 		f.WriteGapMillis = max(f.WriteGapMillis, result.WriteGap.Milliseconds())
 	}
@@ -136,9 +133,17 @@
 func (r *Report) Table(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	row := func(name, format string, of func(Figures) any) {
-		fmt.Fprintf(t, "%s\t"+format+"\t"+format+"\n", name, of(r.Figures), of(r.Baseline))
+		fmt.Fprintf(t, "%s\t"+format, name, of(r.Figures))
+		if r.Baseline != nil {
+			fmt.Fprintf(t, "\t"+format, of(*r.Baseline))
+		}
+		fmt.Fprintln(t)
+	}
+	columns := "measure\tcyclamenstile"
+	if r.Baseline != nil {
+		columns += "\tplain policy"
 	}
-	fmt.Fprintln(t, "measure\tcyclamenstile\tplain policy")
+	fmt.Fprintln(t, columns)
 	row("statements", "%d", func(f Figures) any { return f.Statements })
 	row("reads served by replicas", "%.1f%%", func(f Figures) any { return 100 * f.ReplicaReadShare })
 	row("stale reads", "%d", func(f Figures) any { return f.StaleReads })
--- a/cmd/internal/demo/mover.go
+++ b/cmd/internal/demo/mover.go
@@ -3,86 +3,83 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
-	"github.com/jackc/pgx/v5"
-
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
-	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
-	moverPause  = 20 * time.Millisecond
-	moverUpsert = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = excluded.value"
-	moverSelect = "SELECT value FROM kv WHERE key = $1"
+	moverPause = 20 * time.Millisecond
+	// movesPerKey bounds the content of a key.
+	movesPerKey = 32
 )
 
 // mover is a session that writes through one instance and reads through the other, without handing
 // a token over.
 type mover struct {
-	deployment *local.Deployment
-	until      time.Time
+	stage stage
+	until time.Time
 
 	moves, stale int
-	conns        []*pgx.Conn // by instance, nil while broken
+	conns        []load.Conn // by instance, nil while broken
 }
 
 func (m *mover) run(ctx context.Context) error {
-	m.conns = make([]*pgx.Conn, len(m.deployment.Instances))
+	m.conns = make([]load.Conn, len(m.stage.addresses()))
 	for i := 0; time.Now().Before(m.until) && ctx.Err() == nil; i++ {
-		from := i % len(m.conns)
-		to := (i + 1) % len(m.conns)
-		m.move(ctx, from, to, fmt.Sprint(i))
+		m.move(ctx, i)
 		wait.For(ctx, moverPause)
 	}
 	for _, c := range m.conns {
 		if c != nil {
-			_ = c.Close(ctx)
+			c.Close()
 		}
 	}
 	return nil
 }
 
 // move writes through one instance and, if the write was acknowledged, reads through the other.
-func (m *mover) move(ctx context.Context, from, to int, value string) {
+func (m *mover) move(ctx context.Context, i int) {
+	from := i % len(m.conns)
+	to := (i + 1) % len(m.conns)
 	writer, reader := m.conn(ctx, from), m.conn(ctx, to)
 	if writer == nil || reader == nil {
 		return
 	}
-	if _, err := writer.Exec(ctx, moverUpsert, moverAccount, value); err != nil {
-		m.drop(from, err)
+	key := fmt.Sprintf("%s/%d", moverAccount, i/movesPerKey)
+	value := fmt.Sprintf("%d;", i)
+	if err := writer.Append(ctx, key, value); err != nil {
+		m.drop(from)
 		return
 	}
-	var got string
-	if err := reader.QueryRow(ctx, moverSelect, moverAccount).Scan(&got); err != nil {
-		m.drop(to, err)
+	content, err := reader.Read(ctx, key)
+	if err != nil {
+		m.drop(to)
 		return
 	}
 	m.moves++
-	if got != value {
+	if !strings.HasSuffix(content, value) {
 		m.stale++
 	}
 }
 
-func (m *mover) conn(ctx context.Context, i int) *pgx.Conn {
+func (m *mover) conn(ctx context.Context, i int) load.Conn {
 	if m.conns[i] != nil {
 		return m.conns[i]
 	}
-	account := load.Account{Name: moverAccount, Key: m.deployment.Key(moverAccount)}
-	conf, err := load.ConnConfig(m.deployment.Instances[i].Address, local.DatabaseName, account)
+	c, err := m.stage.connectStrictly(ctx, m.stage.addresses()[i], moverAccount)
 	if err != nil {
-		return nil
-	}
-	m.conns[i], err = pgx.ConnectConfig(ctx, conf)
-	if err != nil {
-		m.conns[i] = nil
+		return nil // the next move tries again
 	}
-	return m.conns[i]
+	m.conns[i] = c
+	return c
 }
 
-func (m *mover) drop(i int, _ error) {
-	if m.conns[i].IsClosed() {
+// drop forgets a connection that can't be used any more.
+func (m *mover) drop(i int) {
+	if m.conns[i].Closed() {
 		m.conns[i] = nil
 	}
 }
--- /dev/null
+++ b/cmd/internal/demo/platform.go
@@ -0,0 +1,138 @@
+package demo
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
+)
+
+// ownCommitsRoute ends the name of a route whose reads see the commits of their session.
+const ownCommitsRoute = "-stale"
+
+// allCommitsRoute ends the name of a route whose reads see every commit.
+const allCommitsRoute = "-strict"
+
+// settleTime is how long the accounts of a new deployment take to get their whole rate and burst. The users' platform
+// sends no callers for ten seconds after a start.
+const settleTime = 5 * time.Second
+
+// platformDatabases are small, as on the users' platform.
+var platformDatabases = platformlocal.Databases{Count: 1, Slots: 3, Work: 500 * time.Microsecond, MaxConnections: 23}
+
+// platformStage is a deployment on the stand-in of the users' platform.
+type platformStage struct {
+	deployment *platformlocal.Deployment
+	database   string
+	dir        string // of settings
+}
+
+// startPlatform starts instances in this process.
+func startPlatform() (*platformStage, error) {
+	dir, err := os.MkdirTemp("", "demo-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make a folder for settings")
+	}
+	var accounts []platformlocal.Account
+	for _, o := range offers() {
+		accounts = append(accounts, platformlocal.Account{Name: o.Name, Key: platformKey(o.Name), Rate: o.Rate, Burst: o.Burst})
+	}
+	d, err := platformlocal.Start(platformlocal.Config{
+		Dir: dir, Instances: instances, Databases: platformDatabases, Accounts: accounts,
+	})
+	if err != nil {
+		_ = os.RemoveAll(dir) // a folder that stays behind does no harm
+		return nil, err
+	}
+	return &platformStage{deployment: d, database: d.Names()[0], dir: dir}, nil
+}
+
+func platformKey(account string) string {
+	return "key-of-" + account
+}
+
+func (s *platformStage) addresses() []string {
+	var out []string
+	for _, i := range s.deployment.Instances {
+		out = append(out, i.Callers)
+	}
+	return out
+}
+
+func (s *platformStage) account(name string) load.Account {
+	return load.Account{Name: name, Key: platformKey(name)}
+}
+
+// adjust takes a route whose reads see the commits of their session. A session there is a connection: nothing is handed
+// over to the next one. A write that is executed late replaces newer ones, since the protocol has no conditional write.
+func (s *platformStage) adjust(c *load.Config) {
+	c.Open = load.OpenLine(s.database + ownCommitsRoute)
+	c.SessionPerConnection = true
+	c.LeaveDoubtfulKeys = true
+}
+
+func (s *platformStage) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
+	return load.OpenLine(s.database+allCommitsRoute)(ctx, address, s.account(account), "")
+}
+
+func (s *platformStage) crash() string {
+	return s.deployment.CrashPrimary(s.database)
+}
+
+func (s *platformStage) restart() error {
+	return s.deployment.Recover(s.database)
+}
+
+func (s *platformStage) withdraw(_ context.Context, account string) error {
+	return s.deployment.Configure(account)
+}
+
+func (s *platformStage) content(_ context.Context, r *load.Result) error {
+	r.SetFinal(s.deployment.Group(s.database).Content())
+	return nil
+}
+
+// tolerated adds what the operators allow beyond a limit while instances fail.
+func (s *platformStage) tolerated(l history.Limit) history.Limit {
+	const part = 1 + platformlocal.QuotaOverage
+	return history.Limit{Rate: l.Rate * part, Burst: l.Burst*part + platformlocal.QuotaSlack}
+}
+
+func (s *platformStage) replicaReadShare() float64 {
+	reads, onReplicas := 0, 0
+	for _, run := range s.deployment.Runs() {
+		if run.InTx || !strings.HasPrefix(run.Text, "READ ") {
+			continue
+		}
+		reads++
+		if !run.Led {
+			onReplicas++
+		}
+	}
+	return float64(onReplicas) / float64(max(reads, 1))
+}
+
+func (s *platformStage) close() {
+	s.deployment.Close()
+	_ = os.RemoveAll(s.dir) // a folder that stays behind does no harm
+}
+
+// platformFigures runs load and events on the stand-in of the users' platform.
+func platformFigures(ctx context.Context, c Config) (Figures, error) {
+	s, err := startPlatform()
+	if err != nil {
+		return Figures{}, err
+	}
+	defer s.close()
+	if !wait.For(ctx, settleTime) {
+		return Figures{}, errors.Wrap(ctx.Err(), "the demo was interrupted")
+	}
+	return newPolicyRun(c, c.Duration, s).figures(ctx)
+}
--- a/cmd/internal/demo/policy.go
+++ b/cmd/internal/demo/policy.go
@@ -8,11 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jackc/pgx/v5"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
-	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/proxy/daemon"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
@@ -47,8 +45,7 @@
 type policyRun struct {
 	cfg        Config
 	duration   time.Duration
-	deployment *local.Deployment
-	statements *statements
+	stage      stage
 	mover      *mover
 	withdrawal time.Duration
 
@@ -57,13 +54,17 @@
 }
 
 // startPolicy starts a deployment with a policy.
-func startPolicy(ctx context.Context, c Config, duration time.Duration, plain *daemon.PlainPolicy, listeners []net.Listener) (*policyRun, error) {
+func startPolicy(ctx context.Context, c Config, plain *daemon.PlainPolicy, listeners []net.Listener) (*postgresStage, error) {
 	s := &statements{}
 	d, err := local.Start(ctx, deployment(c, plain, listeners, s))
 	if err != nil {
 		return nil, err
 	}
-	return &policyRun{cfg: c, duration: duration, deployment: d, statements: s, results: make(map[string]*load.Result)}, nil
+	return &postgresStage{deployment: d, statements: s}, nil
+}
+
+func newPolicyRun(c Config, duration time.Duration, s stage) *policyRun {
+	return &policyRun{cfg: c, duration: duration, stage: s, results: make(map[string]*load.Result)}
 }
 
 // figures runs the load and the events and measures what callers experienced.
@@ -85,7 +86,7 @@
 			tasks = append(tasks, func(ctx context.Context) error { return r.load(ctx, o) })
 		}
 	}
-	r.mover = &mover{deployment: r.deployment, until: start.Add(r.duration)}
+	r.mover = &mover{stage: r.stage, until: start.Add(r.duration)}
 	tasks = append(tasks, r.mover.run, r.failures, r.withdraw)
 	return inParallel(ctx, tasks)
 }
@@ -109,16 +110,19 @@
 	if o.from > 0 {
 		r.cfg.say("  account %s sends %.0f statements/s, its rate is %.0f", o.Name, o.offered, o.Rate)
 	}
-	result, err := load.Run(ctx, load.Config{
+	account := r.stage.account(o.Name)
+	account.Rate = o.offered
+	c := load.Config{
 		Addresses:   r.addresses(o.pinned),
-		Database:    local.DatabaseName,
-		Accounts:    []load.Account{{Name: o.Name, Key: r.deployment.Key(o.Name), Rate: o.offered}},
+		Accounts:    []load.Account{account},
 		Connections: o.sessions,
 		ReadShare:   0.6,
 		Duration:    r.duration - delay,
 		Seed:        r.cfg.Seed,
 		Run:         o.Name,
-	})
+	}
+	r.stage.adjust(&c)
+	result, err := load.Run(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -129,10 +133,7 @@
 }
 
 func (r *policyRun) addresses(pinned bool) []string {
-	var out []string
-	for _, i := range r.deployment.Instances {
-		out = append(out, i.Address)
-	}
+	out := r.stage.addresses()
 	if pinned {
 		return out[:1]
 	}
@@ -148,14 +149,12 @@
 	if !wait.For(ctx, r.at(killAt)) {
 		return nil
 	}
-	killed := r.deployment.Group.Primary()
-	r.cfg.say("  primary %s is killed", r.deployment.Group.Server(killed).ID())
-	r.deployment.Group.Kill(killed)
+	r.cfg.say("  primary %s is killed", r.stage.crash())
 	if !wait.For(ctx, r.at(restartAt-killAt)) {
 		return nil
 	}
 	r.cfg.say("  it starts again")
-	return r.deployment.Group.Restart(killed)
+	return r.stage.restart()
 }
 
 // withdraw withdraws an account's key and measures how long a connected caller can go on with it.
@@ -168,7 +167,7 @@
 		return err
 	}
 	r.cfg.say("  the key of account %s is withdrawn", withdrawnAccount)
-	if err := r.deployment.WithdrawKeys(ctx, withdrawnAccount); err != nil {
+	if err := r.stage.withdraw(ctx, withdrawnAccount); err != nil {
 		return err
 	}
 	started := time.Now()
@@ -186,10 +185,11 @@
 	return nil
 }
 
-func (r *policyRun) connectAll(ctx context.Context, account string) ([]*pgx.Conn, error) {
-	var out []*pgx.Conn
-	for i := range r.deployment.Instances {
-		c, err := pgx.Connect(ctx, r.deployment.URL(i, local.DatabaseName, account))
+// connectAll opens a session of an account through each instance.
+func (r *policyRun) connectAll(ctx context.Context, account string) ([]load.Conn, error) {
+	var out []load.Conn
+	for _, address := range r.stage.addresses() {
+		c, err := connect(ctx, r.stage, address, account)
 		if err != nil {
 			return nil, errors.Wrap(err, "connect before the key is withdrawn")
 		}
@@ -198,20 +198,22 @@
 	return out, nil
 }
 
+// connect opens a session of an account as the load does.
+func connect(ctx context.Context, s stage, address, account string) (load.Conn, error) {
+	var c load.Config
+	s.adjust(&c)
+	return c.Open(ctx, address, s.account(account), "")
+}
+
 // stillWorking returns the callers whose statement succeeds or fails for another reason than the
 // end of their session.
-func stillWorking(ctx context.Context, callers []*pgx.Conn) []*pgx.Conn {
-	var out []*pgx.Conn
+func stillWorking(ctx context.Context, callers []load.Conn) []load.Conn {
+	var out []load.Conn
 	for _, c := range callers {
-		_, _ = c.Exec(ctx, "SELECT 1")
-		if !c.IsClosed() {
+		_, _ = c.Read(ctx, withdrawnAccount)
+		if !c.Closed() {
 			out = append(out, c)
 		}
 	}
 	return out
 }
-
-// limits returns the bounds that an account's admissions are checked against.
-func limits(o offer) map[string]history.Limit {
-	return map[string]history.Limit{o.Name: {Rate: o.Rate, Burst: o.Burst}}
-}
--- /dev/null
+++ b/cmd/internal/demo/stage.go
@@ -0,0 +1,95 @@
+package demo
+
+import (
+	"context"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+)
+
+// stage is a running deployment: of the product's own interface, or on the stand-in of the users' platform.
+type stage interface {
+	// addresses returns where the instances serve callers.
+	addresses() []string
+	// account returns an account with its key.
+	account(name string) load.Account
+	// adjust sets how the sessions of a load connect.
+	adjust(*load.Config)
+	// connectStrictly opens a session that sees every acknowledged write.
+	connectStrictly(ctx context.Context, address, account string) (load.Conn, error)
+	// crash ends the primary and returns its name; restart brings it back.
+	crash() string
+	restart() error
+	// withdraw takes the keys of an account away.
+	withdraw(ctx context.Context, account string) error
+	// content is what the primary holds.
+	content(ctx context.Context, r *load.Result) error
+	// tolerated returns what an account may get at most.
+	tolerated(history.Limit) history.Limit
+	// replicaReadShare returns the part of the reads that replicas served.
+	replicaReadShare() float64
+	close()
+}
+
+// postgresStage is a deployment of the product's own interface, in this process.
+type postgresStage struct {
+	deployment *local.Deployment
+	statements *statements
+	killed     int
+}
+
+func (s *postgresStage) addresses() []string {
+	var out []string
+	for _, i := range s.deployment.Instances {
+		out = append(out, i.Address)
+	}
+	return out
+}
+
+func (s *postgresStage) account(name string) load.Account {
+	return load.Account{Name: name, Key: s.deployment.Key(name)}
+}
+
+func (s *postgresStage) adjust(c *load.Config) {
+	c.Open = load.OpenPostgres(local.DatabaseName)
+}
+
+func (s *postgresStage) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
+	return connect(ctx, s, address, account)
+}
+
+func (s *postgresStage) crash() string {
+	s.killed = s.deployment.Group.Primary()
+	s.deployment.Group.Kill(s.killed)
+	return string(s.deployment.Group.Server(s.killed).ID())
+}
+
+func (s *postgresStage) restart() error {
+	return s.deployment.Group.Restart(s.killed)
+}
+
+func (s *postgresStage) withdraw(ctx context.Context, account string) error {
+	return s.deployment.WithdrawKeys(ctx, account)
+}
+
+func (s *postgresStage) content(ctx context.Context, r *load.Result) error {
+	primary := s.deployment.Group.Server(s.deployment.Group.Primary())
+	return r.ReadFinal(ctx, primary.Address(), "", load.Account{Name: "demo"})
+}
+
+func (s *postgresStage) tolerated(l history.Limit) history.Limit {
+	return l
+}
+
+func (s *postgresStage) replicaReadShare() float64 {
+	n := s.statements.reads.Load()
+	if n == 0 {
+		return 0
+	}
+	return float64(s.statements.onReplica.Load()) / float64(n)
+}
+
+func (s *postgresStage) close() {
+	s.deployment.Close()
+}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -4,6 +4,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,15 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/node"
 )
 
+const (
+	// collectPercent is the growth of memory between two garbage collections. Memory at its peak is dearer
+	// here than processor time.
+	collectPercent = 40
+	// memoryPart is the part of the memory that the process may use, in percent, from which on the collector works
+	// harder. The rest is for stacks and what is not in the heap.
+	memoryPart = 75
+)
+
 const help = `edge runs one instance of the proxy on the users' platform until SIGTERM, then drains. Its
 settings are a YAML file; deploy/settings.yaml shows them all.`
 
@@ -42,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings.MemoryMiB)
 	log, out := newLog(settings.Level())
 	defer out.Close()
 	n, err := node.New(settings, log)
@@ -55,6 +66,14 @@
 	return n.Run(cmd.Context())
 }
 
+// limitMemory sets how hard the garbage collector works in this process. limit is in MiB; 0 is none.
+func limitMemory(limit int64) {
+	debug.SetGCPercent(collectPercent)
+	if limit > 0 {
+		debug.SetMemoryLimit(limit << 20 * memoryPart / 100)
+	}
+}
+
 // newLog returns a log of JSON lines on standard output that never blocks.
 func newLog(level logrus.Level) (*logrus.Logger, *asynclog.Writer) {
 	log := logrus.New()
--- a/cmd/internal/load/classify.go
+++ b/cmd/internal/load/classify.go
@@ -34,6 +34,10 @@
 	if err == nil {
 		return history.WriteAcknowledged
 	}
+	var told interface{ NotRun() bool }
+	if errors.As(err, &told) && told.NotRun() {
+		return history.WriteNotRun
+	}
 	var refusal *pgconn.PgError
 	if !errors.As(err, &refusal) {
 		if pgconn.SafeToRetry(err) {
@@ -71,5 +75,9 @@
 	if errors.As(err, &refusal) {
 		return refusal.Code + " " + refusal.Message
 	}
+	var line *lineError
+	if errors.As(err, &line) {
+		return line.word
+	}
 	return "connection"
 }
--- a/cmd/internal/load/config.go
+++ b/cmd/internal/load/config.go
@@ -29,6 +29,7 @@
 type Config struct {
 	Addresses   []string // IP:port; sessions are spread over them
 	Database    string   // route
+	Open        OpenFunc // nil: OpenPostgres(Database)
 	Accounts    []Account
 	Connections int     // sessions, one connection each
 	ReadShare   float64 // of the statements, 0 to 1
@@ -42,6 +43,11 @@
 	UseToken  bool // hand the session token back when reconnecting
 	// TermOf returns the term that a session token names, 0 if unknown; may be nil.
 	TermOf func(token string) uint64
+	// SessionPerConnection takes each connection for a session of its own, where a route promises nothing beyond it.
+	SessionPerConnection bool
+	// LeaveDoubtfulKeys goes on with a new key after a write of unknown outcome, where a write that takes effect late
+	// would undo later ones.
+	LeaveDoubtfulKeys bool
 	// NoHistory leaves out the history, for runs longer than memory allows.
 	NoHistory bool
 }
@@ -65,6 +71,9 @@
 	if c.Duration == 0 {
 		c.Duration = DefaultDuration
 	}
+	if c.Open == nil {
+		c.Open = OpenPostgres(c.Database)
+	}
 	if c.Run == "" {
 		c.Run = "load"
 	}
--- /dev/null
+++ b/cmd/internal/load/line_test.go
@@ -0,0 +1,25 @@
+package load
+
+import (
+	"testing"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/history"
+)
+
+// Guards against an answer of the line protocol that is counted as the wrong outcome: what promises that nothing is kept
+// is not run, a lost or doubtful answer proves nothing.
+func TestClassifyLine(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want history.EventKind
+	}{
+		{nil, history.WriteAcknowledged},
+		{&lineError{word: "BUSY", notRun: true}, history.WriteNotRun},
+		{&lineError{word: "INDOUBT"}, history.WriteUnknown},
+		{&lineError{word: "broken"}, history.WriteUnknown},
+	} {
+		if got := Classify(c.err); got != c.want {
+			t.Errorf("Classify(%v) = %v, want %v", c.err, got, c.want)
+		}
+	}
+}
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -170,14 +170,22 @@
 	if err != nil {
 		return errors.Wrap(err, "read the final content")
 	}
-	final := make(map[string][]string)
-	var key, content string
-	_, err = pgx.ForEachRow(rows, []any{&key, &content}, func() error {
-		if strings.HasPrefix(key, r.keyPrefix) {
-			final[key] = splitContent(content)
-		}
+	content := make(map[string]string)
+	var key, value string
+	_, err = pgx.ForEachRow(rows, []any{&key, &value}, func() error {
+		content[key] = value
 		return nil
 	})
-	r.History.Final = final
+	r.SetFinal(content)
 	return errors.Wrap(err, "read the final content")
 }
+
+// SetFinal takes the content of all keys after the run into the history.
+func (r *Result) SetFinal(content map[string]string) {
+	r.History.Final = make(map[string][]string)
+	for key, value := range content {
+		if strings.HasPrefix(key, r.keyPrefix) {
+			r.History.Final[key] = splitContent(value)
+		}
+	}
+}
--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -4,24 +4,16 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/cockroachdb/errors"
-	"github.com/jackc/pgx/v5"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
-const (
-	appendStatement = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = kv.value || excluded.value"
-	readStatement   = "SELECT value FROM kv WHERE key = $1"
-)
-
 const (
 	// valueEnd ends each value, so that a key's content can be split again.
 	valueEnd = ";"
@@ -32,8 +24,7 @@
 	retryPause = 50 * time.Millisecond
 	// maxBacklog bounds the statements that a session with an offered rate sends late, so that it
 	// doesn't exceed the rate for long after a stall.
-	maxBacklog   = time.Second
-	closeTimeout = time.Second
+	maxBacklog = time.Second
 )
 
 // session is one caller with at most one connection at a time.
@@ -46,7 +37,8 @@
 	interval time.Duration
 	random   *rand.Rand
 
-	conn   *pgx.Conn
+	conn   Conn
+	opened int // connections so far
 	served int // statements since the connection was opened
 	token  string
 	writes int
@@ -122,7 +114,7 @@
 	if reportsLostWrite(err) {
 		s.noteLost()
 	}
-	if s.conn.IsClosed() {
+	if s.conn.Closed() {
 		s.disconnect()
 	}
 	return Classify(err) == history.WriteNotRun
@@ -132,11 +124,7 @@
 func (s *session) read(ctx context.Context, due time.Time) error {
 	key := s.key(max(0, s.writes-s.random.IntN(2)*writesPerKey))
 	sent := s.now()
-	var content string
-	err := s.conn.QueryRow(ctx, readStatement, key).Scan(&content)
-	if errors.Is(err, pgx.ErrNoRows) {
-		err = nil
-	}
+	content, err := s.conn.Read(ctx, key)
 	s.count(err, sent)
 	if err != nil {
 		return err
@@ -152,10 +140,14 @@
 	s.writes++
 	sent := s.now()
 	s.note(history.Event{Kind: history.WriteSent, At: sent, Key: key, Value: value})
-	_, err := s.conn.Exec(ctx, appendStatement, key, value+valueEnd)
+	err := s.conn.Append(ctx, key, value+valueEnd)
 	s.count(err, sent)
 	s.takeToken()
-	s.note(history.Event{Kind: Classify(err), At: s.now(), Key: key, Value: value, Term: s.term()})
+	outcome := Classify(err)
+	s.note(history.Event{Kind: outcome, At: s.now(), Key: key, Value: value, Term: s.term()})
+	if outcome == history.WriteUnknown && s.cfg.LeaveDoubtfulKeys {
+		s.writes += writesPerKey - s.writes%writesPerKey
+	}
 	if err != nil {
 		return err
 	}
@@ -185,6 +177,9 @@
 		return
 	}
 	e.Session, e.Account = s.name, s.account.Name
+	if s.cfg.SessionPerConnection {
+		e.Session += "#" + strconv.Itoa(s.opened)
+	}
 	s.events = append(s.events, e)
 }
 
@@ -221,7 +216,7 @@
 }
 
 func (s *session) takeToken() {
-	if t := s.conn.PgConn().ParameterStatus(TokenParameter); t != "" {
+	if t := s.conn.Token(); t != "" {
 		s.token = t
 	}
 }
@@ -241,6 +236,7 @@
 	conn, err := s.connect(ctx)
 	if err == nil {
 		s.conn = conn
+		s.opened++
 		s.served = 0
 		return true
 	}
@@ -251,41 +247,21 @@
 	return false
 }
 
-func (s *session) connect(ctx context.Context) (*pgx.Conn, error) {
+func (s *session) connect(ctx context.Context) (Conn, error) {
 	address := s.cfg.Addresses[s.address%len(s.cfg.Addresses)]
 	s.address++
-	conf, err := ConnConfig(address, s.cfg.Database, s.account)
-	if err != nil {
-		return nil, err
-	}
-	if s.cfg.UseToken && s.token != "" {
-		conf.RuntimeParams[TokenParameter] = s.token
+	token := ""
+	if s.cfg.UseToken {
+		token = s.token
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.StatementTimeout)
 	defer cancel()
-	return pgx.ConnectConfig(ctx, conf)
-}
-
-// ConnConfig returns the pgx configuration of a connection to address as an account.
-func ConnConfig(address, database string, account Account) (*pgx.ConnConfig, error) {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "address %q is not IP:port", address)
-	}
-	conf, err := pgx.ParseConfig(fmt.Sprintf("host=%s port=%s sslmode=disable", host, port))
-	if err != nil {
-		return nil, errors.Wrap(err, "prepare connection settings")
-	}
-	conf.User, conf.Password, conf.Database = account.Name, account.Key, database
-	return conf, nil
+	return s.cfg.Open(ctx, address, s.account, token)
 }
 
 func (s *session) disconnect() {
-	if s.conn == nil {
-		return
+	if s.conn != nil {
+		s.conn.Close()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	_ = s.conn.Close(ctx)
 	s.conn = nil
 }
--- a/cmd/internal/platformlocal/deployment.go
+++ b/cmd/internal/platformlocal/deployment.go
@@ -10,7 +10,7 @@
 
 // Config describes a deployment.
 type Config struct {
-	Binary    string // the daemon
+	Binary    string // the daemon; empty: instances run in this process, without logs
 	Dir       string // for settings and logs of the instances
 	Instances int
 	Databases Databases
--- a/cmd/internal/platformlocal/instance.go
+++ b/cmd/internal/platformlocal/instance.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -42,19 +41,19 @@
 	QuotaSlack    = 20
 )
 
-// Instance is one process of the daemon.
+// Instance is one instance of the proxy.
 type Instance struct {
-	Name     string
-	binary   string
-	settings string
-	log      string
-	Callers  string // address
-	ready    string
-	Store    *relay.Relay
-
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{} // closed when the process has ended
+	Name    string
+	Callers string       // address
+	Store   *relay.Relay // between the instance and the store
+
+	binary   string // empty: it runs in this process
+	settings string // path
+	log      string // path
+	ready    string // address
+
+	mu  sync.Mutex
+	run execution // the last one
 }
 
 // newInstance writes the settings of an instance; Start runs it.
@@ -80,55 +79,43 @@
 	return i, errors.Wrap(os.WriteFile(i.settings, []byte(text), 0o600), "write settings")
 }
 
-// Start runs the process; its log is appended.
+// Start runs the instance, again after it has ended.
 func (i *Instance) Start() error {
-	log, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	run, err := i.execute()
 	if err != nil {
-		return errors.Wrap(err, "open a log")
-	}
-	defer func() { _ = log.Close() }() // the process has its own descriptor
-	cmd := exec.Command(i.binary, "edge", "--settings", i.settings)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return errors.Wrap(err, "start an instance; check --binary")
+		return err
 	}
-	done := make(chan struct{})
-	go func() {
-		_ = cmd.Wait() // killed processes are expected
-		close(done)
-	}()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.cmd, i.done = cmd, done
+	i.run = run
 	return nil
 }
 
-func (i *Instance) Signal(s syscall.Signal) {
+func (i *Instance) execute() (execution, error) {
+	if i.binary == "" {
+		return startInProcess(i.settings)
+	}
+	return startProcess(i.binary, i.settings, i.log)
+}
+
+func (i *Instance) last() execution {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.cmd == nil {
-		return
+	return i.run
+}
+
+// Signal sends a signal to the instance, if it was started.
+func (i *Instance) Signal(s syscall.Signal) {
+	if run := i.last(); run != nil {
+		run.signal(s)
 	}
-	_ = i.cmd.Process.Signal(s) // the process may have ended
 }
 
-// End ends the process with a signal, and kills it after its grace.
+// End ends the instance with a signal, and kills it after its grace.
 func (i *Instance) End(s syscall.Signal) {
-	i.mu.Lock()
-	cmd, done := i.cmd, i.done
-	i.mu.Unlock()
-	if cmd == nil {
-		return
-	}
-	i.Signal(syscall.SIGCONT)
-	i.Signal(s)
-	select {
-	case <-done:
-		return
-	case <-time.After(stopGrace):
+	if run := i.last(); run != nil {
+		endWithin(run, s, stopGrace)
 	}
-	_ = cmd.Process.Kill()
-	<-done
 }
 
 // Ready reports whether the instance wants callers.
--- a/cmd/internal/platformlocal/world.go
+++ b/cmd/internal/platformlocal/world.go
@@ -163,8 +163,9 @@
 	return all
 }
 
-// CrashPrimary makes the primary of a database unreachable. Its entry lapses later, as it does on the platform.
-func (w *World) CrashPrimary(database string) {
+// CrashPrimary makes the primary of a database unreachable and returns its id. Its entry lapses later, as it does on the
+// platform.
+func (w *World) CrashPrimary(database string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	leader := w.groups[database].Leader()
@@ -176,6 +177,7 @@
 		s.Relay.Cut()
 		time.AfterFunc(lapseAfter, func() { w.lapse(s) })
 	}
+	return leader
 }
 
 func (w *World) lapse(s *Server) {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -5,7 +5,6 @@
 	"math/rand"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,12 +39,6 @@
 	// lendConnExpiry closes them. An idle connection costs some 20 KB at both ends.
 	lendConnsKept  = 8
 	lendConnExpiry = 6 * time.Second
-	// collectPercent is the growth of memory between two garbage collections. Memory at its peak is dearer
-	// here than processor time.
-	collectPercent = 40
-	// memoryPart is the part of the memory that the process may use, in percent, from which on the collector works
-	// harder. The rest is for stacks and what is not in the heap.
-	memoryPart = 75
 )
 
 // Node is one instance. Use New, then Run.
@@ -80,10 +73,6 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
-	debug.SetGCPercent(collectPercent)
-	if settings.MemoryMiB > 0 {
-		debug.SetMemoryLimit(settings.MemoryMiB << 20 * memoryPart / 100)
-	}
 	n := &Node{settings: settings, log: log.WithField("instance", settings.Instance), metrics: telemetry.New()}
 	n.live.Store(&settings)
 	for _, step := range []func() error{n.listen, n.openStore, n.assemblePeers, n.assembleGateway} {
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -21,6 +21,8 @@
 	Values string
 	// InTx tells that it ran inside a transaction.
 	InTx bool
+	// Led tells that the server was the primary.
+	Led bool
 	// At is when it ran.
 	At time.Time
 	// Effect tells that it was a write or commit which took effect.
@@ -101,6 +103,17 @@
 	return slices.Clone(g.runs)
 }
 
+// Content returns the last value of every item in the primary's log.
+func (g *Group) Content() map[string]string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[string]string{}
+	for _, r := range g.log {
+		out[r.item] = r.value
+	}
+	return out
+}
+
 // Leader returns the server that leads, empty for none.
 func (g *Group) Leader() string {
 	g.mu.Lock()
@@ -393,7 +406,7 @@
 	if c.server.refuse != "" {
 		return c.fail(c.server.refuse)
 	}
-	run := Run{Server: c.server.ID, Account: c.account, ID: id, Text: text, Values: c.rendered(), InTx: c.state != "I", At: time.Now()}
+	run := Run{Server: c.server.ID, Account: c.account, ID: id, Text: text, Values: c.rendered(), InTx: c.state != "I", Led: c.server.ID == g.leader, At: time.Now()}
 	writes := word == "WRITE"
 	item, value, _ := strings.Cut(rest, " ")
 	if word == "EXECUTE" {
