Measure an open-loop load with the users' operations

bench load offers the operations of a deployment at a rate that doesn't depend on the answers, causes failures during the run, and reports counts and latencies by kind and second as a table, JSON or SVG.

--- /dev/null
+++ b/cmd/internal/benchcmd/openload_events.go
@@ -0,0 +1,102 @@
+package benchcmd
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/openload"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
+)
+
+// failure is something that goes wrong, or is put right, in a deployment.
+type failure struct {
+	do func(d *platformlocal.Deployment) error
+	// process tells that it needs instances that are processes.
+	process bool
+}
+
+var failures = map[string]failure{
+	"crash-primary": {do: func(d *platformlocal.Deployment) error {
+		d.CrashPrimary(d.Names()[0])
+		return nil
+	}},
+	"restart-primary": {do: func(d *platformlocal.Deployment) error { return d.Recover(d.Names()[0]) }},
+	"silence-store":   {do: func(d *platformlocal.Deployment) error { return d.Instances[0].Store.Swallow(true) }},
+	"restore-store":   {do: func(d *platformlocal.Deployment) error { return d.Instances[0].Store.Swallow(false) }},
+	"kill-instance": {process: true, do: func(d *platformlocal.Deployment) error {
+		d.Instances[0].End(syscall.SIGKILL)
+		return nil
+	}},
+	"start-instance": {process: true, do: func(d *platformlocal.Deployment) error { return d.Instances[0].Start() }},
+}
+
+// failureEvent is a failure at a time of the run.
+type failureEvent struct {
+	at   time.Duration
+	name string
+}
+
+// parseEvents reads events of the form TIME=NAME and sorts them by time.
+func parseEvents(texts []string, duration time.Duration, processes bool) ([]failureEvent, error) {
+	var out []failureEvent
+	for _, text := range texts {
+		at, name, _ := strings.Cut(text, "=")
+		f, known := failures[name]
+		if !known {
+			return nil, errors.Newf("--event %q: the name is not known; see --help for the names", text)
+		}
+		if f.process && !processes {
+			return nil, errors.Newf("--event %q: it needs instances that are processes; give --binary", text)
+		}
+		d, err := time.ParseDuration(at)
+		if err != nil || d < 0 || d >= duration {
+			return nil, errors.Newf("--event %q: the time has to be one like 4s, before the end of the run", text)
+		}
+		out = append(out, failureEvent{d, name})
+	}
+	slices.SortStableFunc(out, func(a, b failureEvent) int { return int(a.at - b.at) })
+	return out, nil
+}
+
+func marks(events []failureEvent) []openload.EventMark {
+	out := []openload.EventMark{}
+	for _, e := range events {
+		out = append(out, openload.EventMark{Second: e.at.Seconds(), Name: e.name})
+	}
+	return out
+}
+
+// eventRun causes events beside a load.
+type eventRun struct {
+	done sync.WaitGroup
+	err  error
+}
+
+func startEvents(ctx context.Context, d *platformlocal.Deployment, events []failureEvent) *eventRun {
+	r := &eventRun{}
+	start := time.Now()
+	r.done.Go(func() {
+		for _, e := range events {
+			if !wait.For(ctx, time.Until(start.Add(e.at))) {
+				return
+			}
+			if err := failures[e.name].do(d); err != nil {
+				r.err = errors.CombineErrors(r.err, errors.Wrapf(err, "event %s", e.name))
+			}
+		}
+	})
+	return r
+}
+
+// wait waits for the last event.
+func (r *eventRun) wait() error {
+	r.done.Wait()
+	return r.err
+}
--- a/cmd/internal/benchcmd/overhead.go
+++ b/cmd/internal/benchcmd/overhead.go
@@ -27,7 +27,7 @@
 		Use:   "bench",
 		Short: "Measure the proxy on this machine",
 	})
-	cmd.AddCommand(newOverhead(), newCapacity(), newFailover(), newSessions(), newFairness())
+	cmd.AddCommand(newOverhead(), newCapacity(), newFailover(), newSessions(), newFairness(), newOpenLoad())
 	return cmd
 }
 
--- a/cmd/internal/demo/platform.go
+++ b/cmd/internal/demo/platform.go
@@ -59,11 +59,7 @@
 }
 
 func (s *platformStage) addresses() []string {
-	var out []string
-	for _, i := range s.deployment.Instances {
-		out = append(out, i.Callers)
-	}
-	return out
+	return s.deployment.Callers()
 }
 
 func (s *platformStage) account(name string) load.Account {
--- a/cmd/internal/lineclient/client.go
+++ b/cmd/internal/lineclient/client.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -78,6 +79,16 @@
 	return s, nil
 }
 
+// probeTime is how long Alive waits for the end of the connection. It is part of a caller's latency.
+const probeTime = 100 * time.Microsecond
+
+// Alive reports whether an idle session is still open. Instances end idle sessions, which is no failure.
+func (s *Session) Alive() bool {
+	_ = s.conn.SetReadDeadline(time.Now().Add(probeTime))
+	_, err := s.in.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Close ends the session.
 func (s *Session) Close() {
 	_ = s.conn.Close()
--- /dev/null
+++ b/cmd/internal/openload/record.go
@@ -0,0 +1,162 @@
+package openload
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
+)
+
+// Counts sums up operations by what became of them.
+type Counts struct {
+	Due        int `json:"due"`
+	InTime     int `json:"in_time"`
+	Late       int `json:"late"` // served after the aim
+	Refused    int `json:"refused"`
+	Unknown    int `json:"unknown"`
+	NotOffered int `json:"not_offered"` // too many were under way
+	Retries    int `json:"retries"`
+}
+
+// Latency holds quantiles of the operations served, from the moment at which they were due, in milliseconds.
+type Latency struct {
+	P50 float64 `json:"p50_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// KindResult is what callers of a kind got.
+type KindResult struct {
+	Kind string `json:"kind"`
+	Counts
+	Latency
+	Failures map[string]int `json:"failures"` // operations that were not served, by the last answer
+}
+
+// Second is what became of the operations that were due in one second of the run.
+type Second struct {
+	Counts
+	Latency
+	// WriteGap is the longest time without an acknowledged write of some database that reaches into this second.
+	WriteGap float64 `json:"write_gap_ms"`
+}
+
+// Result is what a run measured.
+type Result struct {
+	Sheet    string       `json:"sheet"`
+	Seconds  float64      `json:"seconds"`
+	Kinds    []KindResult `json:"kinds"`
+	Series   []Second     `json:"series"`
+	WriteGap float64      `json:"longest_write_gap_ms"` // of the database with the longest
+}
+
+// tally is what is collected for a kind, or for a second.
+type tally struct {
+	counts    Counts
+	latencies *hdrhistogram.Histogram // microseconds
+	failures  map[string]int
+}
+
+func newTally() *tally {
+	return &tally{latencies: load.NewHistogram(), failures: map[string]int{}}
+}
+
+func (t *tally) add(k Kind, latency time.Duration, a answer) {
+	t.counts.Due++
+	t.counts.Retries += a.attempts - 1
+	switch {
+	case a.outcome == served && latency <= k.Aim:
+		t.counts.InTime++
+	case a.outcome == served:
+		t.counts.Late++
+	case a.outcome == refused:
+		t.counts.Refused++
+	default:
+		t.counts.Unknown++
+	}
+	if a.outcome != served {
+		t.failures[a.word]++
+		return
+	}
+	_ = t.latencies.RecordValue(min(latency.Microseconds(), t.latencies.HighestTrackableValue())) // never beyond it
+}
+
+func (t *tally) latency() Latency {
+	ms := func(micros int64) float64 { return float64(micros) / 1000 }
+	return Latency{
+		P50: ms(t.latencies.ValueAtQuantile(50)),
+		P99: ms(t.latencies.ValueAtQuantile(99)),
+		Max: ms(t.latencies.Max()),
+	}
+}
+
+// recorder collects what operations report. It is safe for concurrent use.
+type recorder struct {
+	cfg   Config
+	start time.Time
+
+	mu      sync.Mutex
+	kinds   map[string]*tally
+	seconds []*tally
+	writes  map[string][]time.Duration // when writes were acknowledged, since the start, by database
+}
+
+func newRecorder(c Config) *recorder {
+	r := &recorder{cfg: c, start: time.Now(), kinds: map[string]*tally{}, writes: map[string][]time.Duration{}}
+	for _, k := range c.Sheet.Kinds {
+		r.kinds[k.Name] = newTally()
+	}
+	for range int((c.Duration + time.Second - 1) / time.Second) {
+		r.seconds = append(r.seconds, newTally())
+	}
+	return r
+}
+
+// second returns the tally of the second in which an operation was due.
+func (r *recorder) second(due time.Time) *tally {
+	n := int(due.Sub(r.start) / time.Second)
+	return r.seconds[min(max(n, 0), len(r.seconds)-1)]
+}
+
+func (r *recorder) finished(o *operation, a answer) {
+	k, due, now := o.kind, o.due, time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kinds[k.Name].add(k, now.Sub(due), a)
+	r.second(due).add(k, now.Sub(due), a)
+	if a.outcome == served && a.wrote {
+		r.writes[o.database] = append(r.writes[o.database], now.Sub(r.start))
+	}
+}
+
+func (r *recorder) notOffered(kind string, due time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range []*tally{r.kinds[kind], r.second(due)} {
+		t.counts.Due++
+		t.counts.NotOffered++
+	}
+}
+
+func (r *recorder) result() *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := &Result{Sheet: r.cfg.Sheet.Name, Seconds: r.cfg.Duration.Seconds()}
+	for _, k := range r.cfg.Sheet.Kinds {
+		t := r.kinds[k.Name]
+		out.Kinds = append(out.Kinds, KindResult{Kind: k.Name, Counts: t.counts, Latency: t.latency(), Failures: t.failures})
+	}
+	for _, t := range r.seconds {
+		out.Series = append(out.Series, Second{Counts: t.counts, Latency: t.latency()})
+	}
+	for _, database := range r.cfg.Databases {
+		for i, gap := range writeGaps(r.writes[database], len(r.seconds)) {
+			s := &out.Series[i]
+			s.WriteGap = max(s.WriteGap, float64(gap.Milliseconds()))
+			out.WriteGap = max(out.WriteGap, s.WriteGap)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/internal/openload/run_test.go
@@ -0,0 +1,50 @@
+package openload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
+)
+
+const testWork = 20 * time.Millisecond
+
+// Guards against latencies that don't count from the moment at which an operation was due, operations that are lost from
+// the counts, and a load that slows down with the answers.
+func TestRun(t *testing.T) {
+	d, err := platformlocal.Start(platformlocal.Config{
+		Dir: t.TempDir(), Instances: 2,
+		Databases: platformlocal.Databases{Count: 1, Slots: 8, Work: testWork, MaxConnections: 50},
+		Accounts:  []platformlocal.Account{{Name: "a", Key: "k", Rate: 1e6, Burst: 1e6}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	const seconds, rate = 4, 50
+	r, err := Run(t.Context(), Config{
+		Addresses: d.Callers(), Databases: d.Names(), Key: "k", Seed: 1, Duration: seconds * time.Second,
+		Sheet: Sheet{Kinds: []Kind{
+			{Name: "writes", Route: allCommits, Rate: rate, WriteShare: 1, Aim: time.Second, Budget: 5 * time.Second, Retries: 2},
+			{Name: "reads", Route: bounded, Rate: rate, TxShare: 0.5, Single: true, Aim: time.Second, Budget: 5 * time.Second, Retries: 2},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range r.Kinds {
+		if k.Due != k.InTime+k.Late+k.Refused+k.Unknown+k.NotOffered {
+			t.Errorf("%s: the outcomes don't sum up to what was due: %+v", k.Kind, k.Counts)
+		}
+		// Six standard deviations of a Poisson count of 200 are 85.
+		if k.Due < seconds*rate-85 || k.Due > seconds*rate+85 {
+			t.Errorf("%s: %d operations were due, %d were to be expected", k.Kind, k.Due, seconds*rate)
+		}
+		if k.InTime == 0 || k.P50 < float64(testWork.Milliseconds()) {
+			t.Errorf("%s: the median of %.1f ms is below the server's work of %s: %+v", k.Kind, k.P50, testWork, k.Counts)
+		}
+	}
+	if len(r.Series) != seconds {
+		t.Errorf("%d seconds are reported", len(r.Series))
+	}
+}
--- /dev/null
+++ b/cmd/internal/openload/sheet.go
@@ -0,0 +1,73 @@
+package openload
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
+)
+
+// Ends of the names of a database's routes, by what its reads see.
+const (
+	allCommits = "-strict"
+	ownCommits = "-stale"
+	bounded    = "-bounded"
+)
+
+// Kind is a kind of operation that callers send.
+type Kind struct {
+	Name       string
+	Route      string        // end of the route's name, after the database's
+	Rate       float64       // operations per second
+	WriteShare float64       // of statements
+	TxShare    float64       // of operations that are transactions
+	Single     bool          // each operation opens a session of its own
+	Aim        time.Duration // an answer that comes later is late
+	Budget     time.Duration // callers give up after it
+	Retries    int
+}
+
+// Sheet is what one of the users' deployments is offered, and what it has to serve it.
+type Sheet struct {
+	Name      string
+	Kinds     []Kind
+	Databases platformlocal.Databases
+	Instances int
+}
+
+// Sheets are the users' deployments with the rates, shares and times that they state. A statement's work is the mean of
+// their kinds, weighted by the rates.
+var Sheets = []Sheet{
+	{Name: "prairie", Instances: 8, Databases: platformlocal.Databases{Count: 3, Slots: 3, Work: 18 * time.Millisecond, MaxConnections: 23}, Kinds: []Kind{
+		{Name: "bookings", Route: allCommits, Rate: 54.1, WriteShare: 0.35, TxShare: 0.4, Aim: 600 * time.Millisecond, Budget: 10 * time.Second, Retries: 2},
+		{Name: "stocklist", Route: bounded, Rate: 54.1, TxShare: 0.1, Single: true, Aim: time.Second, Budget: 15 * time.Second, Retries: 2},
+		{Name: "manifests", Route: ownCommits, Rate: 252, WriteShare: 0.12, TxShare: 0.12, Aim: time.Second, Budget: 10 * time.Second, Retries: 2},
+	}},
+	{Name: "malabar", Instances: 6, Databases: platformlocal.Databases{Count: 3, Slots: 5, Work: 33 * time.Millisecond, MaxConnections: 50}, Kinds: []Kind{
+		{Name: "collection-entry", Route: allCommits, Rate: 54, WriteShare: 0.2, TxShare: 0.25, Aim: 400 * time.Millisecond, Budget: 6 * time.Second, Retries: 2},
+		{Name: "farmer-statement", Route: bounded, Rate: 54, TxShare: 0.1, Single: true, Aim: time.Second, Budget: 15 * time.Second, Retries: 2},
+		{Name: "settlement-run", Route: ownCommits, Rate: 252, WriteShare: 0.12, TxShare: 0.12, Aim: 800 * time.Millisecond, Budget: 6 * time.Second, Retries: 2},
+	}},
+}
+
+// SheetOf returns the sheet of a name.
+func SheetOf(name string) (Sheet, error) {
+	for _, s := range Sheets {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Sheet{}, errors.Newf("sheet %q is not known; use prairie or malabar", name)
+}
+
+// Scaled returns the sheet with all rates multiplied.
+func (s Sheet) Scaled(factor float64) Sheet {
+	kinds := slices.Clone(s.Kinds)
+	for i := range kinds {
+		kinds[i].Rate *= factor
+	}
+	s.Kinds = kinds
+	return s
+}
--- a/cmd/internal/platformlocal/deployment.go
+++ b/cmd/internal/platformlocal/deployment.go
@@ -56,6 +56,15 @@
 	return nil
 }
 
+// Callers returns the addresses at which instances serve callers.
+func (d *Deployment) Callers() []string {
+	var out []string
+	for _, i := range d.Instances {
+		out = append(out, i.Callers)
+	}
+	return out
+}
+
 // Close kills the instances and stops what is around them.
 func (d *Deployment) Close() {
 	var ends sync.WaitGroup
