--- /dev/null
+++ b/decision/quota/fuzz_test.go
@@ -0,0 +1,41 @@
+package quota
+
+import (
+	"testing"
+	"time"
+)
+
+// FuzzAssignment guards against an object of the store that crashes an instance, or by which it uses fractions that are
+// not its own.
+func FuzzAssignment(f *testing.F) {
+	f.Add([]byte(`{"tenants":[{"address":"a:1","fractions":"ff"},{"address":"b:1","fractions":"ff00","resting":"f00"}]}`))
+	f.Add([]byte(`{"tenants":[{"address":"a:1","fractions":"1","resting":"ffff"}]}`))
+	f.Add([]byte(`{"tenants":[{"address":"a:1","fractions":"1"},{"address":"a:1","fractions":"2"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, err := DecodeAssignment(data)
+		if err != nil {
+			return
+		}
+		const now = time.Minute
+		m := NewTenure("a:1", 0)
+		m.Observe(now, a, 1)
+		m.Proven(now)
+		usable, _ := m.Usable(now)
+		for _, tenant := range a.Tenants {
+			if tenant.Address != "a:1" && usable&tenant.Fractions != 0 {
+				t.Errorf("fractions %x of %s are used", uint64(usable&tenant.Fractions), tenant.Address)
+			}
+		}
+		next, changed := m.Plan(now, Members{Live: []string{"a:1", "b:1"}, Planner: true}, 0)
+		if !changed {
+			return
+		}
+		encoded, err := next.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeAssignment(encoded); err != nil {
+			t.Errorf("the planned assignment is not valid: %v", err)
+		}
+	})
+}
--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -31,6 +31,9 @@
 	LogLevel  string            `json:"logLevel"`
 }
 
+// maxSetting bounds times and counts of the settings: as seconds, a time above nine times this overflows.
+const maxSetting = 1e9
+
 // defaultLogLevel is used where the settings name none.
 const defaultLogLevel = "info"
 
@@ -139,8 +142,8 @@
 		{"bounds.stopSeconds", s.Bounds.StopSeconds},
 		{"bounds.keyWithdrawalMillis", s.Bounds.KeyWithdrawalMillis},
 	} {
-		if !(f.value > 0) {
-			faults = append(faults, errors.Newf("%s: %v is not above zero; give a time", f.name, f.value))
+		if !(f.value > 0 && f.value <= maxSetting) {
+			faults = append(faults, errors.Newf("%s: %v is not above zero and at most %v; give a time", f.name, f.value, maxSetting))
 		}
 	}
 	if _, err := logrus.ParseLevel(cmp.Or(s.LogLevel, defaultLogLevel)); err != nil {
@@ -154,8 +157,8 @@
 		{"quota.overage", s.Quota.Overage},
 		{"quota.slackStatements", s.Quota.SlackStatements},
 	} {
-		if !(f.value >= 0) {
-			faults = append(faults, errors.Newf("%s: %v is below zero; write 0 for no tolerance", f.name, f.value))
+		if !(f.value >= 0 && f.value <= maxSetting) {
+			faults = append(faults, errors.Newf("%s: %v is not between zero and %v; write 0 for no tolerance", f.name, f.value, maxSetting))
 		}
 	}
 	if s.MemoryMiB < 0 {
