Take entries of lost instances off the list

Cause: an instance enters itself at its start and nothing removes the entry of a machine that is gone for good. After some replacements surveys on a primary, the shares of the operator's tolerance and heartbeats count with instances that are not there; with more than half of the entries dead, no majority loses a primary any more.

An instance that does not answer for ten minutes loses its entry, on the condition of the entry's revision; one that was only cut off notices that its entry is missing and enters itself again.

--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -54,6 +54,10 @@
 	EventConfigUnreadable = "CYC-6025"
 	// EventNotReady: the instance stopped being ready for callers.
 	EventNotReady = "CYC-6026"
+	// EventEntryRemoved: the entry of an instance that was lost for good was taken off the list, or could not be.
+	EventEntryRemoved = "CYC-6027"
+	// EventEntryMissing: the entry of this instance is missing in the list; it is written again.
+	EventEntryMissing = "CYC-6028"
 )
 
 // event returns an entry with the number of an event.
--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -25,12 +25,18 @@
 	store *platform.Store
 
 	mu      sync.Mutex
-	entries map[string]objectstore.Instance
+	entries map[string]listEntry // by instance
 	known   bool
 }
 
+// listEntry is an instance's entry.
+type listEntry struct {
+	objectstore.Instance
+	revision uint64
+}
+
 func newInstanceList(store *platform.Store) *instanceList {
-	return &instanceList{store: store, entries: map[string]objectstore.Instance{}}
+	return &instanceList{store: store, entries: map[string]listEntry{}}
 }
 
 // Instances implements objectstore.InstanceList.
@@ -40,9 +46,12 @@
 	if !l.known {
 		return nil, errNotListed
 	}
-	return slices.SortedFunc(maps.Values(l.entries), func(a, b objectstore.Instance) int {
-		return strings.Compare(a.PeerAddress, b.PeerAddress)
-	}), nil
+	out := make([]objectstore.Instance, 0, len(l.entries))
+	for _, e := range l.entries {
+		out = append(out, e.Instance)
+	}
+	slices.SortFunc(out, func(a, b objectstore.Instance) int { return strings.Compare(a.PeerAddress, b.PeerAddress) })
+	return out, nil
 }
 
 func (l *instanceList) listed(all []platform.Object) {
@@ -57,15 +66,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range some {
-		var i objectstore.Instance
-		if o.Deleted || json.Unmarshal(o.Spec, &i) != nil {
+		e := listEntry{revision: o.Revision}
+		if o.Deleted || json.Unmarshal(o.Spec, &e.Instance) != nil {
 			delete(l.entries, o.Name) // an entry of another form names no instance
 			continue
 		}
-		l.entries[o.Name] = i
+		l.entries[o.Name] = e
 	}
 }
 
+// snapshot returns the entries by instance, or false if the list was not read yet.
+func (l *instanceList) snapshot() (map[string]listEntry, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.entries), l.known
+}
+
+// remove takes an entry off the list, unless its instance has entered itself again.
+func (l *instanceList) remove(ctx context.Context, name string, revision uint64) error {
+	return l.store.Remove(ctx, instancesKind+"/"+name, revision)
+}
+
 // register writes the entry of an instance and reports whether it is new.
 func (l *instanceList) register(ctx context.Context, i objectstore.Instance) (created bool, err error) {
 	value, err := json.Marshal(i)
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -224,6 +224,7 @@
 	tasks.Go(func() { n.quota.Run(ctx) })
 	tasks.Go(func() { n.gateway.Maintain(ctx) })
 	tasks.Go(func() { n.failover.run(ctx) })
+	tasks.Go(func() { (&rosterKeeper{node: n}).run(ctx) })
 	tasks.Go(func() { n.reportEnd("peers", n.server.Serve(ctx, n.peerPort)) })
 	tasks.Go(func() { n.reportEnd("readiness", telemetry.Serve(ctx, n.ready, n.readyHandler())) })
 	tasks.Go(func() { n.watchReadiness(ctx) })
