Shorten the loans of quota from 800 to 500 ms

Cause: after all machines have lost power, quota rests until loans of the former processes and tokens drawn at their end are over.

--- a/decision/quota/limits.go
+++ b/decision/quota/limits.go
@@ -12,7 +12,7 @@
 	ShardCount = 64
 	// LoanTerm is the time for which a borrower uses lent fractions, from sending its request. The
 	// fractions of a borrower that died are idle for that long.
-	LoanTerm = 800 * time.Millisecond
+	LoanTerm = 500 * time.Millisecond
 	// MaxTokenLifetime bounds the time from sending a grant request to using its tokens.
 	MaxTokenLifetime = 200 * time.Millisecond
 	// HoldTerm is the time for which a holder uses its fractions after sending a renewal. It
