Tell callers at once that quota rests after a common start

Cause: after all machines have lost power, fractions rest until loans of the former processes are over. Statements waited a quarter of their time for an owner without fractions and were told to return within 40 ms, so that callers spent their attempts inside the rest.

An owner that has started lately and has no fractions says when it expects some. Callers are refused at once then, with that time and up to a second more: their accounts begin with empty buckets, of which those that come meanwhile need most.

--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -20,6 +20,10 @@
 	minRetryAfter = 20 * time.Millisecond
 	// maxRetryAfter bounds the advice of a pool with a very low rate.
 	maxRetryAfter = 5 * time.Second
+	// startSpread is how much later than this owner the holders may have started, where all have lost power together.
+	startSpread = 200 * time.Millisecond
+	// lendTime is the time within which holders that have not started anew answer a new owner, from other regions too.
+	lendTime = 250 * time.Millisecond
 )
 
 // Demand asks for tokens of one account and accounts for earlier ones.
@@ -43,7 +47,7 @@
 	Tokens     int
 	Slot       uint64
 	Lifetime   time.Duration // from sending the request
-	RetryAfter time.Duration // above 0 when the pool gave less than wanted
+	RetryAfter time.Duration // above 0 when the pool gave less than wanted; with NoPool when it expects fractions
 	Partial    bool          // fractions are missing in the pool, so that the account may have more tokens
 	NoPool     bool          // this owner has no fractions of the account
 	Owner      string        // with NoPool: another owner to ask, "" if none is known
@@ -75,7 +79,9 @@
 	owning     bool          // this instance is the shard's owner by its own list
 	lastDemand time.Duration // of the last grant request
 	demanded   bool
-	other      string // a borrower that a holder named
+	started    time.Duration // when the list of instances was first known
+	begun      bool          // started is set
+	other      string        // a borrower that a holder named
 
 	tokensUntil time.Duration // every token granted has ended by then
 	closing     bool          // the fractions are handed back at tokensUntil
@@ -124,6 +130,9 @@
 // instances hold fractions.
 func (o *Owner) SetOwning(now time.Duration, owning bool, holders []string) {
 	o.settle(now)
+	if !o.begun {
+		o.started, o.begun = now, true
+	}
 	o.owning, o.holders = owning, holders
 	for holder, b := range o.loans {
 		// A late answer to a request must still find the serials that don't count.
@@ -288,7 +297,7 @@
 	}
 	n, lifetime := o.fractions().Count(), o.lifetime(now)
 	if n == 0 || lifetime < leastLifetime {
-		return Grant{Account: d.Account, NoPool: true, Owner: o.other}
+		return Grant{Account: d.Account, NoPool: true, Owner: o.other, RetryAfter: o.rest(now)}
 	}
 	g := Grant{Account: d.Account, Lifetime: lifetime, Partial: n < FractionCount}
 	g.Tokens, g.Slot = p.draw(now, d.Want)
@@ -301,6 +310,16 @@
 	return g
 }
 
+// rest returns how long an owner that has started lately will probably get no fractions: after a common loss of power,
+// those of all holders rest until loans of their former processes have ended. Others lend within lendTime.
+func (o *Owner) rest(now time.Duration) time.Duration {
+	age := now - o.started
+	if !o.begun || !o.owning || o.other != "" || age < lendTime {
+		return 0
+	}
+	return max(0, promiseTerm+startSpread-age)
+}
+
 // lifetime returns the lifetime of tokens granted now. Those granted while the fractions are
 // about to be handed back end with the ones granted before.
 func (o *Owner) lifetime(now time.Duration) time.Duration {
--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -46,6 +46,8 @@
 	formingLimit = 50 * time.Millisecond
 	// failureDelay is the time to the next request after a failed one.
 	failureDelay = 100 * time.Millisecond
+	// restMemory is how long an owner's word that it expects no fractions counts.
+	restMemory = 200 * time.Millisecond
 	// redirectTerm is how long another owner named by the asked one is used.
 	redirectTerm = time.Second
 )
@@ -88,6 +90,8 @@
 	partial      bool          // its pool lacked fractions when it last answered
 	formingSince time.Duration
 	forming      bool
+	restingUntil time.Duration // the owner expects no fractions before
+	restHeardAt  time.Duration // when it said so
 }
 
 // batch is the tokens of one grant that are left.
@@ -293,10 +297,11 @@
 		}
 		if g.NoPool {
 			s.noPool(now)
+			s.rest(now, g.RetryAfter)
 			r.follow(now, ask.Owner, g.Owner)
 			continue
 		}
-		s.forming = false
+		s.forming, s.restingUntil = false, 0
 		s.nextAsk = now
 		s.granted(now, sentAt, epoch, g)
 	}
@@ -324,6 +329,17 @@
 	}
 }
 
+// rest notes that the owner expects no fractions for a while.
+func (s *stock) rest(now, term time.Duration) {
+	s.restingUntil, s.restHeardAt = now+term, now
+}
+
+// resting reports whether the owner has said lately that it expects no fractions for longer than callers wait. Later it
+// is asked again, since it only estimates the time.
+func (s *stock) resting(now time.Duration) bool {
+	return s.restingUntil-now > maxRestWait && now-s.restHeardAt < restMemory
+}
+
 // follow turns to another owner that the asked one named. An owner reached that way which has
 // no fractions either is left again.
 func (r *Requester) follow(now time.Duration, asked, named string) {
@@ -381,5 +397,5 @@
 // again, and after those refused shortly before.
 func (s *stock) retryAfter(now time.Duration) time.Duration {
 	queue := refillTime(1+s.refusals.value(now, refusalMemory), s.limits.Rate)
-	return max(queue, s.starvedUntil-now)
+	return max(queue, s.starvedUntil-now, s.restingUntil-now)
 }
--- a/decision/quota/rules_test.go
+++ b/decision/quota/rules_test.go
@@ -308,3 +308,46 @@
 		t.Errorf("a fast clock abandons after %.0f s of true time, a slow holder stops after %.0f s", fast, slow)
 	}
 }
+
+// Guards against callers that wait for an owner whose holders have lost power with it, and against an account that stays
+// refused once fractions are lent.
+func TestRestAfterACommonStart(t *testing.T) {
+	const started = 100 * time.Second
+	limits := map[string]Limits{"a": {Rate: 100, Burst: 10}}
+	s := NewShard("n1", 1)
+	s.SetAccounts(started, limits)
+	s.SetOwner(started, "n1", []string{"n2"})
+	poll := func(now time.Duration) Work {
+		s.requester.accounts["a"].nextAsk = now
+		return s.Poll(now)
+	}
+	answer := func(now time.Duration, w Work) {
+		if len(w.Ask.Demands) == 0 {
+			t.Fatalf("nothing is asked for at %s", now-started)
+		}
+		s.Granted(now, now, w.Ask, 1, []Grant{s.Grant(now, w.Ask.Demands[0])})
+	}
+	now := started + 10*time.Millisecond
+	if v := s.Admit(now, "a"); !v.Wait {
+		t.Fatalf("right after the start the verdict is %+v; holders may lend within milliseconds", v)
+	}
+	now = started + 300*time.Millisecond
+	answer(now, poll(now))
+	v := s.Retry(now, "a")
+	if left := promiseTerm - 300*time.Millisecond; v.Wait || !v.Resting || v.AboveRate || v.RetryAfter < left {
+		t.Errorf("while fractions rest the verdict is %+v; callers should return after %s", v, left)
+	}
+	if v := s.Admit(now+restMemory, "a"); !v.Wait {
+		t.Errorf("the owner is not asked again: %+v", v)
+	}
+	now += restMemory
+	w := poll(now)
+	if len(w.Loans) == 0 {
+		t.Fatal("the holder is not asked for its fractions")
+	}
+	s.Borrowed(now, now, w.Loans[0], Loan{Fractions: allFractions, Tokens: map[string]float64{"a": 5}})
+	answer(now, w)
+	if v := s.Retry(now, "a"); !v.Admitted {
+		t.Errorf("with fractions and tokens the verdict is %+v", v)
+	}
+}
--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// maxRestWait is the rest of an owner's fractions that callers wait out. It is well within the times in which callers
+// expect answers; those that would wait longer are told at once when to return.
+const maxRestWait = 100 * time.Millisecond
+
 // Verdict answers an admission.
 type Verdict struct {
 	Admitted   bool
@@ -9,6 +13,7 @@
 	RetryAfter time.Duration // with a refusal
 	AboveRate  bool          // with a refusal: the owner has said that no token is left
 	Partial    bool          // with AboveRate: the owner's pool lacks fractions
+	Resting    bool          // with a refusal: the owner expects no fractions before RetryAfter
 }
 
 // Work is the messages to send for a shard.
@@ -110,15 +115,19 @@
 }
 
 // mayWait reports whether a token may come within the time that callers wait: an answer is on its
-// way, or there is an owner that has not said that no token is left.
+// way, or there is an owner that has not said that no token is left. Nobody waits for an owner that has no fractions for
+// longer than maxRestWait.
 func (s *Shard) mayWait(now time.Duration, d *stock) bool {
+	if d.resting(now) {
+		return false
+	}
 	return d.inFlight > 0 || now >= d.starvedUntil && s.requester.target(now) != ""
 }
 
 func (s *Shard) refusal(now time.Duration, d *stock) Verdict {
 	retryAfter := d.retryAfter(now)
 	d.refusals.add(now, refusalMemory)
-	return Verdict{RetryAfter: retryAfter, AboveRate: now < d.starvedUntil, Partial: d.partial}
+	return Verdict{RetryAfter: retryAfter, AboveRate: now < d.starvedUntil, Partial: d.partial, Resting: d.resting(now)}
 }
 
 // Poll returns the messages to send now.
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -29,6 +29,10 @@
 // ends the wait at once.
 const admitWait = 2 * time.Second
 
+// restSpread spreads callers that were refused while the fractions rest. They return to accounts with empty buckets, of
+// which callers that come meanwhile need most.
+const restSpread = time.Second
+
 // Peers is the view of the other instances; *peer.Set is one.
 type Peers interface {
 	// Live returns the peer addresses of the instances that can own a pool, this one included.
@@ -212,6 +216,11 @@
 		return nil
 	}
 	d.count.refused.Add(1)
+	if verdict.Resting {
+		verdict.RetryAfter += time.Duration(rand.Int63n(int64(restSpread)))
+		return refusal(outcome.CodeInsufficient, account, "can't be counted yet, since instances have started anew",
+			"repeat the request after the given time", verdict)
+	}
 	if !verdict.AboveRate {
 		return refusal(outcome.CodeInsufficient, account, "got no answer about its rate in time",
 			"repeat the request after the given time; see whether the instances reach each other", verdict)
