Let one follower probe a store that refuses calls

Cause: in an outage each of an instance's four followers repeats its call every 250 ms on average; 78 instances made some 1,200 calls a second to a store that answered none, and refused calls are priced too.

--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +31,7 @@
 type follower struct {
 	store  *platform.Store
 	relays *relays // nil: the store only
+	outage *outage // shared with the other followers
 	copy   *copyOf
 	kind   string
 	wait   time.Duration // of one watch
@@ -56,11 +56,12 @@
 		err := f.step(ctx)
 		f.report(ctx, err)
 		if err == nil || errors.Is(err, platform.ErrHistoryGone) {
+			f.outage.back(f)
 			continue
 		}
 		// A list proves contact at once, where another watch may hang like the last one.
 		f.known = false
-		wait.For(ctx, retryMin+rand.N(retryMax-retryMin))
+		f.outage.wait(ctx, f)
 	}
 }
 
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -62,6 +62,7 @@
 	servers   *registry
 	instances *instanceList
 	relays    *relays
+	outage    outage
 	failover  *promotions
 
 	stopping   atomic.Bool
--- /dev/null
+++ b/proxy/node/outage_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+)
+
+// refusingStore counts calls by kind and refuses them until it is up.
+type refusingStore struct {
+	mu    sync.Mutex
+	up    bool
+	calls map[string]int
+}
+
+func (s *refusingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kind := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	s.calls[kind]++
+	if !s.up {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte(`{"items":[],"as_of":5,"events":[]}`))
+}
+
+func (s *refusingStore) count(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[kind]
+}
+
+// Guards against an instance whose followers all call a store that refuses everything, and against followers that don't
+// notice the end of the outage with the one that probes.
+func TestOneFollowerProbesInAnOutage(t *testing.T) {
+	fake := &refusingStore{calls: map[string]int{}}
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	store := platform.NewStore(server.Listener.Addr().String(), (&net.Dialer{}).DialContext)
+	defer store.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	kinds := []string{"a", "b", "c", "d"}
+	shared := &outage{}
+	heard := make(chan string, 100)
+	for _, kind := range kinds {
+		f := &follower{
+			store: store, outage: shared, copy: newCopy(boottime.Now), kind: kind, wait: time.Second, now: boottime.Now, log: silent(),
+			listed: func([]platform.Object) { heard <- kind }, changed: func([]platform.Object) {}, contact: func(time.Duration) {},
+		}
+		running.Go(func() { f.run(ctx) })
+	}
+	const down = 1500 * time.Millisecond
+	time.Sleep(down)
+	total := 0
+	for _, kind := range kinds {
+		total += fake.count(kind)
+	}
+	// The prober calls at most once in retryMin, the others once each.
+	if most := int(down/retryMin) + len(kinds); total > most {
+		t.Errorf("%d calls in %s, at most %d are needed", total, down, most)
+	}
+	fake.mu.Lock()
+	fake.up = true
+	fake.mu.Unlock()
+	back := time.After(retryMax + outageSpread + time.Second)
+	for range kinds {
+		select {
+		case <-heard:
+		case <-back:
+			t.Fatal("not all followers came back after the outage")
+		}
+	}
+}
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -31,7 +31,7 @@
 // follower returns a follower of a kind of objects.
 func (n *Node) follower(kind string, wait, gap time.Duration) *follower {
 	return &follower{
-		store: n.store, relays: n.relays, copy: n.relays.copies[kind], kind: kind, wait: wait, gap: gap,
+		store: n.store, relays: n.relays, outage: &n.outage, copy: n.relays.copies[kind], kind: kind, wait: wait, gap: gap,
 		now: boottime.Now, log: n.log,
 	}
 }
