--- a/cmd/internal/benchcmd/capacity_entry.go
+++ b/cmd/internal/benchcmd/capacity_entry.go
@@ -13,8 +13,8 @@
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/bench"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/load"
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/local"
-	"github.com/cyclamenstile/cyclamenstile/cmd/internal/selfsigned"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/selfsigned"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
 )
 
--- a/cmd/internal/processtest/tls_test.go
+++ b/cmd/internal/processtest/tls_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"github.com/cyclamenstile/cyclamenstile/cmd/internal/selfsigned"
 	"github.com/cyclamenstile/cyclamenstile/decision/history"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/selfsigned"
 )
 
 // makeCertificate writes one certificate for all ends, which trust it.
--- a/cmd/internal/serve/certificate_test.go
+++ b/cmd/internal/serve/certificate_test.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
-	"github.com/cyclamenstile/cyclamenstile/cmd/internal/selfsigned"
+	"github.com/cyclamenstile/cyclamenstile/proxy/selfsigned"
 )
 
 // Guards against an instance that shows an expired certificate until it is restarted, and against
--- a/proxy/engine/protocol_test.go
+++ b/proxy/engine/protocol_test.go
@@ -3,14 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/binary"
 	"io"
-	"math/big"
 	"net"
 	"strings"
 	"testing"
@@ -21,6 +16,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/proxy/selfsigned"
 )
 
 // dialRaw opens a connection with a deadline, so that a hanging server fails the test.
@@ -127,16 +123,15 @@
 }
 
 func testTLS(t testing.TB) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	pair, err := selfsigned.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	server, _, err := pair.Configs()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}
+	return server
 }
 
 // Guards against malformed and oversized messages after start-up.
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"crypto/ed25519"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
-	"math/big"
 	"math/rand"
 	"net"
 	"sync"
@@ -18,6 +15,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/selfsigned"
 )
 
 // waitLimit is generous, since the machine may be busy.
@@ -172,27 +170,15 @@
 
 func testTLS(t *testing.T) (server, client *tls.Config) {
 	t.Helper()
-	public, private, err := ed25519.GenerateKey(rand.New(rand.NewSource(1)))
+	pair, err := selfsigned.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	der, err := x509.CreateCertificate(nil, template, template, public, private)
-	if err != nil {
-		t.Fatal(err)
-	}
-	parsed, err := x509.ParseCertificate(der)
+	server, client, err = pair.Configs()
 	if err != nil {
 		t.Fatal(err)
 	}
-	roots := x509.NewCertPool()
-	roots.AddCert(parsed)
-	certificate := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}
-	server = &tls.Config{Certificates: []tls.Certificate{certificate}}
-	return server, &tls.Config{RootCAs: roots}
+	return server, client
 }
 
 // Guards against calls in clear text reaching a server that asks for TLS.
--- a/cmd/internal/selfsigned/selfsigned.go
+++ b/proxy/selfsigned/selfsigned.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
 	"math/big"
@@ -50,3 +51,14 @@
 		Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}),
 	}, nil
 }
+
+// Configs returns the settings of a server with the certificate, and of a client that trusts it alone.
+func (p Pair) Configs() (server, client *tls.Config, err error) {
+	certificate, err := tls.X509KeyPair(p.Certificate, p.Key)
+	if err != nil {
+		return nil, nil, err
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(p.Certificate)
+	return &tls.Config{Certificates: []tls.Certificate{certificate}}, &tls.Config{RootCAs: roots}, nil
+}
