Follow the store through hubs in large regions

At the design size a region has about 420 instances. One relay that all of them follow would answer 1,700 calls a second, above the budget of 1% of a core. Above 33 instances followers go through hubs chosen by hash; regions of the present deployments have 31 at most, so nothing changes there.

--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/relaytree"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
@@ -67,7 +68,7 @@
 
 func (f *follower) step(ctx context.Context) error {
 	if f.relays != nil {
-		if relay := f.relays.choose(); relay != "" && f.relayed(ctx, relay) {
+		if relay := f.relays.choose(); relay.Address != "" && f.relayed(ctx, relay) {
 			return nil
 		}
 	}
@@ -78,7 +79,7 @@
 }
 
 // relayed asks a relay for changes. It reports false when the store has to be asked.
-func (f *follower) relayed(ctx context.Context, relay string) bool {
+func (f *follower) relayed(ctx context.Context, relay relaytree.Parent) bool {
 	revision := f.revision
 	if !f.known {
 		revision = 0
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/relaytree"
 	"github.com/cyclamenstile/cyclamenstile/decision/suspicion"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/node/relaypb"
@@ -16,8 +17,10 @@
 const (
 	// changesKept is how many changes of a kind a copy keeps for followers that are behind. Others get all objects.
 	changesKept = 256
-	// maxRelayAge is the age of a relay's knowledge from which a follower asks the store itself.
+	// maxRelayAge is the age of a relay's knowledge from which a follower asks the store itself, and hopAge what is added
+	// for a relay that follows another one: its wait and the time of the call.
 	maxRelayAge = 2500 * time.Millisecond
+	hopAge      = relayWait + 100*time.Millisecond
 	// relayAllowance is the time beyond its wait after which a call to a relay counts as lost.
 	relayAllowance = 400 * time.Millisecond
 	// relaySuspectTerm is how long a relay that failed is passed over.
@@ -154,20 +157,20 @@
 	return r
 }
 
-// choose returns the instance that this one follows, empty for the store itself. In each region one instance, by
-// rendezvous hashing over those that answer, watches the store.
-func (r *relays) choose() string {
-	candidates := []string{r.self}
+// choose returns the instance that this one follows, or the store itself.
+func (r *relays) choose() relaytree.Parent {
+	region := []string{r.self}
 	for _, p := range r.peers.Peers() {
 		if p.Usable() && p.Instance.Region == r.place.Region && !r.suspected(p.Instance.PeerAddress) {
-			candidates = append(candidates, p.Instance.PeerAddress)
+			region = append(region, p.Instance.PeerAddress)
 		}
 	}
-	chosen := peer.Rendezvous("relay", candidates)
-	if chosen == r.self {
-		return ""
-	}
-	return chosen
+	return relaytree.Choose(r.self, region, peer.First)
+}
+
+// ageLimit returns the age from which a relay's knowledge is not used.
+func ageLimit(p relaytree.Parent) time.Duration {
+	return maxRelayAge + time.Duration(p.Hops-1)*hopAge
 }
 
 func (r *relays) suspected(address string) bool {
@@ -184,18 +187,18 @@
 
 // follow asks a relay for the changes after a revision. A relay that fails or knows too little is passed over for a
 // while.
-func (r *relays) follow(ctx context.Context, address, kind string, revision uint64, wait time.Duration) (*relaypb.FollowReply, error) {
+func (r *relays) follow(ctx context.Context, relay relaytree.Parent, kind string, revision uint64, wait time.Duration) (*relaypb.FollowReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+relayAllowance)
 	defer cancel()
-	client := relaypb.NewDRPCRelayClient(r.calls.Conn(ctx, address))
+	client := relaypb.NewDRPCRelayClient(r.calls.Conn(ctx, relay.Address))
 	reply, err := client.Follow(ctx, &relaypb.FollowRequest{
 		Kind: kind, Revision: revision, WaitMs: uint32(wait.Milliseconds()),
 	})
-	if err == nil && (reply.GetUnknown() || reply.GetAgeMs() > uint64(maxRelayAge.Milliseconds())) {
+	if err == nil && (reply.GetUnknown() || reply.GetAgeMs() > uint64(ageLimit(relay).Milliseconds())) {
 		err = errRelayStale
 	}
 	if err != nil {
-		r.suspect(address)
+		r.suspect(relay.Address)
 		return nil, err
 	}
 	return reply, nil
