--- a/cmd/internal/benchcmd/openload.go
+++ b/cmd/internal/benchcmd/openload.go
@@ -23,8 +23,6 @@
 	openLoadKey     = "key-of-bench"
 	// openLoadRate is the account's rate, above any load.
 	openLoadRate = 1e6
-	// openLoadSettle is how long a new deployment takes until its accounts have their whole rate.
-	openLoadSettle = 5 * time.Second
 )
 
 const openLoadHelp = `load offers the operations of one of the users' deployments, prairie or malabar, to instances on a
@@ -135,7 +133,7 @@
 		return nil, err
 	}
 	defer d.Close()
-	if !wait.For(ctx, openLoadSettle) {
+	if !wait.For(ctx, platformlocal.SettleTime) {
 		return nil, errors.Wrap(ctx.Err(), "the bench was interrupted")
 	}
 	report := &openLoadReport{Seed: o.seed, Factor: o.factor, Instances: instances, LoadAverage: loadAverage(), Events: marks(events)}
--- a/cmd/internal/demo/stage.go
+++ b/cmd/internal/demo/environment.go
@@ -8,8 +8,8 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/history"
 )
 
-// stage is a running deployment: of the product's own interface, or on the stand-in of the users' platform.
-type stage interface {
+// environment is a running deployment: of the product's own interface, or on the stand-in of the users' platform.
+type environment interface {
 	// addresses returns where the instances serve callers.
 	addresses() []string
 	// account returns an account with its key.
@@ -32,14 +32,14 @@
 	close()
 }
 
-// postgresStage is a deployment of the product's own interface, in this process.
-type postgresStage struct {
+// postgresEnvironment is a deployment of the product's own interface, in this process.
+type postgresEnvironment struct {
 	deployment *local.Deployment
 	statements *statements
 	killed     int
 }
 
-func (s *postgresStage) addresses() []string {
+func (s *postgresEnvironment) addresses() []string {
 	var out []string
 	for _, i := range s.deployment.Instances {
 		out = append(out, i.Address)
@@ -47,42 +47,42 @@
 	return out
 }
 
-func (s *postgresStage) account(name string) load.Account {
+func (s *postgresEnvironment) account(name string) load.Account {
 	return load.Account{Name: name, Key: s.deployment.Key(name)}
 }
 
-func (s *postgresStage) adjust(c *load.Config) {
+func (s *postgresEnvironment) adjust(c *load.Config) {
 	c.Open = load.OpenPostgres(local.DatabaseName)
 }
 
-func (s *postgresStage) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
+func (s *postgresEnvironment) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
 	return connect(ctx, s, address, account)
 }
 
-func (s *postgresStage) crash() string {
+func (s *postgresEnvironment) crash() string {
 	s.killed = s.deployment.Group.Primary()
 	s.deployment.Group.Kill(s.killed)
 	return string(s.deployment.Group.Server(s.killed).ID())
 }
 
-func (s *postgresStage) restart() error {
+func (s *postgresEnvironment) restart() error {
 	return s.deployment.Group.Restart(s.killed)
 }
 
-func (s *postgresStage) withdraw(ctx context.Context, account string) error {
+func (s *postgresEnvironment) withdraw(ctx context.Context, account string) error {
 	return s.deployment.WithdrawKeys(ctx, account)
 }
 
-func (s *postgresStage) content(ctx context.Context, r *load.Result) error {
+func (s *postgresEnvironment) content(ctx context.Context, r *load.Result) error {
 	primary := s.deployment.Group.Server(s.deployment.Group.Primary())
 	return r.ReadFinal(ctx, primary.Address(), "", load.Account{Name: "demo"})
 }
 
-func (s *postgresStage) tolerated(l history.Limit) history.Limit {
+func (s *postgresEnvironment) tolerated(l history.Limit) history.Limit {
 	return l
 }
 
-func (s *postgresStage) replicaReadShare() float64 {
+func (s *postgresEnvironment) replicaReadShare() float64 {
 	n := s.statements.reads.Load()
 	if n == 0 {
 		return 0
@@ -90,6 +90,6 @@
 	return float64(s.statements.onReplica.Load()) / float64(n)
 }
 
-func (s *postgresStage) close() {
+func (s *postgresEnvironment) close() {
 	s.deployment.Close()
 }
--- a/cmd/internal/demo/figures.go
+++ b/cmd/internal/demo/figures.go
@@ -61,17 +61,17 @@
 		Statements:         2 * r.mover.moves,
 		KeyWithdrawalMilli: r.withdrawal.Milliseconds(),
 		WorstAccountShare:  1,
-		ReplicaReadShare:   r.stage.replicaReadShare(),
+		ReplicaReadShare:   r.environment.replicaReadShare(),
 	}
 	for _, o := range offers() {
 		result := r.results[o.Name]
 		if result == nil {
 			continue
 		}
-		if err := r.stage.content(ctx, result); err != nil {
+		if err := r.environment.content(ctx, result); err != nil {
 			return f, err
 		}
-		result.History.Limits = map[string]history.Limit{o.Name: r.stage.tolerated(history.Limit{Rate: o.Rate, Burst: o.Burst})}
+		result.History.Limits = map[string]history.Limit{o.Name: r.environment.tolerated(history.Limit{Rate: o.Rate, Burst: o.Burst})}
 		f.add(o, result)
 	}
 	f.promise(f.StaleReads == 0, "a moved session read an older state %d times", f.StaleReads)
--- a/cmd/internal/demo/mover.go
+++ b/cmd/internal/demo/mover.go
@@ -19,15 +19,15 @@
 // mover is a session that writes through one instance and reads through the other, without handing
 // a token over.
 type mover struct {
-	stage stage
-	until time.Time
+	environment environment
+	until       time.Time
 
 	moves, stale int
 	conns        []load.Conn // by instance, nil while broken
 }
 
 func (m *mover) run(ctx context.Context) error {
-	m.conns = make([]load.Conn, len(m.stage.addresses()))
+	m.conns = make([]load.Conn, len(m.environment.addresses()))
 	for i := 0; time.Now().Before(m.until) && ctx.Err() == nil; i++ {
 		m.move(ctx, i)
 		wait.For(ctx, moverPause)
@@ -69,7 +69,7 @@
 	if m.conns[i] != nil {
 		return m.conns[i]
 	}
-	c, err := m.stage.connectStrictly(ctx, m.stage.addresses()[i], moverAccount)
+	c, err := m.environment.connectStrictly(ctx, m.environment.addresses()[i], moverAccount)
 	if err != nil {
 		return nil // the next move tries again
 	}
--- a/cmd/internal/demo/platform.go
+++ b/cmd/internal/demo/platform.go
@@ -14,28 +14,18 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
-// ownCommitsRoute ends the name of a route whose reads see the commits of their session.
-const ownCommitsRoute = "-stale"
-
-// allCommitsRoute ends the name of a route whose reads see every commit.
-const allCommitsRoute = "-strict"
-
-// settleTime is how long the accounts of a new deployment take to get their whole rate and burst. The users' platform
-// sends no callers for ten seconds after a start.
-const settleTime = 5 * time.Second
-
 // platformDatabases are small, as on the users' platform.
 var platformDatabases = platformlocal.Databases{Count: 1, Slots: 3, Work: 500 * time.Microsecond, MaxConnections: 23}
 
-// platformStage is a deployment on the stand-in of the users' platform.
-type platformStage struct {
+// platformEnvironment is a deployment on the stand-in of the users' platform.
+type platformEnvironment struct {
 	deployment *platformlocal.Deployment
 	database   string
 	dir        string // of settings
 }
 
 // startPlatform starts instances in this process.
-func startPlatform() (*platformStage, error) {
+func startPlatform() (*platformEnvironment, error) {
 	dir, err := os.MkdirTemp("", "demo-")
 	if err != nil {
 		return nil, errors.Wrap(err, "make a folder for settings")
@@ -51,57 +41,57 @@
 		_ = os.RemoveAll(dir) // a folder that stays behind does no harm
 		return nil, err
 	}
-	return &platformStage{deployment: d, database: d.Names()[0], dir: dir}, nil
+	return &platformEnvironment{deployment: d, database: d.Names()[0], dir: dir}, nil
 }
 
 func platformKey(account string) string {
 	return "key-of-" + account
 }
 
-func (s *platformStage) addresses() []string {
+func (s *platformEnvironment) addresses() []string {
 	return s.deployment.Callers()
 }
 
-func (s *platformStage) account(name string) load.Account {
+func (s *platformEnvironment) account(name string) load.Account {
 	return load.Account{Name: name, Key: platformKey(name)}
 }
 
 // adjust takes a route whose reads see the commits of their session. A session there is a connection: nothing is handed
 // over to the next one. A write that is executed late replaces newer ones, since the protocol has no conditional write.
-func (s *platformStage) adjust(c *load.Config) {
-	c.Open = load.OpenLine(s.database + ownCommitsRoute)
+func (s *platformEnvironment) adjust(c *load.Config) {
+	c.Open = load.OpenLine(s.database + platformlocal.SessionRoute)
 	c.SessionPerConnection = true
 	c.LeaveDoubtfulKeys = true
 }
 
-func (s *platformStage) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
-	return load.OpenLine(s.database+allCommitsRoute)(ctx, address, s.account(account), "")
+func (s *platformEnvironment) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
+	return load.OpenLine(s.database+platformlocal.StrictRoute)(ctx, address, s.account(account), "")
 }
 
-func (s *platformStage) crash() string {
+func (s *platformEnvironment) crash() string {
 	return s.deployment.CrashPrimary(s.database)
 }
 
-func (s *platformStage) restart() error {
+func (s *platformEnvironment) restart() error {
 	return s.deployment.Recover(s.database)
 }
 
-func (s *platformStage) withdraw(_ context.Context, account string) error {
+func (s *platformEnvironment) withdraw(_ context.Context, account string) error {
 	return s.deployment.Configure(account)
 }
 
-func (s *platformStage) content(_ context.Context, r *load.Result) error {
+func (s *platformEnvironment) content(_ context.Context, r *load.Result) error {
 	r.SetFinal(s.deployment.Group(s.database).Content())
 	return nil
 }
 
 // tolerated adds what the operators allow beyond a limit while instances fail.
-func (s *platformStage) tolerated(l history.Limit) history.Limit {
+func (s *platformEnvironment) tolerated(l history.Limit) history.Limit {
 	const part = 1 + platformlocal.QuotaOverage
 	return history.Limit{Rate: l.Rate * part, Burst: l.Burst*part + platformlocal.QuotaSlack}
 }
 
-func (s *platformStage) replicaReadShare() float64 {
+func (s *platformEnvironment) replicaReadShare() float64 {
 	reads, onReplicas := 0, 0
 	for _, run := range s.deployment.Runs() {
 		if run.InTx || !strings.HasPrefix(run.Text, "READ ") {
@@ -115,7 +105,7 @@
 	return float64(onReplicas) / float64(max(reads, 1))
 }
 
-func (s *platformStage) close() {
+func (s *platformEnvironment) close() {
 	s.deployment.Close()
 	_ = os.RemoveAll(s.dir) // a folder that stays behind does no harm
 }
@@ -127,7 +117,7 @@
 		return Figures{}, err
 	}
 	defer s.close()
-	if !wait.For(ctx, settleTime) {
+	if !wait.For(ctx, platformlocal.SettleTime) {
 		return Figures{}, errors.Wrap(ctx.Err(), "the demo was interrupted")
 	}
 	return newPolicyRun(c, c.Duration, s).figures(ctx)
--- a/cmd/internal/demo/policy.go
+++ b/cmd/internal/demo/policy.go
@@ -43,28 +43,28 @@
 
 // policyRun is one policy under load.
 type policyRun struct {
-	cfg        Config
-	duration   time.Duration
-	stage      stage
-	mover      *mover
-	withdrawal time.Duration
+	cfg         Config
+	duration    time.Duration
+	environment environment
+	mover       *mover
+	withdrawal  time.Duration
 
 	mu      sync.Mutex
 	results map[string]*load.Result // by account
 }
 
 // startPolicy starts a deployment with a policy.
-func startPolicy(ctx context.Context, c Config, plain *daemon.PlainPolicy, listeners []net.Listener) (*postgresStage, error) {
+func startPolicy(ctx context.Context, c Config, plain *daemon.PlainPolicy, listeners []net.Listener) (*postgresEnvironment, error) {
 	s := &statements{}
 	d, err := local.Start(ctx, deployment(c, plain, listeners, s))
 	if err != nil {
 		return nil, err
 	}
-	return &postgresStage{deployment: d, statements: s}, nil
+	return &postgresEnvironment{deployment: d, statements: s}, nil
 }
 
-func newPolicyRun(c Config, duration time.Duration, s stage) *policyRun {
-	return &policyRun{cfg: c, duration: duration, stage: s, results: make(map[string]*load.Result)}
+func newPolicyRun(c Config, duration time.Duration, s environment) *policyRun {
+	return &policyRun{cfg: c, duration: duration, environment: s, results: make(map[string]*load.Result)}
 }
 
 // figures runs the load and the events and measures what callers experienced.
@@ -86,7 +86,7 @@
 			tasks = append(tasks, func(ctx context.Context) error { return r.load(ctx, o) })
 		}
 	}
-	r.mover = &mover{stage: r.stage, until: start.Add(r.duration)}
+	r.mover = &mover{environment: r.environment, until: start.Add(r.duration)}
 	tasks = append(tasks, r.mover.run, r.failures, r.withdraw)
 	return inParallel(ctx, tasks)
 }
@@ -110,7 +110,7 @@
 	if o.from > 0 {
 		r.cfg.say("  account %s sends %.0f statements/s, its rate is %.0f", o.Name, o.offered, o.Rate)
 	}
-	account := r.stage.account(o.Name)
+	account := r.environment.account(o.Name)
 	account.Rate = o.offered
 	c := load.Config{
 		Addresses:   r.addresses(o.pinned),
@@ -121,7 +121,7 @@
 		Seed:        r.cfg.Seed,
 		Run:         o.Name,
 	}
-	r.stage.adjust(&c)
+	r.environment.adjust(&c)
 	result, err := load.Run(ctx, c)
 	if err != nil {
 		return err
@@ -133,7 +133,7 @@
 }
 
 func (r *policyRun) addresses(pinned bool) []string {
-	out := r.stage.addresses()
+	out := r.environment.addresses()
 	if pinned {
 		return out[:1]
 	}
@@ -149,12 +149,12 @@
 	if !wait.For(ctx, r.at(killAt)) {
 		return nil
 	}
-	r.cfg.say("  primary %s is killed", r.stage.crash())
+	r.cfg.say("  primary %s is killed", r.environment.crash())
 	if !wait.For(ctx, r.at(restartAt-killAt)) {
 		return nil
 	}
 	r.cfg.say("  it starts again")
-	return r.stage.restart()
+	return r.environment.restart()
 }
 
 // withdraw withdraws an account's key and measures how long a connected caller can go on with it.
@@ -167,7 +167,7 @@
 		return err
 	}
 	r.cfg.say("  the key of account %s is withdrawn", withdrawnAccount)
-	if err := r.stage.withdraw(ctx, withdrawnAccount); err != nil {
+	if err := r.environment.withdraw(ctx, withdrawnAccount); err != nil {
 		return err
 	}
 	started := time.Now()
@@ -188,8 +188,8 @@
 // connectAll opens a session of an account through each instance.
 func (r *policyRun) connectAll(ctx context.Context, account string) ([]load.Conn, error) {
 	var out []load.Conn
-	for _, address := range r.stage.addresses() {
-		c, err := connect(ctx, r.stage, address, account)
+	for _, address := range r.environment.addresses() {
+		c, err := connect(ctx, r.environment, address, account)
 		if err != nil {
 			return nil, errors.Wrap(err, "connect before the key is withdrawn")
 		}
@@ -199,7 +199,7 @@
 }
 
 // connect opens a session of an account as the load does.
-func connect(ctx context.Context, s stage, address, account string) (load.Conn, error) {
+func connect(ctx context.Context, s environment, address, account string) (load.Conn, error) {
 	var c load.Config
 	s.adjust(&c)
 	return c.Open(ctx, address, s.account(account), "")
--- a/cmd/internal/openload/run_test.go
+++ b/cmd/internal/openload/run_test.go
@@ -25,8 +25,8 @@
 	r, err := Run(t.Context(), Config{
 		Addresses: d.Callers(), Databases: d.Names(), Key: "k", Seed: 1, Duration: seconds * time.Second,
 		Sheet: Sheet{Kinds: []Kind{
-			{Name: "writes", Route: allCommits, Rate: rate, WriteShare: 1, Aim: time.Second, Budget: 5 * time.Second, Retries: 2},
-			{Name: "reads", Route: bounded, Rate: rate, TxShare: 0.5, Single: true, Aim: time.Second, Budget: 5 * time.Second, Retries: 2},
+			{Name: "writes", Route: platformlocal.StrictRoute, Rate: rate, WriteShare: 1, Aim: time.Second, Budget: 5 * time.Second, Retries: 2},
+			{Name: "reads", Route: platformlocal.BoundedRoute, Rate: rate, TxShare: 0.5, Single: true, Aim: time.Second, Budget: 5 * time.Second, Retries: 2},
 		}},
 	})
 	if err != nil {
--- a/cmd/internal/openload/sheet.go
+++ b/cmd/internal/openload/sheet.go
@@ -9,13 +9,6 @@
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
 )
 
-// Ends of the names of a database's routes, by what its reads see.
-const (
-	allCommits = "-strict"
-	ownCommits = "-stale"
-	bounded    = "-bounded"
-)
-
 // Kind is a kind of operation that callers send.
 type Kind struct {
 	Name       string
@@ -41,14 +34,14 @@
 // their kinds, weighted by the rates.
 var Sheets = []Sheet{
 	{Name: "prairie", Instances: 8, Databases: platformlocal.Databases{Count: 3, Slots: 3, Work: 18 * time.Millisecond, MaxConnections: 23}, Kinds: []Kind{
-		{Name: "bookings", Route: allCommits, Rate: 54.1, WriteShare: 0.35, TxShare: 0.4, Aim: 600 * time.Millisecond, Budget: 10 * time.Second, Retries: 2},
-		{Name: "stocklist", Route: bounded, Rate: 54.1, TxShare: 0.1, Single: true, Aim: time.Second, Budget: 15 * time.Second, Retries: 2},
-		{Name: "manifests", Route: ownCommits, Rate: 252, WriteShare: 0.12, TxShare: 0.12, Aim: time.Second, Budget: 10 * time.Second, Retries: 2},
+		{Name: "bookings", Route: platformlocal.StrictRoute, Rate: 54.1, WriteShare: 0.35, TxShare: 0.4, Aim: 600 * time.Millisecond, Budget: 10 * time.Second, Retries: 2},
+		{Name: "stocklist", Route: platformlocal.BoundedRoute, Rate: 54.1, TxShare: 0.1, Single: true, Aim: time.Second, Budget: 15 * time.Second, Retries: 2},
+		{Name: "manifests", Route: platformlocal.SessionRoute, Rate: 252, WriteShare: 0.12, TxShare: 0.12, Aim: time.Second, Budget: 10 * time.Second, Retries: 2},
 	}},
 	{Name: "malabar", Instances: 6, Databases: platformlocal.Databases{Count: 3, Slots: 5, Work: 33 * time.Millisecond, MaxConnections: 50}, Kinds: []Kind{
-		{Name: "collection-entry", Route: allCommits, Rate: 54, WriteShare: 0.2, TxShare: 0.25, Aim: 400 * time.Millisecond, Budget: 6 * time.Second, Retries: 2},
-		{Name: "farmer-statement", Route: bounded, Rate: 54, TxShare: 0.1, Single: true, Aim: time.Second, Budget: 15 * time.Second, Retries: 2},
-		{Name: "settlement-run", Route: ownCommits, Rate: 252, WriteShare: 0.12, TxShare: 0.12, Aim: 800 * time.Millisecond, Budget: 6 * time.Second, Retries: 2},
+		{Name: "collection-entry", Route: platformlocal.StrictRoute, Rate: 54, WriteShare: 0.2, TxShare: 0.25, Aim: 400 * time.Millisecond, Budget: 6 * time.Second, Retries: 2},
+		{Name: "farmer-statement", Route: platformlocal.BoundedRoute, Rate: 54, TxShare: 0.1, Single: true, Aim: time.Second, Budget: 15 * time.Second, Retries: 2},
+		{Name: "settlement-run", Route: platformlocal.SessionRoute, Rate: 252, WriteShare: 0.12, TxShare: 0.12, Aim: 800 * time.Millisecond, Budget: 6 * time.Second, Retries: 2},
 	}},
 }
 
--- a/cmd/internal/platformlocal/world.go
+++ b/cmd/internal/platformlocal/world.go
@@ -21,6 +21,17 @@
 	lapseAfter = 3600 * time.Millisecond
 )
 
+// Ends of the names of a database's routes, after the name of the database.
+const (
+	StrictRoute  = "-strict"  // reads see every commit
+	SessionRoute = "-stale"   // reads see those of their session, and data of 3 s
+	BoundedRoute = "-bounded" // reads see data of 1.5 s
+)
+
+// SettleTime is how long the accounts of a new deployment take to get their whole rate and burst. The users' platform
+// sends no callers for ten seconds after a start.
+const SettleTime = 5 * time.Second
+
 // Zones are the failure domains, each a region of its own.
 var Zones = []string{"north", "south", "west"}
 
--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/lineclient"
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
 )
 
 const pause = 15 * time.Millisecond
@@ -44,7 +45,7 @@
 	return true
 }
 
-var suffixes = []string{"-strict", "-stale"}
+var suffixes = []string{platformlocal.StrictRoute, platformlocal.SessionRoute}
 
 // database is where the caller's item lies.
 func (c *caller) database() string {
@@ -174,7 +175,7 @@
 	}
 	c.run.served()
 	value, _ := strconv.Atoi(r.Value) // "-" is no value, 0
-	if !strings.HasSuffix(c.route, "-strict") {
+	if !strings.HasSuffix(c.route, platformlocal.StrictRoute) {
 		if value < c.written && !c.doubt[value] {
 			c.run.violate("%s: read %s gave %q, but its session has written %d; %s", c.name, id, r.Value, c.written, c.run.story(c.item))
 		}
