Let only the follower of the configuration probe in an outage

A follower of another kind could be the prober: with a part of the answers lost, the one of the configuration then waited for it up to two seconds of the 4.5 s after which keys are not trusted.

--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -33,6 +33,7 @@
 	store  *platform.Store
 	relays *relays // nil: the store only
 	outage *outage // shared with the other followers
+	probes bool    // it calls the store in an outage, for all
 	copy   *copyOf
 	kind   string
 	wait   time.Duration // of one watch
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -38,6 +38,7 @@
 
 func (n *Node) configFollower() *follower {
 	f := n.follower(platform.ConfigKind, configWait, 0)
+	f.probes = true
 	f.listed, f.changed, f.contact = n.adopt, n.adopt, n.directory.prove
 	return f
 }
