Show what the platform's store holds: cyclamenctl inspect

On the users' platform the operators' tool saw nothing. inspect lists the configuration, the servers, the instances with their quota, the last promotions and the objects that can't be read, from stale lists.

--- a/cmd/internal/ctl/exit.go
+++ b/cmd/internal/ctl/exit.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/objectstore/httpstore"
+	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
 // Exit codes; rootHelp documents them.
@@ -44,6 +45,8 @@
 		return exitConflict, "conflict"
 	case errors.Is(err, httpstore.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return exitUnavailable, "unavailable"
+	case errors.Is(err, platform.ErrRefused), errors.Is(err, platform.ErrNoAnswer):
+		return exitUnavailable, "unavailable"
 	case errors.Is(err, errObjective):
 		return exitAlarm, "alarm"
 	case errors.Is(err, errInstances):
--- /dev/null
+++ b/cmd/internal/ctl/inspect.go
@@ -0,0 +1,145 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/node"
+)
+
+const inspectHelp = `inspect shows what the store of the users' platform holds about a deployment: the configuration, the servers that are
+registered, the instances with their part of every account's quota, and the last promotion of each database. It reads
+only; the data may be seconds old. Objects that can't be read are listed with the reason.`
+
+// inspectResult is the JSON form of an inventory.
+type inspectResult struct {
+	Version    uint64              `json:"version"` // of the configuration, 0 if there is none
+	Routes     int                 `json:"routes"`
+	Accounts   int                 `json:"accounts"`
+	Servers    []inspectedServer   `json:"servers"`
+	Instances  []inspectedInstance `json:"instances"`
+	Promotions []inspectedOrder    `json:"promotions"`
+	Faults     []string            `json:"faults"`
+}
+
+type inspectedServer struct {
+	Database      string `json:"database"`
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	Role          string `json:"role"`
+	Leaving       bool   `json:"leaving"`
+	Slots         int    `json:"slots"`
+}
+
+type inspectedInstance struct {
+	ID            string `json:"id"`
+	PeerAddress   string `json:"peerAddress"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	Fractions     int    `json:"fractions"`
+	Resting       int    `json:"resting"`
+}
+
+type inspectedOrder struct {
+	Database string `json:"database"`
+	Server   string `json:"server"`
+	Instance string `json:"instance"`
+	Fence    uint64 `json:"fence"`
+}
+
+func newInspect(o *options) *cobra.Command {
+	var address string
+	cmd := &cobra.Command{
+		Use:   "inspect",
+		Short: "Show what the store of the users' platform holds about a deployment",
+		Long:  inspectHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := netip.ParseAddrPort(address); err != nil {
+				return usagef("--platform-store: %q is not an IP address with a port; write it like 10.200.1.7:8466", address)
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
+			defer cancel()
+			result, err := inspect(ctx, address)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), result)
+		},
+	}
+	cmd.Flags().StringVar(&address, "platform-store", "", "IP:port of the platform's metadata store")
+	return cmd
+}
+
+func inspect(ctx context.Context, address string) (inspectResult, error) {
+	store := platform.NewStore(address, (&net.Dialer{}).DialContext)
+	defer store.Close()
+	inv, err := node.ReadInventory(ctx, store)
+	if err != nil {
+		return inspectResult{}, err
+	}
+	return inspected(inv), nil
+}
+
+// inspected returns the printed form of an inventory; lists are empty in JSON, not null.
+func inspected(inv node.Inventory) inspectResult {
+	r := inspectResult{
+		Version: inv.Config.Version, Routes: len(inv.Config.Routes), Accounts: len(inv.Config.Accounts),
+		Servers: []inspectedServer{}, Instances: []inspectedInstance{}, Promotions: []inspectedOrder{}, Faults: []string{},
+	}
+	for _, s := range inv.Servers {
+		role := "replica"
+		if s.Primary {
+			role = "primary"
+		}
+		r.Servers = append(r.Servers, inspectedServer{s.Database, s.ID, s.Address, s.FailureDomain, role, s.Leaving, s.Slots})
+	}
+	for _, i := range inv.Instances {
+		r.Instances = append(r.Instances, inspectedInstance{i.ID, i.PeerAddress, i.Region, i.FailureDomain, i.Fractions, i.Resting})
+	}
+	for _, p := range inv.Promotions {
+		r.Promotions = append(r.Promotions, inspectedOrder(p))
+	}
+	for _, f := range inv.Faults {
+		r.Faults = append(r.Faults, f.Object+": "+f.Reason.Error())
+	}
+	return r
+}
+
+func (r inspectResult) writeText(w io.Writer) {
+	if r.Version == 0 {
+		fmt.Fprintln(w, "no configuration")
+	} else {
+		fmt.Fprintf(w, "configuration %d: %d routes, %d accounts\n", r.Version, r.Routes, r.Accounts)
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(w, "fault:", f)
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nDATABASE\tSERVER\tADDRESS\tFAILURE DOMAIN\tROLE\tLEAVING\tSLOTS")
+	for _, s := range r.Servers {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%t\t%d\n", s.Database, s.ID, s.Address, s.FailureDomain, s.Role, s.Leaving, s.Slots)
+	}
+	fmt.Fprintln(table, "\nINSTANCE\tPEER ADDRESS\tREGION\tFAILURE DOMAIN\tFRACTIONS\tRESTING")
+	for _, i := range r.Instances {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\n", i.ID, i.PeerAddress, i.Region, i.FailureDomain,
+			strconv.Itoa(i.Fractions)+"/"+strconv.Itoa(quota.FractionCount), i.Resting)
+	}
+	if len(r.Promotions) > 0 {
+		fmt.Fprintln(table, "\nDATABASE\tPROMOTED\tORDERED BY\tFENCE")
+	}
+	for _, p := range r.Promotions {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\n", p.Database, p.Server, p.Instance, p.Fence)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/cmd/internal/ctl/inspect_test.go
@@ -0,0 +1,82 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/cyclamenstile/cyclamenstile/platform/platformtest"
+)
+
+// Guards against an inventory that leaves out what the store holds, and against objects of others that end it.
+func TestInspect(t *testing.T) {
+	p, err := platformtest.Start(func(string, string) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	type dict = map[string]any
+	if err := p.PutConfig(platformtest.Config{Version: 7, Databases: []string{"db"}, Tenants: []platformtest.Tenant{{Name: "a", Rate: 1}}}); err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range []struct {
+		kind, name string
+		spec       any
+	}{
+		{"servers", "s1", dict{"service": "db", "address": "10.0.0.1:5", "zone": "z1", "slots": 3, "state": "draining", "cold_left_ms": 0, "db_role": "primary", "sequence": 1}},
+		{"servers", "foreign", dict{"service": 5}},
+		{"instances", "edge-1", dict{"id": "edge-1", "peerAddress": "10.0.0.7:7", "region": "north", "failureDomain": "z1"}},
+		{"quota", "assignment", dict{"tenants": []dict{{"address": "10.0.0.7:7", "fractions": "ff", "resting": "f"}, {"address": "10.0.0.9:7", "fractions": "f00"}}}},
+		{"promotions", "db", dict{"instance": "edge-1", "server": "s1"}},
+	} {
+		if err := p.Put(o.kind, o.name, o.spec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out, faults bytes.Buffer
+	if code := Execute(t.Context(), NewRoot(), []string{"inspect", "--json", "--platform-store", p.Address()}, &out, &faults); code != exitOK {
+		t.Fatalf("exit %d: %s", code, faults.String())
+	}
+	var r inspectResult
+	if err := json.Unmarshal(out.Bytes(), &r); err != nil {
+		t.Fatal(err)
+	}
+	if r.Version != 7 || r.Routes != 3 || r.Accounts != 1 {
+		t.Errorf("configuration %+v", r)
+	}
+	if len(r.Servers) != 1 || r.Servers[0].Role != "primary" || !r.Servers[0].Leaving {
+		t.Errorf("servers %+v", r.Servers)
+	}
+	if len(r.Instances) != 1 || r.Instances[0].Fractions != 8 || r.Instances[0].Resting != 4 || r.Instances[0].Region != "north" {
+		t.Errorf("instances %+v", r.Instances)
+	}
+	if len(r.Promotions) != 1 || r.Promotions[0].Instance != "edge-1" || r.Promotions[0].Fence == 0 {
+		t.Errorf("promotions %+v", r.Promotions)
+	}
+	// The entry of another writer, and fractions of an instance that is not listed.
+	if len(r.Faults) != 2 {
+		t.Errorf("faults %q", r.Faults)
+	}
+}
+
+// Guards against a wrong address that ends in a failure of the network.
+func TestInspectChecksItsAddress(t *testing.T) {
+	var out, faults bytes.Buffer
+	if code := Execute(t.Context(), NewRoot(), []string{"inspect", "--platform-store", "here"}, &out, &faults); code != exitUsage {
+		t.Errorf("exit %d: %s", code, faults.String())
+	}
+}
+
+// Guards against a store that is down and looks like a fault of the command.
+func TestInspectWithoutTheStore(t *testing.T) {
+	p, err := platformtest.Start(func(string, string) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := p.Address()
+	p.Close()
+	var out, faults bytes.Buffer
+	if code := Execute(t.Context(), NewRoot(), []string{"inspect", "--platform-store", address}, &out, &faults); code != exitUnavailable {
+		t.Errorf("exit %d: %s", code, faults.String())
+	}
+}
--- a/cmd/internal/ctl/root.go
+++ b/cmd/internal/ctl/root.go
@@ -59,7 +59,7 @@
 	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "time for the whole command")
 	flags.BoolVar(&o.json, "json", false, "print results and errors as JSON")
 	root.AddCommand(
-		newValidate(o), newDiff(o), newApply(o), newFetch(o), newStatus(o), newKeys(o), newDrain(o), newBurn(o), newExplain(o),
+		newValidate(o), newDiff(o), newApply(o), newFetch(o), newStatus(o), newKeys(o), newDrain(o), newBurn(o), newExplain(o), newInspect(o),
 	)
 	root.AddCommand(extra...)
 	root.InitDefaultHelpCmd()
