Refuse callers during a rest only if they would not wait it out

On a burdened machine the first fractions of a new deployment were claimed after 300 ms; the owner took that for a rest after a common start, and callers who would have waited two seconds were refused.

An owner speaks of a rest only once a holder has answered that it has nothing to lend, and a caller is refused only if it would wait for less than the rest.

--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -95,6 +95,7 @@
 	asked     bool
 	sent      uint64 // serial of the last request
 	ignored   uint64 // answers up to this serial don't count: a later one came, or the loan was handed back
+	empty     bool   // the holder's last answer was that it has nothing to lend
 }
 
 // NewOwner returns an owner without loans. epoch is a random number of the process.
@@ -225,6 +226,7 @@
 func (o *Owner) Borrowed(now, sentAt time.Duration, holder string, serial uint64, loan Loan) {
 	o.settle(now)
 	b := o.loan(holder)
+	b.empty = loan.Fractions == 0 && loan.Borrower == ""
 	if loan.Fractions == 0 {
 		o.other = loan.Borrower
 	}
@@ -311,15 +313,21 @@
 }
 
 // rest returns how long an owner that has started lately will probably get no fractions: after a common loss of power,
-// those of all holders rest until loans of their former processes have ended. Others lend within lendTime.
+// those of all holders rest until loans of their former processes have ended. Holders that have not started anew lend
+// within lendTime; while none is known, they are about to claim fractions that need no rest.
 func (o *Owner) rest(now time.Duration) time.Duration {
 	age := now - o.started
-	if !o.begun || !o.owning || o.other != "" || age < lendTime {
+	if !o.begun || !o.owning || o.other != "" || age < lendTime || !o.refused() {
 		return 0
 	}
 	return max(0, promiseTerm+startSpread-age)
 }
 
+// refused reports whether a holder has answered that it has nothing to lend.
+func (o *Owner) refused() bool {
+	return slices.ContainsFunc(o.holders, func(holder string) bool { return o.loans[holder] != nil && o.loans[holder].empty })
+}
+
 // lifetime returns the lifetime of tokens granted now. Those granted while the fractions are
 // about to be handed back end with the ones granted before.
 func (o *Owner) lifetime(now time.Duration) time.Duration {
--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -334,10 +334,13 @@
 	s.restingUntil, s.restHeardAt = now+term, now
 }
 
-// resting reports whether the owner has said lately that it expects no fractions for longer than callers wait. Later it
-// is asked again, since it only estimates the time.
-func (s *stock) resting(now time.Duration) bool {
-	return s.restingUntil-now > maxRestWait && now-s.restHeardAt < restMemory
+// restLeft returns for how long the owner expects no fractions, if it has said so lately. Later it is asked again, since
+// it only estimates the time.
+func (s *stock) restLeft(now time.Duration) time.Duration {
+	if now-s.restHeardAt >= restMemory {
+		return 0
+	}
+	return max(0, s.restingUntil-now)
 }
 
 // follow turns to another owner that the asked one named. An owner reached that way which has
--- a/decision/quota/rules_test.go
+++ b/decision/quota/rules_test.go
@@ -309,45 +309,74 @@
 	}
 }
 
-// Guards against callers that wait for an owner whose holders have lost power with it, and against an account that stays
-// refused once fractions are lent.
-func TestRestAfterACommonStart(t *testing.T) {
-	const started = 100 * time.Second
-	limits := map[string]Limits{"a": {Rate: 100, Burst: 10}}
+// restingShard is a shard whose owner has started with its only holder.
+type restingShard struct {
+	*Shard
+	t *testing.T
+}
+
+func newRestingShard(t *testing.T, started time.Duration) restingShard {
 	s := NewShard("n1", 1)
-	s.SetAccounts(started, limits)
+	s.SetAccounts(started, map[string]Limits{"a": {Rate: 100, Burst: 10}})
 	s.SetOwner(started, "n1", []string{"n2"})
-	poll := func(now time.Duration) Work {
-		s.requester.accounts["a"].nextAsk = now
-		return s.Poll(now)
-	}
-	answer := func(now time.Duration, w Work) {
-		if len(w.Ask.Demands) == 0 {
-			t.Fatalf("nothing is asked for at %s", now-started)
-		}
-		s.Granted(now, now, w.Ask, 1, []Grant{s.Grant(now, w.Ask.Demands[0])})
-	}
+	return restingShard{s, t}
+}
+
+// round lets the holder answer, and then the owner.
+func (s restingShard) round(now time.Duration, loan Loan) {
+	s.requester.accounts["a"].nextAsk = now
+	w := s.Poll(now)
+	if len(w.Ask.Demands) == 0 || len(w.Loans) == 0 {
+		s.t.Fatalf("the owner asks for nothing, or is not asked: %+v", w)
+	}
+	s.Borrowed(now, now, w.Loans[0], loan)
+	s.Granted(now, now, w.Ask, 1, []Grant{s.Grant(now, w.Ask.Demands[0])})
+}
+
+// Guards against callers that wait in vain for an owner whose holders have lost power with it, and against an account
+// that stays refused once fractions are lent.
+func TestRestAfterACommonStart(t *testing.T) {
+	const started = 100 * time.Second
+	const age = 300 * time.Millisecond
+	s := newRestingShard(t, started)
 	now := started + 10*time.Millisecond
-	if v := s.Admit(now, "a"); !v.Wait {
+	s.SetOwner(now, "n1", []string{"n2"})
+	if v := s.Admit(now, "a"); !v.Wait || v.Rest != 0 {
 		t.Fatalf("right after the start the verdict is %+v; holders may lend within milliseconds", v)
 	}
-	now = started + 300*time.Millisecond
-	answer(now, poll(now))
-	v := s.Retry(now, "a")
-	if left := promiseTerm - 300*time.Millisecond; v.Wait || !v.Resting || v.AboveRate || v.RetryAfter < left {
-		t.Errorf("while fractions rest the verdict is %+v; callers should return after %s", v, left)
+	s.Grant(now, Demand{Account: "a", Want: 1}) // the owner begins to borrow
+	now = started + age
+	s.round(now, Loan{})
+	if v := s.Retry(now, "a"); v.Rest < promiseTerm-age || !v.Wait {
+		t.Errorf("while fractions rest the verdict is %+v; they rest for %s", v, promiseTerm-age)
 	}
-	if v := s.Admit(now+restMemory, "a"); !v.Wait {
-		t.Errorf("the owner is not asked again: %+v", v)
+	v := s.Refuse(now, "a")
+	if v.AboveRate || v.RetryAfter < promiseTerm-age {
+		t.Errorf("a caller that can't wait is told %+v; fractions rest for %s", v, promiseTerm-age)
 	}
 	now += restMemory
-	w := poll(now)
-	if len(w.Loans) == 0 {
-		t.Fatal("the holder is not asked for its fractions")
+	if v := s.Admit(now, "a"); !v.Wait || v.Rest != 0 {
+		t.Errorf("the owner's word counts too long: %+v", v)
 	}
-	s.Borrowed(now, now, w.Loans[0], Loan{Fractions: allFractions, Tokens: map[string]float64{"a": 5}})
-	answer(now, w)
+	s.round(now, Loan{Fractions: allFractions, Tokens: map[string]float64{"a": 5}})
 	if v := s.Retry(now, "a"); !v.Admitted {
 		t.Errorf("with fractions and tokens the verdict is %+v", v)
 	}
 }
+
+// Guards against callers that are sent away while the first fractions of a deployment are claimed, which need no rest: a
+// burdened machine took 300 ms for it, and refused what a second more would have served.
+func TestNoRestWhileFractionsAreClaimed(t *testing.T) {
+	const started = 100 * time.Second
+	s := newRestingShard(t, started)
+	now := started + 300*time.Millisecond
+	s.SetOwner(now, "n1", nil)
+	if v := s.Admit(now, "a"); !v.Wait {
+		t.Fatalf("the verdict is %+v", v)
+	}
+	w := s.Poll(now)
+	s.Granted(now, now, w.Ask, 1, []Grant{s.Grant(now, w.Ask.Demands[0])})
+	if v := s.Retry(now, "a"); !v.Wait || v.Rest != 0 {
+		t.Errorf("before the first claims the verdict is %+v", v)
+	}
+}
--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// maxRestWait is the rest of an owner's fractions that callers wait out. It is well within the times in which callers
-// expect answers; those that would wait longer are told at once when to return.
-const maxRestWait = 100 * time.Millisecond
-
 // Verdict answers an admission.
 type Verdict struct {
 	Admitted   bool
@@ -13,7 +9,7 @@
 	RetryAfter time.Duration // with a refusal
 	AboveRate  bool          // with a refusal: the owner has said that no token is left
 	Partial    bool          // with AboveRate: the owner's pool lacks fractions
-	Resting    bool          // with a refusal: the owner expects no fractions before RetryAfter
+	Rest       time.Duration // the owner expects no fractions before, after a common start of instances
 }
 
 // Work is the messages to send for a shard.
@@ -64,7 +60,8 @@
 }
 
 // Admit decides on a statement that arrives. After a verdict with Wait the caller sends the work
-// of Poll, then calls Retry after each answer, and Refuse when it stops waiting.
+// of Poll, then calls Retry after each answer, and Refuse when it stops waiting: at once if the verdict's Rest is longer
+// than it would wait.
 func (s *Shard) Admit(now time.Duration, account string) Verdict {
 	d := s.requester.accounts[account]
 	if d == nil {
@@ -78,7 +75,7 @@
 	}
 	if s.mayWait(now, d) {
 		d.waiting++
-		return Verdict{Wait: true}
+		return Verdict{Wait: true, Rest: d.restLeft(now)}
 	}
 	return s.refusal(now, d)
 }
@@ -94,7 +91,7 @@
 		return Verdict{Admitted: true}
 	}
 	if s.mayWait(now, d) {
-		return Verdict{Wait: true}
+		return Verdict{Wait: true, Rest: d.restLeft(now)}
 	}
 	d.waiting = max(0, d.waiting-1)
 	return s.refusal(now, d)
@@ -115,19 +112,15 @@
 }
 
 // mayWait reports whether a token may come within the time that callers wait: an answer is on its
-// way, or there is an owner that has not said that no token is left. Nobody waits for an owner that has no fractions for
-// longer than maxRestWait.
+// way, or there is an owner that has not said that no token is left.
 func (s *Shard) mayWait(now time.Duration, d *stock) bool {
-	if d.resting(now) {
-		return false
-	}
 	return d.inFlight > 0 || now >= d.starvedUntil && s.requester.target(now) != ""
 }
 
 func (s *Shard) refusal(now time.Duration, d *stock) Verdict {
 	retryAfter := d.retryAfter(now)
 	d.refusals.add(now, refusalMemory)
-	return Verdict{RetryAfter: retryAfter, AboveRate: now < d.starvedUntil, Partial: d.partial, Resting: d.resting(now)}
+	return Verdict{RetryAfter: retryAfter, AboveRate: now < d.starvedUntil, Partial: d.partial, Rest: d.restLeft(now)}
 }
 
 // Poll returns the messages to send now.
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -203,7 +203,7 @@
 	}
 	if verdict.Wait {
 		d.sender.wake()
-		verdict = d.wait(ctx, s, account, answered)
+		verdict = d.wait(ctx, s, account, verdict, answered)
 	} else {
 		d.sender.wakeIdle()
 	}
@@ -216,7 +216,7 @@
 		return nil
 	}
 	d.count.refused.Add(1)
-	if verdict.Resting {
+	if verdict.Rest > 0 {
 		verdict.RetryAfter += time.Duration(rand.Int63n(int64(restSpread)))
 		return refusal(outcome.CodeInsufficient, account, "can't be counted yet, since instances have started anew",
 			"repeat the request after the given time", verdict)
@@ -253,11 +253,16 @@
 	return outcome.New(outcome.NotRun, code, message, remedy).WithRetryAfter(v.RetryAfter)
 }
 
-func (d *Driver) wait(ctx context.Context, s *shard, account string, answered <-chan struct{}) quota.Verdict {
+// wait waits for the verdict on a statement, unless its owner expects fractions only after the wait would end.
+func (d *Driver) wait(ctx context.Context, s *shard, account string, v quota.Verdict, answered <-chan struct{}) quota.Verdict {
 	d.count.waited.Add(1)
-	timer := time.NewTimer(admitWait)
+	end := time.Now().Add(admitWait)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(end) {
+		end = deadline
+	}
+	timer := time.NewTimer(time.Until(end))
 	defer timer.Stop()
-	for {
+	for v.Rest <= time.Until(end) {
 		decide := s.machine.Retry
 		select {
 		case <-answered:
@@ -267,13 +272,16 @@
 			decide = s.machine.Refuse
 		}
 		s.mu.Lock()
-		verdict := decide(d.cfg.Clock(), account)
+		v = decide(d.cfg.Clock(), account)
 		answered = s.answered
 		s.mu.Unlock()
-		if !verdict.Wait {
-			return verdict
+		if !v.Wait {
+			return v
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Refuse(d.cfg.Clock(), account)
 }
 
 // apply gives the usable fractions to all shards.
