Keep a stock of quota tokens for half a second, not ten

A token in stock is replaced some seven times a second by two messages, for ten seconds after the last statement of an account at an instance. One statement in ten seconds cost 142 demands.

--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -36,8 +36,10 @@
 	// refreshLead is how long before their end tokens no longer count as stock, so that their
 	// replacement is there in time.
 	refreshLead = 60 * time.Millisecond
-	// warmTerm is how long an account without arrivals keeps one token in stock.
-	warmTerm = 10 * time.Second
+	// warmTerm is how long an account without arrivals keeps one token in stock. A token is replaced some seven times a
+	// second, by two messages each time. With 10 s, 300 instances with 72 accounts sent their owners 3 MB/s, to save
+	// callers that come every 20 s one round trip.
+	warmTerm = 500 * time.Millisecond
 	// settleDelay is how long unused tokens wait for a request that takes them along.
 	settleDelay = 10 * time.Millisecond
 	// formingDelay is the time to the next request while the owner has no fractions yet.
--- a/decision/quota/rules_test.go
+++ b/decision/quota/rules_test.go
@@ -380,3 +380,34 @@
 		t.Errorf("before the first claims the verdict is %+v", v)
 	}
 }
+
+// Guards against traffic to the owners that grows with instances times accounts: a caller that comes once in ten seconds
+// cost 140 demands for the stock that waited for its next statement.
+func TestRareCallersCostFewMessages(t *testing.T) {
+	const roundTrip, poll = 20 * time.Millisecond, 5 * time.Millisecond
+	const most = 10 // demands for one statement
+	s := NewShard("n1", 1)
+	s.SetAccounts(0, map[string]Limits{"a": {Rate: 100, Burst: 1000}})
+	s.SetOwner(0, "n2", []string{"n2"})
+	s.requester.measure(roundTrip)
+	if v := s.Admit(0, "a"); !v.Wait {
+		t.Fatalf("the first statement's verdict is %+v", v)
+	}
+	sent := 0
+	for now := time.Duration(0); now < 10*time.Second; now += poll {
+		w := s.Poll(now)
+		for _, d := range w.Ask.Demands {
+			sent++
+			grant := Grant{Account: "a", Tokens: d.Want, Slot: uint64(sent), Lifetime: MaxTokenLifetime}
+			s.Granted(now+roundTrip, now, w.Ask, 2, []Grant{grant})
+		}
+		if sent == 1 && now == 0 {
+			if v := s.Retry(now+roundTrip, "a"); !v.Admitted {
+				t.Fatalf("with a token the verdict is %+v", v)
+			}
+		}
+	}
+	if sent > most {
+		t.Errorf("one statement cost %d demands, at most %d are needed", sent, most)
+	}
+}
