--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -29,8 +29,8 @@
 // ends the wait at once.
 const admitWait = 2 * time.Second
 
-// restSpread spreads callers that were refused while the fractions rest. They return to accounts with empty buckets, of
-// which callers that come meanwhile need most.
+// restSpread spreads the returns of callers that were refused while fractions rested. Buckets are empty at the end of the
+// rest, and callers that come for the first time then need most of the tokens.
 const restSpread = time.Second
 
 // Peers is the view of the other instances; *peer.Set is one.
