--- a/standin/database/faults_test.go
+++ b/standin/database/faults_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,7 +25,8 @@
 	group *Group
 	// servers keeps Restart, which replaces a server, apart from those who use one.
 	servers   sync.RWMutex
-	confirmed []string
+	confirmed []string     // read it once writeUntil has ended
+	count     atomic.Int64 // of confirmed
 }
 
 func (r *faultRun) states() []authority.ServerState {
@@ -101,6 +103,7 @@
 		}
 		if r.confirm(term) {
 			r.confirmed = append(r.confirmed, key)
+			r.count.Add(1)
 		}
 	}
 }
@@ -132,6 +135,9 @@
 // servers that don't converge.
 func TestConfirmedWritesSurviveFaults(t *testing.T) {
 	const disturbances = 40
+	// A burdened machine may confirm nothing within the first disturbances, each of which leaves 20 ms on average; they
+	// go on then, since a run without a confirmed write tests nothing.
+	const limit = 30 * time.Second
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
@@ -145,7 +151,8 @@
 				defer writing.Done()
 				r.writeUntil(stop)
 			}()
-			for range disturbances {
+			end := time.Now().Add(limit)
+			for n := 0; n < disturbances || r.count.Load() == 0 && time.Now().Before(end); n++ {
 				r.disturb(t, random)
 			}
 			close(stop)
