--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -29,8 +29,7 @@
 const (
 	// minOwners is the number of owners of a small fleet. Each borrows from each holder four times a second.
 	minOwners = 8
-	// instancesPerOwner is how many instances' demands one owner meets in a large fleet. With eight owners for 300
-	// instances the busiest had 2.7 MB/s.
+	// instancesPerOwner is how many instances' demands one owner meets in a large fleet.
 	instancesPerOwner = 10
 )
 
--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -37,8 +37,8 @@
 	// replacement is there in time.
 	refreshLead = 60 * time.Millisecond
 	// warmTerm is how long an account without arrivals keeps one token in stock. A token is replaced some seven times a
-	// second, by two messages each time. With 10 s, 300 instances with 72 accounts sent their owners 3 MB/s, to save
-	// callers that come every 20 s one round trip.
+	// second, by two messages each time. With 10 s, a statement in ten seconds cost 142 demands, to save the next one a
+	// round trip.
 	warmTerm = 500 * time.Millisecond
 	// settleDelay is how long unused tokens wait for a request that takes them along.
 	settleDelay = 10 * time.Millisecond
