Share how callers of the line protocol end sessions and folders

Bench, load and soak each rolled an open transaction back and spelled the word for an unknown key; the client has both now. A deployment makes and removes its own temporary folder, as demo and bench did. The demo's environments return how sessions are opened, in place of a load's settings that were filled to get it. peer.First computes each score once: it ran a hash twice for every comparison, and choosing a relay calls it for each step of four followers. The test of inspect encodes a server's entry through platform.

--- a/cmd/internal/benchcmd/openload.go
+++ b/cmd/internal/benchcmd/openload.go
@@ -116,17 +116,12 @@
 }
 
 func (o *openLoadOptions) measure(ctx context.Context, sheet openload.Sheet, events []failureEvent) (*openLoadReport, error) {
-	dir, err := os.MkdirTemp("", "bench-load-")
-	if err != nil {
-		return nil, errors.Wrap(err, "make a folder for settings")
-	}
-	defer func() { _ = os.RemoveAll(dir) }() // a folder that stays behind does no harm
 	instances := o.instances
 	if instances == 0 {
 		instances = sheet.Instances
 	}
 	d, err := platformlocal.Start(platformlocal.Config{
-		Binary: o.binary, Dir: dir, Instances: instances, Databases: sheet.Databases,
+		Binary: o.binary, Instances: instances, Databases: sheet.Databases,
 		Accounts: []platformlocal.Account{{Name: openLoadAccount, Key: openLoadKey, Rate: openLoadRate, Burst: openLoadRate}},
 	})
 	if err != nil {
--- a/cmd/internal/ctl/inspect_test.go
+++ b/cmd/internal/ctl/inspect_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"testing"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/platform/platformtest"
 )
 
@@ -19,12 +21,18 @@
 	if err := p.PutConfig(platformtest.Config{Version: 7, Databases: []string{"db"}, Tenants: []platformtest.Tenant{{Name: "a", Rate: 1}}}); err != nil {
 		t.Fatal(err)
 	}
+	server, err := platform.EncodeServer(discovery.Server{
+		Database: "db", Address: "10.0.0.1:5", FailureDomain: "z1", Slots: 3, Leaving: true, Primary: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	for _, o := range []struct {
 		kind, name string
 		spec       any
 	}{
-		{"servers", "s1", dict{"service": "db", "address": "10.0.0.1:5", "zone": "z1", "slots": 3, "state": "draining", "cold_left_ms": 0, "db_role": "primary", "sequence": 1}},
-		{"servers", "foreign", dict{"service": 5}},
+		{platform.ServersKind, "s1", server},
+		{platform.ServersKind, "foreign", []int{1}},
 		{"instances", "edge-1", dict{"id": "edge-1", "peerAddress": "10.0.0.7:7", "region": "north", "failureDomain": "z1"}},
 		{"quota", "assignment", dict{"tenants": []dict{{"address": "10.0.0.7:7", "fractions": "ff", "resting": "f"}, {"address": "10.0.0.9:7", "fractions": "f00"}}}},
 		{"promotions", "db", dict{"instance": "edge-1", "server": "s1"}},
--- a/cmd/internal/demo/environment.go
+++ b/cmd/internal/demo/environment.go
@@ -14,10 +14,12 @@
 	addresses() []string
 	// account returns an account with its key.
 	account(name string) load.Account
-	// adjust sets how the sessions of a load connect.
+	// open opens a session as the load does.
+	open() load.OpenFunc
+	// openStrictly opens a session that sees every acknowledged write.
+	openStrictly() load.OpenFunc
+	// adjust sets how the sessions of a load connect, and what they may expect.
 	adjust(*load.Config)
-	// connectStrictly opens a session that sees every acknowledged write.
-	connectStrictly(ctx context.Context, address, account string) (load.Conn, error)
 	// crash ends the primary and returns its name; restart brings it back.
 	crash() string
 	restart() error
@@ -51,12 +53,16 @@
 	return load.Account{Name: name, Key: s.deployment.Key(name)}
 }
 
-func (s *postgresEnvironment) adjust(c *load.Config) {
-	c.Open = load.OpenPostgres(local.DatabaseName)
+func (s *postgresEnvironment) open() load.OpenFunc {
+	return load.OpenPostgres(local.DatabaseName)
+}
+
+func (s *postgresEnvironment) openStrictly() load.OpenFunc {
+	return s.open()
 }
 
-func (s *postgresEnvironment) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
-	return connect(ctx, s, address, account)
+func (s *postgresEnvironment) adjust(c *load.Config) {
+	c.Open = s.open()
 }
 
 func (s *postgresEnvironment) crash() string {
--- a/cmd/internal/demo/mover.go
+++ b/cmd/internal/demo/mover.go
@@ -69,7 +69,7 @@
 	if m.conns[i] != nil {
 		return m.conns[i]
 	}
-	c, err := m.environment.connectStrictly(ctx, m.environment.addresses()[i], moverAccount)
+	c, err := m.environment.openStrictly()(ctx, m.environment.addresses()[i], m.environment.account(moverAccount), "")
 	if err != nil {
 		return nil // the next move tries again
 	}
--- a/cmd/internal/demo/platform.go
+++ b/cmd/internal/demo/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"strings"
 	"time"
 
@@ -21,27 +20,21 @@
 type platformEnvironment struct {
 	deployment *platformlocal.Deployment
 	database   string
-	dir        string // of settings
 }
 
 // startPlatform starts instances in this process.
 func startPlatform() (*platformEnvironment, error) {
-	dir, err := os.MkdirTemp("", "demo-")
-	if err != nil {
-		return nil, errors.Wrap(err, "make a folder for settings")
-	}
 	var accounts []platformlocal.Account
 	for _, o := range offers() {
 		accounts = append(accounts, platformlocal.Account{Name: o.Name, Key: platformKey(o.Name), Rate: o.Rate, Burst: o.Burst})
 	}
 	d, err := platformlocal.Start(platformlocal.Config{
-		Dir: dir, Instances: instances, Databases: platformDatabases, Accounts: accounts,
+		Instances: instances, Databases: platformDatabases, Accounts: accounts,
 	})
 	if err != nil {
-		_ = os.RemoveAll(dir) // a folder that stays behind does no harm
 		return nil, err
 	}
-	return &platformEnvironment{deployment: d, database: d.Names()[0], dir: dir}, nil
+	return &platformEnvironment{deployment: d, database: d.Names()[0]}, nil
 }
 
 func platformKey(account string) string {
@@ -56,18 +49,22 @@
 	return load.Account{Name: name, Key: platformKey(name)}
 }
 
-// adjust takes a route whose reads see the commits of their session. A session there is a connection: nothing is handed
-// over to the next one. A write that is executed late replaces newer ones, since the protocol has no conditional write.
+func (s *platformEnvironment) open() load.OpenFunc {
+	return load.OpenLine(s.database + platformlocal.SessionRoute)
+}
+
+func (s *platformEnvironment) openStrictly() load.OpenFunc {
+	return load.OpenLine(s.database + platformlocal.StrictRoute)
+}
+
+// adjust makes each connection a session of its own: nothing is handed over to the next one. A write that is executed
+// late replaces newer ones, since the protocol has no conditional write.
 func (s *platformEnvironment) adjust(c *load.Config) {
-	c.Open = load.OpenLine(s.database + platformlocal.SessionRoute)
+	c.Open = s.open()
 	c.SessionPerConnection = true
 	c.LeaveDoubtfulKeys = true
 }
 
-func (s *platformEnvironment) connectStrictly(ctx context.Context, address, account string) (load.Conn, error) {
-	return load.OpenLine(s.database+platformlocal.StrictRoute)(ctx, address, s.account(account), "")
-}
-
 func (s *platformEnvironment) crash() string {
 	return s.deployment.CrashPrimary(s.database)
 }
@@ -107,7 +104,6 @@
 
 func (s *platformEnvironment) close() {
 	s.deployment.Close()
-	_ = os.RemoveAll(s.dir) // a folder that stays behind does no harm
 }
 
 // platformFigures runs load and events on the stand-in of the users' platform.
--- a/cmd/internal/demo/platform_test.go
+++ b/cmd/internal/demo/platform_test.go
@@ -1,6 +1,10 @@
 package demo
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/lineclient"
+)
 
 // Guards against a demo on the users' platform that breaks a promise, or in which callers or events are missing.
 func TestPlatformDemo(t *testing.T) {
@@ -15,7 +19,7 @@
 	if r.Statements == 0 || r.SessionMoves == 0 || r.ReplicaReadShare == 0 || r.WriteGapMillis == 0 {
 		t.Errorf("statements, moves, reads on replicas or the failover are missing: %+v", r.Figures)
 	}
-	if r.Failures[withdrawnAccount]["NOAUTH"] == 0 {
+	if r.Failures[withdrawnAccount][lineclient.KeyUnknown] == 0 {
 		t.Errorf("the withdrawn key was never refused: %v", r.Failures)
 	}
 	if r.Baseline != nil {
--- a/cmd/internal/demo/policy.go
+++ b/cmd/internal/demo/policy.go
@@ -189,7 +189,7 @@
 func (r *policyRun) connectAll(ctx context.Context, account string) ([]load.Conn, error) {
 	var out []load.Conn
 	for _, address := range r.environment.addresses() {
-		c, err := connect(ctx, r.environment, address, account)
+		c, err := r.environment.open()(ctx, address, r.environment.account(account), "")
 		if err != nil {
 			return nil, errors.Wrap(err, "connect before the key is withdrawn")
 		}
@@ -198,13 +198,6 @@
 	return out, nil
 }
 
-// connect opens a session of an account as the load does.
-func connect(ctx context.Context, s environment, address, account string) (load.Conn, error) {
-	var c load.Config
-	s.adjust(&c)
-	return c.Open(ctx, address, s.account(account), "")
-}
-
 // stillWorking returns the callers whose statement succeeds or fails for another reason than the
 // end of their session.
 func stillWorking(ctx context.Context, callers []load.Conn) []load.Conn {
--- a/cmd/internal/lineclient/client.go
+++ b/cmd/internal/lineclient/client.go
@@ -18,6 +18,9 @@
 	dialTimeout = time.Second
 )
 
+// KeyUnknown is the error word on a session whose key is not valid, or not any more.
+const KeyUnknown = "NOAUTH"
+
 // Words of a Reply beside the error words of the protocol.
 const (
 	Receipt = "receipt" // a server has run the statement
@@ -39,7 +42,7 @@
 // promises are the words that say that nothing of the operation is kept.
 var promises = map[string]bool{
 	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true,
-	"NOAUTH": true, "MALFORMED": true,
+	KeyUnknown: true, "MALFORMED": true,
 }
 
 // Promise reports whether an error word says that nothing of the operation is kept.
@@ -61,6 +64,16 @@
 	RetryAfter time.Duration // with an error word; 0: none was given
 }
 
+// TransactionOpen reports whether a transaction is open after the answer, be it failed.
+func (r Reply) TransactionOpen() bool {
+	return r.State == InTransaction || r.State == Failed
+}
+
+// SessionOver reports whether the session serves nothing after the answer.
+func (r Reply) SessionOver() bool {
+	return r.Word == Broken || r.Word == KeyUnknown
+}
+
 // Dial opens a session on a route with a key.
 func Dial(address, route, key string) (*Session, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
@@ -134,6 +147,14 @@
 	}
 }
 
+// EndTransaction rolls back a transaction that an answer leaves open. It returns the last answer.
+func (s *Session) EndTransaction(id string, r Reply) Reply {
+	if !r.TransactionOpen() {
+		return r
+	}
+	return s.Ask(id, "ROLLBACK")
+}
+
 // completion returns the word for a receipt; those of the stand-in servers end with the statement's id.
 func completion(receipt, id string) string {
 	switch {
--- a/cmd/internal/load/line.go
+++ b/cmd/internal/load/line.go
@@ -11,6 +11,10 @@
 // lineStatements numbers the statements of this process, since the servers' receipts are checked by them.
 var lineStatements atomic.Uint64
 
+func nextStatement() string {
+	return "load-" + strconv.FormatUint(lineStatements.Add(1), 10)
+}
+
 // OpenLine returns a function that opens connections to a route in the users' line protocol.
 func OpenLine(route string) OpenFunc {
 	return func(_ context.Context, address string, account Account, _ string) (Conn, error) {
@@ -45,7 +49,7 @@
 
 // ask sends a statement and returns an error unless it is answered with the word that is wanted.
 func (c *lineConn) ask(text, wanted string) (lineclient.Reply, error) {
-	r := c.session.Ask("load-"+strconv.FormatUint(lineStatements.Add(1), 10), text)
+	r := c.session.Ask(nextStatement(), text)
 	if r.Word == wanted {
 		return r, nil
 	}
@@ -87,17 +91,12 @@
 
 // settle ends a transaction that an answer leaves open, and the connection after an answer that doesn't allow to go on.
 func (c *lineConn) settle(r lineclient.Reply) {
-	if r.State == lineclient.InTransaction || r.State == lineclient.Failed {
-		r, _ = c.ask("ROLLBACK", lineclient.Done) // without a proper answer the connection is closed below
-	}
-	if r.State != lineclient.Idle || r.Word == withdrawnKey {
+	r = c.session.EndTransaction(nextStatement(), r)
+	if r.State != lineclient.Idle || r.SessionOver() {
 		c.Close()
 	}
 }
 
-// withdrawnKey is the answer on a session whose key has been withdrawn.
-const withdrawnKey = "NOAUTH"
-
 func (c *lineConn) Read(_ context.Context, key string) (string, error) {
 	r, err := c.ask("READ "+key, lineclient.Receipt)
 	c.settle(r)
--- a/cmd/internal/openload/operation.go
+++ b/cmd/internal/openload/operation.go
@@ -109,8 +109,7 @@
 		return answer{outcome: refused, word: "connect"}, defaultReturn
 	}
 	for i, text := range o.texts {
-		o.statement++
-		reply := s.Ask(fmt.Sprintf("o%d.%d", o.number, o.statement), text)
+		reply := s.Ask(o.nextStatement(), text)
 		if reply.Word == lineclient.Receipt || reply.Word == lineclient.Done {
 			continue
 		}
@@ -121,6 +120,12 @@
 	return answer{outcome: served, wrote: o.writes}, 0
 }
 
+// nextStatement returns the id of the next statement.
+func (o *operation) nextStatement() string {
+	o.statement++
+	return fmt.Sprintf("o%d.%d", o.number, o.statement)
+}
+
 // failed tells what a failure means: without the commit, or its only write, being sent, nothing can be kept.
 func (o *operation) failed(reply lineclient.Reply, last bool) (answer, time.Duration) {
 	a := answer{outcome: refused, word: reply.Word}
@@ -132,10 +137,7 @@
 
 // leave ends what a failure left open. A session that isn't idle afterwards is closed.
 func (o *operation) leave(s *lineclient.Session, reply lineclient.Reply) {
-	if reply.State == lineclient.InTransaction || reply.State == lineclient.Failed {
-		o.statement++
-		reply = s.Ask(fmt.Sprintf("o%d.%d", o.number, o.statement), "ROLLBACK")
-	}
+	reply = s.EndTransaction(o.nextStatement(), reply)
 	if reply.State != lineclient.Idle {
 		s.Close()
 		return
--- a/cmd/internal/platformlocal/deployment.go
+++ b/cmd/internal/platformlocal/deployment.go
@@ -11,7 +11,7 @@
 // Config describes a deployment.
 type Config struct {
 	Binary    string // the daemon; empty: instances run in this process, without logs
-	Dir       string // for settings and logs of the instances
+	Dir       string // for settings and logs of the instances; empty: a temporary one, removed by Close
 	Instances int
 	Databases Databases
 	Accounts  []Account
@@ -21,6 +21,8 @@
 type Deployment struct {
 	*World
 	Instances []*Instance
+
+	temporary string // folder that Close removes; empty: none
 }
 
 // Start starts a deployment and waits until every instance wants callers.
@@ -30,7 +32,14 @@
 		return nil, err
 	}
 	d := &Deployment{World: w}
-	if err := d.startInstances(cfg); err != nil {
+	if cfg.Dir == "" {
+		cfg.Dir, err = os.MkdirTemp("", "cyclamenstile-")
+		d.temporary = cfg.Dir
+	}
+	if err == nil {
+		err = d.startInstances(cfg)
+	}
+	if err != nil {
 		d.Close()
 		return nil, err
 	}
@@ -76,6 +85,9 @@
 	}
 	ends.Wait()
 	d.World.Close()
+	if d.temporary != "" {
+		_ = os.RemoveAll(d.temporary) // a folder that stays behind does no harm
+	}
 }
 
 // DaemonBinary returns the path of the daemon in the folder of this program.
--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -115,7 +115,7 @@
 	default:
 		c.doubt[value] = true
 	}
-	if r.Word == lineclient.Broken || r.Word == "NOAUTH" {
+	if r.SessionOver() {
 		c.leave()
 	}
 }
@@ -128,7 +128,7 @@
 
 func (c *caller) transact() {
 	if r := c.ask(c.id(), "BEGIN"); r.Word != lineclient.Done {
-		if r.Word == lineclient.Broken || r.Word == "NOAUTH" {
+		if r.SessionOver() {
 			c.leave()
 		}
 		return
@@ -149,7 +149,7 @@
 
 // abort ends a transaction that is not committed.
 func (c *caller) abort(r lineclient.Reply) {
-	if r.State == lineclient.InTransaction || r.State == lineclient.Failed {
+	if r.TransactionOpen() {
 		r = c.ask(c.id(), "ROLLBACK")
 	}
 	if r.Word != lineclient.Done {
@@ -168,7 +168,7 @@
 		c.run.noteSent(id, sent)
 	}
 	if r.Word != lineclient.Receipt {
-		if r.Word == lineclient.Broken || r.Word == "NOAUTH" {
+		if r.SessionOver() {
 			c.leave()
 		}
 		return
--- a/proxy/peer/rendezvous.go
+++ b/proxy/peer/rendezvous.go
@@ -25,8 +25,12 @@
 	if len(names) <= n {
 		return names
 	}
+	scores := make(map[string]uint64, len(names))
+	for _, name := range names {
+		scores[name] = rendezvousScore(key, name)
+	}
 	ordered := slices.SortedFunc(slices.Values(names), func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvousScore(key, b), rendezvousScore(key, a)), cmp.Compare(b, a))
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(b, a))
 	})
 	return ordered[:n]
 }
