Name what a holder of quota has a holding

Tenant is the platform's word for a client account and stood for a holder of fractions here. The name in the stored object stays, since instances of earlier builds read it.

--- a/decision/quota/fuzz_test.go
+++ b/decision/quota/fuzz_test.go
@@ -21,9 +21,9 @@
 		m.Observe(now, a, 1)
 		m.Proven(now)
 		usable, _ := m.Usable(now)
-		for _, tenant := range a.Tenants {
-			if tenant.Address != "a:1" && usable&tenant.Fractions != 0 {
-				t.Errorf("fractions %x of %s are used", uint64(usable&tenant.Fractions), tenant.Address)
+		for _, holding := range a.Holdings {
+			if holding.Address != "a:1" && usable&holding.Fractions != 0 {
+				t.Errorf("fractions %x of %s are used", uint64(usable&holding.Fractions), holding.Address)
 			}
 		}
 		next, changed := m.Plan(now, Members{Live: []string{"a:1", "b:1"}, Planner: true}, 0)
--- a/decision/quota/tenure.go
+++ b/decision/quota/tenure.go
@@ -31,8 +31,8 @@
 // firstShare bounds what an instance is given while the planner, right after its start, may not know the others yet.
 const firstShare = 8
 
-// Tenant is one holder in an assignment.
-type Tenant struct {
+// Holding is what one holder has in an assignment.
+type Holding struct {
 	Address   string `json:"address"` // peer address
 	Fractions Mask   `json:"fractions"`
 	// Resting are those of Fractions that an earlier holder may still be using.
@@ -42,7 +42,7 @@
 // Assignment says which instance holds which fraction of every account. Holders watch it in place of renewing
 // their claims, so that a lost holder's fractions are free after seconds.
 type Assignment struct {
-	Tenants []Tenant `json:"tenants"`
+	Holdings []Holding `json:"tenants"` // the name in objects that instances of earlier builds read
 }
 
 // DecodeAssignment reads an assignment and checks that no fraction has two holders.
@@ -52,7 +52,7 @@
 		return Assignment{}, errors.Wrapf(err, "decode %s; delete the object once every instance is stopped", AssignmentKey)
 	}
 	var all Mask
-	for _, t := range a.Tenants {
+	for _, t := range a.Holdings {
 		if all&t.Fractions != 0 {
 			return Assignment{}, errors.Newf("%s gives a fraction to two holders; delete the object once every instance is stopped", AssignmentKey)
 		}
@@ -69,8 +69,8 @@
 
 // Addresses returns the holders.
 func (a Assignment) Addresses() []string {
-	out := make([]string, 0, len(a.Tenants))
-	for _, t := range a.Tenants {
+	out := make([]string, 0, len(a.Holdings))
+	for _, t := range a.Holdings {
 		out = append(out, t.Address)
 	}
 	return out
@@ -78,19 +78,19 @@
 
 func (a Assignment) assigned() Mask {
 	var all Mask
-	for _, t := range a.Tenants {
+	for _, t := range a.Holdings {
 		all |= t.Fractions
 	}
 	return all
 }
 
-func (a Assignment) of(address string) Tenant {
-	for _, t := range a.Tenants {
+func (a Assignment) of(address string) Holding {
+	for _, t := range a.Holdings {
 		if t.Address == address {
 			return t
 		}
 	}
-	return Tenant{Address: address}
+	return Holding{Address: address}
 }
 
 // Tenure decides which fractions this process holds by a watched assignment. The driver calls Observe with each
@@ -218,7 +218,7 @@
 		limit = min(share, FractionCount/firstShare)
 	}
 	plan.give(m.Live, allFractions&^t.assignment.assigned(), 0, limit)
-	if 2*len(m.Gone) <= len(t.assignment.Tenants) {
+	if 2*len(m.Gone) <= len(t.assignment.Holdings) {
 		// An instance that reaches less than half of the holders is probably cut off itself.
 		lost := plan.take(m.Gone)
 		plan.give(m.Live, lost, lost, share)
@@ -229,31 +229,31 @@
 
 // assignmentPlan is an assignment that is being changed.
 type assignmentPlan struct {
-	tenants map[string]Tenant
+	holdings map[string]Holding
 }
 
 func newAssignmentPlan(a Assignment) *assignmentPlan {
-	p := &assignmentPlan{tenants: make(map[string]Tenant, len(a.Tenants))}
-	for _, t := range a.Tenants {
-		p.tenants[t.Address] = t
+	p := &assignmentPlan{holdings: make(map[string]Holding, len(a.Holdings))}
+	for _, t := range a.Holdings {
+		p.holdings[t.Address] = t
 	}
 	return p
 }
 
 // rested lets an instance use what has rested with it.
 func (p *assignmentPlan) rested(address string) {
-	t := p.tenants[address]
+	t := p.holdings[address]
 	t.Resting = 0
-	p.tenants[address] = t
+	p.holdings[address] = t
 }
 
 // release gives back what an instance holds and has not lent. Resting fractions were never used there, but their
 // earlier holder may still use them: the next holder has to let them rest again, which a free fraction would not. They
 // stay until others take them over.
 func (p *assignmentPlan) release(address string, lent Mask) {
-	t := p.tenants[address]
+	t := p.holdings[address]
 	t.Fractions &= t.Resting | lent
-	p.tenants[address] = t
+	p.holdings[address] = t
 }
 
 // give deals fractions to the instances with the fewest, up to a limit for each. Those in resting rest there.
@@ -265,11 +265,11 @@
 		}
 		bit := fractions.lowest(1)
 		fractions &^= bit
-		t := p.tenants[address]
+		t := p.holdings[address]
 		t.Address = address
 		t.Fractions |= bit
 		t.Resting |= bit & resting
-		p.tenants[address] = t
+		p.holdings[address] = t
 	}
 }
 
@@ -277,7 +277,7 @@
 func (p *assignmentPlan) poorest(live []string, limit int) (string, bool) {
 	best, fewest := "", limit
 	for _, address := range live {
-		if n := p.tenants[address].Fractions.Count(); n < fewest || n == fewest && n < limit && address < best {
+		if n := p.holdings[address].Fractions.Count(); n < fewest || n == fewest && n < limit && address < best {
 			best, fewest = address, n
 		}
 	}
@@ -288,8 +288,8 @@
 func (p *assignmentPlan) take(holders []string) Mask {
 	var out Mask
 	for _, address := range holders {
-		out |= p.tenants[address].Fractions
-		delete(p.tenants, address)
+		out |= p.holdings[address].Fractions
+		delete(p.holdings, address)
 	}
 	return out
 }
@@ -298,19 +298,19 @@
 func (p *assignmentPlan) surplus(live []string, share int) Mask {
 	wanted := 0
 	for _, address := range live {
-		if p.tenants[address].Fractions == 0 {
+		if p.holdings[address].Fractions == 0 {
 			wanted++
 		}
 	}
 	var out Mask
 	for _, address := range live {
-		t := p.tenants[address]
+		t := p.holdings[address]
 		moved := t.Fractions.lowest(min(t.Fractions.Count()-share, wanted*share-out.Count()))
 		t.Fractions &^= moved
 		t.Resting &^= moved
 		out |= moved
 		if moved != 0 {
-			p.tenants[address] = t
+			p.holdings[address] = t
 		}
 	}
 	return out
@@ -319,11 +319,11 @@
 // result returns the assignment if it differs from the one before.
 func (p *assignmentPlan) result(before Assignment) (Assignment, bool) {
 	var next Assignment
-	for _, address := range slices.Sorted(maps.Keys(p.tenants)) {
-		if t := p.tenants[address]; t.Fractions != 0 {
-			next.Tenants = append(next.Tenants, t)
+	for _, address := range slices.Sorted(maps.Keys(p.holdings)) {
+		if t := p.holdings[address]; t.Fractions != 0 {
+			next.Holdings = append(next.Holdings, t)
 		}
 	}
-	sorted := slices.SortedFunc(slices.Values(before.Tenants), func(a, b Tenant) int { return strings.Compare(a.Address, b.Address) })
-	return next, !slices.Equal(sorted, next.Tenants)
+	sorted := slices.SortedFunc(slices.Values(before.Holdings), func(a, b Holding) int { return strings.Compare(a.Address, b.Address) })
+	return next, !slices.Equal(sorted, next.Holdings)
 }
--- a/decision/quota/tenure_test.go
+++ b/decision/quota/tenure_test.go
@@ -192,7 +192,7 @@
 func TestRestartedProcessWaitsForLoans(t *testing.T) {
 	started := 100 * time.Second
 	n := NewTenure("a", started)
-	n.Observe(started, Assignment{Tenants: []Tenant{{Address: "a", Fractions: 0xff}}}, 5)
+	n.Observe(started, Assignment{Holdings: []Holding{{Address: "a", Fractions: 0xff}}}, 5)
 	n.Proven(started)
 	if usable, _ := n.Usable(started + promiseTerm - 1); usable != 0 {
 		t.Errorf("uses %x while loans of its predecessor are open", uint64(usable))
@@ -204,7 +204,7 @@
 
 // Guards against a partition after which all fractions rest, because each side has taken those of the other.
 func TestMinorityTakesNothing(t *testing.T) {
-	a := Assignment{Tenants: []Tenant{{Address: "a", Fractions: 0xf}, {Address: "b", Fractions: 0xf0}, {Address: "c", Fractions: 0xf00}, {Address: "d", Fractions: ^Mask(0xfff)}}}
+	a := Assignment{Holdings: []Holding{{Address: "a", Fractions: 0xf}, {Address: "b", Fractions: 0xf0}, {Address: "c", Fractions: 0xf00}, {Address: "d", Fractions: ^Mask(0xfff)}}}
 	n := NewTenure("a", 0)
 	n.Observe(time.Minute, a, 7)
 	n.Proven(time.Minute)
@@ -220,12 +220,12 @@
 // (paysheet trouble-3: 24 of 64 fractions were lost with one of six instances).
 func TestNoInstanceGetsMoreThanItsShare(t *testing.T) {
 	n := NewTenure("a", 0)
-	n.Observe(time.Minute, Assignment{Tenants: []Tenant{{Address: "b", Fractions: 0xff}, {Address: "c", Fractions: 0xff00}}}, 3)
+	n.Observe(time.Minute, Assignment{Holdings: []Holding{{Address: "b", Fractions: 0xff}, {Address: "c", Fractions: 0xff00}}}, 3)
 	n.Proven(time.Minute)
 	next, _ := n.Plan(time.Minute, Members{Live: []string{"a", "b", "c", "d", "e", "f"}, Planner: true}, 0)
-	for _, tenant := range next.Tenants {
-		if got := tenant.Fractions.Count(); got < 8 || got > 11 {
-			t.Errorf("%s of six instances gets %d fractions", tenant.Address, got)
+	for _, holding := range next.Holdings {
+		if got := holding.Fractions.Count(); got < 8 || got > 11 {
+			t.Errorf("%s of six instances gets %d fractions", holding.Address, got)
 		}
 	}
 	if next.assigned() != allFractions {
@@ -245,8 +245,8 @@
 	n := NewTenure(live[0], 0)
 	n.Proven(time.Minute)
 	next, wanted := n.Plan(time.Minute, Members{Live: live, Planner: true}, 0)
-	if !wanted || len(next.Tenants) != 59 || next.assigned() != allFractions {
-		t.Errorf("%d of 59 instances hold fractions, %d assigned", len(next.Tenants), next.assigned().Count())
+	if !wanted || len(next.Holdings) != 59 || next.assigned() != allFractions {
+		t.Errorf("%d of 59 instances hold fractions, %d assigned", len(next.Holdings), next.assigned().Count())
 	}
 	n.Observe(time.Minute, next, 1)
 	if again, wanted := n.Plan(time.Minute, Members{Live: live, Planner: true}, 0); wanted {
--- a/proxy/node/inventory.go
+++ b/proxy/node/inventory.go
@@ -127,7 +127,7 @@
 }
 
 func (inv *Inventory) assign(a quotadecision.Assignment) {
-	for _, t := range a.Tenants {
+	for _, t := range a.Holdings {
 		i := slices.IndexFunc(inv.Instances, func(e InstanceEntry) bool { return e.PeerAddress == t.Address })
 		if i < 0 {
 			inv.fault(quotaKind, "assignment", errors.Newf("%s holds %d fractions and is not on the list of instances", t.Address, t.Fractions.Count()))
--- a/proxy/quota/watcher_test.go
+++ b/proxy/quota/watcher_test.go
@@ -14,7 +14,7 @@
 	now := time.Duration(0)
 	holders := []string{"a", "b", "c", "a"}
 	for i, holder := range holders {
-		w.tenure.Observe(now, quota.Assignment{Tenants: []quota.Tenant{{Address: holder, Fractions: 1}}}, uint64(i+1))
+		w.tenure.Observe(now, quota.Assignment{Holdings: []quota.Holding{{Address: holder, Fractions: 1}}}, uint64(i+1))
 		if gone := w.gone(now, []string{"self"}); len(gone) != 0 {
 			t.Errorf("holder %s counts as gone when it is first seen", holder)
 		}
