--- a/proxy/group/group_test.go
+++ b/proxy/group/group_test.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
 )
 
@@ -55,6 +56,20 @@
 	}
 }
 
+// waitForAnswer waits until g has published a probe answer of a server. Before it, g does not choose the server for
+// reads; a majority of the others is enough for everything else.
+func waitForAnswer(t *testing.T, ctx context.Context, g *Group, id authority.ServerID) {
+	t.Helper()
+	for {
+		if s := g.published.Load(); s != nil && s.view.Server(id).Known {
+			return
+		}
+		if !wait.For(ctx, time.Millisecond) {
+			t.Fatalf("no probe answer of %s", id)
+		}
+	}
+}
+
 // Guards against a session's read that misses the session's own confirmed write.
 func TestReadFollowsConfirmedWrite(t *testing.T) {
 	d, views, ctx := startStandIn(t, 5*time.Millisecond, 2)
@@ -194,6 +209,7 @@
 	defer w.close()
 	d.FreezeReplication(1, true)
 	p := w.mustConfirm(t, ctx, manifest.AcknowledgeMajority)
+	waitForAnswer(t, ctx, g, "s2")
 	onlyFrozen := engine.ReadRequest{Sample: true, VerifyLater: true, Exclude: []authority.ServerID{"s3"}}
 	target, err := g.Read(ctx, onlyFrozen)
 	if err != nil || target.Verify == nil {
