--- a/decision/connlimit/connlimit.go
+++ b/decision/connlimit/connlimit.go
@@ -24,6 +24,8 @@
 	// FullBackoff is how long no connection is opened after a server has refused one. Other instances
 	// borrow connections for about the duration of a short transaction.
 	FullBackoff = 40 * time.Millisecond
+	// ReturnTimeout is how long a statement waits for a returning connection before it acts as if there were none.
+	ReturnTimeout = 40 * time.Millisecond
 )
 
 // Limit is the connection limit of one server and the number of instances that share it.
@@ -45,8 +47,11 @@
 
 // Usage is the state of one instance's connections to one server.
 type Usage struct {
-	Open      int // idle, in use or being opened
-	Idle      int
+	Open int // idle, in use or being opened
+	Idle int
+	// Returning counts those that suit the statement, are expected to become idle within a round trip and have no
+	// statement waiting for them.
+	Returning int
 	FullUntil time.Duration // no connection is opened before this time, because the server refused one
 }
 
@@ -60,12 +65,17 @@
 	Open
 	// Replace an unsuitable idle connection.
 	Replace
+	// AwaitReturn waits up to ReturnTimeout for a returning connection. Opening one takes longer and occupies a slot
+	// of the server.
+	AwaitReturn
 )
 
 // NextAction returns the action for a statement that found no suitable idle connection.
 func (l Limit) NextAction(now time.Duration, u Usage) Action {
 	full := now < u.FullUntil
 	switch {
+	case u.Returning > 0:
+		return AwaitReturn
 	case !full && u.Open < l.Share():
 		return Open
 	case u.Idle > 0:
--- a/decision/connlimit/connlimit_test.go
+++ b/decision/connlimit/connlimit_test.go
@@ -36,6 +36,7 @@
 		{"share used, one idle", Usage{Open: 2, Idle: 1}, Replace},
 		{"refused recently, one idle", Usage{Open: 1, Idle: 1, FullUntil: full}, Replace},
 		{"share used, all busy", Usage{Open: 2}, Open},
+		{"inside the share, one about to become idle", Usage{Open: 1, Returning: 1}, AwaitReturn},
 		{"ceiling reached", Usage{Open: 11}, Wait},
 	} {
 		if got := l.NextAction(0, c.usage); got != c.want {
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -220,9 +220,9 @@
 		g.pool.release(u, false)
 		return
 	}
+	g.pool.beginReturn(u)
 	go func() {
 		a, err := u.receive()
-		ended := err == nil && a.code == "" && u.state == sessionstate.Idle
-		g.pool.release(u, ended)
+		g.pool.endReturn(u, err == nil && a.code == "" && u.state == sessionstate.Idle)
 	}()
 }
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -348,6 +348,38 @@
 	}
 }
 
+// distantConn is a connection whose answers arrive after a delay.
+type distantConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c distantConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	time.Sleep(c.delay)
+	return n, err
+}
+
+// Guards against opening a connection while one of the account is about to become idle: a strict read ends with a
+// rollback, which takes a round trip that the read's caller does not wait for.
+func TestConnectionIsReusedAfterItsRollback(t *testing.T) {
+	f := newFixture(t, func(c *Config) {
+		dial := c.Dial
+		c.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			return distantConn{conn, 5 * time.Millisecond}, err
+		}
+	})
+	c := f.open("strict")
+	for range 10 {
+		c.want("w", "WRITE x v", "receipt|READY I -")
+		c.want("r", "READ x", "row v|receipt|READY I -")
+	}
+	if opened := f.group.SessionsOpened(); opened != 1 {
+		t.Errorf("%d connections for the statements of one session on the leader, want 1", opened)
+	}
+}
+
 // slowQuota refuses after a delay.
 type slowQuota time.Duration
 
--- a/proxy/gateway/pool.go
+++ b/proxy/gateway/pool.go
@@ -48,6 +48,7 @@
 	usage                 connlimit.Usage
 	idle                  []*upstreamConn // most recently used last
 	waiters               []*waiter
+	returning             map[string]*returningConns // by account
 	retired               bool
 }
 
@@ -72,7 +73,17 @@
 		p.mu.Unlock()
 		return u, nil
 	}
-	switch sp.limit.NextAction(p.cfg.Now(), sp.usage) {
+	action := sp.limit.NextAction(p.cfg.Now(), sp.usageFor(account))
+	if action == connlimit.AwaitReturn {
+		returned := sp.expectReturn(account)
+		p.mu.Unlock()
+		if u := p.awaitReturn(ctx, sp, account, returned); u != nil {
+			return u, nil
+		}
+		p.mu.Lock()
+		action = sp.limit.NextAction(p.cfg.Now(), sp.usage)
+	}
+	switch action {
 	case connlimit.Open:
 		sp.usage.Open++
 		p.mu.Unlock()
@@ -103,7 +114,7 @@
 	sp := p.servers[s.ID]
 	if sp == nil || sp.started != s.Started || sp.address != s.Address {
 		p.retire(sp)
-		sp = &serverPool{id: s.ID, database: s.Database, address: s.Address, started: s.Started}
+		sp = &serverPool{id: s.ID, database: s.Database, address: s.Address, started: s.Started, returning: map[string]*returningConns{}}
 		p.servers[s.ID] = sp
 	}
 	sp.limit = connlimit.Limit{Max: maxConnections, Instances: p.cfg.Instances(s)}
