--- a/cmd/internal/freeport/freeport.go
+++ b/cmd/internal/freeport/freeport.go
@@ -14,7 +14,8 @@
 	// Ports below the ephemeral range of Linux. An outgoing connection could otherwise use the port of a
 	// process that is down.
 	firstPort = 10_000
-	lastPort  = 32_000
+	// LastPort is the first port above those that are used.
+	LastPort = 32_000
 )
 
 // nextPort is the offset of the last tried port. It starts at random so that concurrent processes rarely collide.
@@ -22,13 +23,13 @@
 // listeners could get the same one.
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(int64(rand.IntN(lastPort - firstPort))) }
+func init() { nextPort.Store(int64(rand.IntN(LastPort - firstPort))) }
 
 // Address returns a loopback address on which nothing listens. No other call in this process returns it until all
 // ports have been tried.
 func Address() (string, error) {
-	for range lastPort - firstPort {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+	for range LastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(LastPort-firstPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -36,5 +37,5 @@
 		}
 		return address, errors.Wrap(l.Close(), "close a probe listener")
 	}
-	return "", errors.Newf("no port from %d to %d is free; end other programs that listen there", firstPort, lastPort-1)
+	return "", errors.Newf("no port from %d to %d is free; end other programs that listen there", firstPort, LastPort-1)
 }
--- a/cmd/internal/processtest/store_test.go
+++ b/cmd/internal/processtest/store_test.go
@@ -112,32 +112,21 @@
 	d := deploy(t, setup{})
 	r := d.startLoad(nil)
 	storeRelay := startRelay(t, hostPort(d.storeURL))
-	// The first answer on the connection, to the get, passes; the second, to the put, is cut.
+	// On each connection one answer to a get passes. On the first the answer to the put follows and is cut off; the
+	// second carries the get that reads back.
 	storeRelay.limitAnswers(d.answerLength("/v1/objects/"+manifest.StoreKey) + 10)
 	next := d.manifest(2)
 	next.Accounts[0].Burst++
-	file := d.writeManifest(next)
-	type result struct {
-		out string
-		err error
+	out, err := runCtl(t, "--store", "http://"+storeRelay.address(), "apply", "--json", "--if-version", "1", d.writeManifest(next))
+	if err != nil || !strings.Contains(out, `"readBack": true`) {
+		t.Errorf("apply printed %s, error %v, want success by reading back", out, err)
 	}
-	done := make(chan result, 1)
-	go func() {
-		out, err := runCtl(t, "--store", "http://"+storeRelay.address(), "apply", "--json", "--if-version", "1", file)
-		done <- result{out, err}
-	}()
-	waitFor(t, "stored manifest", func() bool {
-		object, err := d.client.Get(t.Context(), manifest.StoreKey)
-		if err != nil {
-			return false
-		}
-		stored, err := manifest.Decode(object.Value)
-		return err == nil && stored.Version == 2
-	})
-	storeRelay.endLimit()
-	applied := <-done
-	if applied.err != nil || !strings.Contains(applied.out, `"readBack": true`) {
-		t.Errorf("apply printed %s, error %v, want success by reading back", applied.out, applied.err)
+	object, err := d.client.Get(t.Context(), manifest.StoreKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if stored, err := manifest.Decode(object.Value); err != nil || stored.Version != 2 {
+		t.Errorf("stored manifest %+v, error %v, want version 2", stored, err)
 	}
 	r.finish()
 }
--- a/cmd/internal/relay/relay.go
+++ b/cmd/internal/relay/relay.go
@@ -11,6 +11,8 @@
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/freeport"
 )
 
 // Directions of the bytes, as seen from the connecting side.
@@ -24,11 +26,16 @@
 	Proxy *toxiproxy.Proxy
 }
 
+// maxListenTries bounds the tries to listen on a port that another process may have taken in between.
+const maxListenTries = 10
+
 // Start starts a relay to upstream that delays each direction by the given time, 0 for none.
 func Start(upstream string, requestDelay, responseDelay time.Duration) (*Relay, error) {
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.New(io.Discard))
-	r := &Relay{toxiproxy.NewProxy(server, upstream, "127.0.0.1:0", upstream)}
-	if err := r.Proxy.Start(); err != nil {
+	r, err := listen(upstream)
+	for try := 1; err != nil && try < maxListenTries; try++ {
+		r, err = listen(upstream)
+	}
+	if err != nil {
 		return nil, errors.Wrap(err, "start a relay")
 	}
 	for direction, delay := range map[string]time.Duration{Requests: requestDelay, Responses: responseDelay} {
@@ -42,6 +49,18 @@
 	return r, nil
 }
 
+// listen starts a relay on a port that the operating system gives to no outgoing connection while the relay is
+// disabled.
+func listen(upstream string) (*Relay, error) {
+	address, err := freeport.Address()
+	if err != nil {
+		return nil, err
+	}
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.New(io.Discard))
+	r := &Relay{toxiproxy.NewProxy(server, upstream, address, upstream)}
+	return r, r.Proxy.Start()
+}
+
 // Address returns the address that the relay listens on.
 func (r *Relay) Address() string {
 	return r.Proxy.Listen
