--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -120,6 +120,7 @@
 	tasks.Go(func() { newPoolMetrics(d.metrics.Scope, d.pool.Usage).run(ctx) })
 	tasks.Go(func() { d.quota.Run(ctx) })
 	tasks.Go(func() { d.burn.Run(ctx) })
+	tasks.Go(func() { newStallMonitor(d.metrics.Scope, d.log, d.engine.Stalled).run(ctx) })
 	tasks.Go(func() { d.logListenerEnd("peer listener", d.peerServer.Serve(ctx, d.listeners.peers)) })
 	tasks.Go(func() {
 		handler := d.metrics.Handler(d.ready, map[string]http.Handler{"GET " + burn.Path: d.burn})
--- a/proxy/daemon/events.go
+++ b/proxy/daemon/events.go
@@ -22,6 +22,10 @@
 	EventSilentConnection = "CYC-1008"
 	// EventStatusNotDeleted: the status object could not be deleted during a stop.
 	EventStatusNotDeleted = "CYC-1009"
+	// EventStatementsStalled: statements have waited in one stage for more than stallAge.
+	EventStatementsStalled = "CYC-1010"
+	// EventProcessStalled: the process did not run for a while.
+	EventProcessStalled = "CYC-1011"
 )
 
 func event(log logrus.FieldLogger, number string) *logrus.Entry {
--- a/proxy/engine/autocommit.go
+++ b/proxy/engine/autocommit.go
@@ -121,10 +121,12 @@
 
 // connect chooses a server and acquires a connection to it. retry means that another attempt may succeed.
 func (s *session) connect(ctx context.Context, u *unit, a *attempt) (up *upstream, e *outcome.Error, retry bool) {
+	s.stage.enter(StagePlacement)
 	target, e := s.chooseTarget(ctx, a)
 	if e != nil {
 		return nil, e, false
 	}
+	s.stage.enter(StageConnection)
 	conn, err := s.srv.cfg.Pool.Acquire(ctx, AcquireRequest{
 		Target:         target,
 		Account:        s.login.Account.Name,
--- a/proxy/engine/bound.go
+++ b/proxy/engine/bound.go
@@ -16,9 +16,11 @@
 	report.Attempts = 1
 	report.Server = up.target.Server
 	report.Primary = up.target.Primary
+	s.stage.enter(StagePlacement)
 	if e := s.checkAuthority(ctx, up, u); e != nil {
 		return e, nil
 	}
+	s.stage.enter(StageConnection)
 	if e := s.acquireSlot(ctx, up, u); e != nil {
 		return e, nil
 	}
--- a/proxy/engine/relay.go
+++ b/proxy/engine/relay.go
@@ -52,6 +52,7 @@
 	}
 	s.attach(up)
 	defer s.detach()
+	s.stage.enter(StageServer)
 	x.transmit()
 	x.receive()
 	x.awaitSender()
@@ -215,6 +216,7 @@
 		x.uncovered = true
 		return
 	}
+	x.stage.enter(StageServer)
 	x.out.release()
 	x.callerErr = x.out.flushPartial()
 }
@@ -226,6 +228,7 @@
 		x.err = e
 		return
 	}
+	x.stage.enter(StageServer)
 	x.out.release()
 	x.callerErr = x.out.flushPartial()
 }
--- a/proxy/engine/result.go
+++ b/proxy/engine/result.go
@@ -61,6 +61,7 @@
 	if up.target.Verify == nil {
 		return nil
 	}
+	s.stage.enter(StageVerification)
 	waitCtx, cancel := context.WithTimeout(ctx, s.srv.cfg.PrimaryWait)
 	defer cancel()
 	if err := up.target.Verify(waitCtx); err != nil {
@@ -177,6 +178,7 @@
 
 // confirm waits until the writes that target has answered are confirmed as the route requires.
 func (s *session) confirm(ctx context.Context, target Target) *outcome.Error {
+	s.stage.enter(StageConfirmation)
 	waitCtx, cancel := context.WithTimeout(ctx, s.login.Route.ConfirmTimeout.Std())
 	defer cancel()
 	p, err := s.db.Confirm(waitCtx, target, s.login.Route.Acknowledge)
--- a/proxy/engine/run.go
+++ b/proxy/engine/run.go
@@ -26,6 +26,7 @@
 	report := Statement{Account: s.login.Account.Name, Route: s.login.Route.Name, Read: u.allReads}
 	ctx, endUnit := s.beginUnit()
 	defer endUnit()
+	defer s.stage.enter(StageNone)
 	e, err := s.execute(ctx, u, &report)
 	if err != nil {
 		report.Outcome = OutcomeCallerGone
@@ -100,6 +101,7 @@
 	if s.tx.active() && (u.executesOnly(statement.Commit) || u.executesOnly(statement.Rollback)) {
 		return nil
 	}
+	s.stage.enter(StageQuota)
 	if err := s.srv.cfg.Quota.Admit(ctx, s.login.Account.Name); err != nil {
 		return s.waitError(ctx, err)
 	}
--- a/proxy/engine/session.go
+++ b/proxy/engine/session.go
@@ -44,6 +44,7 @@
 	db     Database
 	state  decide.State
 	opened time.Time
+	stage  stageClock
 
 	out       outbound
 	in        *inbound // nil while idle
