--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,8 +27,14 @@
 	// at the same time.
 	retryMin = 100 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// relayStartTries and relayStartDelay bound the wait for a relay that starts at the same time as this instance.
+	relayStartTries = 6
+	relayStartDelay = 100 * time.Millisecond
 )
 
+// errRelayStarting is returned if a relay should be asked again.
+var errRelayStarting = errors.New("the relay refuses connections; it may be starting")
+
 // follower keeps a cache of all objects of a kind up to date, from the store or from a relay.
 type follower struct {
 	store      *platform.Store
@@ -50,13 +57,20 @@
 	loaded    bool
 	storeLost bool
 	asOf      time.Duration
+	// relayStartsAwaited counts the waits for a relay that was starting.
+	relayStartsAwaited int
 }
 
 // run follows the objects until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.step(ctx)
+		if errors.Is(err, errRelayStarting) {
+			wait.For(ctx, relayStartDelay)
+			continue
+		}
 		f.logStoreState(ctx, err)
+		f.cache.setSourceLost(err != nil)
 		if err == nil || errors.Is(err, platform.ErrHistoryTruncated) {
 			f.outage.markReached(f)
 			continue
@@ -69,8 +83,9 @@
 
 func (f *follower) step(ctx context.Context) error {
 	if f.relays != nil {
-		if relay := f.relays.chooseParent(); relay.Address != "" && f.followRelay(ctx, relay) {
-			return nil
+		followed, err := f.followParent(ctx)
+		if followed || err != nil {
+			return err
 		}
 	}
 	if !f.loaded {
@@ -79,8 +94,27 @@
 	return f.watch(ctx)
 }
 
-// followRelay gets changes from a relay. It returns false if the store has to be called instead.
-func (f *follower) followRelay(ctx context.Context, relay relaytree.Parent) bool {
+// followParent gets changes from the relay that this instance follows. It returns false if the store has to be called
+// instead, and errRelayStarting if the relay should be asked again.
+func (f *follower) followParent(ctx context.Context) (followed bool, err error) {
+	relay := f.relays.chooseParent()
+	if relay.Address == "" {
+		return false, nil
+	}
+	followed, err = f.followRelay(ctx, relay)
+	switch {
+	case err == nil:
+		return followed, nil
+	case !f.loaded && f.relayStartsAwaited < relayStartTries && errors.Is(err, syscall.ECONNREFUSED):
+		f.relayStartsAwaited++
+		return false, errRelayStarting
+	}
+	f.relays.suspect(relay.Address)
+	return false, nil
+}
+
+// followRelay gets changes from a relay. It returns false if the relay has none although no object was read yet.
+func (f *follower) followRelay(ctx context.Context, relay relaytree.Parent) (bool, error) {
 	revision := f.revision
 	if !f.loaded {
 		revision = 0
@@ -88,19 +122,20 @@
 	sentAt := f.now()
 	reply, err := f.relays.askRelay(ctx, relay, f.kind, revision, relayWait)
 	if err != nil {
-		return false
+		return false, err
 	}
 	objects := fromProto(reply.GetObjects())
+	asOf := sentAt - time.Duration(reply.GetAgeMs())*time.Millisecond
 	switch {
 	case reply.GetWhole():
-		f.replace(objects, reply.GetRevision())
+		f.replace(objects, reply.GetRevision(), asOf)
 	case len(objects) > 0:
 		f.apply(objects, reply.GetRevision())
 	case !f.loaded:
-		return false
+		return false, nil
 	}
-	f.confirm(sentAt - time.Duration(reply.GetAgeMs())*time.Millisecond)
-	return true
+	f.confirm(asOf)
+	return true, nil
 }
 
 func (f *follower) list(ctx context.Context) error {
@@ -111,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	f.replace(objects, revision)
+	f.replace(objects, revision, sentAt)
 	f.confirm(sentAt)
 	return nil
 }
@@ -165,10 +200,10 @@
 	}
 }
 
-func (f *follower) replace(objects []platform.Object, revision uint64) {
+func (f *follower) replace(objects []platform.Object, revision uint64, asOf time.Duration) {
 	f.revision, f.loaded = revision, true
 	f.onList(objects)
-	f.cache.replace(objects, revision)
+	f.cache.replace(objects, revision, asOf)
 }
 
 func (f *follower) apply(changes []platform.Object, revision uint64) {
--- a/proxy/node/node_test.go
+++ b/proxy/node/node_test.go
@@ -13,6 +13,8 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+	"github.com/cyclamenstile/cyclamenstile/proxy/node/relaypb"
 )
 
 func discardLogger() logrus.FieldLogger {
@@ -163,8 +165,7 @@
 	if reply, _ := c.changesSince(0); !reply.GetUnknown() {
 		t.Error("an empty cache is not reported as unknown")
 	}
-	c.replace([]platform.Object{object("a", 3), object("b", 4)}, 5)
-	c.confirm(9 * time.Second)
+	c.replace([]platform.Object{object("a", 3), object("b", 4)}, 5, 9*time.Second)
 	c.apply([]platform.Object{object("a", 7), {Name: "b", Revision: 8, Deleted: true}}, 8)
 	reply, changed := c.changesSince(0)
 	if !reply.GetWhole() || len(reply.GetObjects()) != 1 || reply.GetRevision() != 8 || reply.GetAgeMs() < 1000 {
@@ -196,6 +197,39 @@
 	}
 }
 
+// Guards against followers that read everything from the store because their relay has not done so yet, and against
+// followers that wait for a relay that can't reach the store.
+func TestFollowersAwaitTheFirstRead(t *testing.T) {
+	r := &relayService{caches: map[string]*objectCache{"kind": newObjectCache(boottime.Now)}}
+	follow := func() <-chan *relaypb.FollowReply {
+		replies := make(chan *relaypb.FollowReply, 1)
+		go func() {
+			reply, err := r.Follow(t.Context(), &relaypb.FollowRequest{Kind: "kind", WaitMs: 60_000})
+			if err != nil {
+				t.Error(err)
+			}
+			replies <- reply
+		}()
+		return replies
+	}
+	cache := r.caches["kind"]
+	cache.setSourceLost(true)
+	if reply := <-follow(); !reply.GetUnknown() {
+		t.Errorf("reply %+v of a relay without the store, want unknown", reply)
+	}
+	cache.setSourceLost(false)
+	waiting := follow()
+	select {
+	case reply := <-waiting:
+		t.Errorf("reply %+v before the first read, want a wait", reply)
+	case <-time.After(20 * time.Millisecond):
+	}
+	cache.replace([]platform.Object{object("a", 3)}, 5, boottime.Now())
+	if reply := <-waiting; !reply.GetWhole() || len(reply.GetObjects()) != 1 || reply.GetAgeMs() > 1000 {
+		t.Errorf("reply %+v after the first read, want all objects with their age", reply)
+	}
+}
+
 // Guards against a watch that counts as a confirmation for longer than the store has waited, and against long watches
 // while the last confirmation is old.
 func TestWatchConfirmsOnlyItsWait(t *testing.T) {
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -42,6 +42,7 @@
 	revision    uint64
 	asOf        time.Duration // time as of which nothing newer existed
 	loaded      bool
+	sourceLost  bool          // the last read failed
 	changed     chan struct{} // closed and replaced at each change
 }
 
@@ -49,8 +50,8 @@
 	return &objectCache{now: now, objects: map[string]platform.Object{}, changed: make(chan struct{})}
 }
 
-// replace replaces all objects by those as of a revision.
-func (c *objectCache) replace(objects []platform.Object, revision uint64) {
+// replace replaces all objects by those as of a revision, than which nothing newer existed as of a time.
+func (c *objectCache) replace(objects []platform.Object, revision uint64, asOf time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.objects = make(map[string]platform.Object, len(objects))
@@ -58,7 +59,7 @@
 		c.objects[o.Name] = o
 	}
 	c.changes, c.changesBase = nil, revision
-	c.revision, c.loaded = revision, true
+	c.revision, c.loaded, c.asOf = revision, true, max(c.asOf, asOf)
 	c.notify()
 }
 
@@ -83,6 +84,27 @@
 	}
 }
 
+// setSourceLost records whether the last read failed. Until the first objects are read, this tells followers not to wait
+// for them.
+func (c *objectCache) setSourceLost(lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sourceLost == lost {
+		return
+	}
+	c.sourceLost = lost
+	if !c.loaded {
+		c.notify()
+	}
+}
+
+// awaitsFirstRead reports whether the first objects are still to come.
+func (c *objectCache) awaitsFirstRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.loaded && !c.sourceLost
+}
+
 // confirm records that nothing newer existed as of a time.
 func (c *objectCache) confirm(asOf time.Duration) {
 	c.mu.Lock()
@@ -182,14 +204,14 @@
 	return r.suspects.Contains(r.now(), address)
 }
 
+// suspect skips a relay for relaySuspectTerm, because it failed or has no recent data.
 func (r *relayService) suspect(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.suspects.Add(r.now(), address, relaySuspectTerm)
 }
 
-// askRelay gets the changes after a revision from a relay. A relay that fails or has no recent data is skipped for
-// relaySuspectTerm.
+// askRelay gets the changes after a revision from a relay.
 func (r *relayService) askRelay(ctx context.Context, relay relaytree.Parent, kind string, revision uint64, wait time.Duration) (*relaypb.FollowReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+relayMargin)
 	defer cancel()
@@ -201,13 +223,13 @@
 		err = errRelayStale
 	}
 	if err != nil {
-		r.suspect(relay.Address)
 		return nil, err
 	}
 	return reply, nil
 }
 
-// Follow implements relaypb.DRPCRelayServer.
+// Follow implements relaypb.DRPCRelayServer. It waits for the first objects too, so that instances that start together
+// with their relay don't read everything from the store.
 func (r *relayService) Follow(ctx context.Context, in *relaypb.FollowRequest) (*relaypb.FollowReply, error) {
 	cache := r.caches[in.GetKind()]
 	if cache == nil {
@@ -217,7 +239,7 @@
 	defer timer.Stop()
 	for {
 		reply, changed := cache.changesSince(in.GetRevision())
-		if len(reply.GetObjects()) > 0 || reply.GetWhole() || reply.GetUnknown() {
+		if len(reply.GetObjects()) > 0 || reply.GetWhole() || reply.GetUnknown() && !cache.awaitsFirstRead() {
 			return reply, nil
 		}
 		select {
