--- a/cmd/internal/platformlocal/environment.go
+++ b/cmd/internal/platformlocal/environment.go
@@ -41,8 +41,14 @@
 	Rate, Burst float64 // operations per second; operations
 }
 
+// roleReportDelay is the time from a promotion until the entries of the servers show it, if a former primary goes on
+// meanwhile.
+const roleReportDelay = 200 * time.Millisecond
+
 // Databases describes the databases of an environment.
 type Databases struct {
+	// Unfenced: a former primary goes on until it is told to step down.
+	Unfenced       bool
 	Count          int
 	Slots          int           // concurrent statements of a server
 	ServiceTime    time.Duration // of each read, write and commit
@@ -56,6 +62,7 @@
 	Relay *relay.Relay
 
 	crashed bool
+	leaving bool
 }
 
 // Environment is the platform and the databases that the instances use.
@@ -103,6 +110,9 @@
 		return errors.Wrap(err, "start a stand-in database")
 	}
 	group.SetMaxConnections(e.databases.MaxConnections)
+	if e.databases.Unfenced {
+		group.SetUnfenced()
+	}
 	e.names = append(e.names, name)
 	e.groups[name] = group
 	for i, id := range ids {
@@ -126,7 +136,7 @@
 		}
 		spec, err := platform.EncodeServer(discovery.Server{
 			Database: database, Address: s.Relay.Address(), FailureDomain: s.Zone, Slots: e.databases.Slots,
-			Primary: s.ID == primary,
+			Primary: s.ID == primary, Leaving: s.leaving,
 		})
 		if err != nil {
 			return err
@@ -145,12 +155,23 @@
 	for _, s := range e.servers[database] {
 		if s.ID == id && !s.crashed {
 			e.groups[database].Promote(id)
+			if e.databases.Unfenced {
+				time.AfterFunc(roleReportDelay, func() { e.reportRoles(database) })
+				return true
+			}
 			return e.registerServers(database) == nil
 		}
 	}
 	return false
 }
 
+// reportRoles writes the entries of the servers of a database.
+func (e *Environment) reportRoles(database string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.registerServers(database) // it fails only if an entry can't be encoded
+}
+
 // DatabaseNames returns the names of the databases.
 func (e *Environment) DatabaseNames() []string {
 	return e.names
@@ -216,6 +237,17 @@
 	return e.registerServers(database)
 }
 
+// Drain marks the primary of a database as leaving and returns its id.
+func (e *Environment) Drain(database string) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	primary := e.groups[database].Primary()
+	for _, s := range e.servers[database] {
+		s.leaving = s.leaving || s.ID == primary
+	}
+	return primary, e.registerServers(database)
+}
+
 // Configure writes the next version of the configuration, without the keys of the accounts in withdrawn.
 func (e *Environment) Configure(withdrawn ...string) error {
 	e.mu.Lock()
--- a/cmd/internal/platformlocal/instance.go
+++ b/cmd/internal/platformlocal/instance.go
@@ -30,6 +30,7 @@
 regions: {north: north, south: south, west: west}
 bounds: {stopSeconds: %[7]d, KeyWithdrawalMillis: %[8]d}
 quota: {windowSeconds: %[9]d, overage: %[10]g, slackStatements: %[11]d}
+unfencedPromotions: %[12]t
 logLevel: info
 `
 
@@ -75,7 +76,8 @@
 		settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"),
 	}
 	text := fmt.Sprintf(settingsTemplate, name, zone, addresses[0], addresses[1], addresses[2], r.Address(),
-		int(stopGrace.Seconds()), KeyWithdrawalLimit.Milliseconds(), int(QuotaWindow.Seconds()), QuotaOverage, QuotaSlack)
+		int(stopGrace.Seconds()), KeyWithdrawalLimit.Milliseconds(), int(QuotaWindow.Seconds()), QuotaOverage, QuotaSlack,
+		e.databases.Unfenced)
 	return i, errors.Wrap(os.WriteFile(i.settings, []byte(text), 0o600), "write settings")
 }
 
--- a/decision/failover/doc.go
+++ b/decision/failover/doc.go
@@ -5,13 +5,14 @@
 //
 //   - A primary that another instance reaches is replaced only if a majority has lost contact with it for a
 //     while, or if its entry is marked as leaving or is missing.
-//   - Two orders of one instance for a database are at least as far apart as a promotion takes to become
-//     visible.
+//   - After an accepted order, the next one of the same instance for the database follows when the promotion had
+//     time to become visible; after a failed one, after a shorter delay.
 //   - A leaving primary hands over: it is asked to step down, and its successor receives all of its log
 //     before it is promoted.
 //
-// Safety does not depend on these decisions: the platform refuses an order with an older fence, and the fence
-// of an order comes from a conditional write that only one instance can win.
+// Safety does not depend on these decisions: the fence of an order comes from a conditional write that only one
+// instance can win, and the platform refuses an order with an older fence. Where it does not, the caller carries out an
+// order only while its claim holds, and makes the old primary step down first.
 //
 // Load: a database has a few servers; the machine is idle while the primary answers.
 package failover
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -21,6 +21,9 @@
 	// that expired during a store outage reappear within about two seconds of its end, and a hand-over takes up to
 	// two more seconds.
 	missingGracePeriod = 4500 * time.Millisecond
+	// retirementPeriod is how long a server that another one is replacing is not used as the leader, unless its entry
+	// shows a promotion. It covers the order and the time until the successor's entry shows its promotion.
+	retirementPeriod = 2500 * time.Millisecond
 	// lagPeriod is how long a replica that lacked a position is skipped for positions above its own.
 	lagPeriod = 200 * time.Millisecond
 	// parallelStatements is the number of statements of one instance that a server is expected to run in parallel.
@@ -53,6 +56,7 @@
 	failures     int // since the last answer
 	backoffUntil time.Duration
 	deniedAt     time.Duration // when it denied being the leader; 0 if it did not
+	retiredAt    time.Duration // when its replacement was ordered; 0 if it was not
 	ledAt        time.Duration // when it last proved to be the leader; 0 if never
 	position     position.Position
 	answeredAt   time.Duration // 0 if never
@@ -107,7 +111,7 @@
 	for _, other := range g.servers {
 		other.ledAt = 0
 	}
-	s.deniedAt = 0
+	s.deniedAt, s.retiredAt = 0, 0
 }
 
 // Expire removes servers whose entries have been missing for missingGracePeriod. It reports whether any was
@@ -215,6 +219,18 @@
 	}
 }
 
+// Retire records that the replacement of a leader is ordered. Where the platform doesn't end the lead of the former
+// primary, statements must not be sent to it any more.
+func (g *Group) Retire(now time.Duration, id string) {
+	if s := g.servers[id]; s != nil {
+		s.retiredAt = now
+	}
+}
+
+func (s *server) isRetired(now time.Duration) bool {
+	return s.retiredAt != 0 && now-s.retiredAt < retirementPeriod
+}
+
 // MarkLagging records that a replica lacked a requested position.
 func (g *Group) MarkLagging(now time.Duration, id string) {
 	if s := g.servers[id]; s != nil {
@@ -227,7 +243,7 @@
 func (g *Group) Leader(now time.Duration, exclude []string) (id string, ok bool) {
 	var best *server
 	for _, s := range g.servers {
-		unusable := s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now)
+		unusable := s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now) || s.isRetired(now)
 		if unusable || slices.Contains(exclude, s.ID) {
 			continue
 		}
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -80,6 +80,11 @@
 	return g.cfg.ParseStatus(a.rows[0])
 }
 
+// Retire stops sending statements to a primary whose replacement is ordered; see placement.Group.Retire.
+func (g *Gateway) Retire(database, server string) {
+	g.view(database).retire(server)
+}
+
 // markAlive records that a server answered.
 func (g *Gateway) markAlive(s discovery.Server) {
 	g.view(s.Database).withLock(func(now time.Duration, group *placement.Group) {
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -103,6 +103,10 @@
 	v.withLock(func(now time.Duration, g *placement.Group) { g.MarkNotLeader(now, id) })
 }
 
+func (v *view) retire(id string) {
+	v.withLock(func(now time.Duration, g *placement.Group) { g.Retire(now, id) })
+}
+
 func (v *view) markLagging(id string) {
 	v.withLock(func(now time.Duration, g *placement.Group) { g.MarkLagging(now, id) })
 }
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -46,12 +46,22 @@
 	// promoteTimeout bounds a promotion call to the platform, and orderTimeout all steps of an order.
 	promoteTimeout = 1500 * time.Millisecond
 	orderTimeout   = 5 * time.Second
+	// retireTimeout bounds the attempts to make an unreachable primary step down before its successor is promoted.
+	retireTimeout = 300 * time.Millisecond
+	// claimUseLimit is the age of a claim above which its promotion is not ordered any more: after claimValidity another
+	// instance may have promoted a server, and the platform may not check the fence.
+	claimUseLimit = 2 * time.Second
+	// stepDownRetryInterval and stepDownFollowUp are the interval and the duration of the attempts to make a replaced
+	// primary step down that did not answer before.
+	stepDownRetryInterval = 50 * time.Millisecond
+	stepDownFollowUp      = 10 * time.Second
 )
 
 // Errors of a promotion order.
 var (
 	errClaimed     = errors.New("another instance has claimed the promotion")
 	errNoSuccessor = errors.New("no server can be promoted: no candidate answered a probe")
+	errClaimTooOld = errors.New("the claim is too old to order the promotion; another instance may have claimed it since")
 )
 
 // claim is the stored value of a promotion claim.
@@ -177,6 +187,9 @@
 
 // Judge implements peer.JudgeHandler.
 func (p *promotionController) Judge(ctx context.Context, in *peerpb.JudgeRequest) (*peerpb.JudgeReply, error) {
+	if in.GetTerm() != 0 {
+		return p.retireForPeer(ctx, in), nil
+	}
 	reply := &peerpb.JudgeReply{}
 	primary, _, ok := p.node.gateway.Primary(in.GetDatabase())
 	switch {
@@ -222,23 +235,27 @@
 	if err != nil {
 		return err
 	}
-	fence, err := p.claimPromotion(ctx, database, old.ID, successor.ID)
+	claimedAt := boottime.Now()
+	fence, err := p.claimPromotion(ctx, database, old.ID, successor.server.ID)
 	if err != nil {
 		return err
 	}
 	event(p.log, EventPromoting).WithFields(logrus.Fields{
-		"database": database, "old": old.ID, "server": successor.ID, "fence": fence, "hand_over": handOver,
+		"database": database, "old": old.ID, "server": successor.server.ID, "fence": fence, "hand_over": handOver,
 	}).Info("promotion is ordered")
-	if handOver {
-		p.stepDown(ctx, old, successor)
+	if err := p.endLead(ctx, old, successor, handOver); err != nil {
+		return err
+	}
+	if boottime.Now()-claimedAt > claimUseLimit {
+		return errClaimTooOld
 	}
 	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	if err := p.promoter.Promote(callCtx, database, successor.ID, fence); err != nil {
+	if err := p.promoter.Promote(callCtx, database, successor.server.ID, fence); err != nil {
 		return err
 	}
 	event(p.log, EventPromoted).WithFields(logrus.Fields{
-		"database": database, "server": successor.ID, "fence": fence,
+		"database": database, "server": successor.server.ID, "fence": fence,
 	}).Info("promotion was accepted")
 	return nil
 }
@@ -250,7 +267,7 @@
 }
 
 // chooseSuccessor returns the reachable server that has received the most of the log.
-func (p *promotionController) chooseSuccessor(ctx context.Context, database, old string) (discovery.Server, error) {
+func (p *promotionController) chooseSuccessor(ctx context.Context, database, old string) (candidate, error) {
 	var mu sync.Mutex
 	var candidates []candidate
 	var probes sync.WaitGroup
@@ -272,12 +289,12 @@
 	}
 	probes.Wait()
 	if len(candidates) == 0 {
-		return discovery.Server{}, errNoSuccessor
+		return candidate{}, errNoSuccessor
 	}
 	best := slices.MaxFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(a.status.Received.Compare(b.status.Received), cmp.Compare(b.server.ID, a.server.ID))
 	})
-	return best.server, nil
+	return best, nil
 }
 
 // claimPromotion claims the next promotion of a database for this instance and returns its fence.
@@ -337,20 +354,98 @@
 	p.claims[database] = seenClaim{revision, boottime.Now()}
 }
 
-// stepDown makes a leaving primary stop writes and waits until its successor has received them all. A failure does not
-// delay the promotion, which ends the old primary's leadership in any case.
-func (p *promotionController) stepDown(ctx context.Context, old, successor discovery.Server) {
+// endLead ends the lead of the old primary before its successor is promoted. It fails if the old primary would go on
+// although it answers: a hand-over can be repeated.
+func (p *promotionController) endLead(ctx context.Context, old discovery.Server, successor candidate, handOver bool) error {
+	unfenced := p.node.settings.UnfencedPromotions
+	if handOver {
+		err := p.handOver(ctx, old, successor.server)
+		if err != nil && unfenced {
+			return err
+		}
+		return nil // the promotion ends the old primary's lead in any case
+	}
+	if unfenced && old.ID != "" {
+		p.retire(ctx, old, successor.status.Term+1)
+	}
+	return nil
+}
+
+// handOver makes a primary that answers step down, and waits until its successor has received all of its writes.
+func (p *promotionController) handOver(ctx context.Context, old, successor discovery.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	status, err := p.node.gateway.Probe(ctx, old)
-	if err == nil {
-		status, err = p.node.gateway.StepDown(ctx, old, status.Term+1)
-	}
+	status, err := p.stepDown(ctx, old)
 	if err != nil {
 		event(p.log, EventPromotionFailed).WithField("server", old.ID).WithError(err).
 			Warn("failed to make the leaving primary step down; its last commits may be lost")
-		return
+		return err
+	}
+	p.awaitCaughtUp(ctx, successor, status)
+	return nil
+}
+
+// stepDown makes a primary step down. It repeats the call while the server has no room for it.
+func (p *promotionController) stepDown(ctx context.Context, old discovery.Server) (placement.Status, error) {
+	for {
+		status, err := p.node.gateway.Probe(ctx, old)
+		if err == nil {
+			status, err = p.node.gateway.StepDown(ctx, old, status.Term+1)
+		}
+		if !errors.Is(err, gateway.ErrBusy) || !wait.For(ctx, stepDownRetryInterval) {
+			return status, err
+		}
 	}
+}
+
+// retire makes a primary that this instance can't reach step down before its successor is promoted, through any
+// instance that reaches it, and makes them all stop sending statements to it.
+func (p *promotionController) retire(ctx context.Context, old discovery.Server, term uint64) {
+	p.node.gateway.Retire(old.Database, old.ID)
+	callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	var asking sync.WaitGroup
+	asking.Go(func() { p.surveyor.Ask(callCtx, old.Database, old.ID, term) })
+	_, err := p.node.gateway.StepDown(callCtx, old, term)
+	asking.Wait()
+	if err != nil {
+		go p.followUpStepDown(old, term)
+	}
+}
+
+// retireForPeer implements retire for another instance. It replies that this instance reaches the server if it has
+// stepped down.
+func (p *promotionController) retireForPeer(ctx context.Context, in *peerpb.JudgeRequest) *peerpb.JudgeReply {
+	p.node.gateway.Retire(in.GetDatabase(), in.GetServer())
+	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	for _, s := range p.node.gateway.Servers(in.GetDatabase()) {
+		if s.ID != in.GetServer() {
+			continue
+		}
+		if _, err := p.node.gateway.StepDown(ctx, s, in.GetTerm()); err == nil {
+			return &peerpb.JudgeReply{Judgement: peerpb.Judgement_REACHES}
+		}
+	}
+	return &peerpb.JudgeReply{Judgement: peerpb.Judgement_LOST}
+}
+
+// followUpStepDown makes a replaced primary step down as soon as it answers again.
+func (p *promotionController) followUpStepDown(old discovery.Server, term uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), stepDownFollowUp)
+	defer cancel()
+	for {
+		callCtx, cancelCall := context.WithTimeout(ctx, probeTimeout)
+		_, err := p.node.gateway.StepDown(callCtx, old, term)
+		cancelCall()
+		if err == nil || !wait.For(ctx, stepDownRetryInterval) {
+			return
+		}
+	}
+}
+
+// awaitCaughtUp waits until a successor has received what the old primary had when it stepped down.
+func (p *promotionController) awaitCaughtUp(ctx context.Context, successor discovery.Server, status placement.Status) {
 	for {
 		next, err := p.node.gateway.Probe(ctx, successor)
 		if err == nil && !next.Received.Less(status.Received) {
--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -24,11 +24,15 @@
 	Store     string   `json:"store"`     // IP:port
 	Promotion string   `json:"promotion"` // IP:port
 	// Regions maps each failure domain to its region.
-	Regions   map[string]string `json:"regions"`
-	Bounds    Bounds            `json:"bounds"`
-	Quota     QuotaTolerance    `json:"quota"`
-	MemoryMiB int64             `json:"memoryMiB"` // the process is killed above this size
-	LogLevel  string            `json:"logLevel"`
+	Regions map[string]string `json:"regions"`
+	// UnfencedPromotions: the platform executes promotions whatever their fence, and a former primary goes on until it is
+	// told to step down.
+	UnfencedPromotions bool `json:"unfencedPromotions"`
+
+	Bounds    Bounds         `json:"bounds"`
+	Quota     QuotaTolerance `json:"quota"`
+	MemoryMiB int64          `json:"memoryMiB"` // the process is killed above this size
+	LogLevel  string         `json:"logLevel"`
 }
 
 // maxSetting bounds times and counts in the settings. A time in seconds above nine times this value overflows a
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -23,6 +23,8 @@
 	InTransaction bool
 	// OnPrimary reports whether the server was the primary.
 	OnPrimary bool
+	// OnFormerPrimary reports whether the server was a replaced primary that had not stepped down.
+	OnFormerPrimary bool
 	// At is the time of execution.
 	At time.Time
 	// TookEffect reports whether it was a write or commit that changed the log.
@@ -49,6 +51,8 @@
 	// maxConnections limits the connections to each server; 0 means no limit.
 	maxConnections int
 	sessionsOpened int
+	// unfenced makes a replaced primary go on until it is told to step down.
+	unfenced bool
 }
 
 // Server is one server of a group.
@@ -64,6 +68,8 @@
 	errorCode       string
 	silent          bool
 	stopped         bool
+	replaced        bool          // it was the primary, and goes on as one although another server was promoted
+	busyControls    int           // number of STATUS and STEPDOWN still to be answered with BUSY
 	serviceTime     time.Duration // of each read, write and commit
 	slots           chan struct{} // nil means no limit
 }
@@ -128,10 +134,28 @@
 	return g.sessionsOpened
 }
 
+// SetUnfenced makes a replaced primary accept statements until it is told to step down.
+func (g *Group) SetUnfenced() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unfenced = true
+}
+
+// SetBusyControls makes a server answer the next n control statements with BUSY.
+func (g *Group) SetBusyControls(id string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].busyControls = n
+}
+
 // Promote makes a server the primary of the next term.
 func (g *Group) Promote(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if old := g.servers[g.primary]; old != nil && g.primary != id {
+		old.replaced = g.unfenced
+	}
+	g.servers[id].replaced = false
 	g.term++
 	g.primary = id
 	g.servers[id].lag = 0
@@ -372,20 +396,34 @@
 	case "ROLLBACK":
 		s.txStatus, s.pending = "I", nil
 		return completeLine
-	case "STATUS":
-		return s.status()
-	case "STEPDOWN":
-		if s.server.ID == g.primary {
-			g.primary = ""
-		}
-		return s.status()
+	case "STATUS", "STEPDOWN":
+		return s.control(command)
 	}
 	return s.runStatement(id, text, command, rest)
 }
 
+func (s *session) control(command string) string {
+	if s.server.busyControls > 0 {
+		s.server.busyControls--
+		return s.errorResponse("BUSY")
+	}
+	if command == "STEPDOWN" {
+		s.server.replaced = false
+		if s.server.ID == s.server.group.primary {
+			s.server.group.primary = ""
+		}
+	}
+	return s.status()
+}
+
+// leads reports whether the server accepts the statements of a primary. The caller holds the group's mu.
+func (s *Server) leads() bool {
+	return s.ID == s.group.primary || s.replaced
+}
+
 func (s *session) begin(mode string) string {
 	needsPrimary := mode != "READ"
-	if needsPrimary && s.server.ID != s.server.group.primary {
+	if needsPrimary && !s.server.leads() {
 		return s.errorResponse("READONLY")
 	}
 	s.txStatus, s.needsPrimary = "T", needsPrimary
@@ -407,7 +445,7 @@
 	if s.server.errorCode != "" {
 		return s.errorResponse(s.server.errorCode)
 	}
-	executed := ExecutedStatement{Server: s.server.ID, Account: s.account, ID: id, Text: text, SessionValues: s.renderedValues(), InTransaction: s.txStatus != "I", OnPrimary: s.server.ID == g.primary, At: time.Now()}
+	executed := ExecutedStatement{Server: s.server.ID, Account: s.account, ID: id, Text: text, SessionValues: s.renderedValues(), InTransaction: s.txStatus != "I", OnPrimary: s.server.ID == g.primary, OnFormerPrimary: s.server.replaced, At: time.Now()}
 	writes := command == "WRITE"
 	item, value, _ := strings.Cut(rest, " ")
 	if command == "EXECUTE" {
@@ -419,12 +457,16 @@
 		executed.Text = prepared + " " + value
 		item, value, _ = strings.Cut(value, " ")
 	}
-	isPrimary := s.server.ID == g.primary
+	isPrimary := s.server.leads()
 	if (writes || s.txStatus == "T" && s.needsPrimary) && !isPrimary && (command != "COMMIT" || len(s.pending) > 0) {
 		return s.errorResponse("READONLY")
 	}
 	response := ""
 	switch {
+	case s.server.replaced && (writes || command == "COMMIT"):
+		// The former primary's own commits are in no other log.
+		executed.TookEffect = writes || len(s.pending) > 0
+		s.txStatus, s.pending = "I", nil
 	case command == "COMMIT":
 		g.log = append(g.log, s.pending...)
 		executed.TookEffect = len(s.pending) > 0
