--- a/decision/catalog/freshness.go
+++ b/decision/catalog/freshness.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Freshness records the latest time at which the configuration in force was confirmed as the newest. Times are of a
 // clock that keeps running while the machine is suspended. The zero value holds no confirmation.
@@ -16,7 +19,15 @@
 	}
 }
 
+// Age returns the time since the last confirmation, and the longest duration if there was none.
+func (f *Freshness) Age(now time.Duration) time.Duration {
+	if !f.confirmed {
+		return math.MaxInt64
+	}
+	return now - f.asOf
+}
+
 // ConfirmedWithin reports whether the configuration was confirmed as the newest at most limit ago.
 func (f *Freshness) ConfirmedWithin(now, limit time.Duration) bool {
-	return f.confirmed && now-f.asOf <= limit
+	return f.Age(now) <= limit
 }
--- a/decision/failover/machine.go
+++ b/decision/failover/machine.go
@@ -101,6 +101,11 @@
 	return true
 }
 
+// LostSince returns when the present suspicion began.
+func (m *Machine) LostSince() time.Duration {
+	return m.suspectedAt
+}
+
 // Suspected reports whether the primary is suspected to have failed, or none is known.
 func (m *Machine) Suspected() bool {
 	return m.suspected || m.noPrimarySince != 0
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -22,8 +22,9 @@
 	// two more seconds.
 	missingGracePeriod = 4500 * time.Millisecond
 	// retirementPeriod is how long a server that another one is replacing is not used as the leader, unless its entry
-	// shows a promotion. It covers the order and the time until the successor's entry shows its promotion.
-	retirementPeriod = 2500 * time.Millisecond
+	// shows a promotion. It covers failover.NoticePeriod, the order and the time until the successor's entry shows its
+	// promotion.
+	retirementPeriod = 5 * time.Second
 	// lagPeriod is how long a replica that lacked a position is skipped for positions above its own.
 	lagPeriod = 200 * time.Millisecond
 	// parallelStatements is the number of statements of one instance that a server is expected to run in parallel.
--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -87,6 +87,9 @@
 	Conns Conns
 	// Instances returns how many instances share the connections to a server.
 	Instances func(s discovery.Server) int
-	Now       func() time.Duration // monotonic clock that includes the time the machine is suspended
-	Log       *EventLog
+	// MayUseLeader reports whether statements may be sent to a leader; nil means always. It is false while this instance
+	// could miss that a leader is replaced.
+	MayUseLeader func() bool
+	Now          func() time.Duration // monotonic clock that includes the time the machine is suspended
+	Log          *EventLog
 }
--- a/proxy/gateway/errors.go
+++ b/proxy/gateway/errors.go
@@ -24,6 +24,8 @@
 		"the key is not known", "ask the operator for a valid key")
 	errNoServer = outcome.New(outcome.NotRun, outcome.CodeInsufficientResources,
 		"no server can run the request now", "repeat the request").WithRetryAfter(retryLater)
+	errCutOff = outcome.New(outcome.NotRun, outcome.CodeInsufficientResources,
+		"this instance can't know whether the primary is being replaced", "repeat the request through another instance").WithRetryAfter(retrySoon)
 	errQueueFull = outcome.New(outcome.NotRun, outcome.CodeInsufficientResources,
 		"no connection to a server became free in time", "repeat the request").WithRetryAfter(retrySoon)
 	errBusy = outcome.New(outcome.NotRun, outcome.CodeInsufficientResources,
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -58,6 +58,10 @@
 	})
 }
 
+func (g *Gateway) mayUseLeader() bool {
+	return g.cfg.MayUseLeader == nil || g.cfg.MayUseLeader()
+}
+
 // usable reports whether a server is registered and not leaving, so that it may get new work.
 func (g *Gateway) usable(database, id string) (ok bool) {
 	g.mu.Lock()
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -415,3 +416,26 @@
 		g.running.Wait()
 	})
 }
+
+// Guards against statements sent to a primary by an instance that may have missed its replacement, against a wait where
+// another instance could serve the caller, and against refusing reads that any replica may answer.
+func TestCutOffInstanceSendsNothingToLeaders(t *testing.T) {
+	var cutOff atomic.Bool
+	f := newFixture(t, func(c *Config) { c.MayUseLeader = func() bool { return !cutOff.Load() } })
+	strict, stale := f.open("strict"), f.open("stale")
+	strict.want("1", "WRITE x v", "receipt|READY I -")
+	stale.want("2", "READ x", "row v|receipt|READY I -")
+	strict.want("3", "BEGIN", "done|READY T -")
+	strict.want("4", "WRITE x w", "receipt|READY T -")
+	cutOff.Store(true)
+	began := time.Now()
+	strict.want("5", "COMMIT", "BUSY|READY I -")
+	strict.want("6", "WRITE x w", "BUSY|READY I -")
+	strict.want("7", "READ x", "BUSY|READY I -")
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("refusals took %s, want them at once", took)
+	}
+	stale.want("8", "READ x", "row v|receipt|READY I -")
+	cutOff.Store(false)
+	strict.want("9", "READ x", "row v|receipt|READY I -")
+}
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -99,6 +99,9 @@
 		if s, ok := sess.chooseServer(t); ok {
 			return s, nil
 		}
+		if !sess.gw.mayUseLeader() {
+			return discovery.Server{}, t.finalError(errCutOff)
+		}
 		if !wait.UntilClosed(t.ctx, changed, leaderRetryInterval) {
 			return discovery.Server{}, t.finalError(errNoServer)
 		}
@@ -118,6 +121,9 @@
 			}
 		}
 	}
+	if !sess.gw.mayUseLeader() {
+		return discovery.Server{}, false
+	}
 	return t.view.leader(t.excluded)
 }
 
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -44,6 +44,10 @@
 		sess.openTransaction(r)
 		return
 	}
+	if sess.tx.acceptedByLeader && !sess.gw.mayUseLeader() {
+		sess.failTransaction(r, errCutOff)
+		return
+	}
 	w := sess.transactionWork(r)
 	sent := sess.gw.cfg.Now()
 	res, err := sess.tx.conn.execute(sess.gw.ctx, w)
@@ -229,6 +233,10 @@
 		sess.refuse(stmt, e, began)
 		return endIfDenied(e)
 	}
+	if tx.acceptedByLeader && !sess.gw.mayUseLeader() {
+		sess.refuse(stmt, errCutOff, began)
+		return nil
+	}
 	r := request{stmt: stmt, grant: grant, began: began}
 	sent := sess.gw.cfg.Now()
 	res, err := tx.conn.execute(sess.gw.ctx, sess.transactionWork(r))
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -45,9 +45,11 @@
 	catchUpPollInterval = 30 * time.Millisecond
 	// promoteTimeout bounds a promotion call to the platform, and orderTimeout all steps of an order.
 	promoteTimeout = 1500 * time.Millisecond
-	orderTimeout   = 5 * time.Second
-	// retireTimeout bounds the attempts to make an unreachable primary step down before its successor is promoted.
-	retireTimeout = 300 * time.Millisecond
+	orderTimeout   = 8 * time.Second
+	// retireTimeout bounds the attempts to make an unreachable primary step down before its successor is promoted, and
+	// peerStepDownTimeout the attempt of another instance, whose reply has to arrive within retireTimeout.
+	retireTimeout       = 400 * time.Millisecond
+	peerStepDownTimeout = 200 * time.Millisecond
 	// claimUseLimit is the age of a claim above which its promotion is not ordered any more: after claimValidity another
 	// instance may have promoted a server, and the platform may not check the fence.
 	claimUseLimit = 2 * time.Second
@@ -235,6 +237,11 @@
 	if err != nil {
 		return err
 	}
+	if !handOver && p.node.settings.UnfencedPromotions && old.ID != "" {
+		if err := p.retire(ctx, old, successor.status.Term+1); err != nil {
+			return err
+		}
+	}
 	claimedAt := boottime.Now()
 	fence, err := p.claimPromotion(ctx, database, old.ID, successor.server.ID)
 	if err != nil {
@@ -243,8 +250,10 @@
 	event(p.log, EventPromoting).WithFields(logrus.Fields{
 		"database": database, "old": old.ID, "server": successor.server.ID, "fence": fence, "hand_over": handOver,
 	}).Info("promotion is ordered")
-	if err := p.endLead(ctx, old, successor, handOver); err != nil {
-		return err
+	if handOver {
+		if err := p.handOver(ctx, old, successor.server); err != nil && p.node.settings.UnfencedPromotions {
+			return err // the old primary would go on
+		}
 	}
 	if boottime.Now()-claimedAt > claimUseLimit {
 		return errClaimTooOld
@@ -354,23 +363,6 @@
 	p.claims[database] = seenClaim{revision, boottime.Now()}
 }
 
-// endLead ends the lead of the old primary before its successor is promoted. It fails if the old primary would go on
-// although it answers: a hand-over can be repeated.
-func (p *promotionController) endLead(ctx context.Context, old discovery.Server, successor candidate, handOver bool) error {
-	unfenced := p.node.settings.UnfencedPromotions
-	if handOver {
-		err := p.handOver(ctx, old, successor.server)
-		if err != nil && unfenced {
-			return err
-		}
-		return nil // the promotion ends the old primary's lead in any case
-	}
-	if unfenced && old.ID != "" {
-		p.retire(ctx, old, successor.status.Term+1)
-	}
-	return nil
-}
-
 // handOver makes a primary that answers step down, and waits until its successor has received all of its writes.
 func (p *promotionController) handOver(ctx context.Context, old, successor discovery.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
@@ -399,25 +391,36 @@
 }
 
 // retire makes a primary that this instance can't reach step down before its successor is promoted, through any
-// instance that reaches it, and makes them all stop sending statements to it.
-func (p *promotionController) retire(ctx context.Context, old discovery.Server, term uint64) {
+// instance that reaches it, and makes them all stop sending statements to it. It waits until instances that don't
+// acknowledge this have noticed that they are cut off.
+func (p *promotionController) retire(ctx context.Context, old discovery.Server, term uint64) error {
 	p.node.gateway.Retire(old.Database, old.ID)
 	callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
 	defer cancel()
-	var asking sync.WaitGroup
-	asking.Go(func() { p.surveyor.Ask(callCtx, old.Database, old.ID, term) })
+	var told peer.Survey
+	var telling sync.WaitGroup
+	telling.Go(func() { told, _ = p.surveyor.Tell(callCtx, old.Database, old.ID, term) })
 	_, err := p.node.gateway.StepDown(callCtx, old, term)
-	asking.Wait()
-	if err != nil {
-		go p.followUpStepDown(old, term)
+	telling.Wait()
+	if err == nil || told.Reaching > 0 {
+		return nil // it has stepped down
+	}
+	go p.followUpStepDown(old, term)
+	var lostSince time.Duration
+	p.withMachine(old.Database, func(m *failover.Machine) { lostSince = m.LostSince() })
+	wait.For(ctx, failover.ReplacementDelay(boottime.Now(), lostSince, failover.Survey(told)))
+	if now, _, ok := p.node.gateway.Primary(old.Database); ok && now.ID != old.ID {
+		return errClaimed
 	}
+	p.node.gateway.Retire(old.Database, old.ID)
+	return nil
 }
 
 // retireForPeer implements retire for another instance. It replies that this instance reaches the server if it has
 // stepped down.
 func (p *promotionController) retireForPeer(ctx context.Context, in *peerpb.JudgeRequest) *peerpb.JudgeReply {
 	p.node.gateway.Retire(in.GetDatabase(), in.GetServer())
-	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerStepDownTimeout)
 	defer cancel()
 	for _, s := range p.node.gateway.Servers(in.GetDatabase()) {
 		if s.ID != in.GetServer() {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
+	"github.com/cyclamenstile/cyclamenstile/decision/failover"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
@@ -170,18 +171,19 @@
 
 func (n *Node) assembleGateway() error {
 	n.gateway = gateway.New(gateway.Config{
-		Local:       placement.Locality{Region: n.settings.Locality.Region, FailureDomain: n.settings.Locality.FailureDomain},
-		Directory:   n.directory,
-		Quota:       n.quota,
-		Dial:        tcp.Dialer(tcp.CallTimeout).DialContext,
-		CallerCodec: func(c net.Conn) gateway.CallerCodec { return platform.NewCaller(c) },
-		ServerCodec: func(c net.Conn) gateway.ServerCodec { return platform.NewServer(c) },
-		ParseStatus: platform.ParseStatus,
-		Lender:      n.lenders.choose,
-		Conns:       n.lendClient,
-		Instances:   n.lenders.holderCount,
-		Now:         boottime.Now,
-		Log:         gateway.NewEventLog(n.log, n.metrics.Scope, boottime.Now),
+		Local:        placement.Locality{Region: n.settings.Locality.Region, FailureDomain: n.settings.Locality.FailureDomain},
+		Directory:    n.directory,
+		Quota:        n.quota,
+		Dial:         tcp.Dialer(tcp.CallTimeout).DialContext,
+		CallerCodec:  func(c net.Conn) gateway.CallerCodec { return platform.NewCaller(c) },
+		ServerCodec:  func(c net.Conn) gateway.ServerCodec { return platform.NewServer(c) },
+		ParseStatus:  platform.ParseStatus,
+		Lender:       n.lenders.choose,
+		Conns:        n.lendClient,
+		Instances:    n.lenders.holderCount,
+		MayUseLeader: n.mayUsePrimary,
+		Now:          boottime.Now,
+		Log:          gateway.NewEventLog(n.log, n.metrics.Scope, boottime.Now),
 	})
 	n.gateway.OnSuspect(n.failover.suspect)
 	if err := lendpb.DRPCRegisterLender(n.peerServer.Mux(), n.gateway); err != nil {
@@ -237,6 +239,14 @@
 	go n.gateway.Serve(n.callerListener) // returns when the listener is closed
 }
 
+// mayUsePrimary reports whether statements may be sent to primaries. Where promotions are fenced, they always may.
+func (n *Node) mayUsePrimary() bool {
+	if !n.settings.UnfencedPromotions {
+		return true
+	}
+	return failover.MayUsePrimary(n.directory.age(), n.peers.MajorityReachable())
+}
+
 func (n *Node) logListenerEnd(what string, err error) {
 	if err != nil && !n.stopping.Load() {
 		event(n.log, EventListenerEnded).WithError(err).Error("listener for " + what + " ended; restart the instance")
--- a/proxy/peer/survey.go
+++ b/proxy/peer/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
@@ -26,10 +27,19 @@
 // database. An instance that does not answer in time is counted only in Asked. known is false if the
 // instance list has not been read yet.
 func (s *Surveyor) Ask(ctx context.Context, database, server string, term uint64) (survey Survey, known bool) {
+	return s.ask(ctx, database, server, term, maxSurveyed)
+}
+
+// Tell is Ask for all listed instances that are not leaving.
+func (s *Surveyor) Tell(ctx context.Context, database, server string, term uint64) (survey Survey, known bool) {
+	return s.ask(ctx, database, server, term, math.MaxInt)
+}
+
+func (s *Surveyor) ask(ctx context.Context, database, server string, term uint64, limit int) (survey Survey, known bool) {
 	if s.Peers.ListedCount() == 0 {
 		return Survey{}, false
 	}
-	addresses := s.addresses(database)
+	addresses := s.addresses(database, limit)
 	replies := make([]peerpb.Judgement, len(addresses))
 	request := &peerpb.JudgeRequest{Database: database, Server: server, Term: term}
 	var calls sync.WaitGroup
@@ -46,14 +56,14 @@
 	return countReplies(replies), true
 }
 
-func (s *Surveyor) addresses(database string) []string {
+func (s *Surveyor) addresses(database string, limit int) []string {
 	var addresses []string
 	for _, p := range s.Peers.Peers() {
 		if !p.Instance.Leaving && !p.Leaving {
 			addresses = append(addresses, p.Instance.PeerAddress)
 		}
 	}
-	return RendezvousTop(database, addresses, maxSurveyed)
+	return RendezvousTop(database, addresses, limit)
 }
 
 func countReplies(replies []peerpb.Judgement) Survey {
