--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -22,9 +22,9 @@
 	// two more seconds.
 	missingGracePeriod = 4500 * time.Millisecond
 	// retirementPeriod is how long a server that another one is replacing is not used as the leader, unless its entry
-	// shows a promotion. It covers failover.NoticePeriod, the order and the time until the successor's entry shows its
-	// promotion.
-	retirementPeriod = 5 * time.Second
+	// shows a promotion. It covers the wait for instances that can't be told, the order and the time until the
+	// successor's entry shows its promotion.
+	retirementPeriod = 6 * time.Second
 	// lagPeriod is how long a replica that lacked a position is skipped for positions above its own.
 	lagPeriod = 200 * time.Millisecond
 	// parallelStatements is the number of statements of one instance that a server is expected to run in parallel.
@@ -136,6 +136,11 @@
 	return s.Server, true
 }
 
+// Empty reports whether the group has no server.
+func (g *Group) Empty() bool {
+	return len(g.servers) == 0
+}
+
 // Servers returns the entries of all servers, sorted by ID.
 func (g *Group) Servers() []discovery.Server {
 	out := make([]discovery.Server, 0, len(g.servers))
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -45,7 +45,7 @@
 	catchUpPollInterval = 30 * time.Millisecond
 	// promoteTimeout bounds a promotion call to the platform, and orderTimeout all steps of an order.
 	promoteTimeout = 1500 * time.Millisecond
-	orderTimeout   = 8 * time.Second
+	orderTimeout   = 10 * time.Second
 	// retireTimeout bounds the attempts to make an unreachable primary step down before its successor is promoted, and
 	// peerStepDownTimeout the attempt of another instance, whose reply has to arrive within retireTimeout.
 	retireTimeout       = 400 * time.Millisecond
@@ -145,7 +145,7 @@
 
 // step advances the state machine of a database and starts its action in the background.
 func (p *promotionController) step(ctx context.Context, database string) {
-	if len(p.node.gateway.Servers(database)) == 0 {
+	if !p.node.gateway.HasServers(database) {
 		return
 	}
 	primary, missing, _ := p.node.gateway.Primary(database)
@@ -408,7 +408,7 @@
 	go p.followUpStepDown(old, term)
 	var lostSince time.Duration
 	p.withMachine(old.Database, func(m *failover.Machine) { lostSince = m.LostSince() })
-	wait.For(ctx, failover.ReplacementDelay(boottime.Now(), lostSince, failover.Survey(told)))
+	wait.For(ctx, failover.ReplacementDelay(boottime.Now(), lostSince, p.node.noticePeriod(), failover.Survey(told)))
 	if now, _, ok := p.node.gateway.Primary(old.Database); ok && now.ID != old.ID {
 		return errClaimed
 	}
