--- a/decision/suspicion/suspicion.go
+++ b/decision/suspicion/suspicion.go
@@ -33,3 +33,13 @@
 func (l *List[K]) Len() int {
 	return len(l.expiry)
 }
+
+// Any reports whether any key is suspected at now.
+func (l *List[K]) Any(now time.Duration) bool {
+	for _, expiry := range l.expiry {
+		if now < expiry {
+			return true
+		}
+	}
+	return false
+}
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -14,10 +14,16 @@
 // ErrBusy reports that a server answered but has no capacity for the request.
 var ErrBusy = errors.New("the server answers, but has no room for a control call")
 
+// HasServers reports whether a database has servers.
+func (g *Gateway) HasServers(database string) (ok bool) {
+	g.view(database).read(func(group *placement.Group) { ok = !group.Empty() })
+	return ok
+}
+
 // Primary returns the server of a database that most likely leads.
 func (g *Gateway) Primary(database string) (s discovery.Server, missing, ok bool) {
 	v := g.view(database)
-	v.withLock(func(now time.Duration, group *placement.Group) {
+	v.read(func(group *placement.Group) {
 		id, known := group.Primary()
 		if !known {
 			return
@@ -31,7 +37,7 @@
 // Servers returns the servers of a database.
 func (g *Gateway) Servers(database string) []discovery.Server {
 	var out []discovery.Server
-	g.view(database).withLock(func(_ time.Duration, group *placement.Group) { out = group.Servers() })
+	g.view(database).read(func(group *placement.Group) { out = group.Servers() })
 	return out
 }
 
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -30,6 +30,13 @@
 	f(v.now(), v.group)
 }
 
+// read calls f with the lock held. It saves the system call for the time.
+func (v *view) read(f func(g *placement.Group)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f(v.group)
+}
+
 // notifyChange unblocks the statements that wait for a server.
 func (v *view) notifyChange() {
 	v.mu.Lock()
@@ -79,7 +86,7 @@
 }
 
 func (v *view) recordSent(id string) {
-	v.withLock(func(_ time.Duration, g *placement.Group) { g.RecordSent(id) })
+	v.read(func(g *placement.Group) { g.RecordSent(id) })
 }
 
 func (v *view) recordAnswer(id string, took time.Duration, p position.Position) {
@@ -88,7 +95,7 @@
 
 // recordAbandoned ends a request reported with recordSent that got no answer.
 func (v *view) recordAbandoned(id string) {
-	v.withLock(func(_ time.Duration, g *placement.Group) { g.RecordAbandoned(id) })
+	v.read(func(g *placement.Group) { g.RecordAbandoned(id) })
 }
 
 func (v *view) markUnreachable(id string) {
--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	entries map[string]listEntry // by instance
 	loaded  bool
+	sorted  []objectstore.Instance // the instances of entries; nil after a change, not modified once it is set
 }
 
 // listEntry is the entry of an instance.
@@ -46,12 +47,14 @@
 	if !l.loaded {
 		return nil, errListNotRead
 	}
-	out := make([]objectstore.Instance, 0, len(l.entries))
-	for _, e := range l.entries {
-		out = append(out, e.Instance)
+	if l.sorted == nil {
+		l.sorted = make([]objectstore.Instance, 0, len(l.entries))
+		for _, e := range l.entries {
+			l.sorted = append(l.sorted, e.Instance)
+		}
+		slices.SortFunc(l.sorted, func(a, b objectstore.Instance) int { return strings.Compare(a.PeerAddress, b.PeerAddress) })
 	}
-	slices.SortFunc(out, func(a, b objectstore.Instance) int { return strings.Compare(a.PeerAddress, b.PeerAddress) })
-	return out, nil
+	return l.sorted, nil
 }
 
 func (l *instanceList) replaceAll(objects []platform.Object) {
@@ -65,6 +68,7 @@
 func (l *instanceList) applyChanges(changes []platform.Object) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.sorted = nil
 	for _, o := range changes {
 		e := listEntry{revision: o.Revision}
 		if o.Deleted || json.Unmarshal(o.Spec, &e.Instance) != nil {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -158,7 +158,7 @@
 		Log:         n.log,
 
 		Tolerance:  n.settings.Quota.tolerance(),
-		Assignment: &quota.AssignmentConfig{Live: set.Live},
+		Assignment: &quota.AssignmentConfig{Live: set.Live, Version: set.Version},
 	})
 	if err != nil {
 		return err
@@ -244,7 +244,13 @@
 	if !n.settings.UnfencedPromotions {
 		return true
 	}
-	return failover.MayUsePrimary(n.directory.age(), n.peers.MajorityReachable())
+	return failover.MayUsePrimary(n.directory.age(), n.noticePeriod())
+}
+
+// noticePeriod is the time within which an instance that is cut off uses no primary any more. Without the store, keys are
+// not trusted for longer either.
+func (n *Node) noticePeriod() time.Duration {
+	return n.liveSettings.Load().Bounds.KeyWithdrawal()
 }
 
 func (n *Node) logListenerEnd(what string, err error) {
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -169,6 +169,10 @@
 
 	mu       sync.Mutex
 	suspects suspicion.List[string] // relays that are skipped
+	// parent is the result of chooseParent without suspects at parentVersion of the peers.
+	parent        relaytree.Parent
+	parentVersion uint64
+	parentKnown   bool
 }
 
 func newRelayService(n *Node, now func() time.Duration, kinds ...string) *relayService {
@@ -184,6 +188,26 @@
 
 // chooseParent returns the relay that this instance follows, or the store.
 func (r *relayService) chooseParent() relaytree.Parent {
+	version := r.peers.Version()
+	r.mu.Lock()
+	anySuspected := r.suspects.Len() > 0 && r.suspects.Any(r.now())
+	parent, known := r.parent, r.parentKnown && r.parentVersion == version
+	r.mu.Unlock()
+	if anySuspected {
+		return r.selectParent()
+	}
+	if known {
+		return parent
+	}
+	parent = r.selectParent()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parent, r.parentVersion, r.parentKnown = parent, version, true
+	return parent
+}
+
+// selectParent chooses among the peers that are usable and not suspected.
+func (r *relayService) selectParent() relaytree.Parent {
 	region := []string{r.self}
 	for _, p := range r.peers.Peers() {
 		if p.Usable() && p.Instance.Region == r.locality.Region && !r.isSuspected(p.Instance.PeerAddress) {
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -57,7 +57,8 @@
 	random        *rand.Rand
 	instances     []objectstore.Instance // without this one
 	plan          *contact.Plan
-	listed        bool // the list has been read at least once
+	listed        bool                   // the list has been read at least once
+	lastList      []objectstore.Instance // as last read
 	peers         map[string]*peerState
 	version       uint64 // see Version
 	recentResults []bool // whether the last calls succeeded, newest last
@@ -151,6 +152,9 @@
 			Warn("failed to read the instance list, or the list is not usable; the last list stays in use")
 		return
 	}
+	if s.isLastList(instances) {
+		return
+	}
 	members := Members(instances)
 	instances = slices.DeleteFunc(slices.Clone(instances), func(i objectstore.Instance) bool { return i.PeerAddress == s.cfg.Self })
 	if s.setInstances(instances, members) {
@@ -159,6 +163,17 @@
 	}
 }
 
+// isLastList reports whether a list is the one that is in use, and remembers it otherwise.
+func (s *Set) isLastList(instances []objectstore.Instance) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listed && slices.Equal(instances, s.lastList) {
+		return true
+	}
+	s.lastList = instances
+	return false
+}
+
 // Members converts instances to members of package contact, identified by peer address.
 func Members(instances []objectstore.Instance) []contact.Member {
 	members := make([]contact.Member, 0, len(instances))
@@ -255,14 +270,16 @@
 	if p == nil {
 		return
 	}
-	changed := !p.tried || p.reachable != (err == nil)
+	changed, wasLive := !p.tried || p.reachable != (err == nil), !p.tried || p.reachable
 	s.recentResults = append(s.recentResults, err == nil)
 	s.recentResults = s.recentResults[max(0, len(s.recentResults)-maxRecentResults):]
 	p.tried, p.reachable, p.callInFlight = true, err == nil, false
 	if !changed {
 		return
 	}
-	s.version++
+	if wasLive != (err == nil) {
+		s.version++
+	}
 	log := s.cfg.Log.WithField("peer", address)
 	if err != nil {
 		log.WithField(FieldEvent, EventPeerUnreachable).WithError(err).Warn("peer does not answer the heartbeat")
@@ -271,7 +288,8 @@
 	log.WithField(FieldEvent, EventPeerReachable).Info("peer answers the heartbeat")
 }
 
-// Version returns a number that changes whenever the result of Peers changes.
+// Version returns a number that changes whenever the listed peers change or one of them becomes live or usable, or ceases
+// to be.
 func (s *Set) Version() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -30,6 +30,8 @@
 type AssignmentConfig struct {
 	// Live returns the peer addresses of the responding instances, this one included.
 	Live func() []string
+	// Version changes whenever the result of Live changes.
+	Version func() uint64
 }
 
 // watcher holds fractions by an assignment in the store that all instances watch. What the watch
@@ -45,6 +47,17 @@
 	lastSeen    map[string]time.Duration // when a holder was last live
 	retryAt     time.Duration
 	drained     chan struct{}
+
+	// responding is what follows from Live, kept until its version changes. Only updateAssignment uses it.
+	responding        respondingInstances
+	respondingVersion uint64
+}
+
+// respondingInstances are the responding instances and their roles.
+type respondingInstances struct {
+	all     []string
+	holders []string // those that may hold fractions
+	planner bool     // this instance plans the assignment
 }
 
 func newWatcher(d *Driver, cfg AssignmentConfig) *watcher {
@@ -125,12 +138,11 @@
 // updateAssignment writes a new assignment if a change is planned.
 func (w *watcher) updateAssignment(ctx context.Context) {
 	lent := w.driver.lent()
-	live := w.cfg.Live()
+	responding := w.currentResponding()
 	w.mu.Lock()
 	now := w.driver.cfg.Clock()
 	members := quota.Members{
-		Live: peer.RendezvousTop(quota.AssignmentKey, live, maxHolders), Unreachable: w.unreachable(now, live),
-		Planner: peer.Rendezvous(quota.AssignmentKey, live) == w.driver.cfg.Self,
+		Live: responding.holders, Unreachable: w.unreachable(now, responding.all), Planner: responding.planner,
 	}
 	planned, wanted := w.assignment.Plan(now, members, lent)
 	version := w.assignment.Version()
@@ -144,6 +156,21 @@
 	}
 }
 
+// currentResponding returns the responding instances. The roles are chosen again only when the instances have changed,
+// since the choice hashes all of them.
+func (w *watcher) currentResponding() respondingInstances {
+	version := w.cfg.Version()
+	if w.responding.all == nil || version != w.respondingVersion {
+		live := w.cfg.Live()
+		w.responding = respondingInstances{
+			all: live, holders: peer.RendezvousTop(quota.AssignmentKey, live, maxHolders),
+			planner: peer.Rendezvous(quota.AssignmentKey, live) == w.driver.cfg.Self,
+		}
+		w.respondingVersion = version
+	}
+	return w.responding
+}
+
 // unreachable returns the holders that have not been live for quota.UnreachableTerm. The caller holds mu.
 func (w *watcher) unreachable(now time.Duration, live []string) []string {
 	var out []string
