--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -57,6 +57,7 @@
 	failures     int // since the last answer
 	backoffUntil time.Duration
 	deniedAt     time.Duration // when it denied being the leader; 0 if it did not
+	promotedIn   uint64        // revision of the entry that showed its promotion; 0 if another server was promoted since
 	retiredAt    time.Duration // when its replacement was ordered; 0 if it was not
 	ledAt        time.Duration // when it last proved to be the leader; 0 if never
 	position     position.Position
@@ -69,11 +70,14 @@
 	local   Locality
 	servers map[string]*server
 	Samples Samples
+	// superseded holds the start times of the servers whose entries claimed to be the primary when another server was
+	// promoted. It outlives their entries, which expire and return while such a server is cut off from the store.
+	superseded map[string]int64
 }
 
 // NewGroup returns the empty view of an instance in the given locality.
 func NewGroup(local Locality) *Group {
-	return &Group{local: local, servers: map[string]*server{}}
+	return &Group{local: local, servers: map[string]*server{}, superseded: map[string]int64{}}
 }
 
 // Register updates the group from the entries of all servers of the database. A server whose entry is missing is
@@ -98,11 +102,20 @@
 func (g *Group) register(e discovery.Server) {
 	s, known := g.servers[e.ID]
 	if !known || s.Started != e.Started || s.Address != e.Address {
-		g.servers[e.ID] = &server{Server: e, serviceTime: initialServiceTime}
+		s = &server{Server: e, serviceTime: initialServiceTime}
+		g.servers[e.ID] = s
+		started, superseded := g.superseded[e.ID]
+		if e.Primary && !(superseded && started == e.Started) {
+			s.promotedIn = e.Revision
+		}
 		return
 	}
 	if e.Primary && !s.Primary {
 		g.recordPromotion(s)
+		s.promotedIn = e.Revision
+	}
+	if !e.Primary {
+		delete(g.superseded, e.ID)
 	}
 	s.Server = e
 }
@@ -111,7 +124,12 @@
 func (g *Group) recordPromotion(s *server) {
 	for _, other := range g.servers {
 		other.ledAt = 0
+		if other != s && other.Primary {
+			g.superseded[other.ID] = other.Started
+			other.promotedIn = 0
+		}
 	}
+	delete(g.superseded, s.ID)
 	s.deniedAt, s.retiredAt = 0, 0
 }
 
@@ -248,8 +266,10 @@
 // being the leader recently, because a promotion is visible at the server before it is in the server's entry.
 func (g *Group) Leader(now time.Duration, exclude []string) (id string, ok bool) {
 	var best *server
+	promotedIn := g.lastPromotion()
 	for _, s := range g.servers {
-		unusable := s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now) || s.isRetired(now)
+		unusable := s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now) || s.isRetired(now) ||
+			s.Primary && s.promotedIn < promotedIn
 		if unusable || slices.Contains(exclude, s.ID) {
 			continue
 		}
@@ -263,6 +283,18 @@
 	return best.ID, true
 }
 
+// lastPromotion returns the highest promotedIn of the servers whose entries claim to be the primary. Others that claim it too
+// have been replaced without noticing it yet, and may still accept statements.
+func (g *Group) lastPromotion() uint64 {
+	var last uint64
+	for _, s := range g.servers {
+		if s.Primary {
+			last = max(last, s.promotedIn)
+		}
+	}
+	return last
+}
+
 // Primary returns the known leader: the server that proved it most recently, otherwise one whose entry claims it.
 func (g *Group) Primary() (id string, ok bool) {
 	var best *server
--- a/decision/placement/retire_test.go
+++ b/decision/placement/retire_test.go
@@ -30,3 +30,33 @@
 		t.Errorf("leader %q after the promotion of b, want b", id)
 	}
 }
+
+// Guards against statements for the leader that go to a former primary while the leader can't be reached: it still claims to
+// be the primary, also after its entry has expired and returned (amu-ledger scale-2, journal c987ecf1).
+func TestSupersededPrimaryIsNotUsed(t *testing.T) {
+	entry := func(id string, revision uint64, primary bool) discovery.Server {
+		return discovery.Server{ID: id, Database: "db", Address: id, Primary: primary, Revision: revision, Started: 7}
+	}
+	g := NewGroup(Locality{})
+	g.Register(0, []discovery.Server{entry("a", 1, true), entry("b", 2, false)})
+	now := time.Second
+	g.Register(now, []discovery.Server{entry("a", 1, true), entry("b", 3, true)})
+	if id, ok := g.Leader(now, []string{"b"}); ok {
+		t.Errorf("leader %q beside its successor, want none", id)
+	}
+	g.Register(now, []discovery.Server{entry("b", 3, true)})
+	now += missingGracePeriod + time.Second
+	g.Register(now, []discovery.Server{entry("b", 3, true)})
+	g.Register(now, []discovery.Server{entry("a", 9, true), entry("b", 3, true)})
+	if id, ok := g.Leader(now, []string{"b"}); ok {
+		t.Errorf("leader %q after its entry returned, want none", id)
+	}
+	if id, _ := g.Leader(now, nil); id != "b" {
+		t.Errorf("leader %q, want b", id)
+	}
+	g.Register(now, []discovery.Server{entry("a", 10, false), entry("b", 3, true)})
+	g.Register(now, []discovery.Server{entry("a", 11, true), entry("b", 3, true)})
+	if id, _ := g.Leader(now, nil); id != "a" {
+		t.Errorf("leader %q after a was promoted again, want a", id)
+	}
+}
