--- a/proxy/node/directory.go
+++ b/proxy/node/directory.go
@@ -45,13 +45,6 @@
 	return d.freshness.ConfirmedWithin(d.now(), limit)
 }
 
-// age returns the time since the configuration was last confirmed as the newest one.
-func (d *directory) age() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.freshness.Age(d.now())
-}
-
 // adopt brings a configuration from the store into force. One that is not newer than that in force is ignored.
 func (d *directory) adopt(c catalog.Catalog) {
 	d.mu.Lock()
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -68,6 +68,7 @@
 
 	stopping      atomic.Bool
 	serversLoaded atomic.Bool
+	serversKnown  serverFreshness
 }
 
 // New validates the settings, opens the listeners and assembles the instance.
@@ -244,7 +245,7 @@
 	if !n.settings.UnfencedPromotions {
 		return true
 	}
-	return failover.MayUsePrimary(n.directory.age(), n.noticePeriod())
+	return failover.MayUsePrimary(n.serversKnown.age(boottime.Now()), n.noticePeriod())
 }
 
 // noticePeriod is the time within which an instance that is cut off uses no primary any more. Without the store, keys are
--- a/proxy/node/servers.go
+++ b/proxy/node/servers.go
@@ -1,12 +1,35 @@
 package node
 
 import (
+	"sync"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
+// serverFreshness records as of when the entries of the servers are known to be the newest. A replaced primary is seen
+// there, so that the age of the configuration does not tell whether one was missed.
+type serverFreshness struct {
+	mu        sync.Mutex
+	freshness catalog.Freshness
+}
+
+func (f *serverFreshness) confirm(asOf time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freshness.Confirm(asOf)
+}
+
+func (f *serverFreshness) age(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshness.Age(now)
+}
+
 // serverRegistry holds the entries of all registered servers. It is used by a single goroutine.
 type serverRegistry struct {
 	log     logrus.FieldLogger
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -56,7 +56,10 @@
 func (n *Node) serverFollower() *follower {
 	f := n.follower(platform.ServersKind, serversWatchWait, serversBatchDelay)
 	f.onList, f.onChange = n.servers.replaceAll, n.servers.applyChanges
-	f.onConfirm = func(time.Duration) { n.serversLoaded.Store(true) }
+	f.onConfirm = func(asOf time.Duration) {
+		n.serversLoaded.Store(true)
+		n.serversKnown.confirm(asOf)
+	}
 	return f
 }
 
