--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -5,13 +5,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
-	"sigs.k8s.io/yaml"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 )
@@ -101,29 +99,23 @@
 	return time.Duration(b.KeyWithdrawalMillis * float64(time.Millisecond))
 }
 
-// ReadSettings reads and validates a settings file. Unknown fields are ignored; the error names every invalid field.
-func ReadSettings(path string) (Settings, error) {
-	var s Settings
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return s, errors.Wrap(err, "settings can't be read; check the path given with --settings")
-	}
-	if err := yaml.Unmarshal(data, &s); err != nil {
-		return s, errors.Wrapf(err, "settings %s are not valid; compare them with deploy/settings.yaml", path)
-	}
-	return s, s.Check()
-}
-
 // Check validates the settings and returns all faults in one error.
 func (s Settings) Check() error {
-	var faults []error
+	return joinFaults(s.faults())
+}
+
+func (s Settings) faults() []fieldFault {
+	var faults []fieldFault
+	add := func(field, format string, args ...any) {
+		faults = append(faults, fieldFault{field: field, message: fmt.Sprintf(format, args...)})
+	}
 	for _, f := range []struct{ name, value string }{
 		{"instance", s.Instance},
 		{"place.region", s.Locality.Region},
 		{"place.failureDomain", s.Locality.FailureDomain},
 	} {
 		if f.value == "" {
-			faults = append(faults, errors.Newf("%s: is not set; give a name", f.name))
+			add(f.name, "is not set; give a name")
 		}
 	}
 	for _, f := range []struct{ name, value string }{
@@ -134,11 +126,11 @@
 		{"promotion", s.Promotion},
 	} {
 		if _, err := netip.ParseAddrPort(f.value); err != nil {
-			faults = append(faults, errors.Newf("%s: %q is not an IP address with a port; write it like 127.0.0.1:6432", f.name, f.value))
+			add(f.name, "%q is not an IP address with a port; write it like 127.0.0.1:6432", f.value)
 		}
 	}
 	if _, err := netip.ParseAddrPort(s.Listen.Metrics); s.Listen.Metrics != "" && err != nil {
-		faults = append(faults, errors.Newf("listen.metrics: %q is not an IP address with a port; write it like 127.0.0.1:9600, or leave it out", s.Listen.Metrics))
+		add("listen.metrics", "%q is not an IP address with a port; write it like 127.0.0.1:9600, or leave it out", s.Listen.Metrics)
 	}
 	for _, f := range []struct {
 		name  string
@@ -148,11 +140,11 @@
 		{"bounds.keyWithdrawalMillis", s.Bounds.KeyWithdrawalMillis},
 	} {
 		if !(f.value > 0 && f.value <= maxSetting) {
-			faults = append(faults, errors.Newf("%s: %v is not above zero and at most %v; give a time", f.name, f.value, maxSetting))
+			add(f.name, "%v is not above zero and at most %v; give a time", f.value, maxSetting)
 		}
 	}
 	if _, err := logrus.ParseLevel(cmp.Or(s.LogLevel, defaultLogLevel)); err != nil {
-		faults = append(faults, errors.Newf("logLevel: %q is not a level; use debug, info, warning or error", s.LogLevel))
+		add("logLevel", "%q is not a level; use debug, info, warning or error", s.LogLevel)
 	}
 	for _, f := range []struct {
 		name  string
@@ -163,11 +155,11 @@
 		{"quota.slackStatements", s.Quota.SlackStatements},
 	} {
 		if !(f.value >= 0 && f.value <= maxSetting) {
-			faults = append(faults, errors.Newf("%s: %v is not between zero and %v; write 0 for no tolerance", f.name, f.value, maxSetting))
+			add(f.name, "%v is not between zero and %v; write 0 for no tolerance", f.value, maxSetting)
 		}
 	}
 	if s.MemoryMiB < 0 {
-		faults = append(faults, errors.New("memoryMiB: is below zero; leave it out for no limit"))
+		add("memoryMiB", "is below zero; leave it out for no limit")
 	}
-	return errors.Join(faults...)
+	return faults
 }
