--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -63,6 +63,7 @@
 var (
 	errClaimed     = errors.New("another instance has claimed the promotion")
 	errNoSuccessor = errors.New("no server can be promoted: no candidate answered a probe")
+	errStillLeads  = errors.New("the server goes on as the primary: it is in a higher term than was assumed")
 	errClaimTooOld = errors.New("the claim is too old to order the promotion; another instance may have claimed it since")
 )
 
@@ -382,7 +383,7 @@
 	for {
 		status, err := p.node.gateway.Probe(ctx, old)
 		if err == nil {
-			status, err = p.node.gateway.StepDown(ctx, old, status.Term+1)
+			status, err = p.stepDownBelow(ctx, old, status.Term+1)
 		}
 		if !errors.Is(err, gateway.ErrBusy) || !wait.For(ctx, stepDownRetryInterval) {
 			return status, err
@@ -390,6 +391,15 @@
 	}
 }
 
+// stepDownBelow makes a primary of a term below the given one step down.
+func (p *promotionController) stepDownBelow(ctx context.Context, old discovery.Server, term uint64) (placement.Status, error) {
+	status, err := p.node.gateway.StepDown(ctx, old, term)
+	if err == nil && status.Primary {
+		err = errStillLeads
+	}
+	return status, err
+}
+
 // retire makes a primary that this instance can't reach step down before its successor is promoted, through any
 // instance that reaches it, and makes them all stop sending statements to it. It waits until instances that don't
 // acknowledge this have noticed that they are cut off.
@@ -400,7 +410,7 @@
 	var told peer.Survey
 	var telling sync.WaitGroup
 	telling.Go(func() { told, _ = p.surveyor.Tell(callCtx, old.Database, old.ID, term) })
-	_, err := p.node.gateway.StepDown(callCtx, old, term)
+	_, err := p.stepDownBelow(callCtx, old, term)
 	telling.Wait()
 	if err == nil || told.Reaching > 0 {
 		return nil // it has stepped down
@@ -426,7 +436,7 @@
 		if s.ID != in.GetServer() {
 			continue
 		}
-		if _, err := p.node.gateway.StepDown(ctx, s, in.GetTerm()); err == nil {
+		if _, err := p.stepDownBelow(ctx, s, in.GetTerm()); err == nil {
 			return &peerpb.JudgeReply{Judgement: peerpb.Judgement_REACHES}
 		}
 	}
@@ -439,9 +449,9 @@
 	defer cancel()
 	for {
 		callCtx, cancelCall := context.WithTimeout(ctx, probeTimeout)
-		_, err := p.node.gateway.StepDown(callCtx, old, term)
+		_, err := p.stepDownBelow(callCtx, old, term)
 		cancelCall()
-		if err == nil || !wait.For(ctx, stepDownRetryInterval) {
+		if err == nil || errors.Is(err, errStillLeads) || !wait.For(ctx, stepDownRetryInterval) {
 			return
 		}
 	}
