--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -68,6 +68,7 @@
 	errorCode       string
 	silent          bool
 	stopped         bool
+	replacedIn      uint64        // term that began when it was replaced
 	replaced        bool          // it was the primary, and goes on as one although another server was promoted
 	busyControls    int           // number of STATUS and STEPDOWN still to be answered with BUSY
 	serviceTime     time.Duration // of each read, write and commit
@@ -153,7 +154,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if old := g.servers[g.primary]; old != nil && g.primary != id {
-		old.replaced = g.unfenced
+		old.replaced, old.replacedIn = g.unfenced, g.term+1
 	}
 	g.servers[id].replaced = false
 	g.term++
@@ -397,25 +398,34 @@
 		s.txStatus, s.pending = "I", nil
 		return completeLine
 	case "STATUS", "STEPDOWN":
-		return s.control(command)
+		return s.control(command, rest)
 	}
 	return s.runStatement(id, text, command, rest)
 }
 
-func (s *session) control(command string) string {
+// control executes STATUS, or STEPDOWN with a term: a primary of a lower term becomes a replica.
+func (s *session) control(command, argument string) string {
 	if s.server.busyControls > 0 {
 		s.server.busyControls--
 		return s.errorResponse("BUSY")
 	}
-	if command == "STEPDOWN" {
-		s.server.replaced = false
-		if s.server.ID == s.server.group.primary {
-			s.server.group.primary = ""
-		}
+	if term, err := strconv.ParseUint(argument, 10, 64); command == "STEPDOWN" && err == nil {
+		s.server.stepDownBelow(term)
 	}
 	return s.status()
 }
 
+// stepDownBelow makes a primary of a lower term a replica. The caller holds the group's mu.
+func (s *Server) stepDownBelow(term uint64) {
+	g := s.group
+	switch {
+	case s.replaced && s.replacedIn <= term:
+		s.replaced = false
+	case s.ID == g.primary && g.term < term:
+		g.primary = ""
+	}
+}
+
 // leads reports whether the server accepts the statements of a primary. The caller holds the group's mu.
 func (s *Server) leads() bool {
 	return s.ID == s.group.primary || s.replaced
@@ -433,7 +443,7 @@
 func (s *session) status() string {
 	g := s.server.group
 	role := "replica"
-	if s.server.ID == g.primary {
+	if s.server.leads() {
 		role = "primary"
 	}
 	return fmt.Sprintf("DATAROW %s %d %d.%d 0 0 0 %d\r\n%s", role, g.term, g.term, s.server.logLength(), len(s.server.conns), completeLine)
