--- a/decision/failover/cutoff_test.go
+++ b/decision/failover/cutoff_test.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// Guards against an instance that is cut off from the store and uses a primary for longer than others wait. It did so while
-// it reached most of the others, when those that reached the store were few (day primary-cut-split, seed 607006117548).
+// Guards against an instance that is cut off from the store and uses a primary for longer than others wait, for example
+// because it reaches most of the others while those that reach the store are few.
 func TestInstanceWithoutStoreStops(t *testing.T) {
 	if !MayUsePrimary(noticePeriod/2, noticePeriod) {
 		t.Error("an instance stops long before the others replace a primary")
--- a/decision/placement/retire_test.go
+++ b/decision/placement/retire_test.go
@@ -32,7 +32,7 @@
 }
 
 // Guards against statements for the leader that go to a former primary while the leader can't be reached: it still claims to
-// be the primary, also after its entry has expired and returned (amu-ledger scale-2, journal c987ecf1).
+// be the primary, also after its entry has expired and returned.
 func TestSupersededPrimaryIsNotUsed(t *testing.T) {
 	entry := func(id string, revision uint64, primary bool) discovery.Server {
 		return discovery.Server{ID: id, Database: "db", Address: id, Primary: primary, Revision: revision, Started: 7}
--- a/proxy/node/node_test.go
+++ b/proxy/node/node_test.go
@@ -252,7 +252,7 @@
 }
 
 // Guards against an instance that uses a primary because its configuration is current again after a partition, while the
-// entries of the servers, which show a replacement, are not (amu-ledger, primary-cut-split, seed 774072491037).
+// entries of the servers, which show a replacement, are not.
 func TestPrimariesWaitForTheEntriesOfServers(t *testing.T) {
 	n := &Node{settings: Settings{UnfencedPromotions: true}, log: discardLogger()}
 	n.liveSettings.Store(&Settings{Bounds: Bounds{KeyWithdrawalMillis: 5000}})
