--- a/proxy/node/node_test.go
+++ b/proxy/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +16,8 @@
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/node/relaypb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 )
 
 func discardLogger() logrus.FieldLogger {
@@ -197,10 +200,43 @@
 	}
 }
 
+// newTestRelay returns the relay of a region without other instances.
+func newTestRelay(t *testing.T) *relayService {
+	t.Helper()
+	list := newInstanceList(nil)
+	peers, err := peer.NewSet(peer.SetConfig{
+		Self: "127.0.0.1:1", List: list, Client: peer.NewClient(peer.ClientConfig{}), Config: heartbeatHandler{},
+		Digest: func() *peerpb.Digest { return nil }, Rand: rand.New(rand.NewSource(1)), Log: discardLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &relayService{
+		now: boottime.Now, peers: peers, self: "127.0.0.1:1",
+		caches: map[string]*objectCache{"kind": newObjectCache(boottime.Now)},
+	}
+}
+
+// Guards against a relay that has lost the store and holds its followers for a whole wait although they can't use its data
+// any more: they learned of a withdrawn key too late.
+func TestRelayRepliesOnceItsDataIsTooOld(t *testing.T) {
+	r := newTestRelay(t)
+	const left = 50 * time.Millisecond
+	r.caches["kind"].replace([]platform.Object{object("a", 3)}, 5, boottime.Now()-maxRelayAge+left)
+	began := time.Now()
+	reply, err := r.Follow(t.Context(), &relaypb.FollowRequest{Kind: "kind", Revision: 5, WaitMs: 60_000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < left/2 || took > time.Second || reply.GetAgeMs() < uint64(maxRelayAge.Milliseconds()) {
+		t.Errorf("reply %+v after %s, want one with the limit's age when that is reached", reply, took)
+	}
+}
+
 // Guards against followers that read everything from the store because their relay has not done so yet, and against
 // followers that wait for a relay that can't reach the store.
 func TestFollowersAwaitTheFirstRead(t *testing.T) {
-	r := &relayService{caches: map[string]*objectCache{"kind": newObjectCache(boottime.Now)}}
+	r := newTestRelay(t)
 	follow := func() <-chan *relaypb.FollowReply {
 		replies := make(chan *relaypb.FollowReply, 1)
 		go func() {
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -253,26 +253,39 @@
 }
 
 // Follow implements relaypb.DRPCRelayServer. It waits for the first objects too, so that instances that start together
-// with their relay don't read everything from the store.
+// with their relay don't read everything from the store. Once its data is too old for a follower it replies at once, so
+// that the follower looks elsewhere.
 func (r *relayService) Follow(ctx context.Context, in *relaypb.FollowRequest) (*relaypb.FollowReply, error) {
 	cache := r.caches[in.GetKind()]
 	if cache == nil {
 		return &relaypb.FollowReply{Unknown: true}, nil
 	}
-	timer := time.NewTimer(time.Duration(in.GetWaitMs()) * time.Millisecond)
-	defer timer.Stop()
+	until := r.now() + time.Duration(in.GetWaitMs())*time.Millisecond
 	for {
 		reply, changed := cache.changesSince(in.GetRevision())
-		if len(reply.GetObjects()) > 0 || reply.GetWhole() || reply.GetUnknown() && !cache.awaitsFirstRead() {
+		left := until - r.now()
+		if !reply.GetUnknown() {
+			left = min(left, r.followerAgeLimit()-time.Duration(reply.GetAgeMs())*time.Millisecond)
+		}
+		if len(reply.GetObjects()) > 0 || reply.GetWhole() || left <= 0 || reply.GetUnknown() && !cache.awaitsFirstRead() {
 			return reply, nil
 		}
+		timer := time.NewTimer(left)
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply, _ := cache.changesSince(in.GetRevision())
-			return reply, nil
 		case <-ctx.Done():
+			timer.Stop()
 			return nil, ctx.Err()
 		}
+		timer.Stop()
+	}
+}
+
+// followerAgeLimit returns the age above which the followers of this instance reject its data.
+func (r *relayService) followerAgeLimit() time.Duration {
+	if r.chooseParent().Address == "" {
+		return maxRelayAge
 	}
+	return maxRelayAge + agePerHop
 }
