--- a/proxy/node/lenders.go
+++ b/proxy/node/lenders.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
@@ -17,9 +16,7 @@
 	self     string // peer address
 	locality Locality
 
-	mu            sync.Mutex
-	cached        *instancesByLocality
-	cachedVersion uint64 // of the peer set that cached was built from
+	usable peer.Derived[*instancesByLocality]
 }
 
 // instancesByLocality holds the peer addresses of the instances that may lend, by locality. It is immutable once built.
@@ -69,15 +66,13 @@
 	return slices.DeleteFunc(slices.Clone(names), excluded)
 }
 
-// usableByLocality groups the usable instances by locality. The result is cached until the peers change, because each
+// usableByLocality groups the usable instances by locality. The result is kept until the peers change, because each
 // statement needs it several times.
 func (l *lenderSelector) usableByLocality() *instancesByLocality {
-	version := l.peers.Version()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.cached != nil && l.cachedVersion == version {
-		return l.cached
-	}
+	return l.usable.Get(l.peers.Version(), l.groupUsable)
+}
+
+func (l *lenderSelector) groupUsable() *instancesByLocality {
 	grouped := &instancesByLocality{byRegion: map[string][]string{}, byFailureDomain: map[string][]string{}}
 	grouped.add(l.self, l.locality)
 	for _, p := range l.peers.Peers() {
@@ -85,7 +80,6 @@
 			grouped.add(p.Instance.PeerAddress, localityOf(p.Instance))
 		}
 	}
-	l.cached, l.cachedVersion = grouped, version
 	return grouped
 }
 
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -169,10 +169,8 @@
 
 	mu       sync.Mutex
 	suspects suspicion.List[string] // relays that are skipped
-	// parent is the result of chooseParent without suspects at parentVersion of the peers.
-	parent        relaytree.Parent
-	parentVersion uint64
-	parentKnown   bool
+
+	parent peer.Derived[relaytree.Parent] // the result of chooseParent without suspects
 }
 
 func newRelayService(n *Node, now func() time.Duration, kinds ...string) *relayService {
@@ -188,22 +186,16 @@
 
 // chooseParent returns the relay that this instance follows, or the store.
 func (r *relayService) chooseParent() relaytree.Parent {
-	version := r.peers.Version()
-	r.mu.Lock()
-	anySuspected := r.suspects.Len() > 0 && r.suspects.Any(r.now())
-	parent, known := r.parent, r.parentKnown && r.parentVersion == version
-	r.mu.Unlock()
-	if anySuspected {
+	if r.suspectsAny() {
 		return r.selectParent()
 	}
-	if known {
-		return parent
-	}
-	parent = r.selectParent()
+	return r.parent.Get(r.peers.Version(), r.selectParent)
+}
+
+func (r *relayService) suspectsAny() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.parent, r.parentVersion, r.parentKnown = parent, version, true
-	return parent
+	return r.suspects.Len() > 0 && r.suspects.Any(r.now())
 }
 
 // selectParent chooses among the peers that are usable and not suspected.
--- a/proxy/quota/claimer.go
+++ b/proxy/quota/claimer.go
@@ -196,11 +196,7 @@
 	if !wanted {
 		return nil
 	}
-	data, err := record.Encode()
-	if err != nil {
-		return err
-	}
-	written, err := c.driver.put(ctx, quota.RecordKey, data, version)
+	written, err := c.driver.put(ctx, quota.RecordKey, record, version)
 	if err != nil {
 		return err
 	}
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -334,7 +334,11 @@
 }
 
 // put writes an object to the store within storeTimeout, and counts the write.
-func (d *Driver) put(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
+func (d *Driver) put(ctx context.Context, key string, object interface{ Encode() ([]byte, error) }, version uint64) (uint64, error) {
+	value, err := object.Encode()
+	if err != nil {
+		return 0, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	d.counters.storeWrites.Add(1)
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -48,9 +48,7 @@
 	retryAt     time.Duration
 	drained     chan struct{}
 
-	// responding is what follows from Live, kept until its version changes. Only updateAssignment uses it.
-	responding        respondingInstances
-	respondingVersion uint64
+	responding peer.Derived[respondingInstances]
 }
 
 // respondingInstances are the responding instances and their roles.
@@ -159,16 +157,13 @@
 // currentResponding returns the responding instances. The roles are chosen again only when the instances have changed,
 // since the choice hashes all of them.
 func (w *watcher) currentResponding() respondingInstances {
-	version := w.cfg.Version()
-	if w.responding.all == nil || version != w.respondingVersion {
+	return w.responding.Get(w.cfg.Version(), func() respondingInstances {
 		live := w.cfg.Live()
-		w.responding = respondingInstances{
+		return respondingInstances{
 			all: live, holders: peer.RendezvousTop(quota.AssignmentKey, live, maxHolders),
 			planner: peer.Rendezvous(quota.AssignmentKey, live) == w.driver.cfg.Self,
 		}
-		w.respondingVersion = version
-	}
-	return w.responding
+	})
 }
 
 // unreachable returns the holders that have not been live for quota.UnreachableTerm. The caller holds mu.
@@ -189,11 +184,7 @@
 }
 
 func (w *watcher) write(ctx context.Context, planned quota.Assignment, version uint64) error {
-	value, err := planned.Encode()
-	if err != nil {
-		return err
-	}
-	written, err := w.driver.put(ctx, quota.AssignmentKey, value, version)
+	written, err := w.driver.put(ctx, quota.AssignmentKey, planned, version)
 	if err != nil {
 		return err
 	}
