--- a/proxy/node/settingsfile.go
+++ b/proxy/node/settingsfile.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"os"
 	"reflect"
 	"slices"
@@ -23,7 +24,7 @@
 	if f.line == 0 {
 		return f.field + ": " + f.message
 	}
-	return errors.Newf("line %d: %s: %s", f.line, f.field, f.message).Error()
+	return fmt.Sprintf("line %d: %s: %s", f.line, f.field, f.message)
 }
 
 // ReadSettings reads and validates a settings file. Unknown fields are ignored; the error names every invalid field with its
