Keep followers at a relay that still reaches the store

Cause: since a relay replies to a held call as soon as its data is 2.5 s old. Watches of servers, quota and instances wait 2 s and batch changes, so that this age is reached while the relay is connected; followers reject the reply and call the store. At a common start the list of instances changes for seconds, and a watch that brings changes confirms nothing. Change: only the configuration's cache replies early, which CONFIG needs. Followers accept the quota assignment up to 5 s and the list of instances up to 10 s old: a holder's confirmation lasts 8.5 s, and nothing depends on the age of the list.

--- a/proxy/node/node_test.go
+++ b/proxy/node/node_test.go
@@ -222,6 +222,7 @@
 func TestRelayRepliesOnceItsDataIsTooOld(t *testing.T) {
 	r := newTestRelay(t)
 	const left = 50 * time.Millisecond
+	r.caches["kind"].repliesOnceOld = true
 	r.caches["kind"].replace([]platform.Object{object("a", 3)}, 5, boottime.Now()-maxRelayAge+left)
 	began := time.Now()
 	reply, err := r.Follow(t.Context(), &relaypb.FollowRequest{Kind: "kind", Revision: 5, WaitMs: 60_000})
@@ -233,6 +234,29 @@
 	}
 }
 
+// Guards against followers that call the store because a watch of their relay takes longer than usual.
+func TestRelayHoldsCallsWhileItsWatchLasts(t *testing.T) {
+	r := newTestRelay(t)
+	const wait = 50 * time.Millisecond
+	r.caches["kind"].replace([]platform.Object{object("a", 3)}, 5, boottime.Now()-maxRelayAge)
+	began := time.Now()
+	if _, err := r.Follow(t.Context(), &relaypb.FollowRequest{Kind: "kind", Revision: 5, WaitMs: uint32(wait.Milliseconds())}); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < wait {
+		t.Errorf("reply after %s, want one at the end of the wait of %s", took, wait)
+	}
+	relays := newRelayService(&Node{}, boottime.Now, platform.ConfigKind, platform.ServersKind, quotaKind, instancesKind)
+	for kind, cache := range relays.caches {
+		if cache.repliesOnceOld != (kind == platform.ConfigKind) {
+			t.Errorf("kind %s: replies once old is %t, want it for the configuration only", kind, cache.repliesOnceOld)
+		}
+	}
+	if age := relays.caches[instancesKind].maxAge; age < instancesWatchWait+instancesBatchDelay+relayWait {
+		t.Errorf("followers reject the list of instances at an age of %s, which a relay reaches while instances start", age)
+	}
+}
+
 // Guards against followers that read everything from the store because their relay has not done so yet, and against
 // followers that wait for a relay that can't reach the store.
 func TestFollowersAwaitTheFirstRead(t *testing.T) {
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -17,9 +17,13 @@
 const (
 	// maxKeptChanges is how many changes of a kind a cache keeps for followers. Followers further behind get all objects.
 	maxKeptChanges = 256
-	// maxRelayAge is the age above which data of a relay is rejected and the follower calls the store itself. agePerHop
-	// is added to it for a relay that follows another one: the wait and the duration of its call.
-	maxRelayAge = 2500 * time.Millisecond
+	// maxRelayAge is the age above which data of a relay is rejected and the follower calls the store itself, for the
+	// configuration and the servers. agePerHop is added to it for a relay that follows another one: the wait and the duration
+	// of its call. maxQuotaRelayAge is well below the term of a holder's confirmation. Nothing depends on the age of the list
+	// of instances, whose changes at a common start keep a relay from confirming it for seconds.
+	maxRelayAge          = 2500 * time.Millisecond
+	maxQuotaRelayAge     = 5 * time.Second
+	maxInstancesRelayAge = 10 * time.Second
 	agePerHop   = relayWait + 100*time.Millisecond
 	// relayMargin is added to the wait of a call to a relay to get its timeout.
 	relayMargin = 400 * time.Millisecond
@@ -34,6 +38,10 @@
 // instances.
 type objectCache struct {
 	now func() time.Duration
+	// maxAge is the age above which followers reject the data, for a relay that calls the store itself.
+	maxAge time.Duration
+	// repliesOnceOld makes held calls of followers end once the data is too old for them.
+	repliesOnceOld bool
 
 	mu          sync.Mutex
 	objects     map[string]platform.Object
@@ -47,7 +55,7 @@
 }
 
 func newObjectCache(now func() time.Duration) *objectCache {
-	return &objectCache{now: now, objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &objectCache{now: now, maxAge: maxRelayAge, objects: map[string]platform.Object{}, changed: make(chan struct{})}
 }
 
 // replace replaces all objects by those as of a revision, than which nothing newer existed as of a time.
@@ -181,6 +189,11 @@
 	for _, kind := range kinds {
 		r.caches[kind] = newObjectCache(now)
 	}
+	// Followers have to learn of withdrawn keys in time. For other kinds, whose watches wait longer, a reply of old data
+	// would only make followers call the store while this instance still reaches it.
+	r.caches[platform.ConfigKind].repliesOnceOld = true
+	r.caches[quotaKind].maxAge = maxQuotaRelayAge
+	r.caches[instancesKind].maxAge = maxInstancesRelayAge
 	return r
 }
 
@@ -209,9 +222,9 @@
 	return relaytree.ChooseParent(r.self, region, peer.RendezvousTop)
 }
 
-// ageLimit returns the age above which data of a relay is rejected.
-func ageLimit(p relaytree.Parent) time.Duration {
-	return maxRelayAge + time.Duration(p.Hops-1)*agePerHop
+// ageLimit returns the age above which data of a kind is rejected that comes from a relay.
+func (r *relayService) ageLimit(p relaytree.Parent, kind string) time.Duration {
+	return r.caches[kind].maxAge + time.Duration(p.Hops-1)*agePerHop
 }
 
 func (r *relayService) isSuspected(address string) bool {
@@ -235,7 +248,7 @@
 	reply, err := client.Follow(ctx, &relaypb.FollowRequest{
 		Kind: kind, Revision: revision, WaitMs: uint32(wait.Milliseconds()),
 	})
-	if err == nil && (reply.GetUnknown() || reply.GetAgeMs() > uint64(ageLimit(relay).Milliseconds())) {
+	if err == nil && (reply.GetUnknown() || reply.GetAgeMs() > uint64(r.ageLimit(relay, kind).Milliseconds())) {
 		err = errRelayStale
 	}
 	if err != nil {
@@ -245,8 +258,8 @@
 }
 
 // Follow implements relaypb.DRPCRelayServer. It waits for the first objects too, so that instances that start together
-// with their relay don't read everything from the store. Once its data is too old for a follower it replies at once, so
-// that the follower looks elsewhere.
+// with their relay don't read everything from the store. Where the cache says so it replies once its data is too old for a
+// follower, so that the follower looks elsewhere.
 func (r *relayService) Follow(ctx context.Context, in *relaypb.FollowRequest) (*relaypb.FollowReply, error) {
 	cache := r.caches[in.GetKind()]
 	if cache == nil {
@@ -256,8 +269,8 @@
 	for {
 		reply, changed := cache.changesSince(in.GetRevision())
 		left := until - r.now()
-		if !reply.GetUnknown() {
-			left = min(left, r.followerAgeLimit()-time.Duration(reply.GetAgeMs())*time.Millisecond)
+		if cache.repliesOnceOld && !reply.GetUnknown() {
+			left = min(left, r.followerAgeLimit(cache)-time.Duration(reply.GetAgeMs())*time.Millisecond)
 		}
 		if len(reply.GetObjects()) > 0 || reply.GetWhole() || left <= 0 || reply.GetUnknown() && !cache.awaitsFirstRead() {
 			return reply, nil
@@ -274,10 +287,10 @@
 	}
 }
 
-// followerAgeLimit returns the age above which the followers of this instance reject its data.
-func (r *relayService) followerAgeLimit() time.Duration {
+// followerAgeLimit returns the age above which the followers of this instance reject the data of a cache.
+func (r *relayService) followerAgeLimit(cache *objectCache) time.Duration {
 	if r.chooseParent().Address == "" {
-		return maxRelayAge
+		return cache.maxAge
 	}
-	return maxRelayAge + agePerHop
+	return cache.maxAge + agePerHop
 }
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -14,7 +14,7 @@
 	// instance and at those that follow it, so it must be well below the key withdrawal time.
 	configWatchWait = 1200 * time.Millisecond
 	// serversWatchWait, quotaWatchWait and instancesWatchWait are the waits of the other watches. They keep the age of a
-	// relay's data below maxRelayAge.
+	// relay's data below the age at which followers reject it.
 	serversWatchWait   = 2 * time.Second
 	quotaWatchWait     = 2 * time.Second
 	instancesWatchWait = 2 * time.Second
