Machines for a store that comes back from a copy

Cause: the users' store may come back from a copy some seconds old. Its revisions go back and are given out again; nothing in the code can tell the states apart.

--- /dev/null
+++ b/decision/catalog/trust.go
@@ -0,0 +1,73 @@
+package catalog
+
+import "time"
+
+const (
+	// rewriteTerm is how long confirmations are not accepted after the store came back from a copy: the operator writes again
+	// what was lost, and peers tell of configurations that this instance has not seen.
+	rewriteTerm = 1500 * time.Millisecond
+	// peersTerm bounds the wait of a new process for the first answers of peers.
+	peersTerm = 300 * time.Millisecond
+)
+
+// Confirmation is an answer of the store that shows no configuration newer than the one in force.
+type Confirmation struct {
+	AsOf time.Duration // when the store's state was current
+	Era  uint64        // of the store, see package storeversion
+	// InForce and PeersHave are the versions of the configuration at this instance and the highest one at a peer.
+	InForce, PeersHave uint64
+	// PeersAsked is set once the peers have told which version they have.
+	PeersAsked bool
+}
+
+// Trust decides whether the configuration in force, and with it the keys of client accounts, may still be trusted. The store
+// may come back from a copy that lacks a configuration which withdrew a key:
+//
+//   - A restored store confirms nothing for rewriteTerm. Keys stay trusted meanwhile by earlier confirmations.
+//   - A configuration older than that of a peer is not confirmed.
+//   - A new process can't tell whether the store was restored just before. In a store with eras, its first confirmation waits for
+//     its peers. If all instances have started anew, nobody knows more than the store, and its configuration is trusted:
+//     refusing all callers would not show what was lost.
+//
+// Times are of a clock that advances while the machine is suspended.
+type Trust struct {
+	Freshness
+
+	era           uint64
+	eraKnown      bool
+	confirmedEra  bool // there was a confirmation in era
+	firstAnswer   time.Duration
+	withheldUntil time.Duration
+}
+
+// Offer records a confirmation if it may be relied on, and reports whether it may.
+func (t *Trust) Offer(now time.Duration, c Confirmation) bool {
+	t.enterEra(now, c.Era)
+	switch {
+	case c.Era < t.era, c.InForce < c.PeersHave, now < t.withheldUntil:
+		return false
+	case !t.confirmed && c.Era > 0 && !c.PeersAsked && now < t.firstAnswer+peersTerm:
+		return false
+	}
+	t.Confirm(c.AsOf)
+	t.confirmedEra = true
+	return true
+}
+
+func (t *Trust) enterEra(now time.Duration, era uint64) {
+	switch {
+	case !t.eraKnown:
+		t.firstAnswer = now
+	case era <= t.era:
+		return
+	default:
+		t.withheldUntil = now + rewriteTerm
+	}
+	t.era, t.eraKnown, t.confirmedEra = era, true, false
+}
+
+// AwaitsNewer reports whether a configuration is to be fetched from a peer that has a newer one: the store's can't be trusted
+// to arrive, since none was confirmed in its era yet.
+func (t *Trust) AwaitsNewer(inForce, peersHave uint64) bool {
+	return t.era > 0 && !t.confirmedEra && inForce < peersHave
+}
