--- a/cmd/internal/ctl/inspect.go
+++ b/cmd/internal/ctl/inspect.go
@@ -12,7 +12,9 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/node"
 )
 
@@ -22,6 +24,7 @@
 
 // inspectResult is the JSON form of an inventory.
 type inspectResult struct {
+	Era        uint64               `json:"era"`     // of the store; 0 if it has none
 	Version    uint64               `json:"version"` // of the configuration; 0 if there is none
 	Routes     int                  `json:"routes"`
 	Accounts   int                  `json:"accounts"`
@@ -82,13 +85,16 @@
 }
 
 func inspect(ctx context.Context, address string) (inspectResult, error) {
-	store := platform.NewStore(address, (&net.Dialer{}).DialContext)
+	eras := objectstore.NewEras(boottime.Now, nil)
+	store := platform.NewStore(address, (&net.Dialer{}).DialContext, eras)
 	defer store.Close()
 	inv, err := node.ReadInventory(ctx, store)
 	if err != nil {
 		return inspectResult{}, err
 	}
-	return newInspectResult(inv), nil
+	r := newInspectResult(inv)
+	r.Era = eras.Era()
+	return r, nil
 }
 
 // newInspectResult converts an inventory for output; empty lists are [] in JSON, not null.
@@ -122,6 +128,9 @@
 	} else {
 		fmt.Fprintf(w, "configuration %d: %d routes, %d accounts\n", r.Version, r.Routes, r.Accounts)
 	}
+	if r.Era > 0 {
+		fmt.Fprintf(w, "store: era %d\n", r.Era)
+	}
 	for _, f := range r.Faults {
 		fmt.Fprintln(w, "fault:", f)
 	}
--- a/cmd/internal/platformlocal/deployment.go
+++ b/cmd/internal/platformlocal/deployment.go
@@ -61,6 +61,9 @@
 		if err := i.awaitReady(); err != nil {
 			return err
 		}
+		if err := i.writeSettings(false); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/cmd/internal/platformlocal/environment.go
+++ b/cmd/internal/platformlocal/environment.go
@@ -72,11 +72,13 @@
 	databases Databases
 	accounts  []Account
 
-	mu      sync.Mutex
-	version uint64
-	names   []string // of the databases
-	groups  map[string]*linedb.Group
-	servers map[string][]*Server // by database
+	mu       sync.Mutex
+	version  uint64
+	config   platformtest.Config // the latest
+	sequence uint64              // of the entries that the servers write
+	names    []string            // of the databases
+	groups   map[string]*linedb.Group
+	servers  map[string][]*Server // by database
 }
 
 // NewEnvironment starts the platform and the databases and writes a configuration with all accounts.
@@ -134,9 +136,10 @@
 		if s.crashed {
 			continue
 		}
+		e.sequence++
 		spec, err := platform.EncodeServer(discovery.Server{
 			Database: database, Address: s.Relay.Address(), FailureDomain: s.Zone, Slots: e.databases.Slots,
-			Primary: s.ID == primary, Leaving: s.leaving,
+			Primary: s.ID == primary, Leaving: s.leaving, Sequence: e.sequence,
 		})
 		if err != nil {
 			return err
@@ -261,9 +264,35 @@
 		}
 		c.Tenants = append(c.Tenants, t)
 	}
+	e.config = c
 	return e.Platform.PutConfig(c)
 }
 
+// RestoreStore takes the store away for a time and brings it back from the copy kept last. After a delay, the operator and the
+// servers write again what was lost.
+func (e *Environment) RestoreStore(away, rewriteDelay time.Duration) error {
+	lost := e.Platform.Restore(away)
+	time.Sleep(rewriteDelay)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, o := range lost {
+		switch {
+		case o.Kind == platform.ServersKind && o.Deleted:
+			e.Platform.Delete(o.Kind, o.Name)
+		case o.Kind == platform.ConfigKind:
+			if err := e.Platform.PutConfig(e.config); err != nil {
+				return err
+			}
+		}
+	}
+	for _, name := range e.names {
+		if err := e.registerServers(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close stops the platform and all servers.
 func (e *Environment) Close() {
 	for _, group := range e.groups {
--- a/cmd/internal/platformlocal/instance.go
+++ b/cmd/internal/platformlocal/instance.go
@@ -31,6 +31,7 @@
 bounds: {stopSeconds: %[7]d, KeyWithdrawalMillis: %[8]d}
 quota: {windowSeconds: %[9]d, overage: %[10]g, slackStatements: %[11]d}
 unfencedPromotions: %[12]t
+firstStart: %[13]t
 logLevel: info
 `
 
@@ -50,8 +51,10 @@
 
 	binary   string // empty: run in this process
 	settings string // path
-	log      string // path
-	ready    string // address
+	// settingsText returns the settings, which tell whether the whole deployment starts for the first time.
+	settingsText func(firstStart bool) string
+	log          string // path
+	ready        string // address
 
 	mu  sync.Mutex
 	run instanceRun // the latest
@@ -75,10 +78,16 @@
 		Name: name, binary: binary, CallerAddress: addresses[0], ready: addresses[1], StoreRelay: r,
 		settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"),
 	}
-	text := fmt.Sprintf(settingsTemplate, name, zone, addresses[0], addresses[1], addresses[2], r.Address(),
-		int(stopGrace.Seconds()), KeyWithdrawalLimit.Milliseconds(), int(QuotaWindow.Seconds()), QuotaOverage, QuotaSlack,
-		e.databases.Unfenced)
-	return i, errors.Wrap(os.WriteFile(i.settings, []byte(text), 0o600), "write settings")
+	i.settingsText = func(firstStart bool) string {
+		return fmt.Sprintf(settingsTemplate, name, zone, addresses[0], addresses[1], addresses[2], r.Address(),
+			int(stopGrace.Seconds()), KeyWithdrawalLimit.Milliseconds(), int(QuotaWindow.Seconds()), QuotaOverage, QuotaSlack,
+			e.databases.Unfenced, firstStart)
+	}
+	return i, i.writeSettings(true)
+}
+
+func (i *Instance) writeSettings(firstStart bool) error {
+	return errors.Wrap(os.WriteFile(i.settings, []byte(i.settingsText(firstStart)), 0o600), "write settings")
 }
 
 // Start starts the instance, or starts it again after it has ended.
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -18,6 +18,12 @@
 	maxFaultInterval = 1200 * time.Millisecond
 	// maxFaultDuration limits the random part of the duration of a fault.
 	maxFaultDuration = 4 * time.Second
+	// maxAway and maxRewriteDelay limit how long a store that comes back from a copy is away, and how long after that the
+	// operator and the servers write again.
+	maxAway         = time.Second
+	maxRewriteDelay = 1200 * time.Millisecond
+	// restoreFault is the number of the fault that brings the store back from a copy.
+	restoreFault = 11
 )
 
 // faults injects random faults and ends each of them.
@@ -25,6 +31,8 @@
 	run     *run
 	random  *rand.Rand
 	pending sync.WaitGroup
+	// restoring is held while the store is to come back from a copy.
+	restoring sync.Mutex
 }
 
 func (f *faults) loop(ctx context.Context) {
@@ -44,7 +52,10 @@
 	instance := f.run.deployment.Instances[f.random.IntN(len(f.run.deployment.Instances))]
 	server := f.randomServer()
 	duration := 200*time.Millisecond + randomDuration(f.random, maxFaultDuration)
-	kind := f.random.IntN(11)
+	kind := f.random.IntN(restoreFault + 1)
+	if f.run.cfg.OnlyRestores {
+		kind = restoreFault
+	}
 	f.run.logf("fault %d at instance %s, server %s, for %s", kind, instance.Name, server.ID, duration.Round(time.Millisecond))
 	switch kind {
 	case 0:
@@ -72,7 +83,24 @@
 		f.check(f.run.configure(f.random.IntN(2) == 0))
 	case 10:
 		f.silenceResponses(ctx, server.Relay, duration)
+	case restoreFault:
+		f.restoreStore(ctx, duration)
+	}
+}
+
+// restoreStore keeps a copy of the store, loses what is written during a time, and lets the writers write again. While one
+// restore is under way, it does nothing.
+func (f *faults) restoreStore(ctx context.Context, d time.Duration) {
+	if !f.restoring.TryLock() {
+		return
 	}
+	f.run.deployment.Platform.KeepCopy()
+	f.check(f.run.configure(f.random.IntN(2) == 0))
+	away, rewriteDelay := randomDuration(f.random, maxAway), randomDuration(f.random, maxRewriteDelay)
+	f.afterDelay(ctx, d, func() {
+		defer f.restoring.Unlock()
+		f.check(f.run.deployment.RestoreStore(away, rewriteDelay))
+	})
 }
 
 func (f *faults) randomServer() *platformlocal.Server {
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -34,7 +34,9 @@
 	Instances int
 	Databases int
 	Callers   int
-	Log       io.Writer
+	// OnlyRestores: the store comes back from copies and nothing else fails.
+	OnlyRestores bool
+	Log          io.Writer
 }
 
 // Result is the result of one run.
--- a/decision/discovery/discovery.go
+++ b/decision/discovery/discovery.go
@@ -17,6 +17,8 @@
 	WarmupRemaining time.Duration
 	// Started identifies a run of the server: it differs after a restart. 0 if unknown.
 	Started int64
-	// Revision is the store revision of the entry's last change.
+	// Sequence counts what the server has written since it started.
+	Sequence uint64
+	// Revision is the store version of the entry's last change.
 	Revision uint64
 }
--- a/decision/quota/assignment.go
+++ b/decision/quota/assignment.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/storeversion"
 )
 
 // AssignmentKey is the object in the platform's store that holds the Assignment.
@@ -45,6 +47,13 @@
 // of renewing claims, so the fractions of a lost holder are free after seconds.
 type Assignment struct {
 	Holdings []Holding `json:"tenants"` // the name that instances of earlier builds read
+	// Era is the era of the store for which the assignment was written. In a later era it is a copy, or a write that was
+	// executed late.
+	Era uint64 `json:"era,omitempty"`
+	// Settlement rises each time an assignment is settled after such a copy or late write.
+	Settlement uint64 `json:"settlement,omitempty"`
+	// Unproven are unassigned fractions that an instance may use by a write that the store has lost.
+	Unproven Mask `json:"unproven,omitempty"`
 }
 
 // DecodeAssignment decodes an assignment and checks that no fraction has two holders.
@@ -98,18 +107,35 @@
 // AssignmentManager decides which fractions this process holds by an assignment that it watches.
 // The driver calls Observe with each assignment and ConfirmCurrent whenever it has confirmed that
 // the last one is the newest. It calls Plan for a change and writes it on condition that the
-// version is unchanged. Times are read from a clock that advances while the machine is suspended.
+// version is WriteVersion. Times are read from a clock that advances while the machine is suspended.
 //
 // A fraction that another instance has held is used only quarantineTerm after the assignment that
 // moved it was observed. By then the other instance has either observed the same assignment and
 // stopped, or its confirmation has expired. A fraction that was never assigned, or that its holder
 // gave back, is used at once.
+//
+// A store that comes back from a copy has lost assignments that instances act on, and executes late
+// writes on top of objects that their writers never saw. An assignment that was not written for the
+// store's era is therefore not acted on. Until the planner has settled one, the earlier assignment
+// stays in force and is not confirmed, as if the store were out of reach. In the settled one all
+// fractions are quarantined, since another instance may act on a lost assignment until its
+// confirmation expires. An instance goes on with those that it may use when it observes the settled
+// assignment, and ends their quarantine.
 type AssignmentManager struct {
-	address string
-	started time.Duration
-
-	assignment      Assignment
-	version         uint64
+	address    string
+	started    time.Duration
+	storeIsNew bool
+
+	assignment      Assignment // in force
+	version         uint64     // of the last observed assignment
+	writeVersion    uint64
+	era             uint64 // latest era seen
+	eraKnown        bool
+	settled         bool          // assignment was written for era
+	unsettled       Assignment    // as last read while not settled
+	unsettledRead   bool          // the store was read while not settled
+	vouched         Mask          // quarantined own fractions that nobody else can be using
+	known           bool          // the store was read
 	confirmedAt     time.Duration // last time as of which no newer assignment existed
 	confirmed       bool
 	quarantineUntil time.Duration // end of the quarantine
@@ -117,26 +143,91 @@
 }
 
 // NewAssignmentManager returns the manager of a process that started to listen on address at the
-// time started.
-func NewAssignmentManager(address string, started time.Duration) *AssignmentManager {
-	return &AssignmentManager{address: address, started: started}
+// time started. storeIsNew tells that the store has never held an assignment before.
+func NewAssignmentManager(address string, started time.Duration, storeIsNew bool) *AssignmentManager {
+	return &AssignmentManager{address: address, started: started, storeIsNew: storeIsNew}
 }
 
 // Observe applies an assignment as read or written. Versions that are not newer are ignored.
 func (m *AssignmentManager) Observe(now time.Duration, a Assignment, version uint64) {
-	if version <= m.version {
+	if version <= m.version || storeversion.Era(version) < m.era {
+		return
+	}
+	m.enterEra(storeversion.Era(version))
+	m.version, m.writeVersion = version, version
+	if a.Era != m.era {
+		m.readUnsettled(a)
+		return
+	}
+	m.adopt(now, a)
+}
+
+// ObserveAbsent records that the store has no assignment in an era. Unless the store is new, it may have lost one.
+func (m *AssignmentManager) ObserveAbsent(era uint64) {
+	if m.eraKnown && era <= m.era {
 		return
 	}
-	before := m.assignment.holdingOf(m.address)
-	m.assignment, m.version = a, version
-	own := a.holdingOf(m.address)
-	if own.Quarantined&^before.Quarantined != 0 {
+	mayHaveLost := m.eraKnown || era > 0 && !m.storeIsNew
+	m.enterEra(era)
+	m.writeVersion = 0
+	if mayHaveLost {
+		m.readUnsettled(Assignment{})
+		return
+	}
+	m.assignment, m.settled = Assignment{Era: era}, true
+}
+
+func (m *AssignmentManager) enterEra(era uint64) {
+	if !m.eraKnown || era > m.era {
+		m.era, m.eraKnown, m.settled, m.unsettledRead = era, true, false, false
+	}
+}
+
+func (m *AssignmentManager) readUnsettled(a Assignment) {
+	m.settled, m.unsettled, m.unsettledRead = false, a, true
+}
+
+// adopt brings an assignment of the current era into force.
+func (m *AssignmentManager) adopt(now time.Duration, a Assignment) {
+	usable, _ := m.Usable(now)
+	before, own := m.assignment.holdingOf(m.address), a.holdingOf(m.address)
+	newlyQuarantined := own.Quarantined &^ before.Quarantined
+	switch {
+	case m.isSettlement(a):
+		m.vouched = own.Quarantined & usable
+		newlyQuarantined = own.Quarantined &^ m.vouched
+	case m.hasExpired(now):
+		// Fractions may have moved away and back unnoticed.
+		m.vouched = 0
+		newlyQuarantined = own.Quarantined
+	}
+	if newlyQuarantined != 0 {
 		m.quarantineUntil = now + quarantineTerm
 	}
+	m.vouched &= own.Quarantined
+	m.assignment, m.settled, m.unsettledRead = a, true, false
+}
+
+func (m *AssignmentManager) hasExpired(now time.Duration) bool {
+	return m.confirmed && now >= m.confirmedAt+ConfirmationTerm
 }
 
-// ConfirmCurrent records that the last observed assignment was the newest as of the given time.
-func (m *AssignmentManager) ConfirmCurrent(asOf time.Duration) {
+// isSettlement reports whether an assignment does not simply follow the one in force: the store came back from a copy, or
+// executed a late write, in between.
+func (m *AssignmentManager) isSettlement(a Assignment) bool {
+	hasEarlier := m.confirmed || m.assignment.Holdings != nil
+	return m.unsettledRead || hasEarlier && (a.Era != m.assignment.Era || a.Settlement != m.assignment.Settlement)
+}
+
+// ConfirmCurrent records that the last observed assignment was the newest as of the given time, in an era of the store.
+func (m *AssignmentManager) ConfirmCurrent(asOf time.Duration, era uint64) {
+	m.known = true
+	if !m.eraKnown {
+		m.ObserveAbsent(era)
+	}
+	if !m.settled || era != m.era {
+		return
+	}
 	if !m.confirmed || asOf > m.confirmedAt {
 		m.confirmedAt, m.confirmed = asOf, true
 	}
@@ -144,7 +235,7 @@
 
 // Known reports whether an assignment, or its absence, has been read.
 func (m *AssignmentManager) Known() bool {
-	return m.confirmed
+	return m.known
 }
 
 // Version returns the version of the last observed assignment, or 0 if there is none.
@@ -152,7 +243,12 @@
 	return m.version
 }
 
-// Holders returns the holders in the last observed assignment.
+// WriteVersion returns the version on condition of which the next assignment is to be written; 0 stands for its absence.
+func (m *AssignmentManager) WriteVersion() uint64 {
+	return m.writeVersion
+}
+
+// Holders returns the holders in the assignment in force.
 func (m *AssignmentManager) Holders() []string {
 	return m.assignment.Addresses()
 }
@@ -165,7 +261,7 @@
 		return 0, 0
 	}
 	own := m.assignment.holdingOf(m.address)
-	return own.Fractions &^ own.Quarantined, until
+	return own.Fractions &^ (own.Quarantined &^ m.vouched), until
 }
 
 // Drain stops the use of all fractions; Plan then releases them.
@@ -187,25 +283,26 @@
 	Planner bool
 }
 
-// Plan returns the assignment to write on top of Version, or false if no change is needed. lent are
+// Plan returns the assignment to write on top of WriteVersion, or false if no change is needed. lent are
 // the fractions with open loans in any shard.
 func (m *AssignmentManager) Plan(now time.Duration, members Members, lent Mask) (Assignment, bool) {
+	if !m.settled {
+		return m.planSettlement(members)
+	}
 	if !m.confirmed {
 		return Assignment{}, false
 	}
-	own := m.assignment.holdingOf(m.address)
+	plan := newAssignmentPlan(m.assignment)
+	plan.endQuarantine(m.address, m.vouched)
 	if m.draining {
 		if now < m.started+lenderLoanTerm {
 			return Assignment{}, false // an earlier process at this address may have lent them
 		}
-	}
-	plan := newAssignmentPlan(m.assignment)
-	if m.draining {
 		plan.release(m.address, lent)
 		return plan.result(m.assignment)
 	}
-	if own.Quarantined != 0 && now >= m.quarantineUntil {
-		plan.endQuarantine(m.address)
+	if now >= m.quarantineUntil {
+		plan.endQuarantine(m.address, allFractions)
 	}
 	if members.Planner {
 		m.assign(now, plan, members)
@@ -213,6 +310,24 @@
 	return plan.result(m.assignment)
 }
 
+// planSettlement returns the assignment that the planner settles on in an era without one: the one in force here, or else the
+// one in the store.
+func (m *AssignmentManager) planSettlement(members Members) (Assignment, bool) {
+	if !members.Planner || m.draining || !m.unsettledRead {
+		return Assignment{}, false
+	}
+	next := m.unsettled
+	if m.confirmed || m.assignment.Holdings != nil {
+		next = m.assignment
+	}
+	plan := newAssignmentPlan(next)
+	plan.quarantineAll()
+	settled, _ := plan.result(next)
+	settled.Era, settled.Settlement = m.era, max(m.assignment.Settlement, m.unsettled.Settlement)+1
+	settled.Unproven = allFractions &^ settled.assigned()
+	return settled, true
+}
+
 // assign distributes unassigned fractions and those of unreachable holders, and moves fractions
 // from instances with more than their share to instances without any.
 func (m *AssignmentManager) assign(now time.Duration, plan *assignmentPlan, members Members) {
@@ -222,7 +337,7 @@
 	if now < m.started+initialShareTerm {
 		limit = min(share, FractionCount/initialShareDivisor)
 	}
-	plan.distribute(members.Live, allFractions&^m.assignment.assigned(), 0, limit)
+	plan.distribute(members.Live, allFractions&^m.assignment.assigned(), m.assignment.Unproven, limit)
 	if 2*len(members.Unreachable) <= len(m.assignment.Holdings) {
 		// An instance that reaches less than half of the holders is probably isolated itself.
 		lost := plan.removeHolders(members.Unreachable)
@@ -245,11 +360,19 @@
 	return p
 }
 
-// endQuarantine lets an instance use its quarantined fractions.
-func (p *assignmentPlan) endQuarantine(address string) {
-	h := p.holdings[address]
-	h.Quarantined = 0
-	p.holdings[address] = h
+// endQuarantine lets an instance use the given fractions.
+func (p *assignmentPlan) endQuarantine(address string, fractions Mask) {
+	if h, ok := p.holdings[address]; ok {
+		h.Quarantined &^= fractions
+		p.holdings[address] = h
+	}
+}
+
+func (p *assignmentPlan) quarantineAll() {
+	for address, h := range p.holdings {
+		h.Quarantined = h.Fractions
+		p.holdings[address] = h
+	}
 }
 
 // release gives back what an instance holds and has not lent. It keeps quarantined fractions: they
@@ -327,12 +450,13 @@
 
 // result returns the new assignment, and whether it differs from the one before.
 func (p *assignmentPlan) result(before Assignment) (Assignment, bool) {
-	var next Assignment
+	next := Assignment{Era: before.Era, Settlement: before.Settlement}
 	for _, address := range slices.Sorted(maps.Keys(p.holdings)) {
 		if h := p.holdings[address]; h.Fractions != 0 {
 			next.Holdings = append(next.Holdings, h)
 		}
 	}
+	next.Unproven = before.Unproven &^ next.assigned()
 	sorted := slices.SortedFunc(slices.Values(before.Holdings), func(a, b Holding) int { return strings.Compare(a.Address, b.Address) })
 	return next, !slices.Equal(sorted, next.Holdings)
 }
--- a/decision/quota/assignment_test.go
+++ b/decision/quota/assignment_test.go
@@ -30,23 +30,17 @@
 }
 
 func (s *assignmentSim) restart(n *assignmentNode) {
-	n.manager = NewAssignmentManager(n.address, s.now)
+	n.manager = NewAssignmentManager(n.address, s.now, false)
 	n.knownLoans = map[Mask]time.Duration{}
 }
 
 func (s *assignmentSim) read(n *assignmentNode) {
 	n.manager.Observe(s.now, s.assignment, s.version)
-	n.manager.ConfirmCurrent(s.now)
+	n.manager.ConfirmCurrent(s.now, 0)
 }
 
 func (s *assignmentSim) write(n *assignmentNode, live, unreachable []string) {
-	var lent Mask
-	for bit, until := range n.knownLoans {
-		if s.now < until {
-			lent |= bit
-		}
-	}
-	next, wanted := n.manager.Plan(s.now, Members{Live: live, Unreachable: unreachable, Planner: true}, lent)
+	next, wanted := n.manager.Plan(s.now, Members{Live: live, Unreachable: unreachable, Planner: true}, s.lent(n))
 	if !wanted || n.manager.Version() != s.version {
 		return
 	}
@@ -55,6 +49,17 @@
 	n.manager.Observe(s.now, next, s.version)
 }
 
+// lent returns the fractions that the process of an instance has lent.
+func (s *assignmentSim) lent(n *assignmentNode) Mask {
+	var lent Mask
+	for bit, until := range n.knownLoans {
+		if s.now < until {
+			lent |= bit
+		}
+	}
+	return lent
+}
+
 // check fails if two processes may use the same fraction, including the loans that each could have
 // made just before.
 func (s *assignmentSim) check() {
@@ -193,9 +198,9 @@
 // that waits longer than their loans last.
 func TestRestartedProcessWaitsForLoans(t *testing.T) {
 	started := 100 * time.Second
-	m := NewAssignmentManager("a", started)
+	m := NewAssignmentManager("a", started, false)
 	m.Observe(started, Assignment{Holdings: []Holding{{Address: "a", Fractions: 0xff}}}, 5)
-	m.ConfirmCurrent(started)
+	m.ConfirmCurrent(started, 0)
 	if usable, _ := m.Usable(started + lenderLoanTerm - 1); usable != 0 {
 		t.Errorf("may use %x while loans of its predecessor are open, want none", uint64(usable))
 	}
@@ -208,9 +213,9 @@
 // those of the other.
 func TestMinorityPlansNoChange(t *testing.T) {
 	a := Assignment{Holdings: []Holding{{Address: "a", Fractions: 0xf}, {Address: "b", Fractions: 0xf0}, {Address: "c", Fractions: 0xf00}, {Address: "d", Fractions: ^Mask(0xfff)}}}
-	m := NewAssignmentManager("a", 0)
+	m := NewAssignmentManager("a", 0, false)
 	m.Observe(time.Minute, a, 7)
-	m.ConfirmCurrent(time.Minute)
+	m.ConfirmCurrent(time.Minute, 0)
 	if next, wanted := m.Plan(time.Minute, Members{Live: []string{"a"}, Unreachable: []string{"b", "c", "d"}, Planner: true}, 0); wanted {
 		t.Errorf("an isolated instance plans %+v, want no change", next)
 	}
@@ -223,9 +228,9 @@
 // quarantined. In one fault run, 24 of 64 fractions were lost with one of six instances (paysheet
 // trouble-3).
 func TestNoInstanceGetsMoreThanItsShare(t *testing.T) {
-	m := NewAssignmentManager("a", 0)
+	m := NewAssignmentManager("a", 0, false)
 	m.Observe(time.Minute, Assignment{Holdings: []Holding{{Address: "b", Fractions: 0xff}, {Address: "c", Fractions: 0xff00}}}, 3)
-	m.ConfirmCurrent(time.Minute)
+	m.ConfirmCurrent(time.Minute, 0)
 	next, _ := m.Plan(time.Minute, Members{Live: []string{"a", "b", "c", "d", "e", "f"}, Planner: true}, 0)
 	for _, holding := range next.Holdings {
 		if got := holding.Fractions.Count(); got < 8 || got > 11 {
@@ -246,8 +251,8 @@
 	for i := range 59 {
 		live = append(live, fmt.Sprint("n", 10+i))
 	}
-	m := NewAssignmentManager(live[0], 0)
-	m.ConfirmCurrent(time.Minute)
+	m := NewAssignmentManager(live[0], 0, false)
+	m.ConfirmCurrent(time.Minute, 0)
 	next, wanted := m.Plan(time.Minute, Members{Live: live, Planner: true}, 0)
 	if !wanted || len(next.Holdings) != 59 || next.assigned() != allFractions {
 		t.Errorf("%d of 59 instances hold fractions, %d of all are assigned", len(next.Holdings), next.assigned().Count())
--- a/decision/quota/fuzz_test.go
+++ b/decision/quota/fuzz_test.go
@@ -17,9 +17,9 @@
 			return
 		}
 		const now = time.Minute
-		m := NewAssignmentManager("a:1", 0)
+		m := NewAssignmentManager("a:1", 0, false)
 		m.Observe(now, a, 1)
-		m.ConfirmCurrent(now)
+		m.ConfirmCurrent(now, 0)
 		usable, _ := m.Usable(now)
 		for _, holding := range a.Holdings {
 			if holding.Address != "a:1" && usable&holding.Fractions != 0 {
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -11,8 +11,8 @@
 // MaxValueBytes is the largest value that the store accepts.
 const MaxValueBytes = 1 << 20
 
-// Object is one value in the store. Version is the store-wide revision of its last change; it
-// increases monotonically, and 0 denotes an absent object.
+// Object is one value in the store. Version is the store-wide version of its last change (package
+// storeversion); it increases, also when the store comes back from a copy, and 0 denotes an absent object.
 type Object struct {
 	Key     string
 	Value   []byte
--- a/proxy/node/directory.go
+++ b/proxy/node/directory.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
+	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
 // freshnessFraction is the fraction of the key withdrawal time for which a confirmation that the configuration is
@@ -19,10 +20,13 @@
 	now    func() time.Duration
 	bounds func() Bounds
 
-	mu        sync.Mutex
-	snapshot  *catalog.Snapshot
-	freshness catalog.Freshness
-	onAdopt   func(*catalog.Snapshot)
+	mu       sync.Mutex
+	snapshot *catalog.Snapshot
+	trust    catalog.Trust
+	onAdopt  func(*catalog.Snapshot)
+	// peersHave is the highest version that a peer has in force, and newestPeer its address.
+	peersHave  uint64
+	newestPeer string
 }
 
 // Current implements gateway.Directory.
@@ -42,7 +46,7 @@
 func (d *directory) confirmedWithin(limit time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.freshness.ConfirmedWithin(d.now(), limit)
+	return d.trust.ConfirmedWithin(d.now(), limit)
 }
 
 // adopt brings a configuration from the store into force. One that is not newer than that in force is ignored.
@@ -70,9 +74,50 @@
 	d.onAdopt(s)
 }
 
-// confirm records that the configuration was the newest one as of a time.
-func (d *directory) confirm(asOf time.Duration) {
+// offer offers a confirmation that nothing newer than the configuration in force was in the store as of a time.
+func (d *directory) offer(asOf time.Duration, era uint64, peersAsked bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.freshness.Confirm(asOf)
+	d.trust.Offer(d.now(), catalog.Confirmation{
+		AsOf: asOf, Era: era, InForce: d.versionLocked(), PeersHave: d.peersHave, PeersAsked: peersAsked,
+	})
+}
+
+// Version returns the version in force, or 0.
+func (d *directory) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.versionLocked()
+}
+
+func (d *directory) versionLocked() uint64 {
+	if d.snapshot == nil {
+		return 0
+	}
+	return d.snapshot.Version()
+}
+
+// observePeer records the version that a peer has in force.
+func (d *directory) observePeer(address string, version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if version > d.peersHave {
+		d.peersHave, d.newestPeer = version, address
+	}
+}
+
+// newerPeer returns the address of the peer to fetch the configuration from, or "" if the store has it.
+func (d *directory) newerPeer() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.trust.AwaitsNewer(d.versionLocked(), d.peersHave) {
+		return ""
+	}
+	return d.newestPeer
+}
+
+// isOutdated reports whether an object is a configuration older than the one in force.
+func (d *directory) isOutdated(o platform.Object) bool {
+	c, found, err := platform.DecodeConfig([]platform.Object{o})
+	return err == nil && found && c.Version < d.Version()
 }
--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -58,6 +58,12 @@
 	EventEntryRemoved = "CYC-6027"
 	// EventEntryMissing: the entry of this instance is missing from the list and is written again.
 	EventEntryMissing = "CYC-6028"
+	// EventStoreEra: this instance has learned of an era of the store, which rises when the store comes back from a copy.
+	EventStoreEra = "CYC-6029"
+	// EventEntriesKept: server entries from before a restore stay in use for a while.
+	EventEntriesKept = "CYC-6030"
+	// EventPromotionWithheld: no promotion is claimed yet, since the store came back from a copy a moment ago.
+	EventPromotionWithheld = "CYC-6031"
 )
 
 // event returns a log entry with the number of an event.
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -37,8 +37,6 @@
 	recentAnswerAge = 300 * time.Millisecond
 	// claimJitter spreads the claims of instances that detect a failure at the same time.
 	claimJitter = 120 * time.Millisecond
-	// claimValidity is how long a claim of another instance prevents this one from claiming.
-	claimValidity = 2500 * time.Millisecond
 	// catchUpTimeout bounds the wait until a successor has received all writes of a primary that stepped down, and
 	// catchUpPollInterval is how often that is checked.
 	catchUpTimeout      = time.Second
@@ -50,9 +48,6 @@
 	// peerStepDownTimeout the attempt of another instance, whose reply has to arrive within retireTimeout.
 	retireTimeout       = 400 * time.Millisecond
 	peerStepDownTimeout = 200 * time.Millisecond
-	// claimUseLimit is the age of a claim above which its promotion is not ordered any more: after claimValidity another
-	// instance may have promoted a server, and the platform may not check the fence.
-	claimUseLimit = 2 * time.Second
 	// stepDownRetryInterval and stepDownFollowUp are the interval and the duration of the attempts to make a replaced
 	// primary step down that did not answer before.
 	stepDownRetryInterval = 50 * time.Millisecond
@@ -64,7 +59,8 @@
 	errClaimed     = errors.New("another instance has claimed the promotion")
 	errNoSuccessor = errors.New("no server can be promoted: no candidate answered a probe")
 	errStillLeads  = errors.New("the server goes on as the primary: it is in a higher term than was assumed")
-	errClaimTooOld = errors.New("the claim is too old to order the promotion; another instance may have claimed it since")
+	errClaimTooOld = errors.New("the claim is too old to order the promotion, or was lost by the store; another instance may have claimed it since")
+	errRestoredNow = errors.New("the store may have lost a claim of another instance a moment ago; the promotion is claimed later")
 )
 
 // claim is the stored value of a promotion claim.
@@ -223,6 +219,8 @@
 	now := boottime.Now()
 	log := p.log.WithFields(logrus.Fields{"database": database, "old": old.ID})
 	switch {
+	case errors.Is(err, errRestoredNow):
+		event(log, EventPromotionWithheld).Warn("promotion is not claimed yet, since the store came back from a copy a moment ago")
 	case errors.Is(err, errClaimed):
 		event(log, EventClaimLost).Info("another instance has claimed the promotion")
 		p.withMachine(database, func(m *failover.Machine) { m.RecordForeignClaim(now) })
@@ -256,7 +254,7 @@
 			return err // the old primary would go on
 		}
 	}
-	if boottime.Now()-claimedAt > claimUseLimit {
+	if !failover.MayOrder(boottime.Now()-claimedAt, fence, p.node.eras.Era()) {
 		return errClaimTooOld
 	}
 	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
@@ -324,6 +322,9 @@
 			current = claim{} // unknown format; the conditional write replaces it
 		}
 	}
+	if !p.node.eras.SettledFor(failover.ClaimTerm) {
+		return 0, errRestoredNow
+	}
 	if current.Server != old && p.claimedElsewhere(database, object.Version, current) {
 		return 0, errClaimed
 	}
@@ -332,7 +333,7 @@
 		return 0, errors.Wrap(err, "encode the promotion claim")
 	}
 	revision, err := store.Put(ctx, key, value, object.Version)
-	if errors.Is(err, objectstore.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrRestored) {
 		return 0, errClaimed
 	}
 	if err != nil {
@@ -355,7 +356,7 @@
 		p.recordClaim(database, revision)
 		return true
 	}
-	return boottime.Now()-seen.seenAt < claimValidity
+	return boottime.Now()-seen.seenAt < failover.ClaimTerm
 }
 
 func (p *promotionController) recordClaim(database string, revision uint64) {
--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -9,7 +11,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/relaytree"
+	"github.com/cyclamenstile/cyclamenstile/decision/storeversion"
 	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/node/relaypb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
@@ -32,6 +36,14 @@
 	relayStartDelay = 100 * time.Millisecond
 )
 
+// objectList is all objects of a kind.
+type objectList struct {
+	objects []platform.Object
+	version uint64 // of the store
+	// restored: the store came back from a copy since the objects were read last.
+	restored bool
+}
+
 // errRelayStarting is returned if a relay should be asked again.
 var errRelayStarting = errors.New("the relay refuses connections; it may be starting")
 
@@ -48,12 +60,19 @@
 	now        func() time.Duration
 	log        logrus.FieldLogger
 	// onList receives all objects, onChange those that have changed.
-	onList   func(objects []platform.Object)
+	onList   func(list objectList)
 	onChange func(changes []platform.Object)
-	// onConfirm receives a time as of which nothing newer existed than what onList and onChange have received.
-	onConfirm func(asOf time.Duration)
+	// onConfirm receives a time as of which nothing newer existed than what onList and onChange have received, and the
+	// store's version.
+	onConfirm func(asOf time.Duration, version uint64)
+	// isOutdated, if set, reports whether an object is older than what was received before a restore. The earlier one then
+	// stays in the cache, for instances that start later.
+	isOutdated func(platform.Object) bool
+	// newerPeer, if set, returns the address of a peer that has a newer object than a restored store, or "".
+	newerPeer func() string
 
-	revision  uint64
+	revision  uint64 // version, see package storeversion
+	restored  bool   // the store came back from a copy since the first read
 	loaded    bool
 	storeLost bool
 	asOf      time.Duration
@@ -82,6 +101,11 @@
 }
 
 func (f *follower) step(ctx context.Context) error {
+	if f.newerPeer != nil {
+		if address := f.newerPeer(); address != "" && f.fetchFrom(ctx, address) {
+			return nil
+		}
+	}
 	if f.relays != nil {
 		followed, err := f.followParent(ctx)
 		if followed || err != nil {
@@ -113,6 +137,13 @@
 	return false, nil
 }
 
+// fetchFrom gets all objects from a peer, and reports whether it did.
+func (f *follower) fetchFrom(ctx context.Context, address string) bool {
+	f.loaded = false
+	followed, err := f.followRelay(ctx, relaytree.Parent{Address: address, Hops: 1})
+	return followed && err == nil
+}
+
 // followRelay gets changes from a relay. It returns false if the relay has none although no object was read yet.
 func (f *follower) followRelay(ctx context.Context, relay relaytree.Parent) (bool, error) {
 	revision := f.revision
@@ -124,6 +155,18 @@
 	if err != nil {
 		return false, err
 	}
+	return f.applyReply(reply, sentAt, relay.Address)
+}
+
+// applyReply applies a relay's reply to a call sent at a time. It returns false if the relay has no objects although none was
+// read yet, and errRelayStale if it doesn't know of a restore of the store.
+func (f *follower) applyReply(reply *relaypb.FollowReply, sentAt time.Duration, relay string) (bool, error) {
+	if storeversion.Era(reply.GetRevision()) < storeversion.Era(f.revision) {
+		return false, errRelayStale
+	}
+	if f.relays != nil && reply.GetRevision() != 0 {
+		f.relays.learnEra(storeversion.Era(reply.GetRevision()), relay)
+	}
 	objects := fromProto(reply.GetObjects())
 	asOf := sentAt - time.Duration(reply.GetAgeMs())*time.Millisecond
 	switch {
@@ -201,20 +244,45 @@
 }
 
 func (f *follower) replace(objects []platform.Object, revision uint64, asOf time.Duration) {
+	isRestored := f.revision != 0 && storeversion.Era(revision) > storeversion.Era(f.revision)
+	f.restored = f.restored || isRestored
+	objects = f.withoutOutdated(objects, isRestored)
 	f.revision, f.loaded = revision, true
-	f.onList(objects)
+	f.onList(objectList{objects, revision, isRestored})
 	f.cache.replace(objects, revision, asOf)
 }
 
 func (f *follower) apply(changes []platform.Object, revision uint64) {
 	f.revision = max(f.revision, revision)
+	changes = f.withoutOutdated(changes, false)
 	f.onChange(changes)
 	f.cache.apply(changes, f.revision)
 }
 
+// withoutOutdated replaces outdated objects by those received earlier. isList tells that objects are all that a restored store
+// has, in which case those that it lacks are kept too.
+func (f *follower) withoutOutdated(objects []platform.Object, isList bool) []platform.Object {
+	if f.isOutdated == nil || !f.restored {
+		return objects
+	}
+	earlier := f.cache.all()
+	var out []platform.Object
+	for _, o := range objects {
+		if e, ok := earlier[o.Name]; ok && !o.Deleted && f.isOutdated(o) {
+			o = e
+		}
+		out = append(out, o)
+		delete(earlier, o.Name)
+	}
+	if isList {
+		out = slices.AppendSeq(out, maps.Values(earlier))
+	}
+	return out
+}
+
 func (f *follower) confirm(asOf time.Duration) {
 	f.asOf = max(f.asOf, asOf)
-	f.onConfirm(f.asOf)
+	f.onConfirm(f.asOf, f.revision)
 	f.cache.confirm(f.asOf)
 }
 
--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/restored"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 )
@@ -23,9 +24,10 @@
 // instanceList is the list of instances as last read by a follower. It implements objectstore.InstanceList.
 type instanceList struct {
 	store *platform.Store
+	now   func() time.Duration
 
 	mu      sync.Mutex
-	entries map[string]listEntry // by instance
+	entries *restored.Entries[listEntry] // by instance
 	loaded  bool
 	sorted  []objectstore.Instance // the instances of entries; nil after a change, not modified once it is set
 }
@@ -36,8 +38,8 @@
 	revision uint64
 }
 
-func newInstanceList(store *platform.Store) *instanceList {
-	return &instanceList{store: store, entries: map[string]listEntry{}}
+func newInstanceList(store *platform.Store, now func() time.Duration) *instanceList {
+	return &instanceList{store: store, now: now, entries: restored.NewEntries[listEntry]()}
 }
 
 // Instances implements objectstore.InstanceList.
@@ -48,8 +50,8 @@
 		return nil, errListNotRead
 	}
 	if l.sorted == nil {
-		l.sorted = make([]objectstore.Instance, 0, len(l.entries))
-		for _, e := range l.entries {
+		l.sorted = []objectstore.Instance{}
+		for _, e := range l.entries.Current() {
 			l.sorted = append(l.sorted, e.Instance)
 		}
 		slices.SortFunc(l.sorted, func(a, b objectstore.Instance) int { return strings.Compare(a.PeerAddress, b.PeerAddress) })
@@ -57,12 +59,17 @@
 	return l.sorted, nil
 }
 
-func (l *instanceList) replaceAll(objects []platform.Object) {
+func (l *instanceList) replaceAll(list objectList) {
 	l.mu.Lock()
-	clear(l.entries)
-	l.loaded = true
-	l.mu.Unlock()
-	l.applyChanges(objects)
+	defer l.mu.Unlock()
+	l.loaded, l.sorted = true, nil
+	var listing restored.Listing[listEntry]
+	for _, o := range list.objects {
+		if e, ok := decodeListEntry(o); ok {
+			listing.Add(o.Name, e, restored.State{})
+		}
+	}
+	l.entries.Replace(l.now(), listing, list.restored)
 }
 
 func (l *instanceList) applyChanges(changes []platform.Object) {
@@ -70,20 +77,34 @@
 	defer l.mu.Unlock()
 	l.sorted = nil
 	for _, o := range changes {
-		e := listEntry{revision: o.Revision}
-		if o.Deleted || json.Unmarshal(o.Spec, &e.Instance) != nil {
-			delete(l.entries, o.Name) // an entry that can't be decoded counts as deleted
-			continue
+		if e, ok := decodeListEntry(o); ok {
+			l.entries.Put(o.Name, e, restored.State{})
+		} else {
+			l.entries.Remove(l.now(), o.Name)
 		}
-		l.entries[o.Name] = e
 	}
 }
 
+// expire forgets entries that a restored store has lost and nobody has written again.
+func (l *instanceList) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.entries.Expire(l.now()) {
+		l.sorted = nil
+	}
+}
+
+// decodeListEntry returns false for a deleted entry and for one that can't be decoded, which counts as deleted.
+func decodeListEntry(o platform.Object) (listEntry, bool) {
+	e := listEntry{revision: o.Revision}
+	return e, !o.Deleted && json.Unmarshal(o.Spec, &e.Instance) == nil
+}
+
 // snapshot returns the entries by instance, and whether the list was read yet.
 func (l *instanceList) snapshot() (map[string]listEntry, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.entries), l.loaded
+	return l.entries.Current(), l.loaded
 }
 
 // remove removes an entry from the list, unless its instance has written it again since revision.
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -51,6 +51,7 @@
 
 	callerListener, readyListener, peerListener, metricsListener net.Listener
 
+	eras       *objectstore.Eras
 	store      *platform.Store
 	directory  *directory
 	gateway    *gateway.Gateway
@@ -120,8 +121,9 @@
 
 func (n *Node) openStore() error {
 	dial := tcp.Dialer(tcp.CallTimeout).DialContext
-	n.store = platform.NewStore(n.settings.Store, dial)
-	n.instances = newInstanceList(n.store)
+	n.eras = objectstore.NewEras(boottime.Now, n.eraChanged)
+	n.store = platform.NewStore(n.settings.Store, dial, n.eras)
+	n.instances = newInstanceList(n.store, boottime.Now)
 	n.directory = &directory{
 		log: n.log, now: boottime.Now,
 		bounds:  func() Bounds { return n.liveSettings.Load().Bounds },
@@ -159,7 +161,7 @@
 		Log:         n.log,
 
 		Tolerance:  n.settings.Quota.tolerance(),
-		Assignment: &quota.AssignmentConfig{Live: set.Live, Version: set.Version},
+		Assignment: &quota.AssignmentConfig{Live: set.Live, Version: set.Version, StoreIsNew: n.settings.FirstStart},
 	})
 	if err != nil {
 		return err
@@ -193,7 +195,7 @@
 	if err := relaypb.DRPCRegisterRelay(n.peerServer.Mux(), n.relays); err != nil {
 		return errors.Wrap(err, "register the relay service")
 	}
-	n.servers = &serverRegistry{log: n.log, regions: n.settings.Regions, publish: n.gateway.SetServers}
+	n.servers = newServerRegistry(n.log, boottime.Now, n.settings.Regions, n.gateway.SetServers)
 	return nil
 }
 
--- a/proxy/node/node_test.go
+++ b/proxy/node/node_test.go
@@ -117,7 +117,7 @@
 	if d.Fresh() {
 		t.Error("fresh without a confirmation")
 	}
-	d.confirm(time.Minute - 4400*time.Millisecond)
+	d.offer(time.Minute-4400*time.Millisecond, 0, false)
 	if !d.Fresh() {
 		t.Error("not fresh 4.4 s after a confirmation")
 	}
@@ -141,9 +141,9 @@
 // Guards against invalid entries that remove or hide other entries, and against lost changes.
 func TestRegistryIgnoresInvalidEntries(t *testing.T) {
 	var published []discovery.Server
-	r := &serverRegistry{log: discardLogger(), regions: map[string]string{}, publish: func(s []discovery.Server) { published = s }}
+	r := newServerRegistry(discardLogger(), boottime.Now, map[string]string{}, func(s []discovery.Server) { published = s })
 	invalid := platform.Object{Name: "i-2", Spec: []byte("nonsense")}
-	r.replaceAll([]platform.Object{serverObject(t, "i-1", false), invalid, serverObject(t, "i-3", false)})
+	r.replaceAll(objectList{objects: []platform.Object{serverObject(t, "i-1", false), invalid, serverObject(t, "i-3", false)}})
 	if len(published) != 2 {
 		t.Fatalf("%d servers, want the 2 valid ones", len(published))
 	}
@@ -203,7 +203,7 @@
 // newTestRelay returns the relay of a region without other instances.
 func newTestRelay(t *testing.T) *relayService {
 	t.Helper()
-	list := newInstanceList(nil)
+	list := newInstanceList(nil, boottime.Now)
 	peers, err := peer.NewSet(peer.SetConfig{
 		Self: "127.0.0.1:1", List: list, Client: peer.NewClient(peer.ClientConfig{}), Config: heartbeatHandler{},
 		Digest: func() *peerpb.Digest { return nil }, Rand: rand.New(rand.NewSource(1)), Log: discardLogger(),
@@ -317,7 +317,7 @@
 	n := &Node{settings: Settings{UnfencedPromotions: true}, log: discardLogger()}
 	n.liveSettings.Store(&Settings{Bounds: Bounds{KeyWithdrawalMillis: 5000}})
 	n.directory = &directory{now: boottime.Now, bounds: func() Bounds { return n.liveSettings.Load().Bounds }}
-	n.directory.confirm(boottime.Now())
+	n.directory.offer(boottime.Now(), 0, false)
 	if n.mayUsePrimary() {
 		t.Error("a primary is used before the entries of the servers were read")
 	}
--- a/proxy/node/outage_test.go
+++ b/proxy/node/outage_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 )
@@ -45,7 +46,7 @@
 	fake := &refusingStore{calls: map[string]int{}}
 	server := httptest.NewServer(fake)
 	defer server.Close()
-	store := platform.NewStore(server.Listener.Addr().String(), (&net.Dialer{}).DialContext)
+	store := platform.NewStore(server.Listener.Addr().String(), (&net.Dialer{}).DialContext, objectstore.NewEras(boottime.Now, nil))
 	defer store.Close()
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -57,7 +58,7 @@
 	for _, kind := range kinds {
 		f := &follower{
 			store: store, outage: sharedOutage, isProber: kind == kinds[0], cache: newObjectCache(boottime.Now), kind: kind, wait: time.Second, now: boottime.Now, log: discardLogger(),
-			onList: func([]platform.Object) { listed <- kind }, onChange: func([]platform.Object) {}, onConfirm: func(time.Duration) {},
+			onList: func(objectList) { listed <- kind }, onChange: func([]platform.Object) {}, onConfirm: func(time.Duration, uint64) {},
 		}
 		running.Go(func() { f.run(ctx) })
 	}
--- a/proxy/node/peers.go
+++ b/proxy/node/peers.go
@@ -19,6 +19,10 @@
 // Gossip implements peer.ConfigHandler.
 func (h heartbeatHandler) Gossip(_ context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
 	h.node.quota.ObserveFractionsVersion(in.GetFractionsVersion())
+	h.node.directory.observePeer(in.GetFrom(), in.GetManifestVersion())
+	if era := in.GetStoreEra(); era != 0 {
+		h.node.eras.Learn(era, in.GetFrom())
+	}
 	h.node.peers.SetLeaving(in.GetFrom(), in.GetLeaving())
 	return h.digest(), nil
 }
@@ -31,7 +35,9 @@
 func (h heartbeatHandler) digest() *peerpb.Digest {
 	return &peerpb.Digest{
 		From:             h.node.settings.Listen.Peers,
+		ManifestVersion:  h.node.directory.Version(),
 		FractionsVersion: h.node.quota.FractionsVersion(),
+		StoreEra:         h.node.eras.Era(),
 		Leaving:          h.node.stopping.Load(),
 	}
 }
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -24,7 +25,7 @@
 	maxRelayAge          = 2500 * time.Millisecond
 	maxQuotaRelayAge     = 5 * time.Second
 	maxInstancesRelayAge = 10 * time.Second
-	agePerHop   = relayWait + 100*time.Millisecond
+	agePerHop            = relayWait + 100*time.Millisecond
 	// relayMargin is added to the wait of a call to a relay to get its timeout.
 	relayMargin = 400 * time.Millisecond
 	// relaySuspectTerm is how long a relay is skipped after a failure.
@@ -92,6 +93,13 @@
 	}
 }
 
+// all returns a copy of the objects by name.
+func (c *objectCache) all() map[string]platform.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.objects)
+}
+
 // setSourceLost records whether the last read failed. Until the first objects are read, this tells followers not to wait
 // for them.
 func (c *objectCache) setSourceLost(lost bool) {
@@ -172,6 +180,7 @@
 	peers    *peer.Set
 	self     string // peer address
 	locality Locality
+	learnEra func(era uint64, source string)
 
 	caches map[string]*objectCache // by kind; not modified after creation
 
@@ -184,7 +193,7 @@
 func newRelayService(n *Node, now func() time.Duration, kinds ...string) *relayService {
 	r := &relayService{
 		now: now, client: n.lendClient, peers: n.peers, self: n.settings.Listen.Peers, locality: n.settings.Locality,
-		caches: map[string]*objectCache{},
+		learnEra: n.eras.Learn, caches: map[string]*objectCache{},
 	}
 	for _, kind := range kinds {
 		r.caches[kind] = newObjectCache(now)
--- /dev/null
+++ b/proxy/node/restore.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
+)
+
+// rewriteSpread spreads the writes of all instances after a restore. It is below the time for which others keep using an
+// entry that the store has lost.
+const rewriteSpread = time.Second
+
+// eraChanged logs an era of the store that this instance has learned of.
+func (n *Node) eraChanged(c objectstore.EraChange) {
+	n.metrics.Scope.Gauge("store_era").Update(float64(c.Now))
+	log := event(n.log, EventStoreEra).WithFields(logrus.Fields{"before": c.Before, "era": c.Now, "source": c.Source})
+	if !c.Restored {
+		log.Info("era of the store is known")
+		return
+	}
+	n.metrics.Scope.Counter("store_restores_total").Inc(1)
+	log.Warn("the store came back from a copy; what was written shortly before is lost until it is written again")
+}
+
+// rewriteEntry writes the entry of this instance again after a restored store has lost it.
+func (n *Node) rewriteEntry() {
+	if n.stopping.Load() {
+		return
+	}
+	n.metrics.Scope.Counter("store_entries_rewritten_total").Inc(1)
+	event(n.log, EventEntryMissing).Warn("entry of this instance is missing from the list; writing it again")
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rewriteSpread+callTimeout)
+		defer cancel()
+		wait.For(ctx, rand.N(rewriteSpread))
+		n.register(ctx)
+	}()
+}
--- a/proxy/node/servers.go
+++ b/proxy/node/servers.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,6 +10,8 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/restored"
+	"github.com/cyclamenstile/cyclamenstile/decision/storeversion"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
@@ -33,39 +37,69 @@
 // serverRegistry holds the entries of all registered servers. It is used by a single goroutine.
 type serverRegistry struct {
 	log     logrus.FieldLogger
+	now     func() time.Duration
 	regions map[string]string
-	entries map[string]discovery.Server
+	entries *restored.Entries[discovery.Server]
 	publish func([]discovery.Server)
 }
 
-func (r *serverRegistry) replaceAll(objects []platform.Object) {
-	previous := r.entries
-	r.entries = make(map[string]discovery.Server, len(objects))
-	for _, o := range objects {
-		r.applyEntry(o, previous)
+func newServerRegistry(log logrus.FieldLogger, now func() time.Duration, regions map[string]string, publish func([]discovery.Server)) *serverRegistry {
+	return &serverRegistry{log: log, now: now, regions: regions, entries: restored.NewEntries[discovery.Server](), publish: publish}
+}
+
+// stateOf orders the entries that one server has written.
+func stateOf(s discovery.Server) restored.State {
+	return restored.State{Run: s.Started, Count: int64(s.Sequence)}
+}
+
+func (r *serverRegistry) replaceAll(list objectList) {
+	previous := r.entries.Current()
+	var listing restored.Listing[discovery.Server]
+	for _, o := range list.objects {
+		if s, ok := r.decode(o, previous); ok {
+			listing.Add(o.Name, s, stateOf(s))
+		}
+	}
+	r.entries.Replace(r.now(), listing, list.restored)
+	if list.restored {
+		kept, hidden := r.entries.Exceptions()
+		event(r.log, EventEntriesKept).WithFields(logrus.Fields{"kept": kept, "hidden": hidden, "era": storeversion.Era(list.version)}).
+			Warn("server entries from before the restore stay in use until their servers write them again")
 	}
 	r.publishAll()
 }
 
 func (r *serverRegistry) applyChanges(changes []platform.Object) {
+	previous := r.entries.Current()
 	for _, o := range changes {
 		if o.Deleted {
-			delete(r.entries, o.Name)
+			r.entries.Remove(r.now(), o.Name)
 			event(r.log, EventServerChanged).WithField("server", o.Name).Info("server entry was deleted")
 			continue
 		}
-		r.applyEntry(o, r.entries)
+		if s, ok := r.decode(o, previous); ok {
+			r.entries.Put(o.Name, s, stateOf(s))
+		} else {
+			r.entries.Remove(r.now(), o.Name)
+		}
 	}
 	r.publishAll()
 }
 
-// applyEntry decodes and stores one entry. An invalid entry is ignored and removes the earlier one of the same name.
-func (r *serverRegistry) applyEntry(o platform.Object, previous map[string]discovery.Server) {
+// expire ends the use of entries that a restored store has lost.
+func (r *serverRegistry) expire() {
+	if r.entries.Expire(r.now()) {
+		r.publishAll()
+	}
+}
+
+// decode decodes one entry and logs whether it differs from the previous one. An invalid entry is ignored and removes the
+// earlier one of the same name.
+func (r *serverRegistry) decode(o platform.Object, previous map[string]discovery.Server) (discovery.Server, bool) {
 	s, err := platform.DecodeServer(o, r.regions)
 	if err != nil {
-		delete(r.entries, o.Name)
 		event(r.log, EventServerIgnored).WithField("server", o.Name).WithError(err).Warn("ignored an invalid server entry")
-		return
+		return s, false
 	}
 	old, known := previous[o.Name]
 	if !known || old.Leaving != s.Leaving || old.Primary != s.Primary || old.Started != s.Started || old.Address != s.Address {
@@ -74,13 +108,9 @@
 			"failure_domain": s.FailureDomain, "revision": s.Revision,
 		}).Info("server entry has changed")
 	}
-	r.entries[o.Name] = s
+	return s, true
 }
 
 func (r *serverRegistry) publishAll() {
-	out := make([]discovery.Server, 0, len(r.entries))
-	for _, s := range r.entries {
-		out = append(out, s)
-	}
-	r.publish(out)
+	r.publish(slices.Collect(maps.Values(r.entries.Current())))
 }
--- a/proxy/node/settings.go
+++ b/proxy/node/settings.go
@@ -26,6 +26,8 @@
 	// UnfencedPromotions: the platform executes promotions whatever their fence, and a former primary goes on until it is
 	// told to step down.
 	UnfencedPromotions bool `json:"unfencedPromotions"`
+	// FirstStart: the whole system starts for the first time, so that an empty store has lost nothing.
+	FirstStart bool `json:"firstStart"`
 
 	Bounds    Bounds         `json:"bounds"`
 	Quota     QuotaTolerance `json:"quota"`
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	quotadecision "github.com/cyclamenstile/cyclamenstile/decision/quota"
+	"github.com/cyclamenstile/cyclamenstile/decision/storeversion"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 )
 
 const (
@@ -39,10 +42,22 @@
 func (n *Node) configFollower() *follower {
 	f := n.follower(platform.ConfigKind, configWatchWait, 0)
 	f.isProber = true
-	f.onList, f.onChange, f.onConfirm = n.applyConfig, n.applyConfig, n.directory.confirm
+	f.onList = func(list objectList) { n.applyConfig(list.objects) }
+	f.onChange = n.applyConfig
+	f.onConfirm = func(asOf time.Duration, version uint64) {
+		n.directory.offer(asOf, storeversion.Era(version), n.peersAsked())
+	}
+	f.isOutdated = n.directory.isOutdated
+	f.newerPeer = n.directory.newerPeer
 	return f
 }
 
+// peersAsked reports whether every known peer had the time to tell which configuration it has.
+func (n *Node) peersAsked() bool {
+	_, listed := n.instances.snapshot()
+	return listed && !slices.ContainsFunc(n.peers.Peers(), func(p peer.Status) bool { return !p.Tried })
+}
+
 func (n *Node) applyConfig(objects []platform.Object) {
 	c, found, err := platform.DecodeConfig(objects)
 	switch {
@@ -56,7 +71,8 @@
 func (n *Node) serverFollower() *follower {
 	f := n.follower(platform.ServersKind, serversWatchWait, serversBatchDelay)
 	f.onList, f.onChange = n.servers.replaceAll, n.servers.applyChanges
-	f.onConfirm = func(asOf time.Duration) {
+	f.onConfirm = func(asOf time.Duration, _ uint64) {
+		n.servers.expire()
 		n.serversLoaded.Store(true)
 		n.serversKnown.confirm(asOf)
 	}
@@ -66,27 +82,46 @@
 // instanceFollower returns the follower of the list of instances, which closes joined once the list was read.
 func (n *Node) instanceFollower(joined chan<- struct{}) *follower {
 	f := n.follower(instancesKind, instancesWatchWait, instancesBatchDelay)
-	f.onList, f.onChange = n.instances.replaceAll, n.instances.applyChanges
+	f.onList = func(list objectList) {
+		n.instances.replaceAll(list)
+		if list.restored && !slices.ContainsFunc(list.objects, func(o platform.Object) bool { return o.Name == n.settings.Instance }) {
+			n.rewriteEntry()
+		}
+	}
+	f.onChange = n.instances.applyChanges
 	join := sync.OnceFunc(func() {
 		n.peers.RefreshNow()
 		close(joined)
 	})
-	f.onConfirm = func(time.Duration) { join() }
+	f.onConfirm = func(time.Duration, uint64) {
+		n.instances.expire()
+		join()
+	}
 	return f
 }
 
 func (n *Node) quotaFollower() *follower {
 	f := n.follower(quotaKind, quotaWatchWait, quotaBatchDelay)
-	apply := func(objects []platform.Object) {
-		for _, o := range objects {
-			if quotaKind+"/"+o.Name != quotadecision.AssignmentKey || o.Deleted {
-				continue
-			}
-			if err := n.quota.ObserveAssignment(o.Spec, o.Revision); err != nil {
-				event(n.log, EventAssignmentInvalid).WithError(err).Error("failed to decode the quota assignment")
-			}
+	f.onList = func(list objectList) {
+		if !n.applyAssignment(list.objects) {
+			n.quota.ObserveNoAssignment(storeversion.Era(list.version))
 		}
 	}
-	f.onList, f.onChange, f.onConfirm = apply, apply, n.quota.ConfirmAssignment
+	f.onChange = func(changes []platform.Object) { n.applyAssignment(changes) }
+	f.onConfirm = func(asOf time.Duration, version uint64) { n.quota.ConfirmAssignment(asOf, storeversion.Era(version)) }
 	return f
 }
+
+// applyAssignment applies the quota assignment and reports whether it is among the objects.
+func (n *Node) applyAssignment(objects []platform.Object) (found bool) {
+	for _, o := range objects {
+		if quotaKind+"/"+o.Name != quotadecision.AssignmentKey || o.Deleted {
+			continue
+		}
+		found = true
+		if err := n.quota.ObserveAssignment(o.Spec, o.Revision); err != nil {
+			event(n.log, EventAssignmentInvalid).WithError(err).Error("failed to decode the quota assignment")
+		}
+	}
+	return found
+}
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -32,6 +32,8 @@
 	Live func() []string
 	// Version changes whenever the result of Live changes.
 	Version func() uint64
+	// StoreIsNew tells that the store has never held an assignment before.
+	StoreIsNew bool
 }
 
 // watcher holds fractions by an assignment in the store that all instances watch. What the watch
@@ -60,7 +62,7 @@
 
 func newWatcher(d *Driver, cfg AssignmentConfig) *watcher {
 	return &watcher{
-		driver: d, cfg: cfg, assignment: quota.NewAssignmentManager(d.cfg.Self, d.cfg.Clock()),
+		driver: d, cfg: cfg, assignment: quota.NewAssignmentManager(d.cfg.Self, d.cfg.Clock(), cfg.StoreIsNew),
 		lastSeen: map[string]time.Duration{}, drained: make(chan struct{}),
 	}
 }
@@ -79,14 +81,23 @@
 	return nil
 }
 
-// ConfirmAssignment records that no newer assignment existed at the time asOf of the driver's clock.
-func (d *Driver) ConfirmAssignment(asOf time.Duration) {
+// ObserveNoAssignment records that the store has no assignment in an era.
+func (d *Driver) ObserveNoAssignment(era uint64) {
+	if w, ok := d.fractions.(*watcher); ok {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.assignment.ObserveAbsent(era)
+	}
+}
+
+// ConfirmAssignment records that no newer assignment existed at the time asOf of the driver's clock, in an era of the store.
+func (d *Driver) ConfirmAssignment(asOf time.Duration, era uint64) {
 	w, ok := d.fractions.(*watcher)
 	if !ok {
 		return
 	}
 	w.mu.Lock()
-	w.assignment.ConfirmCurrent(asOf)
+	w.assignment.ConfirmCurrent(asOf, era)
 	w.mu.Unlock()
 	w.applyUsable()
 }
@@ -143,7 +154,7 @@
 		Live: responding.holders, Unreachable: w.unreachable(now, responding.all), Planner: responding.planner,
 	}
 	planned, wanted := w.assignment.Plan(now, members, lent)
-	version := w.assignment.Version()
+	version := w.assignment.WriteVersion()
 	wanted = wanted && now >= w.retryAt
 	w.mu.Unlock()
 	if !wanted {
--- a/proxy/quota/watcher_test.go
+++ b/proxy/quota/watcher_test.go
@@ -10,7 +10,7 @@
 // Guards against keeping an entry for every instance that ever held a fraction, which would grow for as
 // long as the process runs, and against a returning holder that counts as unreachable because of an old entry.
 func TestFormerHoldersAreForgotten(t *testing.T) {
-	w := &watcher{assignment: quota.NewAssignmentManager("self", 0), lastSeen: map[string]time.Duration{}}
+	w := &watcher{assignment: quota.NewAssignmentManager("self", 0, false), lastSeen: map[string]time.Duration{}}
 	now := time.Duration(0)
 	holders := []string{"a", "b", "c", "a"}
 	for i, holder := range holders {
