Contain a panic at the message that caused it

Change: proxy/contain turns a panic into an error where a message comes in: a caller's session, a server's answer, a peer's call, an answer of the store. A statement whose server's answer met it is in doubt, its connection is closed.

--- a/proxy/daemon/daemon.go
+++ b/proxy/daemon/daemon.go
@@ -263,7 +263,7 @@
 		Directory:      d.directory,
 		Pool:           d.router,
 		Quota:          d.quota,
-		Observer:       observers{newStatementMetrics(d.metrics.Scope, retries, d.cfg.OnStatement), d.burn},
+		Observer:       observers{newStatementMetrics(d.metrics.Scope, retries, d.cfg.OnStatement), d.burn, panicLog{d.log}},
 		TLS:            d.cfg.TLS,
 		AllowPlain:     d.cfg.AllowPlain,
 		MaxMessageSize: d.cfg.MaxMessageBytes,
--- a/proxy/daemon/events.go
+++ b/proxy/daemon/events.go
@@ -26,6 +26,8 @@
 	EventStatementsStalled = "CYC-1010"
 	// EventProcessStalled: the process did not run for a while.
 	EventProcessStalled = "CYC-1011"
+	// EventPanic: a fault in the program ended one session.
+	EventPanic = "CYC-1012"
 )
 
 func event(log logrus.FieldLogger, number string) *logrus.Entry {
--- a/proxy/engine/server.go
+++ b/proxy/engine/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 )
 
 const (
@@ -175,7 +177,11 @@
 
 // start is a function of its own so that the stack of the start-up is free while the session is idle.
 func (s *Server) start(conn net.Conn, excess bool) *session {
-	sess, err := s.startup(conn, excess)
+	var sess *session
+	err := contain.Call(func() (err error) {
+		sess, err = s.startup(conn, excess)
+		return err
+	})
 	s.mu.Lock()
 	delete(s.starting, conn)
 	s.mu.Unlock()
--- a/proxy/engine/session.go
+++ b/proxy/engine/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	decide "github.com/cyclamenstile/cyclamenstile/decision/session"
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 )
 
 const (
@@ -74,7 +75,7 @@
 	info := s.info()
 	s.srv.cfg.Observer.SessionOpened(info)
 	s.srv.withdrawals.add(s)
-	err := s.loop()
+	err := contain.Call(s.loop)
 	s.srv.withdrawals.remove(s)
 	s.srv.unregister(s)
 	s.abandonTransaction()
--- /dev/null
+++ b/proxy/gateway/contain_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+)
+
+// faultyCaller and faultyServer panic on a message, as a decoder with a fault would.
+type faultyCaller struct {
+	CallerCodec
+}
+
+func (c faultyCaller) ReadStatement() (sessionstate.Statement, error) {
+	stmt, err := c.CallerCodec.ReadStatement()
+	if stmt.ID == "poison" {
+		panic("caller's message")
+	}
+	return stmt, err
+}
+
+type faultyServer struct {
+	ServerCodec
+	poisoned bool
+}
+
+func (s *faultyServer) Query(stmt sessionstate.Statement, after position.Position) {
+	s.poisoned = stmt.ID == "w3"
+	s.ServerCodec.Query(stmt, after)
+}
+
+func (s *faultyServer) Receive() (sessionstate.Reply, error) {
+	if s.poisoned {
+		panic("server's message")
+	}
+	return s.ServerCodec.Receive()
+}
+
+// Guards against one message that takes the process, and with it all sessions, down; against a connection to a server that is
+// used on after such a message; and against a write that is reported as not run although it may have been.
+func TestFaultyMessageEndsOneSession(t *testing.T) {
+	f := newFixture(t)
+	callerCodec, serverCodec := f.gateway.cfg.CallerCodec, f.gateway.cfg.ServerCodec
+	f.gateway.cfg.CallerCodec = func(c net.Conn) CallerCodec { return faultyCaller{callerCodec(c)} }
+	f.gateway.cfg.ServerCodec = func(c net.Conn) ServerCodec { return &faultyServer{ServerCodec: serverCodec(c)} }
+	f.gateway.pool.cfg.ServerCodec = f.gateway.cfg.ServerCodec
+
+	bystander, faulty := f.open("strict"), f.open("strict")
+	bystander.want("w1", "WRITE x v", "receipt|READY I -")
+	faulty.want("b1", "BEGIN", "done|READY T -")
+	faulty.want("w2", "WRITE x w", "receipt|READY T -")
+	faulty.send("QUERY poison READ x")
+	if line := faulty.readLine(); line != "closed" {
+		t.Errorf("the faulty session gets %q, want it closed", line)
+	}
+	bystander.want("r1", "READ x", "row v|receipt|READY I -")
+
+	bystander.want("w3", "WRITE x u", "INDOUBT|READY I -")
+	bystander.want("r2", "READ x", "row u|receipt|READY I -")
+	if open := f.gateway.Sessions(); open != 1 {
+		t.Errorf("%d sessions are open, want 1", open)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		f.gateway.Shutdown(t.Context(), time.Second)
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Error("shutdown does not return after a contained panic")
+	}
+}
--- a/proxy/gateway/eventlog.go
+++ b/proxy/gateway/eventlog.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/logbudget"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
 )
 
@@ -40,8 +41,8 @@
 }
 
 type metrics struct {
-	served, refused, unanswered, connects, linesDropped tally.Counter
-	servedDuration, connectDuration                     tally.Histogram
+	served, refused, unanswered, connects, linesDropped, panics tally.Counter
+	servedDuration, connectDuration                             tally.Histogram
 }
 
 // NewEventLog returns an EventLog that logs to log and counts in scope.
@@ -52,6 +53,7 @@
 		refused:         scope.Counter("refused_total"),
 		unanswered:      scope.Counter("unanswered_total"),
 		connects:        scope.Counter("connects_total"),
+		panics:          scope.Counter("panics_contained_total"),
 		linesDropped:    scope.Counter("log_lines_left_out_total"),
 		servedDuration:  scope.Histogram("served_seconds", telemetry.DurationBuckets()),
 		connectDuration: scope.Histogram("connect_seconds", telemetry.DurationBuckets()),
@@ -127,8 +129,21 @@
 	})
 }
 
+// panicked logs an error that is a contained panic, and ignores others.
+func (l *EventLog) panicked(err error) {
+	var p *contain.PanicError
+	if !errors.As(err, &p) {
+		return
+	}
+	l.metrics.panics.Inc(1)
+	l.writeLine(EventPanic, func(e *logrus.Entry) {
+		e.WithError(err).WithField("stack", p.Stack).Error("a fault in the program was contained")
+	})
+}
+
 func (l *EventLog) noAnswer(sess *session, stmt sessionstate.Statement, s discovery.Server, sent bool, err error) {
 	l.metrics.unanswered.Inc(1)
+	l.panicked(err)
 	l.writeStatementLine(EventNoAnswer, sess, stmt, func(e *logrus.Entry) {
 		e.WithFields(logrus.Fields{"server": s.ID, "sent": sent, "lender": lenderOf(err)}).WithError(err).
 			Warn("statement got no answer")
--- a/proxy/gateway/events.go
+++ b/proxy/gateway/events.go
@@ -24,4 +24,6 @@
 	EventLinesDropped = "CYC-7010"
 	// EventLoanFailed: a statement of a borrowing instance got no answer, or no connection.
 	EventLoanFailed = "CYC-7011"
+	// EventPanic: a fault in the program ended one session or one statement.
+	EventPanic = "CYC-7012"
 )
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
@@ -226,7 +227,11 @@
 	}
 	g.pool.beginReturn(u)
 	go func() {
-		a, err := u.receive()
+		var a answer
+		err := contain.Call(func() (err error) {
+			a, err = u.receive()
+			return err
+		})
 		g.pool.endReturn(u, err == nil && a.code == "" && u.state == sessionstate.Idle)
 	}()
 }
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 )
 
 const (
@@ -70,11 +71,13 @@
 
 func (sess *session) serve() {
 	defer func() { _ = sess.conn.Close() }()
-	if err := sess.startup(); err != nil {
+	if err := contain.Call(sess.startup); err != nil {
+		sess.gw.cfg.Log.panicked(err)
 		return
 	}
-	err := sess.loop()
+	err := contain.Call(sess.loop)
 	sess.rollBackOpen()
+	sess.gw.cfg.Log.panicked(err)
 	if !errors.Is(err, io.EOF) && !errors.Is(err, errSessionEnded) {
 		sess.gw.cfg.Log.sessionBroken(sess, err)
 	}
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 )
 
 // opening is the kind of transaction to begin before a statement.
@@ -108,7 +109,12 @@
 func (u *upstreamConn) execute(w *workItem) (result, error) {
 	began := time.Now()
 	u.setDeadline(w.serverTimeout)
-	r, sent, err := u.setUpAndRun(w)
+	var r result
+	sent := true // unless the work ends regularly before that
+	err := contain.Call(func() (err error) {
+		r, sent, err = u.setUpAndRun(w)
+		return err
+	})
 	if err != nil {
 		return r, &noAnswerError{sent: sent, cause: err}
 	}
--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/relaytree"
 	"github.com/cyclamenstile/cyclamenstile/decision/storeversion"
 	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 	"github.com/cyclamenstile/cyclamenstile/proxy/node/relaypb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
@@ -83,7 +84,7 @@
 // run follows the objects until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		err := contain.Call(func() error { return f.step(ctx) })
 		if errors.Is(err, errRelayStarting) {
 			wait.For(ctx, relayStartDelay)
 			continue
--- a/proxy/peer/events.go
+++ b/proxy/peer/events.go
@@ -14,6 +14,8 @@
 	EventPeerUnreachable = "CYC-5005"
 	// EventPeersChanged: the set of peers in the instance list changed.
 	EventPeersChanged = "CYC-5006"
+	// EventPanic: a fault in the program ended the call of a peer.
+	EventPanic = "CYC-5007"
 )
 
 // FieldEvent is the log field that holds the event number.
--- a/proxy/peer/server.go
+++ b/proxy/peer/server.go
@@ -7,9 +7,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 )
 
@@ -94,7 +96,7 @@
 	if s.cfg.TLS != nil {
 		listener = tls.NewListener(listener, s.cfg.TLS)
 	}
-	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{Log: s.logConnection})
+	server := drpcserver.NewWithOptions(containedHandler{s.mux, s.cfg.Log}, drpcserver.Options{Log: s.logConnection})
 	return errors.Wrap(server.Serve(ctx, listener), "accept peer connections")
 }
 
@@ -102,3 +104,20 @@
 	s.cfg.Log.WithField(FieldEvent, EventConnectionError).WithError(err).
 		Debug("connection from a peer ended with an error")
 }
+
+// containedHandler answers a call that makes a handler panic with an error.
+type containedHandler struct {
+	drpc.Handler
+	log logrus.FieldLogger
+}
+
+// HandleRPC implements drpc.Handler.
+func (h containedHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	err := contain.Call(func() error { return h.Handler.HandleRPC(stream, rpc) })
+	var p *contain.PanicError
+	if errors.As(err, &p) {
+		h.log.WithFields(logrus.Fields{FieldEvent: EventPanic, "call": rpc, "stack": p.Stack}).WithError(err).
+			Error("a fault in the program was contained")
+	}
+	return err
+}
