Let live holders give back the fractions that a new instance needs

Change: the planner asks a live holder to give fractions back; it stops using them, waits until its loans have ended and writes that.

--- a/decision/quota/assignment.go
+++ b/decision/quota/assignment.go
@@ -41,6 +41,8 @@
 	Fractions Mask   `json:"fractions"`
 	// Quarantined are those of Fractions that an earlier holder may still be using.
 	Quarantined Mask `json:"resting,omitempty"`
+	// Returning are those of Fractions that the holder is asked to give back for another instance.
+	Returning Mask `json:"returning,omitempty"`
 }
 
 // Assignment lists which instance holds which fractions of every account. Holders watch it instead
@@ -112,7 +114,8 @@
 // A fraction that another instance has held is used only quarantineTerm after the assignment that
 // moved it was observed. By then the other instance has either observed the same assignment and
 // stopped, or its confirmation has expired. A fraction that was never assigned, or that its holder
-// gave back, is used at once.
+// gave back, is used at once. Fractions of a reachable holder move by being given back, which takes
+// as long as its loans; those of a lost one are quarantined.
 //
 // A store that comes back from a copy has lost assignments that instances act on, and executes late
 // writes on top of objects that their writers never saw. An assignment that was not written for the
@@ -261,7 +264,7 @@
 		return 0, 0
 	}
 	own := m.assignment.holdingOf(m.address)
-	return own.Fractions &^ (own.Quarantined &^ m.vouched), until
+	return own.Fractions &^ (own.Quarantined &^ m.vouched) &^ own.Returning, until
 }
 
 // Drain stops the use of all fractions; Plan then releases them.
@@ -294,12 +297,15 @@
 	}
 	plan := newAssignmentPlan(m.assignment)
 	plan.endQuarantine(m.address, m.vouched)
-	if m.draining {
-		if now < m.started+lenderLoanTerm {
-			return Assignment{}, false // an earlier process at this address may have lent them
-		}
-		plan.release(m.address, lent)
+	mayRelease := now >= m.started+lenderLoanTerm // an earlier process at this address has lent nothing any more
+	switch {
+	case m.draining && !mayRelease:
+		return Assignment{}, false
+	case m.draining:
+		plan.release(m.address, allFractions, lent)
 		return plan.result(m.assignment)
+	case mayRelease:
+		plan.release(m.address, m.assignment.holdingOf(m.address).Returning, lent)
 	}
 	if now >= m.quarantineUntil {
 		plan.endQuarantine(m.address, allFractions)
@@ -328,8 +334,8 @@
 	return settled, true
 }
 
-// assign distributes unassigned fractions and those of unreachable holders, and moves fractions
-// from instances with more than their share to instances without any.
+// assign distributes unassigned fractions and those of unreachable holders, and asks instances with
+// more than their share for fractions if there are instances without any.
 func (m *AssignmentManager) assign(now time.Duration, plan *assignmentPlan, members Members) {
 	live := max(len(members.Live), 1)
 	share := (FractionCount + live - 1) / live
@@ -343,8 +349,7 @@
 		lost := plan.removeHolders(members.Unreachable)
 		plan.distribute(members.Live, lost, lost, share)
 	}
-	surplus := plan.takeSurplus(members.Live, share)
-	plan.distribute(members.Live, surplus, surplus, share)
+	plan.requestSurplus(members.Live, share)
 }
 
 // assignmentPlan is an assignment under construction.
@@ -370,18 +375,22 @@
 
 func (p *assignmentPlan) quarantineAll() {
 	for address, h := range p.holdings {
-		h.Quarantined = h.Fractions
+		h.Quarantined, h.Returning = h.Fractions, 0
 		p.holdings[address] = h
 	}
 }
 
-// release gives back what an instance holds and has not lent. It keeps quarantined fractions: they
-// were not used here, but an earlier holder may still use them, so their next holder must
-// quarantine them again, which it would not do with unassigned ones. They stay assigned until
-// another instance takes them over.
-func (p *assignmentPlan) release(address string, lent Mask) {
-	h := p.holdings[address]
-	h.Fractions &= h.Quarantined | lent
+// release gives back those of the given fractions that an instance holds and has not lent. It keeps
+// quarantined ones: they were not used here, but an earlier holder may still use them, so their next
+// holder must quarantine them again, which it would not do with unassigned ones. They stay assigned
+// until another instance takes them over.
+func (p *assignmentPlan) release(address string, fractions, lent Mask) {
+	h, ok := p.holdings[address]
+	if !ok {
+		return
+	}
+	h.Fractions &^= fractions &^ h.Quarantined &^ lent
+	h.Returning &= h.Fractions
 	p.holdings[address] = h
 }
 
@@ -425,27 +434,28 @@
 	return out
 }
 
-// takeSurplus removes fractions beyond the share from their holders, as many as instances without
-// fractions need, and returns them.
-func (p *assignmentPlan) takeSurplus(live []string, share int) Mask {
+// requestSurplus asks holders for fractions beyond the share, as many as instances without fractions
+// need.
+func (p *assignmentPlan) requestSurplus(live []string, share int) {
 	wanted := 0
 	for _, address := range live {
 		if p.holdings[address].Fractions == 0 {
-			wanted++
+			wanted += share
 		}
 	}
-	var out Mask
+	for _, h := range p.holdings {
+		wanted -= h.Returning.Count()
+	}
 	for _, address := range live {
 		h := p.holdings[address]
-		moved := h.Fractions.lowest(min(h.Fractions.Count()-share, wanted*share-out.Count()))
-		h.Fractions &^= moved
-		h.Quarantined &^= moved
-		out |= moved
-		if moved != 0 {
+		kept := h.Fractions &^ h.Returning
+		asked := (kept &^ h.Quarantined).lowest(min(kept.Count()-share, wanted))
+		if asked != 0 {
+			h.Returning |= asked
 			p.holdings[address] = h
+			wanted -= asked.Count()
 		}
 	}
-	return out
 }
 
 // result returns the new assignment, and whether it differs from the one before.
--- a/decision/quota/assignment_test.go
+++ b/decision/quota/assignment_test.go
@@ -262,3 +262,40 @@
 		t.Errorf("the assignment is changed again to %+v, want no change", again)
 	}
 }
+
+// Load: a machine joins six that hold all fractions, while an account uses its whole rate. Guards against fractions that rest as
+// long as those of a lost holder although their holder could give them back; callers inside their rate were refused meanwhile.
+func TestFractionsMoveToALateInstanceWithinALoan(t *testing.T) {
+	s := &assignmentSim{}
+	for i := range 6 {
+		n := &assignmentNode{address: fmt.Sprint("n", i), lentUntil: map[Mask]time.Duration{}}
+		s.nodes = append(s.nodes, n)
+		s.restart(n)
+	}
+	const step = 200 * time.Millisecond
+	run := func(d time.Duration) (longestLack time.Duration) {
+		lackSince := s.now
+		for end := s.now + d; s.now < end; s.now += step {
+			for _, n := range s.nodes {
+				s.read(n)
+				s.write(n, addresses(s.nodes), nil)
+			}
+			if s.usable().Count() == FractionCount {
+				lackSince = s.now
+			}
+			longestLack = max(longestLack, s.now-lackSince)
+		}
+		return longestLack
+	}
+	run(initialShareTerm + 2*time.Second)
+	late := &assignmentNode{address: "late", lentUntil: map[Mask]time.Duration{}}
+	s.nodes = append(s.nodes, late)
+	s.restart(late)
+	// The loans in flight, two rounds of the planner and one of the holder.
+	if limit := lenderLoanTerm + 3*step + time.Second; run(20*time.Second) > limit {
+		t.Errorf("some fractions are unused for more than %s after an instance has joined", limit)
+	}
+	if usable, _ := late.manager.Usable(s.now); usable.Count() == 0 {
+		t.Error("the late instance has no fractions")
+	}
+}
