Answer requests that have arrived when an instance stops

Cause: operators of similar systems told of requests that were cut off during a planned stop. Here a session that was to end did not read what its caller had sent meanwhile: of three requests sent at once one was answered (TestStopAnswersRequestsThatHaveArrived), and a caller that never pauses was cut off (TestStopRefusesCallersThatNeverPause). Change: a session that is to end waits 20 ms for a request before it closes, and serves it. When the time for open work is over, requests that have arrived are refused as not run, for at most 100 ms.

--- a/proxy/gateway/contain_test.go
+++ b/proxy/gateway/contain_test.go
@@ -42,12 +42,11 @@
 // Guards against one message that takes the process, and with it all sessions, down; against a connection to a server that is
 // used on after such a message; and against a write that is reported as not run although it may have been.
 func TestFaultyMessageEndsOneSession(t *testing.T) {
-	f := newFixture(t)
-	callerCodec, serverCodec := f.gateway.cfg.CallerCodec, f.gateway.cfg.ServerCodec
-	f.gateway.cfg.CallerCodec = func(c net.Conn) CallerCodec { return faultyCaller{callerCodec(c)} }
-	f.gateway.cfg.ServerCodec = func(c net.Conn) ServerCodec { return &faultyServer{ServerCodec: serverCodec(c)} }
-	f.gateway.pool.cfg.ServerCodec = f.gateway.cfg.ServerCodec
-
+	f := newFixture(t, func(c *Config) {
+		callerCodec, serverCodec := c.CallerCodec, c.ServerCodec
+		c.CallerCodec = func(conn net.Conn) CallerCodec { return faultyCaller{callerCodec(conn)} }
+		c.ServerCodec = func(conn net.Conn) ServerCodec { return &faultyServer{ServerCodec: serverCodec(conn)} }
+	})
 	bystander, faulty := f.open("strict"), f.open("strict")
 	bystander.want("w1", "WRITE x v", "receipt|READY I -")
 	faulty.want("b1", "BEGIN", "done|READY T -")
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -11,6 +11,9 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 )
 
+// pastDeadline is a deadline that unblocks a pending read.
+var pastDeadline = time.Unix(1, 0)
+
 // ErrBusy reports that a server answered but has no capacity for the request.
 var ErrBusy = errors.New("the server answers, but has no room for a control call")
 
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -439,3 +440,63 @@
 	cutOff.Store(false)
 	strict.want("9", "READ x", "row v|receipt|READY I -")
 }
+
+// Load: a caller that sends its next requests without waiting, at the moment of a planned stop. Guards against requests that
+// have arrived and are cut off without an answer, so that the caller can't tell whether its write has run.
+func TestStopAnswersRequestsThatHaveArrived(t *testing.T) {
+	f := newFixture(t)
+	c, waiting := f.open("strict"), f.open("strict")
+	f.group.SetServiceTime("p", 4, 50*time.Millisecond)
+	c.send("QUERY w1 WRITE x a\r\nQUERY w2 WRITE x b\r\nQUERY w3 WRITE x c")
+	time.Sleep(10 * time.Millisecond) // w1 is at the server
+	stopped := make(chan struct{})
+	go func() {
+		f.gateway.Shutdown(t.Context(), 5*time.Second)
+		close(stopped)
+	}()
+	answers := 0
+	for line := c.readLine(); line != "closed"; line = c.readLine() {
+		if strings.HasPrefix(line, "COMPLETE") || strings.HasPrefix(line, "ERROR") {
+			answers++
+		}
+	}
+	if answers != 3 {
+		t.Errorf("%d of 3 requests that had arrived were answered", answers)
+	}
+	if line := waiting.readLine(); line != "closed" {
+		t.Errorf("idle session gets %q, want it closed", line)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(4 * time.Second):
+		t.Error("shutdown does not return although no session is left")
+	}
+}
+
+// Load: a caller that never pauses between its requests. Guards against a planned stop that such a caller delays, and against
+// requests that are cut off when the time for open work is over.
+func TestStopRefusesCallersThatNeverPause(t *testing.T) {
+	f := newFixture(t)
+	c := f.open("strict")
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		f.gateway.Shutdown(t.Context(), 100*time.Millisecond)
+	}()
+	began := time.Now()
+	for n := 0; time.Since(began) < 3*time.Second; n++ {
+		c.send("QUERY r" + strconv.Itoa(n) + " READ x\r\nQUERY s" + strconv.Itoa(n) + " READ x")
+		for answers := 0; answers < 2; {
+			line := c.readLine()
+			if line == "closed" {
+				t.Fatalf("a request was cut off %s after the start", time.Since(began))
+			}
+			if strings.HasPrefix(line, "ERROR") {
+				return // told to go elsewhere
+			}
+			if strings.HasPrefix(line, "COMPLETE") {
+				answers++
+			}
+		}
+	}
+	t.Error("the session goes on though the instance stops")
+}
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -25,6 +25,11 @@
 	// defaultStatementTimeout and defaultTargetLatency apply to routes that don't set a value.
 	defaultStatementTimeout = 5 * time.Second
 	defaultTargetLatency    = time.Second
+	// stopLinger is how long a session that is to end waits for a request that its caller may have sent already. It exceeds
+	// the time from a caller to this instance.
+	stopLinger = 20 * time.Millisecond
+	// refusalPeriod bounds how long a session that must end refuses requests.
+	refusalPeriod = 100 * time.Millisecond
 )
 
 // callerConn is a connection to a caller with a separate timeout for each write.
@@ -40,9 +45,6 @@
 	return c.Conn.Write(b)
 }
 
-// pastDeadline is a deadline that unblocks a pending read.
-var pastDeadline = time.Unix(1, 0)
-
 // errSessionEnded ends a session without an error being logged.
 var errSessionEnded = errors.New("session ended")
 
@@ -67,6 +69,8 @@
 	inTx            bool
 	stopping        bool // end as soon as no transaction is open
 	stopImmediately bool // end even with an open transaction
+	// refuseUntil bounds the refusal of requests that have arrived although the session must end.
+	refuseUntil time.Time
 }
 
 func (sess *session) serve() {
@@ -148,7 +152,7 @@
 			return err
 		}
 		began := sess.gw.cfg.Now()
-		end := sess.handle(stmt, began)
+		end := sess.handleUnlessEnding(stmt, began)
 		sess.codec.Ready(sess.state.Tx)
 		if err := sess.codec.Flush(); err != nil {
 			return err
@@ -189,11 +193,14 @@
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
 	sess.inTx = sess.state.Tx != sessionstate.Idle
-	if sess.shouldStop() {
+	if !sess.refuseUntil.IsZero() && time.Now().After(sess.refuseUntil) {
 		return errSessionEnded
 	}
 	sess.awaitingRequest = true
 	var deadline time.Time
+	if sess.shouldStop() {
+		return sess.conn.SetReadDeadline(time.Now().Add(stopLinger))
+	}
 	if sess.tx != nil && sess.tx.idleTimeout > 0 {
 		deadline = time.Now().Add(sess.tx.idleTimeout)
 	}
@@ -212,8 +219,23 @@
 	sess.stopping = true
 	sess.stopImmediately = sess.stopImmediately || immediately
 	if sess.awaitingRequest && sess.shouldStop() {
-		_ = sess.conn.SetReadDeadline(pastDeadline)
+		_ = sess.conn.SetReadDeadline(time.Now().Add(stopLinger))
+	}
+}
+
+// handleUnlessEnding answers one request, or refuses it if the session must end.
+func (sess *session) handleUnlessEnding(stmt sessionstate.Statement, began time.Duration) error {
+	sess.mu.Lock()
+	ending := sess.stopImmediately
+	if ending && sess.refuseUntil.IsZero() {
+		sess.refuseUntil = time.Now().Add(refusalPeriod)
+	}
+	sess.mu.Unlock()
+	if ending {
+		sess.failStatement(stmt, errStopping, began)
+		return nil
 	}
+	return sess.handle(stmt, began)
 }
 
 // handle answers one request, except for the ready message that follows.
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -48,6 +48,7 @@
 	liveSettings atomic.Pointer[Settings]
 	log          logrus.FieldLogger
 	metrics      *telemetry.Metrics
+	storeMetrics storeMetrics
 
 	callerListener, readyListener, peerListener, metricsListener net.Listener
 
@@ -78,6 +79,7 @@
 		return nil, err
 	}
 	n := &Node{settings: settings, log: log.WithField("instance", settings.Instance), metrics: telemetry.New()}
+	n.storeMetrics = newStoreMetrics(n.metrics.Scope)
 	n.liveSettings.Store(&settings)
 	for _, step := range []func() error{n.listen, n.openStore, n.assemblePeers, n.assembleGateway} {
 		if err := step(); err != nil {
