Fetch a newer configuration only once when a peer's cache lacks it

Cause, by reading: after a restore a process that starts fetches the configuration from the peer that announced a newer one. A peer that has itself started since the restore could have it in force and the store's older one in its cache; the process would then have asked it again without a pause. Change: caches keep the newest configuration in every era but 0, and after a fetch that brought nothing newer the follower goes on with its usual source. Result: go test ./proxy/node passes; stores without eras take the same path as before.

--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -66,14 +66,13 @@
 	// onConfirm receives a time as of which nothing newer existed than what onList and onChange have received, and the
 	// store's version.
 	onConfirm func(asOf time.Duration, version uint64)
-	// isOutdated, if set, reports whether an object is older than what was received before a restore. The earlier one then
-	// stays in the cache, for instances that start later.
+	// isOutdated, if set, reports whether an object is older than what was received before a restore, here or at a peer. The
+	// earlier one then stays in the cache, for instances that start later.
 	isOutdated func(platform.Object) bool
 	// newerPeer, if set, returns the address of a peer that has a newer object than a restored store, or "".
 	newerPeer func() string
 
 	revision  uint64 // version, see package storeversion
-	restored  bool   // the store came back from a copy since the first read
 	loaded    bool
 	storeLost bool
 	asOf      time.Duration
@@ -103,7 +102,7 @@
 
 func (f *follower) step(ctx context.Context) error {
 	if f.newerPeer != nil {
-		if address := f.newerPeer(); address != "" && f.fetchFrom(ctx, address) {
+		if address := f.newerPeer(); address != "" && f.fetchFrom(ctx, address) && f.newerPeer() == "" {
 			return nil
 		}
 	}
@@ -246,8 +245,7 @@
 
 func (f *follower) replace(objects []platform.Object, revision uint64, asOf time.Duration) {
 	isRestored := f.revision != 0 && storeversion.Era(revision) > storeversion.Era(f.revision)
-	f.restored = f.restored || isRestored
-	objects = f.withoutOutdated(objects, isRestored)
+	objects = f.withoutOutdated(objects, revision, isRestored)
 	f.revision, f.loaded = revision, true
 	f.onList(objectList{objects, revision, isRestored})
 	f.cache.replace(objects, revision, asOf)
@@ -255,15 +253,15 @@
 
 func (f *follower) apply(changes []platform.Object, revision uint64) {
 	f.revision = max(f.revision, revision)
-	changes = f.withoutOutdated(changes, false)
+	changes = f.withoutOutdated(changes, f.revision, false)
 	f.onChange(changes)
 	f.cache.apply(changes, f.revision)
 }
 
-// withoutOutdated replaces outdated objects by those received earlier. isList tells that objects are all that a restored store
-// has, in which case those that it lacks are kept too.
-func (f *follower) withoutOutdated(objects []platform.Object, isList bool) []platform.Object {
-	if f.isOutdated == nil || !f.restored {
+// withoutOutdated replaces outdated objects by those received earlier, if the store has eras. isList tells that objects are all
+// that a restored store has, in which case those that it lacks are kept too.
+func (f *follower) withoutOutdated(objects []platform.Object, revision uint64, isList bool) []platform.Object {
+	if f.isOutdated == nil || storeversion.Era(revision) == 0 {
 		return objects
 	}
 	earlier := f.cache.all()
