Exit only once the callers that came last are answered

Change: the listener is closed once no session is left or the time for open work is over, and the stop then waits for the sessions that were opened last.

--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -19,6 +19,8 @@
 	rollbackTimeout = time.Second
 	// acceptRetryDelay is the delay after a failed accept, for example when file descriptors run out.
 	acceptRetryDelay = 20 * time.Millisecond
+	// sessionPollInterval is how often a stop checks whether sessions are open.
+	sessionPollInterval = 5 * time.Millisecond
 )
 
 // Gateway serves the sessions of callers.
@@ -37,8 +39,7 @@
 	stopping        bool
 	// onSuspect is called with servers that did not answer.
 	onSuspect func(database, server string)
-
-	running sync.WaitGroup // sessions
+	listener  net.Listener // of callers
 }
 
 // New returns a gateway. Run Maintain to expire its idle connections.
@@ -120,6 +121,9 @@
 
 // Serve accepts callers until the listener is closed.
 func (g *Gateway) Serve(l net.Listener) {
+	g.mu.Lock()
+	g.listener = l
+	g.mu.Unlock()
 	for {
 		conn, err := l.Accept()
 		switch {
@@ -141,12 +145,12 @@
 	g.sessions[sess] = struct{}{}
 	sess.stopping = g.stopping
 	g.mu.Unlock()
-	g.running.Go(func() {
+	go func() {
 		sess.serve()
 		g.mu.Lock()
 		delete(g.sessions, sess)
 		g.mu.Unlock()
-	})
+	}()
 }
 
 // Sessions returns the number of open sessions.
@@ -183,33 +187,37 @@
 }
 
 // Shutdown ends idle sessions at once and the others as soon as they are idle. Open transactions get
-// transactionTime to finish, then all sessions are stopped; when ctx ends, the remaining work is canceled.
+// transactionTime to finish. Then, or once no session is left, no more callers are accepted and all sessions are stopped;
+// those opened last are still answered before it returns. When ctx ends, the remaining work is canceled.
 func (g *Gateway) Shutdown(ctx context.Context, transactionTime time.Duration) {
 	for _, sess := range g.openSessions(true) {
 		sess.stop(false)
 	}
-	idle := make(chan struct{})
-	go func() {
-		g.running.Wait()
-		close(idle)
-	}()
-	timer := time.NewTimer(transactionTime)
-	defer timer.Stop()
-	select {
-	case <-idle:
-		return
-	case <-timer.C:
-	}
+	transactions, cancel := context.WithTimeout(ctx, transactionTime)
+	defer cancel()
+	g.awaitNoSession(transactions)
+	g.closeListener()
 	for _, sess := range g.openSessions(true) {
 		sess.stop(true)
 	}
-	select {
-	case <-idle:
-	case <-ctx.Done():
-	}
+	g.awaitNoSession(ctx)
 	g.cancel()
 }
 
+// awaitNoSession waits until no session is open or ctx ends.
+func (g *Gateway) awaitNoSession(ctx context.Context) {
+	for g.Sessions() > 0 && wait.For(ctx, sessionPollInterval) {
+	}
+}
+
+func (g *Gateway) closeListener() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.listener != nil {
+		_ = g.listener.Close()
+	}
+}
+
 // rollBackAndRelease rolls back an open transaction and returns the connection to the pool without blocking.
 func (g *Gateway) rollBackAndRelease(u *upstreamConn) {
 	if u.state == sessionstate.Idle {
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -414,7 +415,7 @@
 		}
 		c.want("1", "READ x", "BUSY|READY I -")
 		_ = theirs.Close()
-		g.running.Wait()
+		g.awaitNoSession(t.Context())
 	})
 }
 
@@ -500,3 +501,35 @@
 	}
 	t.Error("the session goes on though the instance stops")
 }
+
+// Load: callers that connect anew for each request while the instance stops. Guards against a stop that ends while a session
+// which was opened during it is being served: the process then exits with a request that has been read and not answered.
+func TestStopWaitsForSessionsOpenedMeanwhile(t *testing.T) {
+	f := newFixture(t)
+	f.group.SetServiceTime("p", 4, 3*time.Millisecond)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if conn, err := net.Dial("tcp", f.address); err == nil {
+					_, _ = conn.Write([]byte("STARTUP strict " + testKey + "\r\nQUERY q READ x\r\n"))
+					_, _ = io.Copy(io.Discard, conn)
+					_ = conn.Close()
+				}
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	f.gateway.Shutdown(t.Context(), 50*time.Millisecond)
+	if open := f.gateway.Sessions(); open != 0 {
+		t.Errorf("%d sessions are open after the stop, want none", open)
+	}
+	close(stop)
+	callers.Wait()
+}
