Ask for the peers' answers only where they are needed

Cause, found on reading the change again: each confirmation of the configuration copied all peers and the whole list of instances to tell whether the peers had answered, which counts only in a store with eras. Eras.Restores had no caller. Change: the check is left out in era 0, where its result was not used; the unused method is removed. Behaviour is the same.

--- a/objectstore/eras.go
+++ b/objectstore/eras.go
@@ -63,13 +63,6 @@
 	return e.tracker.Era(), e.tracker.Known()
 }
 
-// Restores returns how many restores were noticed.
-func (e *Eras) Restores() uint64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.tracker.Restores()
-}
-
 // SettledFor reports whether the store is known not to have been restored in the last term.
 func (e *Eras) SettledFor(term time.Duration) bool {
 	e.mu.Lock()
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -45,7 +45,8 @@
 	f.onList = func(list objectList) { n.applyConfig(list.objects) }
 	f.onChange = n.applyConfig
 	f.onConfirm = func(asOf time.Duration, version uint64) {
-		n.directory.offer(asOf, storeversion.Era(version), n.peersAsked())
+		era := storeversion.Era(version)
+		n.directory.offer(asOf, era, era == 0 || n.peersAsked()) // without eras the answer of the peers isn't needed
 	}
 	f.isOutdated = n.directory.isOutdated
 	f.newerPeer = n.directory.newerPeer
