Contact unreachable peers again within seconds

Cause: a large set contacts 4 of its peers a second.

Change: up to 4 unreachable peers more are contacted in each period, first those that have called this instance meanwhile. Their results don't count in the estimates of the reached part of the fleet, which need an even choice.

--- a/proxy/daemon/peers.go
+++ b/proxy/daemon/peers.go
@@ -32,6 +32,7 @@
 // is not known, but it shows whether the peer has a newer manifest.
 func (g *gossipHandler) Gossip(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
 	g.daemon.quota.ObserveFractionsVersion(in.GetFractionsVersion())
+	g.daemon.peers.Heard(in.GetFrom())
 	g.updateLeaving(in)
 	if in.GetManifestVersion() > g.daemon.directory.State().Version {
 		g.fetchInBackground(ctx, in)
--- a/proxy/node/peers.go
+++ b/proxy/node/peers.go
@@ -23,6 +23,7 @@
 	if era := in.GetStoreEra(); era != 0 {
 		h.node.eras.Learn(era, in.GetFrom())
 	}
+	h.node.peers.Heard(in.GetFrom())
 	h.node.peers.SetLeaving(in.GetFrom(), in.GetLeaving())
 	return h.digest(), nil
 }
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -355,6 +355,46 @@
 	}
 }
 
+// Guards against peers that count as lost for as many periods as it takes to contact all, after a partition has healed. Load: 72
+// instances, 25 of which were parted from this one.
+func TestHealedPeersAreContactedSoon(t *testing.T) {
+	const size, parted = 71, 25
+	for _, c := range []struct {
+		name       string
+		heard      bool // the peers have called this instance since
+		maxPeriods int
+	}{{"silent", false, parted / retriesPerPeriod}, {"calling", true, 2}} {
+		list := make(fixedList, size)
+		for i := range list {
+			list[i].PeerAddress = fmt.Sprintf("127.0.0.1:%d", 10+i)
+		}
+		set := newTestSet(t, list)
+		set.refresh(context.Background())
+		for i, instance := range list {
+			set.begin(set.peers[instance.PeerAddress])
+			set.recordResult(instance.PeerAddress, map[bool]error{true: io.EOF}[i < parted])
+		}
+		before := set.ReachedFraction()
+		const healed = "127.0.0.1:20"
+		if c.heard {
+			set.Heard(healed)
+		}
+		periods := 0
+		for asked := false; !asked; periods++ {
+			for _, address := range set.nextRetries() {
+				asked = asked || address == healed
+				set.recordReach(address, io.EOF)
+			}
+		}
+		if periods > c.maxPeriods+1 {
+			t.Errorf("%s peer is contacted after %d periods, want at most %d", c.name, periods, c.maxPeriods+1)
+		}
+		if after := set.ReachedFraction(); after != before {
+			t.Errorf("calls to lost peers change the estimate of the reached instances from %v to %v", before, after)
+		}
+	}
+}
+
 // Guards against keys that move between the remaining instances when another one leaves.
 func TestRendezvousMovesOnlyKeysOfRemovedName(t *testing.T) {
 	names := []string{"a", "b", "c", "d", "e"}
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"math/rand"
 	"slices"
@@ -37,6 +38,10 @@
 	// of a large set made and answered about ten heartbeats until then.
 	firstContacts   = 16
 	minFirstAnswers = 12
+	// retriesPerPeriod is how many unreachable peers of a large set are contacted in a period, in addition to the planned ones.
+	// By the plan alone a set of 72 peers contacts each of them every 18 s, so that instances that are parted and meet again
+	// would choose different schedulers and lenders for as long.
+	retriesPerPeriod = 4
 	// jitterFraction is the width of the random variation of a period, as a fraction of it, so that
 	// instances don't act at the same time.
 	jitterFraction = 0.2
@@ -73,14 +78,23 @@
 	lastList      []objectstore.Instance // as last read
 	peers         map[string]*peerState
 	version       uint64 // see Version
-	recentResults []bool // whether the last calls succeeded, newest last
+	recentResults []bool // whether the last planned calls succeeded, newest last
+	calls         uint64 // heartbeats sent
 }
 
 type peerState struct {
 	tried        bool
 	reachable    bool
 	callInFlight bool
-	leaving      bool // the peer's last digest announced its drain
+	leaving      bool   // the peer's last digest announced its drain
+	lastCall     uint64 // Set.calls at the last heartbeat to the peer
+	// calledSince: the peer has sent a heartbeat since its last one from this instance, which failed.
+	calledSince bool
+}
+
+// retryable reports whether the last heartbeat to the peer has failed.
+func (p *peerState) retryable() bool {
+	return p.tried && !p.reachable && !p.callInFlight
 }
 
 // Status is a peer and its state according to the heartbeat.
@@ -243,7 +257,7 @@
 // firstContact contacts a peer, again if it is not listening yet.
 func (s *Set) firstContact(ctx context.Context, address string) {
 	wait.For(ctx, s.randomBelow(firstContactSpread))
-	for try := 1; s.contactOnce(ctx, address, try == firstContactTries); try++ {
+	for try := 1; s.contactOnce(ctx, address, heartbeat{last: try == firstContactTries}); try++ {
 		wait.For(ctx, firstContactDelay)
 	}
 }
@@ -279,6 +293,14 @@
 		}
 		wg.Go(func() { s.contact(ctx, address, delay) })
 	}
+	retries := s.nextRetries()
+	for i, address := range retries {
+		delay := s.delayInPeriod(i, len(retries))
+		wg.Go(func() {
+			wait.For(ctx, delay)
+			s.Contact(ctx, address)
+		})
+	}
 }
 
 func (s *Set) samplesPeers() bool {
@@ -294,30 +316,84 @@
 	return time.Duration((float64(i) + s.random.Float64()) / float64(n) * float64(s.cfg.Heartbeat))
 }
 
-// nextPeers returns the peers to contact and marks them as called, so that a peer has one call in flight
-// at most. A peer that calls this instance is contacted as well, since only answers to this instance's
-// own calls prove contact; see manifest.Adoption.
+// nextPeers returns the planned peers to contact and marks them as called, so that a peer has one call in flight at most.
 func (s *Set) nextPeers() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var addresses []string
 	for _, address := range s.plan.Next() {
 		if p := s.peers[address]; p != nil && !p.callInFlight {
-			p.callInFlight = true
+			s.begin(p)
 			addresses = append(addresses, address)
 		}
 	}
 	return addresses
 }
 
+// begin marks a peer as called. The caller holds mu.
+func (s *Set) begin(p *peerState) {
+	s.calls++
+	p.callInFlight, p.calledSince, p.lastCall = true, false, s.calls
+}
+
+// nextRetries returns the unreachable peers of a large set to contact in this period and marks them as called: first those that
+// have called this instance, then those that were not contacted for longest.
+func (s *Set) nextRetries() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.instances) <= contact.FullMeshPeers {
+		return nil // all are contacted in each period
+	}
+	var addresses []string
+	for address, p := range s.peers {
+		if p.retryable() {
+			addresses = append(addresses, address)
+		}
+	}
+	turn := func(address string) uint64 {
+		if s.peers[address].calledSince {
+			return 0
+		}
+		return s.peers[address].lastCall
+	}
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(turn(a), turn(b)) })
+	addresses = addresses[:min(len(addresses), retriesPerPeriod)]
+	for _, address := range addresses {
+		s.begin(s.peers[address])
+	}
+	return addresses
+}
+
+// Heard records that a peer has called this instance. The call proves no contact, since only answers to this instance's own
+// calls do (see manifest.Adoption), but an unreachable peer is contacted soon.
+func (s *Set) Heard(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peers[address]; p != nil && p.retryable() {
+		p.calledSince = true
+	}
+}
+
+// Contact sends a heartbeat to a peer at once. Its result doesn't count in the estimates of MajorityReachable and
+// ReachedFraction, which need an even choice of peers.
+func (s *Set) Contact(ctx context.Context, address string) {
+	s.contactOnce(ctx, address, heartbeat{last: true, unplanned: true})
+}
+
 func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
 	wait.For(ctx, delay)
-	s.contactOnce(ctx, address, true)
+	s.contactOnce(ctx, address, heartbeat{last: true})
+}
+
+// heartbeat says what the result of a heartbeat means.
+type heartbeat struct {
+	last      bool // not tried again if the peer doesn't listen yet
+	unplanned bool // the peer was not chosen by the plan, but because of what is known about it
 }
 
 // contactOnce sends a heartbeat to a peer. Unless it is the last try, it reports whether to try again, because the peer does
 // not listen, and records nothing then.
-func (s *Set) contactOnce(ctx context.Context, address string, last bool) (again bool) {
+func (s *Set) contactOnce(ctx context.Context, address string, h heartbeat) (again bool) {
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
 	defer cancel()
 	sent := s.cfg.Now()
@@ -325,17 +401,33 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if !last && errors.Is(err, syscall.ECONNREFUSED) {
+	if !h.last && errors.Is(err, syscall.ECONNREFUSED) {
 		return true
 	}
 	if err == nil {
 		s.cfg.OnAnswer(ctx, sent, digest) // first, since a peer that counts as asked must not know more than was applied
 	}
+	if h.unplanned {
+		s.recordReach(address, err)
+		return false
+	}
 	s.recordResult(address, err)
 	return false
 }
 
+// recordResult records the result of a planned heartbeat.
 func (s *Set) recordResult(address string, err error) {
+	s.mu.Lock()
+	if s.peers[address] != nil {
+		s.recentResults = append(s.recentResults, err == nil)
+		s.recentResults = s.recentResults[max(0, len(s.recentResults)-maxRecentResults):]
+	}
+	s.mu.Unlock()
+	s.recordReach(address, err)
+}
+
+// recordReach records whether a peer has answered a heartbeat.
+func (s *Set) recordReach(address string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.peers[address]
@@ -343,8 +435,6 @@
 		return
 	}
 	changed, wasLive := !p.tried || p.reachable != (err == nil), !p.tried || p.reachable
-	s.recentResults = append(s.recentResults, err == nil)
-	s.recentResults = s.recentResults[max(0, len(s.recentResults)-maxRecentResults):]
 	p.tried, p.reachable, p.callInFlight = true, err == nil, false
 	if !changed {
 		return
