Ask a holder of quota once more before its fractions are given to others

Change: a holder that has not been reached for 15 s is asked, and is lost only if that call fails (decision/quota.LostHolders). The check that former holders are forgotten moved there from proxy/quota, with the same bound on what is kept.

--- a/decision/quota/assignment.go
+++ b/decision/quota/assignment.go
@@ -26,7 +26,7 @@
 	// initialShareTerm is how long after its start the planner limits shares, because it may not
 	// know the other instances that start at the same time.
 	initialShareTerm = 3 * time.Second
-	// UnreachableTerm is how long a holder must be unreachable before its fractions are given to
+	// UnreachableTerm is how long a holder must be unreachable before it is asked once more and its fractions are given to
 	// others. Fractions that move are quarantined for about ten seconds, so the term must outlast a
 	// partition that heals by itself.
 	UnreachableTerm = 15 * time.Second
@@ -286,7 +286,7 @@
 // Members is what this instance knows about the others.
 type Members struct {
 	Live        []string // peer addresses of the reachable instances, this one included
-	Unreachable []string // holders that have not answered for UnreachableTerm
+	Unreachable []string // lost holders, see LostHolders
 	// Planner is set if this instance assigns fractions to all. Two planners are harmless, since
 	// writes are conditional, but cost calls.
 	Planner bool
--- /dev/null
+++ b/decision/quota/lostholders.go
@@ -0,0 +1,50 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// LostHolders decides which holders of an assignment are lost. Heartbeats go to few peers at a time, so what an instance
+// believes of a holder may be many periods old: a holder that was only parted from it for a while is asked once more before
+// it counts as lost. The zero value knows no holder. It is not safe for concurrent use.
+type LostHolders struct {
+	holders map[string]*holderContact
+}
+
+// holderContact is when a holder was last live and whether it was asked since.
+type holderContact struct {
+	seen            time.Duration
+	asked, notHeard bool
+}
+
+// Update returns the holders that are lost and those that are to be asked now: those of holders that have not been among live
+// for UnreachableTerm, before and after they were asked. The caller reports the end of each call with Asked.
+func (l *LostHolders) Update(now time.Duration, holders, live []string) (lost, ask []string) {
+	if l.holders == nil {
+		l.holders = map[string]*holderContact{}
+	}
+	maps.DeleteFunc(l.holders, func(holder string, _ *holderContact) bool { return !slices.Contains(holders, holder) })
+	for _, holder := range holders {
+		c := l.holders[holder]
+		switch {
+		case c == nil || slices.Contains(live, holder):
+			l.holders[holder] = &holderContact{seen: now}
+		case now-c.seen < UnreachableTerm:
+		case !c.asked:
+			c.asked = true
+			ask = append(ask, holder)
+		case c.notHeard:
+			lost = append(lost, holder)
+		}
+	}
+	return lost, ask
+}
+
+// Asked records that the call to a holder has ended. If it was answered, the next Update finds the holder among the live ones.
+func (l *LostHolders) Asked(holder string) {
+	if c := l.holders[holder]; c != nil {
+		c.notHeard = c.asked
+	}
+}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -182,7 +182,7 @@
 		Log:         n.log,
 
 		Tolerance:  n.settings.Quota.tolerance(),
-		Assignment: &quota.AssignmentConfig{Live: set.Live, Version: set.Version, StoreIsNew: n.settings.FirstStart},
+		Assignment: &quota.AssignmentConfig{Live: set.Live, Version: set.Version, Contact: set.Contact, StoreIsNew: n.settings.FirstStart},
 	})
 	if err != nil {
 		return err
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +32,9 @@
 	Live func() []string
 	// Version changes whenever the result of Live changes.
 	Version func() uint64
+	// Contact sends a heartbeat to a holder that has not been among Live for long. If it is answered, Live contains the holder
+	// when Contact returns. nil: holders are not asked.
+	Contact func(ctx context.Context, address string)
 	// StoreIsNew tells that the store has never held an assignment before.
 	StoreIsNew bool
 }
@@ -48,7 +49,7 @@
 	assignment  *quota.AssignmentManager
 	usable      quota.Mask
 	usableUntil time.Duration
-	lastSeen    map[string]time.Duration // when a holder was last live
+	lost        quota.LostHolders
 	retryAt     time.Duration
 	drained     chan struct{}
 
@@ -65,7 +66,7 @@
 func newWatcher(d *Driver, cfg AssignmentConfig) *watcher {
 	return &watcher{
 		driver: d, cfg: cfg, assignment: quota.NewAssignmentManager(d.cfg.Self, d.cfg.Clock(), cfg.StoreIsNew),
-		lastSeen: map[string]time.Duration{}, drained: make(chan struct{}),
+		drained: make(chan struct{}),
 	}
 }
 
@@ -156,7 +157,7 @@
 	w.mu.Lock()
 	now := w.driver.cfg.Clock()
 	members := quota.Members{
-		Live: responding.holders, Unreachable: w.unreachable(now, responding.all), Planner: responding.planner,
+		Live: responding.holders, Unreachable: w.lostHolders(ctx, now, responding.all), Planner: responding.planner,
 	}
 	planned, wanted := w.assignment.Plan(now, members, lent)
 	version := w.assignment.WriteVersion()
@@ -182,21 +183,22 @@
 	})
 }
 
-// unreachable returns the holders that have not been live for quota.UnreachableTerm. The caller holds mu.
-func (w *watcher) unreachable(now time.Duration, live []string) []string {
-	var out []string
-	holders := w.assignment.Holders()
-	maps.DeleteFunc(w.lastSeen, func(holder string, _ time.Duration) bool { return !slices.Contains(holders, holder) })
-	for _, holder := range holders {
-		seen, known := w.lastSeen[holder]
-		switch {
-		case !known || slices.Contains(live, holder):
-			w.lastSeen[holder] = now
-		case now-seen >= quota.UnreachableTerm:
-			out = append(out, holder)
-		}
+// lostHolders returns the holders that are lost, and asks those that may be. The caller holds mu.
+func (w *watcher) lostHolders(ctx context.Context, now time.Duration, live []string) []string {
+	lost, ask := w.lost.Update(now, w.assignment.Holders(), live)
+	for _, holder := range ask {
+		go w.ask(ctx, holder)
+	}
+	return lost
+}
+
+func (w *watcher) ask(ctx context.Context, holder string) {
+	if w.cfg.Contact != nil {
+		w.cfg.Contact(ctx, holder)
 	}
-	return out
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost.Asked(holder)
 }
 
 func (w *watcher) write(ctx context.Context, planned quota.Assignment, version uint64) error {
