Ask another lender when a machine accepts no connection within 300 ms

Cause: opening a connection to a lender was bounded by the statement's own time only.

Change: peer.ClientConfig.DialTimeout, 300 ms for lenders. A connection that was not opened proves that nothing was sent, so the next scheduler gets the statement, a write too.

--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -190,6 +190,26 @@
 	}
 }
 
+// Guards against statements that spend all their time on a scheduler whose machine is off: it doesn't answer connections.
+func TestLoadSchedulerOff(t *testing.T) {
+	d := newScheduledDeployment(t, 1, 1)
+	const off = "127.0.0.1:1"
+	d.addresses = append([]string{off}, d.addresses...)
+	calls := peer.NewClient(peer.ClientConfig{DialTimeout: 50 * time.Millisecond, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == off {
+			<-ctx.Done()
+			return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	t.Cleanup(func() { _ = calls.Close() })
+	d.entries[0].gateway.borrower.conns = calls
+	got := d.load("urgent", 12, "WRITE x v", 0)
+	if len(got.served) != 12 {
+		t.Errorf("%d of 12 statements served, other answers %q", len(got.served), got.other)
+	}
+}
+
 // Guards against two schedulers, which entry instances choose for a moment, that send more than twice what one may, and
 // against statements that fail for it.
 func TestLoadSchedulerTwoAtATime(t *testing.T) {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -43,6 +43,9 @@
 	// lendConnIdleTimeout closes them, because an idle connection costs some 20 KB at both ends.
 	maxIdleLendConns    = 8
 	lendConnIdleTimeout = 6 * time.Second
+	// lendDialTimeout is how long a lender's machine has to accept a connection before another lender is asked. A machine that
+	// is off or cut off doesn't answer, and a statement would spend all its time on it.
+	lendDialTimeout = 300 * time.Millisecond
 )
 
 // Node is an instance. Call New, then Run.
@@ -153,7 +156,7 @@
 func (n *Node) assemblePeers() error {
 	meter := peer.NewMeter(n.metrics.Scope)
 	n.peerClient = peer.NewClient(peer.ClientConfig{Meter: meter})
-	n.lendClient = peer.NewClient(peer.ClientConfig{Meter: meter, MaxIdleConnsPerPeer: maxIdleLendConns, IdleTimeout: lendConnIdleTimeout})
+	n.lendClient = peer.NewClient(peer.ClientConfig{Meter: meter, MaxIdleConnsPerPeer: maxIdleLendConns, IdleTimeout: lendConnIdleTimeout, DialTimeout: lendDialTimeout})
 	h := heartbeatHandler{n}
 	set, err := peer.NewSet(peer.SetConfig{
 		Self:    n.settings.Listen.Peers,
--- a/proxy/peer/client.go
+++ b/proxy/peer/client.go
@@ -36,6 +36,9 @@
 	IdleTimeout time.Duration
 	// UserTimeout is the TCP user timeout of the sockets; 0 means tcp.CallTimeout.
 	UserTimeout time.Duration
+	// DialTimeout bounds the time to open a TCP connection; 0 means the deadline of the call. A call whose connection was not
+	// opened in time fails with a *net.OpError of the operation "dial".
+	DialTimeout time.Duration
 	// Dial opens a TCP connection; nil uses tcp.Dialer with UserTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -130,6 +133,11 @@
 }
 
 func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	if c.cfg.DialTimeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+		defer cancel()
+		ctx = limited
+	}
 	conn, err := c.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
