Ask a silent lender for a sign of life and repeat reads elsewhere

Cause: a lender that is cut off while connections to it are open answers nothing, and each open statement waited for its whole time (1.0 to 3.0 s) before another lender was tried. A long wait alone proves nothing, since statements wait in the lender's queue.

Change: a lender that has answered nothing for 200 ms while a call is open is asked by one heartbeat. Without an answer in 400 ms it is skipped, and reads are repeated at the next one, within their target latency. Writes wait as before: they may have run. Any answer of the lender counts, so an overloaded one is not asked (decision/suspicion.Silence).

--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -99,6 +99,9 @@
 	Lender func(r LendRequest, suspected func(address string) bool) string
 	// Conns connects to the other instances; required with Lender.
 	Conns Conns
+	// AskInstance asks another instance for a sign of life and reports whether it has given one before ctx ended; nil: lenders
+	// that answer nothing are only noticed when a statement's time is over.
+	AskInstance func(ctx context.Context, address string) (answered bool)
 	// Instances returns how many instances share the connections to a server.
 	Instances func(s discovery.Server) int
 	// OneScheduler reports whether the Lender of a server depends on the server only, so that this instance runs either
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -50,7 +50,7 @@
 func New(cfg Config) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		cfg: cfg, pool: newPool(cfg), borrower: newBorrower(cfg.Conns, cfg.Now), ctx: ctx, cancel: cancel,
+		cfg: cfg, pool: newPool(cfg), borrower: newBorrower(cfg), ctx: ctx, cancel: cancel,
 		evacuationWaits: evacuationWaits{byDomain: map[string]map[*evacuationWait]bool{}},
 		views:           map[string]*view{}, sessions: map[*session]struct{}{}, admissionQueues: map[admissionKey]*admissionQueue{},
 		onSuspect: func(string, string) {},
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -14,11 +14,15 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/decision/suspicion"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway/lendpb"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
 	// lenderRoundTripAllowance is the time for the round trip to a lender, in addition to the time of the work.
 	lenderRoundTripAllowance = 150 * time.Millisecond
+	// signOfLifeTimeout is how long a lender that answers nothing has to give a sign of life. It may have to accept a new
+	// connection for it.
+	signOfLifeTimeout = 400 * time.Millisecond
 	// suspectDuration is how long a lender that did not answer is skipped.
 	suspectDuration = 2 * time.Second
 )
@@ -45,9 +49,11 @@
 type borrower struct {
 	conns Conns
 	now   func() time.Duration
+	ask   func(ctx context.Context, address string) (answered bool) // nil: lenders are not asked for a sign of life
 
 	mu       sync.Mutex
 	suspects suspicion.List[suspect] // lenders that are skipped
+	silence  suspicion.Silence[string]
 }
 
 // suspect is a lender that does not answer, or that can't reach a server.
@@ -56,8 +62,8 @@
 	server string // empty: all servers
 }
 
-func newBorrower(conns Conns, now func() time.Duration) *borrower {
-	return &borrower{conns: conns, now: now}
+func newBorrower(cfg Config) *borrower {
+	return &borrower{conns: cfg.Conns, now: cfg.Now, ask: cfg.AskInstance}
 }
 
 // lenderFor returns the instance that holds the connections of an account to a server; empty for this one.
@@ -96,8 +102,14 @@
 func (b *borrower) run(ctx context.Context, address string, d destination, w *workItem) (result, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.timeLeft+lenderRoundTripAllowance)
 	defer cancel()
+	ended := b.watch(address, func() {
+		if w.readsOnly() {
+			cancel() // it can be repeated
+		}
+	})
 	client := lendpb.NewDRPCLenderClient(b.conns.Conn(ctx, address))
 	out, err := client.Run(ctx, toOrder(&d, w))
+	ended(err == nil)
 	if err != nil {
 		return result{}, b.callFailed(address, err)
 	}
@@ -106,6 +118,60 @@
 	return r, err
 }
 
+// watch observes the call to a lender that begins now. If the lender answers nothing for a while, neither this call nor others,
+// it is asked for a sign of life. If it gives none, later statements go to other lenders and lost is called. The call ends with
+// the function that watch returns.
+func (b *borrower) watch(address string, lost func()) (ended func(answered bool)) {
+	if b.ask == nil {
+		return func(bool) {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	timer := time.AfterFunc(suspicion.SilenceTerm, func() {
+		for b.answers(ctx, address) {
+			if !wait.For(ctx, suspicion.SilenceTerm) {
+				return
+			}
+		}
+		if ctx.Err() == nil {
+			lost()
+		}
+	})
+	return func(answered bool) {
+		timer.Stop()
+		cancel()
+		if answered {
+			b.mu.Lock()
+			b.silence.Heard(b.now(), address)
+			b.mu.Unlock()
+		}
+	}
+}
+
+// answers reports whether a lender to which a call is open counts as alive, and asks it if need be. It is false also if ctx ends
+// meanwhile.
+func (b *borrower) answers(ctx context.Context, address string) bool {
+	if b.suspected(address, "") {
+		return false
+	}
+	b.mu.Lock()
+	mustAsk := b.silence.MustAsk(b.now(), address)
+	b.mu.Unlock()
+	if !mustAsk {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), signOfLifeTimeout)
+	defer cancel()
+	answered := b.ask(ctx, address)
+	b.mu.Lock()
+	b.silence.Asked(b.now(), address, answered)
+	b.mu.Unlock()
+	if !answered {
+		b.conns.DiscardConns(address)
+		b.suspect(suspect{lender: address})
+	}
+	return answered
+}
+
 // callFailed handles a lender that did not answer. A failed dial proves that nothing was sent.
 func (b *borrower) callFailed(address string, err error) error {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
@@ -152,16 +218,22 @@
 func (r *remoteTxConn) roundTrip(order *lendpb.Order, timeout time.Duration) (result, error) {
 	timer := time.AfterFunc(timeout+lenderRoundTripAllowance, r.cancel)
 	defer timer.Stop()
-	if err := r.stream.Send(order); err != nil {
-		return result{}, r.borrower.callFailed(r.address, err)
-	}
-	out, err := r.stream.Recv()
+	ended := r.borrower.watch(r.address, func() {})
+	out, err := r.exchange(order)
+	ended(err == nil)
 	if err != nil {
 		return result{}, r.borrower.callFailed(r.address, err)
 	}
 	return fromReport(out)
 }
 
+func (r *remoteTxConn) exchange(order *lendpb.Order) (*lendpb.Report, error) {
+	if err := r.stream.Send(order); err != nil {
+		return nil, err
+	}
+	return r.stream.Recv()
+}
+
 func (r *remoteTxConn) release() {
 	_ = r.stream.Close() // the lender rolls back at the end of the stream, however it ends
 	r.cancel()
--- a/proxy/gateway/lend_test.go
+++ b/proxy/gateway/lend_test.go
@@ -135,7 +135,7 @@
 		{&noAnswerError{sent: true, answersOthers: true}, false},
 		{&noAnswerError{sent: true}, true},
 	} {
-		b := newBorrower(nil, func() time.Duration { return time.Minute })
+		b := newBorrower(Config{Now: func() time.Duration { return time.Minute }})
 		b.recordUnreached("lender", "s", test.err)
 		if got := b.suspected("lender", "s"); got != test.want || b.suspected("lender", "other") {
 			t.Errorf("after %+v: lender suspected for the server %t, want %t, and for no other", test.err, got, test.want)
@@ -146,7 +146,7 @@
 // Guards against a record for every lender that ever failed, which would grow for as long as the process runs.
 func TestSuspectsExpire(t *testing.T) {
 	var now time.Duration
-	b := newBorrower(nil, func() time.Duration { return now })
+	b := newBorrower(Config{Now: func() time.Duration { return now }})
 	for i := range 100 {
 		b.suspect(suspect{lender: "lender-" + strconv.Itoa(i)})
 		now += suspectDuration
--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -173,12 +174,7 @@
 // Guards against entry instances that go on waiting for a frozen scheduler: it accepts connections and never answers.
 func TestLoadSchedulerFrozen(t *testing.T) {
 	d := newScheduledDeployment(t, 1, 1)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	d.addresses = append([]string{l.Addr().String()}, d.addresses...)
+	d.addresses = append([]string{silentAddress(t)}, d.addresses...)
 	c := d.entries[0].open("stale")
 	c.ask("r0", "READ x") // waits for the frozen scheduler
 	for n := range 20 {
@@ -190,6 +186,39 @@
 	}
 }
 
+// silentAddress returns an address that accepts connections and never answers.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// Guards against statements that spend all their time on a scheduler that was cut off while their connections to it were open,
+// and against a scheduler that is asked for a sign of life by each statement. Load: 12 callers at the moment of the cut.
+func TestLoadSchedulerCutOff(t *testing.T) {
+	d := newScheduledDeployment(t, 1, 1)
+	silent := silentAddress(t)
+	d.addresses = append([]string{silent}, d.addresses...)
+	var asked atomic.Int64
+	d.entries[0].gateway.borrower.ask = func(_ context.Context, address string) bool {
+		asked.Add(1)
+		return address != silent
+	}
+	if got := d.load("stale", 12, "READ x", 0); len(got.served) != 12 || slices.Max(got.served) > time.Second {
+		t.Errorf("%d of 12 reads served after up to %v, want all within their target of 1 s; other answers %q", len(got.served), got.served, got.other)
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("the scheduler was asked for a sign of life %d times, want 1", n)
+	}
+	if got := d.load("urgent", 12, "WRITE x v", 0); len(got.served) != 12 || slices.Max(got.served) > time.Second {
+		t.Errorf("%d of 12 writes served after up to %v once the cut is known; other answers %q", len(got.served), got.served, got.other)
+	}
+}
+
 // Guards against statements that spend all their time on a scheduler whose machine is off: it doesn't answer connections.
 func TestLoadSchedulerOff(t *testing.T) {
 	d := newScheduledDeployment(t, 1, 1)
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -58,6 +58,11 @@
 	return &w.preparedStmt
 }
 
+// readsOnly reports whether the work may be repeated although it may have run.
+func (w *workItem) readsOnly() bool {
+	return w.stmt.Kind == sessionstate.Read || w.stmt.Kind == sessionstate.Execute && !w.preparedStmt.Writes
+}
+
 // result is the result of work on a server that answered.
 type result struct {
 	answer answer // to the statement, or to the refused setup
--- a/proxy/node/lenders.go
+++ b/proxy/node/lenders.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
@@ -60,6 +61,15 @@
 	return chosen
 }
 
+// askInstance asks a lender that answers nothing for a sign of life. If it gives none, the next heartbeat to it is sent at once.
+func (n *Node) askInstance(ctx context.Context, address string) (answered bool) {
+	if n.peers.Ask(ctx, address) {
+		return true
+	}
+	go n.peers.Contact(context.WithoutCancel(ctx), address)
+	return false
+}
+
 // weights returns the weights of the candidates for the scheduler of a server. Whether all are known must not depend on which
 // of them this instance suspects, or instances would choose different schedulers.
 func (l *lenderSelector) weights(s discovery.Server) func(address string) float64 {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -210,6 +210,7 @@
 		ParseStatus:  platform.ParseStatus,
 		Lender:       n.lenders.choose,
 		Conns:        n.lendClient,
+		AskInstance:  n.askInstance,
 		Instances:    n.lenders.holderCount,
 		OneScheduler: n.lenders.oneScheduler,
 		MayUseLeader: n.mayUsePrimary,
--- a/proxy/peer/commonstart_test.go
+++ b/proxy/peer/commonstart_test.go
@@ -68,7 +68,7 @@
 			t.Error("the peer counts as asked before its answer is applied")
 		}
 	}
-	if set.contactOnce(t.Context(), address, heartbeat{last: true}); !applied || !set.Peers()[0].Tried {
+	if set.contactOnce(t.Context(), address, true); !applied || !set.Peers()[0].Tried {
 		t.Errorf("answer applied: %t, peer %+v", applied, set.Peers()[0])
 	}
 }
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -257,7 +257,7 @@
 // firstContact contacts a peer, again if it is not listening yet.
 func (s *Set) firstContact(ctx context.Context, address string) {
 	wait.For(ctx, s.randomBelow(firstContactSpread))
-	for try := 1; s.contactOnce(ctx, address, heartbeat{last: try == firstContactTries}); try++ {
+	for try := 1; s.contactOnce(ctx, address, try == firstContactTries); try++ {
 		wait.For(ctx, firstContactDelay)
 	}
 }
@@ -374,43 +374,51 @@
 	}
 }
 
-// Contact sends a heartbeat to a peer at once. Its result doesn't count in the estimates of MajorityReachable and
-// ReachedFraction, which need an even choice of peers.
-func (s *Set) Contact(ctx context.Context, address string) {
-	s.contactOnce(ctx, address, heartbeat{last: true, unplanned: true})
+// Contact sends a heartbeat to a peer at once and reports whether it was answered. The result doesn't count in the estimates of
+// MajorityReachable and ReachedFraction, which need an even choice of peers.
+func (s *Set) Contact(ctx context.Context, address string) (answered bool) {
+	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
+	defer cancel()
+	err := s.call(callCtx, address)
+	if ctx.Err() == nil {
+		s.recordReach(address, err)
+	}
+	return err == nil
 }
 
-func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
-	wait.For(ctx, delay)
-	s.contactOnce(ctx, address, heartbeat{last: true})
+// Ask sends a heartbeat to a peer and reports whether it was answered before ctx ended. A peer may have less time for it than
+// for other heartbeats, so its silence doesn't make it unreachable.
+func (s *Set) Ask(ctx context.Context, address string) (answered bool) {
+	return s.call(ctx, address) == nil
 }
 
-// heartbeat says what the result of a heartbeat means.
-type heartbeat struct {
-	last      bool // not tried again if the peer doesn't listen yet
-	unplanned bool // the peer was not chosen by the plan, but because of what is known about it
+// call sends a heartbeat to a peer and applies its answer.
+func (s *Set) call(ctx context.Context, address string) error {
+	sent := s.cfg.Now()
+	digest, err := s.cfg.Client.Gossip(ctx, address, s.cfg.Digest())
+	if err == nil {
+		s.cfg.OnAnswer(ctx, sent, digest) // first, since a peer that counts as asked must not know more than was applied
+	}
+	return err
+}
+
+func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
+	wait.For(ctx, delay)
+	s.contactOnce(ctx, address, true)
 }
 
 // contactOnce sends a heartbeat to a peer. Unless it is the last try, it reports whether to try again, because the peer does
 // not listen, and records nothing then.
-func (s *Set) contactOnce(ctx context.Context, address string, h heartbeat) (again bool) {
+func (s *Set) contactOnce(ctx context.Context, address string, last bool) (again bool) {
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
 	defer cancel()
-	sent := s.cfg.Now()
-	digest, err := s.cfg.Client.Gossip(callCtx, address, s.cfg.Digest())
+	err := s.call(callCtx, address)
 	if ctx.Err() != nil {
 		return false
 	}
-	if !h.last && errors.Is(err, syscall.ECONNREFUSED) {
+	if !last && errors.Is(err, syscall.ECONNREFUSED) {
 		return true
 	}
-	if err == nil {
-		s.cfg.OnAnswer(ctx, sent, digest) // first, since a peer that counts as asked must not know more than was applied
-	}
-	if h.unplanned {
-		s.recordReach(address, err)
-		return false
-	}
 	s.recordResult(address, err)
 	return false
 }
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -34,7 +34,7 @@
 	Version func() uint64
 	// Contact sends a heartbeat to a holder that has not been among Live for long. If it is answered, Live contains the holder
 	// when Contact returns. nil: holders are not asked.
-	Contact func(ctx context.Context, address string)
+	Contact func(ctx context.Context, address string) (reachable bool)
 	// StoreIsNew tells that the store has never held an assignment before.
 	StoreIsNew bool
 }
