Wait at the scheduler for a full server, and ask it less often

Cause: when a server refuses a connection because it holds as many as it may, the statement went back to its entry instance, which sent it again after 40 ms, so that the server was asked for a connection every 40 ms by each scheduler.

Change: the statement waits at the scheduler for a connection that is returned or accepted, within the time that it may queue. The pause between attempts doubles from 40 to 640 ms, and one connection is tried at a time until one is accepted.

--- a/decision/connlimit/connlimit.go
+++ b/decision/connlimit/connlimit.go
@@ -28,9 +28,12 @@
 	// IdleTimeoutInShare and IdleTimeoutBorrowed are how long idle connections are kept within the share and beyond it.
 	IdleTimeoutInShare  = 20 * time.Second
 	IdleTimeoutBorrowed = 300 * time.Millisecond
-	// FullBackoff is how long no connection is opened after a server has refused one. Other instances
-	// borrow connections for about the duration of a short transaction.
-	FullBackoff = 40 * time.Millisecond
+	// MinFullBackoff is how long no connection is opened after a server has refused one. Other instances borrow connections for
+	// about the duration of a short transaction. It doubles with each further refusal up to maxFullBackoff: a server may also
+	// count connections of lost processes, or connections that have gone silent, for seconds to minutes.
+	MinFullBackoff   = 40 * time.Millisecond
+	maxFullBackoff   = 640 * time.Millisecond
+	maxFullDoublings = 4
 	// ReturnTimeout is how long a statement waits for a returning connection before it acts as if there were none.
 	ReturnTimeout = 40 * time.Millisecond
 )
@@ -76,6 +79,21 @@
 	// statement waiting for them.
 	Returning int
 	FullUntil time.Duration // no connection is opened before this time, because the server refused one
+	// Refusals counts the times in a row that the server was found full.
+	Refusals int
+}
+
+// Refused records that the full server has refused a connection. Connections that were opened at the same time count once.
+func (u *Usage) Refused(now time.Duration) {
+	if now >= u.FullUntil {
+		u.Refusals++
+		u.FullUntil = now + min(MinFullBackoff<<min(u.Refusals-1, maxFullDoublings), maxFullBackoff)
+	}
+}
+
+// Accepted records that the server has accepted a connection.
+func (u *Usage) Accepted() {
+	u.Refusals, u.FullUntil = 0, 0
 }
 
 // Action is what to do for a statement that found no suitable idle connection.
@@ -111,8 +129,11 @@
 	return Wait
 }
 
-// MayOpen reports whether MaxOpening allows to open one more connection.
+// MayOpen reports whether MaxOpening allows to open one more connection. While the server may be full, one is tried at a time.
 func (l Limit) MayOpen(u Usage) bool {
+	if u.Refusals > 0 && u.Opening > 0 {
+		return false
+	}
 	return l.MaxOpening == 0 || u.Opening < l.MaxOpening
 }
 
--- a/decision/connlimit/connlimit_test.go
+++ b/decision/connlimit/connlimit_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// Guards against a full server that is asked all the time, and against one that is not asked again soon after it accepted one.
+func TestFullServerIsAskedRarely(t *testing.T) {
+	l, u, asked := Limit{Max: 56, Instances: 1, Scheduler: true, MaxOpening: 4}, Usage{}, 0
+	for now := time.Duration(0); now < 3*time.Second; now += time.Millisecond {
+		if l.NextAction(now, u) == Open {
+			asked++
+			u.Refused(now)
+			u.Refused(now) // opened at the same time
+		}
+	}
+	if asked < 6 || asked > 9 {
+		t.Errorf("a server that is full for 3 s was asked %d times, want 6 to 9", asked)
+	}
+	if !l.MayOpen(u) || l.MayOpen(Usage{Refusals: 1, Opening: 1}) {
+		t.Error("want one connection to be opened at a time while the server may be full")
+	}
+	if u.Accepted(); l.NextAction(3*time.Second, u) != Open {
+		t.Error("no connection is opened although the server has just accepted one")
+	}
+}
+
 // Guards against a scheduler that leaves no connection to its successor, while the server still counts those of the
 // former one, or to control calls.
 func TestLoadSchedulerLeavesConnections(t *testing.T) {
--- a/proxy/gateway/pool.go
+++ b/proxy/gateway/pool.go
@@ -71,9 +71,21 @@
 	return &pool{cfg: cfg, servers: map[string]*serverPool{}}
 }
 
-// acquire returns a connection to a server for an account. It fails with errNoFreeConnection, errServerFull or
-// the error of the connection; all of them prove that nothing was sent.
-func (p *pool) acquire(ctx context.Context, d destination, values map[string]string) (*upstreamConn, error) {
+// acquire returns a connection to a server for an account. While the server refuses further ones, it waits up to maxWait for one
+// that is returned or accepted. It fails with errNoFreeConnection, errServerFull or the error of the connection; all of them
+// prove that nothing was sent.
+func (p *pool) acquire(ctx context.Context, d destination, values map[string]string, maxWait time.Duration) (*upstreamConn, error) {
+	end := time.Now().Add(maxWait)
+	for {
+		u, err := p.tryAcquire(ctx, d, values, end)
+		if !errors.Is(err, errServerFull) || !time.Now().Before(end) || ctx.Err() != nil {
+			return u, err
+		}
+	}
+}
+
+// tryAcquire returns a connection, or errServerFull if the server refused the one that was opened. The next try then waits.
+func (p *pool) tryAcquire(ctx context.Context, d destination, values map[string]string, end time.Time) (*upstreamConn, error) {
 	account := d.account
 	p.mu.Lock()
 	sp := p.server(d)
@@ -107,7 +119,7 @@
 	w := &waiter{account: account, priority: d.priority, granted: make(chan *upstreamConn, 1)}
 	sp.enqueue(w)
 	p.mu.Unlock()
-	return p.await(ctx, sp, w)
+	return p.await(ctx, sp, w, end)
 }
 
 // enqueue inserts a waiter after those of its priority.
@@ -149,9 +161,11 @@
 	sp.idle = nil
 }
 
-// await waits for a connection or for permission to open one.
-func (p *pool) await(ctx context.Context, sp *serverPool, w *waiter) (*upstreamConn, error) {
-	ticker := time.NewTicker(connlimit.FullBackoff)
+// await waits for a connection or for permission to open one, up to end.
+func (p *pool) await(ctx context.Context, sp *serverPool, w *waiter, end time.Time) (*upstreamConn, error) {
+	waiting, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	ticker := time.NewTicker(connlimit.MinFullBackoff)
 	defer ticker.Stop()
 	for {
 		select {
@@ -164,7 +178,7 @@
 			if p.dequeueToOpen(sp, w) {
 				return p.open(ctx, sp, w.account)
 			}
-		case <-ctx.Done():
+		case <-waiting.Done():
 			return nil, p.stopWaiting(sp, w)
 		}
 	}
@@ -207,12 +221,14 @@
 func (p *pool) open(ctx context.Context, sp *serverPool, account string) (*upstreamConn, error) {
 	defer p.endOpening(sp)
 	u, err := p.connect(ctx, sp, account)
+	p.mu.Lock()
 	if err == nil {
+		sp.usage.Accepted()
+		p.mu.Unlock()
 		return u, nil
 	}
-	p.mu.Lock()
 	if errors.Is(err, errServerFull) {
-		sp.usage.FullUntil = p.cfg.Now() + connlimit.FullBackoff
+		sp.usage.Refused(p.cfg.Now())
 	}
 	p.mu.Unlock()
 	p.connectionClosed(sp)
--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -239,6 +239,35 @@
 	}
 }
 
+// Guards against statements that fail, and a server that is asked for a connection every 40 ms, while lost processes or silent
+// connections fill it. Load: 12 callers, a server whose connections are all taken for 0.6 s.
+func TestLoadSchedulerWaitsForAFullServer(t *testing.T) {
+	var dials atomic.Int64
+	d := newScheduledDeployment(t, 1, 1, func(c *Config) {
+		dial := c.Dial
+		c.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials.Add(1)
+			return dial(ctx, network, address)
+		}
+	})
+	d.group.SetMaxConnections(1)
+	holder := newFixtureWithGroup(t, d.group).open("strict")
+	holder.want("b", "BEGIN", "done|READY T -")
+	holder.want("w", "WRITE x v", "receipt|READY T -")
+	var whileFull atomic.Int64
+	time.AfterFunc(600*time.Millisecond, func() {
+		whileFull.Store(dials.Load())
+		d.group.SetMaxConnections(16)
+	})
+	got := d.load("urgent", 12, "WRITE x v", 0)
+	if len(got.served) != 12 {
+		t.Errorf("%d of 12 statements served, %d refused, other answers %q", len(got.served), len(got.refused), got.other)
+	}
+	if n := whileFull.Load(); n > 10 {
+		t.Errorf("the full server was asked for %d connections, want at most 10", n)
+	}
+}
+
 // Guards against two schedulers, which entry instances choose for a moment, that send more than twice what one may, and
 // against statements that fail for it.
 func TestLoadSchedulerTwoAtATime(t *testing.T) {
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -310,7 +310,7 @@
 	}
 	defer a.endExecution()
 	began := time.Now()
-	u, err := g.pool.acquire(ctx, d, w.values)
+	u, err := g.pool.acquire(ctx, d, w.values, w.maxQueueWait)
 	if evacuated := g.checkEvacuation(d.server); evacuated != nil {
 		if err == nil {
 			g.pool.release(u, false)
