Let pool owners grant the operator's tolerance in large fleets

The operator tolerates 10% and 20 statements in 5 s. An equal share of that for each of 60 instances is none.

Change: where the tolerance has less than half a statement for each instance, the owner of the account's pool grants it: half of what is allowed for one start in a window for the first owner, half of the rest for the next, so that owners who act at the same time, and restarts, stay within it (rapid test). No stock is prefetched from it.

--- a/cmd/internal/benchcmd/capacity_driver.go
+++ b/cmd/internal/benchcmd/capacity_driver.go
@@ -52,6 +52,9 @@
 // Live implements quota.Peers.
 func (o singleOwner) Live() []string { return []string{o.address} }
 
+// Listed implements quota.Peers.
+func (o singleOwner) Listed() []string { return o.Live() }
+
 // ListedCount implements quota.Peers.
 func (o singleOwner) ListedCount() int { return o.listed }
 
--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -23,6 +23,11 @@
 	// holderStartSpread is how much later than this owner the holders may have started after a
 	// common power loss.
 	holderStartSpread = 200 * time.Millisecond
+	// emptyBucketTerm is how long after its start an owner's buckets, which begin empty, may lack the tokens of an account that
+	// is within its rate.
+	emptyBucketTerm = 2 * time.Second
+	// toleratedSlot is the slot of tokens that are granted by the tolerance and don't return to a pool. Draws begin with 1.
+	toleratedSlot = 0
 	// lendResponseTime is the time within which holders that have not restarted answer a new owner,
 	// including those in other regions.
 	lendResponseTime = 250 * time.Millisecond
@@ -99,6 +104,9 @@
 	listKnown     bool          // listKnownAt is set
 	otherBorrower string        // borrower named by a holder that has lent its fractions
 
+	tolerance OwnerTolerance
+	budgets   map[string]*ToleranceBudget // by account
+
 	tokensExpireAt time.Duration // every granted token has expired by then
 	handingBack    bool          // the fractions will be handed back at tokensExpireAt
 }
@@ -118,10 +126,22 @@
 func NewOwner(address string, epoch uint64) *Owner {
 	return &Owner{
 		address: address, epoch: epoch,
-		limits: map[string]Limits{}, pools: map[string]*pool{}, loans: map[string]*borrowedLoan{},
+		limits: map[string]Limits{}, pools: map[string]*pool{}, loans: map[string]*borrowedLoan{}, budgets: map[string]*ToleranceBudget{},
 	}
 }
 
+// OwnerTolerance is what an owner may grant beyond the limits.
+type OwnerTolerance struct {
+	Tolerance
+	Instances int // listed
+	Rank      int // of this instance among the owners of the shard, if all listed instances lived
+}
+
+// SetTolerance sets what the owner may grant beyond the limits.
+func (o *Owner) SetTolerance(t OwnerTolerance) {
+	o.tolerance = t
+}
+
 // SetAccounts replaces the accounts of the shard. Accounts that remain keep their tokens. The pool
 // of a removed account is kept while its tokens may be outstanding, in case the account returns.
 func (o *Owner) SetAccounts(now time.Duration, limits map[string]Limits) {
@@ -139,6 +159,7 @@
 			pools[account] = &pool{bucket: Bucket{at: now}}
 		}
 	}
+	maps.DeleteFunc(o.budgets, func(account string, _ *ToleranceBudget) bool { _, known := limits[account]; return !known })
 	o.limits, o.pools = limits, pools
 	o.configure(now)
 }
@@ -296,8 +317,36 @@
 	return tokens
 }
 
-// Grant grants tokens for one demand from the pool.
+// Grant grants tokens for one demand from the pool. If the pool has none because instances were lost or have started, it grants
+// what is left of the tolerance.
 func (o *Owner) Grant(now time.Duration, d Demand) Grant {
+	g := o.grantFromPool(now, d)
+	if g.Tokens > 0 || !o.isOwner || !g.NoPool && !g.Partial && now-o.listKnownAt >= emptyBucketTerm {
+		return g
+	}
+	if n := o.tolerate(now, d); n > 0 {
+		return Grant{Account: d.Account, Tokens: n, Slot: toleratedSlot, Lifetime: MaxTokenLifetime, Partial: true}
+	}
+	return g
+}
+
+// tolerate returns how many of the wanted tokens the tolerance allows.
+func (o *Owner) tolerate(now time.Duration, d Demand) int {
+	limits, known := o.limits[d.Account]
+	if !known {
+		return 0
+	}
+	budget := o.budgets[d.Account]
+	if budget == nil {
+		budget = &ToleranceBudget{}
+		o.budgets[d.Account] = budget
+	}
+	t := o.tolerance
+	return budget.takeOf(now, t.Window, t.ownerShare(limits, t.Instances, t.Rank), d.Want)
+}
+
+// grantFromPool grants tokens for one demand from the pool.
+func (o *Owner) grantFromPool(now time.Duration, d Demand) Grant {
 	o.expireLoans(now)
 	if d.Want > 0 {
 		o.lastDemand, o.hasDemand = now, true
--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -93,6 +93,7 @@
 	unusedSince      time.Duration
 	noTokensUntil    time.Duration // until when the owner has no tokens
 	partial          bool          // the owner's pool lacked fractions at its last answer
+	tolerated        bool          // the last tokens were granted by the tolerance, which unused ones don't return to
 	poolMissingSince time.Duration
 	poolMissing      bool
 	noPoolUntil      time.Duration // until when the owner expects to have no fractions
@@ -217,7 +218,7 @@
 // instances together leave most of the burst in the pool, so an account with a small burst has
 // none.
 func (s *stock) target(now, roundTrip time.Duration, instances int) int {
-	if !s.warm(now) {
+	if !s.warm(now) || s.tolerated {
 		return 0
 	}
 	demand := s.demand(now)
@@ -316,6 +317,7 @@
 }
 
 func (s *stock) granted(now, sentAt time.Duration, epoch uint64, g Grant) {
+	s.tolerated = g.Tokens > 0 && g.Slot == toleratedSlot
 	if g.Tokens > 0 {
 		s.batches = append(s.batches, batch{g.Tokens, sentAt + g.Lifetime, epoch, g.Slot})
 		s.expire(now)
--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -55,6 +55,11 @@
 	s.owner.SetOwnership(now, owner == s.address, holders)
 }
 
+// SetTolerance sets what this instance may grant beyond the limits as the pool owner.
+func (s *Shard) SetTolerance(t OwnerTolerance) {
+	s.owner.SetTolerance(t)
+}
+
 // Lent returns this instance's fractions that a borrower may be using.
 func (s *Shard) Lent(now time.Duration) Mask {
 	return s.holder.Lent(now)
--- a/decision/quota/tolerance_test.go
+++ b/decision/quota/tolerance_test.go
@@ -36,6 +36,71 @@
 	})
 }
 
+// Guards against owners and instances that together admit more than the tolerance allows: owners of all ranks at the same time,
+// two that both believe to be the first, and instances whose lists differ in length by less than listDifference.
+func TestOwnersStayWithinTolerance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tolerance := Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: float64(rapid.IntRange(0, 50).Draw(t, "slack"))}
+		limits := Limits{Rate: float64(rapid.IntRange(1, 500).Draw(t, "rate")), Burst: float64(rapid.IntRange(1, 1000).Draw(t, "burst"))}
+		instances := rapid.IntRange(1, 200).Draw(t, "instances")
+		listed := func() int { return rapid.IntRange(instances, 2*instances-1).Draw(t, "listed") }
+		ranks := []int{0, 0}
+		if rapid.Bool().Draw(t, "distinct ranks") {
+			ranks = []int{0, 1, 2, 3, 4, 5, 6, 7, 8}
+		}
+		admitted := 0
+		for range startsPerWindow {
+			for _, rank := range ranks {
+				var budget ToleranceBudget
+				admitted += budget.takeOf(0, tolerance.Window, tolerance.ownerShare(limits, listed(), rank), 1e6)
+			}
+			for range instances {
+				var budget ToleranceBudget
+				admitted += budget.takeOf(0, tolerance.Window, int(tolerance.perInstance(limits, listed())), 1e6)
+			}
+		}
+		if allowed := startsPerWindow * tolerance.perStart(limits); float64(admitted) > allowed {
+			t.Fatalf("%d statements admitted, want at most %g", admitted, allowed)
+		}
+	})
+}
+
+// Guards against accounts within their rate that get nothing after all instances of a large fleet have started, although the
+// operator tolerates some statements, and against an owner that goes on granting them once its buckets have filled. Load: 60
+// instances, an account with 13 statements a second and a rate of 21.
+func TestLoadOwnerToleratesTheStartOfAFleet(t *testing.T) {
+	tolerance := OwnerTolerance{Tolerance: Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, Instances: 60}
+	for _, c := range []struct {
+		name string
+		at   time.Duration
+		loan Mask
+		rank int
+		want int
+	}{
+		{"no fractions yet", 300 * time.Millisecond, 0, 0, 6},
+		{"empty buckets", 800 * time.Millisecond, allFractions, 0, 6},
+		{"second owner", 300 * time.Millisecond, 0, 1, 4},
+		{"empty buckets long after the start", 5 * time.Second, allFractions, 0, 0},
+	} {
+		o := NewOwner("o", 1)
+		o.SetAccounts(c.at, map[string]Limits{"a": {Rate: 21, Burst: 42}})
+		o.SetOwnership(0, true, []string{"h"})
+		tolerance.Rank = c.rank
+		o.SetTolerance(tolerance)
+		o.Grant(c.at-time.Millisecond, Demand{Account: "other", Want: 1}) // so that the owner borrows
+		for _, outgoing := range o.LoanRequests(c.at) {
+			o.HandleLoan(c.at, c.at, "h", outgoing.Request.Serial, Loan{Fractions: c.loan})
+		}
+		granted := 0
+		for range 6 {
+			granted += o.Grant(c.at, Demand{Account: "a", Want: 1}).Tokens
+		}
+		if granted != c.want {
+			t.Errorf("%s: %d of 6 tokens granted, want %d", c.name, granted, c.want)
+		}
+	}
+}
+
 // Guards against a budget that is not refilled after the window, and against admissions without a
 // tolerance.
 func TestBudgetRefillsAfterWindow(t *testing.T) {
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -531,6 +531,11 @@
 	return out
 }
 
+// Listed returns the peer addresses of this instance and of the listed peers that are not leaving.
+func (s *Set) Listed() []string {
+	return s.addresses(func(p Status) bool { return !p.Instance.Leaving })
+}
+
 // ListedCount returns the number of listed instances that are not leaving, including this one, or 0 if the
 // list has not been read yet.
 func (s *Set) ListedCount() int {
--- a/proxy/quota/driver_test.go
+++ b/proxy/quota/driver_test.go
@@ -372,8 +372,9 @@
 
 type onlySelf struct{}
 
-func (onlySelf) Live() []string   { return []string{"127.0.0.1:1"} }
-func (onlySelf) ListedCount() int { return 1 }
+func (onlySelf) Live() []string     { return []string{"127.0.0.1:1"} }
+func (onlySelf) ListedCount() int   { return 1 }
+func (o onlySelf) Listed() []string { return o.Live() }
 
 // ownerGoneLimit is the longest allowed wait for a token after an owner has failed: until its loans end
 // and its successor has borrowed the fractions. It is below admitWait, the limit of a statement's wait.
--- a/proxy/quota/sender.go
+++ b/proxy/quota/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -40,6 +41,7 @@
 	ownersAt         time.Duration
 	live             []string // live instances from which the owners were chosen
 	holders          []string // holders last passed to the shards
+	listed           []string // instances by which owners are ranked for the tolerance
 	owners           [quota.ShardCount]string
 
 	mu          sync.Mutex
@@ -219,8 +221,8 @@
 	}
 }
 
-// chooseOwners sets the owner of every shard by rendezvous hashing over the live instances, if these or
-// the holders have changed.
+// chooseOwners sets the owner of every shard by rendezvous hashing over the live instances, and what this one may grant beyond
+// the limits, if the instances or the holders have changed.
 func (s *sender) chooseOwners() {
 	d := s.driver
 	now := d.cfg.Clock()
@@ -230,11 +232,13 @@
 	s.ownersAt = now
 	candidates := s.candidates()
 	live, holders := peer.RendezvousTop("quota/owners", candidates, quota.OwnerCount(len(candidates))), d.fractions.holders()
+	listed := d.cfg.Peers.Listed()
 	slices.Sort(live)
-	if slices.Equal(live, s.live) && slices.Equal(holders, s.holders) {
+	if slices.Equal(live, s.live) && slices.Equal(holders, s.holders) && slices.Equal(listed, s.listed) {
 		return
 	}
-	s.live, s.holders = live, holders
+	s.live, s.holders, s.listed = live, holders, listed
+	rankedOwners := peer.RendezvousTop("quota/owners", listed, quota.OwnerCount(len(listed)))
 	for i, sh := range d.shards {
 		owner := peer.Rendezvous("quota/"+strconv.Itoa(i), live)
 		s.mu.Lock()
@@ -242,10 +246,22 @@
 		s.mu.Unlock()
 		sh.mu.Lock()
 		sh.machine.SetOwner(d.cfg.Clock(), owner, holders)
+		sh.machine.SetTolerance(quota.OwnerTolerance{
+			Tolerance: d.cfg.Tolerance, Instances: d.cfg.Peers.ListedCount(), Rank: rankOf(d.cfg.Self, i, rankedOwners),
+		})
 		sh.mu.Unlock()
 	}
 }
 
+// rankOf returns the place of an instance among the owners of a shard, and their number if it is none of them.
+func rankOf(self string, shard int, owners []string) int {
+	ranked := peer.RendezvousTop("quota/"+strconv.Itoa(shard), owners, len(owners))
+	if rank := slices.Index(ranked, self); rank >= 0 {
+		return rank
+	}
+	return math.MaxInt
+}
+
 // candidates returns the instances that can own a pool, sorted.
 func (s *sender) candidates() []string {
 	live, suspected := slices.Clone(s.driver.cfg.Peers.Live()), s.suspected()
