Let statements wait in place for the end of a common rest

Cause: after all instances restart, the owner of an account's pool tells when its fractions will be usable again, 0.3 to 0.5 s later. A statement waited for at most a quarter of its target latency (200 to 375 ms here), so most were refused and told to come back 0.8 to 1.4 s later, past their target, when everybody does.

Change: quota.Patience has a limit of its own for a rest whose end is known, half of the target latency. A wait for an answer whose time nobody knows stays at a quarter.

--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -12,6 +12,22 @@
 	NoPoolFor  time.Duration // how long the owner expects to have no fractions, after instances started together
 }
 
+// Patience is how long a statement may wait for its admission. Load: all instances have restarted, and callers return while the
+// fractions rest for some hundred milliseconds more. A caller that waits in place is served sooner than one that is told to come
+// back, when all others do.
+type Patience struct {
+	Answer time.Duration // for the owner's answer, if nobody knows when it will come
+	Rest   time.Duration // if the owner has told when it expects to have fractions
+}
+
+// Limit returns how long a statement with the given verdict may wait in all.
+func (p Patience) Limit(v Verdict) time.Duration {
+	if v.NoPoolFor > 0 {
+		return max(p.Answer, p.Rest)
+	}
+	return p.Answer
+}
+
 // Messages are the messages to send for a shard.
 type Messages struct {
 	GrantRequest GrantRequest // none if it has no demands
--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -26,6 +26,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 )
 
@@ -70,8 +71,8 @@
 
 // Quota limits operations to an account's rate and burst over all instances.
 type Quota interface {
-	// Admit returns nil, or *outcome.Error of kind NotRun.
-	Admit(ctx context.Context, account string) error
+	// AdmitWithin returns nil, or *outcome.Error of kind NotRun.
+	AdmitWithin(ctx context.Context, account string, p quota.Patience) error
 }
 
 // LendRequest describes the connection that a statement needs.
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
@@ -386,7 +387,7 @@
 // slowQuota refuses after a delay.
 type slowQuota time.Duration
 
-func (q slowQuota) Admit(context.Context, string) error {
+func (q slowQuota) AdmitWithin(context.Context, string, quota.Patience) error {
 	time.Sleep(time.Duration(q))
 	return errBusy
 }
--- a/proxy/gateway/helpers_test.go
+++ b/proxy/gateway/helpers_test.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/standin/linedb"
@@ -59,7 +60,7 @@
 	admitted int
 }
 
-func (q *testQuota) Admit(context.Context, string) error {
+func (q *testQuota) AdmitWithin(context.Context, string, quota.Patience) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.err == nil {
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 )
@@ -313,9 +313,7 @@
 	if grant.Account == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(sess.gw.ctx, queueTimeout(grant.Route))
-	defer cancel()
-	err := sess.gw.cfg.Quota.Admit(ctx, grant.Account)
+	err := sess.gw.cfg.Quota.AdmitWithin(sess.gw.ctx, grant.Account, quotaPatience(grant.Route))
 	if err == nil {
 		return nil
 	}
@@ -325,10 +323,11 @@
 	return outcome.New(outcome.NotRun, outcome.CodeInsufficientResources, err.Error(), "repeat the request")
 }
 
-// queueTimeout is how long a request may wait for its quota before it is sent to a server. A caller that is
-// refused within a quarter of the target latency still has time to be served by another instance.
-func queueTimeout(r catalog.Route) time.Duration {
-	return r.TargetLatency / 4
+// quotaPatience is how long a request may wait for its quota before it is sent to a server. A caller that is
+// refused within a quarter of the target latency still has time to be served by another instance. While fractions rest, no other
+// instance has any, and half of the target latency is left for the server.
+func quotaPatience(r catalog.Route) quota.Patience {
+	return quota.Patience{Answer: r.TargetLatency / 4, Rest: r.TargetLatency / 2}
 }
 
 // answerAborted answers the first request after the gateway has rolled back the transaction.
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -191,9 +191,14 @@
 	return int(xxhash.Sum64String(account) % quota.ShardCount)
 }
 
-// Admit returns nil if the statement is within the account's rate and burst, and otherwise an
-// *outcome.Error of kind NotRun with a retry-after. It may wait up to admitWait for the pool owner's reply.
+// Admit is AdmitWithin for a statement that may wait up to admitWait.
 func (d *Driver) Admit(ctx context.Context, account string) error {
+	return d.AdmitWithin(ctx, account, quota.Patience{Answer: admitWait, Rest: admitWait})
+}
+
+// AdmitWithin returns nil if the statement is within the account's rate and burst, and otherwise an
+// *outcome.Error of kind NotRun with a retry-after. It may wait as long as p says and ctx lasts.
+func (d *Driver) AdmitWithin(ctx context.Context, account string, p quota.Patience) error {
 	s := d.shards[shardOf(account)]
 	s.mu.Lock()
 	_, known := s.limits[account]
@@ -207,7 +212,7 @@
 	}
 	if verdict.Wait {
 		d.sender.pollNow()
-		verdict = d.awaitVerdict(ctx, s, account, verdict, answered)
+		verdict = d.awaitVerdict(ctx, s, account, verdict, answered, p)
 	} else {
 		d.sender.pollNowIfIdle()
 	}
@@ -260,12 +265,10 @@
 
 // awaitVerdict waits for the verdict on a statement. It refuses immediately if the owner expects fractions
 // only after the wait would end.
-func (d *Driver) awaitVerdict(ctx context.Context, s *shard, account string, v quota.Verdict, answered <-chan struct{}) quota.Verdict {
+func (d *Driver) awaitVerdict(ctx context.Context, s *shard, account string, v quota.Verdict, answered <-chan struct{}, p quota.Patience) quota.Verdict {
 	d.counters.waited.Add(1)
-	end := time.Now().Add(admitWait)
-	if deadline, ok := ctx.Deadline(); ok && deadline.Before(end) {
-		end = deadline
-	}
+	began := time.Now()
+	end := waitEnd(ctx, began.Add(p.Limit(v)))
 	timer := time.NewTimer(time.Until(end))
 	defer timer.Stop()
 	for v.NoPoolFor <= time.Until(end) {
@@ -284,12 +287,24 @@
 		if !v.Wait {
 			return v
 		}
+		if v.NoPoolFor > 0 {
+			end = waitEnd(ctx, began.Add(p.Limit(v)))
+			timer.Reset(time.Until(end))
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.machine.Refuse(d.cfg.Clock(), account)
 }
 
+// waitEnd returns the end of a wait, or the deadline of ctx if that is sooner.
+func waitEnd(ctx context.Context, end time.Time) time.Time {
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(end) {
+		return deadline
+	}
+	return end
+}
+
 // setUsable passes the usable fractions to all shards.
 func (d *Driver) setUsable(usable quota.Mask, until time.Duration) {
 	for _, s := range d.shards {
