Don't skip a scheduler because its server is down

Cause: a scheduler that reports a server as unreachable was skipped for 2 s, also when the server's machine had refused the connection or reset it.

Change: only silence makes a lender suspect. A refused or reset connection proves that the lender reaches the machine; the report says so in the field that tells that the server answers others.

--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -89,11 +89,13 @@
 	b.suspects.Add(b.now(), s, suspectDuration)
 }
 
-// recordUnreached records that a lender can't reach a server, which another lender may reach.
+// recordUnreached records that a lender can't reach a server, which another lender may reach. A server that is down is not its
+// lenders' fault: if each of them were skipped in turn, a primary that comes and goes would have many schedulers at a time. Load:
+// a primary that is down for 0.7 of each 1.4 s, with statements of 60 instances.
 func (b *borrower) recordUnreached(address, server string, err error) {
 	var notSent *notSentError
 	var noAnswer *noAnswerError
-	if errors.As(err, &notSent) && !notSent.noFreeConnection || errors.As(err, &noAnswer) && noAnswer.lender == "" && !noAnswer.answersOthers {
+	if errors.As(err, &notSent) && !notSent.noFreeConnection && !notSent.lenderReaches || errors.As(err, &noAnswer) && noAnswer.lender == "" && !noAnswer.lenderReaches {
 		b.suspect(suspect{lender: address, server: server})
 	}
 }
@@ -325,9 +327,10 @@
 		out.Placing, out.Failure = lendpb.Placing_FULL, err.Error()
 	case errors.As(err, &noAnswer):
 		out.Silent, out.Sent, out.Failure = true, noAnswer.sent, err.Error()
-		out.AnswersOthers = noAnswer.answersOthers
+		out.AnswersOthers = noAnswer.lenderReaches
 	default:
 		out.Placing, out.Failure = lendpb.Placing_UNREACHABLE, err.Error()
+		out.AnswersOthers = notSent != nil && notSent.lenderReaches
 	}
 	out.Scheduled, out.ExpectedWaitMs = told.scheduled, uint32(told.expectedWait.Milliseconds())
 	return out
@@ -343,9 +346,9 @@
 	case in.GetPlacing() == lendpb.Placing_BUSY:
 		return result{}, fromBusyReport(in, told)
 	case in.GetPlacing() != lendpb.Placing_PLACED:
-		return result{}, &notSentError{noFreeConnection: in.GetPlacing() == lendpb.Placing_FULL, cause: errors.New(in.GetFailure())}
+		return result{}, &notSentError{noFreeConnection: in.GetPlacing() == lendpb.Placing_FULL, lenderReaches: in.GetAnswersOthers(), cause: errors.New(in.GetFailure())}
 	case in.GetSilent():
-		return result{}, &noAnswerError{sent: in.GetSent(), answersOthers: in.GetAnswersOthers(), cause: errors.New(in.GetFailure())}
+		return result{}, &noAnswerError{sent: in.GetSent(), lenderReaches: in.GetAnswersOthers(), cause: errors.New(in.GetFailure())}
 	}
 	return result{
 		answer: answer{
--- a/proxy/gateway/lend_test.go
+++ b/proxy/gateway/lend_test.go
@@ -132,7 +132,7 @@
 	}{
 		{&notSentError{noFreeConnection: true}, false},
 		{&notSentError{}, true},
-		{&noAnswerError{sent: true, answersOthers: true}, false},
+		{&noAnswerError{sent: true, lenderReaches: true}, false},
 		{&noAnswerError{sent: true}, true},
 	} {
 		b := newBorrower(Config{Now: func() time.Duration { return time.Minute }})
--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -268,6 +269,30 @@
 	}
 }
 
+// Guards against a server that goes down and comes back and then has all instances as its schedulers, because each of them was
+// blamed for not reaching it.
+func TestLoadSchedulerOfAFlappingServer(t *testing.T) {
+	var down atomic.Bool
+	d := newScheduledDeployment(t, 3, 3, func(c *Config) {
+		dial := c.Dial
+		c.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if down.Load() {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			}
+			return dial(ctx, network, address)
+		}
+	})
+	down.Store(true)
+	time.AfterFunc(800*time.Millisecond, func() { down.Store(false) })
+	got := d.load("urgent", 12, "WRITE x v", 2*time.Second)
+	if len(got.served) < 300 || len(got.other) > 0 {
+		t.Errorf("%d statements served, want at least 300; other answers %q", len(got.served), got.other)
+	}
+	if n := len(d.schedulers[2].gateway.pool.servers); n != 0 {
+		t.Error("a third instance was the server's scheduler")
+	}
+}
+
 // Guards against two schedulers, which entry instances choose for a moment, that send more than twice what one may, and
 // against statements that fail for it.
 func TestLoadSchedulerTwoAtATime(t *testing.T) {
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -91,6 +93,7 @@
 // notSentError proves that nothing of the work was sent to a server.
 type notSentError struct {
 	noFreeConnection bool // no connection became free in time; the server may be healthy
+	lenderReaches    bool // the server's machine has refused the connection, so that another lender would not do better
 	// serverBusy is set if the server's admission queue is longer than the statement's time, so that waiting
 	// can't help.
 	serverBusy bool
@@ -115,8 +118,8 @@
 type noAnswerError struct {
 	sent   bool   // the statement itself may have reached the server
 	lender string // the instance that did not answer; empty if the server did not answer
-	// answersOthers: the server did not answer, but has answered other statements of its scheduler meanwhile.
-	answersOthers bool
+	// lenderReaches: the server did not answer, but its lender reaches it, so that another lender would not do better.
+	lenderReaches bool
 	cause         error
 }
 
@@ -130,6 +133,12 @@
 	return e.cause
 }
 
+// machineAnswers reports whether an error shows that the server's machine is reached, although the server itself does not run or
+// has ended the connection. A server that is cut off answers nothing.
+func machineAnswers(err error) bool {
+	return errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF)
+}
+
 // execute does the work on the connection. Its error is a *noAnswerError.
 func (u *upstreamConn) execute(w *workItem) (result, error) {
 	began := time.Now()
@@ -141,7 +150,7 @@
 		return err
 	})
 	if err != nil {
-		return r, &noAnswerError{sent: sent, cause: err}
+		return r, &noAnswerError{sent: sent, lenderReaches: machineAnswers(err), cause: err}
 	}
 	r.state, r.position, r.took = u.state, u.position, time.Since(began)
 	return r, nil
@@ -280,7 +289,7 @@
 func (c *localTxConn) markSlow(err error) error {
 	var noAnswer *noAnswerError
 	if errors.As(err, &noAnswer) {
-		noAnswer.answersOthers = c.gw.pool.answersOthers(c.upstream)
+		noAnswer.lenderReaches = noAnswer.lenderReaches || c.gw.pool.answersOthers(c.upstream)
 	}
 	return err
 }
@@ -322,7 +331,7 @@
 		a.endConnection()
 		g.noteBrokenConnection(d.server, err)
 		full := errors.Is(err, errServerFull) || errors.Is(err, errNoFreeConnection)
-		return nil, result{}, &notSentError{noFreeConnection: full, cause: err}
+		return nil, result{}, &notSentError{noFreeConnection: full, lenderReaches: machineAnswers(err), cause: err}
 	}
 	w.deductTime(time.Since(began))
 	conn := &localTxConn{gw: g, destination: d, upstream: u, admission: a}
