Grant the tolerance through pool owners at every fleet size

Change: the owners alone grant it. The rapid test of the bound plays owners in place of instances, with the same limit.

--- a/decision/quota/owner.go
+++ b/decision/quota/owner.go
@@ -133,8 +133,7 @@
 // OwnerTolerance is what an owner may grant beyond the limits.
 type OwnerTolerance struct {
 	Tolerance
-	Instances int // listed
-	Rank      int // of this instance among the owners of the shard, if all listed instances lived
+	Rank int // of this instance among the owners of the shard, if all listed instances lived
 }
 
 // SetTolerance sets what the owner may grant beyond the limits.
@@ -342,7 +341,7 @@
 		o.budgets[d.Account] = budget
 	}
 	t := o.tolerance
-	return budget.takeOf(now, t.Window, t.ownerShare(limits, t.Instances, t.Rank), d.Want)
+	return budget.Take(now, t.Window, t.ownerShare(limits, t.Rank), d.Want)
 }
 
 // grantFromPool grants tokens for one demand from the pool.
--- a/decision/quota/requester.go
+++ b/decision/quota/requester.go
@@ -92,7 +92,6 @@
 	settledSince     time.Duration
 	unusedSince      time.Duration
 	noTokensUntil    time.Duration // until when the owner has no tokens
-	partial          bool          // the owner's pool lacked fractions at its last answer
 	tolerated        bool          // the last tokens were granted by the tolerance, which unused ones don't return to
 	poolMissingSince time.Duration
 	poolMissing      bool
@@ -322,7 +321,6 @@
 		s.batches = append(s.batches, batch{g.Tokens, sentAt + g.Lifetime, epoch, g.Slot})
 		s.expire(now)
 	}
-	s.partial = g.Partial
 	if g.RetryAfter > 0 {
 		s.noTokensUntil = now + g.RetryAfter
 	}
--- a/decision/quota/shard.go
+++ b/decision/quota/shard.go
@@ -8,7 +8,6 @@
 	Wait       bool          // a request to the owner is in flight or due; call Retry when it is answered
 	RetryAfter time.Duration // with a refusal
 	AboveRate  bool          // with a refusal: the owner reported that no token is left
-	Partial    bool          // with AboveRate: the owner's pool lacks fractions, so the account may have more tokens
 	NoPoolFor  time.Duration // how long the owner expects to have no fractions, after instances started together
 }
 
@@ -142,7 +141,7 @@
 func (s *Shard) refusal(now time.Duration, st *stock) Verdict {
 	retryAfter := st.retryAfter(now)
 	st.refusals.add(now, refusalMemory)
-	return Verdict{RetryAfter: retryAfter, AboveRate: now < st.noTokensUntil, Partial: st.partial, NoPoolFor: st.noPoolFor(now)}
+	return Verdict{RetryAfter: retryAfter, AboveRate: now < st.noTokensUntil, NoPoolFor: st.noPoolFor(now)}
 }
 
 // Poll returns the messages to send now.
--- a/decision/quota/tolerance_test.go
+++ b/decision/quota/tolerance_test.go
@@ -1,31 +1,30 @@
 package quota
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 )
 
-// Guards against instances that together admit more than the tolerance allows, also when each of
-// them restarts once within a window.
-func TestBudgetsStayWithinTolerance(t *testing.T) {
+// Guards against owners that together admit more than the tolerance allows, also when each of them restarts once within a
+// window: owners of all ranks at the same time, or two that both believe to be the first because their lists differ.
+func TestOwnersStayWithinTolerance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tolerance := Tolerance{
 			Window:  5 * time.Second,
 			Overage: float64(rapid.IntRange(0, 30).Draw(t, "overage")) / 100,
 			Slack:   float64(rapid.IntRange(0, 50).Draw(t, "slack")),
 		}
-		limits := Limits{Rate: float64(rapid.IntRange(1, 500).Draw(t, "rate")), Burst: float64(rapid.IntRange(1, 500).Draw(t, "burst"))}
-		instances := rapid.IntRange(1, 20).Draw(t, "instances")
+		limits := Limits{Rate: float64(rapid.IntRange(1, 500).Draw(t, "rate")), Burst: float64(rapid.IntRange(1, 1000).Draw(t, "burst"))}
+		ranks := rapid.SampledFrom([][]int{{0, 0}, {0, 1, 2, 3, 4, 5, 6, 7, 8, math.MaxInt}}).Draw(t, "ranks")
 		admitted := 0
-		for range instances {
-			for range startsPerWindow {
+		for range startsPerWindow {
+			for _, rank := range ranks {
 				var budget ToleranceBudget
 				for now := time.Duration(0); now < tolerance.Window; now += 20 * time.Millisecond {
-					if budget.Take(now, tolerance, limits, instances) {
-						admitted++
-					}
+					admitted += budget.Take(now, tolerance.Window, tolerance.ownerShare(limits, rank), 3)
 				}
 			}
 		}
@@ -36,40 +35,11 @@
 	})
 }
 
-// Guards against owners and instances that together admit more than the tolerance allows: owners of all ranks at the same time,
-// two that both believe to be the first, and instances whose lists differ in length by less than listDifference.
-func TestOwnersStayWithinTolerance(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		tolerance := Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: float64(rapid.IntRange(0, 50).Draw(t, "slack"))}
-		limits := Limits{Rate: float64(rapid.IntRange(1, 500).Draw(t, "rate")), Burst: float64(rapid.IntRange(1, 1000).Draw(t, "burst"))}
-		instances := rapid.IntRange(1, 200).Draw(t, "instances")
-		listed := func() int { return rapid.IntRange(instances, 2*instances-1).Draw(t, "listed") }
-		ranks := []int{0, 0}
-		if rapid.Bool().Draw(t, "distinct ranks") {
-			ranks = []int{0, 1, 2, 3, 4, 5, 6, 7, 8}
-		}
-		admitted := 0
-		for range startsPerWindow {
-			for _, rank := range ranks {
-				var budget ToleranceBudget
-				admitted += budget.takeOf(0, tolerance.Window, tolerance.ownerShare(limits, listed(), rank), 1e6)
-			}
-			for range instances {
-				var budget ToleranceBudget
-				admitted += budget.takeOf(0, tolerance.Window, int(tolerance.perInstance(limits, listed())), 1e6)
-			}
-		}
-		if allowed := startsPerWindow * tolerance.perStart(limits); float64(admitted) > allowed {
-			t.Fatalf("%d statements admitted, want at most %g", admitted, allowed)
-		}
-	})
-}
-
 // Guards against accounts within their rate that get nothing after all instances of a large fleet have started, although the
 // operator tolerates some statements, and against an owner that goes on granting them once its buckets have filled. Load: 60
 // instances, an account with 13 statements a second and a rate of 21.
 func TestLoadOwnerToleratesTheStartOfAFleet(t *testing.T) {
-	tolerance := OwnerTolerance{Tolerance: Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, Instances: 60}
+	tolerance := OwnerTolerance{Tolerance: Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}}
 	for _, c := range []struct {
 		name string
 		at   time.Duration
@@ -104,21 +74,18 @@
 // Guards against a budget that is not refilled after the window, and against admissions without a
 // tolerance.
 func TestBudgetRefillsAfterWindow(t *testing.T) {
-	tolerance := Tolerance{Window: 5 * time.Second, Slack: 8}
+	const window, share = 5 * time.Second, 4
 	var budget ToleranceBudget
-	for i := range 4 {
-		if !budget.Take(0, tolerance, Limits{}, 1) {
-			t.Fatalf("statement %d refused, want it admitted", i)
+	for _, c := range []struct {
+		at         time.Duration
+		wants, get int
+	}{{0, 3, 3}, {0, 3, 1}, {window, 1, 0}, {window + time.Second, 9, share}} {
+		if got := budget.Take(c.at, window, share, c.wants); got != c.get {
+			t.Errorf("%d of %d statements admitted at %s, want %d", got, c.wants, c.at, c.get)
 		}
 	}
-	if budget.Take(5*time.Second, tolerance, Limits{}, 1) {
-		t.Error("fifth statement admitted within the window, want it refused")
-	}
-	if !budget.Take(6*time.Second, tolerance, Limits{}, 1) {
-		t.Error("statement refused after the window, want the budget refilled")
-	}
-	if (&ToleranceBudget{}).Take(0, Tolerance{}, Limits{Rate: 1e6, Burst: 1e6}, 1) {
-		t.Error("statement admitted without a tolerance")
+	if n := (Tolerance{}).ownerShare(Limits{Rate: 1e6, Burst: 1e6}, 0); n != 0 {
+		t.Errorf("%d statements allowed without a tolerance", n)
 	}
 }
 
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -81,13 +81,11 @@
 	GrantRequestsFailed, LoanRequestsFailed uint64
 	StoreReads, StoreWrites                 uint64
 	Waited                                  uint64 // statements that waited for a grant
-	AdmittedByTolerance                     uint64 // statements admitted beyond the limits, by Config.Tolerance
 }
 
 // counters holds the fields of Stats.
 type counters struct {
 	admitted, refused, waited               atomic.Uint64
-	admittedByTolerance                     atomic.Uint64
 	grantRequests, loanRequests, handBacks  atomic.Uint64
 	grantRequestsFailed, loanRequestsFailed atomic.Uint64
 	storeReads, storeWrites                 atomic.Uint64
@@ -117,11 +115,10 @@
 
 // shard is the state machine of one account shard and its lock.
 type shard struct {
-	mu               sync.Mutex
-	machine          *quota.Shard
-	limits           map[string]quota.Limits
-	toleranceBudgets map[string]*quota.ToleranceBudget
-	answered         chan struct{} // closed and replaced after each reply to a grant request
+	mu       sync.Mutex
+	machine  *quota.Shard
+	limits   map[string]quota.Limits
+	answered chan struct{} // closed and replaced after each reply to a grant request
 }
 
 var _ peer.QuotaHandler = (*Driver)(nil)
@@ -141,7 +138,6 @@
 	for i := range d.shards {
 		d.shards[i] = &shard{
 			machine: quota.NewShard(cfg.Self, d.epoch), answered: make(chan struct{}),
-			toleranceBudgets: map[string]*quota.ToleranceBudget{},
 		}
 	}
 	d.fractions = newClaimer(d, rand.New(rand.NewSource(cfg.Rand.Int63())))
@@ -220,10 +216,6 @@
 		d.counters.admitted.Add(1)
 		return nil
 	}
-	if d.admitByTolerance(s, account, verdict) {
-		d.counters.admittedByTolerance.Add(1)
-		return nil
-	}
 	d.counters.refused.Add(1)
 	if verdict.NoPoolFor > 0 {
 		verdict.RetryAfter += time.Duration(rand.Int63n(int64(quarantineRetryJitter)))
@@ -238,26 +230,6 @@
 		"repeat the request after the given time, or ask the operator for a higher rate", verdict)
 }
 
-// admitByTolerance reports whether the tolerance admits a refused statement. It admits none if the owner
-// of a complete pool has no token left.
-func (d *Driver) admitByTolerance(s *shard, account string, v quota.Verdict) bool {
-	if v.AboveRate && !v.Partial {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	limits, known := s.limits[account]
-	if !known {
-		return false
-	}
-	budget := s.toleranceBudgets[account]
-	if budget == nil {
-		budget = &quota.ToleranceBudget{}
-		s.toleranceBudgets[account] = budget
-	}
-	return budget.Take(d.cfg.Clock(), d.cfg.Tolerance, limits, d.cfg.Peers.ListedCount())
-}
-
 func refusal(code, account, reason, remedy string, v quota.Verdict) error {
 	message := "client account " + strconv.Quote(account) + " " + reason
 	return outcome.New(outcome.NotRun, code, message, remedy).WithRetryAfter(v.RetryAfter)
@@ -372,7 +344,7 @@
 func (d *Driver) Stats() Stats {
 	c := &d.counters
 	return Stats{
-		Admitted: c.admitted.Load(), Refused: c.refused.Load(), Waited: c.waited.Load(), AdmittedByTolerance: c.admittedByTolerance.Load(),
+		Admitted: c.admitted.Load(), Refused: c.refused.Load(), Waited: c.waited.Load(),
 		GrantRequests: c.grantRequests.Load(), LoanRequests: c.loanRequests.Load(), HandBacks: c.handBacks.Load(),
 		GrantRequestsFailed: c.grantRequestsFailed.Load(), LoanRequestsFailed: c.loanRequestsFailed.Load(),
 		StoreReads: c.storeReads.Load(), StoreWrites: c.storeWrites.Load(),
--- a/proxy/quota/sender.go
+++ b/proxy/quota/sender.go
@@ -247,7 +247,7 @@
 		sh.mu.Lock()
 		sh.machine.SetOwner(d.cfg.Clock(), owner, holders)
 		sh.machine.SetTolerance(quota.OwnerTolerance{
-			Tolerance: d.cfg.Tolerance, Instances: d.cfg.Peers.ListedCount(), Rank: rankOf(d.cfg.Self, i, rankedOwners),
+			Tolerance: d.cfg.Tolerance, Rank: rankOf(d.cfg.Self, i, rankedOwners),
 		})
 		sh.mu.Unlock()
 	}
