Let sessions wait for the first configuration of a started instance

Each attempt costs one of the two that a caller makes.

Change: a session that opens before waits for it, 1 s at most; callers wait 2 s for the answer.

--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -65,6 +65,8 @@
 type Directory interface {
 	// Current returns nil before the first configuration was read.
 	Current() *catalog.Snapshot
+	// Known is closed once the first configuration was read.
+	Known() <-chan struct{}
 	// Fresh reports whether the configuration is known to be recent enough to trust a key.
 	Fresh() bool
 }
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -201,6 +201,28 @@
 	}
 }
 
+// Guards against callers that are sent away although the first configuration is about to arrive, and against callers that wait
+// for it until they give up. Load: all instances restart and their callers connect at once.
+func TestSessionsWaitForTheFirstConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		arrives time.Duration
+		want    string
+	}{{200 * time.Millisecond, "READY I -"}, {time.Hour, "ERROR BUSY"}} {
+		f := newFixture(t)
+		snapshot, known := f.directory.snapshot, make(chan struct{})
+		f.directory.update(func(d *testDirectory) { d.snapshot, d.known = nil, known })
+		arrival := time.AfterFunc(c.arrives, func() {
+			f.directory.update(func(d *testDirectory) { d.snapshot = snapshot })
+			close(known)
+		})
+		began := time.Now()
+		if _, answer := f.dial("strict", testKey); !strings.HasPrefix(answer, c.want) || time.Since(began) > 1500*time.Millisecond {
+			t.Errorf("configuration after %s: answered %q after %s, want %s", c.arrives, answer, time.Since(began), c.want)
+		}
+		arrival.Stop()
+	}
+}
+
 // Guards against keys that are trusted although the configuration may be outdated.
 func TestStaleConfigurationFailsClosed(t *testing.T) {
 	f := newFixture(t)
--- a/proxy/gateway/helpers_test.go
+++ b/proxy/gateway/helpers_test.go
@@ -32,6 +32,7 @@
 type testDirectory struct {
 	mu       sync.Mutex
 	snapshot *catalog.Snapshot
+	known    chan struct{} // nil: closed
 	stale    bool
 }
 
@@ -41,6 +42,16 @@
 	return d.snapshot
 }
 
+func (d *testDirectory) Known() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known == nil {
+		d.known = make(chan struct{})
+		close(d.known)
+	}
+	return d.known
+}
+
 func (d *testDirectory) Fresh() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -15,11 +15,15 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
 	// startupTimeout bounds the wait for a caller's startup message. Callers wait 2 s for the answer.
 	startupTimeout = 5 * time.Second
+	// firstConfigurationWait is how long a session waits for the first configuration of an instance that has just started. If all
+	// have, no other instance would serve its caller sooner.
+	firstConfigurationWait = time.Second
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 10 * time.Second
 	// defaultStatementTimeout and defaultTargetLatency apply to routes that don't set a value.
@@ -100,6 +104,7 @@
 	}
 	sess.route = route
 	sess.keyHash = manifest.HashKey(key)
+	wait.UntilClosed(sess.gw.ctx, sess.gw.cfg.Directory.Known(), firstConfigurationWait)
 	if _, e := sess.authorize(); e != nil {
 		sess.gw.cfg.Log.sessionRefused(sess, e)
 		sess.codec.Error(e)
--- a/proxy/node/directory.go
+++ b/proxy/node/directory.go
@@ -21,6 +21,8 @@
 	now    func() time.Duration
 	bounds func() Bounds
 
+	known chan struct{} // closed once snapshot is set
+
 	mu       sync.Mutex
 	snapshot *catalog.Snapshot
 	trust    catalog.Trust
@@ -37,6 +39,11 @@
 	return d.snapshot
 }
 
+// Known implements gateway.Directory.
+func (d *directory) Known() <-chan struct{} {
+	return d.known
+}
+
 // Fresh implements gateway.Directory.
 func (d *directory) Fresh() bool {
 	b := d.bounds()
@@ -62,6 +69,9 @@
 		return
 	}
 	s := catalog.NewSnapshot(c)
+	if d.snapshot == nil {
+		close(d.known)
+	}
 	d.snapshot = s
 	d.mu.Unlock()
 	event(d.log, EventConfigAdopted).WithFields(logrus.Fields{
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -143,7 +143,7 @@
 	n.store = platform.NewStore(n.settings.Store, dial, n.eras)
 	n.instances = newInstanceList(n.store, boottime.Now)
 	n.directory = &directory{
-		log: n.log, now: boottime.Now,
+		known: make(chan struct{}), log: n.log, now: boottime.Now,
 		bounds: func() Bounds { return n.liveSettings.Load().Bounds },
 		onAdopt: func(s *catalog.Snapshot) {
 			n.quota.SetAccounts(s.Accounts())
--- a/proxy/node/node_test.go
+++ b/proxy/node/node_test.go
@@ -118,7 +118,7 @@
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	var adopted []uint64
 	d := &directory{
-		log: discardLogger(), now: func() time.Duration { return time.Minute },
+		known: make(chan struct{}), log: discardLogger(), now: func() time.Duration { return time.Minute },
 		bounds:  func() Bounds { return Bounds{KeyWithdrawalMillis: 5000} },
 		onAdopt: func(s *catalog.Snapshot) { adopted = append(adopted, s.Version()) },
 	}
