--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -2,6 +2,17 @@
 // positions and prove that they lead by accepting a transaction. It is independent of the wire protocols,
 // which a CallerCodec and a ServerCodec implement.
 //
+// A statement passes these stages, each in files of its own:
+//
+//   - accept (gateway.go, session.go): a caller's connection, its route and key, its session state;
+//   - charge (session.go): the account's quota, by Config.Quota;
+//   - place (single.go, transaction.go, view.go): a server that has what the session must see, by package placement; home.go,
+//     evacuation.go and coldstart.go restrict the choice;
+//   - hand over (work.go, lend.go): to the instance that holds the connections to the server, its lender; scheduler.go has the
+//     case that one lender runs all statements of a server;
+//   - admit (admission.go): the lender's queue for the server, by package fairqueue;
+//   - run (pool.go, returning.go, upstream.go): a connection to the server, its setup, the statement and its answer.
+//
 // Invariants:
 //
 //   - A server connection serves one account, and one session at a time. It is returned to the pool only
