--- a/proxy/gateway/helpers_test.go
+++ b/proxy/gateway/helpers_test.go
@@ -102,7 +102,7 @@
 
 // fixture is a gateway in front of a group of stand-in servers.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	group     *linedb.Group
 	gateway   *Gateway
 	directory *testDirectory
@@ -118,7 +118,7 @@
 	f.register("p")
 }
 
-func newFixture(t *testing.T, change ...func(*Config)) *fixture {
+func newFixture(t testing.TB, change ...func(*Config)) *fixture {
 	t.Helper()
 	group, err := linedb.New(database, "p", "r")
 	if err != nil {
@@ -128,7 +128,7 @@
 	return newFixtureWithGroup(t, group, change...)
 }
 
-func newFixtureWithGroup(t *testing.T, group *linedb.Group, change ...func(*Config)) *fixture {
+func newFixtureWithGroup(t testing.TB, group *linedb.Group, change ...func(*Config)) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -179,7 +179,7 @@
 
 // caller is a client that speaks the line protocol.
 type caller struct {
-	t    *testing.T
+	t    testing.TB
 	conn net.Conn
 	in   *bufio.Reader
 }
--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -45,7 +45,7 @@
 	c.OneScheduler = func(discovery.Server) bool { return true }
 }
 
-func newScheduledDeployment(t *testing.T, entries, schedulers int, change ...func(*Config)) *scheduledDeployment {
+func newScheduledDeployment(t testing.TB, entries, schedulers int, change ...func(*Config)) *scheduledDeployment {
 	t.Helper()
 	group, err := linedb.New(database, "p", "r")
 	if err != nil {
@@ -82,7 +82,7 @@
 }
 
 // serveLender serves a gateway's lender service over drpc.
-func serveLender(t *testing.T, g *Gateway) (address string, stop func()) {
+func serveLender(t testing.TB, g *Gateway) (address string, stop func()) {
 	t.Helper()
 	mux := drpcmux.New()
 	if err := lendpb.DRPCRegisterLender(mux, g); err != nil {
