Rank pool owners by the whole list of instances for the tolerance

With leaving instances left out, each stop of a first owner made the next one the first, so that a series of stops in one window could use more than the tolerance. Change: the rank follows the list alone, in which an instance stays while it restarts.

--- a/decision/quota/lostholders.go
+++ b/decision/quota/lostholders.go
@@ -13,10 +13,11 @@
 	holders map[string]*holderContact
 }
 
-// holderContact is when a holder was last live and whether it was asked since.
+// holderContact is what is known of a holder.
 type holderContact struct {
-	seen            time.Duration
-	asked, notHeard bool
+	liveAt   time.Duration // when it was last live
+	asked    bool          // since then
+	askEnded bool          // the call has ended
 }
 
 // Update returns the holders that are lost and those that are to be asked now: those of holders that have not been among live
@@ -30,12 +31,12 @@
 		c := l.holders[holder]
 		switch {
 		case c == nil || slices.Contains(live, holder):
-			l.holders[holder] = &holderContact{seen: now}
-		case now-c.seen < UnreachableTerm:
+			l.holders[holder] = &holderContact{liveAt: now}
+		case now-c.liveAt < UnreachableTerm:
 		case !c.asked:
 			c.asked = true
 			ask = append(ask, holder)
-		case c.notHeard:
+		case c.askEnded:
 			lost = append(lost, holder)
 		}
 	}
@@ -45,6 +46,6 @@
 // Asked records that the call to a holder has ended. If it was answered, the next Update finds the holder among the live ones.
 func (l *LostHolders) Asked(holder string) {
 	if c := l.holders[holder]; c != nil {
-		c.notHeard = c.asked
+		c.askEnded = c.asked
 	}
 }
--- a/decision/quota/tolerance.go
+++ b/decision/quota/tolerance.go
@@ -41,7 +41,9 @@
 // restarted, or buckets have just begun empty. Without it, a failure of instances would refuse accounts
 // that are well within their rate.
 //
-// Each owner uses its share without coordination; together they stay within the tolerance. Load: all instances of a fleet restart
+// Each owner uses its share without coordination; together they stay within the tolerance. Owners are ranked by the list of
+// instances alone, which doesn't change when an instance stops, is lost or starts again. An owner that was removed from the list
+// and its successor count as two that both believe to be the first. Load: all instances of a fleet restart
 // at once and callers return while no fraction is usable yet. An equal share for each instance would be none from about 30 on.
 type ToleranceBudget struct {
 	used []time.Duration // admission times within the window, oldest first
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -220,7 +220,7 @@
 func (r *remoteTxConn) roundTrip(order *lendpb.Order, timeout time.Duration) (result, error) {
 	timer := time.AfterFunc(timeout+lenderRoundTripAllowance, r.cancel)
 	defer timer.Stop()
-	ended := r.borrower.watch(r.address, func() {})
+	ended := r.borrower.watch(r.address, func() {}) // a statement of a transaction is not repeated
 	out, err := r.exchange(order)
 	ended(err == nil)
 	if err != nil {
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -531,9 +531,9 @@
 	return out
 }
 
-// Listed returns the peer addresses of this instance and of the listed peers that are not leaving.
+// Listed returns the peer addresses of this instance and of all listed peers, leaving and unreachable ones too.
 func (s *Set) Listed() []string {
-	return s.addresses(func(p Status) bool { return !p.Instance.Leaving })
+	return s.addresses(func(Status) bool { return true })
 }
 
 // ListedCount returns the number of listed instances that are not leaving, including this one, or 0 if the
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -37,7 +37,7 @@
 type Peers interface {
 	// Live returns the peer addresses of the instances that can own a pool, this one included.
 	Live() []string
-	// Listed returns the peer addresses of the listed instances that are not leaving, this one included.
+	// Listed returns the peer addresses of all listed instances, this one included.
 	Listed() []string
 	// ListedCount returns the number of listed instances that are not leaving, or 0 if it is unknown.
 	ListedCount() int
--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -183,7 +183,8 @@
 	})
 }
 
-// lostHolders returns the holders that are lost, and asks those that may be. The caller holds mu.
+// lostHolders returns the holders that are lost, and asks those that may be. Every instance does, since any of them may be the
+// planner next. The caller holds mu.
 func (w *watcher) lostHolders(ctx context.Context, now time.Duration, live []string) []string {
 	lost, ask := w.lost.Update(now, w.assignment.Holders(), live)
 	for _, holder := range ask {
