Take the usable instances from peer.Set in one place

Change: HomeCandidates is Usable, and both use it. Behaviour unchanged; rendezvous hashing doesn't depend on the order of names. Tests of proxy/node and proxy/peer passed.

--- a/proxy/daemon/locator.go
+++ b/proxy/daemon/locator.go
@@ -111,7 +111,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.skipped, func(_ string, until time.Time) bool { return !until.After(now) })
-	live := slices.DeleteFunc(l.set.HomeCandidates(), func(address string) bool {
+	live := slices.DeleteFunc(l.set.Usable(), func(address string) bool {
 		_, skipped := l.skipped[address]
 		return skipped || l.draining && address == l.self
 	})
--- a/proxy/node/evacuations.go
+++ b/proxy/node/evacuations.go
@@ -247,18 +247,7 @@
 
 // coordinates reports whether this instance acknowledges the evacuation of a domain. Two at the same time do no harm.
 func (c *evacuationCoordinator) coordinates(domain string) bool {
-	self := c.node.settings.Listen.Peers
-	return peer.Rendezvous("evacuation/"+domain, append(c.usablePeers(), self)) == self
-}
-
-func (c *evacuationCoordinator) usablePeers() []string {
-	var out []string
-	for _, p := range c.node.peers.Peers() {
-		if p.Usable() {
-			out = append(out, p.Instance.PeerAddress)
-		}
-	}
-	return out
+	return peer.Rendezvous("evacuation/"+domain, c.node.peers.Usable()) == c.node.settings.Listen.Peers
 }
 
 // acknowledge writes the status of an evacuation if it holds. It reports whether the evacuation has a status.
@@ -296,7 +285,8 @@
 func (c *evacuationCoordinator) askPeers(ctx context.Context, domain string) []evacuation.Report {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	peers := c.usablePeers()
+	self := c.node.settings.Listen.Peers
+	peers := slices.DeleteFunc(c.node.peers.Usable(), func(address string) bool { return address == self })
 	reports := make([]evacuation.Report, len(peers))
 	var calls sync.WaitGroup
 	for i, address := range peers {
--- a/proxy/node/homes.go
+++ b/proxy/node/homes.go
@@ -69,14 +69,8 @@
 
 // isMover reports whether the instance with the given peer address tries to move the primary of a database home.
 func isMover(peers *peer.Set, self, database string, now time.Time) bool {
-	addresses := []string{self}
-	for _, s := range peers.Peers() {
-		if s.Usable() {
-			addresses = append(addresses, s.Instance.PeerAddress)
-		}
-	}
 	key := fmt.Sprintf("home/%s/%d", database, now.Unix()/int64(moverTerm.Seconds()))
-	return slices.Contains(peer.RendezvousTop(key, addresses, movers), self)
+	return slices.Contains(peer.RendezvousTop(key, peers.Usable(), movers), self)
 }
 
 func (p *promotionController) candidateFor(s discovery.Server) home.Candidate {
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -266,7 +266,7 @@
 		homes   int
 	}{{false, 2}, {true, 1}, {false, 2}} {
 		set.SetLeaving("127.0.0.1:2", c.leaving)
-		if got := len(set.HomeCandidates()); got != c.homes {
+		if got := len(set.Usable()); got != c.homes {
 			t.Errorf("leaving %v: %d homes, want %d", c.leaving, got, c.homes)
 		}
 		if got := len(set.Live()); got != 2 {
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -514,9 +514,9 @@
 	return s.addresses(Status.live)
 }
 
-// HomeCandidates returns the live instances except peers that have announced their drain. Those still
+// Usable returns the peer addresses of this instance and of the usable peers: the live ones except those that have announced their drain. Those still
 // answer other calls until they have handed back the quota that they hold.
-func (s *Set) HomeCandidates() []string {
+func (s *Set) Usable() []string {
 	return s.addresses(Status.Usable)
 }
 
