--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -8,7 +8,7 @@
 //   - charge (session.go): the account's quota, by Config.Quota;
 //   - place (single.go, transaction.go, view.go): a server that has what the session must see, by package placement; home.go,
 //     evacuation.go and coldstart.go restrict the choice;
-//   - hand over (work.go, lend.go): to the instance that holds the connections to the server, its lender; scheduler.go has the
+//   - hand over (work.go, lend.go, lenderhealth.go): to the instance that holds the connections to the server, its lender; scheduler.go has the
 //     case that one lender runs all statements of a server;
 //   - admit (admission.go): the lender's queue for the server, by package fairqueue;
 //   - run (pool.go, returning.go, upstream.go): a connection to the server, its setup, the statement and its answer.
