Suspect a silent lender in the same step as its question ends

Between the end of the question and the suspicion, another call found neither and asked again. Change: both are set, and read, with the lock held once.

--- a/proxy/gateway/lenderhealth.go
+++ b/proxy/gateway/lenderhealth.go
@@ -28,6 +28,11 @@
 func (b *borrower) suspected(address, server string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.suspectedLocked(address, server)
+}
+
+// suspectedLocked is suspected for a caller that holds mu.
+func (b *borrower) suspectedLocked(address, server string) bool {
 	now := b.now()
 	return b.suspects.Contains(now, suspect{lender: address}) || b.suspects.Contains(now, suspect{lender: address, server: server})
 }
@@ -81,24 +86,24 @@
 // answers reports whether a lender to which a call is open counts as alive, and asks it if need be. The question goes on when the
 // call has ended, since its answer serves other calls.
 func (b *borrower) answers(ctx context.Context, address string) bool {
-	if b.suspected(address, "") {
-		return false
-	}
 	b.mu.Lock()
-	mustAsk := b.silence.MustAsk(b.now(), address)
+	suspected := b.suspectedLocked(address, "")
+	mustAsk := !suspected && b.silence.MustAsk(b.now(), address)
 	b.mu.Unlock()
 	if !mustAsk {
-		return true
+		return !suspected
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), signOfLifeTimeout)
 	defer cancel()
 	answered := b.ask(ctx, address)
+	if !answered {
+		b.conns.DiscardConns(address)
+	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.silence.Asked(b.now(), address, answered)
-	b.mu.Unlock()
 	if !answered {
-		b.conns.DiscardConns(address)
-		b.suspect(suspect{lender: address})
+		b.suspects.Add(b.now(), suspect{lender: address}, suspectDuration) // in the same step, so that no other call asks again
 	}
 	return answered
 }
