Derive the longest pause at a full server; share the count of late refusals in tests

Cause: read once more. maxFullBackoff said again what four doublings of 40 ms give; two tests counted late refusals with the same loop; connlimit's package comment claimed that the substitutes' shares alone fill a server, which they don't. Behaviour unchanged.

--- a/decision/connlimit/connlimit.go
+++ b/decision/connlimit/connlimit.go
@@ -8,7 +8,7 @@
 //
 // Where one instance, the scheduler, runs all statements of a server, it may hold all connections but a reserve for a
 // former scheduler and control calls, and opens at most one for each slot at a time. Its substitutes, instances that don't
-// reach it for a moment, keep no idle connections: with 72 instances, the shares of all would fill a server that allows 56.
+// reach it for a moment, keep no idle connections: their shares and the scheduler's together exceed the limit.
 //
 // Load: a few hundred operations a second over 8 instances and 9 servers with 23 connections each, where
 // transactions hold connections while their callers pause.
@@ -29,10 +29,9 @@
 	IdleTimeoutInShare  = 20 * time.Second
 	IdleTimeoutBorrowed = 300 * time.Millisecond
 	// MinFullBackoff is how long no connection is opened after a server has refused one. Other instances borrow connections for
-	// about the duration of a short transaction. It doubles with each further refusal up to maxFullBackoff: a server may also
+	// about the duration of a short transaction. It doubles with each further refusal, up to 640 ms: a server may also
 	// count connections of lost processes, or connections that have gone silent, for seconds to minutes.
 	MinFullBackoff   = 40 * time.Millisecond
-	maxFullBackoff   = 640 * time.Millisecond
 	maxFullDoublings = 4
 	// ReturnTimeout is how long a statement waits for a returning connection before it acts as if there were none.
 	ReturnTimeout = 40 * time.Millisecond
@@ -87,7 +86,7 @@
 func (u *Usage) Refused(now time.Duration) {
 	if now >= u.FullUntil {
 		u.Refusals++
-		u.FullUntil = now + min(MinFullBackoff<<min(u.Refusals-1, maxFullDoublings), maxFullBackoff)
+		u.FullUntil = now + MinFullBackoff<<min(u.Refusals-1, maxFullDoublings)
 	}
 }
 
--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -329,17 +329,17 @@
 		t.Errorf("%d connections were opened at the same time, want at most %d", n, testSlots)
 	}
 	// Whether a statement at the limit of what the server can run has a chance is known late.
-	late := 0
-	for _, took := range got.refused {
-		if took > 1200*time.Millisecond {
-			late++
-		}
-	}
+	late := countAbove(got.refused, 1200*time.Millisecond)
 	if late > len(got.refused)/4 {
 		t.Errorf("%d of %d statements were refused shortly before the 1.5 s that they may wait, want a quarter at most", late, len(got.refused))
 	}
 }
 
+// countAbove returns how many of the times are longer than a limit.
+func countAbove(times []time.Duration, limit time.Duration) int {
+	return len(slices.DeleteFunc(slices.Clone(times), func(t time.Duration) bool { return t <= limit }))
+}
+
 // Guards against reads that wait for their deadline although the schedulers of all servers have refused them.
 func TestLoadSchedulerRefusesReadsAtOnce(t *testing.T) {
 	d := newScheduledDeployment(t, 2, 1)
@@ -351,12 +351,7 @@
 	if len(got.refused) < 100 || len(got.served) < 20 {
 		t.Errorf("%d served and %d refused of 240, other answers %q", len(got.served), len(got.refused), got.other)
 	}
-	late := 0
-	for _, took := range got.refused {
-		if took > 1600*time.Millisecond {
-			late++
-		}
-	}
+	late := countAbove(got.refused, 1600*time.Millisecond)
 	if late > len(got.refused)/10 {
 		t.Errorf("%d of %d refusals came close to the deadline of 2 s", late, len(got.refused))
 	}
