Claim the ports of test processes for the life of their process

Two test processes could get one port: Address probes and closes it, and another process that walks the same range takes it before the instance listens. The instance then ends with "bind: address already in use". Played by 40 processes that start 50 deployments of 4 instances each, beside 8 busy ones: 26 starts of 2,000 ended like this. Ruled out: a slow start (960 starts by 16 processes were all ready within 6 s). Change: a process claims blocks of 100 ports by a listener that it keeps. A start that fails tells at once that the instance ended, with the end of its log, rather than after 20 s without it.

--- a/cmd/internal/freeport/freeport.go
+++ b/cmd/internal/freeport/freeport.go
@@ -1,11 +1,14 @@
 // Package freeport finds free loopback addresses for processes that tests and the soak test start.
+//
+// A process takes its ports from blocks that it claims for its lifetime by a listener on the first port of the block. So
+// no other process that uses this package gets a port while the process that is to listen there starts or is down.
 package freeport
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"sync/atomic"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -16,26 +19,67 @@
 	firstPort = 10_000
 	// LastPort is the first port above those that are used.
 	LastPort = 32_000
+
+	blockSize  = 100 // ports
+	blockCount = (LastPort - firstPort) / blockSize
 )
 
-// nextPort is the offset of the last tried port. It starts at random so that concurrent processes rarely collide.
-// Ports are not requested from the operating system, because it reassigns a port as soon as it is free and two
-// listeners could get the same one.
-var nextPort atomic.Int64
+// allocator hands out the ports of the blocks that it has claimed.
+type allocator struct {
+	mu     sync.Mutex
+	claims []net.Listener // on the first port of each claimed block; closed only at the end of the process
+	ports  []int          // of the claimed blocks, in the order in which they are handed out
+	next   int            // index in ports
+}
 
-func init() { nextPort.Store(int64(rand.IntN(LastPort - firstPort))) }
+var ports allocator
 
-// Address returns a loopback address on which nothing listens. No other call in this process returns it until all
-// ports have been tried.
+// Address returns a loopback address on which nothing listens. No other call returns it, in this process or another,
+// until the ports of all blocks are claimed; the ports of this process are then handed out again.
 func Address() (string, error) {
-	for range LastPort - firstPort {
-		port := firstPort + nextPort.Add(1)%(LastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // in use
+	return ports.address()
+}
+
+func (a *allocator) address() (string, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for tried := 0; tried <= len(a.ports); tried++ {
+		if a.next == len(a.ports) {
+			if a.claimBlock() {
+				tried = 0
+			} else {
+				a.next = 0
+			}
+		}
+		if len(a.ports) == 0 {
+			break
+		}
+		port := a.ports[a.next]
+		a.next++
+		if l, err := listen(port); err == nil {
+			return l.Addr().String(), errors.Wrap(l.Close(), "close a probe listener")
 		}
-		return address, errors.Wrap(l.Close(), "close a probe listener")
 	}
 	return "", errors.Newf("no port from %d to %d is free; end other programs that listen there", firstPort, LastPort-1)
 }
+
+// claimBlock claims a block that no process has claimed, and reports whether there is one.
+func (a *allocator) claimBlock() bool {
+	for _, block := range rand.Perm(blockCount) {
+		first := firstPort + block*blockSize
+		claim, err := listen(first)
+		if err != nil {
+			continue
+		}
+		a.claims = append(a.claims, claim)
+		for port := first + 1; port < first+blockSize; port++ {
+			a.ports = append(a.ports, port)
+		}
+		return true
+	}
+	return false
+}
+
+func listen(port int) (net.Listener, error) {
+	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+}
--- a/cmd/internal/platformlocal/instance.go
+++ b/cmd/internal/platformlocal/instance.go
@@ -143,11 +143,27 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// awaitReady returns an error with the end of the instance's log if it ends, or is not ready after startTimeout.
 func (i *Instance) awaitReady() error {
-	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(ReadyPollInterval) {
-		if i.Ready() {
-			return nil
+	deadline := time.After(startTimeout)
+	for !i.Ready() {
+		select {
+		case <-i.lastRun().ended():
+			return errors.Newf("instance %s ended during its start; its log ends with:\n%s", i.Name, i.logTail())
+		case <-deadline:
+			return errors.Newf("instance %s is not ready after %s; its log ends with:\n%s", i.Name, startTimeout, i.logTail())
+		case <-time.After(ReadyPollInterval):
 		}
 	}
-	return errors.Newf("instance %s is not ready after %s; see its log", i.Name, startTimeout)
+	return nil
+}
+
+// logTail returns the end of the log. Instances that run inside this process have none.
+func (i *Instance) logTail() string {
+	const most = 8 << 10 // bytes
+	text, err := os.ReadFile(i.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-most):])
 }
