Contain a fault in the answer of a peer or to a probe

Cause: calls of peers, callers' and servers' messages were contained, but not the answers to this instance's own heartbeats, calls for quota and probes of servers, which are applied in goroutines of their own: a panic in one of them ended the process with all its sessions. Also, a contained panic in a shard of the quota left its lock held, so that all later statements of the shard's accounts would have waited for ever. Change: peer.Contain for calls and answers; Gateway.Probe and StepDown contain their exchange; the lock of a shard is released by a deferred call. A peer whose answer can't be applied counts as unreachable, as no answer of it is known. Test: TestFaultyAnswerEndsOneCall and TestFaultyStatusEndsOneProbe; on the former code both end the test's process.

--- a/proxy/gateway/contain_test.go
+++ b/proxy/gateway/contain_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/platform"
@@ -84,6 +86,16 @@
 	panic("server's message")
 }
 
+// Guards against a process that ends because the status that answers a probe makes it panic. Probes run in goroutines of their own.
+func TestFaultyStatusEndsOneProbe(t *testing.T) {
+	f := newFixture(t, func(c *Config) {
+		c.ParseStatus = func([]byte) (placement.Status, error) { panic("server's message") }
+	})
+	if _, err := f.gateway.Probe(t.Context(), discovery.Server{ID: "p", Database: database, Address: f.group.Address("p")}); err == nil {
+		t.Error("a probe with a faulty answer succeeded")
+	}
+}
+
 // Guards against a connection that stays counted, at the pool and at the scheduler, after a faulty answer to its start.
 func TestFaultyStartOfAConnectionLeavesNothingCounted(t *testing.T) {
 	f := newFixture(t, share, func(c *Config) {
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 )
 
 // pastDeadline is a deadline that unblocks a pending read.
@@ -74,6 +75,16 @@
 	defer g.pool.discard(u)
 	stop := context.AfterFunc(ctx, func() { _ = u.conn.SetDeadline(pastDeadline) })
 	defer stop()
+	var status placement.Status
+	err = contain.Call(func() (err error) {
+		status, err = g.exchangeStatus(s, u, request)
+		return err
+	})
+	return status, err
+}
+
+// exchangeStatus sends a request on a connection and reads the status that answers it.
+func (g *Gateway) exchangeStatus(s discovery.Server, u *upstreamConn, request func(ServerCodec)) (placement.Status, error) {
 	request(u.codec)
 	if err := u.codec.Flush(); err != nil {
 		return placement.Status{}, err
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -256,6 +256,25 @@
 	waitFor(t, "first peer reachable again", reachable(2))
 }
 
+// Guards against a process that ends because the answer of one peer makes it panic, or that never contacts the peer again.
+func TestFaultyAnswerEndsOneCall(t *testing.T) {
+	address, _ := startServer(t, "127.0.0.1:0", nil)
+	set := newTestSet(t, &lateList{instances: []objectstore.Instance{{PeerAddress: address}}})
+	set.RefreshNow()
+	faulty := true
+	set.cfg.OnAnswer = func(context.Context, time.Duration, *peerpb.Digest) {
+		if faulty {
+			panic("an answer that nobody foresaw")
+		}
+	}
+	for _, want := range []bool{false, true} {
+		if set.contactOnce(t.Context(), address, true); set.Peers()[0].Reachable != want {
+			t.Errorf("peer with faulty=%t: reachable %t, want %t", faulty, !want, want)
+		}
+		faulty = false
+	}
+}
+
 // Guards against choosing a peer that has announced its drain as a home, and against requesting its
 // pools of tokens from other instances before it has handed them back.
 func TestAnnouncedDrain(t *testing.T) {
--- a/proxy/peer/server.go
+++ b/proxy/peer/server.go
@@ -120,10 +120,16 @@
 		counters.answered.Inc(1)
 		stream = meteredStream{stream, counters}
 	}
-	err := contain.Call(func() error { return h.Handler.HandleRPC(stream, rpc) })
+	return Contain(h.log, rpc, func() error { return h.Handler.HandleRPC(stream, rpc) })
+}
+
+// Contain calls f, which handles a call of a peer or a peer's answer, and returns its error. A panic in f is logged with the name
+// of the call and returned as a *contain.PanicError, so that one message doesn't end the process.
+func Contain(log logrus.FieldLogger, call string, f func() error) error {
+	err := contain.Call(f)
 	var p *contain.PanicError
 	if errors.As(err, &p) {
-		h.log.WithFields(logrus.Fields{FieldEvent: EventPanic, "call": rpc, "stack": p.Stack}).WithError(err).
+		log.WithFields(logrus.Fields{FieldEvent: EventPanic, "call": call, "stack": p.Stack}).WithError(err).
 			Error("a fault in the program was contained")
 	}
 	return err
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -392,14 +392,16 @@
 	return s.call(ctx, address) == nil
 }
 
-// call sends a heartbeat to a peer and applies its answer.
+// call sends a heartbeat to a peer and applies its answer. It fails if the answer can't be applied.
 func (s *Set) call(ctx context.Context, address string) error {
-	sent := s.cfg.Now()
-	digest, err := s.cfg.Client.Gossip(ctx, address, s.cfg.Digest())
-	if err == nil {
-		s.cfg.OnAnswer(ctx, sent, digest) // first, since a peer that counts as asked must not know more than was applied
-	}
-	return err
+	return Contain(s.cfg.Log, "answer to a heartbeat", func() error {
+		sent := s.cfg.Now()
+		digest, err := s.cfg.Client.Gossip(ctx, address, s.cfg.Digest())
+		if err == nil {
+			s.cfg.OnAnswer(ctx, sent, digest) // first, since a peer that counts as asked must not know more than was applied
+		}
+		return err
+	})
 }
 
 func (s *Set) contact(ctx context.Context, address string, delay time.Duration) {
--- a/proxy/quota/calls.go
+++ b/proxy/quota/calls.go
@@ -16,32 +16,29 @@
 // handleOwnBatch handles a batch addressed to this instance, without network calls.
 func (d *Driver) handleOwnBatch(b *batch) {
 	for _, i := range slices.Sorted(maps.Keys(b.loanRequests)) {
-		s, request := d.shards[i], b.loanRequests[i]
-		s.mu.Lock()
-		loan := s.machine.Lend(d.cfg.Clock(), request.Request)
-		s.machine.HandleLoan(d.cfg.Clock(), b.sentAt, request, loan)
-		s.mu.Unlock()
+		request := b.loanRequests[i]
+		d.shards[i].with(func(m *quota.Shard) {
+			loan := m.Lend(d.cfg.Clock(), request.Request)
+			m.HandleLoan(d.cfg.Clock(), b.sentAt, request, loan)
+		})
 	}
 	for i, h := range b.handBacks {
-		s := d.shards[i]
-		s.mu.Lock()
-		s.machine.AcceptHandBack(d.cfg.Clock(), h)
-		s.mu.Unlock()
+		d.shards[i].with(func(m *quota.Shard) { m.AcceptHandBack(d.cfg.Clock(), h) })
 	}
 	for i, request := range b.grantRequests {
 		s := d.shards[i]
-		s.mu.Lock()
-		grants := make([]quota.Grant, 0, len(request.Demands))
-		for _, demand := range request.Demands {
-			g := s.machine.Grant(d.cfg.Clock(), demand)
-			grants = append(grants, g)
-			if g.NoPool {
-				d.sender.pollNow()
+		s.with(func(m *quota.Shard) {
+			grants := make([]quota.Grant, 0, len(request.Demands))
+			for _, demand := range request.Demands {
+				g := m.Grant(d.cfg.Clock(), demand)
+				grants = append(grants, g)
+				if g.NoPool {
+					d.sender.pollNow()
+				}
 			}
-		}
-		s.machine.HandleGrants(d.cfg.Clock(), b.sentAt, request, d.epoch, grants)
-		s.notify()
-		s.mu.Unlock()
+			m.HandleGrants(d.cfg.Clock(), b.sentAt, request, d.epoch, grants)
+			s.notify()
+		})
 	}
 }
 
@@ -65,14 +62,14 @@
 	}
 	for i, request := range b.grantRequests {
 		s := d.shards[i]
-		s.mu.Lock()
-		if err != nil {
-			s.machine.GrantRequestFailed(d.cfg.Clock(), request)
-		} else {
-			s.machine.HandleGrants(d.cfg.Clock(), b.sentAt, request, answer.Epoch, grants[i])
-		}
-		s.notify()
-		s.mu.Unlock()
+		s.with(func(m *quota.Shard) {
+			if err != nil {
+				m.GrantRequestFailed(d.cfg.Clock(), request)
+			} else {
+				m.HandleGrants(d.cfg.Clock(), b.sentAt, request, answer.Epoch, grants[i])
+			}
+			s.notify()
+		})
 	}
 }
 
@@ -96,12 +93,8 @@
 		if !requested {
 			continue
 		}
-		s := d.shards[loan.Shard]
-		s.mu.Lock()
-		s.machine.HandleLoan(d.cfg.Clock(), b.sentAt, outgoing, quota.Loan{
-			Fractions: quota.Mask(loan.Fractions), Tokens: tokensFromWire(loan.Tokens), Borrower: loan.Borrower,
-		})
-		s.mu.Unlock()
+		received := quota.Loan{Fractions: quota.Mask(loan.Fractions), Tokens: tokensFromWire(loan.Tokens), Borrower: loan.Borrower}
+		d.shards[loan.Shard].with(func(m *quota.Shard) { m.HandleLoan(d.cfg.Clock(), b.sentAt, outgoing, received) })
 	}
 }
 
@@ -124,10 +117,8 @@
 	out := &peerpb.Grants{Epoch: d.epoch}
 	for _, a := range in.Accounts {
 		shard := shardOf(a.Account)
-		s := d.shards[shard]
-		s.mu.Lock()
-		g := s.machine.Grant(d.cfg.Clock(), demandFromWire(a))
-		s.mu.Unlock()
+		var g quota.Grant
+		d.shards[shard].with(func(m *quota.Shard) { g = m.Grant(d.cfg.Clock(), demandFromWire(a)) })
 		if g.NoPool {
 			d.sender.requestOwnerCheck(shard)
 		}
@@ -143,10 +134,10 @@
 		if r.Shard >= quota.ShardCount {
 			continue
 		}
-		s := d.shards[r.Shard]
-		s.mu.Lock()
-		loan := s.machine.Lend(d.cfg.Clock(), quota.LoanRequest{Owner: in.Owner, Epoch: in.Epoch, Serial: r.Serial})
-		s.mu.Unlock()
+		var loan quota.Loan
+		d.shards[r.Shard].with(func(m *quota.Shard) {
+			loan = m.Lend(d.cfg.Clock(), quota.LoanRequest{Owner: in.Owner, Epoch: in.Epoch, Serial: r.Serial})
+		})
 		out.Shards = append(out.Shards, &peerpb.ShardLoan{
 			Shard: r.Shard, Serial: r.Serial, Fractions: uint64(loan.Fractions),
 			Tokens: tokensToWire(loan.Tokens), Borrower: loan.Borrower,
@@ -161,12 +152,8 @@
 		if h.Shard >= quota.ShardCount {
 			continue
 		}
-		s := d.shards[h.Shard]
-		s.mu.Lock()
-		s.machine.AcceptHandBack(d.cfg.Clock(), quota.HandBack{
-			Owner: in.Owner, Epoch: in.Epoch, Serial: h.Serial, Tokens: tokensFromWire(h.Tokens),
-		})
-		s.mu.Unlock()
+		handBack := quota.HandBack{Owner: in.Owner, Epoch: in.Epoch, Serial: h.Serial, Tokens: tokensFromWire(h.Tokens)}
+		d.shards[h.Shard].with(func(m *quota.Shard) { m.AcceptHandBack(d.cfg.Clock(), handBack) })
 	}
 	return &peerpb.HandBackReply{}, nil
 }
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -297,6 +297,13 @@
 	return lent
 }
 
+// with calls f with the machine. The lock is released also when f panics, as the fault is contained.
+func (s *shard) with(f func(*quota.Shard)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.machine)
+}
+
 // notify makes waiting statements try again. The caller holds s.mu.
 func (s *shard) notify() {
 	close(s.answered)
--- a/proxy/quota/sender.go
+++ b/proxy/quota/sender.go
@@ -162,7 +162,7 @@
 	delete(owners, s.driver.cfg.Self)
 	delete(owners, "")
 	for _, owner := range slices.Sorted(maps.Keys(owners)) {
-		s.calls.Go(func() { s.driver.requestGrants(ctx, owner, &batch{}) })
+		s.start(func() { s.driver.requestGrants(ctx, owner, &batch{}) })
 	}
 }
 
@@ -211,16 +211,23 @@
 		return
 	}
 	if len(b.grantRequests) > 0 {
-		s.calls.Go(func() { s.driver.requestGrants(ctx, address, b) })
+		s.start(func() { s.driver.requestGrants(ctx, address, b) })
 	}
 	if len(b.loanRequests) > 0 {
-		s.calls.Go(func() { s.driver.requestLoans(ctx, address, b) })
+		s.start(func() { s.driver.requestLoans(ctx, address, b) })
 	}
 	if len(b.handBacks) > 0 {
-		s.calls.Go(func() { s.driver.sendHandBacks(ctx, address, b) })
+		s.start(func() { s.driver.sendHandBacks(ctx, address, b) })
 	}
 }
 
+// start runs a call to a peer, whose answer must not end the process, in a new goroutine.
+func (s *sender) start(call func()) {
+	s.calls.Go(func() {
+		_ = peer.Contain(s.driver.cfg.Log, "call for quota", func() error { call(); return nil }) // it logs a panic
+	})
+}
+
 // chooseOwners sets the owner of every shard by rendezvous hashing over the live instances, and what this one may grant beyond
 // the limits, if the instances or the holders have changed.
 func (s *sender) chooseOwners() {
