Count the late answers of servers that are slow to report

Cause: TestPrimaryFarAway and TestCallerCutInLargeAnswer fail on an overloaded machine. Probes are cut off after 300 ms; when answers take longer, a primary that lives counts as lost after 1 s by all instances, although its replicas hear it. A new term ends the statements that run with an unknown outcome. Change: a probe over a new connection still fails after 300 ms, so that another is sent, but its answer is read until 1 s and counts. A server that never answers is replaced as before. Test: TestSlowPrimaryIsKept: a primary that answers after 600 ms keeps its term, one that does not answer loses it. On the former code the first loses it. A silent server has at most about seven probes open instead of two.

--- a/decision/authority/event.go
+++ b/decision/authority/event.go
@@ -39,6 +39,7 @@
 	Seq   Seq
 	Sent  time.Duration // taken before the probe was sent
 	State ServerState
+	Late  bool // the probe was reported as failed before; its server is slow, but it is not lost
 }
 
 // ProbeFailure reports that a probe got no answer.
--- a/decision/authority/machine.go
+++ b/decision/authority/machine.go
@@ -232,7 +232,9 @@
 func (m *Machine) Step(now time.Duration, e Event) []Action {
 	switch e := e.(type) {
 	case ProbeResult:
-		m.probeEnded(e.State.Server)
+		if !e.Late {
+			m.probeEnded(e.State.Server)
+		}
 		m.view.observe(now, e.Sent, e.Seq, e.State)
 	case ProbeFailure:
 		m.probeEnded(e.Server)
--- a/proxy/group/calls.go
+++ b/proxy/group/calls.go
@@ -40,27 +40,32 @@
 var errWrongServer = errors.New("a server with another name answers at this address; correct the server's address in the manifest")
 
 func (g *Group) probe(a authority.Probe) {
-	ctx, cancel := context.WithTimeout(g.runCtx, g.cfg.ProbeTimeout)
-	defer cancel()
-	adapter := g.adapters[a.Server].Persistent
+	adapter, limit := g.adapters[a.Server].Persistent, g.cfg.ProbeTimeout
 	if a.Fresh {
-		adapter = g.adapters[a.Server].Fresh
+		adapter, limit = g.adapters[a.Server].Fresh, max(g.cfg.ProbeTimeout, lateAnswerLimit)
 	}
+	ctx, cancel := context.WithTimeout(g.runCtx, limit)
+	defer cancel()
 	sent := g.now()
+	fail := func(class authority.FailureClass) {
+		g.deliver(func() {
+			g.handleProbeFailure(authority.ProbeFailure{Server: a.Server, Seq: a.Seq, Sent: sent, Class: class, Fresh: a.Fresh})
+		})
+	}
+	timeout := time.AfterFunc(g.cfg.ProbeTimeout, func() { fail(authority.FailureTimeout) })
 	state, err := adapter.Probe(ctx)
+	late := !timeout.Stop()
 	if err == nil && state.Server != a.Server {
 		g.serverLog(EventWrongServer, a.Server, state.Term).WithField("answered", state.Server).Error(errWrongServer)
 		err = errWrongServer
 	}
-	if err != nil {
-		class := classify(err)
-		g.deliver(func() {
-			g.handleProbeFailure(authority.ProbeFailure{Server: a.Server, Seq: a.Seq, Sent: sent, Class: class, Fresh: a.Fresh})
-		})
-		return
+	switch {
+	case err == nil:
+		g.cfg.Observer.ProbeRoundTrip(a.Server, g.now()-sent)
+		g.deliver(func() { g.handleProbeResult(authority.ProbeResult{Seq: a.Seq, Sent: sent, State: state, Late: late}) })
+	case !late:
+		fail(classify(err))
 	}
-	g.cfg.Observer.ProbeRoundTrip(a.Server, g.now()-sent)
-	g.deliver(func() { g.handleProbeResult(authority.ProbeResult{Seq: a.Seq, Sent: sent, State: state}) })
 }
 
 // deliver posts the result of a call to the owner. It is dropped once the group has stopped.
--- a/proxy/group/group_test.go
+++ b/proxy/group/group_test.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/manifest"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/proxy/dbgroup"
 	"github.com/cyclamenstile/cyclamenstile/proxy/engine"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 	"github.com/cyclamenstile/cyclamenstile/standin/database"
@@ -200,6 +201,53 @@
 	}
 }
 
+// slowServer answers probes over new connections only after a delay, and others not at all.
+type slowServer struct {
+	dbgroup.Server
+	slow  *atomic.Bool
+	delay time.Duration
+}
+
+func (s slowServer) Probe(ctx context.Context) (authority.ServerState, error) {
+	if s.slow.Load() {
+		select {
+		case <-time.After(s.delay):
+		case <-ctx.Done():
+			return authority.ServerState{}, ctx.Err()
+		}
+	}
+	return s.Server.Probe(ctx)
+}
+
+// Guards against replacing a primary that answers late and is in contact with its replicas, as on a machine that is
+// overloaded: statements that run at it would get an unknown outcome. A new term begins without one that does not answer.
+func TestSlowPrimaryIsKept(t *testing.T) {
+	for delay, newTerm := range map[time.Duration]bool{600 * time.Millisecond: false, time.Minute: true} {
+		var slow atomic.Bool
+		d, views, ctx := startStandIn(t, 0, 1, func(c *Config) {
+			connect := c.Connect
+			c.Connect = func(s manifest.Server) Adapter {
+				a := connect(s)
+				if s.ID == "s1" {
+					a.Persistent, a.Fresh = slowServer{a.Persistent, &slow, time.Minute}, slowServer{a.Fresh, &slow, delay}
+				}
+				return a
+			}
+			c.Survey = func(context.Context, authority.ServerID, uint64) (authority.PeerViews, bool) {
+				return authority.PeerViews{Asked: 1, Lost: 1}, true
+			}
+		})
+		w := &writer{g: views[0]}
+		w.mustConfirm(t, ctx, manifest.AcknowledgePrimary)
+		w.close()
+		slow.Store(true)
+		time.Sleep(3 * time.Second)
+		if term := stateOf(d, "s2").Term; (term > 1) != newTerm {
+			t.Errorf("primary that answers after %s: term %d, want a new one: %t", delay, term, newTerm)
+		}
+	}
+}
+
 // Guards against a read whose verification accepts a replica behind the sample, and against a failed
 // verification that doesn't return the sample for the retry.
 func TestVerifyDetectsReplicaBehindSample(t *testing.T) {
