--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -1,11 +1,8 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +11,6 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
-	"github.com/cyclamenstile/cyclamenstile/decision/home"
-	"github.com/cyclamenstile/cyclamenstile/decision/placement"
-	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
@@ -70,12 +64,6 @@
 	errRestoredNow        = errors.New("the store may have lost a claim of another instance a moment ago; the promotion is claimed later")
 )
 
-// claim is the stored value of a promotion claim.
-type claim struct {
-	Instance string `json:"instance"`
-	Server   string `json:"server"`
-}
-
 // promotionController runs the failover state machines of all databases and carries out their actions.
 type promotionController struct {
 	node     *Node
@@ -92,11 +80,6 @@
 	withoutSuccessor map[string]bool
 }
 
-type seenClaim struct {
-	revision uint64
-	seenAt   time.Duration
-}
-
 func newPromotionController(n *Node, promoter *platform.Promoter) *promotionController {
 	return &promotionController{
 		node: n, promoter: promoter, log: n.log,
@@ -322,279 +305,3 @@
 	}).Info("promotion was accepted")
 	return nil
 }
-
-// recordSuccessor records whether a server was found that can replace an evacuated primary, and logs changes.
-func (p *promotionController) recordSuccessor(database string, found bool) {
-	p.node.gateway.RecordSuccessor(database, found)
-	p.mu.Lock()
-	changed := p.withoutSuccessor[database] == found
-	p.withoutSuccessor[database] = !found
-	p.mu.Unlock()
-	if !changed {
-		return
-	}
-	log := event(p.log, EventNoSuccessor).WithField("database", database)
-	if found {
-		log.Info("a server outside the evacuated failure domains can be the primary again")
-		return
-	}
-	log.Warn("no server outside the evacuated failure domains can be the primary; what needs one is refused")
-}
-
-func (p *promotionController) lacksSuccessor(database string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.withoutSuccessor[database]
-}
-
-// candidate is a server that answered a probe.
-type candidate struct {
-	server discovery.Server
-	status placement.Status
-	cold   bool
-}
-
-// compareCandidates orders candidates by what they have received. Among equals, one at home is better, then a warm one, as a cold
-// server gets few statements.
-func compareCandidates(homes home.Regions, a, b candidate) int {
-	return cmp.Or(
-		a.status.Received.Compare(b.status.Received),
-		homes.Compare(a.server.Region, b.server.Region),
-		compareBool(b.cold, a.cold),
-		cmp.Compare(b.server.ID, a.server.ID),
-	)
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-// chooseSuccessor returns the reachable and fit server that has received the most of the log, among equals one at home.
-func (p *promotionController) chooseSuccessor(ctx context.Context, database, old string, fit func(discovery.Server) bool) (candidate, error) {
-	var mu sync.Mutex
-	var candidates []candidate
-	var probes sync.WaitGroup
-	for _, s := range p.node.gateway.Servers(database) {
-		if s.ID == old || s.Leaving || s.Evacuated || !fit(s) {
-			continue
-		}
-		probes.Go(func() {
-			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			status, err := p.node.gateway.Probe(probeCtx, s)
-			if err != nil && !errors.Is(err, gateway.ErrBusy) {
-				return // unreachable, so not a candidate
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			candidates = append(candidates, candidate{s, status, p.node.gateway.IsCold(s)})
-		})
-	}
-	probes.Wait()
-	if len(candidates) == 0 {
-		return candidate{}, errNoSuccessor
-	}
-	homes := p.homesOf(database)
-	return slices.MaxFunc(candidates, func(a, b candidate) int { return compareCandidates(homes, a, b) }), nil
-}
-
-// claimPromotion claims the next promotion of a database for this instance and returns its fence.
-func (p *promotionController) claimPromotion(ctx context.Context, database, old, server string) (uint64, error) {
-	key := claimsKind + "/" + database
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	store := p.node.store
-	var current claim
-	object, err := store.Get(ctx, key)
-	switch {
-	case errors.Is(err, objectstore.ErrNotFound):
-	case err != nil:
-		return 0, err
-	default:
-		if err := json.Unmarshal(object.Value, &current); err != nil {
-			current = claim{} // unknown format; the conditional write replaces it
-		}
-	}
-	if !p.node.eras.SettledFor(failover.ClaimTerm) {
-		return 0, errRestoredNow
-	}
-	if current.Server != old && p.claimedElsewhere(database, object.Version, current) {
-		return 0, errClaimed
-	}
-	value, err := json.Marshal(claim{Instance: p.node.settings.Instance, Server: server})
-	if err != nil {
-		return 0, errors.Wrap(err, "encode the promotion claim")
-	}
-	revision, err := store.Put(ctx, key, value, object.Version)
-	if errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrRestored) {
-		return 0, errClaimed
-	}
-	if err != nil {
-		return 0, err
-	}
-	p.recordClaim(database, revision)
-	return revision, nil
-}
-
-// claimedElsewhere reports whether another instance has recently claimed a promotion that has not made its server the
-// primary yet. The age of a claim is unknown when it is first seen, so it counts as new then.
-func (p *promotionController) claimedElsewhere(database string, revision uint64, current claim) bool {
-	if revision == 0 || current.Instance == p.node.settings.Instance {
-		return false
-	}
-	p.mu.Lock()
-	seen, known := p.claims[database]
-	p.mu.Unlock()
-	if !known || seen.revision != revision {
-		p.recordClaim(database, revision)
-		return true
-	}
-	return boottime.Now()-seen.seenAt < failover.ClaimTerm
-}
-
-func (p *promotionController) recordClaim(database string, revision uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.claims[database] = seenClaim{revision, boottime.Now()}
-}
-
-// handOver makes a primary that answers step down, and waits until its successor has received all of its writes.
-func (p *promotionController) handOver(ctx context.Context, old, successor discovery.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
-	status, err := p.stepDown(ctx, old)
-	if err != nil {
-		event(p.log, EventPromotionFailed).WithField("server", old.ID).WithError(err).
-			Warn("failed to make the leaving primary step down; its last commits may be lost")
-		return err
-	}
-	if !p.awaitCaughtUp(ctx, successor, status, catchUpPollInterval) && old.Evacuated {
-		return errLagsBehind
-	}
-	return nil
-}
-
-// checkFollows returns errPrimarySilent if an evacuated primary does not answer, and errLagsBehind if its successor does not
-// receive within maxMoveLag what the primary has. The primary, which gets nothing new, then stays until the successor has.
-func (p *promotionController) checkFollows(ctx context.Context, successor candidate, old discovery.Server) error {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	status, err := p.node.gateway.Probe(probeCtx, old)
-	switch {
-	case errors.Is(err, gateway.ErrBusy):
-		return nil // it is asked again when it steps down
-	case err != nil:
-		return errPrimarySilent
-	case !successor.status.Received.Less(status.Received):
-		return nil
-	}
-	if p.lacksSuccessor(successor.server.Database) {
-		return errLagsBehind // the next attempt sees whether it has caught up
-	}
-	lagCtx, cancelLag := context.WithTimeout(ctx, maxMoveLag)
-	defer cancelLag()
-	if !p.awaitCaughtUp(lagCtx, successor.server, status, lagPollInterval) {
-		return errLagsBehind
-	}
-	return nil
-}
-
-// stepDown makes a primary step down. It repeats the call while the server has no room for it.
-func (p *promotionController) stepDown(ctx context.Context, old discovery.Server) (placement.Status, error) {
-	for {
-		status, err := p.node.gateway.Probe(ctx, old)
-		if err == nil {
-			status, err = p.stepDownBelow(ctx, old, status.Term+1)
-		}
-		if !errors.Is(err, gateway.ErrBusy) || !wait.For(ctx, stepDownRetryInterval) {
-			return status, err
-		}
-	}
-}
-
-// stepDownBelow makes a primary of a term below the given one step down.
-func (p *promotionController) stepDownBelow(ctx context.Context, old discovery.Server, term uint64) (placement.Status, error) {
-	status, err := p.node.gateway.StepDown(ctx, old, term)
-	if err == nil && status.Primary {
-		err = errStillLeads
-	}
-	return status, err
-}
-
-// retire makes a primary that this instance can't reach step down before its successor is promoted, through any
-// instance that reaches it, and makes them all stop sending statements to it. It waits until instances that don't
-// acknowledge this have noticed that they are cut off.
-func (p *promotionController) retire(ctx context.Context, old discovery.Server, term uint64) error {
-	p.node.gateway.Retire(old.Database, old.ID)
-	callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
-	defer cancel()
-	var told peer.Survey
-	var telling sync.WaitGroup
-	telling.Go(func() { told, _ = p.surveyor.Tell(callCtx, old.Database, old.ID, term) })
-	_, err := p.stepDownBelow(callCtx, old, term)
-	telling.Wait()
-	if err == nil || told.Reaching > 0 {
-		return nil // it has stepped down
-	}
-	go p.followUpStepDown(old, term)
-	var lostSince time.Duration
-	p.withMachine(old.Database, func(m *failover.Machine) { lostSince = m.LostSince() })
-	wait.For(ctx, failover.ReplacementDelay(boottime.Now(), lostSince, p.node.noticePeriod(), failover.Survey(told)))
-	if now, _, ok := p.node.gateway.Primary(old.Database); ok && now.ID != old.ID {
-		return errClaimed
-	}
-	p.node.gateway.Retire(old.Database, old.ID)
-	return nil
-}
-
-// retireForPeer implements retire for another instance. It replies that this instance reaches the server if it has
-// stepped down.
-func (p *promotionController) retireForPeer(ctx context.Context, in *peerpb.JudgeRequest) *peerpb.JudgeReply {
-	p.node.gateway.Retire(in.GetDatabase(), in.GetServer())
-	ctx, cancel := context.WithTimeout(ctx, peerStepDownTimeout)
-	defer cancel()
-	for _, s := range p.node.gateway.Servers(in.GetDatabase()) {
-		if s.ID != in.GetServer() {
-			continue
-		}
-		if _, err := p.stepDownBelow(ctx, s, in.GetTerm()); err == nil {
-			return &peerpb.JudgeReply{Judgement: peerpb.Judgement_REACHES}
-		}
-	}
-	return &peerpb.JudgeReply{Judgement: peerpb.Judgement_LOST}
-}
-
-// followUpStepDown makes a replaced primary step down as soon as it answers again.
-func (p *promotionController) followUpStepDown(old discovery.Server, term uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), stepDownFollowUp)
-	defer cancel()
-	for {
-		callCtx, cancelCall := context.WithTimeout(ctx, probeTimeout)
-		_, err := p.stepDownBelow(callCtx, old, term)
-		cancelCall()
-		if err == nil || errors.Is(err, errStillLeads) || !wait.For(ctx, stepDownRetryInterval) {
-			return
-		}
-	}
-}
-
-// awaitCaughtUp waits until a successor has received what the old primary had when it stepped down, and reports whether it
-// has.
-func (p *promotionController) awaitCaughtUp(ctx context.Context, successor discovery.Server, status placement.Status, poll time.Duration) bool {
-	for {
-		next, err := p.node.gateway.Probe(ctx, successor)
-		if err == nil && !next.Received.Less(status.Received) {
-			return true
-		}
-		if !wait.For(ctx, poll) {
-			return false
-		}
-	}
-}
