Ask no replica whether it leads while the leader is known

A read that the primary's scheduler had refused excluded the primary, and the search for a leader then tried the replicas, as if the primary had been replaced: 2,653 statements that replicas refused as read-only. Change: Group.Leader returns none while the server that has proved to lead is excluded but answers. One that does not answer is still passed over. Test: TestLeaderIsKnownWhileExcluded; on the former code the leader is r2.

--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -276,21 +276,24 @@
 }
 
 // Leader returns the server that is most likely the leader. If none is known, it returns one that has not denied
-// being the leader recently, because a promotion is visible at the server before it is in the server's entry.
+// being the leader recently, because a promotion is visible at the server before it is in the server's entry. It returns none
+// while the leader is known and excluded, for example because its queue is full: the others would only deny being it. Load: a
+// primary that gets more reads than it runs, while its replicas lack the position that the reads need.
 func (g *Group) Leader(now time.Duration, exclude []string) (id string, ok bool) {
 	var best *server
 	promotedIn := g.lastPromotion()
 	for _, s := range g.servers {
 		unusable := s.Evacuated || s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now) || s.isRetired(now) ||
 			s.Primary && s.promotedIn < promotedIn
-		if unusable || slices.Contains(exclude, s.ID) {
+		excluded := slices.Contains(exclude, s.ID)
+		if unusable || excluded && s.ledAt == 0 {
 			continue
 		}
 		if best == nil || likelierLeader(s, best) {
 			best = s
 		}
 	}
-	if best == nil {
+	if best == nil || slices.Contains(exclude, best.ID) {
 		return "", false
 	}
 	return best.ID, true
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// Guards against reads that ask replicas whether they lead while the queue of the known leader is full.
+func TestLeaderIsKnownWhileExcluded(t *testing.T) {
+	g := newTestGroup()
+	g.MarkLeader(10*ms, 5*ms, "p", pos(1, 50))
+	if id, ok := g.Leader(20*ms, []string{"p"}); ok {
+		t.Errorf("leader is %q although p has proved to be it", id)
+	}
+	g.MarkUnreachable(30*ms, "p")
+	if id, ok := g.Leader(40*ms, []string{"p"}); !ok || id == "p" {
+		t.Errorf("leader is %q, want another while p does not answer", id)
+	}
+}
+
 // Guards against writes sent to a server that denied being the leader, and against a promotion that goes undetected
 // until the entries show it.
 func TestLeaderSearchAfterDenial(t *testing.T) {
