Try a replica that lacks a position again after a growing pause

Change: the pause doubles with each further refusal up to 1.6 s, and ends once the replica is known to have reached the position that it lacked.

--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -25,8 +25,10 @@
 	// shows a promotion. It covers the wait for instances that can't be told, the order and the time until the
 	// successor's entry shows its promotion.
 	retirementPeriod = 6 * time.Second
-	// lagPeriod is how long a replica that lacked a position is skipped for positions above its own.
-	lagPeriod = 200 * time.Millisecond
+	// initialLagPeriod is how long a replica that lacked a position is skipped for positions above its own. It doubles with
+	// each further refusal up to maxLagPeriod, until the replica is known to have reached the position that it lacked.
+	initialLagPeriod = 200 * time.Millisecond
+	maxLagPeriod     = 1600 * time.Millisecond
 	// parallelStatements is the number of statements of one instance that a server is expected to run in parallel.
 	parallelStatements = 2
 	// backlogLifetime is the time after which a scheduler's expected wait says nothing about its queue any more.
@@ -65,8 +67,10 @@
 	position     position.Position
 	answeredAt   time.Duration // 0 if never
 	laggedAt     time.Duration
-	backlog      time.Duration // expected wait at the server's scheduler
-	backlogAt    time.Duration // when the scheduler said so
+	lagPeriod    time.Duration     // how long it is skipped since laggedAt; 0 if it has caught up
+	lacked       position.Position // the position that it lacked at laggedAt
+	backlog      time.Duration     // expected wait at the server's scheduler
+	backlogAt    time.Duration     // when the scheduler said so
 }
 
 // Group is one instance's view of the servers of a database. It is not safe for concurrent use.
@@ -218,6 +222,9 @@
 	s.backoffUntil = 0
 	s.answeredAt = now
 	s.position = position.Max(s.position, p)
+	if !s.position.Less(s.lacked) {
+		s.lagPeriod = 0
+	}
 }
 
 // RecordAbandoned records that a statement counted by RecordSent ended without an answer.
@@ -268,11 +275,17 @@
 	return s.retiredAt != 0 && now-s.retiredAt < retirementPeriod
 }
 
-// MarkLagging records that a replica lacked a requested position.
-func (g *Group) MarkLagging(now time.Duration, id string) {
-	if s := g.servers[id]; s != nil {
-		s.laggedAt = now
+// MarkLagging records that a replica lacked a requested position. Load: a replica that is cut off from its primary, with reads of
+// 60 instances that need a position of the last second.
+func (g *Group) MarkLagging(now time.Duration, id string, lacked position.Position) {
+	s := g.servers[id]
+	if s == nil {
+		return
+	}
+	if now-s.laggedAt >= s.lagPeriod { // otherwise several statements found out the same
+		s.lagPeriod = min(max(2*s.lagPeriod, initialLagPeriod), maxLagPeriod)
 	}
+	s.laggedAt, s.lacked = now, lacked
 }
 
 // Leader returns the server that is most likely the leader. If none is known, it returns one that has not denied
@@ -375,7 +388,7 @@
 
 // isBehind reports whether a replica recently lacked a position and is not known to have reached the floor since.
 func (s *server) isBehind(now time.Duration, floor position.Position) bool {
-	return s.laggedAt != 0 && now-s.laggedAt < lagPeriod && s.position.Less(floor)
+	return s.lagPeriod != 0 && now-s.laggedAt < s.lagPeriod && s.position.Less(floor)
 }
 
 // cost returns the expected time until the answer to one more statement. Beyond parallelStatements statements of this
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -99,15 +99,31 @@
 }
 
 // Guards against reads sent repeatedly to a replica that lacks the position, and against skipping a replica that has
-// caught up.
+// caught up. Load: a read each 50 ms during 5 s, whose position the near replica reaches after 4 s.
 func TestLaggingReplicaIsSkipped(t *testing.T) {
+	const mostRefusals, caughtUpAt = 6, 4 * time.Second
 	g := newTestGroup()
-	g.MarkLagging(100*ms, "r1")
-	if id, _ := g.Replica(150*ms, pos(1, 50), nil); id == "r1" {
-		t.Error("read goes to a replica that just lacked the position")
+	refusals := 0
+	var servedAt time.Duration
+	for now := 50 * ms; now < caughtUpAt+time.Second && servedAt == 0; now += 50 * ms {
+		floor := pos(1, uint64(now/ms))
+		switch id, _ := g.Replica(now, floor, nil); {
+		case id != "r1":
+		case now >= caughtUpAt:
+			servedAt = now
+			g.MarkAlive(now, "r1", floor)
+		default:
+			refusals++
+			g.MarkAlive(now, "r1", pos(1, 10))
+			g.MarkLagging(now, "r1", floor)
+		}
+	}
+	if refusals > mostRefusals || servedAt == 0 {
+		t.Errorf("%d reads refused, served again at %s; want at most %d and before %s", refusals, servedAt, mostRefusals, caughtUpAt+time.Second)
 	}
-	g.MarkAlive(160*ms, "r1", pos(1, 60))
-	if id, _ := g.Replica(170*ms, pos(1, 50), nil); id != "r1" {
+	g.MarkLagging(6*time.Second, "r1", pos(1, 7000))
+	g.MarkAlive(6050*ms, "r1", pos(1, 7000))
+	if id, _ := g.Replica(6060*ms, pos(1, 7000), nil); id != "r1" {
 		t.Errorf("read goes to %q although r1 has caught up", id)
 	}
 }
@@ -180,7 +196,7 @@
 func TestRestartedServerLosesItsState(t *testing.T) {
 	g := newTestGroup()
 	g.MarkAlive(10*ms, "r1", pos(1, 500))
-	g.MarkLagging(20*ms, "r1")
+	g.MarkLagging(20*ms, "r1", pos(1, 600))
 	g.Register(30*ms, []discovery.Server{{ID: "r1", Region: "here", Started: 77, Revision: 20}, {ID: "p", Region: "far", Primary: true, Revision: 1}})
 	if _, known := g.LastAnswer(40*ms, "r1"); known {
 		t.Error("an answer from before the restart is still known")
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -306,7 +306,7 @@
 		t.number--
 		return false
 	case outcome.CodeNotCaughtUp:
-		t.view.markLagging(s.ID)
+		t.view.markLagging(s.ID, t.floor)
 	case outcome.CodeUndefinedStatement:
 		return false // the next try prepares it again
 	case outcome.CodeInsufficientResources, outcome.CodeInternal, outcome.CodeQueryCanceled:
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -185,7 +185,7 @@
 		t.number--
 		return
 	case outcome.CodeNotCaughtUp:
-		t.view.markLagging(s.ID)
+		t.view.markLagging(s.ID, t.floor)
 	}
 	t.excluded = append(t.excluded, s.ID)
 }
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -121,6 +121,6 @@
 	v.withLock(func(now time.Duration, g *placement.Group) { g.Retire(now, id) })
 }
 
-func (v *view) markLagging(id string) {
-	v.withLock(func(now time.Duration, g *placement.Group) { g.MarkLagging(now, id) })
+func (v *view) markLagging(id string, lacked position.Position) {
+	v.withLock(func(now time.Duration, g *placement.Group) { g.MarkLagging(now, id, lacked) })
 }
