Show the promotions in the logs of a failed process test

Cause: the last 30 lines of an instance's log, which a failed test prints, did not reach back to the promotion that made it fail. Change: the lines of fences and promotions before them are printed too.

--- a/cmd/internal/processtest/process_test.go
+++ b/cmd/internal/processtest/process_test.go
@@ -7,12 +7,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/freeport"
+	"github.com/cyclamenstile/cyclamenstile/proxy/group"
 )
 
 // process is a child process of the test.
@@ -65,12 +67,16 @@
 	close(p.exited)
 }
 
-// logTail logs the last lines of a log file.
+// logTail logs the last lines of a log file, and the promotions before them.
 func logTail(t *testing.T, name, file string) {
 	const lines = 30
 	content, _ := os.ReadFile(file)
 	all := strings.Split(strings.TrimSpace(string(content)), "\n")
-	t.Logf("%s:\n%s", name, strings.Join(all[max(0, len(all)-lines):], "\n"))
+	last := all[max(0, len(all)-lines):]
+	promotions := slices.DeleteFunc(all[:len(all)-len(last)], func(line string) bool {
+		return !strings.Contains(line, group.EventFenceOrdered) && !strings.Contains(line, group.EventPromoteOrdered)
+	})
+	t.Logf("%s:\n%s", name, strings.Join(append(slices.Clone(promotions), last...), "\n"))
 }
 
 // firstLine returns the address that a process prints once it listens.
