Ask the scheduler once for a read that no other server can run

Cause: a bounded read waits for 35% of its time at a server, since another may run it. Where the others lack its position, its scheduler refused it, nothing else was found, and it was sent to the same scheduler again with 75%. Change: a read whose server is the only one that can run it gets the longer wait at the first try, and its refusal is final.

--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -357,6 +357,24 @@
 	}
 }
 
+// Guards against reads that ask the scheduler of the primary twice because they could run at a replica, although the replicas lack
+// their position. Load: 240 reads at once at a primary that runs 20 in a second.
+func TestLoadSchedulerIsAskedOnceForReadsThatNoReplicaRuns(t *testing.T) {
+	d := newScheduledDeployment(t, 2, 1)
+	d.group.SetServiceTime("p", testSlots, 200*time.Millisecond)
+	d.load("strict", 8, "WRITE x v", 2*time.Second) // so that the scheduler knows how slow the server is
+	d.group.SetLag("r", 1000)
+	d.load("stale", 2, "READ x", 0) // so that the instances know that the replica lags
+	got := d.load("stale", 240, "READ x", 0)
+	q := d.schedulers[0].gateway.admissionQueue(destination{server: discovery.Server{Database: database, ID: "p"}})
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t.Logf("%d served, %d refused, %d refusals of the scheduler", len(got.served), len(got.refused), q.refused)
+	if len(got.refused) == 0 || int(q.refused) > len(got.refused)+len(got.refused)/10 {
+		t.Errorf("%d refusals of the scheduler for %d refused reads, want one for each", q.refused, len(got.refused))
+	}
+}
+
 // Guards against statements that a frozen instance sends to the server when it runs again, after their callers have
 // been told that their time is over.
 func TestLoadSchedulerDropsItsQueueAfterAFreeze(t *testing.T) {
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,9 +49,10 @@
 	floor      position.Position
 	lastError  *outcome.Error // of the last try
 	mayHaveRun bool           // the last try may have run the statement
-	// busyEverywhere: the schedulers of all suitable servers have refused the read, which may then wait for longer.
-	busyEverywhere bool
-	lastBusy       *outcome.Error // of the last scheduler or cold server that refused it; nil if none did
+	// noOtherServer: no other server can run the read now, because the schedulers of all suitable ones have refused it or the others
+	// lack the position that it needs. It may then wait for longer.
+	noOtherServer bool
+	lastBusy      *outcome.Error // of the last scheduler or cold server that refused it; nil if none did
 }
 
 // runSingle runs a statement outside a transaction and answers it.
@@ -119,10 +121,10 @@
 		}
 		t.lastBusy = cmp.Or(t.lastBusy, sess.heldRefusal(t))
 		if t.lastBusy != nil {
-			if t.busyEverywhere {
+			if t.noOtherServer {
 				return discovery.Server{}, t.finalError(t.lastBusy)
 			}
-			t.busyEverywhere, t.excluded = true, t.excluded[:0]
+			t.noOtherServer, t.excluded = true, t.excluded[:0]
 			continue
 		}
 		if !wait.UntilClosed(t.ctx, changed, leaderRetryInterval) {
@@ -139,8 +141,12 @@
 	if !t.leaderOnly {
 		floor, known := t.view.floor(t.grant.Route.MaxStaleness, sess.floor)
 		if known {
-			if s, ok := t.replica(floor, sess.gw.withHeldServers(t.view.name, t.excluded)); ok {
+			excluded := sess.gw.withHeldServers(t.view.name, t.excluded)
+			if s, ok := t.replica(floor, excluded); ok {
 				t.floor = floor
+				if _, other := t.replica(floor, append(slices.Clone(excluded), s.ID)); !other {
+					t.noOtherServer = true
+				}
 				return s, true
 			}
 		}
@@ -223,7 +229,7 @@
 		values: values, after: t.floor, stmt: t.stmt, preparedStmt: t.decision.Prepared,
 		timeLeft: left, maxQueueWait: left * leaderQueuePercent / 100, serverTimeout: left,
 	}
-	if !t.requiresLeader() && !t.busyEverywhere {
+	if !t.requiresLeader() && !t.noOtherServer {
 		w.maxQueueWait = left * replicaQueuePercent / 100
 	}
 	if !t.decision.Writes && t.number < maxTries-1 {
