Leave time for a scheduler's refusal to arrive

Cause: a statement might wait for 75% of its time at a scheduler. Test: TestLoadSchedulerRefusalArrivesInTime: 12 writes at a server without free connections, over a link whose connections take 0.6 s: 12 refusals; before, 12 of unknown outcome.

--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -269,6 +269,26 @@
 	}
 }
 
+// Guards against refusals that reach the entry instance only after the statement's time, so that its outcome counts as unknown.
+// Load: 12 writes at once at a server that accepts no connection, over a link on which a new connection takes 0.6 s.
+func TestLoadSchedulerRefusalArrivesInTime(t *testing.T) {
+	d := newScheduledDeployment(t, 1, 1)
+	slow := peer.NewClient(peer.ClientConfig{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(600 * time.Millisecond)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	t.Cleanup(func() { _ = slow.Close() })
+	d.entries[0].gateway.borrower.conns = slow
+	d.group.SetMaxConnections(1)
+	holder := newFixtureWithGroup(t, d.group).open("strict")
+	holder.want("b", "BEGIN", "done|READY T -")
+	holder.want("w", "WRITE x v", "receipt|READY T -")
+	got := d.load("urgent", 12, "WRITE x v", 0)
+	if len(got.refused) != 12 {
+		t.Errorf("%d of 12 statements refused, %d served, other answers %q", len(got.refused), len(got.served), got.other)
+	}
+}
+
 // Guards against a server that goes down and comes back and then has all instances as its schedulers, because each of them was
 // blamed for not reaching it.
 func TestLoadSchedulerOfAFlappingServer(t *testing.T) {
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -22,8 +22,10 @@
 	// minReadTimeout is the minimum time that a read waits for one server before another is tried.
 	minReadTimeout = 300 * time.Millisecond
 	// leaderQueuePercent and replicaQueuePercent are the percentages of a statement's time that it may wait in
-	// the admission queue of a server. Executions take far less than the remaining time.
-	leaderQueuePercent  = 75
+	// the admission queue of a server. The rest is for the execution and for the way to a scheduler and back, of which a new
+	// connection across regions just after a common start takes a quarter of a second: a refusal that arrives after the statement's
+	// time leaves its outcome unknown.
+	leaderQueuePercent  = 60
 	replicaQueuePercent = 35
 	// leaderRetryInterval is the interval between attempts to find a leader.
 	leaderRetryInterval = 40 * time.Millisecond
