Lengthen the expected wait at a server that answers nothing

Cause: the expected wait at a scheduler comes from statements that have ended. Change: where the running statements are on average older than twice the average slot time, the wait is longer by that factor, on arrival, for what is queued, and as told to entry instances. Test: TestLoadSchedulerRefusesAtAStalledServer, 300 requests a second for 12 slots, the server stops for 1 s: 68 wait in vain, 31 of them for more than half of their patience; before, 282 and 178. None is refused while the server answers.

--- a/decision/fairqueue/doc.go
+++ b/decision/fairqueue/doc.go
@@ -11,6 +11,7 @@
 //   - A slot is not free while a request waits that fits.
 //   - A request that can't be granted before its deadline is refused on arrival, by Queue.Shed once its
 //     expected wait has grown, or expires on the first call of Queue.Expire after its deadline.
+//   - The expected wait grows while the server answers nothing, with the age of the running requests.
 //   - At most Config.QueuePerAccount requests of an account are queued, which bounds memory. Requests that continue granted
 //     work are queued beyond that; their number is bounded by that of the connections.
 //   - The cost of a call grows with the number of backlogged accounts, not of known accounts.
--- a/decision/fairqueue/target.go
+++ b/decision/fairqueue/target.go
@@ -13,6 +13,9 @@
 	// of the requests admitted at the limit would miss their target, and in a simulated burst 4% were refused after a
 	// wait of 0.3 s, now 0.2%.
 	waitMargin = 0.75
+	// stallFactor is by how much the mean age of the running statements must exceed the average slot time of ended ones before it
+	// lengthens the expected waits. In normal operation they are equal at most.
+	stallFactor = 2
 	// shedMargin is by how much the expected wait of a queued request must exceed the time until its deadline before it
 	// is shed. Without it, the variation of the estimates would shed statements that can run; with more, those that can't run wait
 	// for longer.
@@ -22,7 +25,7 @@
 // expectedWait returns the expected waiting time of qr and records whether it is too long for the target.
 func (q *Queue) expectedWait(now time.Duration, a *account, qr *queuedRequest) time.Duration {
 	if qr.Target == 0 {
-		return q.estimate(*qr)
+		return q.estimate(now, *qr)
 	}
 	if qr.Continues {
 		return q.waitAt(now, a, qr, 0)
@@ -54,8 +57,26 @@
 			ahead += time.Duration(other.ahead(start)) * other.averageHold
 		}
 	}
-	wait := (ahead + q.averageHold) / time.Duration(max(q.cfg.Slots, 1))
-	return max(wait, a.pace.wait(now, position))
+	return max(q.timeToEnd(now, ahead+q.averageHold), q.paceWait(now, a, position))
+}
+
+// slowdown returns the factor by which the running statements show that the server has become slower than the averages of ended
+// statements tell, at least 1. Load: a server that stops answering while a queue waits for it, as one that is paused, or full of the
+// connections of processes that have ended: nothing ends, so that the averages stay, and all that arrive would wait in vain.
+func (q *Queue) slowdown(now time.Duration) float64 {
+	if len(q.running) == 0 {
+		return 1
+	}
+	var age time.Duration
+	for _, r := range q.running {
+		age += now - r.since
+	}
+	return max(1, float64(age)/float64(len(q.running))/(stallFactor*float64(q.averageHold)))
+}
+
+// paceWait returns the wait behind the given number of queued requests of an account by its pace.
+func (q *Queue) paceWait(now time.Duration, a *account, ahead int) time.Duration {
+	return time.Duration(float64(a.pace.wait(now, ahead)) * q.slowdown(now))
 }
 
 // queuedLate returns the number of queued requests that were not expected to meet their target.
@@ -147,7 +168,7 @@
 
 // ExpectedWait returns the time after which a request that arrives now would be granted if accounts had no shares: the
 // slot time of all queued requests, divided by the number of slots.
-func (q *Queue) ExpectedWait() time.Duration {
+func (q *Queue) ExpectedWait(now time.Duration) time.Duration {
 	if q.waiting == 0 && len(q.running) < q.cfg.Slots {
 		return 0
 	}
@@ -155,7 +176,7 @@
 	for _, a := range q.backlog {
 		ahead += time.Duration(len(a.queue)) * a.averageHold
 	}
-	return ahead / time.Duration(max(q.cfg.Slots, 1))
+	return q.timeToEnd(now, ahead)
 }
 
 // Shed removes and returns the queued requests that are not expected to be granted before their deadline any more, for
@@ -184,9 +205,9 @@
 	if qr.Continues {
 		return false
 	}
-	expected := a.pace.wait(now, i)
+	expected := q.paceWait(now, a, i)
 	if i == 0 || i == len(a.queue)-1 {
-		expected = max(expected, q.estimate(*qr))
+		expected = max(expected, q.estimate(now, *qr))
 	}
 	return now+time.Duration(float64(expected)/shedMargin) > qr.Deadline
 }
--- a/decision/fairqueue/target_test.go
+++ b/decision/fairqueue/target_test.go
@@ -171,6 +171,58 @@
 }
 
 // BenchmarkOverload measures a scheduler with 300 backlogged accounts and 900 queued requests.
+// Guards against requests that wait for their whole patience at a server that answers nothing, and against refusals once it answers
+// again. Load: 300 requests a second for 12 slots of 20 ms; the server stops for a second.
+func TestLoadSchedulerRefusesAtAStalledServer(t *testing.T) {
+	const (
+		slots, hold, patience  = 12, 20 * ms, 750 * ms
+		stallsAt, answersAgain = 2 * time.Second, 3 * time.Second
+		// kept is the work of 0.1 s, which may wait for the server to answer again.
+		kept = int(slots * 100 * ms / hold)
+	)
+	q := newTargetQueue(slots, 256)
+	submitted, granted := map[RequestID]time.Duration{}, map[RequestID]time.Duration{}
+	var waits []time.Duration // of requests that waited in vain
+	refusedLater := 0
+	grant := func(now time.Duration, ids []RequestID) {
+		for _, id := range ids {
+			granted[id] = now
+		}
+	}
+	drop := func(now time.Duration, ids []RequestID) {
+		for _, id := range ids {
+			waits = append(waits, now-submitted[id])
+		}
+	}
+	for now := time.Duration(0); now < 5*time.Second; now += 10 * ms {
+		for id, at := range granted {
+			if now-at >= hold && (now < stallsAt || now >= answersAgain) {
+				delete(granted, id)
+				grant(now, q.ReleaseSlot(now, id))
+			}
+		}
+		drop(now, q.Expire(now))
+		drop(now, q.Shed(now))
+		for range 3 {
+			id := RequestID(len(submitted) + 1)
+			submitted[id] = now
+			switch q.Submit(now, Request{ID: id, Account: "a", HasConnection: true, Deadline: now + patience, Target: now + 800*ms}).Verdict {
+			case Granted:
+				granted[id] = now
+			case Refused:
+				if now < stallsAt || now >= answersAgain+200*ms {
+					refusedLater++
+				}
+			}
+		}
+	}
+	long := len(slices.DeleteFunc(slices.Clone(waits), func(w time.Duration) bool { return w <= patience/2 }))
+	t.Logf("%d requests waited in vain, %d of them for more than %s; %d refused while the server answers", len(waits), long, patience/2, refusedLater)
+	if long > kept || refusedLater > 0 {
+		t.Errorf("%d requests waited in vain for more than %s and %d were refused while the server answers, want at most %d and none", long, patience/2, refusedLater, kept)
+	}
+}
+
 func BenchmarkOverload(b *testing.B) {
 	const accounts, queued = 300, 900
 	q := newTargetQueue(8, 256)
--- a/proxy/gateway/admission.go
+++ b/proxy/gateway/admission.go
@@ -257,7 +257,7 @@
 func (q *admissionQueue) expectedWait() (wait time.Duration, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.ExpectedWait(), q.scheduledAt != 0
+	return q.queue.ExpectedWait(q.now()), q.scheduledAt != 0
 }
 
 // dropUnusedQueues removes the admission queues of servers that may get no new work.
--- a/proxy/gateway/schedulerstatus.go
+++ b/proxy/gateway/schedulerstatus.go
@@ -58,7 +58,7 @@
 	r.overloadBegan, r.overloadEnd = q.overload.Step(now)
 	r.waiting = q.queue.Waiting()
 	r.running, _ = q.queue.InUse()
-	r.expectedWait = q.queue.ExpectedWait()
+	r.expectedWait = q.queue.ExpectedWait(now)
 	r.refused, q.refused = q.refused, 0
 	return r, true
 }
