Play late answers of probes in the model of the authority

Change: a probe whose answer is lost may be answered later. Result: 3,000 plays of each property passed (go test ./decision/authority -rapid.checks=3000).

--- a/decision/authority/model_test.go
+++ b/decision/authority/model_test.go
@@ -108,6 +108,7 @@
 	to      authority.ServerID
 	sent    time.Duration
 	done    bool // executed, but the answer is not delivered yet
+	late    bool // a probe that was reported as failed
 	refused bool
 	state   authority.ServerState
 }
@@ -344,6 +345,9 @@
 	}
 	switch a := c.action.(type) {
 	case authority.Probe:
+		if failed && c.late {
+			return
+		}
 		if failed {
 			class := authority.FailureTimeout
 			if s := sim.server(c.to); !s.up && !s.hung {
@@ -351,9 +355,13 @@
 			}
 			sim.feed(inst, authority.ProbeFailure{Server: c.to, Seq: a.Seq, Sent: c.sent, Class: class, Fresh: a.Fresh})
 			sim.resolve(inst, inst.confirm.Failed(sim.now, c.to))
+			if c.done {
+				c.late = true
+				inst.calls = append(inst.calls, c)
+			}
 			return
 		}
-		r := authority.ProbeResult{Seq: a.Seq, Sent: c.sent, State: c.state}
+		r := authority.ProbeResult{Seq: a.Seq, Sent: c.sent, State: c.state, Late: c.late}
 		sim.feed(inst, r)
 		sim.resolve(inst, inst.confirm.Observe(sim.now, r))
 	case authority.Fence:
