Tell callers to return soon to a server that has stalled

Cause: since the expected wait grows while a server answers nothing, and a refusal's retry-after with it, although the server may answer again at any time. Change: the retry-after is computed without the stall. An average slot time of zero, as it can become with a clock that stands, is no divisor any more.

--- a/decision/fairqueue/target.go
+++ b/decision/fairqueue/target.go
@@ -71,7 +71,7 @@
 	for _, r := range q.running {
 		age += now - r.since
 	}
-	return max(1, float64(age)/float64(len(q.running))/(stallFactor*float64(q.averageHold)))
+	return max(1, float64(age)/float64(len(q.running))/float64(stallFactor*max(q.averageHold, time.Microsecond)))
 }
 
 // paceWait returns the wait behind the given number of queued requests of an account by its pace.
@@ -140,8 +140,10 @@
 	return qr
 }
 
-// refuse returns the refusal of a request that may wait for allowed and is expected to wait longer.
+// refuse returns the refusal of a request that may wait for allowed and is expected to wait longer. A stalled server may answer again
+// at any time, so that the stall doesn't count for the time of the retry.
 func (q *Queue) refuse(now, allowed, wait time.Duration) Decision {
+	wait = time.Duration(float64(wait) / q.slowdown(now))
 	if q.cfg.RetrySpread == 0 {
 		return Decision{Verdict: Refused, RetryAfter: max(wait, q.averageHold)}
 	}
--- a/decision/fairqueue/target_test.go
+++ b/decision/fairqueue/target_test.go
@@ -172,7 +172,7 @@
 
 // BenchmarkOverload measures a scheduler with 300 backlogged accounts and 900 queued requests.
 // Guards against requests that wait for their whole patience at a server that answers nothing, and against refusals once it answers
-// again. Load: 300 requests a second for 12 slots of 20 ms; the server stops for a second.
+// again or that tell to come back much later. Load: 300 requests a second for 12 slots of 20 ms; the server stops for a second.
 func TestLoadSchedulerRefusesAtAStalledServer(t *testing.T) {
 	const (
 		slots, hold, patience  = 12, 20 * ms, 750 * ms
@@ -183,7 +183,7 @@
 	q := newTargetQueue(slots, 256)
 	submitted, granted := map[RequestID]time.Duration{}, map[RequestID]time.Duration{}
 	var waits []time.Duration // of requests that waited in vain
-	refusedLater := 0
+	refusedLater, latestRetry := 0, time.Duration(0)
 	grant := func(now time.Duration, ids []RequestID) {
 		for _, id := range ids {
 			granted[id] = now
@@ -206,7 +206,9 @@
 		for range 3 {
 			id := RequestID(len(submitted) + 1)
 			submitted[id] = now
-			switch q.Submit(now, Request{ID: id, Account: "a", HasConnection: true, Deadline: now + patience, Target: now + 800*ms}).Verdict {
+			d := q.Submit(now, Request{ID: id, Account: "a", HasConnection: true, Deadline: now + patience, Target: now + 800*ms})
+			latestRetry = max(latestRetry, d.RetryAfter)
+			switch d.Verdict {
 			case Granted:
 				granted[id] = now
 			case Refused:
@@ -218,6 +220,9 @@
 	}
 	long := len(slices.DeleteFunc(slices.Clone(waits), func(w time.Duration) bool { return w <= patience/2 }))
 	t.Logf("%d requests waited in vain, %d of them for more than %s; %d refused while the server answers", len(waits), long, patience/2, refusedLater)
+	if most := 300 * hold / slots; latestRetry > most { // the time for all that arrive while the server stops
+		t.Errorf("told to come back after %s, want at most %s", latestRetry, most)
+	}
 	if long > kept || refusedLater > 0 {
 		t.Errorf("%d requests waited in vain for more than %s and %d were refused while the server answers, want at most %d and none", long, patience/2, refusedLater, kept)
 	}
--- a/proxy/group/calls.go
+++ b/proxy/group/calls.go
@@ -39,6 +39,8 @@
 // errWrongServer reports that another server answers at a server's configured address.
 var errWrongServer = errors.New("a server with another name answers at this address; correct the server's address in the manifest")
 
+// probe sends a probe and reports its answer, or its failure after ProbeTimeout. Over a new connection the answer is also reported
+// if it comes later.
 func (g *Group) probe(a authority.Probe) {
 	adapter, limit := g.adapters[a.Server].Persistent, g.cfg.ProbeTimeout
 	if a.Fresh {
--- a/proxy/group/config.go
+++ b/proxy/group/config.go
@@ -17,8 +17,8 @@
 	// DefaultProbeTimeout bounds one probe. It is well above the round trip between regions
 	// (40 ms) plus a new connection (30 ms), and short enough for three probes to fail within a second.
 	DefaultProbeTimeout = 300 * time.Millisecond
-	// lateAnswerLimit is how long a probe over a new connection, which has failed by then, waits for its answer. A server that
-	// answers it is slow or was paused, which is no reason to end its work elsewhere.
+	// lateAnswerLimit bounds the wait for the answer to a probe over a new connection, which has failed by then. A server that
+	// answers late is slow or was paused, which is no reason to replace it.
 	lateAnswerLimit = authority.DefaultSuspectAfter
 	// DefaultOrderTimeout bounds one fence or promotion.
 	DefaultOrderTimeout = 500 * time.Millisecond
