Send no write to a scheduler that can't answer in the time left

Cause: a write that a scheduler could not place is offered again until its time is over. The last tries had some milliseconds left, so that the refusal came too late and the outcome counted as unknown although nothing had run. Change: a write is offered again only while 150 ms are left, the allowance for the way to a lender and back.

--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -46,6 +46,7 @@
 	database   catalog.Database
 	ctx        context.Context // ends at the statement's deadline
 	number     int
+	tried      bool // a try has ended
 	excluded   []string
 	leaderOnly bool // only the leader may run it
 	floor      position.Position
@@ -94,12 +95,23 @@
 }
 
 // nextTry counts a try and reports whether tries and time are left. Refusals by servers that don't lead don't
-// count: they cost no execution and only show that a failover is in progress.
+// count: they cost no execution and only show that a failover is in progress. A write is known not to have run after each try that
+// it may follow, and is not sent again when the answer could come too late.
 func (t *tryState) nextTry() bool {
-	t.number++
+	again := t.tried
+	t.number, t.tried = t.number+1, true
+	if again && t.decision.Writes && t.timeLeft() < lenderRoundTripAllowance {
+		return false
+	}
 	return t.number <= maxTries && t.ctx.Err() == nil
 }
 
+// timeLeft returns the time until the statement's deadline.
+func (t *tryState) timeLeft() time.Duration {
+	deadline, _ := t.ctx.Deadline()
+	return time.Until(deadline)
+}
+
 // waitForServer chooses a server. While none is suitable, it waits up to the statement's deadline.
 func (sess *session) waitForServer(t *tryState) (discovery.Server, *outcome.Error) {
 	if t.number > 1 {
@@ -225,8 +237,7 @@
 // workItem returns the work for this try. A read leaves time to try another server. It may queue for long at the
 // leader, which no other server can replace, but only briefly at a replica.
 func (t *tryState) workItem(values map[string]string) *workItem {
-	deadline, _ := t.ctx.Deadline()
-	left := max(time.Until(deadline), time.Millisecond)
+	left := max(t.timeLeft(), time.Millisecond)
 	w := &workItem{
 		values: values, after: t.floor, stmt: t.stmt, preparedStmt: t.decision.Prepared,
 		timeLeft: left, maxQueueWait: left * leaderQueuePercent / 100, serverTimeout: left,
