Count failures of a server at the same time once, and try it again after 0.4 s

Cause: each statement that failed at a server doubled the pause in which the instance skips it, so that a few that failed together made it 2 s. Change: failures within the pause don't count; it grows to 0.4 s at most, 2 s before. Test: TestFailuresAtTheSameTimeCountOnce; on the former code the server is still skipped 0.4 s after it has come back.

--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -14,9 +14,9 @@
 	// shows a promotion or a restart. A promotion takes some hundred milliseconds to become visible.
 	denialPeriod = 150 * time.Millisecond
 	// initialBackoff is how long a server is skipped after a failed connection. It doubles with each further
-	// failure up to maxBackoff.
+	// failure after that time, up to maxBackoff.
 	initialBackoff = 100 * time.Millisecond
-	maxBackoff     = 2 * time.Second
+	maxBackoff     = 400 * time.Millisecond
 	// missingGracePeriod is how long a server whose entry is missing is kept, so that a leader stays in use: entries
 	// that expired during a store outage reappear within about two seconds of its end, and a hand-over takes up to
 	// two more seconds.
@@ -237,7 +237,7 @@
 // MarkUnreachable records a failed connection to a server.
 func (g *Group) MarkUnreachable(now time.Duration, id string) {
 	s := g.servers[id]
-	if s == nil {
+	if s == nil || now < s.backoffUntil { // several statements found out the same
 		return
 	}
 	s.failures++
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -128,6 +128,22 @@
 	}
 }
 
+// Guards against a server that is skipped for seconds after a short interruption, because several statements failed at the same
+// time. Load: 8 statements at a server that is down for 0.8 s.
+func TestFailuresAtTheSameTimeCountOnce(t *testing.T) {
+	g := newTestGroup()
+	for now := time.Duration(0); now < 800*ms; now += 10 * ms {
+		if id, _ := g.Leader(now, nil); id == "p" {
+			for range 8 {
+				g.MarkUnreachable(now, "p")
+			}
+		}
+	}
+	if id, _ := g.Leader(1200*ms, nil); id != "p" {
+		t.Errorf("leader is %q 0.4 s after p has come back", id)
+	}
+}
+
 // Guards against reads that ask replicas whether they lead while the queue of the known leader is full.
 func TestLeaderIsKnownWhileExcluded(t *testing.T) {
 	g := newTestGroup()
