Compute the slowdown of a stalled server once for each decision

Cause: each estimate of a wait walked the running statements to get the slowdown, in Shed once for each queued request, and a refusal divided by it what had just been multiplied. Change: Submit, Shed and ExpectedWait take the slowdown once; the estimates are without it, and the retry-after uses them as they are. Behaviour is the same but for rounding.

--- a/decision/fairqueue/queue.go
+++ b/decision/fairqueue/queue.go
@@ -136,8 +136,9 @@
 		q.grant(now, a, qr)
 		return Decision{Verdict: Granted}
 	}
-	wait := q.expectedWait(now, a, &qr)
-	if !r.Continues && (len(a.queue) >= q.cfg.QueuePerAccount || now+wait > r.Deadline) {
+	slowdown := q.slowdown(now)
+	wait := q.expectedWait(now, slowdown, a, &qr)
+	if !r.Continues && (len(a.queue) >= q.cfg.QueuePerAccount || now+stretch(wait, slowdown) > r.Deadline) {
 		return q.refuse(now, r.Deadline-now, wait)
 	}
 	a.finishTag = qr.startTag + qr.cost
@@ -350,17 +351,12 @@
 
 // estimate returns the expected waiting time of qr: the slot time of the requests ahead of it plus that of one
 // running statement, divided by the number of slots.
-func (q *Queue) estimate(now time.Duration, qr queuedRequest) time.Duration {
+func (q *Queue) estimate(qr queuedRequest) time.Duration {
 	var ahead time.Duration
 	for _, a := range q.backlog {
 		ahead += time.Duration(a.ahead(qr.startTag)) * a.averageHold
 	}
-	return q.timeToEnd(now, ahead+q.averageHold)
-}
-
-// timeToEnd returns the time in which the server ends work that takes the given slot time.
-func (q *Queue) timeToEnd(now, work time.Duration) time.Duration {
-	return time.Duration(float64(work) / float64(max(q.cfg.Slots, 1)) * q.slowdown(now))
+	return (ahead + q.averageHold) / time.Duration(max(q.cfg.Slots, 1))
 }
 
 // ahead returns the number of the account's queued requests whose start tag is below the given one.
--- a/decision/fairqueue/target.go
+++ b/decision/fairqueue/target.go
@@ -22,10 +22,11 @@
 	shedMargin = 1.2
 )
 
-// expectedWait returns the expected waiting time of qr and records whether it is too long for the target.
-func (q *Queue) expectedWait(now time.Duration, a *account, qr *queuedRequest) time.Duration {
+// expectedWait returns the expected waiting time of qr, without the slowdown, and records whether with it the wait is too long for
+// the target.
+func (q *Queue) expectedWait(now time.Duration, slowdown float64, a *account, qr *queuedRequest) time.Duration {
 	if qr.Target == 0 {
-		return q.estimate(now, *qr)
+		return q.estimate(*qr)
 	}
 	if qr.Continues {
 		return q.waitAt(now, a, qr, 0)
@@ -34,7 +35,7 @@
 	early := len(a.queue) - late
 	wait := q.waitAt(now, a, qr, early+min(late, early/(lateTurn-1)))
 	slack := qr.Target - a.averageHold - now
-	qr.late = float64(wait) > waitMargin*float64(slack)
+	qr.late = float64(wait)*slowdown > waitMargin*float64(slack)
 	if !qr.late {
 		return wait
 	}
@@ -57,7 +58,8 @@
 			ahead += time.Duration(other.ahead(start)) * other.averageHold
 		}
 	}
-	return max(q.timeToEnd(now, ahead+q.averageHold), q.paceWait(now, a, position))
+	wait := (ahead + q.averageHold) / time.Duration(max(q.cfg.Slots, 1))
+	return max(wait, a.pace.wait(now, position))
 }
 
 // slowdown returns the factor by which the running statements show that the server has become slower than the averages of ended
@@ -74,9 +76,9 @@
 	return max(1, float64(age)/float64(len(q.running))/float64(stallFactor*max(q.averageHold, time.Microsecond)))
 }
 
-// paceWait returns the wait behind the given number of queued requests of an account by its pace.
-func (q *Queue) paceWait(now time.Duration, a *account, ahead int) time.Duration {
-	return time.Duration(float64(a.pace.wait(now, ahead)) * q.slowdown(now))
+// stretch returns an expected wait with the slowdown.
+func stretch(wait time.Duration, slowdown float64) time.Duration {
+	return time.Duration(float64(wait) * slowdown)
 }
 
 // queuedLate returns the number of queued requests that were not expected to meet their target.
@@ -140,10 +142,9 @@
 	return qr
 }
 
-// refuse returns the refusal of a request that may wait for allowed and is expected to wait longer. A stalled server may answer again
-// at any time, so that the stall doesn't count for the time of the retry.
+// refuse returns the refusal of a request that may wait for allowed and is expected to wait longer. wait is without the slowdown: a
+// stalled server may answer again at any time, so that the stall doesn't count for the time of the retry.
 func (q *Queue) refuse(now, allowed, wait time.Duration) Decision {
-	wait = time.Duration(float64(wait) / q.slowdown(now))
 	if q.cfg.RetrySpread == 0 {
 		return Decision{Verdict: Refused, RetryAfter: max(wait, q.averageHold)}
 	}
@@ -178,17 +179,18 @@
 	for _, a := range q.backlog {
 		ahead += time.Duration(len(a.queue)) * a.averageHold
 	}
-	return q.timeToEnd(now, ahead)
+	return stretch(ahead/time.Duration(max(q.cfg.Slots, 1)), q.slowdown(now))
 }
 
 // Shed removes and returns the queued requests that are not expected to be granted before their deadline any more, for
 // example because the server has become slower. The order of the grants stays as it is.
 func (q *Queue) Shed(now time.Duration) []RequestID {
 	var shed []RequestID
+	slowdown := q.slowdown(now)
 	for _, name := range q.backloggedNames() {
 		a := q.backlog[name]
 		for i := len(a.queue) - 1; i >= 0; i-- {
-			if !q.willExpire(now, a, i) {
+			if !q.willExpire(now, slowdown, a, i) {
 				continue
 			}
 			shed = append(shed, a.queue[i].ID)
@@ -202,16 +204,16 @@
 // willExpire reports whether the queued request at index i of an account is not expected to be granted in time. The
 // estimate over all accounts is costly and made for the first and the last request only, which have the least time left
 // and the longest wait.
-func (q *Queue) willExpire(now time.Duration, a *account, i int) bool {
+func (q *Queue) willExpire(now time.Duration, slowdown float64, a *account, i int) bool {
 	qr := &a.queue[i]
 	if qr.Continues {
 		return false
 	}
-	expected := q.paceWait(now, a, i)
+	expected := a.pace.wait(now, i)
 	if i == 0 || i == len(a.queue)-1 {
-		expected = max(expected, q.estimate(now, *qr))
+		expected = max(expected, q.estimate(*qr))
 	}
-	return now+time.Duration(float64(expected)/shedMargin) > qr.Deadline
+	return now+stretch(expected, slowdown/shedMargin) > qr.Deadline
 }
 
 // drop removes the request at index i, which is not granted.
