Tell with the choice of a replica whether another one would do

Cause: each bounded read chose its replica twice, the second time without the first one, only to learn whether there is another. That took the lock again and copied the excluded servers. Change: Group.Replica counts the suitable servers while it looks for the best and tells whether it is alone. Behaviour is the same; the tests' calls take one more value, their assertions are unchanged.

--- a/decision/placement/evacuation_test.go
+++ b/decision/placement/evacuation_test.go
@@ -47,7 +47,7 @@
 				g.Register(now, entries())
 			}
 			leader, _ := g.Leader(now, nil)
-			replica, _ := g.Replica(now, position.Position{}, nil)
+			replica, _, _ := g.Replica(now, position.Position{}, nil)
 			for _, chosen := range []string{leader, replica} {
 				if s, _ := g.Server(chosen); evacuated[s.FailureDomain] {
 					t.Fatalf("leader %s, replica %s: %+v is evacuated", leader, replica, s)
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -367,23 +367,26 @@
 	return a.ID < b.ID
 }
 
-// Replica returns the server that is expected to answer a read with the given floor first.
-func (g *Group) Replica(now time.Duration, floor position.Position, exclude []string) (id string, ok bool) {
+// Replica returns the server that is expected to answer a read with the given floor first. alone reports that no other server is
+// expected to answer it.
+func (g *Group) Replica(now time.Duration, floor position.Position, exclude []string) (id string, alone, ok bool) {
 	var best *server
 	var bestCost time.Duration
+	suitable := 0
 	for _, s := range g.servers {
 		if s.Evacuated || s.Leaving || s.missingSince != 0 || s.backoffUntil > now || slices.Contains(exclude, s.ID) || s.isBehind(now, floor) {
 			continue
 		}
+		suitable++
 		cost := s.cost(now, g.local)
 		if best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
 			best, bestCost = s, cost
 		}
 	}
 	if best == nil {
-		return "", false
+		return "", false, false
 	}
-	return best.ID, true
+	return best.ID, suitable == 1, true
 }
 
 // isBehind reports whether a replica recently lacked a position and is not known to have reached the floor since.
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -79,10 +79,10 @@
 // Guards against reads sent to another region although a replica in the local one can answer them.
 func TestReadsPreferNearReplica(t *testing.T) {
 	g := newTestGroup()
-	if id, ok := g.Replica(0, pos(1, 1), nil); !ok || id != "r1" {
+	if id, _, ok := g.Replica(0, pos(1, 1), nil); !ok || id != "r1" {
 		t.Errorf("read goes to %q", id)
 	}
-	if id, _ := g.Replica(0, pos(1, 1), []string{"r1"}); id != "p" && id != "r2" {
+	if id, _, _ := g.Replica(0, pos(1, 1), []string{"r1"}); id != "p" && id != "r2" {
 		t.Errorf("read goes to %q after r1 was excluded", id)
 	}
 }
@@ -93,7 +93,7 @@
 	for range 12 {
 		g.RecordSent("r1")
 	}
-	if id, _ := g.Replica(0, pos(1, 1), nil); id == "r1" {
+	if id, _, _ := g.Replica(0, pos(1, 1), nil); id == "r1" {
 		t.Error("read goes to a replica with a long queue")
 	}
 }
@@ -107,7 +107,7 @@
 	var servedAt time.Duration
 	for now := 50 * ms; now < caughtUpAt+time.Second && servedAt == 0; now += 50 * ms {
 		floor := pos(1, uint64(now/ms))
-		switch id, _ := g.Replica(now, floor, nil); {
+		switch id, _, _ := g.Replica(now, floor, nil); {
 		case id != "r1":
 		case now >= caughtUpAt:
 			servedAt = now
@@ -123,7 +123,7 @@
 	}
 	g.MarkLagging(6*time.Second, "r1", pos(1, 7000))
 	g.MarkAlive(6050*ms, "r1", pos(1, 7000))
-	if id, _ := g.Replica(6060*ms, pos(1, 7000), nil); id != "r1" {
+	if id, _, _ := g.Replica(6060*ms, pos(1, 7000), nil); id != "r1" {
 		t.Errorf("read goes to %q although r1 has caught up", id)
 	}
 }
@@ -182,13 +182,13 @@
 func TestUnusableServersGetNoReads(t *testing.T) {
 	g := newTestGroup()
 	g.MarkUnreachable(0, "r1")
-	if id, _ := g.Replica(50*ms, pos(1, 1), nil); id == "r1" {
+	if id, _, _ := g.Replica(50*ms, pos(1, 1), nil); id == "r1" {
 		t.Error("read goes to a server that does not answer")
 	}
 	g.MarkAlive(60*ms, "r1", position.Position{})
 	g.Register(100*ms, []discovery.Server{{ID: "r1", Region: "here", Leaving: true, Revision: 9}, {ID: "r2", Region: "far", Revision: 3}})
 	for range 3 {
-		if id, _ := g.Replica(110*ms, pos(1, 1), nil); id != "r2" {
+		if id, _, _ := g.Replica(110*ms, pos(1, 1), nil); id != "r2" {
 			t.Errorf("read goes to %q", id)
 		}
 	}
@@ -246,7 +246,7 @@
 func TestLoadSchedulerBacklogAddsToTheCost(t *testing.T) {
 	g := newTestGroup()
 	replica := func(now time.Duration) string {
-		id, _ := g.Replica(now, position.Position{}, []string{"p"})
+		id, _, _ := g.Replica(now, position.Position{}, []string{"p"})
 		return id
 	}
 	if got := replica(time.Second); got != "r1" {
--- a/proxy/gateway/coldstart.go
+++ b/proxy/gateway/coldstart.go
@@ -364,7 +364,7 @@
 	if !known {
 		return nil
 	}
-	s, ok := t.replica(floor, t.excluded)
+	s, _, ok := t.replica(floor, t.excluded)
 	var held *notSentError
 	if !ok || !errors.As(sess.gw.checkColdHold(destination{server: s}), &held) {
 		return nil
--- a/proxy/gateway/home.go
+++ b/proxy/gateway/home.go
@@ -68,13 +68,15 @@
 }
 
 // replica returns the server for a read with the given floor, in the request's regions. excluded names the servers that may not
-// get it.
-func (t *tryState) replica(floor position.Position, excluded []string) (discovery.Server, bool) {
+// get it; alone reports that no other one may.
+func (t *tryState) replica(floor position.Position, excluded []string) (s discovery.Server, alone, ok bool) {
 	homes := t.grant.Homes
 	if !homes.Bound() {
 		return t.view.replica(floor, excluded)
 	}
-	return atHome(homes)(t.view.replica(floor, append(slices.Clone(excluded), t.view.outside(homes)...)))
+	s, alone, ok = t.view.replica(floor, append(slices.Clone(excluded), t.view.outside(homes)...))
+	s, ok = atHome(homes)(s, ok)
+	return s, alone, ok
 }
 
 // atHome rejects a server outside the regions: the servers of the database may have changed after the others were
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -155,12 +154,8 @@
 	if !t.leaderOnly {
 		floor, known := t.view.floor(t.grant.Route.MaxStaleness, sess.floor)
 		if known {
-			excluded := sess.gw.withHeldServers(t.view.name, t.excluded)
-			if s, ok := t.replica(floor, excluded); ok {
-				t.floor = floor
-				if _, other := t.replica(floor, append(slices.Clone(excluded), s.ID)); !other {
-					t.noOtherServer = true
-				}
+			if s, alone, ok := t.replica(floor, sess.gw.withHeldServers(t.view.name, t.excluded)); ok {
+				t.floor, t.noOtherServer = floor, t.noOtherServer || alone
 				return s, true
 			}
 		}
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -69,14 +69,14 @@
 	return s, ok
 }
 
-func (v *view) replica(floor position.Position, exclude []string) (s discovery.Server, ok bool) {
+func (v *view) replica(floor position.Position, exclude []string) (s discovery.Server, alone, ok bool) {
 	v.withLock(func(now time.Duration, g *placement.Group) {
-		id, found := g.Replica(now, floor, exclude)
-		if found {
+		var id string
+		if id, alone, ok = g.Replica(now, floor, exclude); ok {
 			s, ok = g.Server(id)
 		}
 	})
-	return s, ok
+	return s, alone, ok
 }
 
 // floor returns the lowest position that satisfies a staleness bound and is not below own.
