--- a/cmd/internal/freeport/freeport.go
+++ b/cmd/internal/freeport/freeport.go
@@ -43,24 +43,30 @@
 func (a *allocator) address() (string, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for tried := 0; tried <= len(a.ports); tried++ {
-		if a.next == len(a.ports) {
-			if a.claimBlock() {
-				tried = 0
-			} else {
-				a.next = 0
-			}
-		}
-		if len(a.ports) == 0 {
-			break
-		}
+	l := a.nextFree()
+	for l == nil && a.claimBlock() {
+		l = a.nextFree()
+	}
+	if l == nil { // all blocks are claimed
+		a.next = 0
+		l = a.nextFree()
+	}
+	if l == nil {
+		return "", errors.Newf("no port from %d to %d is free; end other programs that listen there", firstPort, LastPort-1)
+	}
+	return l.Addr().String(), errors.Wrap(l.Close(), "close a probe listener")
+}
+
+// nextFree returns a listener on the first free port of those not handed out yet, or nil if there is none.
+func (a *allocator) nextFree() net.Listener {
+	for a.next < len(a.ports) {
 		port := a.ports[a.next]
 		a.next++
 		if l, err := listen(port); err == nil {
-			return l.Addr().String(), errors.Wrap(l.Close(), "close a probe listener")
+			return l
 		}
 	}
-	return "", errors.Newf("no port from %d to %d is free; end other programs that listen there", firstPort, LastPort-1)
+	return nil
 }
 
 // claimBlock claims a block that no process has claimed, and reports whether there is one.
--- a/cmd/internal/processtest/process_test.go
+++ b/cmd/internal/processtest/process_test.go
@@ -76,7 +76,7 @@
 	promotions := slices.DeleteFunc(all[:len(all)-len(last)], func(line string) bool {
 		return !strings.Contains(line, group.EventFenceOrdered) && !strings.Contains(line, group.EventPromoteOrdered)
 	})
-	t.Logf("%s:\n%s", name, strings.Join(append(slices.Clone(promotions), last...), "\n"))
+	t.Logf("%s:\n%s", name, strings.Join(slices.Concat(promotions, last), "\n"))
 }
 
 // firstLine returns the address that a process prints once it listens.
--- a/decision/suspicion/silence.go
+++ b/decision/suspicion/silence.go
@@ -27,7 +27,7 @@
 // Heard records an answer of a peer.
 func (s *Silence[K]) Heard(now time.Duration, peer K) {
 	if s.heard == nil {
-		s.heard, s.asking = map[K]time.Duration{}, map[K]bool{}
+		s.heard = map[K]time.Duration{}
 	}
 	s.heard[peer] = now
 }
@@ -41,7 +41,7 @@
 		return false
 	}
 	if s.asking == nil {
-		s.heard, s.asking = map[K]time.Duration{}, map[K]bool{}
+		s.asking = map[K]bool{}
 	}
 	s.asking[peer] = true
 	return true
--- a/proxy/gateway/scheduler_test.go
+++ b/proxy/gateway/scheduler_test.go
@@ -81,6 +81,15 @@
 	return ""
 }
 
+// takeOnlyConnection makes each server accept one connection and takes that of the primary with a transaction of another instance.
+func (d *scheduledDeployment) takeOnlyConnection(t *testing.T) {
+	t.Helper()
+	d.group.SetMaxConnections(1)
+	holder := newFixtureWithGroup(t, d.group).open("strict")
+	holder.want("b", "BEGIN", "done|READY T -")
+	holder.want("w", "WRITE x v", "receipt|READY T -")
+}
+
 // serveLender serves a gateway's lender service over drpc.
 func serveLender(t testing.TB, g *Gateway) (address string, stop func()) {
 	t.Helper()
@@ -251,10 +260,7 @@
 			return dial(ctx, network, address)
 		}
 	})
-	d.group.SetMaxConnections(1)
-	holder := newFixtureWithGroup(t, d.group).open("strict")
-	holder.want("b", "BEGIN", "done|READY T -")
-	holder.want("w", "WRITE x v", "receipt|READY T -")
+	d.takeOnlyConnection(t)
 	var whileFull atomic.Int64
 	time.AfterFunc(600*time.Millisecond, func() {
 		whileFull.Store(dials.Load())
@@ -279,10 +285,7 @@
 	}})
 	t.Cleanup(func() { _ = slow.Close() })
 	d.entries[0].gateway.borrower.conns = slow
-	d.group.SetMaxConnections(1)
-	holder := newFixtureWithGroup(t, d.group).open("strict")
-	holder.want("b", "BEGIN", "done|READY T -")
-	holder.want("w", "WRITE x v", "receipt|READY T -")
+	d.takeOnlyConnection(t)
 	got := d.load("long", 12, "WRITE x v", 0)
 	if len(got.refused) != 12 {
 		t.Errorf("%d of 12 statements refused, %d served, other answers %q", len(got.refused), len(got.served), got.other)
--- a/proxy/peer/heartbeat.go
+++ b/proxy/peer/heartbeat.go
@@ -14,12 +14,6 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
-func (s *Set) jittered(period time.Duration) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return period + time.Duration(jitterFraction*(s.random.Float64()-0.5)*float64(period))
-}
-
 // introduce contacts the first peers.
 func (s *Set) introduce(ctx context.Context) {
 	var calls sync.WaitGroup
--- a/proxy/peer/set.go
+++ b/proxy/peer/set.go
@@ -158,6 +158,12 @@
 	}
 }
 
+func (s *Set) jittered(period time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return period + time.Duration(jitterFraction*(s.random.Float64()-0.5)*float64(period))
+}
+
 func (s *Set) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Refresh)
 	defer cancel()
--- a/proxy/quota/driver.go
+++ b/proxy/quota/driver.go
@@ -280,9 +280,7 @@
 // setUsable passes the usable fractions to all shards.
 func (d *Driver) setUsable(usable quota.Mask, until time.Duration) {
 	for _, s := range d.shards {
-		s.mu.Lock()
-		s.machine.SetUsable(d.cfg.Clock(), usable, until)
-		s.mu.Unlock()
+		s.with(func(m *quota.Shard) { m.SetUsable(d.cfg.Clock(), usable, until) })
 	}
 }
 
@@ -290,9 +288,7 @@
 func (d *Driver) lent() quota.Mask {
 	var lent quota.Mask
 	for _, s := range d.shards {
-		s.mu.Lock()
-		lent |= s.machine.Lent(d.cfg.Clock())
-		s.mu.Unlock()
+		s.with(func(m *quota.Shard) { lent |= m.Lent(d.cfg.Clock()) })
 	}
 	return lent
 }
--- a/proxy/quota/sender.go
+++ b/proxy/quota/sender.go
@@ -251,12 +251,11 @@
 		s.mu.Lock()
 		s.owners[i] = owner
 		s.mu.Unlock()
-		sh.mu.Lock()
-		sh.machine.SetOwner(d.cfg.Clock(), owner, holders)
-		sh.machine.SetTolerance(quota.OwnerTolerance{
-			Tolerance: d.cfg.Tolerance, Rank: rankOf(d.cfg.Self, i, rankedOwners),
+		tolerance := quota.OwnerTolerance{Tolerance: d.cfg.Tolerance, Rank: rankOf(d.cfg.Self, i, rankedOwners)}
+		sh.with(func(m *quota.Shard) {
+			m.SetOwner(d.cfg.Clock(), owner, holders)
+			m.SetTolerance(tolerance)
 		})
-		sh.mu.Unlock()
 	}
 }
 
