Log whom a replacement was told, and answers of replaced primaries

Cause: the record of the incident does not tell whom the ordering instance told, what they answered, which server each instance took for the primary, and who acknowledged the COMMIT, so that the three hypotheses can't be told apart. No decision changes. Result: go test ./proxy/peer ./proxy/gateway ./proxy/node ./decision/placement and the catalogue pass.

--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -275,6 +275,30 @@
 	return s.retiredAt != 0 && now-s.retiredAt < retirementPeriod
 }
 
+// Objection is a reason why a server must not be used as the leader; empty for none.
+type Objection string
+
+const (
+	// Retired: the replacement of the server is ordered.
+	Retired Objection = "replacement_ordered"
+	// Superseded: the entry of another server has shown its promotion since.
+	Superseded Objection = "another_promoted"
+)
+
+// Objection returns why a server that acts as the leader must not be used as one.
+func (g *Group) Objection(now time.Duration, id string) Objection {
+	s := g.servers[id]
+	switch {
+	case s == nil:
+		return ""
+	case s.isRetired(now):
+		return Retired
+	case s.Primary && s.promotedIn < g.lastPromotion():
+		return Superseded
+	}
+	return ""
+}
+
 // MarkLagging records that a replica lacked a requested position. Load: a replica that is cut off from its primary, with reads of
 // 60 instances that need a position of the last second.
 func (g *Group) MarkLagging(now time.Duration, id string, lacked position.Position) {
--- a/proxy/gateway/eventlog.go
+++ b/proxy/gateway/eventlog.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/home"
 	"github.com/cyclamenstile/cyclamenstile/decision/logbudget"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
 	"github.com/cyclamenstile/cyclamenstile/proxy/telemetry"
@@ -44,7 +45,7 @@
 type metrics struct {
 	scope                                                                       tally.Scope
 	served, refused, refusedForHome, unanswered, connects, linesDropped, panics tally.Counter
-	evacuationRefused, evacuationRolledBack                                     tally.Counter
+	evacuationRefused, evacuationRolledBack, formerPrimaryAnswers               tally.Counter
 	servedDuration, connectDuration                                             tally.Histogram
 }
 
@@ -62,6 +63,7 @@
 		linesDropped:         scope.Counter("log_lines_left_out_total"),
 		evacuationRefused:    scope.Counter("evacuation_refused_total"),
 		evacuationRolledBack: scope.Counter("evacuation_rolled_back_total"),
+		formerPrimaryAnswers: scope.Counter("former_primary_answers_total"),
 		servedDuration:       scope.Histogram("served_seconds", telemetry.DurationBuckets()),
 		connectDuration:      scope.Histogram("connect_seconds", telemetry.DurationBuckets()),
 	}}
@@ -126,6 +128,16 @@
 	})
 }
 
+// formerPrimaryAnswered logs and counts an answer of a leader that was replaced as far as this instance knows.
+func (l *EventLog) formerPrimaryAnswered(sess *session, stmt sessionstate.Statement, s discovery.Server, why placement.Objection, took time.Duration) {
+	l.metrics.formerPrimaryAnswers.Inc(1)
+	l.writeStatementLine(EventFormerPrimaryAnswered, sess, stmt, func(e *logrus.Entry) {
+		e.WithFields(logrus.Fields{
+			"server": s.ID, "database": s.Database, "reason": string(why), "took_ms": took.Milliseconds(),
+		}).Warn("a server that was replaced answered as the leader")
+	})
+}
+
 // refusedForHome logs and counts that no server in a statement's regions can run it.
 func (l *EventLog) refusedForHome(sess *session, t *tryState, verdict home.Verdict) {
 	l.metrics.refusedForHome.Inc(1)
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -215,6 +215,7 @@
 		return sess.handleRefusal(t, s, r)
 	}
 	if t.requiresLeader() {
+		sess.checkLeader(t.view, t.stmt, s, t.began)
 		t.view.markLeader(sent, s.ID, r.position)
 	}
 	if t.decision.Writes {
@@ -224,6 +225,13 @@
 	return true
 }
 
+// checkLeader logs an answer of a leader that was replaced as far as this instance knows.
+func (sess *session) checkLeader(v *view, stmt sessionstate.Statement, s discovery.Server, began time.Duration) {
+	if why := v.objection(s.ID); why != "" {
+		sess.gw.cfg.Log.formerPrimaryAnswered(sess, stmt, s, why, sess.gw.cfg.Now()-began)
+	}
+}
+
 // targetLeft returns the time until a request must have ended at a server to meet its route's target latency.
 func (sess *session) targetLeft(r request, s discovery.Server) time.Duration {
 	return sess.gw.targetLeft(s, r.grant.Route.TargetLatency, sess.gw.cfg.Now()-r.began)
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -98,6 +98,7 @@
 		return
 	}
 	if tx.acceptedByLeader {
+		sess.checkLeader(tx.view, r.stmt, tx.server, r.began)
 		// The server answers statements of such a transaction only while it leads.
 		tx.view.markLeader(sent, tx.server.ID, res.position)
 	}
@@ -273,6 +274,7 @@
 		return nil
 	}
 	if tx.acceptedByLeader && tx.hasWritten {
+		sess.checkLeader(tx.view, stmt, tx.server, began)
 		tx.view.markLeader(sent, tx.server.ID, res.position)
 		sess.floor = position.Max(sess.floor, res.position)
 	}
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -121,6 +121,12 @@
 	v.withLock(func(now time.Duration, g *placement.Group) { g.Retire(now, id) })
 }
 
+// objection returns why a server must not be used as the leader.
+func (v *view) objection(id string) (why placement.Objection) {
+	v.withLock(func(now time.Duration, g *placement.Group) { why = g.Objection(now, id) })
+	return why
+}
+
 func (v *view) markLagging(id string, lacked position.Position) {
 	v.withLock(func(now time.Duration, g *placement.Group) { g.MarkLagging(now, id, lacked) })
 }
--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -64,6 +64,12 @@
 	EventEntriesKept = "CYC-6030"
 	// EventPromotionWithheld: no promotion is claimed yet, since the store came back from a copy a moment ago.
 	EventPromotionWithheld = "CYC-6031"
+	// EventPrimaryChanged: this instance takes another server than before for the primary of a database.
+	EventPrimaryChanged = "CYC-6032"
+	// EventRetired: the other instances were told that a primary is replaced.
+	EventRetired = "CYC-6033"
+	// EventToldToRetire: another instance has told this one that it replaces a primary.
+	EventToldToRetire = "CYC-6034"
 	// EventEvacuation: the evacuation of a failure domain has begun or ended.
 	EventEvacuation = "CYC-6040"
 	// EventEvacuationUnknown: an evacuation names a failure domain that is not in the settings.
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -61,6 +61,7 @@
 	errLagsBehind         = errors.New("the chosen server lags too far behind the primary to take over, or is too busy to tell")
 	errMovedBack          = errors.New("the server at home did not receive all writes in time, so the former primary was promoted again")
 	errPrimarySilent      = errors.New("the evacuated primary does not answer; it is replaced like any lost one")
+	errUnknownServer      = errors.New("this instance knows no entry of the server")
 	errRestoredNow        = errors.New("the store may have lost a claim of another instance a moment ago; the promotion is claimed later")
 )
 
@@ -78,6 +79,8 @@
 	claims map[string]seenClaim
 	// withoutSuccessor holds the databases whose evacuated primary can't be replaced.
 	withoutSuccessor map[string]bool
+	// primaries holds the servers that were last taken for the primary, by database. Only run uses it.
+	primaries map[string]string
 }
 
 func newPromotionController(n *Node, promoter *platform.Promoter) *promotionController {
@@ -89,6 +92,7 @@
 		claims:   map[string]seenClaim{},
 
 		withoutSuccessor: map[string]bool{},
+		primaries:        map[string]string{},
 	}
 }
 
@@ -153,6 +157,7 @@
 		return
 	}
 	primary, missing, _ := p.node.gateway.Primary(database)
+	p.logPrimary(database, primary, missing)
 	away := p.isAwayFromHome(database, primary)
 	var action failover.Action
 	var reason failover.Reason
@@ -184,6 +189,19 @@
 	}
 }
 
+// logPrimary logs which server this instance takes for the primary, and why, when it is another one than before.
+func (p *promotionController) logPrimary(database string, primary discovery.Server, missing bool) {
+	former := p.primaries[database]
+	if primary.ID == former {
+		return
+	}
+	p.primaries[database] = primary.ID
+	event(p.log, EventPrimaryChanged).WithFields(logrus.Fields{
+		"database": database, "server": primary.ID, "former": former, "entry_primary": primary.Primary, "entry_revision": primary.Revision,
+		"entry_missing": missing, "servers_age_ms": p.node.serversKnown.age(boottime.Now()).Milliseconds(),
+	}).Info("this instance takes another server for the primary")
+}
+
 func (p *promotionController) probe(ctx context.Context, s discovery.Server) {
 	answered := p.isReachable(ctx, s)
 	p.withMachine(s.Database, func(m *failover.Machine) { m.RecordProbe(s.ID, answered) })
@@ -201,7 +219,11 @@
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	survey, _ := p.surveyor.Ask(ctx, s.Database, s.ID, 0)
-	p.withMachine(s.Database, func(m *failover.Machine) { m.RecordSurvey(s.ID, failover.Survey(survey)) })
+	p.withMachine(s.Database, func(m *failover.Machine) { m.RecordSurvey(s.ID, summaryOf(survey)) })
+}
+
+func summaryOf(s peer.Survey) failover.Survey {
+	return failover.Survey{Asked: s.Asked, Lost: s.Lost, Reaching: s.Reaching}
 }
 
 // Judge implements peer.JudgeHandler.
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
@@ -67,13 +68,20 @@
 	telling.Go(func() { told, _ = p.surveyor.Tell(callCtx, old.Database, old.ID, term) })
 	_, err := p.stepDownBelow(callCtx, old, term)
 	telling.Wait()
+	log := event(p.log, EventRetired).WithFields(logrus.Fields{
+		"database": old.Database, "server": old.ID, "asked": told.Asked, "told": told.Lost, "stepped_down_by": told.Reaching,
+		"silent": told.Silent, "step_down_error": errorText(err),
+	})
 	if err == nil || told.Reaching > 0 {
-		return nil // it has stepped down
+		log.WithField("wait_ms", 0).Info("the former primary has stepped down")
+		return nil
 	}
 	go p.followUpStepDown(old, term)
 	var lostSince time.Duration
 	p.withMachine(old.Database, func(m *failover.Machine) { lostSince = m.LostSince() })
-	wait.For(ctx, failover.ReplacementDelay(boottime.Now(), lostSince, p.node.noticePeriod(), failover.Survey(told)))
+	delay := failover.ReplacementDelay(boottime.Now(), lostSince, p.node.noticePeriod(), summaryOf(told))
+	log.WithField("wait_ms", delay.Milliseconds()).Info("the former primary has not stepped down; instances were told to stop using it")
+	wait.For(ctx, delay)
 	if now, _, ok := p.node.gateway.Primary(old.Database); ok && now.ID != old.ID {
 		return errClaimed
 	}
@@ -87,17 +95,29 @@
 	p.node.gateway.Retire(in.GetDatabase(), in.GetServer())
 	ctx, cancel := context.WithTimeout(ctx, peerStepDownTimeout)
 	defer cancel()
+	err := errUnknownServer
 	for _, s := range p.node.gateway.Servers(in.GetDatabase()) {
-		if s.ID != in.GetServer() {
-			continue
-		}
-		if _, err := p.stepDownBelow(ctx, s, in.GetTerm()); err == nil {
-			return &peerpb.JudgeReply{Judgement: peerpb.Judgement_REACHES}
+		if s.ID == in.GetServer() {
+			_, err = p.stepDownBelow(ctx, s, in.GetTerm())
 		}
 	}
+	event(p.log, EventToldToRetire).WithFields(logrus.Fields{
+		"database": in.GetDatabase(), "server": in.GetServer(), "term": in.GetTerm(), "step_down_error": errorText(err),
+	}).Info("another instance replaces the primary")
+	if err == nil {
+		return &peerpb.JudgeReply{Judgement: peerpb.Judgement_REACHES}
+	}
 	return &peerpb.JudgeReply{Judgement: peerpb.Judgement_LOST}
 }
 
+// errorText returns the text of an error for a log field, empty without an error.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // followUpStepDown makes a replaced primary step down as soon as it answers again.
 func (p *promotionController) followUpStepDown(old discovery.Server, term uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), stepDownFollowUp)
--- a/proxy/peer/survey.go
+++ b/proxy/peer/survey.go
@@ -15,6 +15,8 @@
 // Survey counts the judgements of other instances on a primary.
 type Survey struct {
 	Asked, Lost, Reaching int
+	// Silent holds the addresses of the instances without a judgement.
+	Silent []string
 }
 
 // Surveyor asks other instances about a primary.
@@ -53,7 +55,7 @@
 		})
 	}
 	calls.Wait()
-	return countReplies(replies), true
+	return countReplies(addresses, replies), true
 }
 
 func (s *Surveyor) addresses(database string, limit int) []string {
@@ -66,14 +68,16 @@
 	return RendezvousTop(database, addresses, limit)
 }
 
-func countReplies(replies []peerpb.Judgement) Survey {
+func countReplies(addresses []string, replies []peerpb.Judgement) Survey {
 	survey := Survey{Asked: len(replies)}
-	for _, r := range replies {
+	for i, r := range replies {
 		switch r {
 		case peerpb.Judgement_LOST:
 			survey.Lost++
 		case peerpb.Judgement_REACHES:
 			survey.Reaching++
+		default:
+			survey.Silent = append(survey.Silent, addresses[i])
 		}
 	}
 	return survey
