Let tests run instances as processes that are cut off from single servers

Cause: the stand-ins could cut a server off from all instances only, always told an era of the store, which keeps an instance from claiming a promotion in its first 2.5 s, and showed a former primary as a replica once its successor was promoted. Change: gates in front of the servers tell the instances' processes apart by their sockets and end the connections of those that are cut off. An entry can be removed and written again, and then shows the role that the server takes itself for. The store's era can be hidden, as on platforms whose store never comes back from a copy. All of this is off unless a test asks for it.

--- a/cmd/internal/platformlocal/environment.go
+++ b/cmd/internal/platformlocal/environment.go
@@ -50,7 +50,11 @@
 // Databases describes the databases of an environment.
 type Databases struct {
 	// Unfenced: a former primary goes on until it is told to step down.
-	Unfenced       bool
+	Unfenced bool
+	// WithoutEras: the store doesn't tell its era, as one that never comes back from a copy.
+	WithoutEras bool
+	// Gated: single instances can be cut off from servers.
+	Gated          bool
 	Count          int
 	Slots          int           // concurrent statements of a server
 	ServiceTime    time.Duration // of each read, write and commit
@@ -67,8 +71,11 @@
 	Zone  string
 	Relay *relay.Relay
 
-	crashed bool
-	leaving bool
+	gate     *gate // in front of Relay; nil: none
+	unlisted bool  // its entry is not written
+	returned bool  // its entry shows the role that it takes itself for
+	crashed  bool
+	leaving  bool
 
 	coldFrom, coldUntil time.Time
 	started             int64 // of the latest run
@@ -101,6 +108,9 @@
 		return nil, err
 	}
 	e.Platform = p
+	if d.WithoutEras {
+		p.HideEra()
+	}
 	for i := range d.Count {
 		if err := e.addDatabase(fmt.Sprintf("db%d", i)); err != nil {
 			e.Close()
@@ -136,6 +146,11 @@
 			return err
 		}
 		s := &Server{ID: id, Zone: Zones[i%len(Zones)], Relay: r}
+		if e.databases.Gated {
+			if s.gate, err = startGate(r.Address()); err != nil {
+				return err
+			}
+		}
 		if slices.Contains(e.databases.ColdServers, i) {
 			s.makeCold(e.databases.ColdTime)
 		}
@@ -149,25 +164,68 @@
 func (e *Environment) registerServers(database string) error {
 	primary := e.groups[database].Primary()
 	for _, s := range e.servers[database] {
-		if s.crashed {
+		if s.crashed || s.unlisted {
 			continue
 		}
-		e.sequence++
-		spec, err := platform.EncodeServer(discovery.Server{
-			Database: database, Address: s.Relay.Address(), FailureDomain: s.Zone, Slots: e.databases.Slots,
-			Primary: s.ID == primary, Leaving: s.leaving, Sequence: e.sequence,
-			Started: s.started, WarmupRemaining: max(time.Until(s.coldUntil), 0),
-		})
-		if err != nil {
-			return err
-		}
-		if err := e.Platform.Put(platform.ServersKind, s.ID, spec); err != nil {
+		if err := e.writeEntry(database, s, s.ID == primary || s.returned && e.groups[database].Leads(s.ID)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// writeEntry writes the platform entry of a server. The caller holds e.mu, or is still setting up the environment.
+func (e *Environment) writeEntry(database string, s *Server, primary bool) error {
+	e.sequence++
+	spec, err := platform.EncodeServer(discovery.Server{
+		Database: database, Address: s.address(), FailureDomain: s.Zone, Slots: e.databases.Slots,
+		Primary: primary, Leaving: s.leaving, Sequence: e.sequence,
+		Started: s.started, WarmupRemaining: max(time.Until(s.coldUntil), 0),
+	})
+	if err != nil {
+		return err
+	}
+	return e.Platform.Put(platform.ServersKind, s.ID, spec)
+}
+
+// address returns the address at which instances reach the server.
+func (s *Server) address() string {
+	if s.gate != nil {
+		return s.gate.address()
+	}
+	return s.Relay.Address()
+}
+
+// CutOff cuts instances off from the server, for good. They have to run as separate processes, and the servers to be gated.
+func (s *Server) CutOff(instances ...*Instance) {
+	for _, i := range instances {
+		s.gate.closeFor(i)
+	}
+}
+
+// RemoveEntry removes the entry of a server, as if the server were cut off from the store, until RegisterAgain.
+func (e *Environment) RemoveEntry(s *Server) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.unlisted = true
+	e.Platform.Delete(platform.ServersKind, s.ID)
+}
+
+// RegisterAgain writes the entry of a server after RemoveEntry. From now on the entry shows the role that the server takes
+// itself for.
+func (e *Environment) RegisterAgain(database string, s *Server) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.unlisted, s.returned = false, true
+	group := e.groups[database]
+	group.OnStepDown(s.ID, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = e.writeEntry(database, s, group.Leads(s.ID)) // it fails only if an entry can't be encoded
+	})
+	return e.writeEntry(database, s, group.Leads(s.ID))
+}
+
 // promote executes a promotion ordered by an instance and reports success. It fails if the server is not running.
 func (e *Environment) promote(database, id string) bool {
 	e.mu.Lock()
@@ -394,6 +452,9 @@
 	for _, servers := range e.servers {
 		for _, s := range servers {
 			s.Relay.Disable()
+			if s.gate != nil {
+				s.gate.close()
+			}
 		}
 	}
 	e.Platform.Close()
--- a/cmd/internal/platformlocal/instance.go
+++ b/cmd/internal/platformlocal/instance.go
@@ -58,6 +58,7 @@
 	settingsText func(firstStart bool) string
 	log          string // path
 	ready        string // address
+	peers        string // address
 
 	mu  sync.Mutex
 	run instanceRun // the latest
@@ -78,7 +79,7 @@
 		return nil, err
 	}
 	i := &Instance{
-		Name: name, binary: binary, CallerAddress: addresses[0], ready: addresses[1], StoreRelay: r,
+		Name: name, binary: binary, CallerAddress: addresses[0], ready: addresses[1], peers: addresses[2], StoreRelay: r,
 		settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"),
 	}
 	i.settingsText = func(firstStart bool) string {
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -77,6 +77,7 @@
 	stopped         bool
 	replacedIn      uint64        // term that began when it was replaced
 	replaced        bool          // it was the primary, and goes on as one although another server was promoted
+	onStepDown      func()        // nil: none
 	busyControls    int           // number of STATUS and STEPDOWN still to be answered with BUSY
 	serviceTime     time.Duration // of each read, write and commit
 	slots           chan struct{} // nil means no limit
@@ -172,6 +173,20 @@
 	g.unfenced = true
 }
 
+// Leads reports whether a server takes itself for the primary.
+func (g *Group) Leads(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.servers[id].leads()
+}
+
+// OnStepDown sets a function that is called after a server has stepped down.
+func (g *Group) OnStepDown(id string, f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].onStepDown = f
+}
+
 // SetBusyControls makes a server answer the next n control statements with BUSY.
 func (g *Group) SetBusyControls(id string, n int) {
 	g.mu.Lock()
@@ -471,6 +486,11 @@
 		s.replaced = false
 	case s.ID == g.primary && g.term < term:
 		g.primary = ""
+	default:
+		return
+	}
+	if s.onStepDown != nil {
+		go s.onStepDown()
 	}
 }
 
