Show that a busy former primary commits a borrowed transaction

Cause: as for the own connection of an instance; neither the borrower nor the lender, both told of the replacement, refuses the COMMIT. What callers see: a COMMIT is acknowledged and lost.

--- a/cmd/internal/platformlocal/formerprimary_test.go
+++ b/cmd/internal/platformlocal/formerprimary_test.go
@@ -209,3 +209,14 @@
 	commit()
 	r.check()
 }
+
+// Guards against the same COMMIT over a connection that another instance lends, which alone reaches the former primary.
+func TestBusyFormerPrimaryCommitsBorrowedTransaction(t *testing.T) {
+	r := startReplacement(t)
+	r.Group(r.database).SetBusyControls(r.old.ID, 1e9)
+	r.old.CutOff(r.Instances[1:]...)
+	commit := r.openTransaction(r.Instances[1])
+	r.loseAnswer(r.Instances[1])
+	commit()
+	r.check()
+}
