Show that a primary without an entry is replaced without a word

Cause: an instance that starts while the primary's entry is missing knows no former primary, so it orders a promotion without retire. What callers see: writes and a COMMIT through other instances are acknowledged and lost, until the entries show the promotion.

--- a/cmd/internal/platformlocal/formerprimary_test.go
+++ b/cmd/internal/platformlocal/formerprimary_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 	promotionLimit = 30 * time.Second
 	// statementInterval is the interval of repeated statements.
 	statementInterval = 20 * time.Millisecond
+	// settleTime is how long statements go on after a promotion. The entries of the servers show it meanwhile.
+	settleTime = time.Second
 )
 
 // replacement is a deployment of three processes whose first primary, in the zone of the first instance, is replaced.
@@ -173,6 +176,33 @@
 	}
 }
 
+// writeThrough sends writes and strict reads through instances until the function it returns is called.
+func (r *replacement) writeThrough(instances ...*Instance) (stop func()) {
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	for _, i := range instances {
+		for _, text := range []string{"WRITE x 1", "READ x"} {
+			running.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(statementInterval):
+					}
+					if s, err := lineclient.Dial(i.CallerAddress, r.database+StrictRouteSuffix, "k"); err == nil {
+						r.query(s, text)
+						s.Close()
+					}
+				}
+			})
+		}
+	}
+	return func() {
+		close(done)
+		running.Wait()
+	}
+}
+
 // check requires that no write or COMMIT that the former primary executed after the promotion was acknowledged, and that writes
 // go on at its successor.
 func (r *replacement) check() {
@@ -220,3 +250,19 @@
 	commit()
 	r.check()
 }
+
+// Guards against writes at a primary that was replaced by an instance which had started while its entry was missing, and told nobody.
+func TestUnlistedFormerPrimaryIsUsed(t *testing.T) {
+	r := startReplacement(t)
+	r.Instances[2].Stop(syscall.SIGKILL)
+	commit := r.openTransaction(r.Instances[0])
+	r.RemoveEntry(r.old)
+	if err := r.Instances[2].Start(); err != nil {
+		t.Fatal(err)
+	}
+	stop := r.writeThrough(r.Instances[:2]...)
+	commit()
+	time.Sleep(settleTime)
+	stop()
+	r.check()
+}
