Show that an instance that starts uses a former primary that registers again

Cause: the first entry that an instance sees of a primary counts as its promotion; superseded is lost with the process. What callers see: writes are acknowledged and lost, and strict reads lack writes of the new primary.

--- a/cmd/internal/platformlocal/formerprimary_test.go
+++ b/cmd/internal/platformlocal/formerprimary_test.go
@@ -117,6 +117,15 @@
 	return primary != "" && primary != r.old.ID
 }
 
+func (r *replacement) awaitPromotion() {
+	r.t.Helper()
+	for end := time.Now().Add(promotionLimit); !r.promoted(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("%s was not replaced within %s", r.old.ID, promotionLimit)
+		}
+	}
+}
+
 // awaitWrite writes through an instance until a write that the present primary has executed is acknowledged.
 func (r *replacement) awaitWrite(i *Instance) {
 	r.t.Helper()
@@ -266,3 +275,29 @@
 	stop()
 	r.check()
 }
+
+// Guards against an instance that starts after a former primary has registered again, and takes it for the newest one.
+func TestRegisteredAgainFormerPrimaryIsUsed(t *testing.T) {
+	r := startReplacement(t)
+	r.Instances[0].Stop(syscall.SIGKILL)
+	r.old.CutOff(r.Instances[1:]...)
+	stop := r.writeThrough(r.Instances[1])
+	r.awaitPromotion()
+	r.RemoveEntry(r.old)
+	time.Sleep(settleTime)
+	if err := r.RegisterAgain(r.database, r.old); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Instances[0].Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Instances[0].awaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	stop = r.writeThrough(r.Instances[0])
+	time.Sleep(settleTime)
+	stop()
+	r.checkAcknowledged("strict reads", func(e linedb.ExecutedStatement) bool { return !e.TookEffect })
+	r.check()
+}
