Show that an instance that can't be told writes at a former primary

Cause: the claim is written after the wait for instances that can't be told, so that the wait tells them nothing. The instance reaches the store, so it isn't cut off by its age either. What callers see: writes are acknowledged and lost until the entries show the promotion, here after 0.2 s. Change: a packet filter on the instance's own sockets makes its peer address unreachable; the store and the servers are not affected. Result: go test ./cmd/internal/platformlocal -run TestUntoldInstanceWritesAtFormerPrimary -count=5 failed 5 of 5 times, with 8 or 9 acknowledged writes each, in both of two series.

--- a/cmd/internal/platformlocal/formerprimary_test.go
+++ b/cmd/internal/platformlocal/formerprimary_test.go
@@ -301,3 +301,15 @@
 	r.checkAcknowledged("strict reads", func(e linedb.ExecutedStatement) bool { return !e.TookEffect })
 	r.check()
 }
+
+// Guards against writes at a former primary through an instance that could not be told of its replacement.
+func TestUntoldInstanceWritesAtFormerPrimary(t *testing.T) {
+	r := startReplacement(t)
+	cutPeers(t, r.Instances[0])
+	r.old.CutOff(r.Instances[1:]...)
+	stop := r.writeThrough(r.Instances[:2]...)
+	r.awaitPromotion()
+	time.Sleep(settleTime)
+	stop()
+	r.check()
+}
--- a/cmd/internal/platformlocal/main_test.go
+++ b/cmd/internal/platformlocal/main_test.go
@@ -12,7 +12,8 @@
 
 // TestMain runs the tests, or the daemon if startProcess has started the binary.
 func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == "edge" {
+	if len(os.Args) == 4 && os.Args[1] == "edge" {
+		go obeyPeerCut(os.Args[3])
 		os.Exit(runDaemon(os.Args[2:]))
 	}
 	os.Exit(m.Run())
