Show that an instance that can't be told commits an open transaction

Cause: as for single writes; the instance sees no sign of the replacement before the promotion, so the COMMIT is sent. What callers see: a COMMIT is acknowledged and lost.

--- a/cmd/internal/platformlocal/formerprimary_test.go
+++ b/cmd/internal/platformlocal/formerprimary_test.go
@@ -313,3 +313,15 @@
 	stop()
 	r.check()
 }
+
+// Guards against the COMMIT of an open transaction through an instance that could not be told of the replacement.
+func TestUntoldInstanceCommitsOpenTransaction(t *testing.T) {
+	r := startReplacement(t)
+	cutPeers(t, r.Instances[0])
+	commit := r.openTransaction(r.Instances[0])
+	r.old.CutOff(r.Instances[1:]...)
+	stop := r.writeThrough(r.Instances[1])
+	commit()
+	stop()
+	r.check()
+}
