Show that an instance that was down when the others were told writes at a former primary

Cause: the others are told once, before the wait; an instance that starts during the wait finds the primary's entry and no claim. What callers see: writes are acknowledged and lost until the entries show the promotion.

--- a/cmd/internal/platformlocal/formerprimary_test.go
+++ b/cmd/internal/platformlocal/formerprimary_test.go
@@ -22,6 +22,8 @@
 	statementInterval = 20 * time.Millisecond
 	// settleTime is how long statements go on after a promotion. The entries of the servers show it meanwhile.
 	settleTime = time.Second
+	// restartDelay is shorter than the wait for instances that can't be told, and longer than the time until the others are.
+	restartDelay = 2500 * time.Millisecond
 )
 
 // replacement is a deployment of three processes whose first primary, in the zone of the first instance, is replaced.
@@ -325,3 +327,19 @@
 	stop()
 	r.check()
 }
+
+// Guards against writes at a former primary through an instance that was down when the others were told, and has started since.
+func TestInstanceStartedBeforePromotionWritesAtFormerPrimary(t *testing.T) {
+	r := startReplacement(t)
+	r.Instances[0].Stop(syscall.SIGKILL)
+	r.old.CutOff(r.Instances[1:]...)
+	stop := r.writeThrough(r.Instances[:2]...)
+	time.Sleep(restartDelay)
+	if err := r.Instances[0].Start(); err != nil {
+		t.Fatal(err)
+	}
+	r.awaitPromotion()
+	time.Sleep(settleTime)
+	stop()
+	r.check()
+}
