Keep objects that are newer than those of a relay

Cause: after a failed call to the store a follower asks its relay for all objects, and takes them although it has newer ones. A relay's data may be 2.5 s old. Servers, instances and evacuations then go back to an earlier state, while the earlier, later time as of which they were confirmed stays: a replaced primary is the primary again, an evacuated domain is used again, and nothing tells that the view is old. Followers of this instance get the same. Change: a follower that has objects asks a relay for the changes after its revision, without waiting if its last call failed. It asks for all only without objects, or to get a newer configuration from a peer.

--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -154,17 +154,14 @@
 // fetchFrom gets all objects from a peer, and reports whether it did.
 func (f *follower) fetchFrom(ctx context.Context, address string) bool {
 	f.loaded = false
-	followed, err := f.followRelay(ctx, relaytree.Parent{Address: address, Hops: 1})
+	followed, err := f.askAndApply(ctx, relaytree.Parent{Address: address, Hops: 1}, 0, true)
 	return followed && err == nil
 }
 
-// followRelay gets changes from a relay. It returns false if the relay has none although no object was read yet.
+// followRelay gets changes from a relay. It returns false if the relay has none although no object was read yet. It asks for
+// changes also where the store would be asked for a list: all objects of a relay may be older than those received already.
 func (f *follower) followRelay(ctx context.Context, relay relaytree.Parent) (bool, error) {
-	revision := f.revision
-	if !f.loaded {
-		revision = 0
-	}
-	followed, err := f.askAndApply(ctx, relay, revision, true)
+	followed, err := f.askAndApply(ctx, relay, f.revision, true)
 	if !errors.Is(err, errUndecodable) {
 		return followed, err
 	}
@@ -175,8 +172,12 @@
 
 // askAndApply asks a relay for the changes after a revision, packed or not, and applies its reply.
 func (f *follower) askAndApply(ctx context.Context, relay relaytree.Parent, revision uint64, packed bool) (bool, error) {
+	wait := relayWait
+	if revision != 0 && !f.loaded {
+		wait = 0 // the last confirmation may be old
+	}
 	sentAt := f.now()
-	reply, err := f.relays.askRelay(ctx, relay, f.kind, revision, packed, relayWait)
+	reply, err := f.relays.askRelay(ctx, relay, f.kind, revision, packed, wait)
 	if err != nil {
 		return false, err
 	}
@@ -202,9 +203,10 @@
 		f.replace(objects, reply.GetRevision(), asOf)
 	case len(objects) > 0:
 		f.apply(objects, reply.GetRevision())
-	case !f.loaded:
+	case f.revision == 0:
 		return false, nil
 	}
+	f.loaded = true
 	f.confirm(asOf)
 	return true, nil
 }
