Limit a cold server also for borrowers that know its run before

Cause: a lender looks up whether a server is cold by the start time in its borrower's order. A borrower whose entries are older names the run before, which isn't cold, so the lender sends what it is asked for. Change: a server counts as cold if its newest known run is. Result: TestColdServerLenderCountsForBorrowersOfTheRunBefore failed before (171 statements in a second, limit 8); go test ./proxy/gateway -run TestColdServer passes.

--- a/proxy/gateway/coldstart.go
+++ b/proxy/gateway/coldstart.go
@@ -76,6 +76,18 @@
 	return c.known[key]
 }
 
+// newestRun returns the state of a server's newest known run, or nil. A borrower may know only the run before. c.mu must be held.
+func (c *coldServers) newestRun(s discovery.Server) *coldServer {
+	newest := c.known[keyOf(s)]
+	for key, cold := range c.known {
+		isLater := key.started > s.Started && (newest == nil || key.started > newest.server.Started)
+		if key.database == s.Database && key.server == s.ID && isLater {
+			newest = cold
+		}
+	}
+	return newest
+}
+
 // learn applies the entries of all registered servers.
 func (c *coldServers) learn(now time.Duration, entries []discovery.Server) {
 	c.mu.Lock()
@@ -141,7 +153,7 @@
 func (g *Gateway) coldState(s discovery.Server) *coldState {
 	g.cold.mu.Lock()
 	defer g.cold.mu.Unlock()
-	cold := g.cold.known[keyOf(s)]
+	cold := g.cold.newestRun(s)
 	if cold == nil {
 		return nil
 	}
--- a/proxy/gateway/coldstart_test.go
+++ b/proxy/gateway/coldstart_test.go
@@ -303,3 +303,20 @@
 		t.Errorf("the primary got %d statements beyond its allowance", after-before)
 	}
 }
+
+// Guards against a lender that sends a restarted server as much as its borrower asks for, because the borrower still knows the run
+// before.
+func TestColdServerLenderCountsForBorrowersOfTheRunBefore(t *testing.T) {
+	p := newLendingPair(t)
+	p.borrower.limitCold()
+	p.lender.limitCold()
+	entry := discovery.Server{
+		ID: "p", Database: database, Address: p.lender.group.Address("p"), Region: "here", Slots: p.lender.slots, Primary: true, Revision: 10, Started: 1,
+	}
+	p.borrower.gateway.SetServers([]discovery.Server{entry})
+	entry.Revision, entry.Started, entry.WarmupRemaining = 20, 2, time.Minute
+	p.lender.gateway.SetServers([]discovery.Server{entry})
+	p.lender.gateway.maintainColdServers()
+	p.borrower.open("strict").askFor(2500*time.Millisecond, "WRITE x v")
+	p.lender.checkArrivals("p", 8)
+}
