Make each claim of a promotion a change of the stored object

Cause: an instance that claims again for the same server writes the same value, and the store keeps the revision of an object that is overwritten with its own value. The fence stays, so that of two orders the first may take effect last, and other instances count the claim's age from the first one: they claim although it was renewed a moment ago. The stand-in for the store gave each write a new revision, so no test could see it. Change: the stored claim has a serial, the version of the claim that it replaces; earlier builds ignore the field. The stand-in keeps the revision, wakes no watch and makes no event for a write that changes neither value nor status.

--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -16,6 +16,9 @@
 type claim struct {
 	Instance string `json:"instance"`
 	Server   string `json:"server"`
+	// Serial is the version of the claim that this one replaced. It makes each claim a change: the store keeps the revision
+	// of an object that is overwritten with its own value.
+	Serial uint64 `json:"serial"`
 }
 
 // seenClaim is when this instance first saw a revision of a claim.
@@ -47,7 +50,7 @@
 	if current.Server != old && p.claimedElsewhere(database, object.Version, current) {
 		return 0, errClaimed
 	}
-	value, err := json.Marshal(claim{Instance: p.node.settings.Instance, Server: server})
+	value, err := json.Marshal(claim{Instance: p.node.settings.Instance, Server: server, Serial: object.Version})
 	if err != nil {
 		return 0, errors.Wrap(err, "encode the promotion claim")
 	}
--- /dev/null
+++ b/proxy/node/claim_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/failover"
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/platform/platformtest"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+)
+
+// newClaimant returns the promotion controller of an instance that only claims.
+func newClaimant(t *testing.T, p *platformtest.Platform, instance string) *promotionController {
+	t.Helper()
+	n := newUnassembled(Settings{Instance: instance}, discardLogger())
+	now := boottime.Now() - failover.ClaimTerm
+	n.eras = objectstore.NewEras(func() time.Duration { return now }, nil)
+	n.eras.Learn(p.Era(), "test")
+	now = boottime.Now()
+	n.store = platform.NewStore(p.Address(), (&net.Dialer{}).DialContext, n.eras)
+	t.Cleanup(n.store.Close)
+	return newPromotionController(n, nil)
+}
+
+// Guards against two orders with the same fence, the first of which may arrive last, and against a renewed claim whose age
+// others count from the first one.
+func TestRepeatedClaimHasAHigherFence(t *testing.T) {
+	p := startPlatform(t)
+	claimant, other := newClaimant(t, p, "edge-1"), newClaimant(t, p, "edge-2")
+	var last uint64
+	for i := range 3 {
+		fence, err := claimant.claimPromotion(t.Context(), "db", "i-1", "i-2")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fence <= last {
+			t.Errorf("claim %d has fence %d, want one above %d", i, fence, last)
+		}
+		last = fence
+		if fence, err := other.claimPromotion(t.Context(), "db", "i-1", "i-3"); !errors.Is(err, errClaimed) {
+			t.Fatalf("another instance claims with fence %d, error %v right after claim %d, want errClaimed", fence, err, i)
+		}
+		other.claims["db"] = seenClaim{other.claims["db"].revision, boottime.Now() - 2*failover.ClaimTerm}
+	}
+}
--- a/standin/revisions/store.go
+++ b/standin/revisions/store.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/objectstore"
 )
 
 // Errors of a Store.
@@ -75,7 +77,8 @@
 	return s.PutWithStatus(kind, name, value, nil, check)
 }
 
-// PutWithStatus is Put with a status in place of the present one.
+// PutWithStatus is Put with a status in place of the present one. A write that changes neither keeps the revision and makes no
+// event.
 func (s *Store) PutWithStatus(kind, name string, value, status json.RawMessage, check func(present Object) error) (Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,9 +88,17 @@
 			return present, err
 		}
 	}
+	if present.Revision != 0 && equalJSON(present.Value, value) && equalJSON(present.Status, status) {
+		return present, nil
+	}
 	return s.record(Object{Kind: kind, Name: name, Value: value, Status: status}), nil
 }
 
+// equalJSON reports whether two values are equal or both absent.
+func equalJSON(a, b json.RawMessage) bool {
+	return len(a) == 0 && len(b) == 0 || objectstore.SameJSON(a, b)
+}
+
 // Remove removes an object if check, which may be nil, accepts it.
 func (s *Store) Remove(kind, name string, check func(present Object) error) (Object, error) {
 	s.mu.Lock()
