Count the time for which a relay held a call as news of it

Cause: a follower dates what a relay tells it from when its call was sent, though a relay holds a call for up to a second and tells the age as of its reply. What instances know of the store seems up to a second older than it is; with leases that end by age they end early. Change: a relay tells how long it held the call, taken before the age; the follower counts it, at most for the time that the call took. An older relay tells nothing, which counts as before. Result: go test ./proxy/node passes.

--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -197,7 +197,8 @@
 	if f.relays != nil && reply.GetRevision() != 0 {
 		f.relays.learnEra(storeversion.Era(reply.GetRevision()), relay)
 	}
-	asOf := sentAt - time.Duration(reply.GetAgeMs())*time.Millisecond
+	held := min(time.Duration(reply.GetHeldMs())*time.Millisecond, f.now()-sentAt)
+	asOf := sentAt + held - time.Duration(reply.GetAgeMs())*time.Millisecond
 	switch {
 	case reply.GetWhole():
 		f.replace(objects, reply.GetRevision(), asOf)
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -405,14 +405,17 @@
 	if cache == nil {
 		return &relaypb.FollowReply{Unknown: true}, nil
 	}
-	until := r.now() + time.Duration(in.GetWaitMs())*time.Millisecond
+	began := r.now()
+	until := began + time.Duration(in.GetWaitMs())*time.Millisecond
 	for {
+		held := r.now() - began // before the age is taken, or the reply would seem newer than it is
 		reply, changed := cache.replyTo(in)
 		left := until - r.now()
 		if cache.repliesOnceOld && !reply.GetUnknown() {
 			left = min(left, r.followerAgeLimit(cache)-time.Duration(reply.GetAgeMs())*time.Millisecond)
 		}
 		if len(reply.GetObjects())+len(reply.GetPacked()) > 0 || reply.GetWhole() || left <= 0 || reply.GetUnknown() && !cache.awaitsFirstRead() {
+			reply.HeldMs = uint64(held.Milliseconds())
 			return reply, nil
 		}
 		timer := time.NewTimer(left)
