--- a/decision/failover/doc.go
+++ b/decision/failover/doc.go
@@ -9,12 +9,13 @@
 //     time to become visible; after a failed one, after a shorter delay.
 //   - A primary outside its home regions hands over to a server there at most once in 30 s, and not within 30 s of any
 //     other promotion that this instance has seen.
+//   - A primary whose replacement was claimed and not carried out is replaced once the claim has not been renewed for a while.
 //   - A leaving or evacuated primary hands over: it is asked to step down, and its successor receives all of its log
 //     before it is promoted.
 //
 // Safety does not depend on these decisions: the fence of an order comes from a conditional write that only one
-// instance can win, and the platform refuses an order with an older fence. Where it does not, the caller carries out an
-// order only while its claim holds, and makes the old primary step down first.
+// instance can win, and the platform refuses an order with an older fence. Where it does not, package leaderlease decides when the
+// order may be sent.
 //
 // Load: a database has a few servers; the machine is idle while the primary answers.
 package failover
--- a/decision/failover/machine.go
+++ b/decision/failover/machine.go
@@ -44,6 +44,10 @@
 	Missing bool // its entry is missing
 	// Evacuated: its failure domain is evacuated.
 	Evacuated bool
+	// IsReplaced: a claim, of which this instance learned at ClaimedAt, names another server that does not lead yet. OwnClaim: it is
+	// a claim of this instance.
+	IsReplaced, OwnClaim bool
+	ClaimedAt            time.Duration
 	// AwayFromHome: it is outside the regions where it belongs, and a server there may take over.
 	AwayFromHome bool
 }
@@ -81,6 +85,7 @@
 	ReasonEvacuated       Reason = "failure domain of the primary is evacuated"
 	ReasonUnlisted        Reason = "primary answers, but its entry is gone"
 	ReasonNoPrimary       Reason = "no server claims to be the primary"
+	ReasonUnfinished      Reason = "the primary was claimed to be replaced, which has not been done"
 	ReasonAwayFromHome    Reason = "primary is outside the home regions of its database"
 	ReasonUnanswered      Reason = "probes of the primary were not answered"
 )
@@ -116,11 +121,6 @@
 	return true
 }
 
-// LostSince returns when the present suspicion began.
-func (m *Machine) LostSince() time.Duration {
-	return m.suspectedAt
-}
-
 // Suspected reports whether the primary is suspected to have failed, or none is known.
 func (m *Machine) Suspected() bool {
 	return m.suspected || m.noPrimarySince != 0
@@ -143,6 +143,8 @@
 		return m.decideWithoutPrimary(now)
 	case m.suspected:
 		return m.decideSuspected(now, p)
+	case p.IsReplaced:
+		return m.decideReplaced(now, p)
 	case p.Evacuated:
 		return m.order(HandOver, ReasonEvacuated)
 	case p.Leaving:
@@ -200,6 +202,14 @@
 	return m.order(Replace, ReasonNoPrimary)
 }
 
+// decideReplaced takes over a claim that was not carried out: the primary that it replaces gets no statements.
+func (m *Machine) decideReplaced(now time.Duration, p Primary) (Action, Reason) {
+	if !p.OwnClaim && now-p.ClaimedAt < promotionTime {
+		return None, ReasonNone
+	}
+	return m.order(Replace, ReasonUnfinished)
+}
+
 // decideSuspected returns the action for a primary that does not answer this instance.
 func (m *Machine) decideSuspected(now time.Duration, p Primary) (Action, Reason) {
 	if m.failures >= failedProbesLimit {
--- /dev/null
+++ b/decision/leaderlease/leaderlease_test.go
@@ -0,0 +1,147 @@
+package leaderlease
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestAllows(t *testing.T) {
+	handOver := Claim{Version: 1, Server: "b", Former: []string{"a"}, HandOver: "a"}
+	withdrawn := handOver.Withdrawn()
+	withdrawn.Version = 2
+	for name, c := range map[string]struct {
+		claim   Claim
+		allowed string
+	}{
+		"no claim":    {Claim{}, "abc"},
+		"replacement": {Claim{Version: 1, Server: "b", Former: []string{"a"}}, "b"},
+		"hand-over":   {handOver, "ab"},
+		"withdrawn":   {withdrawn, "b"},
+		"older build": {Claim{Version: 1, Server: "b"}, "b"},
+	} {
+		for _, server := range []string{"a", "b", "c"} {
+			if c.claim.Allows(server) != strings.Contains(c.allowed, server) {
+				t.Errorf("%s: %s", name, server)
+			}
+		}
+		if c.claim.Version != 0 && c.claim.Allows("") {
+			t.Errorf("%s: no server", name)
+		}
+	}
+}
+
+// Guards against a former server that is forgotten, unused ones that are allowed again, and promotions that go on although a server in
+// use may be missing from the claim.
+func TestNext(t *testing.T) {
+	withdrawn := Claim{Version: 5, Server: "a"}
+	pending := Claim{Version: 5, Server: "b", Former: []string{"a"}, FormerKnown: true}
+	for name, c := range map[string]struct {
+		claim       Claim
+		primary     string
+		handOver    bool
+		former      []string
+		formerKnown bool
+		leads       string // HandOver
+	}{
+		"no claim, no primary":          {Claim{}, "", false, nil, false, ""},
+		"no claim, first primary":       {Claim{}, "a", false, []string{"a"}, true, ""},
+		"withdrawn":                     {withdrawn, "a", false, []string{"a"}, true, ""},
+		"withdrawn, no primary":         {withdrawn, "", false, []string{"a"}, false, ""},
+		"withdrawn, wrong primary":      {withdrawn, "b", false, []string{"a", "b"}, false, ""},
+		"hand-over":                     {withdrawn, "a", true, []string{"a"}, true, "a"},
+		"hand-over of an unused server": {withdrawn, "b", true, []string{"a", "b"}, false, ""},
+		"not carried out":               {pending, "a", false, []string{"b", "a"}, true, ""},
+		"hand-over not carried out":     {Claim{Version: 5, Server: "b", HandOver: "a", Former: []string{"a"}, FormerKnown: true}, "", false, []string{"b", "a"}, true, ""},
+	} {
+		next := c.claim.Next(c.primary, "c", c.handOver)
+		if next.Version != 0 || next.Server != "c" || !reflect.DeepEqual(next.Former, c.former) || next.FormerKnown != c.formerKnown || next.HandOver != c.leads {
+			t.Errorf("%s: %+v", name, next)
+		}
+	}
+	if again := pending.Next("a", "a", false); !reflect.DeepEqual(again.Former, []string{"b"}) {
+		t.Errorf("the successor is one of its former servers: %+v", again)
+	}
+}
+
+func TestAdopt(t *testing.T) {
+	var l Leases
+	var newer []bool
+	for _, version := range []uint64{0, 2, 2, 1} {
+		newer = append(newer, l.Adopt("db", Claim{Version: version}))
+	}
+	if !slices.Equal(newer, []bool{false, true, false, false}) || l.Claim("db").Version != 2 || l.Claim("other").Version != 0 {
+		t.Errorf("adopted: %t; versions %d and %d", newer, l.Claim("db").Version, l.Claim("other").Version)
+	}
+}
+
+func TestValid(t *testing.T) {
+	const joined, asOf, term = 10 * time.Second, 12 * time.Second, Term
+	for name, c := range map[string]struct {
+		asOf  []time.Duration
+		now   time.Duration
+		valid bool
+	}{
+		"recent":             {[]time.Duration{asOf}, asOf, true},
+		"last moment":        {[]time.Duration{asOf}, asOf + term - 1, true},
+		"too old":            {[]time.Duration{asOf}, asOf + term, false},
+		"an older one later": {[]time.Duration{asOf, joined}, asOf + term - 1, true},
+		"as of the join":     {[]time.Duration{joined}, joined, true},
+		"before the join":    {[]time.Duration{joined - 1}, joined, false},
+		"none":               {nil, joined, false},
+	} {
+		var l Leases
+		for _, asOf := range c.asOf {
+			l.Confirm(asOf)
+		}
+		if l.Valid(c.now) {
+			t.Errorf("%s: valid before the join", name)
+		}
+		l.Join(joined)
+		if l.Valid(c.now) != c.valid {
+			t.Errorf("%s: not %t", name, c.valid)
+		}
+	}
+}
+
+func TestBasis(t *testing.T) {
+	const confirmed = 10 * time.Second
+	claim := Claim{Former: []string{"a", "b"}, FormerKnown: true}
+	for name, c := range map[string]struct {
+		claim                     Claim
+		steppedDown, list, silent []string
+		age                       time.Duration
+		basis                     Basis
+	}{
+		"one has stepped down":  {claim, []string{"a"}, nil, nil, 0, ""},
+		"all have stepped down": {claim, []string{"a", "b", "c"}, nil, nil, 0, SteppedDown},
+		"no former server":      {Claim{FormerKnown: true}, nil, nil, nil, 0, SteppedDown},
+		"some may be missing":   {Claim{Former: []string{"a"}}, []string{"a"}, nil, nil, 0, ""},
+		"older build":           {Claim{}, nil, nil, nil, 0, ""},
+		"one is silent":         {claim, nil, []string{"i", "j"}, []string{"j"}, 0, ""},
+		"all have acknowledged": {claim, nil, []string{"i", "j"}, nil, 0, Acknowledged},
+		"no other instance":     {claim, nil, []string{}, nil, 0, Acknowledged},
+		"last moment":           {claim, nil, []string{"i"}, []string{"i"}, WithdrawalTerm - 1, ""},
+		"term":                  {claim, nil, []string{"i"}, []string{"i"}, WithdrawalTerm, TermPassed},
+		"list not read":         {Claim{}, nil, nil, nil, WithdrawalTerm, TermPassed},
+	} {
+		w := NewWithdrawal(c.claim, confirmed)
+		if c.list != nil {
+			w.List(c.list)
+		}
+		for _, i := range c.list {
+			if !slices.Contains(c.silent, i) {
+				w.Acknowledge(i)
+			}
+		}
+		for _, s := range c.steppedDown {
+			w.StepDown(s)
+		}
+		now := confirmed + c.age
+		if got := w.Basis(now); got != c.basis || !slices.Equal(w.Silent(), c.silent) || w.Remaining(now) != WithdrawalTerm-c.age {
+			t.Errorf("%s: basis %q, silent %q", name, got, w.Silent())
+		}
+	}
+}
--- a/decision/leaderlease/leases.go
+++ b/decision/leaderlease/leases.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// termFraction is the part of WithdrawalTerm for which evidence counts.
-const termFraction = 0.9
-
-// Term returns how old the evidence of a lease may be, given the WithdrawalTerm.
-func Term(withdrawalTerm time.Duration) time.Duration {
-	return time.Duration(termFraction * float64(withdrawalTerm))
-}
+const (
+	// Term is how old the evidence of a lease may be. It covers the age that evidence has at an instance which follows others.
+	Term = 4500 * time.Millisecond
+	// WithdrawalTerm is how long a claimant waits for instances that can't be told. Builds with different terms must not run side
+	// by side.
+	WithdrawalTerm = 5 * time.Second
+)
 
 // Leases is what one instance knows of the claims of all databases. It is not safe for concurrent use. The zero value knows
 // nothing and allows nothing.
@@ -50,11 +50,6 @@
 }
 
 // Valid reports whether the evidence is recent enough to use a server that the claims allow.
-func (l *Leases) Valid(now, withdrawalTerm time.Duration) bool {
-	return l.joined && l.hasAsOf && l.asOf >= l.joinedAt && now-l.asOf < Term(withdrawalTerm)
-}
-
-// Age returns the age of the evidence, and false if there is none.
-func (l *Leases) Age(now time.Duration) (time.Duration, bool) {
-	return now - l.asOf, l.hasAsOf
+func (l *Leases) Valid(now time.Duration) bool {
+	return l.joined && l.hasAsOf && l.asOf >= l.joinedAt && now-l.asOf < Term
 }
--- a/decision/leaderlease/withdrawal.go
+++ b/decision/leaderlease/withdrawal.go
@@ -65,19 +65,19 @@
 }
 
 // Basis returns on which evidence the promotion may be ordered; empty if it may not yet.
-func (w *Withdrawal) Basis(now, withdrawalTerm time.Duration) Basis {
+func (w *Withdrawal) Basis(now time.Duration) Basis {
 	switch {
 	case w.formerKnown && len(w.former) == 0:
 		return SteppedDown
 	case w.listed && len(w.silent) == 0:
 		return Acknowledged
-	case now-w.confirmedAt >= withdrawalTerm:
+	case now-w.confirmedAt >= WithdrawalTerm:
 		return TermPassed
 	}
 	return ""
 }
 
 // Remaining returns the time until the promotion may be ordered in any case.
-func (w *Withdrawal) Remaining(now, withdrawalTerm time.Duration) time.Duration {
-	return max(w.confirmedAt+withdrawalTerm-now, 0)
+func (w *Withdrawal) Remaining(now time.Duration) time.Duration {
+	return max(w.confirmedAt+WithdrawalTerm-now, 0)
 }
--- a/decision/placement/doc.go
+++ b/decision/placement/doc.go
@@ -8,8 +8,8 @@
 //   - A sample of a newer term replaces positions of older terms: what the newer leader has kept of the
 //     older terms lies below every position of its own.
 //   - Only a server that proves to be the leader serves writes and reads without a staleness bound.
-//   - A server that still claims to be the primary although another was promoted since is not used as the
-//     leader, and neither is one whose replacement is ordered. On some platforms they go on committing writes.
+//   - A server that the newest claim does not allow is not used as the leader, nor one that still claims to be the primary although
+//     another was promoted since, nor one whose replacement is ordered. On some platforms they go on committing writes.
 //   - Leaving servers get no new work.
 //   - Servers in an evacuated failure domain get no work at all, not even as the leader.
 //   - The expected wait that a server's scheduler has announced adds to the cost of the server for half a second.
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 )
 
@@ -78,6 +79,8 @@
 	local   Locality
 	servers map[string]*server
 	Samples Samples
+	// claim names the servers that may lead.
+	claim leaderlease.Claim
 	// superseded holds the start times of the servers whose entries claimed to be the primary when another server was
 	// promoted. It outlives their entries, which expire and return while such a server is cut off from the store.
 	superseded map[string]int64
@@ -283,20 +286,34 @@
 	Retired Objection = "replacement_ordered"
 	// Superseded: the entry of another server has shown its promotion since.
 	Superseded Objection = "another_promoted"
+	// Excluded: a claim names another server as the leader.
+	Excluded Objection = "another_claimed"
+	// LedAnew: the server was replaced and claimed again since the statement was sent.
+	LedAnew Objection = "claimed_again"
+	// LeaseExpired: this instance can't know whether another server was claimed as the leader.
+	LeaseExpired Objection = "lease_expired"
 )
 
-// Objection returns why a server that acts as the leader must not be used as one.
-func (g *Group) Objection(now time.Duration, id string) Objection {
+// SetClaim records the newest claim of the database.
+func (g *Group) SetClaim(c leaderlease.Claim) {
+	g.claim = c
+}
+
+// Lead returns the lead for which a server may be used as the leader, or why it must not be.
+func (g *Group) Lead(now time.Duration, id string) (leaderlease.Lead, Objection) {
+	lead, allowed := g.claim.LeadOf(id)
 	s := g.servers[id]
 	switch {
+	case !allowed:
+		return 0, Excluded
 	case s == nil:
-		return ""
+		return lead, ""
 	case s.isRetired(now):
-		return Retired
+		return 0, Retired
 	case s.Primary && s.promotedIn < g.lastPromotion():
-		return Superseded
+		return 0, Superseded
 	}
-	return ""
+	return lead, ""
 }
 
 // MarkLagging records that a replica lacked a requested position. Load: a replica that is cut off from its primary, with reads of
@@ -321,7 +338,7 @@
 	promotedIn := g.lastPromotion()
 	for _, s := range g.servers {
 		unusable := s.Evacuated || s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now) || s.isRetired(now) ||
-			s.Primary && s.promotedIn < promotedIn
+			s.Primary && s.promotedIn < promotedIn || !g.claim.Allows(s.ID)
 		excluded := slices.Contains(exclude, s.ID)
 		if unusable || excluded && s.ledAt == 0 {
 			continue
@@ -336,24 +353,24 @@
 	return best.ID, true
 }
 
-// lastPromotion returns the highest promotedIn of the servers whose entries claim to be the primary. Others that claim it too
-// have been replaced without noticing it yet, and may still accept statements.
+// lastPromotion returns the highest promotedIn of the servers that may lead and whose entries claim to be the primary. Others that
+// claim it too have been replaced without noticing it yet, and may still accept statements.
 func (g *Group) lastPromotion() uint64 {
 	var last uint64
 	for _, s := range g.servers {
-		if s.Primary {
+		if s.Primary && g.claim.Allows(s.ID) {
 			last = max(last, s.promotedIn)
 		}
 	}
 	return last
 }
 
-// Primary returns the known leader: the server that proved it most recently, otherwise one whose entry claims it.
+// Primary returns the known leader: the server that proved it most recently, otherwise one whose entry claims it. One that may not
+// lead is returned only if there is no other.
 func (g *Group) Primary() (id string, ok bool) {
 	var best *server
 	for _, s := range g.servers {
-		claims := s.ledAt != 0 || s.Primary && s.deniedAt == 0
-		if claims && (best == nil || likelierLeader(s, best)) {
+		if (s.ledAt != 0 || s.Primary && s.deniedAt == 0) && (best == nil || g.likelierPrimary(s, best)) {
 			best = s
 		}
 	}
@@ -376,6 +393,13 @@
 	return s.deniedAt != 0 && now-s.deniedAt < denialPeriod
 }
 
+func (g *Group) likelierPrimary(a, b *server) bool {
+	if mayLead := g.claim.Allows(a.ID); mayLead != g.claim.Allows(b.ID) {
+		return mayLead
+	}
+	return likelierLeader(a, b)
+}
+
 // likelierLeader reports whether a is more likely than b to be the leader.
 func likelierLeader(a, b *server) bool {
 	if a.ledAt != b.ledAt {
--- a/proxy/gateway/coldstart.go
+++ b/proxy/gateway/coldstart.go
@@ -422,7 +422,7 @@
 	if err != nil || w.opening != openLeader || r.answer.code != "" || !g.IsCold(d.server) {
 		return
 	}
-	g.view(d.server.Database).markLeader(began, d.server.ID, r.position)
+	g.recordLeader(g.view(d.server.Database), began, d.server.ID, r.position)
 }
 
 // withSample adds the newest sample of the leader to a refusal.
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
@@ -100,6 +101,37 @@
 	return g.cfg.ParseStatus(a.rows[0])
 }
 
+// SetClaim sets the newest claim of a database, which names the servers that may lead.
+func (g *Gateway) SetClaim(database string, c leaderlease.Claim) {
+	v := g.view(database)
+	v.withLock(func(_ time.Duration, group *placement.Group) { group.SetClaim(c) })
+	v.notifyChange()
+}
+
+// leadOf returns the lead for which a server may be used as the leader and its answers as one be acknowledged, or why it must not be.
+func (g *Gateway) leadOf(v *view, server string) (leaderlease.Lead, placement.Objection) {
+	if !g.mayUseLeader() {
+		return 0, placement.LeaseExpired
+	}
+	return v.lead(server)
+}
+
+// objectionTo returns why an answer must not be acknowledged that a server gave as the leader to a statement sent in a lead.
+func (g *Gateway) objectionTo(v *view, server string, sentIn leaderlease.Lead) placement.Objection {
+	lead, why := g.leadOf(v, server)
+	if why == "" && lead != sentIn {
+		return placement.LedAnew
+	}
+	return why
+}
+
+// recordLeader records an answer of a leader, unless it may have been replaced. Its position would not cover the commits of its successor.
+func (g *Gateway) recordLeader(v *view, sent time.Duration, server string, p position.Position) {
+	if _, why := g.leadOf(v, server); why == "" {
+		v.markLeader(sent, server, p)
+	}
+}
+
 // Retire stops sending statements to a primary whose replacement is ordered; see placement.Group.Retire.
 func (g *Gateway) Retire(database, server string) {
 	g.view(database).retire(server)
--- a/proxy/gateway/errors.go
+++ b/proxy/gateway/errors.go
@@ -40,6 +40,8 @@
 		"the servers did not answer in time", "repeat the read")
 	errTransactionLost = outcome.New(outcome.NotRun, outcome.CodeRolledBack,
 		"the transaction was rolled back because its server did not answer", "repeat the whole transaction")
+	errLeaderReplaced = outcome.New(outcome.NotRun, outcome.CodeRolledBack,
+		"the transaction was rolled back because its server is being replaced as the primary", "repeat the whole transaction")
 	errIdleTransaction = outcome.New(outcome.NotRun, outcome.CodeRolledBack,
 		"the transaction was idle for too long and was rolled back", "repeat the whole transaction without long pauses")
 	errEvacuated = outcome.New(outcome.NotRun, outcome.CodeInsufficientResources,
--- a/proxy/gateway/eventlog.go
+++ b/proxy/gateway/eventlog.go
@@ -45,7 +45,7 @@
 type metrics struct {
 	scope                                                                       tally.Scope
 	served, refused, refusedForHome, unanswered, connects, linesDropped, panics tally.Counter
-	evacuationRefused, evacuationRolledBack, formerPrimaryAnswers               tally.Counter
+	evacuationRefused, evacuationRolledBack, answersWithheld                    tally.Counter
 	servedDuration, connectDuration                                             tally.Histogram
 }
 
@@ -63,7 +63,7 @@
 		linesDropped:         scope.Counter("log_lines_left_out_total"),
 		evacuationRefused:    scope.Counter("evacuation_refused_total"),
 		evacuationRolledBack: scope.Counter("evacuation_rolled_back_total"),
-		formerPrimaryAnswers: scope.Counter("former_primary_answers_total"),
+		answersWithheld:      scope.Counter("answers_withheld_total"),
 		servedDuration:       scope.Histogram("served_seconds", telemetry.DurationBuckets()),
 		connectDuration:      scope.Histogram("connect_seconds", telemetry.DurationBuckets()),
 	}}
@@ -128,13 +128,13 @@
 	})
 }
 
-// formerPrimaryAnswered logs and counts an answer of a leader that was replaced as far as this instance knows.
-func (l *EventLog) formerPrimaryAnswered(sess *session, stmt sessionstate.Statement, s discovery.Server, why placement.Objection, took time.Duration) {
-	l.metrics.formerPrimaryAnswers.Inc(1)
-	l.writeStatementLine(EventFormerPrimaryAnswered, sess, stmt, func(e *logrus.Entry) {
+// answerWithheld logs and counts an answer that is not acknowledged, because its server may have been replaced as the leader.
+func (l *EventLog) answerWithheld(sess *session, stmt sessionstate.Statement, s discovery.Server, why placement.Objection, took time.Duration) {
+	l.metrics.answersWithheld.Inc(1)
+	l.writeStatementLine(EventAnswerWithheld, sess, stmt, func(e *logrus.Entry) {
 		e.WithFields(logrus.Fields{
 			"server": s.ID, "database": s.Database, "reason": string(why), "took_ms": took.Milliseconds(),
-		}).Warn("a server that was replaced answered as the leader")
+		}).Warn("an answer is not acknowledged, since its server may have been replaced as the primary")
 	})
 }
 
--- a/proxy/gateway/events.go
+++ b/proxy/gateway/events.go
@@ -26,8 +26,8 @@
 	EventLoanFailed = "CYC-7011"
 	// EventPanic: a fault in the program ended one session or one statement.
 	EventPanic = "CYC-7012"
-	// EventFormerPrimaryAnswered: a server that does not lead any more, as far as this instance knows, answered as the leader.
-	EventFormerPrimaryAnswered = "CYC-7013"
+	// EventAnswerWithheld: an answer is not acknowledged, because its server may have been replaced as the leader.
+	EventAnswerWithheld = "CYC-7013"
 	// EventColdBegan: a server has just started and gets few statements for a time.
 	EventColdBegan = "CYC-7020"
 	// EventColdEnded: the limit of EventColdBegan has ended.
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -556,3 +556,28 @@
 	close(stop)
 	callers.Wait()
 }
+
+// Load: a primary with one slot and more statements than it runs, while their instance loses the store. Guards against statements
+// that wait for their turn and are sent to a primary long after the check that they may be.
+func TestCutOffInstanceSendsNoWaitingStatementToLeaders(t *testing.T) {
+	var cutOff atomic.Bool
+	f := newFixture(t, func(c *Config) { c.MayUseLeader = func() bool { return !cutOff.Load() } })
+	write, strictRead, commit := f.open("strict"), f.open("strict"), f.open("strict")
+	commit.want("1", "BEGIN", "done|READY T -")
+	commit.want("2", "WRITE y v", "receipt|READY T -")
+	f.setWork(1, 400*time.Millisecond)
+	for i := range 3 {
+		f.open("strict").send("QUERY f" + strconv.Itoa(i) + " WRITE x v")
+	}
+	time.Sleep(50 * time.Millisecond)
+	commit.send("QUERY 3 COMMIT")
+	write.send("QUERY 4 WRITE x late")
+	strictRead.send("QUERY 5 READ x")
+	time.Sleep(50 * time.Millisecond)
+	cutOff.Store(true)
+	for name, c := range map[string]*caller{"write": write, "commit": commit, "strict read": strictRead} {
+		if line := c.readLine(); !strings.HasPrefix(line, "ERROR BUSY") && !strings.HasPrefix(line, "ERROR ABORTED") {
+			t.Errorf("%s that waited is answered with %q, want a refusal", name, line)
+		}
+	}
+}
--- a/proxy/gateway/helpers_test.go
+++ b/proxy/gateway/helpers_test.go
@@ -227,6 +227,12 @@
 func (c *caller) ask(id, text string) string {
 	c.t.Helper()
 	c.send("QUERY " + id + " " + text)
+	return c.answer(id)
+}
+
+// answer returns the answer to the query with an id, in the form of ask.
+func (c *caller) answer(id string) string {
+	c.t.Helper()
 	var out []string
 	for {
 		line := c.readLine()
--- a/proxy/gateway/home.go
+++ b/proxy/gateway/home.go
@@ -175,7 +175,7 @@
 	sent := g.cfg.Now()
 	status, err := g.Probe(ctx, s)
 	if err == nil && status.Primary {
-		v.markLeader(sent, s.ID, status.Received)
+		g.recordLeader(v, sent, s.ID, status.Received)
 	}
 }
 
--- a/proxy/gateway/lend.go
+++ b/proxy/gateway/lend.go
@@ -210,6 +210,7 @@
 		account:        o.GetAccount(),
 		priority:       int(o.GetPriority()),
 		chosen:         o.GetToScheduler(),
+		lent:           true,
 	}
 }
 
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
@@ -204,6 +205,7 @@
 		w.opening = openLeader
 	}
 	sent := sess.gw.cfg.Now()
+	lead := t.leadOf(s)
 	t.view.recordSent(s.ID)
 	r, err := sess.gw.runStatement(t.ctx, t.destination(s), w)
 	if err != nil {
@@ -215,7 +217,9 @@
 		return sess.handleRefusal(t, s, r)
 	}
 	if t.requiresLeader() {
-		sess.checkLeader(t.view, t.stmt, s, t.began)
+		if !sess.confirmLeader(t.view, t.stmt, s, lead, t.began) {
+			return sess.handleUnconfirmed(t)
+		}
 		t.view.markLeader(sent, s.ID, r.position)
 	}
 	if t.decision.Writes {
@@ -225,11 +229,33 @@
 	return true
 }
 
-// checkLeader logs an answer of a leader that was replaced as far as this instance knows.
-func (sess *session) checkLeader(v *view, stmt sessionstate.Statement, s discovery.Server, began time.Duration) {
-	if why := v.objection(s.ID); why != "" {
-		sess.gw.cfg.Log.formerPrimaryAnswered(sess, stmt, s, why, sess.gw.cfg.Now()-began)
+// leadOf returns the lead of a server that has to prove that it leads. Whether it may is checked before the statement is sent.
+func (t *tryState) leadOf(s discovery.Server) (lead leaderlease.Lead) {
+	if t.requiresLeader() {
+		lead, _ = t.view.lead(s.ID)
+	}
+	return lead
+}
+
+// confirmLeader reports whether an answer that has arrived may be acknowledged as one of the leader, and logs why not. The statement
+// was sent in a lead.
+func (sess *session) confirmLeader(v *view, stmt sessionstate.Statement, s discovery.Server, lead leaderlease.Lead, began time.Duration) bool {
+	why := sess.gw.objectionTo(v, s.ID, lead)
+	if why != "" {
+		sess.gw.cfg.Log.answerWithheld(sess, stmt, s, why, sess.gw.cfg.Now()-began)
+	}
+	return why == ""
+}
+
+// handleUnconfirmed handles an answer that can't be acknowledged: a read is repeated, and a write may have been lost with its
+// server's lead. It reports whether the caller was answered.
+func (sess *session) handleUnconfirmed(t *tryState) bool {
+	if t.decision.Writes {
+		sess.refuse(t.stmt, errOutcomeUnknown, t.began)
+		return true
 	}
+	t.lastError, t.mayHaveRun = errNoServer, false
+	return false
 }
 
 // targetLeft returns the time until a request must have ended at a server to meet its route's target latency.
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -7,7 +7,9 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/home"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 )
@@ -18,6 +20,7 @@
 	view             *view
 	server           discovery.Server
 	acceptedByLeader bool // the server accepted the transaction as the leader
+	lead             leaderlease.Lead
 	readOnly         bool
 	hasWritten       bool
 	idleTimeout      time.Duration
@@ -46,8 +49,8 @@
 		sess.openTransaction(r)
 		return
 	}
-	if sess.tx.acceptedByLeader && !sess.gw.mayUseLeader() {
-		sess.failTransaction(r, errCutOff)
+	if e := sess.tx.leaderError(sess.gw); e != nil {
+		sess.failTransaction(r, e)
 		return
 	}
 	if sess.openTransactionMustEnd() {
@@ -70,6 +73,20 @@
 	sess.answerInTransaction(r, res, sent, 1)
 }
 
+// leaderError returns why a transaction that the leader has accepted must end, or nil.
+func (tx *transaction) leaderError(g *Gateway) *outcome.Error {
+	if !tx.acceptedByLeader {
+		return nil
+	}
+	switch g.objectionTo(tx.view, tx.server.ID, tx.lead) {
+	case "":
+		return nil
+	case placement.LeaseExpired:
+		return errCutOff
+	}
+	return errLeaderReplaced
+}
+
 func (sess *session) transactionWork(r request) *workItem {
 	left := r.grant.Route.StatementTimeout - (sess.gw.cfg.Now() - r.began)
 	left = max(left, time.Millisecond)
@@ -98,7 +115,10 @@
 		return
 	}
 	if tx.acceptedByLeader {
-		sess.checkLeader(tx.view, r.stmt, tx.server, r.began)
+		if !sess.confirmLeader(tx.view, r.stmt, tx.server, tx.lead, r.began) {
+			sess.failTransaction(r, errLeaderReplaced)
+			return
+		}
 		// The server answers statements of such a transaction only while it leads.
 		tx.view.markLeader(sent, tx.server.ID, res.position)
 	}
@@ -146,6 +166,7 @@
 		w.opening = openLeader
 	}
 	sent := sess.gw.cfg.Now()
+	lead := t.leadOf(s)
 	t.view.recordSent(s.ID)
 	conn, res, err := sess.gw.openTxConn(t.ctx, t.destination(s), w)
 	if err != nil {
@@ -158,7 +179,7 @@
 		return false
 	}
 	sess.tx.conn, sess.tx.view, sess.tx.server, sess.tx.acceptedByLeader = conn, t.view, s, t.requiresLeader()
-	sess.tx.homes = t.grant.Homes
+	sess.tx.lead, sess.tx.homes = lead, t.grant.Homes
 	sess.answerInTransaction(t.request, res, sent, t.number)
 	return true
 }
@@ -248,8 +269,8 @@
 		sess.refuse(stmt, e, began)
 		return endIfDenied(e)
 	}
-	if tx.acceptedByLeader && !sess.gw.mayUseLeader() {
-		sess.refuse(stmt, errCutOff, began)
+	if e := tx.leaderError(sess.gw); e != nil {
+		sess.refuse(stmt, e, began)
 		return nil
 	}
 	if sess.gw.mustEndTransaction(tx.server) {
@@ -274,7 +295,10 @@
 		return nil
 	}
 	if tx.acceptedByLeader && tx.hasWritten {
-		sess.checkLeader(tx.view, stmt, tx.server, began)
+		if !sess.confirmLeader(tx.view, stmt, tx.server, tx.lead, began) {
+			sess.refuse(stmt, errOutcomeUnknown, began)
+			return nil
+		}
 		tx.view.markLeader(sent, tx.server.ID, res.position)
 		sess.floor = position.Max(sess.floor, res.position)
 	}
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 )
@@ -121,10 +122,10 @@
 	v.withLock(func(now time.Duration, g *placement.Group) { g.Retire(now, id) })
 }
 
-// objection returns why a server must not be used as the leader.
-func (v *view) objection(id string) (why placement.Objection) {
-	v.withLock(func(now time.Duration, g *placement.Group) { why = g.Objection(now, id) })
-	return why
+// lead returns the lead for which a server may be used as the leader, or why it must not be.
+func (v *view) lead(id string) (lead leaderlease.Lead, why placement.Objection) {
+	v.withLock(func(now time.Duration, g *placement.Group) { lead, why = g.Lead(now, id) })
+	return lead, why
 }
 
 func (v *view) markLagging(id string, lacked position.Position) {
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
@@ -65,6 +66,11 @@
 	return w.stmt.Kind == sessionstate.Read || w.stmt.Kind == sessionstate.Execute && !w.preparedStmt.Writes
 }
 
+// needsLeader reports whether only the leader may do the work.
+func (w *workItem) needsLeader() bool {
+	return w.opening == openLeader || w.opening == openNone && !w.readsOnly()
+}
+
 // result is the result of work on a server that answered.
 type result struct {
 	answer answer // to the statement, or to the refused setup
@@ -88,8 +94,13 @@
 	toScheduler bool
 	// chosen: this instance is the scheduler, by its own view or by that of the instance that sent the order.
 	chosen bool
+	// lent: another instance has sent the work, and acknowledges its answer.
+	lent bool
 }
 
+// errLeaderUnknown reports that the replacement of a leader may have been missed while a statement waited.
+var errLeaderUnknown = errors.New("this instance can't know any more whether the primary is being replaced")
+
 // notSentError proves that nothing of the work was sent to a server.
 type notSentError struct {
 	noFreeConnection bool // no connection became free in time; the server may be healthy
@@ -238,6 +249,7 @@
 	destination destination
 	upstream    *upstreamConn
 	admission   *admission // of the first statement
+	onLeader    bool       // only the leader may do the work
 	failed      bool
 }
 
@@ -257,19 +269,49 @@
 	}
 	defer a.endExecution()
 	if c.gw.mustEndTransaction(d.server) {
-		refused := answer{code: outcome.CodeRolledBack, text: errServerEvacuated.Error()}
-		return result{answer: refused, setupRefused: true, state: c.upstream.state, position: c.upstream.position}, nil
+		return c.rolledBack(errServerEvacuated), nil
+	}
+	if c.onLeader {
+		switch c.gw.sendObjection(d) {
+		case "":
+		case placement.LeaseExpired:
+			return c.rolledBack(errLeaderUnknown), nil
+		default:
+			return replacedResult(c.upstream.state), nil
+		}
 	}
 	turn.sent()
 	return c.executeNow(w)
 }
 
+// sendObjection returns why work for the leader must not be sent to a server. Whether the evidence of the lease is recent enough
+// matters at the instance that acknowledges the answer.
+func (g *Gateway) sendObjection(d destination) placement.Objection {
+	v := g.view(d.server.Database)
+	if !d.lent && !g.mayUseLeader() {
+		return placement.LeaseExpired
+	}
+	_, why := v.lead(d.server.ID)
+	return why
+}
+
+// replacedResult returns the result of work for a leader that was replaced, like the refusal of a server that does not lead.
+func replacedResult(state sessionstate.TxState) result {
+	return result{answer: answer{code: outcome.CodeReadOnly, text: "the server is being replaced as the primary"}, setupRefused: true, state: state}
+}
+
 // refuse returns the result of work that was not admitted.
 func (c *localTxConn) refuse(err error) result {
 	refused := answer{code: outcome.CodeInsufficientResources, text: err.Error()}
 	return result{answer: refused, setupRefused: true, state: c.upstream.state, position: c.upstream.position}
 }
 
+// rolledBack returns the result of work in a transaction that must end.
+func (c *localTxConn) rolledBack(cause error) result {
+	refused := answer{code: outcome.CodeRolledBack, text: cause.Error()}
+	return result{answer: refused, setupRefused: true, state: c.upstream.state, position: c.upstream.position}
+}
+
 // executeNow does work that was already admitted.
 func (c *localTxConn) executeNow(w *workItem) (result, error) {
 	c.gw.pool.began(c.upstream)
@@ -333,8 +375,18 @@
 		full := errors.Is(err, errServerFull) || errors.Is(err, errNoFreeConnection)
 		return nil, result{}, &notSentError{noFreeConnection: full, lenderReaches: machineAnswers(err), cause: err}
 	}
+	if w.needsLeader() {
+		if why := g.sendObjection(d); why != "" {
+			g.pool.release(u, true)
+			a.endConnection()
+			if why == placement.LeaseExpired {
+				return nil, result{}, &notSentError{noFreeConnection: true, cause: errLeaderUnknown}
+			}
+			return nil, replacedResult(sessionstate.Idle), nil
+		}
+	}
 	w.deductTime(time.Since(began))
-	conn := &localTxConn{gw: g, destination: d, upstream: u, admission: a}
+	conn := &localTxConn{gw: g, destination: d, upstream: u, admission: a, onLeader: w.opening == openLeader}
 	turn.sent()
 	w.mustNotSend = g.evacuationLimit(d.server)
 	r, err := conn.executeNow(w)
--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -3,86 +3,183 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 )
 
-// claim is the stored value of a promotion claim.
+// maxClaimWrites bounds how often a write of a claim is tried whose answer is lost.
+const maxClaimWrites = 3
+
+// claim is the stored value of a promotion claim. Builds without package leaderlease read and write only its first two fields.
 type claim struct {
-	Instance string `json:"instance"`
-	Server   string `json:"server"`
-	// Serial is the version of the claim that this one replaced. It makes each claim a change: the store keeps the revision
-	// of an object that is overwritten with its own value.
+	Instance    string   `json:"instance"`
+	Server      string   `json:"server"`
+	Former      []string `json:"former,omitempty"`
+	FormerKnown bool     `json:"formerKnown,omitempty"`
+	HandOver    string   `json:"handOver,omitempty"`
+	// Lead and HandOverLead are those of leaderlease.Claim.
+	Lead         uint64 `json:"lead,omitempty"`
+	HandOverLead uint64 `json:"handOverLead,omitempty"`
+	// Order identifies the claims of one order, and Serial each write: the store gives no new revision to a value that it already has.
+	Order  uint64 `json:"order"`
 	Serial uint64 `json:"serial"`
 }
 
-// seenClaim is when this instance first saw a revision of a claim.
+// decodeClaim decodes a stored claim. One of an unknown format names no server.
+func decodeClaim(value []byte) claim {
+	var c claim
+	if err := json.Unmarshal(value, &c); err != nil {
+		return claim{}
+	}
+	return c
+}
+
+func (c claim) leaderClaim(version uint64) leaderlease.Claim {
+	lead := leaderlease.Lead(c.Lead)
+	if c.Order == 0 {
+		lead = leaderlease.Lead(version) // of a build that claims once for each order
+	}
+	return leaderlease.Claim{
+		Version: version, Server: c.Server, Former: c.Former, FormerKnown: c.FormerKnown, HandOver: c.HandOver,
+		Lead: lead, HandOverLead: leaderlease.Lead(c.HandOverLead),
+	}
+}
+
+// seenClaim is when this process first saw a revision of a claim, and whether it has written it.
 type seenClaim struct {
 	revision uint64
 	seenAt   time.Duration
+	own      bool
 }
 
-// claimPromotion claims the next promotion of a database for this instance and returns its fence.
-func (p *promotionController) claimPromotion(ctx context.Context, database, old, server string) (uint64, error) {
-	key := claimsKind + "/" + database
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	store := p.node.store
+// ownClaim is a claim that this instance has written. Its version is the fence of its promotion.
+type ownClaim struct {
+	leaderlease.Claim
+	database string
+	order    uint64
+	// sentAt and confirmedAt are when the write was sent and when its confirmation arrived.
+	sentAt, confirmedAt time.Duration
+}
+
+// claimPromotion claims the next promotion of a database for this instance.
+func (p *promotionController) claimPromotion(ctx context.Context, database, old, server string, handOver bool) (ownClaim, error) {
 	var current claim
-	object, err := store.Get(ctx, key)
+	object, err := p.readClaim(ctx, database)
 	switch {
 	case errors.Is(err, objectstore.ErrNotFound):
 	case err != nil:
-		return 0, err
+		return ownClaim{}, err
 	default:
-		if err := json.Unmarshal(object.Value, &current); err != nil {
-			current = claim{} // unknown format; the conditional write replaces it
-		}
+		current = decodeClaim(object.Value)
 	}
 	if !p.node.eras.SettledFor(failover.ClaimTerm) {
-		return 0, errRestoredNow
+		return ownClaim{}, errRestoredNow
 	}
-	if current.Server != old && p.claimedElsewhere(database, object.Version, current) {
-		return 0, errClaimed
+	if (current.Server != old || p.node.settings.UnfencedPromotions) && p.claimedElsewhere(database, object.Version) {
+		return ownClaim{}, errClaimed
 	}
-	value, err := json.Marshal(claim{Instance: p.node.settings.Instance, Server: server, Serial: object.Version})
-	if err != nil {
-		return 0, errors.Wrap(err, "encode the promotion claim")
+	next := current.leaderClaim(object.Version).Next(old, server, handOver)
+	return p.writeClaim(ctx, ownClaim{Claim: next, database: database, order: rand.Uint64()}, object.Version)
+}
+
+// rewriteClaim replaces a claim of this instance by the next one, unless another instance has claimed the promotion since.
+func (p *promotionController) rewriteClaim(ctx context.Context, own ownClaim, next leaderlease.Claim) (ownClaim, error) {
+	ifVersion := own.Version
+	own.Claim = next
+	return p.writeClaim(ctx, own, ifVersion)
+}
+
+// writeClaim writes a claim if the version of the present one is ifVersion, or that of an earlier write of the same order that was
+// carried out without an answer.
+func (p *promotionController) writeClaim(ctx context.Context, own ownClaim, ifVersion uint64) (ownClaim, error) {
+	value := claim{
+		Instance: p.node.settings.Instance, Server: own.Server, Former: own.Former, FormerKnown: own.FormerKnown, HandOver: own.HandOver,
+		Lead: uint64(own.Lead), HandOverLead: uint64(own.HandOverLead),
+		Order: own.order, Serial: rand.Uint64(),
 	}
-	revision, err := store.Put(ctx, key, value, object.Version)
-	if errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrRestored) {
-		return 0, errClaimed
+	for try := 1; ; try++ {
+		own.sentAt = boottime.Now()
+		version, err := p.putClaim(ctx, own.database, value, ifVersion)
+		if err == nil {
+			return p.confirmClaim(own, version), nil
+		}
+		if errors.Is(err, objectstore.ErrRestored) || try == maxClaimWrites {
+			return ownClaim{}, err
+		}
+		present, readErr := p.readClaim(ctx, own.database)
+		if readErr != nil {
+			return ownClaim{}, err
+		}
+		switch found := decodeClaim(present.Value); {
+		case found.Order == value.Order && found.Serial == value.Serial:
+			return p.confirmClaim(own, present.Version), nil
+		case found.Order == value.Order:
+			ifVersion = present.Version
+		case present.Version != ifVersion:
+			return ownClaim{}, errClaimed
+		}
 	}
+}
+
+func (p *promotionController) readClaim(ctx context.Context, database string) (objectstore.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return p.node.store.Get(ctx, claimKey(database))
+}
+
+func (p *promotionController) putClaim(ctx context.Context, database string, value claim, ifVersion uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	encoded, err := json.Marshal(value)
 	if err != nil {
-		return 0, err
+		return 0, errors.Wrap(err, "encode the promotion claim")
+	}
+	version, err := p.node.store.Put(ctx, claimKey(database), encoded, ifVersion)
+	if errors.Is(err, objectstore.ErrRestored) {
+		return 0, errors.Mark(err, errClaimed)
 	}
-	p.recordClaim(database, revision)
-	return revision, nil
+	return version, err
+}
+
+// confirmClaim records a claim of this instance that is in the store.
+func (p *promotionController) confirmClaim(own ownClaim, version uint64) ownClaim {
+	own.Version, own.confirmedAt = version, boottime.Now()
+	p.recordClaim(own.database, version, true)
+	p.node.adoptClaim(own.database, own.Claim, sourceOwnClaim)
+	return own
 }
 
-// claimedElsewhere reports whether another instance has recently claimed a promotion that has not made its server the
-// primary yet. The age of a claim is unknown when it is first seen, so it counts as new then.
-func (p *promotionController) claimedElsewhere(database string, revision uint64, current claim) bool {
-	if revision == 0 || current.Instance == p.node.settings.Instance {
+func claimKey(database string) string {
+	return claimsKind + "/" + database
+}
+
+// claimedElsewhere reports whether another process has recently claimed a promotion that has not made its server the primary yet.
+// It may be an earlier one of this instance, whose order may be on its way. The age of a claim is unknown when it is first seen, so
+// it counts as new then.
+func (p *promotionController) claimedElsewhere(database string, revision uint64) bool {
+	if revision == 0 {
 		return false
 	}
-	p.mu.Lock()
-	seen, known := p.claims[database]
-	p.mu.Unlock()
-	if !known || seen.revision != revision {
-		p.recordClaim(database, revision)
-		return true
-	}
-	return boottime.Now()-seen.seenAt < failover.ClaimTerm
+	seen := p.recordClaim(database, revision, false)
+	return !seen.own && boottime.Now()-seen.seenAt < failover.ClaimTerm
 }
 
-func (p *promotionController) recordClaim(database string, revision uint64) {
+// recordClaim records that this process has seen a revision of a claim, and returns when that was first the case.
+func (p *promotionController) recordClaim(database string, revision uint64, own bool) seenClaim {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.claims[database] = seenClaim{revision, boottime.Now()}
+	seen := p.claims[database]
+	if seen.revision != revision {
+		seen = seenClaim{revision: revision, seenAt: boottime.Now()}
+	}
+	seen.own = seen.own || own // it may have been read before its write was confirmed
+	p.claims[database] = seen
+	return seen
 }
--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -66,10 +66,12 @@
 	EventPromotionWithheld = "CYC-6031"
 	// EventPrimaryChanged: this instance takes another server than before for the primary of a database.
 	EventPrimaryChanged = "CYC-6032"
-	// EventRetired: the other instances were told that a primary is replaced.
-	EventRetired = "CYC-6033"
+	// EventWithdrawn: no instance uses a former primary any more, or the order to withdraw it has failed.
+	EventWithdrawn = "CYC-6033"
 	// EventToldToRetire: another instance has told this one that it replaces a primary.
 	EventToldToRetire = "CYC-6034"
+	// EventClaimAdopted: a claim names another server than before as the primary of a database.
+	EventClaimAdopted = "CYC-6035"
 	// EventEvacuation: the evacuation of a failure domain has begun or ended.
 	EventEvacuation = "CYC-6040"
 	// EventEvacuationUnknown: an evacuation names a failure domain that is not in the settings.
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
@@ -41,9 +42,8 @@
 	// promoteTimeout bounds a promotion call to the platform, and orderTimeout all steps of an order.
 	promoteTimeout = 1500 * time.Millisecond
 	orderTimeout   = 10 * time.Second
-	// retireTimeout bounds the attempts to make an unreachable primary step down before its successor is promoted, and
-	// peerStepDownTimeout the attempt of another instance, whose reply has to arrive within retireTimeout.
-	retireTimeout       = 400 * time.Millisecond
+	// peerStepDownTimeout bounds the attempt to make a primary step down for another instance, whose call has to be answered
+	// within tellTimeout.
 	peerStepDownTimeout = 200 * time.Millisecond
 	// stepDownRetryInterval and stepDownFollowUp are the interval and the duration of the attempts to make a replaced
 	// primary step down that did not answer before.
@@ -159,11 +159,13 @@
 	primary, missing, _ := p.node.gateway.Primary(database)
 	p.logPrimary(database, primary, missing)
 	away := p.isAwayFromHome(database, primary)
+	claimed, isReplaced := p.node.isExcluded(database, primary.ID)
 	var action failover.Action
 	var reason failover.Reason
 	p.withMachine(database, func(m *failover.Machine) {
 		action, reason = m.Step(boottime.Now(), failover.Primary{
 			ID: primary.ID, Leaving: primary.Leaving, Missing: missing, Evacuated: primary.Evacuated, AwayFromHome: away,
+			IsReplaced: isReplaced, ClaimedAt: claimed.at, OwnClaim: claimed.own,
 		})
 	})
 	switch action {
@@ -219,15 +221,18 @@
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	survey, _ := p.surveyor.Ask(ctx, s.Database, s.ID, 0)
-	p.withMachine(s.Database, func(m *failover.Machine) { m.RecordSurvey(s.ID, summaryOf(survey)) })
-}
-
-func summaryOf(s peer.Survey) failover.Survey {
-	return failover.Survey{Asked: s.Asked, Lost: s.Lost, Reaching: s.Reaching}
+	p.withMachine(s.Database, func(m *failover.Machine) { m.RecordSurvey(s.ID, failover.Survey(survey)) })
 }
 
 // Judge implements peer.JudgeHandler.
 func (p *promotionController) Judge(ctx context.Context, in *peerpb.JudgeRequest) (*peerpb.JudgeReply, error) {
+	if c := in.GetClaim(); c != nil {
+		told := leaderlease.Claim{
+			Version: c.GetVersion(), Server: c.GetServer(), HandOver: c.GetHandOver(),
+			Lead: leaderlease.Lead(c.GetLead()), HandOverLead: leaderlease.Lead(c.GetHandOverLead()),
+		}
+		return &peerpb.JudgeReply{ClaimVersion: p.node.adoptClaim(in.GetDatabase(), told, sourcePeer)}, nil
+	}
 	if in.GetTerm() != 0 {
 		return p.retireForPeer(ctx, in), nil
 	}
@@ -288,30 +293,38 @@
 	if err != nil {
 		return err
 	}
-	if !handOver && p.node.settings.UnfencedPromotions && old.ID != "" {
-		if err := p.retire(ctx, old, successor.status.Term+1); err != nil {
-			return err
-		}
+	if err := p.endFormerLead(ctx, successor); err != nil {
+		return err
 	}
-	claimedAt := boottime.Now()
-	fence, err := p.claimPromotion(ctx, database, old.ID, successor.server.ID)
+	own, err := p.claimPromotion(ctx, database, old.ID, successor.server.ID, handOver)
 	if err != nil {
 		return err
 	}
 	event(p.log, EventPromoting).WithFields(logrus.Fields{
-		"database": database, "old": old.ID, "server": successor.server.ID, "fence": fence, "hand_over": handOver,
-	}).Info("promotion is ordered")
+		"database": database, "old": old.ID, "server": successor.server.ID, "fence": own.Version, "hand_over": handOver,
+	}).Info("promotion is claimed")
+	var steppedDown string
 	if handOver {
-		if err := p.handOver(ctx, old, successor.server); err != nil && (old.Evacuated || p.node.settings.UnfencedPromotions) {
+		err := p.handOver(ctx, old, successor.server)
+		if err != nil && (old.Evacuated || p.node.settings.UnfencedPromotions) {
 			return err // the successor may lack commits, and an unfenced primary would go on
 		}
+		steppedDown = old.ID
 	}
-	return p.promote(ctx, successor.server, fence, claimedAt)
+	return p.promote(ctx, successor, own, steppedDown)
 }
 
-// promote makes the platform promote a server by a claim.
-func (p *promotionController) promote(ctx context.Context, s discovery.Server, fence uint64, claimedAt time.Duration) error {
-	if !failover.MayOrder(boottime.Now()-claimedAt, fence, p.node.eras.Era()) {
+// promote makes the platform promote the server of a claim. Where promotions aren't fenced, it first makes sure that no instance
+// uses another server; steppedDown, which may be empty, has confirmed that it does not lead since the claim was written.
+func (p *promotionController) promote(ctx context.Context, successor candidate, own ownClaim, steppedDown string) error {
+	if p.node.settings.UnfencedPromotions {
+		var err error
+		if own, err = p.withdraw(ctx, own, successor.status.Term+1, steppedDown); err != nil {
+			return err
+		}
+	}
+	s, fence := successor.server, own.Version
+	if !failover.MayOrder(boottime.Now()-own.sentAt, fence, p.node.eras.Era()) {
 		return errClaimTooOld
 	}
 	if p.node.isEvacuated(s) {
--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -74,6 +74,8 @@
 	isOutdated func(platform.Object) bool
 	// acceptsUnknown: a relay that does not have the kind is not suspected, since its settings may not ask for it.
 	acceptsUnknown bool
+	// startsFromStore: the first call is to the store, since the data of a relay may be from before this instance started.
+	startsFromStore bool
 	// newerPeer, if set, returns the address of a peer that has a newer object than a restored store, or "".
 	newerPeer func() string
 
@@ -113,6 +115,10 @@
 			return nil
 		}
 	}
+	if f.startsFromStore {
+		f.startsFromStore = false
+		return f.list(ctx)
+	}
 	if f.relays != nil {
 		followed, err := f.followParent(ctx)
 		if followed || err != nil {
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
-	"github.com/cyclamenstile/cyclamenstile/decision/failover"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
-	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
-	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
@@ -56,66 +52,38 @@
 	return status, err
 }
 
-// retire makes a primary that this instance can't reach step down before its successor is promoted, through any
-// instance that reaches it, and makes them all stop sending statements to it. It waits until instances that don't
-// acknowledge this have noticed that they are cut off.
-func (p *promotionController) retire(ctx context.Context, old discovery.Server, term uint64) error {
-	p.node.gateway.Retire(old.Database, old.ID)
-	callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
-	defer cancel()
-	var told peer.Survey
-	var telling sync.WaitGroup
-	telling.Go(func() { told, _ = p.surveyor.Tell(callCtx, old.Database, old.ID, term) })
-	_, err := p.stepDownBelow(callCtx, old, term)
-	telling.Wait()
-	log := event(p.log, EventRetired).WithFields(logrus.Fields{
-		"database": old.Database, "server": old.ID, "asked": told.Asked, "told": told.Lost, "stepped_down_by": told.Reaching,
-		"silent": told.Silent, "step_down_error": errorText(err),
-	})
-	if err == nil || told.Reaching > 0 {
-		log.WithField("wait_ms", 0).Info("the former primary has stepped down")
-		return nil
-	}
-	go p.followUpStepDown(old, term)
-	var lostSince time.Duration
-	p.withMachine(old.Database, func(m *failover.Machine) { lostSince = m.LostSince() })
-	delay := failover.ReplacementDelay(boottime.Now(), lostSince, p.node.noticePeriod(), summaryOf(told))
-	log.WithField("wait_ms", delay.Milliseconds()).Info("the former primary has not stepped down; instances were told to stop using it")
-	wait.For(ctx, delay)
-	if now, _, ok := p.node.gateway.Primary(old.Database); ok && now.ID != old.ID {
-		return errClaimed
+// stepDownFormer makes a primary step down that the newest claim does not allow, whatever its term. Otherwise it may have been
+// promoted since the order to step down was given, and keeps a term that is not below the given one.
+func (p *promotionController) stepDownFormer(ctx context.Context, s discovery.Server, term uint64) (placement.Status, error) {
+	if _, excluded := p.node.isExcluded(s.Database, s.ID); excluded {
+		return p.stepDown(ctx, s)
 	}
-	p.node.gateway.Retire(old.Database, old.ID)
-	return nil
+	return p.stepDownBelow(ctx, s, term)
 }
 
-// retireForPeer implements retire for another instance. It replies that this instance reaches the server if it has
-// stepped down.
+// retireForPeer makes a primary step down that another instance replaces. It replies that this instance reaches the server if it has
+// stepped down. An instance of a build without leases sends no claim before, so the primary is not used for a while either.
 func (p *promotionController) retireForPeer(ctx context.Context, in *peerpb.JudgeRequest) *peerpb.JudgeReply {
-	p.node.gateway.Retire(in.GetDatabase(), in.GetServer())
+	if _, excluded := p.node.isExcluded(in.GetDatabase(), in.GetServer()); !excluded {
+		p.node.gateway.Retire(in.GetDatabase(), in.GetServer())
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerStepDownTimeout)
 	defer cancel()
 	err := errUnknownServer
 	for _, s := range p.node.gateway.Servers(in.GetDatabase()) {
 		if s.ID == in.GetServer() {
-			_, err = p.stepDownBelow(ctx, s, in.GetTerm())
+			_, err = p.stepDownFormer(ctx, s, in.GetTerm())
 		}
 	}
-	event(p.log, EventToldToRetire).WithFields(logrus.Fields{
-		"database": in.GetDatabase(), "server": in.GetServer(), "term": in.GetTerm(), "step_down_error": errorText(err),
-	}).Info("another instance replaces the primary")
-	if err == nil {
-		return &peerpb.JudgeReply{Judgement: peerpb.Judgement_REACHES}
-	}
-	return &peerpb.JudgeReply{Judgement: peerpb.Judgement_LOST}
-}
-
-// errorText returns the text of an error for a log field, empty without an error.
-func errorText(err error) string {
-	if err == nil {
-		return ""
+	log := event(p.log, EventToldToRetire).WithFields(logrus.Fields{
+		"database": in.GetDatabase(), "server": in.GetServer(), "term": in.GetTerm(),
+	})
+	if err != nil {
+		log.WithError(err).Debug("a primary that another instance replaces has not stepped down")
+		return &peerpb.JudgeReply{Judgement: peerpb.Judgement_LOST}
 	}
-	return err.Error()
+	log.Info("a primary that another instance replaces has stepped down")
+	return &peerpb.JudgeReply{Judgement: peerpb.Judgement_REACHES}
 }
 
 // followUpStepDown makes a replaced primary step down as soon as it answers again.
@@ -124,7 +92,7 @@
 	defer cancel()
 	for {
 		callCtx, cancelCall := context.WithTimeout(ctx, probeTimeout)
-		_, err := p.stepDownBelow(callCtx, old, term)
+		_, err := p.stepDownFormer(callCtx, old, term)
 		cancelCall()
 		if err == nil || errors.Is(err, errStillLeads) || !wait.For(ctx, stepDownRetryInterval) {
 			return
--- a/proxy/node/homes.go
+++ b/proxy/node/homes.go
@@ -12,7 +12,6 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/home"
-	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
@@ -90,8 +89,10 @@
 	if !p.followsClosely(ctx, successor.server, old) {
 		return errLagsBehind
 	}
-	claimedAt := boottime.Now()
-	fence, err := p.claimPromotion(ctx, database, old.ID, successor.server.ID)
+	if err := p.endFormerLead(ctx, successor); err != nil {
+		return err
+	}
+	own, err := p.claimPromotion(ctx, database, old.ID, successor.server.ID, true)
 	if err != nil {
 		return err
 	}
@@ -100,11 +101,14 @@
 		return err
 	}
 	if caughtUp {
-		return p.promote(ctx, successor.server, fence, claimedAt)
+		return p.promote(ctx, successor, own, old.ID)
 	}
 	event(p.log, EventMovedBack).WithFields(logrus.Fields{"database": database, "server": old.ID, "successor": successor.server.ID}).
 		Warn("the server at home did not receive all writes in time; the former primary is promoted again")
-	if err := p.promote(ctx, old, fence, claimedAt); err != nil {
+	if own, err = p.rewriteClaim(ctx, own, own.Next(old.ID, old.ID, false)); err != nil {
+		return err
+	}
+	if err := p.promote(ctx, candidate{server: old, status: successor.status}, own, ""); err != nil {
 		return err
 	}
 	return errMovedBack
--- /dev/null
+++ b/proxy/node/leases.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+)
+
+// Sources of a claim, for logs.
+const (
+	sourceOwnClaim = "own"
+	sourceStore    = "store"
+	sourcePeer     = "peer"
+)
+
+// leaderLeases holds the leases of this instance on the leaders of all databases.
+type leaderLeases struct {
+	mu     sync.Mutex
+	leases leaderlease.Leases
+	// adopted tells of the newest claim of each database when and how it was adopted.
+	adopted map[string]adoption
+}
+
+type adoption struct {
+	at  time.Duration
+	own bool // this instance has written the claim
+}
+
+// adoptClaim records a claim and stops the use of the servers that it doesn't allow. It returns the version of the newest claim.
+func (n *Node) adoptClaim(database string, c leaderlease.Claim, source string) (version uint64) {
+	if !n.settings.UnfencedPromotions {
+		return 0
+	}
+	before, adopted := n.applyClaim(database, c, source == sourceOwnClaim)
+	if !adopted {
+		return before.Version
+	}
+	if before.Server != c.Server || before.HandOver != c.HandOver {
+		event(n.log, EventClaimAdopted).WithFields(logrus.Fields{
+			"database": database, "server": c.Server, "hand_over": c.HandOver, "former": c.Former, "fence": c.Version, "source": source,
+		}).Info("another server is to be the primary; no other one is used")
+	}
+	return c.Version
+}
+
+// applyClaim brings a claim into force if it is newer than the one before.
+func (n *Node) applyClaim(database string, c leaderlease.Claim, own bool) (before leaderlease.Claim, adopted bool) {
+	l := &n.leases
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before = l.leases.Claim(database)
+	if !l.leases.Adopt(database, c) {
+		if own && before.Version == c.Version { // it was read before its write was confirmed
+			l.adopted[database] = adoption{l.adopted[database].at, true}
+		}
+		return before, false
+	}
+	l.adopted[database] = adoption{boottime.Now(), own}
+	n.gateway.SetClaim(database, c) // with the lock held, so that a later claim is set later
+	return before, true
+}
+
+// isExcluded reports whether the newest claim does not allow a server, and how it was adopted.
+func (n *Node) isExcluded(database, server string) (a adoption, excluded bool) {
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	if server == "" || n.leases.leases.Claim(database).Allows(server) {
+		return adoption{}, false
+	}
+	return n.leases.adopted[database], true
+}
+
+// orderedServer returns the server whose promotion may have been ordered by the newest claim.
+func (n *Node) orderedServer(database string) string {
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	return n.leases.leases.Claim(database).Ordered()
+}
+
+// joinLeases records that this instance is in the list of instances.
+func (n *Node) joinLeases() {
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	n.leases.leases.Join(boottime.Now())
+}
+
+// mayUsePrimary reports whether statements may be sent to the primaries that the claims allow, and their answers acknowledged. Where
+// promotions are fenced, they always may.
+func (n *Node) mayUsePrimary() bool {
+	if !n.settings.UnfencedPromotions {
+		return true
+	}
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	return n.leases.leases.Valid(boottime.Now())
+}
+
+// claimFollower returns the follower of the claims of promotions.
+func (n *Node) claimFollower() *follower {
+	f := n.follower(claimsKind, claimsWatchWait, 0)
+	f.acceptsUnknown, f.startsFromStore = true, true
+	f.onList = func(list objectList) { n.adoptClaims(list.objects, list.restored) }
+	f.onChange = func(changes []platform.Object) { n.adoptClaims(changes, false) }
+	f.onConfirm = func(asOf time.Duration, _ uint64) {
+		n.leases.mu.Lock()
+		defer n.leases.mu.Unlock()
+		n.leases.leases.Confirm(asOf)
+	}
+	return f
+}
+
+// adoptClaims adopts claims that were read. One that a restored store shows may be older than the one known, which then stays.
+func (n *Node) adoptClaims(objects []platform.Object, restored bool) {
+	for _, o := range objects {
+		if o.Deleted || restored && n.knowsClaim(o.Name) {
+			continue
+		}
+		n.failover.recordClaim(o.Name, o.Revision, false)
+		n.adoptClaim(o.Name, decodeClaim(o.Spec).leaderClaim(o.Revision), sourceStore)
+	}
+}
+
+func (n *Node) knowsClaim(database string) bool {
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	return n.leases.leases.Claim(database).Version != 0
+}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
-	"github.com/cyclamenstile/cyclamenstile/decision/failover"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/platform"
@@ -78,6 +77,8 @@
 	// evacuations is nil in deployments without evacuations.
 	evacuations *evacuations
 
+	leases leaderLeases
+
 	stopping      atomic.Bool
 	serversLoaded atomic.Bool
 	serversKnown  serverFreshness
@@ -101,6 +102,7 @@
 // newUnassembled returns an instance without listeners and parts.
 func newUnassembled(settings Settings, log logrus.FieldLogger) *Node {
 	n := &Node{settings: settings, log: log.WithField("instance", settings.Instance), metrics: telemetry.New()}
+	n.leases.adopted = map[string]adoption{}
 	n.storeMetrics = newStoreMetrics(n.metrics.Scope)
 	n.liveSettings.Store(&settings)
 	return n
@@ -174,7 +176,7 @@
 	relayDial := startDialer(boottime.Now, tcp.Dialer(tcp.CallTimeout).DialContext)
 	n.relayClient = peer.NewClient(peer.ClientConfig{Meter: meter, IdleTimeout: lendConnIdleTimeout, Dial: relayDial})
 	n.peers = set
-	n.relays = newRelayService(n, boottime.Now, platform.ConfigKind, platform.ServersKind, quotaKind, instancesKind)
+	n.relays = newRelayService(n, boottime.Now, n.relayedKinds()...)
 	n.lenders = &lenderSelector{peers: set, self: n.settings.Listen.Peers, locality: n.settings.Locality, processorShare: n.settings.Capacity.ProcessorShare}
 	n.quota, err = quota.New(quota.Config{
 		Self:        n.settings.Listen.Peers,
@@ -253,7 +255,11 @@
 		f.run(ctx)
 	})
 	tasks.Go(func() { n.confirmFirst(ctx) })
-	for _, f := range []*follower{n.configFollower(), n.serverFollower(), n.quotaFollower()} {
+	followers := []*follower{n.configFollower(), n.serverFollower(), n.quotaFollower()}
+	if n.settings.UnfencedPromotions {
+		followers = append(followers, n.claimFollower())
+	}
+	for _, f := range followers {
 		tasks.Go(func() {
 			wait.UntilClosed(ctx, joined, joinTimeout) // so that it can use a relay instead of the store
 			f.run(ctx)
@@ -276,20 +282,6 @@
 	go n.gateway.Serve(n.callerListener) // returns when the listener is closed
 }
 
-// mayUsePrimary reports whether statements may be sent to primaries. Where promotions are fenced, they always may.
-func (n *Node) mayUsePrimary() bool {
-	if !n.settings.UnfencedPromotions {
-		return true
-	}
-	return failover.MayUsePrimary(n.serversKnown.age(boottime.Now()), n.noticePeriod())
-}
-
-// noticePeriod is the time within which an instance that is cut off uses no primary any more. Without the store, keys are
-// not trusted for longer either.
-func (n *Node) noticePeriod() time.Duration {
-	return n.liveSettings.Load().Bounds.KeyWithdrawal()
-}
-
 func (n *Node) logListenerEnd(what string, err error) {
 	if err != nil && !n.stopping.Load() {
 		event(n.log, EventListenerEnded).WithError(err).Error("listener for " + what + " ended; restart the instance")
--- a/proxy/node/successor.go
+++ b/proxy/node/successor.go
@@ -92,6 +92,11 @@
 	if len(candidates) == 0 {
 		return candidate{}, errNoSuccessor
 	}
+	// An earlier order may still take effect.
+	ordered := p.node.orderedServer(database)
+	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.server.ID == ordered }); i >= 0 {
+		return candidates[i], nil
+	}
 	homes := p.homesOf(database)
 	return slices.MaxFunc(candidates, func(a, b candidate) int { return compareCandidates(homes, a, b) }), nil
 }
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -22,6 +22,8 @@
 	serversWatchWait   = 2 * time.Second
 	quotaWatchWait     = 2 * time.Second
 	instancesWatchWait = 2 * time.Second
+	// claimsWatchWait keeps the evidence of leases well below their term.
+	claimsWatchWait = 2 * time.Second
 	// evacuationsWatchWait is as long as the wait for servers: a relay that is cut off has to be noticed within the bound.
 	evacuationsWatchWait = 2 * time.Second
 	// serversBatchDelay, quotaBatchDelay and instancesBatchDelay batch changes in quick succession, such as at a start.
@@ -34,6 +36,15 @@
 	quotaKind = "quota"
 )
 
+// relayedKinds returns the kinds of objects that this instance passes on to others.
+func (n *Node) relayedKinds() []string {
+	kinds := []string{platform.ConfigKind, platform.ServersKind, quotaKind, instancesKind}
+	if n.settings.UnfencedPromotions {
+		kinds = append(kinds, claimsKind)
+	}
+	return kinds
+}
+
 // follower returns a follower of one kind of objects.
 func (n *Node) follower(kind string, wait, batchDelay time.Duration) *follower {
 	return &follower{
@@ -99,6 +110,7 @@
 	}
 	f.onChange = n.instances.applyChanges
 	join := sync.OnceFunc(func() {
+		n.joinLeases() // before the claims are read
 		n.peers.RefreshNow()
 		close(joined)
 	})
--- a/proxy/peer/survey.go
+++ b/proxy/peer/survey.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
@@ -15,8 +14,6 @@
 // Survey counts the judgements of other instances on a primary.
 type Survey struct {
 	Asked, Lost, Reaching int
-	// Silent holds the addresses of the instances without a judgement.
-	Silent []string
 }
 
 // Surveyor asks other instances about a primary.
@@ -29,19 +26,10 @@
 // database. An instance that does not answer in time is counted only in Asked. known is false if the
 // instance list has not been read yet.
 func (s *Surveyor) Ask(ctx context.Context, database, server string, term uint64) (survey Survey, known bool) {
-	return s.ask(ctx, database, server, term, maxSurveyed)
-}
-
-// Tell is Ask for all listed instances that are not leaving.
-func (s *Surveyor) Tell(ctx context.Context, database, server string, term uint64) (survey Survey, known bool) {
-	return s.ask(ctx, database, server, term, math.MaxInt)
-}
-
-func (s *Surveyor) ask(ctx context.Context, database, server string, term uint64, limit int) (survey Survey, known bool) {
 	if s.Peers.ListedCount() == 0 {
 		return Survey{}, false
 	}
-	addresses := s.addresses(database, limit)
+	addresses := s.addresses(database)
 	replies := make([]peerpb.Judgement, len(addresses))
 	request := &peerpb.JudgeRequest{Database: database, Server: server, Term: term}
 	var calls sync.WaitGroup
@@ -55,29 +43,27 @@
 		})
 	}
 	calls.Wait()
-	return countReplies(addresses, replies), true
+	return countReplies(replies), true
 }
 
-func (s *Surveyor) addresses(database string, limit int) []string {
+func (s *Surveyor) addresses(database string) []string {
 	var addresses []string
 	for _, p := range s.Peers.Peers() {
 		if !p.Instance.Leaving && !p.Leaving {
 			addresses = append(addresses, p.Instance.PeerAddress)
 		}
 	}
-	return RendezvousTop(database, addresses, limit)
+	return RendezvousTop(database, addresses, maxSurveyed)
 }
 
-func countReplies(addresses []string, replies []peerpb.Judgement) Survey {
+func countReplies(replies []peerpb.Judgement) Survey {
 	survey := Survey{Asked: len(replies)}
-	for i, r := range replies {
+	for _, r := range replies {
 		switch r {
 		case peerpb.Judgement_LOST:
 			survey.Lost++
 		case peerpb.Judgement_REACHES:
 			survey.Reaching++
-		default:
-			survey.Silent = append(survey.Silent, addresses[i])
 		}
 	}
 	return survey
