Follow another relay when one's claims or evacuations are old

Cause: for the kinds that an older relay does not have, a relay whose data was too old counted as one without the kind: the follower called the store itself and asked the same relay again, also while the store turned it away. Change: the two are told apart, and a relay with old data is skipped as for other kinds. Result: go test ./proxy/node passes.

--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -145,7 +145,7 @@
 	case f.mayAwaitRelay() && errors.Is(err, syscall.ECONNREFUSED):
 		f.relayStartsAwaited++
 		return false, errRelayStarting
-	case f.acceptsUnknown && errors.Is(err, errRelayStale):
+	case f.acceptsUnknown && errors.Is(err, errRelayWithout):
 		return false, nil
 	}
 	f.relays.suspect(relay.Address)
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -36,8 +36,11 @@
 	parentChoiceTerm = 200 * time.Millisecond
 )
 
-// errRelayStale is returned if a relay has no data of the kind or its data is too old.
-var errRelayStale = errors.New("the relay has not heard from the store lately")
+// Errors of a relay that answers.
+var (
+	errRelayStale   = errors.New("the relay has not heard from the store lately")
+	errRelayWithout = errors.New("the relay has no data of the kind")
+)
 
 // objectCache holds the objects of one kind as last read by this instance, and serves them to followers at other
 // instances.
@@ -385,11 +388,13 @@
 	reply, err := client.Follow(ctx, &relaypb.FollowRequest{
 		Kind: kind, Revision: revision, WaitMs: uint32(wait.Milliseconds()), AcceptsPacked: packed,
 	})
-	if err == nil && (reply.GetUnknown() || reply.GetAgeMs() > uint64(r.ageLimit(relay, kind).Milliseconds())) {
-		err = errRelayStale
-	}
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, err
+	case reply.GetUnknown():
+		return nil, errRelayWithout
+	case reply.GetAgeMs() > uint64(r.ageLimit(relay, kind).Milliseconds()):
+		return nil, errRelayStale
 	}
 	return reply, nil
 }
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -22,8 +22,8 @@
 	serversWatchWait   = 2 * time.Second
 	quotaWatchWait     = 2 * time.Second
 	instancesWatchWait = 2 * time.Second
-	// claimsWatchWait keeps the evidence of leases well below their term.
-	claimsWatchWait = 2 * time.Second
+	// claimsWatchWait is short, because the end of a watch is the evidence of leases, at this instance and at those that follow it.
+	claimsWatchWait = 1200 * time.Millisecond
 	// evacuationsWatchWait is as long as the wait for servers: a relay that is cut off has to be noticed within the bound.
 	evacuationsWatchWait = 2 * time.Second
 	// serversBatchDelay, quotaBatchDelay and instancesBatchDelay batch changes in quick succession, such as at a start.
