Announce the removal of an instance from the list, and use no primary without an entry

Cause: a claimant tells and awaits the instances of the list. One whose peers did not reach it for ten minutes was taken off it, and used primaries as long as it heard from the store, untold, until it noticed 5 to 10 s later. A lease needs evidence that the instance is in the list, at most 15 s old; evidence from before it was listed again doesn't count. The tests of decision/roster now play the list, with the bounds from before plus MarkTerm; TestListed is new.

--- a/decision/leaderlease/doc.go
+++ b/decision/leaderlease/doc.go
@@ -10,7 +10,8 @@
 //
 //   - the newest claim that it knows of the database allows the server, for the same lead as when the statement was sent,
 //   - the store has shown it that there was no newer claim less than Term ago, and
-//   - this was after the instance had entered the list of instances in this run of its process.
+//   - this was after the instance had entered the list of instances in this run of its process, in which it has been as of less than
+//     ListedTerm ago.
 //
 // A reply of the store shows this as of the time when its call was sent, and an empty reply to a watch as of the end of the wait
 // that was asked for.
@@ -41,8 +42,8 @@
 // the promotion is ordered.
 //
 // An instance that was down, cut off, frozen or slow while others were told needs no message: its evidence has become too old,
-// or shows the claim. An instance whose entry was removed from the list, ten minutes after others lost it, is covered once it has read
-// its removal. A store that came back from a copy without a claim is covered for instances that know the claim.
+// or shows the claim. An entry is taken off the list only after this was announced in it for longer than ListedTerm, so that an instance
+// which is not told has noticed, or has evidence that is too old. A store that came back from a copy without a claim is covered for instances that know the claim.
 //
 // Durations are measured on one clock of one machine, which advances while the machine is suspended;
 // WithdrawalTerm exceeds Term by a tenth for clocks of different rates. Times of day are not used.
--- a/decision/leaderlease/leaderlease_test.go
+++ b/decision/leaderlease/leaderlease_test.go
@@ -99,13 +99,38 @@
 		if l.Valid(c.now) {
 			t.Errorf("%s: valid before the join", name)
 		}
-		l.Join(joined)
+		l.ConfirmListed(joined, joined)
 		if l.Valid(c.now) != c.valid {
 			t.Errorf("%s: not %t", name, c.valid)
 		}
 	}
 }
 
+// Guards against leases of an instance that was taken off the list, or can't know, and of one that relies on evidence from before it
+// was listed again.
+func TestListed(t *testing.T) {
+	const joined = 10 * time.Second
+	var l Leases
+	at := func(now time.Duration) bool {
+		l.Confirm(now)
+		return l.Valid(now)
+	}
+	l.ConfirmListed(joined, joined)
+	l.ConfirmUnlisted(joined - 1) // from before
+	if !at(joined+ListedTerm-1) || at(joined+ListedTerm) {
+		t.Error("evidence of the list must count for ListedTerm")
+	}
+	l.ConfirmUnlisted(joined + 1)
+	if at(joined + 2) {
+		t.Error("valid without an entry")
+	}
+	again := joined + ListedTerm + time.Second
+	l.ConfirmListed(again, again-1)
+	if l.Valid(again) || !at(again) {
+		t.Error("only evidence since the instance was listed again must count")
+	}
+}
+
 func TestBasis(t *testing.T) {
 	const confirmed = 10 * time.Second
 	claim := Claim{Former: []string{"a", "b"}, FormerKnown: true}
--- a/decision/leaderlease/leases.go
+++ b/decision/leaderlease/leases.go
@@ -8,21 +8,35 @@
 	// WithdrawalTerm is how long a claimant waits for instances that can't be told. Builds with different terms must not run side
 	// by side.
 	WithdrawalTerm = 5 * time.Second
+	// ListedTerm is how old the evidence may be that the instance is in the list. A claimant does not tell an instance that others have
+	// taken off the list, so they announce it for longer than this before, see package roster.
+	ListedTerm = 15 * time.Second
 )
 
 // Leases is what one instance knows of the claims of all databases. It is not safe for concurrent use. The zero value knows
 // nothing and allows nothing.
 type Leases struct {
-	claims   map[string]Claim // by database
-	joined   bool
-	joinedAt time.Duration
-	asOf     time.Duration // as of when the claims were the newest ones
-	hasAsOf  bool
+	claims     map[string]Claim // by database
+	listed     bool
+	joinedAt   time.Duration // since when it is known to be listed
+	listedAsOf time.Duration // as of when it was last known to be listed
+	asOf       time.Duration // as of when the claims were the newest ones
+	hasAsOf    bool
 }
 
-// Join records when the instance entered the list of instances.
-func (l *Leases) Join(now time.Duration) {
-	l.joined, l.joinedAt = true, now
+// ConfirmListed records that the instance was in the list of instances as of a time.
+func (l *Leases) ConfirmListed(now, asOf time.Duration) {
+	if !l.listed {
+		l.listed, l.joinedAt, l.listedAsOf = true, now, asOf
+	}
+	l.listedAsOf = max(l.listedAsOf, asOf)
+}
+
+// ConfirmUnlisted records that the instance was not in the list of instances as of a time.
+func (l *Leases) ConfirmUnlisted(asOf time.Duration) {
+	if asOf > l.listedAsOf {
+		l.listed = false
+	}
 }
 
 // Adopt records a claim that was read from the store or told by its claimant. It reports whether it is newer than the one known.
@@ -51,5 +65,5 @@
 
 // Valid reports whether the evidence is recent enough to use a server that the claims allow.
 func (l *Leases) Valid(now time.Duration) bool {
-	return l.joined && l.hasAsOf && l.asOf >= l.joinedAt && now-l.asOf < Term
+	return l.listed && now-l.listedAsOf < ListedTerm && l.hasAsOf && l.asOf >= l.joinedAt && now-l.asOf < Term
 }
--- a/decision/leaderlease/model_test.go
+++ b/decision/leaderlease/model_test.go
@@ -151,7 +151,7 @@
 // join enters an instance in the list unless it is listed. It doesn't join as of an earlier time, since the entry may be that of a
 // registration without an answer, which was executed late.
 func (w *world) join(i *instance) {
-	joined := func() { i.leases.Join(w.clock(i)) }
+	joined := func() { i.leases.ConfirmListed(w.clock(i), w.clock(i)) }
 	w.call(i, storeName, func() func() {
 		if slices.Contains(w.list, i.name) {
 			return joined
@@ -170,8 +170,13 @@
 func (w *world) read(i *instance, then func(Claim)) {
 	sent := w.clock(i)
 	w.call(i, storeName, func() func() {
-		c := w.claim
+		c, listed := w.claim, slices.Contains(w.list, i.name)
 		return func() {
+			if listed {
+				i.leases.ConfirmListed(w.clock(i), sent)
+			} else {
+				i.leases.ConfirmUnlisted(sent)
+			}
 			i.leases.Adopt(database, c)
 			i.leases.Confirm(sent)
 			then(c)
@@ -387,7 +392,7 @@
 		w.resume(i, i.run, func() { w.read(i, func(Claim) {}) })
 	case w.chance(w.reads):
 		w.resume(i, i.run, func() { w.readFrom(i, peer) })
-	case w.chance(5) && !i.leases.joined:
+	case w.chance(5) && !i.leases.listed:
 		w.resume(i, i.run, func() { w.join(i) })
 	case w.chance(8):
 		primary := w.orders[len(w.orders)-1].server
@@ -411,7 +416,7 @@
 			switch {
 			case i.run == 0:
 				w.start(i)
-			case !i.leases.joined:
+			case !i.leases.listed:
 				w.join(i)
 			}
 			w.read(i, func(Claim) {})
--- a/decision/leaderlease/withdrawal_test.go
+++ b/decision/leaderlease/withdrawal_test.go
@@ -14,9 +14,9 @@
 	next.Version = 7
 
 	other := Leases{}
-	other.Join(now - time.Minute)
+	other.ConfirmListed(now-time.Second, now-time.Second)
 	other.Adopt("database", unfinished)
-	other.Confirm(now - time.Second)
+	other.Confirm(now - time.Second/2)
 
 	w := NewWithdrawal(next, now)
 	w.StepDown("a")
--- a/decision/roster/roster_test.go
+++ b/decision/roster/roster_test.go
@@ -1,60 +1,96 @@
 package roster
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
 
-// stepUntil steps a roster from one time to another and returns the entries that it removes.
-func stepUntil(r *Roster, from, to time.Duration, mayRemove bool, entries func(now time.Duration) []Entry) []Entry {
+// list is a list of instances whose entries a roster marks and removes.
+type list struct {
+	entries  []Entry
+	revision uint64
+	marked   int
+	removed  []string
+}
+
+// stepUntil steps a roster from one time to another. change changes the list before each step.
+func (l *list) stepUntil(r *Roster, from, to time.Duration, mayRemove bool, change func(now time.Duration)) {
 	const period = 5 * time.Second
-	var out []Entry
 	for now := from; now < to; now += period {
-		if e, ok := r.Step(now, entries(now), mayRemove); ok {
-			out = append(out, e)
+		change(now)
+		e, ok := r.Step(now, slices.Clone(l.entries), mayRemove)
+		i := slices.IndexFunc(l.entries, func(other Entry) bool { return other.Name == e.Name })
+		switch {
+		case !ok:
+		case e.Marked:
+			l.removed = append(l.removed, e.Name)
+			l.entries = slices.Delete(l.entries, i, i+1)
+		default:
+			l.marked++
+			l.write(i, true)
 		}
 	}
-	return out
 }
 
-// Guards against entries of removed machines that are never removed and count in every survey.
+// write writes an entry again, with or without a mark.
+func (l *list) write(i int, marked bool) {
+	l.revision++
+	l.entries[i].Marked, l.entries[i].Revision = marked, 100+l.revision
+}
+
+func unchanged(time.Duration) {}
+
+// Guards against entries of removed machines that are never removed and count in every survey, and against a removal that the
+// instance can't have noticed.
 func TestLostEntryIsRemoved(t *testing.T) {
-	r := &Roster{}
-	listed := []Entry{{Name: "a", Revision: 1}, {Name: "b", Revision: 2, Unreachable: true}}
-	all := func(time.Duration) []Entry { return listed }
-	if out := stepUntil(r, 0, RemovalDelay, true, all); len(out) != 0 {
-		t.Errorf("removed %+v before RemovalDelay", out)
+	r, l := &Roster{}, &list{entries: []Entry{{Name: "a", Revision: 1}, {Name: "b", Revision: 2, Unreachable: true}}}
+	l.stepUntil(r, 0, RemovalDelay, true, unchanged)
+	if l.marked+len(l.removed) != 0 {
+		t.Errorf("%d marked, removed %v before RemovalDelay", l.marked, l.removed)
 	}
-	if out := stepUntil(r, RemovalDelay, RemovalDelay+removalInterval, true, all); len(out) != 1 || out[0].Name != "b" {
-		t.Errorf("removed %+v, want b once", out)
+	l.stepUntil(r, RemovalDelay, RemovalDelay+MarkTerm, true, unchanged)
+	if l.marked != 1 || len(l.removed) != 0 {
+		t.Errorf("%d marked, removed %v before MarkTerm, want one marked", l.marked, l.removed)
+	}
+	l.stepUntil(r, RemovalDelay+MarkTerm, RemovalDelay+MarkTerm+removalInterval, true, unchanged)
+	if l.marked != 1 || !slices.Equal(l.removed, []string{"b"}) {
+		t.Errorf("%d marked, removed %v, want b once", l.marked, l.removed)
 	}
 }
 
-// Guards against the removal of an instance that answers intermittently or has registered again.
+// Guards against the removal of an instance that answers intermittently or has registered again, also once its entry was marked.
 func TestReturningInstanceIsKept(t *testing.T) {
-	r := &Roster{}
-	flapping := func(now time.Duration) []Entry {
-		return []Entry{
-			{Name: "flapping", Revision: 1, Unreachable: now%time.Minute != 0},
-			{Name: "restarting", Revision: uint64(now / time.Minute), Unreachable: true},
+	l := &list{entries: []Entry{{Name: "flapping"}, {Name: "restarting", Unreachable: true}, {Name: "registers again", Unreachable: true}}}
+	l.stepUntil(&Roster{}, 0, 3*RemovalDelay, true, func(now time.Duration) {
+		l.entries[0].Unreachable = now%time.Minute != 0
+		if now%time.Minute == 0 {
+			l.write(1, false)
 		}
-	}
-	if out := stepUntil(r, 0, 3*RemovalDelay, true, flapping); len(out) != 0 {
-		t.Errorf("removed %+v, want none", out)
+		if l.entries[2].Marked {
+			l.write(2, false)
+		}
+	})
+	if len(l.removed) != 0 || l.marked == 0 {
+		t.Errorf("removed %v, %d marked, want none removed and one marked again and again", l.removed, l.marked)
 	}
 }
 
 // Guards against several instances that remove entries, and against an isolated instance that empties the list.
 func TestRemovalIsRateLimited(t *testing.T) {
-	var entries []Entry
-	for _, name := range []string{"a", "b", "c", "d"} {
-		entries = append(entries, Entry{Name: name, Unreachable: true})
+	newList := func() *list {
+		l := &list{}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			l.entries = append(l.entries, Entry{Name: name, Unreachable: true})
+		}
+		return l
 	}
-	all := func(time.Duration) []Entry { return entries }
-	if out := stepUntil(&Roster{}, 0, 2*RemovalDelay, false, all); len(out) != 0 {
-		t.Errorf("removed %+v without mayRemove", out)
+	l := newList()
+	if l.stepUntil(&Roster{}, 0, 2*RemovalDelay, false, unchanged); l.marked+len(l.removed) != 0 {
+		t.Errorf("%d marked, removed %v without mayRemove", l.marked, l.removed)
 	}
-	if out := stepUntil(&Roster{}, 0, RemovalDelay+2*removalInterval, true, all); len(out) != 2 {
-		t.Errorf("%d entries removed within two removal intervals, want 2", len(out))
+	l = newList()
+	if l.stepUntil(&Roster{}, 0, RemovalDelay+MarkTerm+2*removalInterval, true, unchanged); len(l.removed) != 2 {
+		t.Errorf("%d entries removed within two removal intervals, want 2", len(l.removed))
 	}
 }
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -57,6 +57,8 @@
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
 	Leaving       bool   `json:"leaving"`
+	// Lost: others have not reached it for long and remove its entry soon, unless it registers again.
+	Lost bool `json:"lost,omitempty"`
 	// Capacity is zero if it is unknown.
 	Capacity Capacity `json:"capacity,omitzero"`
 }
--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -107,6 +107,25 @@
 	return l.entries.Current(), l.loaded
 }
 
+// own returns the entry of an instance at a peer address.
+func (l *instanceList) own(name, peerAddress string) (e listEntry, listed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, listed = l.entries.Current()[name]
+	return e, listed && e.PeerAddress == peerAddress
+}
+
+// mark marks an entry as that of a lost instance, unless its instance has written it again since it was read.
+func (l *instanceList) mark(ctx context.Context, name string, e listEntry) error {
+	e.Lost = true
+	value, err := json.Marshal(e.Instance)
+	if err != nil {
+		return errors.Wrap(err, "encode the entry of a lost instance")
+	}
+	_, err = l.store.Put(ctx, instancesKind+"/"+name, value, e.revision)
+	return err
+}
+
 // remove removes an entry from the list, unless its instance has written it again since revision.
 func (l *instanceList) remove(ctx context.Context, name string, revision uint64) error {
 	return l.store.Remove(ctx, instancesKind+"/"+name, revision)
--- a/proxy/node/leasepages_test.go
+++ b/proxy/node/leasepages_test.go
@@ -37,7 +37,7 @@
 	t.Cleanup(store.Close)
 
 	var leases leaderlease.Leases
-	leases.Join(boottime.Now())
+	leases.ConfirmListed(boottime.Now(), boottime.Now())
 	client := platform.NewStore(store.Listener.Addr().String(), (&net.Dialer{}).DialContext, objectstore.NewEras(boottime.Now, nil))
 	adopt := func(objects []platform.Object) {
 		for _, o := range objects {
--- a/proxy/node/leases.go
+++ b/proxy/node/leases.go
@@ -82,11 +82,23 @@
 	return n.leases.leases.Claim(database).Ordered()
 }
 
-// joinLeases records that this instance is in the list of instances.
-func (n *Node) joinLeases() {
+// confirmOwnEntry records whether this instance is in the list of instances, as last read and confirmed as of a time.
+func (n *Node) confirmOwnEntry(asOf time.Duration) {
+	_, listed := n.instances.own(n.settings.Instance, n.settings.Listen.Peers)
+	if listed {
+		n.confirmListed(asOf)
+		return
+	}
+	n.leases.mu.Lock()
+	defer n.leases.mu.Unlock()
+	n.leases.leases.ConfirmUnlisted(asOf)
+}
+
+// confirmListed records that this instance was in the list of instances as of a time.
+func (n *Node) confirmListed(asOf time.Duration) {
 	n.leases.mu.Lock()
 	defer n.leases.mu.Unlock()
-	n.leases.leases.Join(boottime.Now())
+	n.leases.leases.ConfirmListed(boottime.Now(), asOf)
 }
 
 // mayUsePrimary reports whether statements may be sent to the primaries that the claims allow, and their answers acknowledged. Where
--- a/proxy/node/leases_test.go
+++ b/proxy/node/leases_test.go
@@ -23,11 +23,11 @@
 		want bool
 	}{
 		{"the configuration and the servers are current", func() {}, false},
-		{"claims were read before the instance was listed", func() { confirm(0); n.joinLeases() }, false},
+		{"claims were read before the instance was listed", func() { confirm(0); n.confirmListed(boottime.Now()) }, false},
 		{"claims are current", func() { confirm(0) }, true},
 		{"claims are from before the withdrawal term", func() {
 			n.leases.leases = leaderlease.Leases{}
-			n.leases.leases.Join(boottime.Now() - time.Minute)
+			n.leases.leases.ConfirmListed(boottime.Now()-time.Minute, boottime.Now())
 			confirm(4600 * time.Millisecond)
 		}, false},
 	} {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -300,9 +300,11 @@
 func (n *Node) register(ctx context.Context) (created bool) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		sentAt := boottime.Now()
 		created, err := n.instances.register(callCtx, n.entry())
 		cancel()
 		if err == nil {
+			n.confirmListed(sentAt)
 			return created
 		}
 		event(n.log, EventRegisterFailed).WithError(err).Warn("failed to write the entry of this instance; retrying")
--- a/proxy/node/roster.go
+++ b/proxy/node/roster.go
@@ -39,19 +39,24 @@
 	}
 	m.ensureOwnEntry(ctx, entries)
 	others := m.others(entries)
-	if e, ok := m.roster.Step(boottime.Now(), others, m.isRemover()); ok {
+	switch e, ok := m.roster.Step(boottime.Now(), others, m.isRemover()); {
+	case !ok:
+	case e.Marked:
 		m.remove(ctx, e)
+	default:
+		m.mark(ctx, e.Name, entries[e.Name])
 	}
 }
 
-// ensureOwnEntry writes the entry of this instance again if it was removed.
+// ensureOwnEntry writes the entry of this instance again if it was removed or is to be.
 func (m *rosterManager) ensureOwnEntry(ctx context.Context, entries map[string]listEntry) {
-	if _, listed := entries[m.node.settings.Instance]; listed || m.node.stopping.Load() {
+	own, listed := entries[m.node.settings.Instance]
+	if listed && !own.Lost || m.node.stopping.Load() {
 		m.missedChecks = 0
 		return
 	}
 	m.missedChecks++
-	if m.missedChecks < maxMissedChecks {
+	if !own.Lost && m.missedChecks < maxMissedChecks {
 		return
 	}
 	m.missedChecks = 0
@@ -68,7 +73,7 @@
 	var out []roster.Entry
 	for name, e := range entries {
 		if name != m.node.settings.Instance {
-			out = append(out, roster.Entry{Name: name, Revision: e.revision, Unreachable: lost[e.PeerAddress]})
+			out = append(out, roster.Entry{Name: name, Revision: e.revision, Unreachable: lost[e.PeerAddress], Marked: e.Lost})
 		}
 	}
 	return out
@@ -79,6 +84,18 @@
 	return peer.Rendezvous("roster", m.node.peers.Live()) == m.node.settings.Listen.Peers
 }
 
+// mark announces the removal of an entry.
+func (m *rosterManager) mark(ctx context.Context, name string, e listEntry) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	log := event(m.node.log, EventEntryRemoved).WithFields(logrus.Fields{"lost": name, "revision": e.revision})
+	if err := m.node.instances.mark(ctx, name, e); err != nil {
+		log.WithError(err).Warn("failed to mark the entry of a lost instance; retrying")
+		return
+	}
+	log.Info("marked the entry of a lost instance, to be removed")
+}
+
 func (m *rosterManager) remove(ctx context.Context, e roster.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -110,12 +110,12 @@
 	}
 	f.onChange = n.instances.applyChanges
 	join := sync.OnceFunc(func() {
-		n.joinLeases() // before the claims are read
 		n.peers.RefreshNow()
 		close(joined)
 	})
-	f.onConfirm = func(time.Duration, uint64) {
+	f.onConfirm = func(asOf time.Duration, _ uint64) {
 		n.instances.expire()
+		n.confirmOwnEntry(asOf) // before the claims are read
 		join()
 	}
 	return f
