Give back no fractions that a shard may still lend

Cause: the watcher looks up the open loans, then plans what to give back. A request to give fractions back that is observed in between takes effect at the shards later, so that a shard may lend them after the look-up. They leave the assignment while they are lent, and the next holder uses fractions that were given back at once. Two calls at the same time could also leave the shards with the fractions of the earlier one. Change: fractions that the shards may lend count as lent, as known before the look-up. The shards get their fractions from one call at a time. Result: TestFractionsLentMeanwhileAreNotGivenBack failed before (four fractions given back while they were lent); go test -race ./proxy/quota passes.

--- a/proxy/quota/watcher.go
+++ b/proxy/quota/watcher.go
@@ -45,9 +45,11 @@
 	driver *Driver
 	cfg    AssignmentConfig
 
+	applying sync.Mutex // held while the shards get the usable fractions; taken before mu
+
 	mu          sync.Mutex
 	assignment  *quota.AssignmentManager
-	usable      quota.Mask
+	usable      quota.Mask // that any shard may lend
 	usableUntil time.Duration
 	lost        quota.LostHolders
 	retryAt     time.Duration
@@ -124,14 +126,19 @@
 
 // applyUsable passes the usable fractions to the shards if they have changed.
 func (w *watcher) applyUsable() {
+	w.applying.Lock()
+	defer w.applying.Unlock()
 	w.mu.Lock()
 	usable, until := w.assignment.Usable(w.driver.cfg.Clock())
 	changed, fractionsChanged := usable != w.usable || until != w.usableUntil, usable != w.usable
-	w.usable, w.usableUntil = usable, until
+	w.usable |= usable
 	w.closeIfDrained()
 	w.mu.Unlock()
 	if changed {
 		w.driver.setUsable(usable, until)
+		w.mu.Lock()
+		w.usable, w.usableUntil = usable, until
+		w.mu.Unlock()
 	}
 	if fractionsChanged {
 		w.driver.cfg.Log.WithFields(logrus.Fields{peer.FieldEvent: EventFractions, "fractions": usable.Count()}).
@@ -152,7 +159,7 @@
 
 // updateAssignment writes a new assignment if a change is planned.
 func (w *watcher) updateAssignment(ctx context.Context) {
-	lent := w.driver.lent()
+	lent := w.lentOrLendable()
 	responding := w.currentResponding()
 	w.mu.Lock()
 	now := w.driver.cfg.Clock()
@@ -171,6 +178,15 @@
 	}
 }
 
+// lentOrLendable returns the fractions with open loans, and those that the shards may lend at any moment. All others stay unlent
+// until the shards get them again.
+func (w *watcher) lentOrLendable() quota.Mask {
+	w.mu.Lock()
+	usable := w.usable
+	w.mu.Unlock()
+	return usable | w.driver.lent()
+}
+
 // currentResponding returns the responding instances. The roles are chosen again only when the instances have changed,
 // since the choice hashes all of them.
 func (w *watcher) currentResponding() respondingInstances {
