Take an unread list of instances for nobody's agreement

Cause: until an instance has read the list, a survey has asked nobody and nobody has refused. The state machine takes that for a majority of all instances: a primary is replaced 0.4 s after its first failure instead of 3 s. Instances that start while the store is slow or refuses some calls know the servers before the list, since their followers wait at most 2 s for it. Change: such a survey counts one instance that has not answered. Result: TestUnreadListIsNoMajority failed before (replaced after 400 ms, with the reason that a majority has lost the primary); go test ./proxy/node ./proxy/peer ./proxy/daemon passes.

--- a/proxy/peer/survey.go
+++ b/proxy/peer/survey.go
@@ -24,10 +24,11 @@
 
 // Ask asks the listed instances that are not leaving, at most maxSurveyed in the hash order of the
 // database. An instance that does not answer in time is counted only in Asked. known is false if the
-// instance list has not been read yet.
+// instance list has not been read yet. The survey then counts one instance without an answer, so that nobody
+// takes it for the agreement of all.
 func (s *Surveyor) Ask(ctx context.Context, database, server string, term uint64) (survey Survey, known bool) {
 	if s.Peers.ListedCount() == 0 {
-		return Survey{}, false
+		return Survey{Asked: 1}, false
 	}
 	addresses := s.addresses(database)
 	replies := make([]peerpb.Judgement, len(addresses))
