--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -110,6 +110,7 @@
 	switch {
 	case r.Outcome == lineclient.Receipt:
 		c.lastAcked, c.sessionAcked = value, value
+		c.run.recordAcknowledged(id)
 		c.run.recordServed()
 	case lineclient.NoEffect(r.Outcome):
 		c.run.recordRefusal(id)
@@ -187,8 +188,10 @@
 
 // callerRecord records the replies to callers, for the checks at the end, and the violations found.
 type callerRecord struct {
-	mu         sync.Mutex
-	refused    map[string]bool
+	mu sync.Mutex
+	// refused and acknowledged hold the writes and commits that were answered so, by id.
+	refused, acknowledged map[string]bool
+
 	sent       map[string]time.Time
 	violations []string
 	answers    int
@@ -203,6 +206,12 @@
 	r.refused[id] = true
 }
 
+func (r *callerRecord) recordAcknowledged(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.acknowledged[id] = true
+}
+
 func (r *callerRecord) recordSent(id string, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/cmd/internal/soak/command.go
+++ b/cmd/internal/soak/command.go
@@ -45,6 +45,7 @@
 	f.IntVar(&cfg.Callers, "callers", 16, "callers")
 	f.BoolVar(&cfg.OnlyRestores, "only-restores", false, "no fault but a store that comes back from copies")
 	f.BoolVar(&cfg.Evacuations, "evacuations", true, "evacuate failure domains and take them back, beside the other faults")
+	f.BoolVar(&cfg.Unfenced, "unfenced", false, "a former primary goes on until it is told to step down")
 	f.BoolVar(&verbose, "verbose", false, "print each fault")
 	return cmd
 }
--- a/cmd/internal/soak/doc.go
+++ b/cmd/internal/soak/doc.go
@@ -12,6 +12,7 @@
 //   - No statement reaches a server in an evacuated failure domain later than the bound, while no fault keeps instances from
 //     the store or holds back what they have sent.
 //   - A cold server gets no more statements in any second than the operator's tolerance allows.
+//   - No write or commit is acknowledged that a former primary executed after its successor was promoted.
 //   - After the last fault, callers are served again.
 //
 // A run is identified by its seed. Only processes that the run started are signaled.
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -55,7 +55,11 @@
 	instance := f.run.deployment.Instances[f.random.IntN(len(f.run.deployment.Instances))]
 	server := f.randomServer()
 	duration := 200*time.Millisecond + randomDuration(f.random, maxFaultDuration)
-	kind := f.random.IntN(restoreFault + 1)
+	kinds := restoreFault + 1
+	if f.run.cfg.Unfenced {
+		kinds = restoreFault
+	}
+	kind := f.random.IntN(kinds)
 	if f.run.cfg.OnlyRestores {
 		kind = restoreFault
 	}
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -44,7 +44,9 @@
 	OnlyRestores bool
 	// Evacuations: failure domains are evacuated and taken back, beside the other faults.
 	Evacuations bool
-	Log         io.Writer
+	// Unfenced: a former primary goes on until it is told to step down. The store does not come back from copies.
+	Unfenced bool
+	Log      io.Writer
 }
 
 // Result is the result of one run.
@@ -106,7 +108,7 @@
 		cfg.Dir = dir
 	}
 	r := &run{cfg: cfg, restarting: map[*platformlocal.Instance]bool{}}
-	r.refused, r.sent = map[string]bool{}, map[string]time.Time{}
+	r.refused, r.acknowledged, r.sent = map[string]bool{}, map[string]bool{}, map[string]time.Time{}
 	var limit time.Duration
 	if cfg.Evacuations {
 		limit = evacuationLimit
@@ -115,6 +117,7 @@
 		EvacuationLimit: limit,
 		Binary:          cfg.Binary, Dir: cfg.Dir, Instances: cfg.Instances, Accounts: accounts,
 		Databases: platformlocal.Databases{
+			Unfenced: cfg.Unfenced, WithoutEras: cfg.Unfenced,
 			Count: cfg.Databases, Slots: serverSlots, ServiceTime: serverServiceTime, MaxConnections: serverConnections,
 			ColdRate: coldRate, ColdServers: []int{int(cfg.Seed % serversPerDatabase)}, ColdTime: coldStartAllowance + cfg.Duration/2,
 		},
@@ -203,6 +206,10 @@
 		if statement.TookEffect {
 			effects[statement.ID]++
 		}
+		if statement.OnFormerPrimary && statement.TookEffect && r.acknowledged[statement.ID] {
+			r.addViolation("write %s was acknowledged, which %s executed at %s after its successor was promoted",
+				statement.ID, statement.Server, statement.At.Format("15:04:05.000"))
+		}
 		r.checkAccount(statement, withdrawals)
 	}
 	r.checkRate(statements)
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// Guards against acknowledged writes of a former primary while instances and servers fail, where it goes on until it steps down.
+func TestSoakUnfenced(t *testing.T) {
+	runSeed(t, "never failed", Config{
+		Binary: buildDaemon(t), Seed: 1, Duration: 20 * time.Second, Instances: 4, Databases: 2, Callers: 12, Unfenced: true,
+	})
+}
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "cyclamenstile")
