--- a/decision/leaderlease/claim.go
+++ b/decision/leaderlease/claim.go
@@ -44,6 +44,9 @@
 // Next returns the claim, without a version, by which successor replaces primary, which is empty if none is known. With handOver
 // primary may be used until it has stepped down, unless c does not allow it.
 func (c Claim) Next(primary, successor string, handOver bool) Claim {
+	if successor == c.Server && c.isWithdrawn() {
+		return Claim{Server: successor, FormerKnown: true, Lead: c.Lead} // its order is repeated
+	}
 	next := Claim{Server: successor, FormerKnown: c.formerKnown(primary), Lead: Lead(c.Version)}
 	if successor == c.Server {
 		next.Lead = c.Lead
@@ -75,7 +78,12 @@
 // Withdrawn returns the claim, without a version, that follows c once no instance uses one of its former servers any more. The
 // promotion is ordered by it.
 func (c Claim) Withdrawn() Claim {
-	return Claim{Server: c.Server, Lead: c.Lead}
+	return Claim{Server: c.Server, FormerKnown: true, Lead: c.Lead}
+}
+
+// isWithdrawn reports whether no instance uses another server than that of the claim.
+func (c Claim) isWithdrawn() bool {
+	return c.Version != 0 && c.FormerKnown && len(c.Former) == 0 && c.HandOver == ""
 }
 
 // Ordered returns the server whose promotion may have been ordered by the claim; empty if there is none.
--- a/decision/leaderlease/doc.go
+++ b/decision/leaderlease/doc.go
@@ -10,8 +10,8 @@
 //
 //   - the newest claim that it knows of the database allows the server, for the same lead as when the statement was sent,
 //   - the store has shown it that there was no newer claim less than Term ago, and
-//   - this was after the instance had entered the list of instances in this run of its process, in which it has been as of less than
-//     ListedTerm ago.
+//   - this was after the instance had entered the list of instances in this run of its process, and its entry was in a list that is
+//     younger than ListedTerm.
 //
 // A reply of the store shows this as of the time when its call was sent, and an empty reply to a watch as of the end of the wait
 // that was asked for.
@@ -36,14 +36,15 @@
 // The claim is written again without its former servers before the promotion is ordered. A claim that nobody carries out keeps them
 // and leaves them unused; the next claim takes them over, so that their leases are withdrawn before another server is promoted. After
 // an order without an answer the same server is claimed again as long as it answers. An order that the platform carries out after a
-// later one of another server is not covered: no lease can tell.
+// later one of another server is not covered: leases can't prevent this.
 //
 // A planned hand-over allows the former primary beside its successor, until it has confirmed that it has stepped down; only then
 // the promotion is ordered.
 //
 // An instance that was down, cut off, frozen or slow while others were told needs no message: its evidence has become too old,
 // or shows the claim. An entry is taken off the list only after this was announced in it for longer than ListedTerm, so that an instance
-// which is not told has noticed, or has evidence that is too old. A store that came back from a copy without a claim is covered for instances that know the claim.
+// which is not told has noticed, or has evidence that is too old. Two
+// processes with one name and address at a time are not covered. A store that came back from a copy without a claim is covered for instances that know the claim.
 //
 // Durations are measured on one clock of one machine, which advances while the machine is suspended;
 // WithdrawalTerm exceeds Term by a tenth for clocks of different rates. Times of day are not used.
--- a/decision/leaderlease/leases.go
+++ b/decision/leaderlease/leases.go
@@ -24,14 +24,20 @@
 	hasAsOf    bool
 }
 
-// ConfirmListed records that the instance was in the list of instances as of a time.
+// ConfirmListed records that the instance was in the list of instances as of a time. After ListedTerm without such evidence it may
+// have been off the list meanwhile, and enters it anew.
 func (l *Leases) ConfirmListed(now, asOf time.Duration) {
-	if !l.listed {
-		l.listed, l.joinedAt, l.listedAsOf = true, now, asOf
+	if !l.listed || now-l.listedAsOf >= ListedTerm {
+		l.listed, l.joinedAt = true, now
 	}
 	l.listedAsOf = max(l.listedAsOf, asOf)
 }
 
+// Leave records that the instance was not in the list, whatever was read before.
+func (l *Leases) Leave() {
+	l.listed = false
+}
+
 // ConfirmUnlisted records that the instance was not in the list of instances as of a time.
 func (l *Leases) ConfirmUnlisted(asOf time.Duration) {
 	if asOf > l.listedAsOf {
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -288,14 +288,20 @@
 	Superseded Objection = "another_promoted"
 	// Excluded: a claim names another server as the leader.
 	Excluded Objection = "another_claimed"
-	// LedAnew: the server was replaced and claimed again since the statement was sent.
-	LedAnew Objection = "claimed_again"
+	// LeadChanged: the server was replaced and claimed again since the statement was sent.
+	LeadChanged Objection = "claimed_again"
 	// LeaseExpired: this instance can't know whether another server was claimed as the leader.
 	LeaseExpired Objection = "lease_expired"
 )
 
 // SetClaim records the newest claim of the database.
 func (g *Group) SetClaim(c leaderlease.Claim) {
+	for id, s := range g.servers {
+		before, _ := g.claim.LeadOf(id)
+		if lead, allowed := c.LeadOf(id); !allowed || lead != before {
+			s.ledAt = 0 // it has proved another lead
+		}
+	}
 	g.claim = c
 }
 
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -57,6 +57,8 @@
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
 	Leaving       bool   `json:"leaving"`
+	// Earlier holds the peer addresses, separated by blanks, at which processes of the same name may still run.
+	Earlier string `json:"earlier,omitempty"`
 	// Lost: others have not reached it for long and remove its entry soon, unless it registers again.
 	Lost bool `json:"lost,omitempty"`
 	// Capacity is zero if it is unknown.
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -116,11 +116,11 @@
 	return v.lead(server)
 }
 
-// objectionTo returns why an answer must not be acknowledged that a server gave as the leader to a statement sent in a lead.
-func (g *Gateway) objectionTo(v *view, server string, sentIn leaderlease.Lead) placement.Objection {
+// ackObjection returns why an answer must not be acknowledged that a server gave as the leader to a statement sent in a lead.
+func (g *Gateway) ackObjection(v *view, server string, sentIn leaderlease.Lead) placement.Objection {
 	lead, why := g.leadOf(v, server)
 	if why == "" && lead != sentIn {
-		return placement.LedAnew
+		return placement.LeadChanged
 	}
 	return why
 }
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -205,7 +205,7 @@
 		w.opening = openLeader
 	}
 	sent := sess.gw.cfg.Now()
-	lead := t.leadOf(s)
+	lead := t.leadAtSend(s)
 	t.view.recordSent(s.ID)
 	r, err := sess.gw.runStatement(t.ctx, t.destination(s), w)
 	if err != nil {
@@ -229,8 +229,8 @@
 	return true
 }
 
-// leadOf returns the lead of a server that has to prove that it leads. Whether it may is checked before the statement is sent.
-func (t *tryState) leadOf(s discovery.Server) (lead leaderlease.Lead) {
+// leadAtSend returns the lead of a server that has to prove that it leads. Whether it may is checked before the statement is sent.
+func (t *tryState) leadAtSend(s discovery.Server) (lead leaderlease.Lead) {
 	if t.requiresLeader() {
 		lead, _ = t.view.lead(s.ID)
 	}
@@ -240,7 +240,7 @@
 // confirmLeader reports whether an answer that has arrived may be acknowledged as one of the leader, and logs why not. The statement
 // was sent in a lead.
 func (sess *session) confirmLeader(v *view, stmt sessionstate.Statement, s discovery.Server, lead leaderlease.Lead, began time.Duration) bool {
-	why := sess.gw.objectionTo(v, s.ID, lead)
+	why := sess.gw.ackObjection(v, s.ID, lead)
 	if why != "" {
 		sess.gw.cfg.Log.answerWithheld(sess, stmt, s, why, sess.gw.cfg.Now()-began)
 	}
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -78,7 +78,7 @@
 	if !tx.acceptedByLeader {
 		return nil
 	}
-	switch g.objectionTo(tx.view, tx.server.ID, tx.lead) {
+	switch g.ackObjection(tx.view, tx.server.ID, tx.lead) {
 	case "":
 		return nil
 	case placement.LeaseExpired:
@@ -166,7 +166,7 @@
 		w.opening = openLeader
 	}
 	sent := sess.gw.cfg.Now()
-	lead := t.leadOf(s)
+	lead := t.leadAtSend(s)
 	t.view.recordSent(s.ID)
 	conn, res, err := sess.gw.openTxConn(t.ctx, t.destination(s), w)
 	if err != nil {
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -295,6 +295,21 @@
 	return why
 }
 
+// refuseLeader returns the result or the error of work that must not be sent to its server as the leader, or neither.
+func (g *Gateway) refuseLeader(d destination, w *workItem) (*result, error) {
+	if !w.needsLeader() {
+		return nil, nil
+	}
+	switch g.sendObjection(d) {
+	case "":
+		return nil, nil
+	case placement.LeaseExpired:
+		return nil, &notSentError{noFreeConnection: true, cause: errLeaderUnknown} // the server may be healthy
+	}
+	r := replacedResult(sessionstate.Idle)
+	return &r, nil
+}
+
 // replacedResult returns the result of work for a leader that was replaced, like the refusal of a server that does not lead.
 func replacedResult(state sessionstate.TxState) result {
 	return result{answer: answer{code: outcome.CodeReadOnly, text: "the server is being replaced as the primary"}, setupRefused: true, state: state}
@@ -375,15 +390,10 @@
 		full := errors.Is(err, errServerFull) || errors.Is(err, errNoFreeConnection)
 		return nil, result{}, &notSentError{noFreeConnection: full, lenderReaches: machineAnswers(err), cause: err}
 	}
-	if w.needsLeader() {
-		if why := g.sendObjection(d); why != "" {
-			g.pool.release(u, true)
-			a.endConnection()
-			if why == placement.LeaseExpired {
-				return nil, result{}, &notSentError{noFreeConnection: true, cause: errLeaderUnknown}
-			}
-			return nil, replacedResult(sessionstate.Idle), nil
-		}
+	if refused, err := g.refuseLeader(d, w); refused != nil || err != nil {
+		g.pool.release(u, true)
+		a.endConnection()
+		return nil, *cmp.Or(refused, &result{}), err
 	}
 	w.deductTime(time.Since(began))
 	conn := &localTxConn{gw: g, destination: d, upstream: u, admission: a, onLeader: w.opening == openLeader}
--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -82,6 +82,9 @@
 	if !p.node.eras.SettledFor(failover.ClaimTerm) {
 		return ownClaim{}, errRestoredNow
 	}
+	if object.Version != 0 {
+		p.node.adoptClaim(database, current.leaderClaim(object.Version), sourceStore)
+	}
 	if (current.Server != old || p.node.settings.UnfencedPromotions) && p.claimedElsewhere(database, object.Version) {
 		return ownClaim{}, errClaimed
 	}
@@ -113,19 +116,32 @@
 		if errors.Is(err, objectstore.ErrRestored) || try == maxClaimWrites {
 			return ownClaim{}, err
 		}
-		present, readErr := p.readClaim(ctx, own.database)
-		if readErr != nil {
+		present, written, readErr := p.resolveWrite(ctx, own.database, value, ifVersion)
+		switch {
+		case errors.Is(readErr, errClaimed):
+			return ownClaim{}, readErr
+		case readErr != nil:
 			return ownClaim{}, err
+		case written:
+			return p.confirmClaim(own, present), nil
 		}
-		switch found := decodeClaim(present.Value); {
-		case found.Order == value.Order && found.Serial == value.Serial:
-			return p.confirmClaim(own, present.Version), nil
-		case found.Order == value.Order:
-			ifVersion = present.Version
-		case present.Version != ifVersion:
-			return ownClaim{}, errClaimed
-		}
+		ifVersion = present
+	}
+}
+
+// resolveWrite finds out what became of a write that was refused or not answered. It returns the version of the present claim and
+// whether it is the written one. If it isn't, it is the one from before or an earlier write of the same order; otherwise the error is
+// errClaimed.
+func (p *promotionController) resolveWrite(ctx context.Context, database string, value claim, ifVersion uint64) (present uint64, written bool, err error) {
+	object, err := p.readClaim(ctx, database)
+	if err != nil {
+		return 0, false, err
+	}
+	found := decodeClaim(object.Value)
+	if found.Order != value.Order && object.Version != ifVersion {
+		return 0, false, errClaimed
 	}
+	return object.Version, found.Order == value.Order && found.Serial == value.Serial, nil
 }
 
 func (p *promotionController) readClaim(ctx context.Context, database string) (objectstore.Object, error) {
--- a/proxy/node/coldserver_test.go
+++ b/proxy/node/coldserver_test.go
@@ -19,7 +19,7 @@
 // is not at home.
 func TestColdServerIsNoSuccessorAmongEquals(t *testing.T) {
 	at := func(id string, lsn uint64, cold bool) candidate {
-		return candidate{discovery.Server{ID: id, Region: "region-" + id}, placement.Status{Received: position.Position{Term: 1, LSN: lsn}}, cold}
+		return candidate{server: discovery.Server{ID: id, Region: "region-" + id}, status: placement.Status{Received: position.Position{Term: 1, LSN: lsn}}, cold: cold}
 	}
 	for _, c := range []struct {
 		homes      home.Regions
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -159,7 +159,7 @@
 	primary, missing, _ := p.node.gateway.Primary(database)
 	p.logPrimary(database, primary, missing)
 	away := p.isAwayFromHome(database, primary)
-	claimed, isReplaced := p.node.isExcluded(database, primary.ID)
+	claimed, isReplaced := p.node.exclusionOf(database, primary.ID)
 	var action failover.Action
 	var reason failover.Reason
 	p.withMachine(database, func(m *failover.Machine) {
@@ -230,6 +230,7 @@
 		told := leaderlease.Claim{
 			Version: c.GetVersion(), Server: c.GetServer(), HandOver: c.GetHandOver(),
 			Lead: leaderlease.Lead(c.GetLead()), HandOverLead: leaderlease.Lead(c.GetHandOverLead()),
+			Former: c.GetFormer(), FormerKnown: c.GetFormerKnown(),
 		}
 		return &peerpb.JudgeReply{ClaimVersion: p.node.adoptClaim(in.GetDatabase(), told, sourcePeer)}, nil
 	}
--- a/proxy/node/follow.go
+++ b/proxy/node/follow.go
@@ -76,6 +76,9 @@
 	acceptsUnknown bool
 	// startsFromStore: the first call is to the store, since the data of a relay may be from before this instance started.
 	startsFromStore bool
+	// maxAge, if set, is the age of the last confirmation from which a watch that brought changes is followed by a list, which confirms
+	// at once: changes in quick succession would keep watches from confirming.
+	maxAge time.Duration
 	// newerPeer, if set, returns the address of a peer that has a newer object than a restored store, or "".
 	newerPeer func() string
 
@@ -257,6 +260,7 @@
 	if len(objects) > 0 {
 		// The next answer may bring more changes, so this one does not confirm that the cache is current.
 		f.apply(objects, revision)
+		f.loaded = f.maxAge == 0 || f.now()-f.asOf < f.maxAge
 		f.delayBatch(ctx)
 		return nil
 	}
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -55,7 +55,7 @@
 // stepDownFormer makes a primary step down that the newest claim does not allow, whatever its term. Otherwise it may have been
 // promoted since the order to step down was given, and keeps a term that is not below the given one.
 func (p *promotionController) stepDownFormer(ctx context.Context, s discovery.Server, term uint64) (placement.Status, error) {
-	if _, excluded := p.node.isExcluded(s.Database, s.ID); excluded {
+	if _, excluded := p.node.exclusionOf(s.Database, s.ID); excluded {
 		return p.stepDown(ctx, s)
 	}
 	return p.stepDownBelow(ctx, s, term)
@@ -64,7 +64,7 @@
 // retireForPeer makes a primary step down that another instance replaces. It replies that this instance reaches the server if it has
 // stepped down. An instance of a build without leases sends no claim before, so the primary is not used for a while either.
 func (p *promotionController) retireForPeer(ctx context.Context, in *peerpb.JudgeRequest) *peerpb.JudgeReply {
-	if _, excluded := p.node.isExcluded(in.GetDatabase(), in.GetServer()); !excluded {
+	if _, excluded := p.node.exclusionOf(in.GetDatabase(), in.GetServer()); !excluded {
 		p.node.gateway.Retire(in.GetDatabase(), in.GetServer())
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerStepDownTimeout)
--- a/proxy/node/instances.go
+++ b/proxy/node/instances.go
@@ -118,12 +118,7 @@
 // mark marks an entry as that of a lost instance, unless its instance has written it again since it was read.
 func (l *instanceList) mark(ctx context.Context, name string, e listEntry) error {
 	e.Lost = true
-	value, err := json.Marshal(e.Instance)
-	if err != nil {
-		return errors.Wrap(err, "encode the entry of a lost instance")
-	}
-	_, err = l.store.Put(ctx, instancesKind+"/"+name, value, e.revision)
-	return err
+	return l.rewrite(ctx, name, e)
 }
 
 // remove removes an entry from the list, unless its instance has written it again since revision.
@@ -131,11 +126,46 @@
 	return l.store.Remove(ctx, instancesKind+"/"+name, revision)
 }
 
-// register writes the entry of an instance and reports whether it was created.
-func (l *instanceList) register(ctx context.Context, i objectstore.Instance) (created bool, err error) {
+// register writes the entry of an instance. It reports whether it was created, and whether there was none with its peer address. An
+// earlier address is kept in the entry, since its process may not have ended.
+func (l *instanceList) register(ctx context.Context, i objectstore.Instance) (created, entered bool, err error) {
+	key := instancesKind + "/" + i.ID
 	value, err := json.Marshal(i)
 	if err != nil {
-		return false, errors.Wrap(err, "encode the entry of this instance")
+		return false, false, errors.Wrap(err, "encode the entry of this instance")
+	}
+	if _, err = l.store.Put(ctx, key, value, 0); !errors.Is(err, objectstore.ErrConflict) {
+		return err == nil, err == nil, err
+	}
+	present, err := l.store.Get(ctx, key)
+	if err != nil {
+		return false, false, err
+	}
+	var before objectstore.Instance
+	if json.Unmarshal(present.Value, &before) == nil {
+		i.Earlier = before.Earlier
+		if entered = before.PeerAddress != i.PeerAddress; entered {
+			i.Earlier = strings.TrimSpace(i.Earlier + " " + before.PeerAddress)
+		}
+	}
+	if value, err = json.Marshal(i); err != nil || objectstore.SameJSON(present.Value, value) {
+		return false, entered, err
+	}
+	_, err = l.store.Put(ctx, key, value, present.Version)
+	return false, entered, err
+}
+
+// forgetEarlier removes the earlier addresses from the entry of an instance, unless it was written again since it was read.
+func (l *instanceList) forgetEarlier(ctx context.Context, name string, e listEntry) error {
+	e.Earlier = ""
+	return l.rewrite(ctx, name, e)
+}
+
+func (l *instanceList) rewrite(ctx context.Context, name string, e listEntry) error {
+	value, err := json.Marshal(e.Instance)
+	if err != nil {
+		return errors.Wrap(err, "encode the entry of an instance")
 	}
-	return l.store.Overwrite(ctx, instancesKind+"/"+i.ID, value)
+	_, err = l.store.Put(ctx, instancesKind+"/"+name, value, e.revision)
+	return err
 }
--- a/proxy/node/leases.go
+++ b/proxy/node/leases.go
@@ -65,8 +65,8 @@
 	return before, true
 }
 
-// isExcluded reports whether the newest claim does not allow a server, and how it was adopted.
-func (n *Node) isExcluded(database, server string) (a adoption, excluded bool) {
+// exclusionOf reports whether the newest claim does not allow a server, and how that claim was adopted.
+func (n *Node) exclusionOf(database, server string) (a adoption, excluded bool) {
 	n.leases.mu.Lock()
 	defer n.leases.mu.Unlock()
 	if server == "" || n.leases.leases.Claim(database).Allows(server) {
@@ -77,28 +77,31 @@
 
 // orderedServer returns the server whose promotion may have been ordered by the newest claim.
 func (n *Node) orderedServer(database string) string {
-	n.leases.mu.Lock()
-	defer n.leases.mu.Unlock()
-	return n.leases.leases.Claim(database).Ordered()
+	return n.knownClaim(database).Ordered()
 }
 
 // confirmOwnEntry records whether this instance is in the list of instances, as last read and confirmed as of a time.
 func (n *Node) confirmOwnEntry(asOf time.Duration) {
-	_, listed := n.instances.own(n.settings.Instance, n.settings.Listen.Peers)
-	if listed {
-		n.confirmListed(asOf)
-		return
-	}
+	own, listed := n.instances.own(n.settings.Instance, n.settings.Listen.Peers)
 	n.leases.mu.Lock()
 	defer n.leases.mu.Unlock()
-	n.leases.leases.ConfirmUnlisted(asOf)
+	switch {
+	case !listed:
+		n.leases.leases.ConfirmUnlisted(asOf)
+	case !own.Lost: // else it may be removed at any moment
+		n.leases.leases.ConfirmListed(boottime.Now(), asOf)
+	}
 }
 
-// confirmListed records that this instance was in the list of instances as of a time.
-func (n *Node) confirmListed(asOf time.Duration) {
+// recordRegistration records that this instance has written its entry, in a call sent at a time. entered tells that it was not in the
+// list before.
+func (n *Node) recordRegistration(sentAt time.Duration, entered bool) {
 	n.leases.mu.Lock()
 	defer n.leases.mu.Unlock()
-	n.leases.leases.ConfirmListed(boottime.Now(), asOf)
+	if entered {
+		n.leases.leases.Leave()
+	}
+	n.leases.leases.ConfirmListed(boottime.Now(), sentAt)
 }
 
 // mayUsePrimary reports whether statements may be sent to the primaries that the claims allow, and their answers acknowledged. Where
@@ -115,7 +118,7 @@
 // claimFollower returns the follower of the claims of promotions.
 func (n *Node) claimFollower() *follower {
 	f := n.follower(claimsKind, claimsWatchWait, 0)
-	f.acceptsUnknown, f.startsFromStore = true, true
+	f.acceptsUnknown, f.startsFromStore, f.maxAge = true, true, leaderlease.Term/2
 	f.onList = func(list objectList) { n.adoptClaims(list.objects, list.restored) }
 	f.onChange = func(changes []platform.Object) { n.adoptClaims(changes, false) }
 	f.onConfirm = func(asOf time.Duration, _ uint64) {
@@ -126,19 +129,25 @@
 	return f
 }
 
-// adoptClaims adopts claims that were read. One that a restored store shows may be older than the one known, which then stays.
+// adoptClaims adopts claims that were read. One that a restored store shows may be older than the one known, which then stays in
+// force in its place.
 func (n *Node) adoptClaims(objects []platform.Object, restored bool) {
 	for _, o := range objects {
-		if o.Deleted || restored && n.knowsClaim(o.Name) {
+		if o.Deleted {
 			continue
 		}
+		c := decodeClaim(o.Spec).leaderClaim(o.Revision)
+		if known := n.knownClaim(o.Name); restored && known.Version != 0 {
+			c = known
+			c.Version = o.Revision
+		}
 		n.failover.recordClaim(o.Name, o.Revision, false)
-		n.adoptClaim(o.Name, decodeClaim(o.Spec).leaderClaim(o.Revision), sourceStore)
+		n.adoptClaim(o.Name, c, sourceStore)
 	}
 }
 
-func (n *Node) knowsClaim(database string) bool {
+func (n *Node) knownClaim(database string) leaderlease.Claim {
 	n.leases.mu.Lock()
 	defer n.leases.mu.Unlock()
-	return n.leases.leases.Claim(database).Version != 0
+	return n.leases.leases.Claim(database)
 }
--- a/proxy/node/leases_test.go
+++ b/proxy/node/leases_test.go
@@ -23,7 +23,7 @@
 		want bool
 	}{
 		{"the configuration and the servers are current", func() {}, false},
-		{"claims were read before the instance was listed", func() { confirm(0); n.confirmListed(boottime.Now()) }, false},
+		{"claims were read before the instance was listed", func() { confirm(0); n.recordRegistration(boottime.Now(), true) }, false},
 		{"claims are current", func() { confirm(0) }, true},
 		{"claims are from before the withdrawal term", func() {
 			n.leases.leases = leaderlease.Leases{}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -301,10 +301,10 @@
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		sentAt := boottime.Now()
-		created, err := n.instances.register(callCtx, n.entry())
+		created, entered, err := n.instances.register(callCtx, n.entry())
 		cancel()
 		if err == nil {
-			n.confirmListed(sentAt)
+			n.recordRegistration(sentAt, entered)
 			return created
 		}
 		event(n.log, EventRegisterFailed).WithError(err).Warn("failed to write the entry of this instance; retrying")
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -22,8 +22,8 @@
 	maxKeptPacked = 4
 	// maxRelayAge is the age above which data of a relay is rejected and the follower calls the store itself, for the
 	// configuration and the servers. agePerHop is added to it for a relay that follows another one: the wait and the duration
-	// of its call. maxQuotaRelayAge is well below the term of a holder's confirmation. Nothing depends on the age of the list
-	// of instances, whose changes at a common start keep a relay from confirming it for seconds.
+	// of its call. maxQuotaRelayAge is well below the term of a holder's confirmation. maxInstancesRelayAge is
+	// below leaderlease.ListedTerm; changes of the list at a common start keep a relay from confirming it for seconds.
 	maxRelayAge          = 2500 * time.Millisecond
 	maxQuotaRelayAge     = 5 * time.Second
 	maxInstancesRelayAge = 10 * time.Second
--- a/proxy/node/roster.go
+++ b/proxy/node/roster.go
@@ -25,6 +25,8 @@
 	node         *Node
 	roster       roster.Roster
 	missedChecks int // consecutive checks without the own entry
+	// earlierSince is since when the own entry is known to have earlier addresses; 0 if it has none.
+	earlierSince time.Duration
 }
 
 // run checks the list periodically until ctx ends.
@@ -37,7 +39,7 @@
 	if !loaded {
 		return
 	}
-	m.ensureOwnEntry(ctx, entries)
+	m.ensureOwnEntry(ctx)
 	others := m.others(entries)
 	switch e, ok := m.roster.Step(boottime.Now(), others, m.isRemover()); {
 	case !ok:
@@ -49,10 +51,11 @@
 }
 
 // ensureOwnEntry writes the entry of this instance again if it was removed or is to be.
-func (m *rosterManager) ensureOwnEntry(ctx context.Context, entries map[string]listEntry) {
-	own, listed := entries[m.node.settings.Instance]
+func (m *rosterManager) ensureOwnEntry(ctx context.Context) {
+	own, listed := m.node.instances.own(m.node.settings.Instance, m.node.settings.Listen.Peers)
 	if listed && !own.Lost || m.node.stopping.Load() {
 		m.missedChecks = 0
+		m.forgetEarlier(ctx, own)
 		return
 	}
 	m.missedChecks++
@@ -64,6 +67,26 @@
 	m.node.register(ctx)
 }
 
+// forgetEarlier removes earlier addresses from the entry of this instance once their processes have noticed that it was overwritten.
+func (m *rosterManager) forgetEarlier(ctx context.Context, own listEntry) {
+	now := boottime.Now()
+	if own.Earlier == "" {
+		m.earlierSince = 0
+		return
+	}
+	if m.earlierSince == 0 {
+		m.earlierSince = now
+	}
+	if now-m.earlierSince < roster.MarkTerm {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := m.node.instances.forgetEarlier(ctx, m.node.settings.Instance, own); err != nil {
+		event(m.node.log, EventRegisterFailed).WithError(err).Warn("failed to remove earlier addresses from the entry of this instance; retrying")
+	}
+}
+
 // others returns the entries of the other instances, and marks those that this instance can't reach.
 func (m *rosterManager) others(entries map[string]listEntry) []roster.Entry {
 	lost := map[string]bool{} // by peer address
--- a/proxy/node/successor.go
+++ b/proxy/node/successor.go
@@ -42,6 +42,7 @@
 type candidate struct {
 	server discovery.Server
 	status placement.Status
+	busy   bool // it had no room to tell its status, which is zero
 	cold   bool
 }
 
@@ -85,7 +86,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			candidates = append(candidates, candidate{s, status, p.node.gateway.IsCold(s)})
+			candidates = append(candidates, candidate{server: s, status: status, busy: err != nil, cold: p.node.gateway.IsCold(s)})
 		})
 	}
 	probes.Wait()
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/contact"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	quotadecision "github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/decision/storeversion"
 	"github.com/cyclamenstile/cyclamenstile/platform"
@@ -102,6 +103,7 @@
 // instanceFollower returns the follower of the list of instances, which closes joined once the list was read.
 func (n *Node) instanceFollower(joined chan<- struct{}) *follower {
 	f := n.follower(instancesKind, instancesWatchWait, instancesBatchDelay)
+	f.maxAge = leaderlease.ListedTerm / 2
 	f.onList = func(list objectList) {
 		n.instances.replaceAll(list)
 		if list.restored && !slices.ContainsFunc(list.objects, func(o platform.Object) bool { return o.Name == n.settings.Instance }) {
--- a/proxy/node/withdraw.go
+++ b/proxy/node/withdraw.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,11 +43,11 @@
 	changed chan struct{} // has an element after each change of machine
 }
 
-// endFormerLead makes a successor step down that still acts as the primary of an earlier term: instances would use it from its claim
+// endFormerLead makes a successor step down that acts as the primary of an earlier term, or may: instances would use it from its claim
 // on, before its promotion.
 func (p *promotionController) endFormerLead(ctx context.Context, successor candidate) error {
 	s := successor.server
-	leads := s.Primary || successor.status.Primary
+	leads := s.Primary || successor.status.Primary || successor.busy
 	if !p.node.settings.UnfencedPromotions || !leads || s.ID == p.node.orderedServer(s.Database) {
 		return nil
 	}
@@ -173,6 +174,7 @@
 			case e.PeerAddress != node.settings.Listen.Peers:
 				addresses = append(addresses, e.PeerAddress)
 			}
+			addresses = append(addresses, strings.Fields(e.Earlier)...)
 		}
 		return addresses, true
 	}
@@ -217,6 +219,7 @@
 		Database: w.claim.database,
 		Claim: &peerpb.Claim{
 			Version: c.Version, Server: c.Server, HandOver: c.HandOver, Lead: uint64(c.Lead), HandOverLead: uint64(c.HandOverLead),
+			Former: c.Former, FormerKnown: c.FormerKnown,
 		},
 	}
 	for ctx.Err() == nil {
