--- a/decision/leaderlease/doc.go
+++ b/decision/leaderlease/doc.go
@@ -16,7 +16,8 @@
 // A reply of the store shows this as of the time when its call was sent, and an empty reply to a watch as of the end of the wait
 // that was asked for.
 //
-// The check follows the answer. One before a statement is sent only saves work, since the statement may wait at the server.
+// The check follows the answer. One before a statement is sent only saves work, since the statement may wait at the server. The lead
+// tells a server that was replaced and claimed again in the meantime, whose answer may be from in between.
 //
 // When a promotion may be ordered (Withdrawal): the claim was written, and afterwards one of these was seen:
 //
@@ -25,8 +26,6 @@
 //   - each instance of the list, read after the claim was written, has acknowledged that it knows the claim;
 //   - WithdrawalTerm has passed.
 //
-// The lead tells a server that was replaced and claimed again in the meantime, whose answer may be from in between.
-//
 // Suppose an instance acknowledges an answer of a server that the claim of a later promotion doesn't allow. If the server had
 // stepped down, its answer was earlier than that. If all listed instances had acknowledged the claim, this one is not among
 // them, so it entered the list after the claim was written; its evidence is still later and shows the claim. If WithdrawalTerm had
@@ -42,12 +41,12 @@
 // the promotion is ordered.
 //
 // An instance that was down, cut off, frozen or slow while others were told needs no message: its evidence has become too old,
-// or shows the claim. An entry is taken off the list only after this was announced in it for longer than ListedTerm, so that an instance
-// which is not told has noticed, or has evidence that is too old. Two
-// processes with one name and address at a time are not covered. A store that came back from a copy without a claim is covered for instances that know the claim.
+// or shows the claim. An entry is taken off the list only after this was announced in it for longer than ListedTerm, so that an
+// instance which is not told has noticed, or has evidence that is too old. Two processes with one name and address at a time are not
+// covered. A store that came back from a copy without a claim is covered for instances that know the claim.
 //
-// Durations are measured on one clock of one machine, which advances while the machine is suspended;
-// WithdrawalTerm exceeds Term by a tenth for clocks of different rates. Times of day are not used.
+// Durations are measured on one clock of one machine, which advances while the machine is suspended; WithdrawalTerm exceeds Term by a
+// tenth for clocks of different rates. Times of day are not used.
 //
 // Load: one claim a database, which changes with promotions only; a check compares two strings and a duration.
 package leaderlease
