Withhold answers by claims only, not by the entries of servers

Cause: the check of an answer also refused a server whose entry is older than that of another one that shows a promotion. Where promotions are fenced that server had led when it answered, and a write became in doubt; where they aren't, the claim tells. The outcome of a withdrawal and the following up of former servers are functions of their own. Result: go test ./decision/placement ./proxy/node and the tests of leaders in proxy/gateway pass. Found by reading; no run showed it.

--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -284,8 +284,6 @@
 const (
 	// Retired: the replacement of the server is ordered.
 	Retired Objection = "replacement_ordered"
-	// Superseded: the entry of another server has shown its promotion since.
-	Superseded Objection = "another_promoted"
 	// Excluded: a claim names another server as the leader.
 	Excluded Objection = "another_claimed"
 	// LeadChanged: the server was replaced and claimed again since the statement was sent.
@@ -305,7 +303,8 @@
 	g.claim = c
 }
 
-// Lead returns the lead for which a server may be used as the leader, or why it must not be.
+// Lead returns the lead for which a server may be used as the leader, or why it must not be. Where promotions are fenced, a former
+// primary can't act as the leader, so that nothing is to be known of it.
 func (g *Group) Lead(now time.Duration, id string) (leaderlease.Lead, Objection) {
 	lead, allowed := g.claim.LeadOf(id)
 	s := g.servers[id]
@@ -316,8 +315,6 @@
 		return lead, ""
 	case s.isRetired(now):
 		return 0, Retired
-	case s.Primary && s.promotedIn < g.lastPromotion():
-		return 0, Superseded
 	}
 	return lead, ""
 }
--- a/proxy/node/withdraw.go
+++ b/proxy/node/withdraw.go
@@ -78,7 +78,10 @@
 	if err == nil {
 		own, err = p.rewriteClaim(ctx, own, own.Withdrawn())
 	}
-	w.log(basis, own.Version, err)
+	w.logOutcome(basis, own.Version, err)
+	if err == nil {
+		w.followUpFormer()
+	}
 	return own, err
 }
 
@@ -112,8 +115,7 @@
 	return w.machine.Basis(boottime.Now())
 }
 
-// log logs the outcome, and has the servers that have not stepped down followed up.
-func (w *withdrawal) log(basis leaderlease.Basis, fence uint64, err error) {
+func (w *withdrawal) logOutcome(basis leaderlease.Basis, fence uint64, err error) {
 	w.mu.Lock()
 	silent, former := w.machine.Silent(), w.machine.Former()
 	w.mu.Unlock()
@@ -127,6 +129,13 @@
 		return
 	}
 	entry.Info("no instance uses a former primary any more")
+}
+
+// followUpFormer makes the former servers that have not stepped down do so once they answer.
+func (w *withdrawal) followUpFormer() {
+	w.mu.Lock()
+	former := w.machine.Former()
+	w.mu.Unlock()
 	for _, id := range former {
 		if s, ok := w.controller.server(w.claim.database, id); ok {
 			go w.controller.followUpStepDown(s, w.term)
