Keep the numbers of claims exact in JSON

Cause: a claim's order and serial number were random numbers of 64 bits. A store that reads JSON numbers as floating point changes those above 2^53: the claim could not be read back, or not decoded, and would name no server. Change: numbers up to 2^53.

--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -89,7 +89,12 @@
 		return ownClaim{}, errClaimed
 	}
 	next := current.leaderClaim(object.Version).Next(old, server, handOver)
-	return p.writeClaim(ctx, ownClaim{Claim: next, database: database, order: rand.Uint64()}, object.Version)
+	return p.writeClaim(ctx, ownClaim{Claim: next, database: database, order: randomNumber()}, object.Version)
+}
+
+// randomNumber returns a number above 0 that every JSON implementation keeps exactly.
+func randomNumber() uint64 {
+	return 1 + rand.Uint64N(1<<53-1)
 }
 
 // rewriteClaim replaces a claim of this instance by the next one, unless another instance has claimed the promotion since.
@@ -105,7 +110,7 @@
 	value := claim{
 		Instance: p.node.settings.Instance, Server: own.Server, Former: own.Former, FormerKnown: own.FormerKnown, HandOver: own.HandOver,
 		Lead: uint64(own.Lead), HandOverLead: uint64(own.HandOverLead),
-		Order: own.order, Serial: rand.Uint64(),
+		Order: own.order, Serial: randomNumber(),
 	}
 	for try := 1; ; try++ {
 		own.sentAt = boottime.Now()
