End messages of the line protocol at CR LF only

Cause: lineReader ended a message at any line feed; the protocol ends it with CR LF.

The stand-in for servers reads up to CR LF as well.

--- a/proxy/engine/session.go
+++ b/proxy/engine/session.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	decide "github.com/cyclamenstile/cyclamenstile/decision/session"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
 
 const (
@@ -247,20 +248,10 @@
 		return
 	}
 	if s.out.flush() == nil {
-		linger(s.conn)
+		tcp.Linger(s.conn, lingerTimeout)
 	}
 }
 
-// linger closes the sending side and reads until the caller has closed its side or lingerTimeout has passed.
-func linger(conn net.Conn) {
-	half, ok := conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, conn)
-}
-
 func errIdleInTransaction() *outcome.Error {
 	return outcome.New(outcome.NotRun, codeIdleInTransaction,
 		"the transaction was idle for too long and was rolled back",
--- a/proxy/engine/startup.go
+++ b/proxy/engine/startup.go
@@ -14,6 +14,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	decide "github.com/cyclamenstile/cyclamenstile/decision/session"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 )
 
 // Codes of the packets that may come first on a connection. Source: PostgreSQL documentation,
@@ -63,7 +64,7 @@
 		return err
 	}
 	_ = st.send(errorResponse(severityFatal, e))
-	linger(st.conn)
+	tcp.Linger(st.conn, lingerTimeout)
 	return err
 }
 
--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -43,8 +43,10 @@
 
 // CallerCodec is the protocol of one caller's connection. Messages are buffered until Flush.
 type CallerCodec interface {
+	// ReadStartup returns an *outcome.Error for a message that the caller must be told about.
 	ReadStartup() (route, key string, err error)
-	// ReadStatement returns io.EOF when the caller has disconnected.
+	// ReadStatement returns io.EOF when the caller has disconnected, and an *outcome.Error for a message that can't be read: the
+	// caller is told, and the session ends.
 	ReadStatement() (sessionstate.Statement, error)
 	Ready(state sessionstate.TxState)
 	Row(row []byte)
--- a/proxy/gateway/gateway_test.go
+++ b/proxy/gateway/gateway_test.go
@@ -36,6 +36,34 @@
 	}
 }
 
+// Guards against requests that are smuggled to a server inside another request, and against a session that goes on after one.
+func TestLineBreakInARequestRunsNothing(t *testing.T) {
+	f := newFixture(t)
+	for n, text := range []string{"WRITE x v\nQUERY smuggled WRITE y v", "WRITE x v\rQUERY smuggled WRITE y v", "WRITE x v\n", "WRITE x v\r"} {
+		c := f.open("strict")
+		id := "begin-" + strconv.Itoa(n)
+		c.want(id, "BEGIN", "done|READY T -")
+		c.want("kept-"+id, "WRITE z v", "receipt|READY T -")
+		c.want("broken", text, "MALFORMED|READY E -")
+		if line := c.readLine(); line != "closed" {
+			t.Errorf("%q: the session goes on with %q, want it closed", text, line)
+		}
+	}
+	for route, key := range map[string]string{"strict": testKey + "\nQUERY smuggled WRITE y v", "strict\n": testKey} {
+		if _, answer := f.dial(route, key); !strings.HasPrefix(answer, "ERROR MALFORMED ") {
+			t.Errorf("route %q and key %q are answered with %q, want MALFORMED", route, key, answer)
+		}
+	}
+	for _, run := range f.group.ExecutedStatements() {
+		if !strings.HasPrefix(run.ID, "kept-") {
+			t.Errorf("server %s has executed %q, id %s", run.Server, run.Text, run.ID)
+		}
+	}
+	if value, ok := f.group.Content()["z"]; ok {
+		t.Errorf("a transaction of a broken session was committed with %q", value)
+	}
+}
+
 // Guards against a strict read that is answered by a server which is no longer the leader.
 func TestStrictReadsVerifyLeadership(t *testing.T) {
 	f := newFixture(t)
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/quota"
 	"github.com/cyclamenstile/cyclamenstile/decision/sessionstate"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
+	"github.com/cyclamenstile/cyclamenstile/proxy/tcp"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
@@ -34,6 +35,8 @@
 	stopLinger = 20 * time.Millisecond
 	// refusalPeriod bounds how long a session that must end refuses requests.
 	refusalPeriod = 100 * time.Millisecond
+	// lingerTimeout bounds the wait for a caller to read the last answer before its connection is closed.
+	lingerTimeout = 500 * time.Millisecond
 )
 
 // callerConn is a connection to a caller with a separate timeout for each write.
@@ -99,6 +102,11 @@
 func (sess *session) startup() error {
 	_ = sess.conn.SetDeadline(time.Now().Add(startupTimeout))
 	route, key, err := sess.codec.ReadStartup()
+	if e := outcome.As(err); e != nil {
+		sess.refuseStartup(e)
+		tcp.Linger(sess.conn, lingerTimeout)
+		return e
+	}
 	if err != nil {
 		return err
 	}
@@ -106,15 +114,20 @@
 	sess.keyHash = manifest.HashKey(key)
 	wait.UntilClosed(sess.gw.ctx, sess.gw.cfg.Directory.Known(), firstConfigurationWait)
 	if _, e := sess.authorize(); e != nil {
-		sess.gw.cfg.Log.sessionRefused(sess, e)
-		sess.codec.Error(e)
-		_ = sess.codec.Flush()
+		sess.refuseStartup(e)
 		return e
 	}
 	sess.codec.Ready(sessionstate.Idle)
 	return sess.codec.Flush()
 }
 
+// refuseStartup answers a startup message with an error.
+func (sess *session) refuseStartup(e *outcome.Error) {
+	sess.gw.cfg.Log.sessionRefused(sess, e)
+	sess.codec.Error(e)
+	_ = sess.codec.Flush()
+}
+
 // authorize checks the session's key against the configuration in force.
 func (sess *session) authorize() (catalog.Grant, *outcome.Error) {
 	snapshot := sess.gw.cfg.Directory.Current()
@@ -157,6 +170,9 @@
 func (sess *session) loop() error {
 	for {
 		stmt, err := sess.readRequest()
+		if e := outcome.As(err); e != nil {
+			return sess.refuseUnreadable(e)
+		}
 		if err != nil {
 			return err
 		}
@@ -172,6 +188,18 @@
 	}
 }
 
+// refuseUnreadable answers a message that could not be read, and returns the reason. The session ends with it, as what follows such a
+// message may be a part of it.
+func (sess *session) refuseUnreadable(e *outcome.Error) error {
+	sess.failStatement(sessionstate.Statement{}, e, sess.gw.cfg.Now())
+	sess.codec.Ready(sess.state.Tx)
+	if err := sess.codec.Flush(); err != nil {
+		return err
+	}
+	tcp.Linger(sess.conn, lingerTimeout)
+	return e
+}
+
 // readRequest waits for the caller's next request.
 func (sess *session) readRequest() (sessionstate.Statement, error) {
 	for {
--- a/proxy/tcp/tcp.go
+++ b/proxy/tcp/tcp.go
@@ -3,6 +3,7 @@
 package tcp
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -57,6 +58,17 @@
 	}
 }
 
+// Linger closes the sending side of conn and discards input until the peer has closed its side or timeout has passed. Closing a
+// connection with unread input resets it, and a reset can destroy the last message before the peer has read it.
+func Linger(conn net.Conn, timeout time.Duration) {
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // SendQueue returns the number of bytes that were written to conn and not yet acknowledged by the peer, or
 // 0 if conn has no socket.
 func SendQueue(conn net.Conn) int {
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"slices"
@@ -364,9 +365,17 @@
 	return g.servers[id].peakOutstanding
 }
 
+// readLine reads a message. It ends with CR LF; a line feed alone is a part of it.
 func (s *session) readLine() (string, error) {
-	line, err := s.in.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
+	var line []byte
+	for !bytes.HasSuffix(line, []byte("\r\n")) {
+		part, err := s.in.ReadBytes('\n')
+		if err != nil {
+			return "", err
+		}
+		line = append(line, part...)
+	}
+	return string(line[:len(line)-len("\r\n")]), nil
 }
 
 func (s *session) startUp(line string) bool {
