Promote no server that may lack acknowledged commits

Cause: a candidate that answered STATUS with BUSY was compared as if it had received nothing, and sync_replicas was not used.

Change: decision/succession decides with an argument in its package comment: a server is promoted if fewer replicas are unheard than acknowledge a commit and its log is the longest, or if it has what the former primary had when it stepped down. Busy and silent servers are asked again; one whose entry is gone is not waited for. Where promotions aren't fenced the successor is checked again once nobody uses the former primary. Hand-overs begin when the successor follows, and end with the former primary if it does not. Without copies only busy servers are asked again, within the time that silent ones had.

--- a/cmd/internal/platformlocal/environment.go
+++ b/cmd/internal/platformlocal/environment.go
@@ -59,6 +59,7 @@
 	Slots          int           // concurrent statements of a server
 	ServiceTime    time.Duration // of each read, write and commit
 	MaxConnections int           // to each server
+	Copies         int           // replicas that must have received a commit before it is acknowledged
 	ColdRate       float64       // statements per second that a server gets while it is cold; 0: no limit
 	// ColdServers are the indices of the servers of each database that are cold for ColdTime from the start on.
 	ColdServers []int
@@ -134,6 +135,7 @@
 		return errors.Wrap(err, "start a stand-in database")
 	}
 	group.SetMaxConnections(e.databases.MaxConnections)
+	group.SetCopies(e.databases.Copies)
 	if e.databases.Unfenced {
 		group.SetUnfenced()
 	}
@@ -394,6 +396,7 @@
 	e.version++
 	c := platformtest.Config{
 		Version: e.version, Databases: e.names, MaxConnections: e.databases.MaxConnections, Regions: e.regions, ColdRate: e.databases.ColdRate,
+		Copies: e.databases.Copies,
 	}
 	for _, a := range e.accounts {
 		t := platformtest.Tenant{Name: a.Name, Rate: a.Rate, Burst: a.Burst, Regions: a.Regions}
--- a/decision/catalog/catalog.go
+++ b/decision/catalog/catalog.go
@@ -32,8 +32,8 @@
 	// ColdRate is the number of statements per second that a server may get while it warms up after its start, from
 	// all instances together; 0 for no limit.
 	ColdRate float64
-	// Synchronous means that a commit is acknowledged only after a replica has received it.
-	Synchronous bool
+	// Copies is the number of replicas that must have received a commit before it is acknowledged.
+	Copies int
 }
 
 // Catalog is one version of the configuration.
--- /dev/null
+++ b/decision/succession/doc.go
@@ -0,0 +1,26 @@
+// Package succession decides which server of a database may be promoted.
+//
+// Where commits are acknowledged only once a number of replicas, the copies, has received them, no acknowledged commit may be missing
+// in the log of a server that is promoted.
+//
+// Invariant: a chosen server has received every commit that was acknowledged before the former primary's lead ended, if the answers
+// were given after that. It holds by the following rules.
+//
+//   - A replica receives commits in the order of the log. So of two logs of one term the longer one has all of the shorter one, and a
+//     log that ends in a later term has all acknowledged commits of the earlier ones, as its primary was chosen by these rules.
+//   - If fewer replicas than copies have not answered, each acknowledged commit is in a log that was told of, so in the longest one.
+//   - What the former primary had when it stepped down has all acknowledged commits, too.
+//   - A server that is busy, silent or unreadable has not answered: what it has received is not known, which is not the same as nothing.
+//
+// A replica counts as long as it is in the list of servers, whether or not it may be promoted itself. One whose entry is gone doesn't: the
+// platform says that such a server is gone, with its log. If only servers that may not be promoted have all acknowledged commits, because
+// they leave or their failure domain is evacuated, one of them is promoted and hands over.
+//
+// When the lead ends is the caller's to know. An answer from before still helps to choose, and must be followed by a check of the chosen
+// server with answers from after it.
+//
+// Without copies a failover can lose acknowledged commits. The server that has received the most then is the best one of those that have
+// answered; there is nothing to wait for.
+//
+// Load: a database has a few servers, which are asked at each promotion only.
+package succession
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
 	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
+	"github.com/cyclamenstile/cyclamenstile/decision/succession"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
@@ -59,8 +60,11 @@
 	errClaimTooOld        = errors.New("the claim is too old to order the promotion, or was lost by the store; another instance may have claimed it since")
 	errSuccessorEvacuated = errors.New("the failure domain of the chosen server was evacuated meanwhile; another one is chosen")
 	errLagsBehind         = errors.New("the chosen server lags too far behind the primary to take over, or is too busy to tell")
-	errMovedBack          = errors.New("the server at home did not receive all writes in time, so the former primary was promoted again")
-	errPrimarySilent      = errors.New("the evacuated primary does not answer; it is replaced like any lost one")
+	errMovedBack          = errors.New("the successor did not receive all writes in time, so the former primary was promoted again")
+	errPrimarySilent      = errors.New("the primary does not answer; it is replaced like any lost one")
+	errNoConfiguration    = errors.New("the configuration was not read yet, so it is not known whether replicas acknowledge commits; see whether the store answers")
+	errCommitsUnknown     = errors.New("it is not known which server has all acknowledged commits; nothing is promoted until the silent or busy servers answer, or their entries are gone")
+	errCommitsMissing     = errors.New("the chosen server lacks acknowledged commits that another one has; another one is chosen")
 	errUnknownServer      = errors.New("this instance knows no entry of the server")
 	errRestoredNow        = errors.New("the store may have lost a claim of another instance a moment ago; the promotion is claimed later")
 )
@@ -284,8 +288,8 @@
 }
 
 func (p *promotionController) promoteSuccessor(ctx context.Context, database string, old discovery.Server, handOver bool) error {
-	successor, err := p.chooseSuccessor(ctx, database, old.ID, func(discovery.Server) bool { return true })
-	if err == nil && handOver && old.Evacuated {
+	successor, err := p.chooseSuccessor(ctx, database, old.ID, !handOver, isFit)
+	if err == nil && handOver {
 		err = p.checkFollows(ctx, successor, old)
 	}
 	if old.Evacuated {
@@ -303,24 +307,48 @@
 	}
 	event(p.log, EventPromoting).WithFields(logrus.Fields{
 		"database": database, "old": old.ID, "server": successor.server.ID, "fence": own.Version, "hand_over": handOver,
+		"received": successor.status.Received.String(), "basis": string(successor.basis),
 	}).Info("promotion is claimed")
-	var steppedDown string
-	if handOver {
-		err := p.handOver(ctx, old, successor.server)
-		if err != nil && (old.Evacuated || p.node.settings.UnfencedPromotions) {
-			return err // the successor may lack commits, and an unfenced primary would go on
-		}
-		steppedDown = old.ID
+	if !handOver {
+		return p.promote(ctx, successor, own, formerLead{server: old.ID})
+	}
+	err = p.handOver(ctx, old, successor)
+	switch {
+	case errors.Is(err, errCommitsUnknown), errors.Is(err, errCommitsMissing):
+		return p.promoteAgain(ctx, own, old, successor)
+	case err != nil && (old.Evacuated || p.node.settings.UnfencedPromotions || successor.basis != succession.BasisNoCopies):
+		return err // the successor may lack commits, and an unfenced primary would go on
+	}
+	return p.promote(ctx, successor, own, formerLead{server: old.ID, steppedDown: old.ID, covered: err == nil})
+}
+
+// promoteAgain promotes a primary that has stepped down for a successor which did not receive all of its writes.
+func (p *promotionController) promoteAgain(ctx context.Context, own ownClaim, old discovery.Server, successor candidate) error {
+	event(p.log, EventMovedBack).WithFields(logrus.Fields{"database": old.Database, "server": old.ID, "successor": successor.server.ID}).
+		Warn("the successor did not receive all writes in time; the former primary is promoted again")
+	own, err := p.rewriteClaim(ctx, own, own.Next(old.ID, old.ID, false))
+	if err != nil {
+		return err
+	}
+	if err := p.promote(ctx, candidate{server: old, status: successor.status}, own, formerLead{covered: true}); err != nil {
+		return err
 	}
-	return p.promote(ctx, successor, own, steppedDown)
+	return errMovedBack
+}
+
+// formerLead is what is known about the lead that a promotion ends.
+type formerLead struct {
+	server      string // empty if none is known
+	steppedDown string // has confirmed that it does not lead since the claim was written; empty if none has
+	covered     bool   // the successor is known to have all commits that were acknowledged in it
 }
 
 // promote makes the platform promote the server of a claim. Where promotions aren't fenced, it first makes sure that no instance
-// uses another server; steppedDown, which may be empty, has confirmed that it does not lead since the claim was written.
-func (p *promotionController) promote(ctx context.Context, successor candidate, own ownClaim, steppedDown string) error {
+// uses another server, and then that the server has all acknowledged commits.
+func (p *promotionController) promote(ctx context.Context, successor candidate, own ownClaim, former formerLead) error {
 	if p.node.settings.UnfencedPromotions {
 		var err error
-		if own, err = p.withdraw(ctx, own, successor.status.Term+1, steppedDown); err != nil {
+		if own, err = p.withdraw(ctx, own, successor, former); err != nil {
 			return err
 		}
 	}
@@ -328,7 +356,7 @@
 	if !failover.MayOrder(boottime.Now()-own.sentAt, fence, p.node.eras.Era()) {
 		return errClaimTooOld
 	}
-	if p.node.isEvacuated(s) {
+	if p.node.isEvacuated(s) && !successor.lastResort {
 		return errSuccessorEvacuated
 	}
 	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -14,20 +14,25 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
-// handOver makes a primary that answers step down, and waits until its successor has received all of its writes.
-func (p *promotionController) handOver(ctx context.Context, old, successor discovery.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+// handOver makes a primary that answers step down, and waits until its successor has received all of its writes. Without copies a
+// successor that has not in time takes over all the same, except from an evacuated primary; with copies it has to have the acknowledged
+// ones, or the error is errCommitsUnknown or errCommitsMissing.
+func (p *promotionController) handOver(ctx context.Context, old discovery.Server, successor candidate) error {
+	waitCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	status, err := p.stepDown(ctx, old)
+	status, err := p.stepDown(waitCtx, old)
 	if err != nil {
 		event(p.log, EventPromotionFailed).WithField("server", old.ID).WithError(err).
 			Warn("failed to make the leaving primary step down; its last commits may be lost")
 		return err
 	}
-	if !p.awaitCaughtUp(ctx, successor, status, catchUpPollInterval) && old.Evacuated {
+	if p.awaitCaughtUp(waitCtx, successor.server, status, catchUpPollInterval) {
+		return nil
+	}
+	if old.Evacuated {
 		return errLagsBehind
 	}
-	return nil
+	return p.confirmSuccessor(ctx, old.ID, successor.server, &status.Received)
 }
 
 // stepDown makes a primary step down. It repeats the call while the server has no room for it.
@@ -108,7 +113,11 @@
 		if err == nil && !next.Received.Less(status.Received) {
 			return true
 		}
-		if !wait.For(ctx, poll) {
+		interval := poll
+		if errors.Is(err, gateway.ErrBusy) {
+			interval = min(poll, busyRetryInterval)
+		}
+		if !wait.For(ctx, interval) {
 			return false
 		}
 	}
--- a/proxy/node/homes.go
+++ b/proxy/node/homes.go
@@ -80,7 +80,7 @@
 // promoted unless it has stepped down, and it is promoted again if its successor does not receive all of its writes.
 func (p *promotionController) moveHome(ctx context.Context, database string, old discovery.Server) error {
 	homes := p.homesOf(database)
-	successor, err := p.chooseSuccessor(ctx, database, old.ID, func(s discovery.Server) bool {
+	successor, err := p.chooseSuccessor(ctx, database, old.ID, false, func(s discovery.Server) bool {
 		return p.candidateFor(s).MayLeadAtHome(homes)
 	})
 	if err != nil {
@@ -101,17 +101,9 @@
 		return err
 	}
 	if caughtUp {
-		return p.promote(ctx, successor, own, old.ID)
+		return p.promote(ctx, successor, own, formerLead{server: old.ID, steppedDown: old.ID, covered: true})
 	}
-	event(p.log, EventMovedBack).WithFields(logrus.Fields{"database": database, "server": old.ID, "successor": successor.server.ID}).
-		Warn("the server at home did not receive all writes in time; the former primary is promoted again")
-	if own, err = p.rewriteClaim(ctx, own, own.Next(old.ID, old.ID, false)); err != nil {
-		return err
-	}
-	if err := p.promote(ctx, candidate{server: old, status: successor.status}, own, ""); err != nil {
-		return err
-	}
-	return errMovedBack
+	return p.promoteAgain(ctx, own, old, successor)
 }
 
 // followsClosely reports whether a server has received within maxMoveLag what the primary has now.
--- /dev/null
+++ b/proxy/node/inquiry.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/succession"
+	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
+)
+
+const (
+	// inquiryTimeout bounds an inquiry that needs the answers of particular servers. The primary may be back afterwards, and a claim
+	// has to be renewed.
+	inquiryTimeout = time.Second
+	// busyRetryInterval is the time until a server is asked again that was busy or silent. A statement occupies a slot for some ten
+	// milliseconds.
+	busyRetryInterval = 30 * time.Millisecond
+)
+
+// inquiry asks the servers of a database how much of the log they have received, and those that are busy again.
+type inquiry struct {
+	controller *promotionController
+	database   string
+	old        string // the primary that is replaced, which is not asked
+	copies     int
+	fit        func(discovery.Server) bool
+	// anyServer: a server that may not lead is better than none, if only such ones have all acknowledged commits.
+	anyServer bool
+
+	mu        sync.Mutex
+	selection *succession.Selection
+	answered  map[string]candidate
+	busy      map[string]candidate // have answered that they are busy
+	asked     map[string]bool      // have answered, were busy for probeTimeout or did not answer one probe
+	running   map[string]bool      // are being asked
+	changed   chan struct{}        // has an element after each change
+}
+
+func newInquiry(p *promotionController, database, old string, copies int, fit func(discovery.Server) bool) *inquiry {
+	return &inquiry{
+		controller: p, database: database, old: old, copies: copies, fit: fit, selection: succession.New(copies),
+		answered: map[string]candidate{}, busy: map[string]candidate{}, asked: map[string]bool{}, running: map[string]bool{},
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// mayLead reports whether a server may be promoted.
+func (q *inquiry) mayLead(s discovery.Server) bool {
+	return !s.Leaving && !s.Evacuated && q.fit(s)
+}
+
+// await asks the servers until done, which is called with mu held, or until ctx ends or inquiryTimeout has passed. Servers that enter the
+// list meanwhile are asked, too; those whose entry is gone are not waited for.
+func (q *inquiry) await(ctx context.Context, done func() bool) {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	defer cancel()
+	for {
+		q.mu.Lock()
+		for _, s := range q.refresh() {
+			asking.Go(func() { q.ask(ctx, s) })
+		}
+		finished := done()
+		q.mu.Unlock()
+		if finished {
+			return
+		}
+		poll := time.NewTimer(failoverInterval)
+		select {
+		case <-q.changed:
+		case <-poll.C:
+		case <-ctx.Done():
+		}
+		poll.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// refresh adopts the list of servers and returns those that are not asked yet. Without copies only servers that may lead are asked.
+// mu must be held.
+func (q *inquiry) refresh() []discovery.Server {
+	var replicas []succession.Replica
+	var next []discovery.Server
+	for _, s := range q.controller.node.gateway.Servers(q.database) {
+		eligible := q.mayLead(s)
+		if s.ID == q.old || q.copies == 0 && !eligible {
+			continue
+		}
+		replicas = append(replicas, succession.Replica{ID: s.ID, Eligible: eligible})
+		if !q.running[s.ID] {
+			q.running[s.ID] = true
+			next = append(next, s)
+		}
+	}
+	q.selection.SetReplicas(replicas)
+	return next
+}
+
+// ask asks a server until it has answered or ctx ends. Without copies it is asked again only while it is busy, for probeTimeout.
+func (q *inquiry) ask(ctx context.Context, s discovery.Server) {
+	began := time.Now()
+	for {
+		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		status, err := q.controller.node.gateway.Probe(probeCtx, s)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		c := candidate{server: s, status: status, cold: q.controller.node.gateway.IsCold(s)}
+		again := q.record(c, err, time.Since(began) >= probeTimeout)
+		if !again || !wait.For(ctx, busyRetryInterval) {
+			return
+		}
+	}
+}
+
+// record records the outcome of a probe and reports whether the server is to be asked again.
+func (q *inquiry) record(c candidate, err error, late bool) (again bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	isBusy := errors.Is(err, gateway.ErrBusy)
+	q.asked[c.server.ID] = q.asked[c.server.ID] || !isBusy || late
+	switch {
+	case err == nil:
+		q.answered[c.server.ID] = c
+		q.selection.Record(c.server.ID, c.status.Received)
+	case isBusy:
+		c.busy, c.basis = true, succession.BasisNoCopies // chosen without copies only
+		q.busy[c.server.ID] = c
+	}
+	select {
+	case q.changed <- struct{}{}:
+	default:
+	}
+	return err != nil && (q.copies > 0 || isBusy && !late)
+}
+
+// settled reports whether a successor can be chosen as well as it can be now: every server has answered or had the time to, and, where
+// commits are acknowledged by replicas, one is known to have all acknowledged ones. mu must be held.
+func (q *inquiry) settled() bool {
+	for _, id := range q.selection.Unheard() {
+		if !q.asked[id] {
+			return false
+		}
+	}
+	return q.copies == 0 || q.best() != ""
+}
+
+// best returns the best server that is known to have all acknowledged commits, empty if there is none. mu must be held.
+func (q *inquiry) best() string {
+	homes := q.controller.homesOf(q.database)
+	id, _ := q.selection.Choose(q.anyServer, func(a, b string) int { return compareCandidates(homes, q.answered[a], q.answered[b]) })
+	return id
+}
+
+// successor returns the server to promote. The one that an earlier order may still promote is preferred, so that no two are promoted.
+func (q *inquiry) successor(ordered string) (candidate, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	id := q.best()
+	_, answered := q.answered[ordered]
+	_, isBusy := q.busy[ordered]
+	if answered || isBusy {
+		id = ordered
+	}
+	c, answered := q.answered[id]
+	c.basis, c.lastResort = q.selection.Proof(id), !q.mayLead(c.server)
+	switch {
+	case answered && c.basis != succession.BasisNone:
+		return c, nil
+	case q.copies > 0:
+		return candidate{}, q.unproven()
+	}
+	return q.busyServer(ordered)
+}
+
+// busyServer returns a server that is alive but too busy to tell what it has received: the ordered one, or the best of the others.
+func (q *inquiry) busyServer(ordered string) (candidate, error) {
+	if c, ok := q.busy[ordered]; ok {
+		return c, nil
+	}
+	homes := q.controller.homesOf(q.database)
+	var out []candidate
+	for _, c := range q.busy {
+		out = append(out, c)
+	}
+	if len(out) == 0 {
+		return candidate{}, errNoSuccessor
+	}
+	return slices.MaxFunc(out, func(a, b candidate) int { return compareCandidates(homes, a, b) }), nil
+}
+
+// unproven returns the error of an inquiry that has not shown which server has all acknowledged commits. mu must be held.
+func (q *inquiry) unproven() error {
+	if unheard := q.selection.Unheard(); len(unheard) >= q.copies {
+		return errors.Wrapf(errCommitsUnknown, "no answer from %v", unheard)
+	}
+	return errCommitsMissing
+}
--- a/proxy/node/successor.go
+++ b/proxy/node/successor.go
@@ -3,14 +3,14 @@
 import (
 	"cmp"
 	"context"
-	"slices"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/home"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/succession"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
 )
 
@@ -44,6 +44,10 @@
 	status placement.Status
 	busy   bool // it had no room to tell its status, which is zero
 	cold   bool
+	// basis is the evidence that it has all acknowledged commits; empty if it is busy.
+	basis succession.Basis
+	// lastResort: it leaves or is evacuated, and no other server has all acknowledged commits.
+	lastResort bool
 }
 
 // compareCandidates orders candidates by what they have received. Among equals, one at home is better, then a warm one, as a cold
@@ -68,43 +72,62 @@
 	return 1
 }
 
-// chooseSuccessor returns the reachable and fit server that has received the most of the log, among equals one at home.
-func (p *promotionController) chooseSuccessor(ctx context.Context, database, old string, fit func(discovery.Server) bool) (candidate, error) {
-	var mu sync.Mutex
-	var candidates []candidate
-	var probes sync.WaitGroup
-	for _, s := range p.node.gateway.Servers(database) {
-		if s.ID == old || s.Leaving || s.Evacuated || !fit(s) {
-			continue
-		}
-		probes.Go(func() {
-			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			status, err := p.node.gateway.Probe(probeCtx, s)
-			if err != nil && !errors.Is(err, gateway.ErrBusy) {
-				return // unreachable, so not a candidate
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			candidates = append(candidates, candidate{server: s, status: status, busy: err != nil, cold: p.node.gateway.IsCold(s)})
-		})
+// copiesOf returns how many replicas must have received a commit of a database before it is acknowledged.
+func (p *promotionController) copiesOf(database string) (int, error) {
+	snapshot := p.node.directory.Current()
+	if snapshot == nil {
+		return 0, errNoConfiguration
 	}
-	probes.Wait()
-	if len(candidates) == 0 {
-		return candidate{}, errNoSuccessor
+	d, _ := snapshot.Database(database) // one that was removed from the configuration has no callers
+	return d.Copies, nil
+}
+
+// chooseSuccessor returns the reachable and fit server that has received the most of the log, among equals one at home. Where commits
+// are acknowledged by replicas, it has all acknowledged ones, or the error is errCommitsUnknown or errCommitsMissing. With anyServer it
+// may be an unfit one, if only such ones have them.
+func (p *promotionController) chooseSuccessor(ctx context.Context, database, old string, anyServer bool, fit func(discovery.Server) bool) (candidate, error) {
+	copies, err := p.copiesOf(database)
+	if err != nil {
+		return candidate{}, err
 	}
-	// An earlier order may still take effect.
-	ordered := p.node.orderedServer(database)
-	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.server.ID == ordered }); i >= 0 {
-		return candidates[i], nil
+	q := newInquiry(p, database, old, copies, fit)
+	q.anyServer = anyServer
+	q.await(ctx, q.settled)
+	return q.successor(p.node.orderedServer(database))
+}
+
+// isFit is for promotions for which every server will do that may lead.
+func isFit(discovery.Server) bool { return true }
+
+// confirmSuccessor returns nil once a chosen server is known to have all commits that were acknowledged so far. final is what the former
+// primary had when it stepped down, nil if it has not told.
+func (p *promotionController) confirmSuccessor(ctx context.Context, old string, successor discovery.Server, final *position.Position) error {
+	copies, err := p.copiesOf(successor.Database)
+	if err != nil || copies == 0 {
+		return err
 	}
-	homes := p.homesOf(database)
-	return slices.MaxFunc(candidates, func(a, b candidate) int { return compareCandidates(homes, a, b) }), nil
+	q := newInquiry(p, successor.Database, old, copies, isFit)
+	if final != nil {
+		q.selection.RecordFormer(*final)
+	}
+	q.await(ctx, func() bool {
+		return q.selection.Proof(successor.ID) != succession.BasisNone || q.selection.IsBehind(successor.ID)
+	})
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.selection.Proof(successor.ID) == succession.BasisNone {
+		return q.unproven()
+	}
+	return nil
 }
 
-// checkFollows returns errPrimarySilent if an evacuated primary does not answer, and errLagsBehind if its successor does not
-// receive within maxMoveLag what the primary has. The primary, which gets nothing new, then stays until the successor has.
+// checkFollows returns errPrimarySilent if a primary that is to hand over does not answer, and errLagsBehind if its successor does not
+// receive within maxMoveLag what the primary has. The primary then stays until the successor has. Without copies only evacuated
+// primaries, which get nothing new, wait for that.
 func (p *promotionController) checkFollows(ctx context.Context, successor candidate, old discovery.Server) error {
+	if copies, err := p.copiesOf(old.Database); err != nil || copies == 0 && !old.Evacuated {
+		return err
+	}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	status, err := p.node.gateway.Probe(probeCtx, old)
@@ -116,7 +139,7 @@
 	case !successor.status.Received.Less(status.Received):
 		return nil
 	}
-	if p.lacksSuccessor(successor.server.Database) {
+	if old.Evacuated && p.lacksSuccessor(successor.server.Database) {
 		return errLagsBehind // the next attempt sees whether it has caught up
 	}
 	lagCtx, cancelLag := context.WithTimeout(ctx, maxMoveLag)
--- a/proxy/node/withdraw.go
+++ b/proxy/node/withdraw.go
@@ -57,13 +57,13 @@
 	return errors.Wrap(err, "end the former lead of the successor")
 }
 
-// withdraw returns once no instance acknowledges answers of a former server of a claim any more, and returns the claim by which the
-// promotion may be ordered. steppedDown has confirmed that it does not lead since the claim was written; it may be empty.
-func (p *promotionController) withdraw(ctx context.Context, own ownClaim, term uint64, steppedDown string) (ownClaim, error) {
+// withdraw returns once no instance acknowledges answers of a former server of a claim any more, and the successor is known to have all
+// that were acknowledged. It returns the claim by which the promotion may be ordered.
+func (p *promotionController) withdraw(ctx context.Context, own ownClaim, successor candidate, former formerLead) (ownClaim, error) {
 	w := &withdrawal{
-		controller: p, claim: own, term: term, machine: leaderlease.NewWithdrawal(own.Claim, own.confirmedAt), changed: make(chan struct{}, 1),
+		controller: p, claim: own, term: successor.status.Term + 1, machine: leaderlease.NewWithdrawal(own.Claim, own.confirmedAt), changed: make(chan struct{}, 1),
 	}
-	w.machine.StepDown(steppedDown)
+	w.machine.StepDown(former.steppedDown)
 	calls, stop := context.WithCancel(ctx)
 	basis := w.basis()
 	if basis == "" {
@@ -75,6 +75,9 @@
 		basis = w.basis()
 	}
 	stop()
+	if err == nil && !former.covered {
+		err = p.confirmSuccessor(ctx, former.server, successor.server, nil)
+	}
 	if err == nil {
 		own, err = p.rewriteClaim(ctx, own, own.Withdrawn())
 	}
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -61,6 +61,10 @@
 	sessionsOpened int
 	// unfenced makes a replaced primary go on until it is told to step down.
 	unfenced bool
+	// copies is the number of replicas that must have received a commit before it is acknowledged.
+	copies int
+	// cut is the number of records that promotions have dropped.
+	cut int
 }
 
 // Server is one server of a group.
@@ -70,7 +74,10 @@
 	listener net.Listener
 
 	// Guarded by the group's mu.
-	lag             int // number of records that a replica is behind
+	lag             int    // number of records that a replica is behind
+	deaf            bool   // it receives nothing since its log had the length frozen
+	held            uint64 // term of the PAUSE since which it receives nothing; 0: none
+	frozen          int
 	conns           map[net.Conn]string
 	responsesToDrop int // number of statements still to be executed without a response
 	errorCode       string
@@ -195,17 +202,53 @@
 	g.servers[id].busyControls = n
 }
 
-// Promote makes a server the primary of the next term.
+// Promote makes a server the primary of the next term, with what it had received and nothing more.
 func (g *Group) Promote(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	received := g.servers[id].logLength()
+	g.cut += len(g.log) - received
+	g.log = g.log[:received]
+	for _, s := range g.servers {
+		s.held = 0
+	}
 	if old := g.servers[g.primary]; old != nil && g.primary != id {
 		old.replaced, old.replacedIn = g.unfenced, g.term+1
 	}
 	g.servers[id].replaced = false
 	g.term++
 	g.primary = id
-	g.servers[id].lag = 0
+	g.servers[id].lag, g.servers[id].deaf = 0, false
+}
+
+// SetCopies makes the servers acknowledge a commit only once n replicas have received it.
+func (g *Group) SetCopies(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.copies = n
+}
+
+// SetDeaf makes a replica receive nothing, or end that.
+func (g *Group) SetDeaf(id string, deaf bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[id]
+	s.frozen = s.logLength()
+	s.deaf = deaf
+}
+
+// IsPaused reports whether a replica receives nothing because of a PAUSE.
+func (g *Group) IsPaused(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.servers[id].held > 0
+}
+
+// CutCommits returns how many commits promotions have dropped, since the promoted server had not received them.
+func (g *Group) CutCommits() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut
 }
 
 // SetMaxConnections limits the connections to each server.
@@ -416,12 +459,36 @@
 
 // logLength returns the length of the server's log. The caller holds the group's mu.
 func (s *Server) logLength() int {
-	if s.ID == s.group.primary {
+	switch {
+	case s.ID == s.group.primary:
 		return len(s.group.log)
+	case s.deaf || s.held > 0:
+		return min(s.frozen, len(s.group.log))
 	}
 	return max(len(s.group.log)-s.lag, 0)
 }
 
+// awaitCopies waits until the replicas have received a commit that makes the log n records long, and reports false if the server has
+// ended or lost the lead before. The caller holds the group's mu, which is released meanwhile.
+func (s *Server) awaitCopies(n int) bool {
+	g := s.group
+	for !s.stopped && s.leads() {
+		received := 0
+		for _, r := range g.servers {
+			if r != s && !r.stopped && r.logLength() >= n {
+				received++
+			}
+		}
+		if received >= g.copies {
+			return true
+		}
+		g.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		g.mu.Lock()
+	}
+	return false
+}
+
 const completeLine = "COMPLETE -\r\n"
 
 func (s *session) errorResponse(code string) string {
@@ -469,20 +536,36 @@
 	case "ROLLBACK":
 		s.txStatus, s.pending = "I", nil
 		return completeLine
-	case "STATUS", "STEPDOWN":
+	case "STATUS", "STEPDOWN", "PAUSE", "RESUME":
 		return s.control(command, rest)
 	}
 	return s.runStatement(id, text, command, rest)
 }
 
-// control executes STATUS, or STEPDOWN with a term: a primary of a lower term becomes a replica.
+// control executes STATUS, or STEPDOWN with a term: a primary of a lower term becomes a replica;
+// PAUSE with a term above the newest one: a replica receives nothing until RESUME or a promotion. Each occupies a slot, and gets
+// BUSY if none is free.
 func (s *session) control(command, argument string) string {
 	if s.server.busyControls > 0 {
 		s.server.busyControls--
 		return s.errorResponse("BUSY")
 	}
-	if term, err := strconv.ParseUint(argument, 10, 64); command == "STEPDOWN" && err == nil {
+	select {
+	case s.server.slots <- struct{}{}:
+		defer func() { <-s.server.slots }()
+	default:
+		if s.server.slots != nil {
+			return s.errorResponse("BUSY")
+		}
+	}
+	term, err := strconv.ParseUint(argument, 10, 64)
+	switch {
+	case command == "STEPDOWN" && err == nil:
 		s.server.stepDownBelow(term)
+	case command == "PAUSE" && err == nil && term > s.server.group.term && !s.server.leads():
+		s.server.frozen, s.server.held = s.server.logLength(), term
+	case command == "RESUME":
+		s.server.held = 0
 	}
 	return s.status()
 }
@@ -523,7 +606,7 @@
 	if s.server.leads() {
 		role = "primary"
 	}
-	return fmt.Sprintf("DATAROW %s %d %d.%d 0 0 0 %d\r\n%s", role, g.term, g.term, s.server.logLength(), len(s.server.conns), completeLine)
+	return fmt.Sprintf("DATAROW %s %d %d.%d %d 0 0 %d\r\n%s", role, g.term, g.term, s.server.logLength(), s.server.held, len(s.server.conns), completeLine)
 }
 
 // runStatement executes a read, write or commit and returns the response, empty if it is to be dropped.
@@ -567,6 +650,9 @@
 		response = "DATAROW " + s.read(item) + "\r\n"
 	}
 	g.executed = append(g.executed, executed)
+	if g.copies > 0 && executed.TookEffect && executed.OnPrimary && !s.server.awaitCopies(len(g.log)) {
+		return ""
+	}
 	if s.server.responsesToDrop > 0 {
 		s.server.responsesToDrop--
 		return ""
