--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -157,7 +157,7 @@
 
 // step advances the state machine of a database and starts its action in the background.
 func (p *promotionController) step(ctx context.Context, database string) {
-	if !p.node.gateway.HasServers(database) {
+	if !p.node.gateway.HasServers(database) || !p.isConfigured(database) {
 		return
 	}
 	primary, missing, _ := p.node.gateway.Primary(database)
@@ -195,6 +195,16 @@
 	}
 }
 
+// isConfigured reports whether a database is in the configuration. An entry of another writer may name any.
+func (p *promotionController) isConfigured(database string) bool {
+	snapshot := p.node.directory.Current()
+	if snapshot == nil {
+		return false
+	}
+	_, ok := snapshot.Database(database)
+	return ok
+}
+
 // logPrimary logs which server this instance takes for the primary, and why, when it is another one than before.
 func (p *promotionController) logPrimary(database string, primary discovery.Server, missing bool) {
 	former := p.primaries[database]
