Pause replicas while a primary that nobody reaches is replaced

Callers could see, where replicas acknowledge commits and the platform fences promotions: a commit is acknowledged and missing after a failover.

Cause: a primary that no instance reaches leads until the promotion of its successor takes effect. Another replica can acknowledge its commits between the answers by which the successor was chosen and that moment.

Change: the other replicas are paused from the choice to the promotion, except fewer than acknowledge a commit, and the successor has to have what they have. So what is acknowledged from then on is in its log; the argument is in decision/succession. Databases without copies and unfenced platforms are not concerned.

--- a/cmd/internal/platformlocal/copies_test.go
+++ b/cmd/internal/platformlocal/copies_test.go
@@ -1,9 +1,17 @@
 package platformlocal
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cyclamenstile/cyclamenstile/cmd/internal/lineclient"
 	"github.com/cyclamenstile/cyclamenstile/standin/linedb"
 )
 
@@ -122,3 +130,144 @@
 		s.checkPrimary(s.behind)
 	})
 }
+
+// rawSession is a session at a server that no instance has opened.
+type rawSession struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func openRaw(t *testing.T, d *Deployment, database string, s *Server) *rawSession {
+	t.Helper()
+	conn, err := net.Dial("tcp", d.Group(database).Address(s.ID))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	r := &rawSession{conn, bufio.NewReader(conn)}
+	if answer := r.send("STARTUP " + database + " a " + s.ID); !strings.HasPrefix(answer, "READY ") {
+		t.Fatalf("the server answers %q", answer)
+	}
+	return r
+}
+
+// send sends a message and returns the first line of the answer, empty if there is none in time.
+func (r *rawSession) send(message string) string {
+	const limit = 300 * time.Millisecond
+	_ = r.conn.SetDeadline(time.Now().Add(limit))
+	if _, err := r.conn.Write([]byte(message + "\r\n")); err != nil {
+		return ""
+	}
+	line, _ := r.in.ReadString('\n')
+	return strings.TrimSpace(line)
+}
+
+// farPrimary is a deployment on a platform that fences promotions. Its instances lose the primary, which others still reach.
+type farPrimary struct {
+	*Deployment
+	t        *testing.T
+	database string
+	group    *linedb.Group
+}
+
+func startFarPrimary(t *testing.T) *farPrimary {
+	t.Helper()
+	binary, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := startWith(t, Config{
+		Binary: binary, Dir: t.TempDir(), Instances: 2,
+		Databases: Databases{Count: 1, Slots: 4, ServiceTime: time.Millisecond, MaxConnections: 40, Copies: 1, Gated: true},
+		Accounts:  []Account{{Name: "a", Key: "k", Rate: 1e5, Burst: 1e5}},
+	})
+	f := &farPrimary{Deployment: d, t: t, database: d.DatabaseNames()[0], group: d.Group(d.DatabaseNames()[0])}
+	for n, i := range d.Instances {
+		await(t, promotionLimit, "served", func() bool {
+			return isServed(i.CallerAddress, f.database+StrictRouteSuffix, "k", fmt.Sprintf("first-%d", n))
+		})
+	}
+	return f
+}
+
+// lose cuts all instances off from the primary, and sends statements, which make them notice it, until done.
+func (f *farPrimary) lose(done func() bool) {
+	f.t.Helper()
+	f.Servers(f.database)[0].CutOff(f.Instances...)
+	n := 0
+	await(f.t, promotionLimit, "done", func() bool {
+		n++
+		isServed(f.Instances[n%2].CallerAddress, f.database+StrictRouteSuffix, "k", fmt.Sprintf("lost-%d", n))
+		return done()
+	})
+}
+
+// paused returns how many servers are paused.
+func (f *farPrimary) paused() (n int) {
+	for _, s := range f.Servers(f.database) {
+		if f.group.IsPaused(s.ID) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a primary that nobody reaches and that has a commit acknowledged, by another replica than its successor, between the
+// choice of the successor and its promotion.
+func TestFarPrimaryHasNothingAcknowledgedThatItsSuccessorLacks(t *testing.T) {
+	f := startFarPrimary(t)
+	far := openRaw(t, f.Deployment, f.database, f.Servers(f.database)[0])
+	var answer string
+	var once sync.Once
+	f.OnOrder(func(server string) bool {
+		once.Do(func() {
+			f.group.SetDeaf(server, true)
+			answer = far.send("QUERY far WRITE far value")
+		})
+		return true
+	})
+	f.lose(func() bool { return f.group.Primary() != f.Servers(f.database)[0].ID })
+	if value := f.group.Content()["far"]; answer != "" && value != "value" {
+		t.Errorf("the former primary has answered %q, and %s, which is promoted, lacks the commit", answer, f.group.Primary())
+	}
+	if n := f.paused(); n > 0 {
+		t.Errorf("%d servers are paused after the promotion", n)
+	}
+}
+
+// Guards against replicas that stay paused although the platform has refused the promotion.
+func TestPauseEndsWithARefusedPromotion(t *testing.T) {
+	f := startFarPrimary(t)
+	var pausedAtOrder atomic.Int64
+	f.OnOrder(func(string) bool {
+		pausedAtOrder.Store(int64(f.paused()))
+		return false
+	})
+	f.lose(func() bool { return pausedAtOrder.Load() > 0 })
+	await(t, promotionLimit, "resumed", func() bool { return f.paused() == 0 })
+}
+
+// Guards against replicas that stay paused, so that commits are never acknowledged, as the instance that paused them has ended.
+func TestAbandonedPauseEnds(t *testing.T) {
+	d := startWith(t, Config{
+		Dir: t.TempDir(), Instances: 2,
+		Databases: Databases{Count: 1, Slots: 4, ServiceTime: time.Millisecond, MaxConnections: 40, Copies: 1},
+		Accounts:  []Account{{Name: "a", Key: "k", Rate: 1e5, Burst: 1e5}},
+	})
+	database, n := d.DatabaseNames()[0], 0
+	written := func() bool {
+		n++
+		r, _ := query(t, d.Instances[n%2].CallerAddress, database+StrictRouteSuffix, "k", fmt.Sprintf("w-%d", n), "WRITE x y")
+		return r.Outcome == lineclient.Receipt
+	}
+	await(t, promotionLimit, "written", written)
+	for _, s := range d.Servers(database)[1:] {
+		if answer := openRaw(t, d, database, s).send("QUERY - PAUSE 2"); !strings.HasPrefix(answer, "DATAROW replica 1 1.") {
+			t.Fatalf("the server answers %q", answer)
+		}
+	}
+	await(t, promotionLimit, "written again", written)
+	if primary := d.Group(database).Primary(); primary != d.Servers(database)[0].ID {
+		t.Errorf("the primary was replaced by %s", primary)
+	}
+}
--- a/cmd/internal/platformlocal/environment.go
+++ b/cmd/internal/platformlocal/environment.go
@@ -92,6 +92,7 @@
 	evacuationLimit time.Duration
 
 	mu       sync.Mutex
+	onOrder  func(server string) (accept bool) // nil: all are accepted
 	version  uint64
 	config   platformtest.Config // the latest
 	regions  map[string][]string // of the routes, by database
@@ -228,10 +229,21 @@
 	return e.writeEntry(database, s, group.Leads(s.ID))
 }
 
+// OnOrder sets a function that is called when an instance orders the promotion of a server, before it takes effect. It tells whether the
+// platform accepts the order.
+func (e *Environment) OnOrder(f func(server string) (accept bool)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onOrder = f
+}
+
 // promote executes a promotion ordered by an instance and reports success. It fails if the server is not running.
 func (e *Environment) promote(database, id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.onOrder != nil && !e.onOrder(id) {
+		return false
+	}
 	for _, s := range e.servers[database] {
 		if s.ID == id && !s.crashed {
 			e.groups[database].Promote(id)
--- a/decision/placement/status.go
+++ b/decision/placement/status.go
@@ -11,7 +11,7 @@
 	Primary     bool
 	Term        uint64
 	Received    position.Position // the end of its log
-	MinLogTerm  uint64            // log of a lower term is refused
+	HeldTerm    uint64            // term of the pause for which it receives nothing; 0 for none
 	Lag         time.Duration
 	Busy        int // slots in use
 	Connections int
--- a/decision/succession/doc.go
+++ b/decision/succession/doc.go
@@ -19,6 +19,11 @@
 // When the lead ends is the caller's to know. An answer from before still helps to choose, and must be followed by a check of the chosen
 // server with answers from after it.
 //
+// A promotion that is ordered while the former primary may still lead, as nobody reaches it and the platform ends its lead, needs
+// one thing more: every replica but the successor is paused first, except fewer than copies. What is acknowledged from then on has been
+// received by copies replicas that are not paused, so by the successor; what was acknowledged before is in the log of a paused replica
+// or of the successor, which has to be the longest. A replica stays paused until the promotion, or is resumed if there is none.
+//
 // Without copies a failover can lose acknowledged commits. The server that has received the most then is the best one of those that have
 // answered; there is nothing to wait for.
 //
--- a/decision/succession/selection.go
+++ b/decision/succession/selection.go
@@ -53,6 +53,12 @@
 	s.former = &final
 }
 
+// KnowsAllCommits reports whether the replicas that have answered have received every commit that was acknowledged before, in one log or
+// another.
+func (s *Selection) KnowsAllCommits() bool {
+	return s.copies == 0 || len(s.Unheard()) < s.copies
+}
+
 // Unheard returns the replicas that have not answered.
 func (s *Selection) Unheard() []string {
 	var out []string
@@ -97,14 +103,14 @@
 		return BasisNoCopies
 	case s.former != nil && !received.Less(*s.former):
 		return BasisFormer
-	case len(s.Unheard()) < s.copies && !received.Less(s.longest()):
+	case s.KnowsAllCommits() && !received.Less(s.Longest()):
 		return BasisReplicas
 	}
 	return BasisNone
 }
 
-// longest returns the end of the longest log of the replicas that have answered.
-func (s *Selection) longest() position.Position {
+// Longest returns the end of the longest log of the replicas that have answered.
+func (s *Selection) Longest() position.Position {
 	var out position.Position
 	for _, r := range s.replicas {
 		out = position.Max(out, s.received[r.ID])
@@ -115,5 +121,5 @@
 // IsBehind reports whether a server is known to lack commits that another replica or the former primary has received.
 func (s *Selection) IsBehind(server string) bool {
 	received, answered := s.received[server]
-	return answered && (received.Less(s.longest()) || s.former != nil && received.Less(*s.former)) && s.Proof(server) == BasisNone
+	return answered && (received.Less(s.Longest()) || s.former != nil && received.Less(*s.former)) && s.Proof(server) == BasisNone
 }
--- a/decision/succession/selection_test.go
+++ b/decision/succession/selection_test.go
@@ -18,7 +18,8 @@
 	logs         [][]int
 	down         []bool
 	deaf         []bool // receives nothing
-	primary      int    // -1: none
+	paused       []bool
+	primary      int // -1: none
 	term         uint64
 	commits      int
 	acknowledged []int
@@ -38,7 +39,7 @@
 	p.logs[p.primary] = log
 	copies := 0
 	for i := range p.logs {
-		if i == p.primary || p.down[i] || p.deaf[i] {
+		if i == p.primary || p.down[i] || p.deaf[i] || p.paused[i] {
 			continue
 		}
 		if rapid.Bool().Draw(p.t, "receives") {
@@ -88,6 +89,38 @@
 	}
 }
 
+// replaceFar replaces a primary that leads until the promotion: it commits while the other replicas are paused one by one.
+func (p *play) replaceFar() {
+	if p.primary < 0 || p.down[p.primary] {
+		return
+	}
+	former, successor := p.primary, p.server("successor")
+	if successor == former {
+		return
+	}
+	s := New(p.copies)
+	var replicas []Replica
+	for i := range p.logs {
+		if i != former && i != successor {
+			replicas = append(replicas, Replica{ID: name(i)})
+		}
+	}
+	s.SetReplicas(replicas)
+	for i := range p.logs {
+		p.commit()
+		if i != former && i != successor && !p.down[i] && rapid.IntRange(0, 3).Draw(p.t, "is paused") > 0 {
+			p.paused[i] = true
+			s.Record(name(i), p.end(i))
+		}
+	}
+	p.commit()
+	if s.KnowsAllCommits() && !p.down[successor] && !p.end(successor).Less(s.Longest()) {
+		p.commit()
+		p.promote(successor)
+	}
+	clear(p.paused)
+}
+
 func (p *play) promote(next int) {
 	if p.copies > 0 {
 		for _, c := range p.acknowledged {
@@ -99,6 +132,7 @@
 	p.term++
 	p.primary, p.down[next] = next, false
 	p.logs[next] = append(p.logs[next], -int(p.term)) // the start of the term
+	clear(p.paused)
 	for i := range p.logs {
 		if i != next && !p.down[i] && !p.deaf[i] {
 			p.logs[i] = slices.Clone(p.logs[next])
@@ -125,16 +159,19 @@
 		n := rapid.IntRange(2, 5).Draw(t, "servers")
 		p := &play{
 			t: t, copies: min(rapid.IntRange(0, 2).Draw(t, "copies"), n-1), logs: make([][]int, n), down: make([]bool, n), deaf: make([]bool, n),
+			paused: make([]bool, n),
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := p.server("server")
-			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			switch rapid.IntRange(0, 8).Draw(t, "event") {
 			case 0, 1, 2, 3:
 				p.commit()
 			case 4:
 				p.down[i] = !p.down[i]
 			case 5:
 				p.deaf[i] = !p.deaf[i]
+			case 6:
+				p.replaceFar()
 			default:
 				p.replace()
 			}
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -62,6 +62,17 @@
 	return g.controlCall(ctx, s, func(c ServerCodec) { c.StepDown(term) })
 }
 
+// Pause makes a replica receive nothing until Resume, a promotion or its restart, if term is above the newest term that it knows.
+func (g *Gateway) Pause(ctx context.Context, s discovery.Server, term uint64) (placement.Status, error) {
+	return g.controlCall(ctx, s, func(c ServerCodec) { c.Pause(term) })
+}
+
+// Resume ends a pause of a replica.
+func (g *Gateway) Resume(ctx context.Context, s discovery.Server) error {
+	_, err := g.controlCall(ctx, s, func(c ServerCodec) { c.Resume() })
+	return err
+}
+
 // controlCall sends one of the proxy's own requests, which is answered with a status.
 func (g *Gateway) controlCall(ctx context.Context, s discovery.Server, request func(ServerCodec)) (placement.Status, error) {
 	sp := &serverPool{id: s.ID, database: s.Database, address: s.Address}
--- a/proxy/gateway/deps.go
+++ b/proxy/gateway/deps.go
@@ -69,6 +69,8 @@
 	Discard()
 	Status()
 	StepDown(term uint64)
+	Pause(term uint64)
+	Resume()
 	Terminate()
 	Flush() error
 	Receive() (sessionstate.Reply, error)
--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -86,8 +86,10 @@
 	EventHomeUnknown = "CYC-6045"
 	// EventMovingHome: the primary of a database is outside its home regions and is handed over.
 	EventMovingHome = "CYC-6046"
-	// EventMovedBack: a primary stays outside its home regions, because the server at home did not receive all writes in time.
+	// EventMovedBack: a primary that was to hand over stays, because its successor did not receive all writes in time.
 	EventMovedBack = "CYC-6047"
+	// EventReplicasPaused: replicas are paused for a promotion that was not carried out.
+	EventReplicasPaused = "CYC-6048"
 	// EventReplyUndecodable: a reply of a relay can't be decompressed, or a difference does not lead to the announced object.
 	EventReplyUndecodable = "CYC-6050"
 )
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -221,6 +221,9 @@
 func (p *promotionController) probe(ctx context.Context, s discovery.Server) {
 	answered := p.isReachable(ctx, s)
 	p.withMachine(s.Database, func(m *failover.Machine) { m.RecordProbe(s.ID, answered) })
+	if answered {
+		p.resumeAbandoned(ctx, s)
+	}
 }
 
 // isReachable reports whether a server answers a probe.
@@ -354,7 +357,7 @@
 }
 
 // promote makes the platform promote the server of a claim. Where promotions aren't fenced, it first makes sure that no instance
-// uses another server, and then that the server has all acknowledged commits.
+// uses another server, and then that the server has all acknowledged commits. Elsewhere replicas are paused for the latter.
 func (p *promotionController) promote(ctx context.Context, successor candidate, own ownClaim, former formerLead) error {
 	if p.node.settings.UnfencedPromotions {
 		var err error
@@ -362,6 +365,18 @@
 			return err
 		}
 	}
+	copies, err := p.copiesOf(own.database)
+	if err != nil {
+		return err
+	}
+	if copies > 0 && !former.covered && !p.node.settings.UnfencedPromotions {
+		return p.orderPaused(ctx, successor, own, former.server, copies)
+	}
+	return p.order(ctx, successor, own)
+}
+
+// order makes the platform promote the server of a claim.
+func (p *promotionController) order(ctx context.Context, successor candidate, own ownClaim) error {
 	s, fence := successor.server, own.Version
 	if !failover.MayOrder(boottime.Now()-own.sentAt, fence, p.node.eras.Era()) {
 		return errClaimTooOld
--- a/proxy/node/inquiry.go
+++ b/proxy/node/inquiry.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/succession"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
@@ -28,8 +29,10 @@
 	controller *promotionController
 	database   string
 	old        string // the primary that is replaced, which is not asked
+	excluded   string // another server that is not asked; empty: none
 	copies     int
 	fit        func(discovery.Server) bool
+	probe      func(context.Context, discovery.Server) (placement.Status, error)
 	// anyServer: a server that may not lead is better than none, if only such ones have all acknowledged commits.
 	anyServer bool
 
@@ -44,7 +47,7 @@
 
 func newInquiry(p *promotionController, database, old string, copies int, fit func(discovery.Server) bool) *inquiry {
 	return &inquiry{
-		controller: p, database: database, old: old, copies: copies, fit: fit, selection: succession.New(copies),
+		controller: p, database: database, old: old, copies: copies, fit: fit, probe: p.node.gateway.Probe, selection: succession.New(copies),
 		answered: map[string]candidate{}, busy: map[string]candidate{}, asked: map[string]bool{}, running: map[string]bool{},
 		changed: make(chan struct{}, 1),
 	}
@@ -92,7 +95,7 @@
 	var next []discovery.Server
 	for _, s := range q.controller.node.gateway.Servers(q.database) {
 		eligible := q.mayLead(s)
-		if s.ID == q.old || q.copies == 0 && !eligible {
+		if s.ID == q.old || s.ID == q.excluded || q.copies == 0 && !eligible {
 			continue
 		}
 		replicas = append(replicas, succession.Replica{ID: s.ID, Eligible: eligible})
@@ -110,7 +113,7 @@
 	began := time.Now()
 	for {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		status, err := q.controller.node.gateway.Probe(probeCtx, s)
+		status, err := q.probe(probeCtx, s)
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -201,8 +204,8 @@
 
 // unproven returns the error of an inquiry that has not shown which server has all acknowledged commits. mu must be held.
 func (q *inquiry) unproven() error {
-	if unheard := q.selection.Unheard(); len(unheard) >= q.copies {
-		return errors.Wrapf(errCommitsUnknown, "no answer from %v", unheard)
+	if !q.selection.KnowsAllCommits() {
+		return errors.Wrapf(errCommitsUnknown, "no answer from %v", q.selection.Unheard())
 	}
 	return errCommitsMissing
 }
--- /dev/null
+++ b/proxy/node/pause.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/failover"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
+	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	"github.com/cyclamenstile/cyclamenstile/platform"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
+)
+
+const (
+	// lateOrderPeriod is how long a promotion that got no answer may still be carried out.
+	lateOrderPeriod = 10 * time.Second
+	// resumeTimeout bounds a call that resumes a replica. Several are made one after the other while a claim is young.
+	resumeTimeout = 200 * time.Millisecond
+)
+
+// pauseOthers keeps a former primary that may still lead from having commits acknowledged that the successor lacks: it pauses the
+// other replicas, except fewer than copies, and waits until the successor has received what they have.
+func (p *promotionController) pauseOthers(ctx context.Context, successor candidate, former string, copies int) error {
+	q := newInquiry(p, successor.server.Database, former, copies, isFit)
+	q.excluded = successor.server.ID
+	q.probe = func(ctx context.Context, s discovery.Server) (placement.Status, error) {
+		return p.pause(ctx, s, successor.status.Term+1)
+	}
+	q.await(ctx, q.selection.KnowsAllCommits)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.selection.KnowsAllCommits() {
+		return q.unproven()
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if !p.awaitCaughtUp(ctx, successor.server, placement.Status{Received: q.selection.Longest()}, catchUpPollInterval) {
+		return errCommitsMissing
+	}
+	return nil
+}
+
+// pause pauses a replica. One that knows a newer term is paused for the next one.
+func (p *promotionController) pause(ctx context.Context, s discovery.Server, term uint64) (placement.Status, error) {
+	status, err := p.node.gateway.Pause(ctx, s, term)
+	if err == nil && status.Term >= term {
+		return p.node.gateway.Pause(ctx, s, status.Term+1)
+	}
+	return status, err
+}
+
+// orderPaused orders a promotion while the replicas other than the successor are paused, and resumes them if it is not carried out.
+func (p *promotionController) orderPaused(ctx context.Context, successor candidate, own ownClaim, former string, copies int) error {
+	err := p.pauseOthers(ctx, successor, former, copies)
+	if err == nil {
+		err = p.order(ctx, successor, own)
+	}
+	if err != nil {
+		go p.resumeAfter(err, own)
+	}
+	return err
+}
+
+// resumeAfter resumes the replicas that were paused for a promotion. One that got no answer may still be carried out for a while.
+func (p *promotionController) resumeAfter(err error, own ownClaim) {
+	ctx, cancel := context.WithTimeout(context.Background(), lateOrderPeriod+orderTimeout)
+	defer cancel()
+	if errors.Is(err, platform.ErrNoAnswer) && !wait.For(ctx, lateOrderPeriod) {
+		return
+	}
+	p.resume(ctx, own, p.node.gateway.Servers(own.database))
+}
+
+// resume ends the pauses of servers while a claim is young enough for a promotion, so that no other instance has paused them for its
+// own since. It claims once more if that is needed, and leaves them to another instance that has.
+func (p *promotionController) resume(ctx context.Context, own ownClaim, servers []discovery.Server) {
+	age := func() time.Duration { return boottime.Now() - own.sentAt }
+	if age() > failover.OrderTerm {
+		var err error
+		if own, err = p.claimPromotion(ctx, own.database, own.Server, own.Server, false); err != nil {
+			return
+		}
+	}
+	for len(servers) > 0 && age() <= failover.OrderTerm && wait.For(ctx, stepDownRetryInterval) {
+		servers = slices.DeleteFunc(servers, func(s discovery.Server) bool {
+			callCtx, cancel := context.WithTimeout(ctx, resumeTimeout)
+			defer cancel()
+			return p.node.gateway.Resume(callCtx, s) == nil
+		})
+	}
+}
+
+// resumeAbandoned resumes replicas that an instance has paused and that has ended before its order. It is called when the primary
+// answers although it has left a statement unanswered, since commits may wait for those replicas.
+func (p *promotionController) resumeAbandoned(ctx context.Context, primary discovery.Server) {
+	if copies, err := p.copiesOf(primary.Database); err != nil || copies == 0 || p.node.settings.UnfencedPromotions {
+		return
+	}
+	var paused []discovery.Server
+	for _, s := range p.node.gateway.Servers(primary.Database) {
+		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		status, err := p.node.gateway.Probe(callCtx, s)
+		cancel()
+		if err == nil && status.HeldTerm > status.Term {
+			paused = append(paused, s)
+		}
+	}
+	if len(paused) == 0 {
+		return
+	}
+	event(p.log, EventReplicasPaused).WithFields(logrus.Fields{"database": primary.Database, "servers": serverIDs(paused)}).
+		Warn("replicas are paused for a promotion that was not carried out; resuming them")
+	p.resume(ctx, ownClaim{Claim: leaderlease.Claim{Server: primary.ID}, database: primary.Database, sentAt: -failover.OrderTerm}, paused)
+}
+
+func serverIDs(servers []discovery.Server) []string {
+	var out []string
+	for _, s := range servers {
+		out = append(out, s.ID)
+	}
+	return out
+}
