Ask busy servers again on the same connection, and less often in large fleets

Cause: since every instance that chooses a successor asked a busy server again every 30 ms over a new connection. A new connection occupies a slot of the server for some time, and all instances choose at the same time, so that the questions could keep the server busy.

Change: the request is repeated on the connection that is open, every 10 ms for each listed instance, within 30 and 300 ms. Without copies a candidate gets one connection again, as before.

--- a/decision/succession/selection.go
+++ b/decision/succession/selection.go
@@ -1,8 +1,6 @@
 package succession
 
-import (
-	"github.com/cyclamenstile/cyclamenstile/decision/position"
-)
+import "github.com/cyclamenstile/cyclamenstile/decision/position"
 
 // Replica is a server of the database other than the former primary.
 type Replica struct {
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // pastDeadline is a deadline that unblocks a pending read.
@@ -54,27 +55,38 @@
 
 // Probe requests a server's status over a separate connection. ErrBusy means that the server answers.
 func (g *Gateway) Probe(ctx context.Context, s discovery.Server) (placement.Status, error) {
-	return g.controlCall(ctx, s, func(c ServerCodec) { c.Status() })
+	return g.controlCall(ctx, s, noRepeat, ServerCodec.Status)
+}
+
+// ProbeUntilAnswered is like Probe, and repeats the request on the same connection every interval while the server is busy, until ctx
+// ends.
+func (g *Gateway) ProbeUntilAnswered(ctx context.Context, s discovery.Server, interval time.Duration) (placement.Status, error) {
+	return g.controlCall(ctx, s, interval, ServerCodec.Status)
 }
 
 // StepDown makes a server stop leading in terms below the given one.
 func (g *Gateway) StepDown(ctx context.Context, s discovery.Server, term uint64) (placement.Status, error) {
-	return g.controlCall(ctx, s, func(c ServerCodec) { c.StepDown(term) })
+	return g.controlCall(ctx, s, noRepeat, func(c ServerCodec) { c.StepDown(term) })
 }
 
-// Pause makes a replica receive nothing until Resume, a promotion or its restart, if term is above the newest term that it knows.
-func (g *Gateway) Pause(ctx context.Context, s discovery.Server, term uint64) (placement.Status, error) {
-	return g.controlCall(ctx, s, func(c ServerCodec) { c.Pause(term) })
+// Pause makes a replica receive nothing until Resume, a promotion or its restart, if term is above the newest term that it knows. It is
+// repeated like ProbeUntilAnswered.
+func (g *Gateway) Pause(ctx context.Context, s discovery.Server, term uint64, interval time.Duration) (placement.Status, error) {
+	return g.controlCall(ctx, s, interval, func(c ServerCodec) { c.Pause(term) })
 }
 
 // Resume ends a pause of a replica.
 func (g *Gateway) Resume(ctx context.Context, s discovery.Server) error {
-	_, err := g.controlCall(ctx, s, func(c ServerCodec) { c.Resume() })
+	_, err := g.controlCall(ctx, s, noRepeat, ServerCodec.Resume)
 	return err
 }
 
-// controlCall sends one of the proxy's own requests, which is answered with a status.
-func (g *Gateway) controlCall(ctx context.Context, s discovery.Server, request func(ServerCodec)) (placement.Status, error) {
+// noRepeat is the interval of a control call that is made once.
+const noRepeat = 0
+
+// controlCall sends one of the proxy's own requests, which is answered with a status, and repeats it every interval while the server is
+// busy.
+func (g *Gateway) controlCall(ctx context.Context, s discovery.Server, interval time.Duration, request func(ServerCodec)) (placement.Status, error) {
 	sp := &serverPool{id: s.ID, database: s.Database, address: s.Address}
 	u, err := g.pool.connect(ctx, sp, anonymousAccount)
 	if errors.Is(err, errServerFull) {
@@ -87,12 +99,16 @@
 	defer g.pool.discard(u)
 	stop := context.AfterFunc(ctx, func() { _ = u.conn.SetDeadline(pastDeadline) })
 	defer stop()
-	var status placement.Status
-	err = contain.Call(func() (err error) {
-		status, err = g.exchangeStatus(s, u, request)
-		return err
-	})
-	return status, err
+	for {
+		var status placement.Status
+		err = contain.Call(func() (err error) {
+			status, err = g.exchangeStatus(s, u, request)
+			return err
+		})
+		if !errors.Is(err, ErrBusy) || interval == noRepeat || !wait.For(ctx, interval) {
+			return status, err
+		}
+	}
 }
 
 // exchangeStatus sends a request on a connection and reads the status that answers it.
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -115,7 +115,7 @@
 		}
 		interval := poll
 		if errors.Is(err, gateway.ErrBusy) {
-			interval = min(poll, busyRetryInterval)
+			interval = min(poll, p.busyRetryInterval())
 		}
 		if !wait.For(ctx, interval) {
 			return false
--- a/proxy/node/inquiry.go
+++ b/proxy/node/inquiry.go
@@ -19,11 +19,18 @@
 	// inquiryTimeout bounds an inquiry that needs the answers of particular servers. The primary may be back afterwards, and a claim
 	// has to be renewed.
 	inquiryTimeout = time.Second
-	// busyRetryInterval is the time until a server is asked again that was busy or silent. A statement occupies a slot for some ten
-	// milliseconds.
-	busyRetryInterval = 30 * time.Millisecond
+	// A server that is busy is asked again after busyRetryPerInstance for each instance, since all instances may ask it, within
+	// minBusyRetry and maxBusyRetry. A statement occupies a slot for some ten milliseconds.
+	busyRetryPerInstance = 10 * time.Millisecond
+	minBusyRetry         = 30 * time.Millisecond
+	maxBusyRetry         = 300 * time.Millisecond
 )
 
+// busyRetryInterval returns the time until a busy server is asked again.
+func (p *promotionController) busyRetryInterval() time.Duration {
+	return min(max(time.Duration(p.node.peers.ListedCount())*busyRetryPerInstance, minBusyRetry), maxBusyRetry)
+}
+
 // inquiry asks the servers of a database how much of the log they have received, and those that are busy again.
 type inquiry struct {
 	controller *promotionController
@@ -32,6 +39,7 @@
 	excluded   string // another server that is not asked; empty: none
 	copies     int
 	fit        func(discovery.Server) bool
+	interval   time.Duration // until a busy server is asked again
 	probe      func(context.Context, discovery.Server) (placement.Status, error)
 	// anyServer: a server that may not lead is better than none, if only such ones have all acknowledged commits.
 	anyServer bool
@@ -40,14 +48,19 @@
 	selection *succession.Selection
 	answered  map[string]candidate
 	busy      map[string]candidate // have answered that they are busy
-	asked     map[string]bool      // have answered, were busy for probeTimeout or did not answer one probe
+	asked     map[string]bool      // have been probed once
 	running   map[string]bool      // are being asked
 	changed   chan struct{}        // has an element after each change
 }
 
 func newInquiry(p *promotionController, database, old string, copies int, fit func(discovery.Server) bool) *inquiry {
+	interval := p.busyRetryInterval()
 	return &inquiry{
-		controller: p, database: database, old: old, copies: copies, fit: fit, probe: p.node.gateway.Probe, selection: succession.New(copies),
+		controller: p, database: database, old: old, copies: copies, fit: fit, selection: succession.New(copies),
+		interval: interval,
+		probe: func(ctx context.Context, s discovery.Server) (placement.Status, error) {
+			return p.node.gateway.ProbeUntilAnswered(ctx, s, interval)
+		},
 		answered: map[string]candidate{}, busy: map[string]candidate{}, asked: map[string]bool{}, running: map[string]bool{},
 		changed: make(chan struct{}, 1),
 	}
@@ -108,9 +121,9 @@
 	return next
 }
 
-// ask asks a server until it has answered or ctx ends. Without copies it is asked again only while it is busy, for probeTimeout.
+// ask asks a server, for probeTimeout while it is busy. Where commits are acknowledged by replicas it goes on until the server has
+// answered or ctx ends.
 func (q *inquiry) ask(ctx context.Context, s discovery.Server) {
-	began := time.Now()
 	for {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		status, err := q.probe(probeCtx, s)
@@ -118,25 +131,23 @@
 		if ctx.Err() != nil {
 			return
 		}
-		c := candidate{server: s, status: status, cold: q.controller.node.gateway.IsCold(s)}
-		again := q.record(c, err, time.Since(began) >= probeTimeout)
-		if !again || !wait.For(ctx, busyRetryInterval) {
+		q.record(candidate{server: s, status: status, cold: q.controller.node.gateway.IsCold(s)}, err)
+		if err == nil || q.copies == 0 || !wait.For(ctx, q.interval) {
 			return
 		}
 	}
 }
 
-// record records the outcome of a probe and reports whether the server is to be asked again.
-func (q *inquiry) record(c candidate, err error, late bool) (again bool) {
+// record records the outcome of a probe.
+func (q *inquiry) record(c candidate, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	isBusy := errors.Is(err, gateway.ErrBusy)
-	q.asked[c.server.ID] = q.asked[c.server.ID] || !isBusy || late
+	q.asked[c.server.ID] = true
 	switch {
 	case err == nil:
 		q.answered[c.server.ID] = c
 		q.selection.Record(c.server.ID, c.status.Received)
-	case isBusy:
+	case errors.Is(err, gateway.ErrBusy):
 		c.busy, c.basis = true, succession.BasisNoCopies // chosen without copies only
 		q.busy[c.server.ID] = c
 	}
@@ -144,7 +155,6 @@
 	case q.changed <- struct{}{}:
 	default:
 	}
-	return err != nil && (q.copies > 0 || isBusy && !late)
 }
 
 // settled reports whether a successor can be chosen as well as it can be now: every server has answered or had the time to, and, where
--- a/proxy/node/pause.go
+++ b/proxy/node/pause.go
@@ -30,7 +30,7 @@
 	q := newInquiry(p, successor.server.Database, former, copies, isFit)
 	q.excluded = successor.server.ID
 	q.probe = func(ctx context.Context, s discovery.Server) (placement.Status, error) {
-		return p.pause(ctx, s, successor.status.Term+1)
+		return p.pause(ctx, s, successor.status.Term+1, q.interval)
 	}
 	q.await(ctx, q.selection.KnowsAllCommits)
 	q.mu.Lock()
@@ -47,10 +47,10 @@
 }
 
 // pause pauses a replica. One that knows a newer term is paused for the next one.
-func (p *promotionController) pause(ctx context.Context, s discovery.Server, term uint64) (placement.Status, error) {
-	status, err := p.node.gateway.Pause(ctx, s, term)
+func (p *promotionController) pause(ctx context.Context, s discovery.Server, term uint64, interval time.Duration) (placement.Status, error) {
+	status, err := p.node.gateway.Pause(ctx, s, term, interval)
 	if err == nil && status.Term >= term {
-		return p.node.gateway.Pause(ctx, s, status.Term+1)
+		return p.node.gateway.Pause(ctx, s, status.Term+1, interval)
 	}
 	return status, err
 }
