--- a/cmd/internal/soak/command.go
+++ b/cmd/internal/soak/command.go
@@ -46,6 +46,7 @@
 	f.BoolVar(&cfg.OnlyRestores, "only-restores", false, "no fault but a store that comes back from copies")
 	f.BoolVar(&cfg.Evacuations, "evacuations", true, "evacuate failure domains and take them back, beside the other faults")
 	f.BoolVar(&cfg.Unfenced, "unfenced", false, "a former primary goes on until it is told to step down")
+	f.IntVar(&cfg.Copies, "copies", 0, "replicas that must have received a commit before it is acknowledged; above 0, replicas lag and are busy")
 	f.BoolVar(&verbose, "verbose", false, "print each fault")
 	return cmd
 }
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -63,6 +63,10 @@
 	if f.run.cfg.OnlyRestores {
 		kind = restoreFault
 	}
+	if f.run.cfg.Copies > 0 && f.random.IntN(3) == 0 {
+		f.holdUp(ctx, server, duration)
+		return
+	}
 	if !f.excludesEvacuation(ctx, kind, duration) {
 		return
 	}
@@ -98,6 +102,19 @@
 	}
 }
 
+// holdUp makes a server receive nothing for a time, if it is a replica, and answer control statements with BUSY for a while.
+func (f *faults) holdUp(ctx context.Context, s *platformlocal.Server, d time.Duration) {
+	const maxBusy = 30 // answers
+	group, busy := f.run.deployment.Group(f.databaseOf(s)), f.random.IntN(maxBusy)
+	f.run.logf("server %s receives nothing for %s, and is busy %d times", s.ID, d.Round(time.Millisecond), busy)
+	group.SetBusyControls(s.ID, busy)
+	if group.Primary() == s.ID {
+		return
+	}
+	group.SetDeaf(s.ID, true)
+	f.afterDelay(ctx, d, func() { group.SetDeaf(s.ID, false) })
+}
+
 // restoreStore keeps a copy of the store, loses what is written during a time, and lets the writers write again. While one
 // restore is under way, it does nothing.
 func (f *faults) restoreStore(ctx context.Context, d time.Duration) {
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/cmd/internal/platformlocal"
+	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/standin/linedb"
 )
 
@@ -29,6 +30,8 @@
 	coldRate           = 8
 	coldStartAllowance = 4 * time.Second
 	serversPerDatabase = 3
+	// unreadableEntry is no valid JSON.
+	unreadableEntry = `{"slots":NaN}`
 )
 
 // Config configures one run.
@@ -46,7 +49,10 @@
 	Evacuations bool
 	// Unfenced: a former primary goes on until it is told to step down. The store does not come back from copies.
 	Unfenced bool
-	Log      io.Writer
+	// Copies is the number of replicas that must have received a commit before it is acknowledged. Above 0, replicas also stop
+	// receiving or are busy, and the list of servers holds an entry that can't be read.
+	Copies int
+	Log    io.Writer
 }
 
 // Result is the result of one run.
@@ -117,7 +123,7 @@
 		EvacuationLimit: limit,
 		Binary:          cfg.Binary, Dir: cfg.Dir, Instances: cfg.Instances, Accounts: accounts,
 		Databases: platformlocal.Databases{
-			Unfenced: cfg.Unfenced, WithoutEras: cfg.Unfenced,
+			Unfenced: cfg.Unfenced, WithoutEras: cfg.Unfenced, Copies: cfg.Copies,
 			Count: cfg.Databases, Slots: serverSlots, ServiceTime: serverServiceTime, MaxConnections: serverConnections,
 			ColdRate: coldRate, ColdServers: []int{int(cfg.Seed % serversPerDatabase)}, ColdTime: coldStartAllowance + cfg.Duration/2,
 		},
@@ -167,6 +173,9 @@
 	}
 	faultCtx, endFaults := context.WithTimeout(ctx, r.cfg.Duration)
 	f := &faults{run: r, random: random}
+	if r.cfg.Copies > 0 {
+		f.check(r.deployment.Platform.PutRaw(platform.ServersKind, "odd", []byte(unreadableEntry)))
+	}
 	f.loop(faultCtx)
 	endFaults()
 	r.checkRecovery()
@@ -212,6 +221,11 @@
 		}
 		r.checkAccount(statement, withdrawals)
 	}
+	for _, name := range r.deployment.DatabaseNames() {
+		if n := r.deployment.Group(name).LostCommits(); n > 0 && r.cfg.Copies > 0 {
+			r.addViolation("%d acknowledged commits of %s are not in the log of a promoted server", n, name)
+		}
+	}
 	r.checkRate(statements)
 	r.checkEvacuations(statements)
 	r.checkColdServers()
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -46,6 +46,16 @@
 	})
 }
 
+// Guards against acknowledged commits that a failover loses, where replicas acknowledge them and lag, are busy or are cut off.
+func TestSoakCopies(t *testing.T) {
+	binary := buildDaemon(t)
+	for _, unfenced := range []bool{false, true} {
+		runSeed(t, "never failed", Config{
+			Binary: binary, Seed: 1, Duration: 12 * time.Second, Instances: 3, Databases: 2, Callers: 12, Copies: 1, Unfenced: unfenced,
+		})
+	}
+}
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "cyclamenstile")
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -63,8 +63,9 @@
 	unfenced bool
 	// copies is the number of replicas that must have received a commit before it is acknowledged.
 	copies int
-	// cut is the number of records that promotions have dropped.
-	cut int
+	// acknowledged is the length of the log up to the last acknowledged commit, and lost the number of acknowledged commits that
+	// promotions have dropped.
+	acknowledged, lost int
 }
 
 // Server is one server of a group.
@@ -207,7 +208,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	received := g.servers[id].logLength()
-	g.cut += len(g.log) - received
+	g.lost += max(g.acknowledged-received, 0)
+	g.acknowledged = min(g.acknowledged, received)
 	g.log = g.log[:received]
 	for _, s := range g.servers {
 		s.held = 0
@@ -244,11 +246,12 @@
 	return g.servers[id].held > 0
 }
 
-// CutCommits returns how many commits promotions have dropped, since the promoted server had not received them.
-func (g *Group) CutCommits() int {
+// LostCommits returns how many commits that copies had acknowledged promotions have dropped, since the promoted server had not received
+// them.
+func (g *Group) LostCommits() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.cut
+	return g.lost
 }
 
 // SetMaxConnections limits the connections to each server.
@@ -480,6 +483,7 @@
 			}
 		}
 		if received >= g.copies {
+			g.acknowledged = max(g.acknowledged, n)
 			return true
 		}
 		g.mu.Unlock()
