Let a leaving primary wait for its successor for three seconds only

Cause: where replicas acknowledge commits, a leaving primary stayed until a replica followed it closely, without limit, although servers that leave may get statements for some seconds only. A hand-over was also given up before all replicas had answered, when the successor lacked what only the former primary had, which nobody had acknowledged.

Change: after 3 s the successor with all acknowledged commits takes over, known from the replicas. Only a longer log of another replica shows that a server is behind.

--- a/decision/succession/selection.go
+++ b/decision/succession/selection.go
@@ -116,8 +116,8 @@
 	return out
 }
 
-// IsBehind reports whether a server is known to lack commits that another replica or the former primary has received.
+// IsBehind reports whether a server is known to lack commits that another replica has received, and that may be acknowledged.
 func (s *Selection) IsBehind(server string) bool {
 	received, answered := s.received[server]
-	return answered && (received.Less(s.Longest()) || s.former != nil && received.Less(*s.former)) && s.Proof(server) == BasisNone
+	return answered && received.Less(s.Longest()) && s.Proof(server) == BasisNone
 }
--- a/decision/succession/selection_test.go
+++ b/decision/succession/selection_test.go
@@ -218,6 +218,21 @@
 	}
 }
 
+// Guards against a hand-over that is given up before all replicas have answered, as the successor lacks what only the former primary has.
+func TestOnlyReplicasShowThatAServerIsBehind(t *testing.T) {
+	s := New(1)
+	s.SetReplicas([]Replica{{"a", true}, {"b", true}})
+	s.RecordFormer(position.Position{Term: 1, LSN: 7})
+	s.Record("a", position.Position{Term: 1, LSN: 5})
+	if s.IsBehind("a") || s.Proof("a") != BasisNone {
+		t.Errorf("before b has answered: behind %t, basis %q", s.IsBehind("a"), s.Proof("a"))
+	}
+	s.Record("b", position.Position{Term: 1, LSN: 4})
+	if s.Proof("a") != BasisReplicas || !s.IsBehind("b") {
+		t.Errorf("basis %q of a, want %q; b behind %t", s.Proof("a"), BasisReplicas, s.IsBehind("b"))
+	}
+}
+
 // Guards against a failover that waits for a server which is gone for good.
 func TestGoneReplicaIsNotWaitedFor(t *testing.T) {
 	s := New(1)
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -38,6 +38,9 @@
 	// catchUpPollInterval is how often that is checked.
 	catchUpTimeout      = time.Second
 	catchUpPollInterval = 30 * time.Millisecond
+	// followPatience is how long a leaving primary waits for a successor that follows it. It is well below the time for which servers that
+	// leave may get statements.
+	followPatience = 3 * time.Second
 	// lagPollInterval is longer than catchUpPollInterval, because all instances poll before one of them claims a promotion.
 	lagPollInterval = 150 * time.Millisecond
 	// promoteTimeout bounds a promotion call to the platform, and orderTimeout all steps of an order.
@@ -85,6 +88,8 @@
 	withoutSuccessor map[string]bool
 	// primaries holds the servers that were last taken for the primary, by database. Only run uses it.
 	primaries map[string]string
+	// leavingSince is since when the primary of a database is leaving.
+	leavingSince map[string]time.Duration
 }
 
 func newPromotionController(n *Node, promoter *platform.Promoter) *promotionController {
@@ -97,6 +102,7 @@
 
 		withoutSuccessor: map[string]bool{},
 		primaries:        map[string]string{},
+		leavingSince:     map[string]time.Duration{},
 	}
 }
 
@@ -162,6 +168,7 @@
 	}
 	primary, missing, _ := p.node.gateway.Primary(database)
 	p.logPrimary(database, primary, missing)
+	p.recordLeaving(database, primary)
 	away := p.isAwayFromHome(database, primary)
 	claimed, isReplaced := p.node.exclusionOf(database, primary.ID)
 	var action failover.Action
@@ -218,6 +225,25 @@
 	}).Info("this instance takes another server for the primary")
 }
 
+// recordLeaving records since when the primary of a database is leaving.
+func (p *promotionController) recordLeaving(database string, primary discovery.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.leavingSince[database]; !primary.Leaving {
+		delete(p.leavingSince, database)
+	} else if !known {
+		p.leavingSince[database] = boottime.Now()
+	}
+}
+
+// leavesSoon reports whether a primary has been leaving for so long that it can't wait for its successor any more.
+func (p *promotionController) leavesSoon(database string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since, leaving := p.leavingSince[database]
+	return leaving && boottime.Now()-since >= followPatience
+}
+
 func (p *promotionController) probe(ctx context.Context, s discovery.Server) {
 	answered := p.isReachable(ctx, s)
 	p.withMachine(s.Database, func(m *failover.Machine) { m.RecordProbe(s.ID, answered) })
--- a/proxy/node/successor.go
+++ b/proxy/node/successor.go
@@ -122,11 +122,11 @@
 }
 
 // checkFollows returns errPrimarySilent if a primary that is to hand over does not answer, and errLagsBehind if its successor does not
-// receive within maxMoveLag what the primary has. The primary then stays until the successor has. Without copies only evacuated
-// primaries, which get nothing new, wait for that.
+// receive within maxMoveLag what the primary has. The primary then stays until the successor has: an evacuated one, which gets nothing
+// new, without limit, others with copies only, for followPatience. The successor has all acknowledged commits before that, too.
 func (p *promotionController) checkFollows(ctx context.Context, successor candidate, old discovery.Server) error {
-	if copies, err := p.copiesOf(old.Database); err != nil || copies == 0 && !old.Evacuated {
-		return err
+	if !old.Evacuated && (successor.basis == succession.BasisNoCopies || p.leavesSoon(old.Database)) {
+		return nil
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
