--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -382,8 +382,9 @@
 	covered     bool   // the successor is known to have all commits that were acknowledged in it
 }
 
-// promote makes the platform promote the server of a claim. Where promotions aren't fenced, it first makes sure that no instance
-// uses another server, and then that the server has all acknowledged commits. Elsewhere replicas are paused for the latter.
+// promote makes the platform promote the server of a claim, once that server has all acknowledged commits and no other one can have
+// further ones acknowledged: where promotions aren't fenced, as no instance uses another server any more; elsewhere, as the other
+// replicas are paused.
 func (p *promotionController) promote(ctx context.Context, successor candidate, own ownClaim, former formerLead) error {
 	if p.node.settings.UnfencedPromotions {
 		var err error
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -14,9 +14,9 @@
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
-// handOver makes a primary that answers step down, and waits until its successor has received all of its writes. Without copies a
-// successor that has not in time takes over all the same, except from an evacuated primary; with copies it has to have the acknowledged
-// ones, or the error is errCommitsUnknown or errCommitsMissing.
+// handOver makes a primary that answers step down, and waits until its successor has received all of its writes. A successor that has
+// not in time takes over all the same, except from an evacuated primary. Where commits are acknowledged by replicas, it has to have the
+// acknowledged ones, or the error is errCommitsUnknown or errCommitsMissing.
 func (p *promotionController) handOver(ctx context.Context, old discovery.Server, successor candidate) error {
 	waitCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
--- a/proxy/node/pause.go
+++ b/proxy/node/pause.go
@@ -116,7 +116,8 @@
 	}
 	event(p.log, EventReplicasPaused).WithFields(logrus.Fields{"database": primary.Database, "servers": serverIDs(paused)}).
 		Warn("replicas are paused for a promotion that was not carried out; resuming them")
-	p.resume(ctx, ownClaim{Claim: leaderlease.Claim{Server: primary.ID}, database: primary.Database, sentAt: -failover.OrderTerm}, paused)
+	outdated := ownClaim{Claim: leaderlease.Claim{Server: primary.ID}, database: primary.Database, sentAt: -failover.OrderTerm}
+	p.resume(ctx, outdated, paused)
 }
 
 func serverIDs(servers []discovery.Server) []string {
--- a/proxy/node/successor.go
+++ b/proxy/node/successor.go
@@ -44,7 +44,7 @@
 	status placement.Status
 	busy   bool // it had no room to tell its status, which is zero
 	cold   bool
-	// basis is the evidence that it has all acknowledged commits; empty if it is busy.
+	// basis is the evidence that it has all acknowledged commits.
 	basis succession.Basis
 	// lastResort: it leaves or is evacuated, and no other server has all acknowledged commits.
 	lastResort bool
