Ask each server once where replicas acknowledge nothing

Cause: without copies a failover waited up to 0.4 s for the positions of busy servers.

Change: without copies each server is asked once, as on.

--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -59,7 +59,7 @@
 }
 
 // ProbeUntilAnswered is like Probe, and repeats the request on the same connection every interval while the server is busy, until ctx
-// ends.
+// ends. An interval of 0 repeats nothing.
 func (g *Gateway) ProbeUntilAnswered(ctx context.Context, s discovery.Server, interval time.Duration) (placement.Status, error) {
 	return g.controlCall(ctx, s, interval, ServerCodec.Status)
 }
--- a/proxy/node/inquiry.go
+++ b/proxy/node/inquiry.go
@@ -39,7 +39,7 @@
 	excluded   string // another server that is not asked; empty: none
 	copies     int
 	fit        func(discovery.Server) bool
-	interval   time.Duration // until a busy server is asked again
+	interval   time.Duration // until a busy server is asked again; 0 without copies, where its answer is not worth the wait
 	probe      func(context.Context, discovery.Server) (placement.Status, error)
 	// anyServer: a server that may not lead is better than none, if only such ones have all acknowledged commits.
 	anyServer bool
@@ -54,7 +54,10 @@
 }
 
 func newInquiry(p *promotionController, database, old string, copies int, fit func(discovery.Server) bool) *inquiry {
-	interval := p.busyRetryInterval()
+	var interval time.Duration
+	if copies > 0 {
+		interval = p.busyRetryInterval()
+	}
 	return &inquiry{
 		controller: p, database: database, old: old, copies: copies, fit: fit, selection: succession.New(copies),
 		interval: interval,
@@ -121,8 +124,7 @@
 	return next
 }
 
-// ask asks a server, for probeTimeout while it is busy. Where commits are acknowledged by replicas it goes on until the server has
-// answered or ctx ends.
+// ask asks a server, once without copies, else until it has answered or ctx ends.
 func (q *inquiry) ask(ctx context.Context, s discovery.Server) {
 	for {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
