Count a replica that started again only once it has caught up

Callers lost acknowledged commits: a replica that starts again under its id holds nothing, and its answer was counted like one that tells all it had acknowledged. If the primary is lost before the replica has the log again, a server that lacks those commits is promoted.

Change: succession.Logs follows the runs of servers (born in their entries), the leader's positions and the replicas'. The log of a server that started again, or that took over the address of another, counts once it has reached what the leader had after the restart was seen; one that is shorter than the same instance has seen it counts no more either. Until then the server is unheard, as long as the former primary's entry is there. The list of servers counts as complete 2.5 s after it was first read, since entries that expired while the store was down return within about two seconds; claims were withheld as long before, so that this states a rule that held by a constant of another one.

--- a/cmd/internal/platformlocal/copies_test.go
+++ b/cmd/internal/platformlocal/copies_test.go
@@ -102,6 +102,24 @@
 	})
 }
 
+// Guards against a failover that takes the empty log of a replica which has started again for all that it acknowledged.
+func TestReplicaThatStartedAgainEmptyIsNotCounted(t *testing.T) {
+	eachSynchronous(t, func(s *synchronous) {
+		if err := s.RestartEmpty(s.database, s.ahead); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		s.CrashPrimary(s.database)
+		time.Sleep(serverEntryTimeout - time.Second)
+		s.checkPrimary(s.first)
+		if err := s.Recover(s.database); err != nil {
+			t.Fatal(err)
+		}
+		s.group.SetDeaf(s.ahead.ID, false)
+		awaitWrites(t, s.Deployment, s.behind.ID)
+	})
+}
+
 // Guards against a leaving primary that hands over although a replica that has all commits is about to follow, and against one that
 // stays after that, or until it has left.
 func TestLeavingPrimaryWaitsForAReplicaForAWhile(t *testing.T) {
--- a/cmd/internal/platformlocal/environment.go
+++ b/cmd/internal/platformlocal/environment.go
@@ -362,6 +362,15 @@
 	return nil
 }
 
+// RestartEmpty restarts a replica of a database, which then holds nothing and receives nothing until linedb.Group.SetDeaf ends that.
+func (e *Environment) RestartEmpty(database string, s *Server) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.groups[database].RestartEmpty(s.ID)
+	s.started = time.Now().UnixMilli()
+	return e.registerServers(database)
+}
+
 // ColdLimit returns how many statements a cold server may get in any second.
 func (e *Environment) ColdLimit() float64 {
 	return e.databases.ColdRate*ColdOverage + ColdSlack
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -8,6 +8,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
+	"github.com/cyclamenstile/cyclamenstile/decision/succession"
 )
 
 const (
@@ -79,6 +80,8 @@
 	local   Locality
 	servers map[string]*server
 	Samples Samples
+	// Logs tells which logs have all that their servers acknowledged.
+	Logs *succession.Logs
 	// claim names the servers that may lead.
 	claim leaderlease.Claim
 	// superseded holds the start times of the servers whose entries claimed to be the primary when another server was
@@ -90,7 +93,7 @@
 
 // NewGroup returns the empty view of an instance in the given locality.
 func NewGroup(local Locality) *Group {
-	return &Group{local: local, servers: map[string]*server{}, superseded: map[string]int64{}}
+	return &Group{local: local, servers: map[string]*server{}, superseded: map[string]int64{}, Logs: succession.NewLogs()}
 }
 
 // Register updates the group from the entries of all servers of the database. A server whose entry is missing is
@@ -99,6 +102,7 @@
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.ID] = true
+		g.Logs.Register(now, e.ID, e.Address, e.Started)
 		g.register(e)
 	}
 	for id, s := range g.servers {
@@ -225,6 +229,7 @@
 	s.backoffUntil = 0
 	s.answeredAt = now
 	s.position = position.Max(s.position, p)
+	g.Logs.Record(id, p)
 	if !s.position.Less(s.lacked) {
 		s.lagPeriod = 0
 	}
@@ -255,6 +260,7 @@
 	}
 	s.ledAt = now
 	s.deniedAt = 0
+	g.Logs.RecordLeader(sent, id, p)
 	g.Samples.Add(sent, p)
 }
 
--- a/decision/succession/doc.go
+++ b/decision/succession/doc.go
@@ -11,9 +11,13 @@
 //   - If fewer replicas than copies have not answered, each acknowledged commit is in a log that was told of, so in the longest one.
 //   - What the former primary had when it stepped down has all acknowledged commits, too.
 //   - A server that is busy, silent or unreadable has not answered: what it has received is not known, which is not the same as nothing.
+//   - Neither has a server that started again and holds less than it acknowledged. Its answer counts again once its log has reached what
+//     the leader had after the restart was seen, as that covers all it had acknowledged before; see Logs.
+//   - Nothing is known while the list may lack servers whose entries return, as they expired while the store was down.
 //
 // A replica counts as long as it is in the list of servers, whether or not it may be promoted itself. One whose entry is gone doesn't: the
-// platform says that such a server is gone, with its log. If only servers that may not be promoted have all acknowledged commits, because
+// platform says that such a server is gone, with its log. Once the former primary's entry is gone, too, nobody can have what a server
+// lost by a restart, and its answer counts as it is. If only servers that may not be promoted have all acknowledged commits, because
 // they leave or their failure domain is evacuated, one of them is promoted and hands over.
 //
 // When the lead ends is the caller's to know. An answer from before still helps to choose, and must be followed by a check of the chosen
--- a/decision/succession/selection.go
+++ b/decision/succession/selection.go
@@ -27,23 +27,33 @@
 type Selection struct {
 	copies   int
 	replicas []Replica
+	complete bool                         // replicas holds every server that may have acknowledged a commit
 	received map[string]position.Position // by server
+	partial  map[string]bool              // may lack commits that the server acknowledged
 	former   *position.Position
 }
 
 // New returns a selection without answers. Commits are acknowledged once the given number of replicas has received them.
 func New(copies int) *Selection {
-	return &Selection{copies: copies, received: map[string]position.Position{}}
+	return &Selection{copies: copies, received: map[string]position.Position{}, partial: map[string]bool{}}
 }
 
-// SetReplicas sets the servers that are in the list, without the former primary.
-func (s *Selection) SetReplicas(replicas []Replica) {
-	s.replicas = replicas
+// SetReplicas sets the servers that are in the list, without the former primary. complete tells that the list lacks no server whose entry
+// may return.
+func (s *Selection) SetReplicas(replicas []Replica, complete bool) {
+	s.replicas, s.complete = replicas, complete
 }
 
 // Record records the end of a server's log, as it has told.
 func (s *Selection) Record(server string, received position.Position) {
 	s.received[server] = received
+	delete(s.partial, server)
+}
+
+// RecordPartial records the end of the log of a server that may lack commits which it acknowledged, as it has started again.
+func (s *Selection) RecordPartial(server string, received position.Position) {
+	s.received[server] = received
+	s.partial[server] = true
 }
 
 // RecordFormer records the end of the former primary's log, as it has told after it stepped down.
@@ -54,14 +64,19 @@
 // KnowsAllCommits reports whether the replicas that have answered have received every commit that was acknowledged before, in one log or
 // another.
 func (s *Selection) KnowsAllCommits() bool {
-	return s.copies == 0 || len(s.Unheard()) < s.copies
+	return s.copies == 0 || s.complete && len(s.Unheard()) < s.copies
+}
+
+// IsListComplete reports whether the list of servers lacks none whose entry may return.
+func (s *Selection) IsListComplete() bool {
+	return s.complete
 }
 
-// Unheard returns the replicas that have not answered.
+// Unheard returns the replicas that have not answered, or only with a log that may lack commits which they acknowledged.
 func (s *Selection) Unheard() []string {
 	var out []string
 	for _, r := range s.replicas {
-		if _, ok := s.received[r.ID]; !ok {
+		if _, ok := s.received[r.ID]; !ok || s.partial[r.ID] {
 			out = append(out, r.ID)
 		}
 	}
@@ -101,7 +116,7 @@
 		return BasisNoCopies
 	case s.former != nil && !received.Less(*s.former):
 		return BasisFormer
-	case s.KnowsAllCommits() && !received.Less(s.Longest()):
+	case s.KnowsAllCommits() && !s.partial[server] && !received.Less(s.Longest()):
 		return BasisReplicas
 	}
 	return BasisNone
--- a/decision/succession/selection_test.go
+++ b/decision/succession/selection_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -20,6 +21,9 @@
 	deaf         []bool // receives nothing
 	paused       []bool
 	primary      int // -1: none
+	known        *Logs
+	now          time.Duration
+	late         leaderAnswer // arrives later
 	term         uint64
 	commits      int
 	acknowledged []int
@@ -50,6 +54,41 @@
 	if copies >= p.copies {
 		p.acknowledged = append(p.acknowledged, p.commits)
 	}
+	p.now++
+	if rapid.Bool().Draw(p.t, "leader is seen") {
+		p.known.RecordLeader(p.late.sent, p.late.server, p.late.end)
+		p.late = leaderAnswer{p.now, name(p.primary), p.end(p.primary)}
+	}
+}
+
+// leaderAnswer is what a leader has told of its log.
+type leaderAnswer struct {
+	sent   time.Duration
+	server string
+	end    position.Position
+}
+
+// restart empties the log of a replica, of which it then receives a part again.
+func (p *play) restart(i int) {
+	if i == p.primary {
+		return
+	}
+	p.now++
+	p.logs[i] = nil
+	p.known.Register(p.now, name(i), name(i), int64(p.now))
+	if p.primary >= 0 && !p.down[p.primary] && !p.deaf[i] {
+		log := p.logs[p.primary]
+		p.logs[i] = slices.Clone(log[:rapid.IntRange(0, len(log)).Draw(p.t, "received again")])
+	}
+}
+
+// answer records what a server tells of its log.
+func (p *play) answer(s *Selection, i int) {
+	if p.known.HasAll(name(i), p.known.Highest(name(i)), p.end(i)) {
+		s.Record(name(i), p.end(i))
+	} else {
+		s.RecordPartial(name(i), p.end(i))
+	}
 }
 
 // replace ends the lead of the primary, asks the servers, some of which don't answer, and promotes the one chosen.
@@ -65,13 +104,13 @@
 			replicas = append(replicas, Replica{ID: name(i), Eligible: rapid.IntRange(0, 3).Draw(p.t, "eligible") > 0})
 		}
 	}
-	s.SetReplicas(replicas)
+	s.SetReplicas(replicas, true)
 	if p.primary >= 0 && !p.down[former] && rapid.Bool().Draw(p.t, "steps down") {
 		s.RecordFormer(p.end(former))
 	}
 	for i := range p.logs {
 		if i != former && !p.down[i] && rapid.IntRange(0, 3).Draw(p.t, "answers") > 0 {
-			s.Record(name(i), p.end(i))
+			p.answer(s, i)
 		}
 	}
 	p.primary = -1
@@ -105,16 +144,17 @@
 			replicas = append(replicas, Replica{ID: name(i)})
 		}
 	}
-	s.SetReplicas(replicas)
+	s.SetReplicas(replicas, true)
 	for i := range p.logs {
 		p.commit()
 		if i != former && i != successor && !p.down[i] && rapid.IntRange(0, 3).Draw(p.t, "is paused") > 0 {
 			p.paused[i] = true
-			s.Record(name(i), p.end(i))
+			p.answer(s, i)
 		}
 	}
 	p.commit()
-	if s.KnowsAllCommits() && !p.down[successor] && !p.end(successor).Less(s.Longest()) {
+	complete := p.known.HasAll(name(successor), p.known.Highest(name(successor)), p.end(successor))
+	if s.KnowsAllCommits() && complete && !p.down[successor] && !p.end(successor).Less(s.Longest()) {
 		p.commit()
 		p.promote(successor)
 	}
@@ -153,17 +193,20 @@
 
 func name(i int) string { return fmt.Sprintf("s%d", i) }
 
-// Guards against a promotion that loses acknowledged commits, whatever servers are busy, silent, deaf, down or back.
+// Guards against a promotion that loses acknowledged commits, whatever servers are busy, silent, deaf, down, back or started again.
 func TestPromotedServerHasAcknowledgedCommits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 5).Draw(t, "servers")
 		p := &play{
 			t: t, copies: min(rapid.IntRange(0, 2).Draw(t, "copies"), n-1), logs: make([][]int, n), down: make([]bool, n), deaf: make([]bool, n),
-			paused: make([]bool, n),
+			paused: make([]bool, n), known: NewLogs(),
+		}
+		for i := range n {
+			p.known.Register(0, name(i), name(i), 0)
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := p.server("server")
-			switch rapid.IntRange(0, 8).Draw(t, "event") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0, 1, 2, 3:
 				p.commit()
 			case 4:
@@ -172,6 +215,8 @@
 				p.deaf[i] = !p.deaf[i]
 			case 6:
 				p.replaceFar()
+			case 7:
+				p.restart(i)
 			default:
 				p.replace()
 			}
@@ -208,7 +253,7 @@
 			}
 			s.Record(id, at(n))
 		}
-		s.SetReplicas(replicas)
+		s.SetReplicas(replicas, true)
 		if c.former > 0 {
 			s.RecordFormer(at(c.former))
 		}
@@ -218,10 +263,46 @@
 	}
 }
 
+// Guards against a failover while the list lacks the only replica with a commit, as its entry expired while the store was down.
+func TestIncompleteListShowsNoSuccessor(t *testing.T) {
+	s := New(1)
+	s.Record("a", position.Position{Term: 1, LSN: 5})
+	for _, complete := range []bool{false, true} {
+		s.SetReplicas([]Replica{{"a", true}}, complete)
+		if got, _ := s.Choose(false, cmp.Compare); (got == "a") != complete {
+			t.Errorf("list complete %t: chosen %q", complete, got)
+		}
+	}
+	s.SetReplicas([]Replica{{"a", true}}, false)
+	s.RecordFormer(position.Position{Term: 1, LSN: 5})
+	if got, basis := s.Choose(false, cmp.Compare); got != "a" || basis != BasisFormer {
+		t.Errorf("with all that the former primary had: chosen %q with %q", got, basis)
+	}
+}
+
+// Guards against the log of a new server that takes over the address of another, which is counted before it has been transferred.
+func TestServerAtAnotherOnesAddressIsNotCounted(t *testing.T) {
+	l := NewLogs()
+	at := func(n uint64) position.Position { return position.Position{Term: 1, LSN: n} }
+	l.Register(1, "old", "address", 1)
+	l.Register(2, "new", "address", 2)
+	l.Register(2, "other", "elsewhere", 2)
+	if !l.HasAll("other", at(0), at(1)) || l.HasAll("new", at(0), at(1)) {
+		t.Error("want only the log of the other new server to count")
+	}
+	l.RecordLeader(3, "leader", at(9))
+	if l.HasAll("new", at(1), at(8)) || !l.HasAll("new", at(8), at(9)) {
+		t.Error("the log must count once it has reached the leader's")
+	}
+	if l.HasAll("other", at(5), at(4)) {
+		t.Error("a log that has become shorter counts")
+	}
+}
+
 // Guards against a hand-over that is given up before all replicas have answered, as the successor lacks what only the former primary has.
 func TestOnlyReplicasShowThatAServerIsBehind(t *testing.T) {
 	s := New(1)
-	s.SetReplicas([]Replica{{"a", true}, {"b", true}})
+	s.SetReplicas([]Replica{{"a", true}, {"b", true}}, true)
 	s.RecordFormer(position.Position{Term: 1, LSN: 7})
 	s.Record("a", position.Position{Term: 1, LSN: 5})
 	if s.IsBehind("a") || s.Proof("a") != BasisNone {
@@ -236,12 +317,12 @@
 // Guards against a failover that waits for a server which is gone for good.
 func TestGoneReplicaIsNotWaitedFor(t *testing.T) {
 	s := New(1)
-	s.SetReplicas([]Replica{{"a", true}, {"b", true}})
+	s.SetReplicas([]Replica{{"a", true}, {"b", true}}, true)
 	s.Record("a", position.Position{Term: 1, LSN: 5})
 	if got, _ := s.Choose(false, cmp.Compare); got != "" || !slices.Equal(s.Unheard(), []string{"b"}) {
 		t.Errorf("chosen %q, unheard %v", got, s.Unheard())
 	}
-	s.SetReplicas([]Replica{{"a", true}})
+	s.SetReplicas([]Replica{{"a", true}}, true)
 	if got, basis := s.Choose(false, cmp.Compare); got != "a" || basis != BasisReplicas {
 		t.Errorf("chosen %q with %q, want a with %q", got, basis, BasisReplicas)
 	}
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
+	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/proxy/contain"
@@ -17,7 +18,8 @@
 // pastDeadline is a deadline that unblocks a pending read.
 var pastDeadline = time.Unix(1, 0)
 
-// ErrBusy reports that a server answered but has no capacity for the request.
+// ErrBusy reports that a server answered without a status, as it has no capacity for the request or, if the message names another
+// code, refuses it.
 var ErrBusy = errors.New("the server answers, but has no room for a control call")
 
 // HasServers reports whether a database has servers.
@@ -47,6 +49,19 @@
 	return out
 }
 
+// HighestPosition returns the highest end of a server's log that was seen since it started.
+func (g *Gateway) HighestPosition(s discovery.Server) (p position.Position) {
+	g.view(s.Database).read(func(group *placement.Group) { p = group.Logs.Highest(s.ID) })
+	return p
+}
+
+// HasAllAcknowledged reports whether a server whose log ends at received has everything that it acknowledged, as far as this instance
+// knows. highest is HighestPosition as of before the server was asked.
+func (g *Gateway) HasAllAcknowledged(s discovery.Server, highest, received position.Position) (ok bool) {
+	g.view(s.Database).read(func(group *placement.Group) { ok = group.Logs.HasAll(s.ID, highest, received) })
+	return ok
+}
+
 // LastAnswer returns how long ago a server last answered this instance.
 func (g *Gateway) LastAnswer(database, server string) (age time.Duration, ok bool) {
 	g.view(database).withLock(func(now time.Duration, group *placement.Group) { age, ok = group.LastAnswer(now, server) })
@@ -122,8 +137,12 @@
 		return placement.Status{}, err
 	}
 	g.markAlive(s)
-	if a.code != "" || len(a.rows) == 0 {
+	switch {
+	case a.code == outcome.CodeInsufficientResources:
 		return placement.Status{}, ErrBusy
+	case a.code != "" || len(a.rows) == 0:
+		return placement.Status{}, errors.Mark(errors.Newf("the server answers a control call with error %q (%s); see whether its version knows the call",
+			a.code, a.text), ErrBusy)
 	}
 	return g.cfg.ParseStatus(a.rows[0])
 }
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -68,6 +68,7 @@
 	errNoConfiguration    = errors.New("the configuration was not read yet, so it is not known whether replicas acknowledge commits; see whether the store answers")
 	errCommitsUnknown     = errors.New("it is not known which server has all acknowledged commits; nothing is promoted until the silent or busy servers answer, or their entries are gone")
 	errCommitsMissing     = errors.New("the chosen server lacks acknowledged commits that another one has; another one is chosen")
+	errStartedAgain       = errors.New("the server has started again and may lack commits that it acknowledged; its answer counts once it has caught up, or once the former primary's entry is gone")
 	errUnknownServer      = errors.New("this instance knows no entry of the server")
 	errRestoredNow        = errors.New("the store may have lost a claim of another instance a moment ago; the promotion is claimed later")
 )
--- a/proxy/node/inquiry.go
+++ b/proxy/node/inquiry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/succession"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
@@ -48,9 +50,12 @@
 	selection *succession.Selection
 	answered  map[string]candidate
 	busy      map[string]candidate // have answered that they are busy
+	failures  map[string]error     // why the last answer of a server doesn't count
 	asked     map[string]bool      // have been probed once
-	running   map[string]bool      // are being asked
-	changed   chan struct{}        // has an element after each change
+	// formerListed: the entry of the former primary is in the list.
+	formerListed bool
+	running      map[string]bool // are being asked
+	changed      chan struct{}   // has an element after each change
 }
 
 func newInquiry(p *promotionController, database, old string, copies int, fit func(discovery.Server) bool) *inquiry {
@@ -65,7 +70,8 @@
 			return p.node.gateway.ProbeUntilAnswered(ctx, s, interval)
 		},
 		answered: map[string]candidate{}, busy: map[string]candidate{}, asked: map[string]bool{}, running: map[string]bool{},
-		changed: make(chan struct{}, 1),
+		failures: map[string]error{},
+		changed:  make(chan struct{}, 1),
 	}
 }
 
@@ -109,7 +115,9 @@
 func (q *inquiry) refresh() []discovery.Server {
 	var replicas []succession.Replica
 	var next []discovery.Server
+	q.formerListed = false
 	for _, s := range q.controller.node.gateway.Servers(q.database) {
+		q.formerListed = q.formerListed || s.ID == q.old
 		eligible := q.mayLead(s)
 		if s.ID == q.old || s.ID == q.excluded || q.copies == 0 && !eligible {
 			continue
@@ -120,19 +128,23 @@
 			next = append(next, s)
 		}
 	}
-	q.selection.SetReplicas(replicas)
+	q.selection.SetReplicas(replicas, q.controller.node.serversKnown.isComplete(boottime.Now()))
 	return next
 }
 
 // ask asks a server, once without copies, else until it has answered or ctx ends.
 func (q *inquiry) ask(ctx context.Context, s discovery.Server) {
 	for {
+		highest := q.controller.node.gateway.HighestPosition(s)
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		status, err := q.probe(probeCtx, s)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && q.copies > 0 && !q.controller.node.gateway.HasAllAcknowledged(s, highest, status.Received) {
+			err = errStartedAgain
+		}
 		q.record(candidate{server: s, status: status, cold: q.controller.node.gateway.IsCold(s)}, err)
 		if err == nil || q.copies == 0 || !wait.For(ctx, q.interval) {
 			return
@@ -145,10 +157,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.asked[c.server.ID] = true
+	q.failures[c.server.ID] = err
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, errStartedAgain) && !q.formerListed:
 		q.answered[c.server.ID] = c
 		q.selection.Record(c.server.ID, c.status.Received)
+	case errors.Is(err, errStartedAgain):
+		q.answered[c.server.ID] = c
+		q.selection.RecordPartial(c.server.ID, c.status.Received)
 	case errors.Is(err, gateway.ErrBusy):
 		c.busy, c.basis = true, succession.BasisNoCopies // chosen without copies only
 		q.busy[c.server.ID] = c
@@ -216,8 +232,19 @@
 
 // unproven returns the error of an inquiry that has not shown which server has all acknowledged commits. mu must be held.
 func (q *inquiry) unproven() error {
-	if !q.selection.KnowsAllCommits() {
-		return errors.Wrapf(errCommitsUnknown, "no answer from %v", q.selection.Unheard())
+	if q.selection.KnowsAllCommits() {
+		return errCommitsMissing
+	}
+	var reasons []string
+	if !q.selection.IsListComplete() {
+		reasons = append(reasons, "entries of servers may be missing, as this instance has just read them")
+	}
+	for _, id := range q.selection.Unheard() {
+		if err := q.failures[id]; err != nil {
+			reasons = append(reasons, id+": "+err.Error())
+		} else {
+			reasons = append(reasons, id+": not asked yet")
+		}
 	}
-	return errCommitsMissing
+	return errors.Wrapf(errCommitsUnknown, "%s", strings.Join(reasons, "; "))
 }
--- a/proxy/node/leases_test.go
+++ b/proxy/node/leases_test.go
@@ -15,7 +15,7 @@
 	n.liveSettings.Store(&Settings{Bounds: Bounds{KeyWithdrawalMillis: 5000}})
 	n.directory = &directory{now: boottime.Now, bounds: func() Bounds { return n.liveSettings.Load().Bounds }}
 	n.directory.offer(boottime.Now(), 0, false)
-	n.serversKnown.confirm(boottime.Now())
+	n.serversKnown.confirm(boottime.Now(), boottime.Now())
 	confirm := func(age time.Duration) { n.leases.leases.Confirm(boottime.Now() - age) }
 	for _, c := range []struct {
 		name string
--- a/proxy/node/servers.go
+++ b/proxy/node/servers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -16,17 +17,31 @@
 	"github.com/cyclamenstile/cyclamenstile/platform"
 )
 
+// entriesReturnPeriod is a little longer than the time after the store's return in which entries of live servers are back.
+const entriesReturnPeriod = 2500 * time.Millisecond
+
 // serverFreshness records as of when the entries of the servers are known to be the newest. A replaced primary is seen
 // there, so that the age of the configuration does not tell whether one was missed.
 type serverFreshness struct {
 	mu        sync.Mutex
 	freshness catalog.Freshness
+	// firstConfirmedAt is when the entries were first known to be the newest; 0 before.
+	firstConfirmedAt time.Duration
 }
 
-func (f *serverFreshness) confirm(asOf time.Duration) {
+func (f *serverFreshness) confirm(now, asOf time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.freshness.Confirm(asOf)
+	f.firstConfirmedAt = cmp.Or(f.firstConfirmedAt, now)
+}
+
+// isComplete reports whether this instance has known the entries for so long that those which had expired while the store was down are
+// back. An entry that is removed later is kept for a while, see placement.Group.
+func (f *serverFreshness) isComplete(now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.firstConfirmedAt != 0 && now-f.firstConfirmedAt >= entriesReturnPeriod
 }
 
 func (f *serverFreshness) age(now time.Duration) time.Duration {
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -95,7 +95,7 @@
 	f.onConfirm = func(asOf time.Duration, _ uint64) {
 		n.servers.expire()
 		n.serversLoaded.Store(true)
-		n.serversKnown.confirm(asOf)
+		n.serversKnown.confirm(boottime.Now(), asOf)
 	}
 	return f
 }
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -241,6 +241,17 @@
 	s.deaf = deaf
 }
 
+// RestartEmpty restarts a replica, which then holds nothing. It receives nothing until SetDeaf ends that.
+func (g *Group) RestartEmpty(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[id]
+	s.frozen, s.deaf, s.held = 0, true, 0
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
 // IsPaused reports whether a replica receives nothing because of a PAUSE.
 func (g *Group) IsPaused(id string) bool {
 	g.mu.Lock()
