Promote no other server while an unanswered order may be carried out

Where the platform checks no fences, an order that got no answer may promote its server seconds after another one was promoted and has acknowledged commits, which the server of the late order lacks. The server of the last order was preferred as long as it answered, and no longer.

Change: failover.Order decides: another server is claimed once the order was answered, its server leads by it (unless it was repeated), or 12 s have passed since its claim was first seen (2 s for the order, 10 s until it can't be carried out any more). For databases whose commits replicas acknowledge; the others lose commits by a failover anyway. The claim tells whether its order is repeated; older builds ignore the field.

TestUnansweredOrderDelaysOtherServers states each case.

--- a/decision/failover/order.go
+++ b/decision/failover/order.go
@@ -27,3 +27,29 @@
 func MayOrder(claimAge time.Duration, fence, era uint64) bool {
 	return claimAge <= OrderTerm && storeversion.Era(fence) == era
 }
+
+// LateOrderPeriod is how long after it was sent a promotion that got no answer may still be carried out.
+const LateOrderPeriod = 10 * time.Second
+
+// MaxOrderAge is how long after its claim was first seen an order may still be carried out.
+const MaxOrderAge = OrderTerm + LateOrderPeriod
+
+// Order is what an instance knows of the latest order to promote a server of a database.
+type Order struct {
+	Server string // empty for none
+	// ClaimAge is the time since this instance first saw the claim of the order.
+	ClaimAge time.Duration
+	// Answered: the platform has carried it out or refused it. Repeated: an earlier order for the same server got no answer.
+	Answered, Repeated bool
+}
+
+// MayFollow reports whether the order may still be carried out after one that replaces primary by another server, next, so that it would
+// end the lead of next. A primary that leads by the order has been promoted by it, unless the order was repeated. Where the platform checks
+// fences it refuses the order then.
+func (o Order) MayFollow(primary, next string) bool {
+	switch {
+	case o.Server == "", o.Server == next, o.Answered, o.ClaimAge >= MaxOrderAge:
+		return false
+	}
+	return o.Server != primary || o.Repeated
+}
--- a/decision/failover/order_test.go
+++ b/decision/failover/order_test.go
@@ -70,3 +70,27 @@
 		t.Error("an order is allowed by an old claim, or not allowed by a recent one")
 	}
 }
+
+// Guards against a promotion while an earlier order that got no answer may still promote another server, which lacks what is
+// acknowledged by then.
+func TestUnansweredOrderDelaysOtherServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		order         Order
+		primary, next string
+		want          bool
+	}{
+		"none":                            {Order{}, "a", "c", false},
+		"may be carried out":              {Order{Server: "b"}, "a", "c", true},
+		"just before its end":             {Order{Server: "b", ClaimAge: MaxOrderAge - 1}, "a", "c", true},
+		"can't be carried out any more":   {Order{Server: "b", ClaimAge: MaxOrderAge}, "a", "c", false},
+		"is repeated":                     {Order{Server: "b"}, "a", "b", false},
+		"was answered":                    {Order{Server: "b", Answered: true}, "a", "c", false},
+		"its server leads":                {Order{Server: "b"}, "b", "c", false},
+		"a repeated order's server leads": {Order{Server: "b", Repeated: true}, "b", "c", true},
+		"no primary is known":             {Order{Server: "b"}, "", "c", true},
+	} {
+		if got := c.order.MayFollow(c.primary, c.next); got != c.want {
+			t.Errorf("%s: may follow is %t, want %t", name, got, c.want)
+		}
+	}
+}
--- a/decision/succession/doc.go
+++ b/decision/succession/doc.go
@@ -28,6 +28,9 @@
 // received by copies replicas that are not paused, so by the successor; what was acknowledged before is in the log of a paused replica
 // or of the successor, which has to be the longest. A replica stays paused until the promotion, or is resumed if there is none.
 //
+// An order that got no answer may be carried out later. Where the platform doesn't check fences, no other server is promoted until that
+// can't happen any more: it would end a lead in which commits were acknowledged that the server of the late order lacks.
+//
 // Without copies a failover can lose acknowledged commits. The server that has received the most then is the best one of those that have
 // answered; there is nothing to wait for.
 //
--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -30,6 +30,8 @@
 	// Order identifies the claims of one order, and Serial each write: the store gives no new revision to a value that it already has.
 	Order  uint64 `json:"order"`
 	Serial uint64 `json:"serial"`
+	// Repeated: the order of an earlier claim for the same server got no answer as far as is known.
+	Repeated bool `json:"repeated,omitempty"`
 }
 
 // decodeClaim decodes a stored claim. One of an unknown format names no server.
@@ -57,6 +59,7 @@
 	revision uint64
 	seenAt   time.Duration
 	own      bool
+	settled  bool // the order was answered
 }
 
 // ownClaim is a claim that this instance has written. Its version is the fence of its promotion.
@@ -64,6 +67,7 @@
 	leaderlease.Claim
 	database string
 	order    uint64
+	repeated bool
 	// sentAt and confirmedAt are when the write was sent and when its confirmation arrived.
 	sentAt, confirmedAt time.Duration
 }
@@ -85,11 +89,42 @@
 	if object.Version != 0 {
 		p.node.adoptClaim(database, current.leaderClaim(object.Version), sourceStore)
 	}
+	if p.mayBeCarriedOutLate(database, current, object.Version, old, server) {
+		return ownClaim{}, errOrderOutstanding
+	}
 	if (current.Server != old || p.node.settings.UnfencedPromotions) && p.claimedElsewhere(database, object.Version) {
 		return ownClaim{}, errClaimed
 	}
 	next := current.leaderClaim(object.Version).Next(old, server, handOver)
-	return p.writeClaim(ctx, ownClaim{Claim: next, database: database, order: randomNumber()}, object.Version)
+	repeated := current.Server == server && (current.Repeated || current.Server != old)
+	return p.writeClaim(ctx, ownClaim{Claim: next, database: database, order: randomNumber(), repeated: repeated}, object.Version)
+}
+
+// mayBeCarriedOutLate reports whether the order of a stored claim may still promote its server after the one of a next claim for another
+// server, so that commits which the latter acknowledges meanwhile are lost.
+func (p *promotionController) mayBeCarriedOutLate(database string, current claim, version uint64, old, server string) bool {
+	if version == 0 || !p.node.settings.UnfencedPromotions {
+		return false
+	}
+	seen := p.recordClaim(database, version, false)
+	order := failover.Order{
+		Server: current.leaderClaim(version).Ordered(), ClaimAge: boottime.Now() - seen.seenAt, Answered: seen.settled, Repeated: current.Repeated,
+	}
+	if !order.MayFollow(old, server) {
+		return false
+	}
+	copies, err := p.copiesOf(database)
+	return err != nil || copies > 0
+}
+
+// settleClaim records that the order of a claim has been answered, so that it is not carried out later.
+func (p *promotionController) settleClaim(database string, version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if seen := p.claims[database]; seen.revision == version {
+		seen.settled = true
+		p.claims[database] = seen
+	}
 }
 
 // randomNumber returns a number above 0 that every JSON implementation keeps exactly.
@@ -110,7 +145,7 @@
 	value := claim{
 		Instance: p.node.settings.Instance, Server: own.Server, Former: own.Former, FormerKnown: own.FormerKnown, HandOver: own.HandOver,
 		Lead: uint64(own.Lead), HandOverLead: uint64(own.HandOverLead),
-		Order: own.order, Serial: randomNumber(),
+		Order: own.order, Serial: randomNumber(), Repeated: own.repeated,
 	}
 	for try := 1; ; try++ {
 		own.sentAt = boottime.Now()
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -69,6 +69,7 @@
 	errCommitsUnknown     = errors.New("it is not known which server has all acknowledged commits; nothing is promoted until the silent or busy servers answer, or their entries are gone")
 	errCommitsMissing     = errors.New("the chosen server lacks acknowledged commits that another one has; another one is chosen")
 	errStartedAgain       = errors.New("the server has started again and may lack commits that it acknowledged; its answer counts once it has caught up, or once the former primary's entry is gone")
+	errOrderOutstanding   = errors.New("an earlier order without an answer may still promote another server; it is waited for")
 	errUnknownServer      = errors.New("this instance knows no entry of the server")
 	errRestoredNow        = errors.New("the store may have lost a claim of another instance a moment ago; the promotion is claimed later")
 )
@@ -414,7 +415,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	if err := p.promoter.Promote(callCtx, s.Database, s.ID, fence); err != nil {
+	err := p.promoter.Promote(callCtx, s.Database, s.ID, fence)
+	if !errors.Is(err, platform.ErrNoAnswer) && !own.repeated {
+		p.settleClaim(s.Database, fence)
+	}
+	if err != nil {
 		return err
 	}
 	event(p.log, EventPromoted).WithFields(logrus.Fields{
--- a/proxy/node/pause.go
+++ b/proxy/node/pause.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// lateOrderPeriod is how long a promotion that got no answer may still be carried out.
-	lateOrderPeriod = 10 * time.Second
 	// resumeTimeout bounds a call that resumes a replica. Several are made one after the other while a claim is young.
 	resumeTimeout = 200 * time.Millisecond
 )
@@ -69,9 +67,9 @@
 
 // resumeAfter resumes the replicas that were paused for a promotion. One that got no answer may still be carried out for a while.
 func (p *promotionController) resumeAfter(err error, own ownClaim) {
-	ctx, cancel := context.WithTimeout(context.Background(), lateOrderPeriod+orderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), failover.LateOrderPeriod+orderTimeout)
 	defer cancel()
-	if errors.Is(err, platform.ErrNoAnswer) && !wait.For(ctx, lateOrderPeriod) {
+	if errors.Is(err, platform.ErrNoAnswer) && !wait.For(ctx, failover.LateOrderPeriod) {
 		return
 	}
 	p.resume(ctx, own, p.node.gateway.Servers(own.database))
