Resume replicas that an ended instance left paused after each claim

Replicas paused for a promotion by an instance that has ended stayed paused until a statement of the database was left unanswered, and were resumed then although the order might still be carried out: its server would lack what they receive since.

TestPausesAreCheckedOnceAfterEachClaim and the existing tests of pauses pass. Cost: a probe of each server of the database at three instances for each claim, only where replicas acknowledge commits and promotions are fenced.

--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -60,6 +60,8 @@
 	seenAt   time.Duration
 	own      bool
 	settled  bool // the order was answered
+	// pausesChecked: replicas that were left paused for it have been looked for.
+	pausesChecked bool
 }
 
 // ownClaim is a claim that this instance has written. Its version is the fence of its promotion.
--- a/proxy/node/claim_test.go
+++ b/proxy/node/claim_test.go
@@ -61,3 +61,25 @@
 		t.Errorf("the next process of the instance claims with fence %d, error %v, want errClaimed", own.Version, err)
 	}
 }
+
+// Guards against replicas that stay paused for good, and against a check before the instance that paused them would have resumed them.
+func TestPausesAreCheckedOnceAfterEachClaim(t *testing.T) {
+	p := newClaimant(t, startPlatform(t), "edge-1")
+	p.node.settings.Listen.Peers = "127.0.0.1:1"
+	p.node.peers = newPeerSet(t, p.node.settings.Listen.Peers, newInstanceList(p.node.store, boottime.Now))
+	if p.pausesDue("db") {
+		t.Error("pauses are checked without a claim")
+	}
+	for revision := range uint64(2) {
+		p.recordClaim("db", revision+1, false)
+		if p.pausesDue("db") {
+			t.Error("pauses are checked while the order may be carried out")
+		}
+		seen := p.claims["db"]
+		seen.seenAt -= failover.MaxOrderAge + orderTimeout + time.Millisecond
+		p.claims["db"] = seen
+		if !p.pausesDue("db") || p.pausesDue("db") {
+			t.Error("pauses are not checked exactly once")
+		}
+	}
+}
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -171,6 +171,9 @@
 	primary, missing, _ := p.node.gateway.Primary(database)
 	p.logPrimary(database, primary, missing)
 	p.recordLeaving(database, primary)
+	if p.pausesDue(database) && primary.ID != "" {
+		go p.resumeAbandoned(ctx, primary)
+	}
 	away := p.isAwayFromHome(database, primary)
 	claimed, isReplaced := p.node.exclusionOf(database, primary.ID)
 	var action failover.Action
--- a/proxy/node/pause.go
+++ b/proxy/node/pause.go
@@ -14,12 +14,15 @@
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+	"github.com/cyclamenstile/cyclamenstile/proxy/peer"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 const (
 	// resumeTimeout bounds a call that resumes a replica. Several are made one after the other while a claim is young.
 	resumeTimeout = 200 * time.Millisecond
+	// maxPauseCheckers bounds how many instances look for replicas that were left paused by the order of a claim.
+	maxPauseCheckers = 3
 )
 
 // pauseOthers keeps a former primary that may still lead from having commits acknowledged that the successor lacks: it pauses the
@@ -94,12 +97,38 @@
 	}
 }
 
-// resumeAbandoned resumes replicas that an instance has paused and that has ended before its order. It is called when the primary
-// answers although it has left a statement unanswered, since commits may wait for those replicas.
+// pausesDue reports, once for each claim, that replicas which were paused for it are resumed by now unless the instance that paused them
+// has ended, and that this instance is one of those that look for them.
+func (p *promotionController) pausesDue(database string) bool {
+	p.mu.Lock()
+	seen := p.claims[database]
+	due := seen.revision != 0 && !seen.pausesChecked && boottime.Now()-seen.seenAt > failover.MaxOrderAge+orderTimeout
+	if due {
+		seen.pausesChecked = true
+		p.claims[database] = seen
+	}
+	p.mu.Unlock()
+	return due && slices.Contains(peer.RendezvousTop(database, p.node.peers.Listed(), maxPauseCheckers), p.node.settings.Listen.Peers)
+}
+
+// orderAge returns how long ago this process first saw the newest claim of a database, and false without a claim.
+func (p *promotionController) orderAge(database string) (age time.Duration, claimed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seen := p.claims[database]
+	return boottime.Now() - seen.seenAt, seen.revision != 0
+}
+
+// resumeAbandoned resumes replicas that were paused by an instance which has ended. It is called for a primary that answers: some time
+// after each claim, and when it had left a statement unanswered, since commits may wait for those replicas. While an order may still be
+// carried out nothing is resumed, as its server would lack what the replicas receive.
 func (p *promotionController) resumeAbandoned(ctx context.Context, primary discovery.Server) {
 	if copies, err := p.copiesOf(primary.Database); err != nil || copies == 0 || p.node.settings.UnfencedPromotions {
 		return
 	}
+	if age, claimed := p.orderAge(primary.Database); claimed && age <= failover.MaxOrderAge {
+		return
+	}
 	var paused []discovery.Server
 	for _, s := range p.node.gateway.Servers(primary.Database) {
 		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
