Forget servers gone for an hour, and let replicas start again empty in the soak

succession.Logs kept each server for good; servers start under new ids, so that it grew with each start. Those whose logs count are forgotten an hour after their entry was last seen.

--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// holdUp makes a server receive nothing for a time, if it is a replica, and answer control statements with BUSY for a while.
+// holdUp makes a server receive nothing for a time, if it is a replica, at times after it has lost what it had in a restart, and answer
+// control statements with BUSY for a while.
 func (f *faults) holdUp(ctx context.Context, s *platformlocal.Server, d time.Duration) {
 	const maxBusy = 30 // answers
 	group, busy := f.run.deployment.Group(f.databaseOf(s)), f.random.IntN(maxBusy)
@@ -111,7 +112,12 @@
 	if group.Primary() == s.ID {
 		return
 	}
-	group.SetDeaf(s.ID, true)
+	if f.random.IntN(4) == 0 {
+		f.run.logf("server %s starts again and holds nothing", s.ID)
+		f.check(f.run.deployment.RestartEmpty(f.databaseOf(s), s))
+	} else {
+		group.SetDeaf(s.ID, true)
+	}
 	f.afterDelay(ctx, d, func() { group.SetDeaf(s.ID, false) })
 }
 
--- a/decision/succession/logs.go
+++ b/decision/succession/logs.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/position"
@@ -14,11 +15,15 @@
 	servers map[string]*serverLog // also those whose entries are gone
 }
 
+// goneTerm is how long a server is remembered whose entry is gone.
+const goneTerm = time.Hour
+
 // serverLog is what is known of one server.
 type serverLog struct {
 	address  string
 	started  int64
-	restored bool // has everything that the server acknowledged
+	seenAt   time.Duration // when its entry was last seen
+	restored bool          // has everything that the server acknowledged
 	// restartedAt is when the restart was seen, and goal what the leader had after that, zero before it is known.
 	restartedAt time.Duration
 	goal        position.Position
@@ -35,14 +40,20 @@
 	before := l.servers[id]
 	switch {
 	case before == nil:
-		l.servers[id] = &serverLog{address: address, started: started, restored: !l.isKnown(address), restartedAt: now}
+		l.forget(now)
+		l.servers[id] = &serverLog{address: address, started: started, seenAt: now, restored: !l.isKnown(address), restartedAt: now}
 	case before.started != started:
-		*before = serverLog{address: address, started: started, restartedAt: now}
+		*before = serverLog{address: address, started: started, seenAt: now, restartedAt: now}
 	default:
-		before.address = address
+		before.address, before.seenAt = address, now
 	}
 }
 
+// forget removes servers whose entries have been gone for long.
+func (l *Logs) forget(now time.Duration) {
+	maps.DeleteFunc(l.servers, func(_ string, s *serverLog) bool { return s.restored && now-s.seenAt > goneTerm })
+}
+
 // isKnown reports whether another server has had an address.
 func (l *Logs) isKnown(address string) bool {
 	for _, s := range l.servers {
