--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -91,12 +91,12 @@
 	if object.Version != 0 {
 		p.node.adoptClaim(database, current.leaderClaim(object.Version), sourceStore)
 	}
-	if p.mayBeCarriedOutLate(database, current, object.Version, old, server) {
-		return ownClaim{}, errOrderOutstanding
-	}
 	if (current.Server != old || p.node.settings.UnfencedPromotions) && p.claimedElsewhere(database, object.Version) {
 		return ownClaim{}, errClaimed
 	}
+	if p.mayBeCarriedOutLate(database, current, object.Version, old, server) {
+		return ownClaim{}, errOrderOutstanding
+	}
 	next := current.leaderClaim(object.Version).Next(old, server, handOver)
 	repeated := current.Server == server && (current.Repeated || current.Server != old)
 	return p.writeClaim(ctx, ownClaim{Claim: next, database: database, order: randomNumber(), repeated: repeated}, object.Version)
