Review: an open transaction goes on for a tenant that lost the key (case 8)

Cause: statements of an open transaction are authorized again, but not compared with the account of its connection.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -294,7 +294,7 @@
 	writers.start(6, "bookings", "WRITE", 30*time.Millisecond)
 	time.Sleep(2 * time.Second)
 	for i := range 12 { // each transaction takes 8 s
-		readers.running.Go(func() { readers.runTransactions(i, edge) })
+		readers.running.Go(func() { readers.runTransactions(i, edge, true) })
 		time.Sleep(250 * time.Millisecond)
 	}
 	if trouble {
@@ -330,3 +330,55 @@
 	}
 	return broken, enough(answers)
 }
+
+// moveKey: a new version of the config gives a key to another tenant while transactions are open. Rule UNASKED: a server runs a request
+// whose tenant isn't the one that holds the client's key.
+func moveKey(out *journal, dir string, trouble bool) ([]string, error) {
+	const (
+		applyTime = 4 * time.Second // config_apply_ms
+		other     = "steppe"
+	)
+	o := options{fenced: true, promote: time.Second, tenants: map[string][]string{tenant: {key, "prairie-2"}, other: {"steppe-1"}}}
+	d, err := begin(out, dir, o, addServers(
+		server{id: "i-a", zone: "sask-regina", delay: 10 * time.Millisecond},
+		server{id: "i-b", zone: "sask-saskatoon", delay: 10 * time.Millisecond},
+		server{id: "i-c", zone: "alta-calgary", delay: 10 * time.Millisecond},
+	))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	c := newCallers(d)
+	c.start(3, "bookings", "WRITE", 30*time.Millisecond)
+	for i := range 6 { // each transaction takes 8 s
+		c.running.Go(func() { c.runTransactions(i, d.edges[i%len(d.edges)], false) })
+		time.Sleep(250 * time.Millisecond)
+	}
+	since := time.Now()
+	if trouble {
+		o.tenants = map[string][]string{tenant: {"prairie-2"}, other: {"steppe-1", key}}
+		if err := d.configure(o); err != nil {
+			return nil, err
+		}
+		since = time.Now()
+		out.add("the store has confirmed version %d: the callers' key is held by %s", d.version, other)
+	}
+	time.Sleep(applyTime + 5*time.Second)
+	answers := c.finish()
+	d.copyLogs()
+	holder := tenant
+	if trouble {
+		holder = other
+	}
+	var broken []string
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	for _, a := range d.group.statements {
+		if late := a.at.Sub(since) - applyTime; late > 0 && a.account != holder {
+			broken = append(broken, fmt.Sprintf("%s ran at %s for %s, %d ms later than config_apply_ms after the key went to %s", a.id, a.server, a.account, late.Milliseconds(), holder))
+		}
+	}
+	return broken, enough(answers)
+}
--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -56,6 +56,7 @@
 // arrival is a read, write or first statement of a transaction that a server got to run.
 type arrival struct {
 	id, server string
+	account    string // the tenant's name as told to the server
 	at         time.Time
 }
 
@@ -342,6 +343,7 @@
 	conn     net.Conn
 	in       *bufio.Reader
 	prepared map[string]string
+	account  string
 	state    string // I, T or E
 	plain    bool   // the open transaction was begun without READ
 	pending  map[string]string
@@ -361,6 +363,7 @@
 		_, _ = fmt.Fprintf(c.conn, "ERROR MISROUTED %s\r\n", c.s.id)
 		return
 	}
+	c.account = f[2]
 	if c.write("") != nil {
 		return
 	}
@@ -503,9 +506,9 @@
 		writes = strings.HasPrefix(shape, "WRITE")
 		rest = value
 	}
-	g.statements = append(g.statements, arrival{id, s.id, time.Now()})
+	g.statements = append(g.statements, arrival{id, s.id, c.account, time.Now()})
 	if c.state == "I" || c.first {
-		g.arrivals = append(g.arrivals, arrival{id, s.id, time.Now()})
+		g.arrivals = append(g.arrivals, arrival{id, s.id, c.account, time.Now()})
 		c.first = false
 	}
 	nothingWritten := word == "COMMIT" && len(c.pending) == 0
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -39,6 +39,8 @@
 	cloud *cloud
 	group *group
 	edges []*edge
+
+	version int // of the config
 }
 
 // options is what the cases set.
@@ -48,6 +50,7 @@
 	promote time.Duration
 	// evacuations: the sheet has evacuate_ms, and the first instance the widest link.
 	evacuations bool
+	tenants     map[string][]string // keys by tenant; nil: the one that the callers use
 }
 
 // errCannotRun is returned if the case could not be played.
@@ -84,6 +87,7 @@
 	d.cloud.register(s)
 }
 
+// configure writes the next version of the config.
 func (d *deployment) configure(o options) error {
 	type dict = map[string]any
 	route := func(host, kind string, timeout, target, staleness int) dict {
@@ -92,15 +96,23 @@
 			"target_latency_ms": target, "max_staleness_ms": staleness, "public": false,
 		}
 	}
+	if o.tenants == nil {
+		o.tenants = map[string][]string{tenant: {key}}
+	}
+	var tenants []dict
+	for name, keys := range o.tenants {
+		tenants = append(tenants, dict{"name": name, "api_keys": keys, "rate_per_s": 2000, "burst": 4000})
+	}
+	d.version += 4
 	return d.cloud.store.Put("config", "main", dict{
-		"version": 3,
+		"version": d.version,
 		"routes": []dict{
 			route("bookings", "primary", 800, 600, 0),
 			route("stocklist", "bounded_staleness", 2000, 1000, 1500),
 			route("manifests", "read_your_writes", 800, 1000, 2500),
 		},
 		"services": []dict{{"name": d.group.name, "max_conns": maxConns, "sync_replicas": o.sync}},
-		"tenants":  []dict{{"name": tenant, "api_keys": []string{key}, "rate_per_s": 2000, "burst": 4000}},
+		"tenants":  tenants,
 		"limits":   dict{"tx_idle_ms": 3000},
 	})
 }
