--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -126,6 +126,59 @@
 	}
 }
 
+// runOperations runs sessions' operations that set a value inside a transaction, and returns what each statement has to run with.
+func (c *callers) runOperations(i int, e *edge, want func(id, values string)) {
+	var s *clientSession
+	defer func() { s.close() }()
+	for n := 0; c.ctx.Err() == nil; n++ {
+		if s == nil {
+			if s = dialEdge(e.callers, "bookings"); s == nil {
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+		}
+		if !c.runOperation(s, i, n, want) {
+			s.close()
+			s = nil
+		}
+	}
+}
+
+// runOperation sets a value, changes it in a transaction, and reads after the end of the transaction. It returns false if the session
+// has ended.
+func (c *callers) runOperation(s *clientSession, i, n int, want func(id, values string)) bool {
+	values := ""
+	for _, text := range []string{
+		fmt.Sprintf("SET mode before%d-%d", i, n), "BEGIN", fmt.Sprintf("WRITE item%d a", i), fmt.Sprintf("SET mode after%d-%d", i, n),
+		fmt.Sprintf("WRITE item%d b", i), "COMMIT", fmt.Sprintf("READ item%d", i),
+	} {
+		id := fmt.Sprintf("%016x", 0x100000*(i+1)+int(c.number.Add(1)))
+		word, rest, _ := strings.Cut(text, " ")
+		if word != "SET" {
+			want(id, values)
+		}
+		a := answered{id: id, text: text, sent: time.Now()}
+		a.outcome = s.query(id, text)
+		a.at = time.Now()
+		c.mu.Lock()
+		c.answers = append(c.answers, a)
+		c.mu.Unlock()
+		c.d.out.add("%s %s, session %d: %s", id, text, i, a.outcome)
+		switch {
+		case a.outcome == "closed", word == "SET" && a.outcome != "ok":
+			return false
+		case word == "SET":
+			name, value, _ := strings.Cut(rest, " ")
+			values = name + "=" + value
+		case a.outcome != "ok" && word != "COMMIT" && word != "READ":
+			outcome := s.query(fmt.Sprintf("%016x", 0x100000*(i+1)+int(c.number.Add(1))), "ROLLBACK")
+			return outcome == "ok"
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return true
+}
+
 // clientSession is one connection to an instance.
 type clientSession struct {
 	conn net.Conn
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// replace replaces a server: the new one starts first, the old one reports to be draining and ends some time after drain_ms.
+func (d *deployment) replace(s *server, id string, after time.Duration) error {
+	fresh, err := d.group.addServer(id, s.zone, s.delay)
+	if err != nil {
+		return err
+	}
+	d.announce(fresh)
+	d.group.follow(fresh)
+	d.cloud.drain(s)
+	time.AfterFunc(drainTime+after, func() { d.cloud.leave(s) })
+	return nil
+}
+
 // served returns how many statements had success.
 func served(answers []answered) (n int) {
 	for _, a := range answers {
@@ -65,10 +78,20 @@
 // latePromoteSync: one promote call gets no answer and is carried out late, after the primary, which was dark for a moment, has gone
 // on. Rule LOST: an acknowledged commit isn't in the log of the server that is promoted.
 func latePromoteSync(out *journal, dir string, trouble bool) ([]string, error) {
-	const (
-		darkFor = 4 * time.Second
-		lateBy  = 11500 * time.Millisecond // orders are carried out 2 to 12 s later
-	)
+	return latePromote(out, dir, trouble, 11500*time.Millisecond, func(*deployment) error { return nil }) // orders are carried out 2 to 12 s later
+}
+
+// latePromoteJoin: the same, with a call that is carried out sooner, while a replica is being replaced.
+func latePromoteJoin(out *journal, dir string, trouble bool) ([]string, error) {
+	return latePromote(out, dir, trouble, 7*time.Second, func(d *deployment) error {
+		return d.replace(d.group.server("i-b"), "j-0", 5*time.Second)
+	})
+}
+
+// latePromote makes the primary dark for a moment, and lets the promote call that follows be carried out late. planned is called after
+// that.
+func latePromote(out *journal, dir string, trouble bool, lateBy time.Duration, planned func(d *deployment) error) ([]string, error) {
+	const darkFor = 4 * time.Second
 	// The primary and i-b are in one region, i-a is 20 ms away.
 	d, err := begin(out, dir, options{fenced: true, sync: 1, promote: time.Second}, addServers(
 		server{id: "i-p", zone: "sask-regina", delay: 250 * time.Microsecond},
@@ -100,6 +123,9 @@
 		p.setDark(false)
 		d.cloud.register(p)
 	}
+	if err := planned(d); err != nil {
+		return nil, err
+	}
 	time.Sleep(16 * time.Second)
 	answers := c.finish()
 	d.copyLogs()
@@ -165,14 +191,10 @@
 	since = map[string]time.Time{}
 	for i := range 2 {
 		s := d.group.current()
-		fresh, err := d.group.addServer(fmt.Sprintf("j-%d", i), s.zone, s.delay)
-		if err != nil {
+		if err := d.replace(s, fmt.Sprintf("j-%d", i), after); err != nil {
 			return d, nil, nil, err
 		}
-		d.announce(fresh)
-		d.group.follow(fresh)
-		since[s.id] = d.cloud.drain(s)
-		time.AfterFunc(drainTime+after, func() { d.cloud.leave(s) })
+		since[s.id] = time.Now()
 		time.Sleep(gap)
 	}
 	time.Sleep(12 * time.Second)
@@ -255,14 +277,10 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	p := d.group.server("i-p")
-	fresh, err := d.group.addServer("j-0", p.zone, p.delay)
-	if err != nil {
+	if err := d.replace(p, "j-0", after); err != nil {
 		return nil, err
 	}
-	d.announce(fresh)
-	d.group.follow(fresh)
-	since := d.cloud.drain(p)
-	time.AfterFunc(drainTime+after, func() { d.cloud.leave(p) })
+	since := time.Now()
 	time.Sleep(drainTime + after + time.Second)
 	answers := c.finish()
 	d.copyLogs()
@@ -382,3 +400,54 @@
 	}
 	return broken, enough(answers)
 }
+
+// staleValues: a server fails a part of its requests, COMMITs among them. Rule PINNED: a statement runs where the session values differ
+// from those that were acknowledged to its client.
+func staleValues(out *journal, dir string, trouble bool) ([]string, error) {
+	const (
+		failFor   = 6500 * time.Millisecond
+		failShare = 0.4
+	)
+	d, err := begin(out, dir, options{fenced: true, promote: time.Second}, addServers(
+		server{id: "i-a", zone: "sask-regina", delay: 10 * time.Millisecond},
+		server{id: "i-b", zone: "sask-saskatoon", delay: 10 * time.Millisecond},
+		server{id: "i-c", zone: "alta-calgary", delay: 10 * time.Millisecond},
+	))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	want := map[string]string{}
+	c := newCallers(d)
+	for i := range 6 {
+		c.running.Go(func() {
+			c.runOperations(i, d.edges[i%len(d.edges)], func(id, values string) {
+				mu.Lock()
+				defer mu.Unlock()
+				want[id] = values
+			})
+		})
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		s := d.group.server("i-a")
+		d.group.setFailing(s, failShare)
+		time.Sleep(failFor)
+		d.group.setFailing(s, 0)
+	}
+	time.Sleep(3 * time.Second)
+	answers := c.finish()
+	d.copyLogs()
+	var broken []string
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	for _, a := range d.group.statements {
+		if values, known := want[a.id]; known && a.values != values {
+			broken = append(broken, fmt.Sprintf("%s ran at %s with %q, and its client had set %q", a.id, a.server, a.values, values))
+		}
+	}
+	return broken, enough(answers)
+}
--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -57,6 +59,7 @@
 type arrival struct {
 	id, server string
 	account    string // the tenant's name as told to the server
+	values     string // the session values, in the order of their names
 	at         time.Time
 }
 
@@ -78,6 +81,7 @@
 	dark      bool
 	crashed   bool
 	draining  bool
+	failing   float64 // the share of the reads, writes and commits that fail
 	conns     map[net.Conn]bool
 	acked     map[string]int // how much of the log each replica has confirmed to have received
 	received  *sync.Cond
@@ -305,6 +309,14 @@
 	}
 }
 
+// setFailing makes a server fail a share of the reads, writes and commits.
+func (g *group) setFailing(s *server, share float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.failing = share
+	g.out.add("%s fails %.1f of its requests", s.id, share)
+}
+
 // crash ends a server for good.
 func (s *server) crash() {
 	s.g.mu.Lock()
@@ -328,7 +340,7 @@
 		s.conns[conn] = true
 		s.g.mu.Unlock()
 		go func() {
-			(&dbSession{s: s, conn: conn, in: bufio.NewReader(conn), prepared: map[string]string{}, state: "I"}).run()
+			(&dbSession{s: s, conn: conn, in: bufio.NewReader(conn), prepared: map[string]string{}, values: map[string]string{}, state: "I"}).run()
 			s.g.mu.Lock()
 			delete(s.conns, conn)
 			s.g.mu.Unlock()
@@ -343,6 +355,8 @@
 	conn     net.Conn
 	in       *bufio.Reader
 	prepared map[string]string
+	values   map[string]string
+	before   map[string]string // values at the begin of the open transaction, which a rollback restores
 	account  string
 	state    string // I, T or E
 	plain    bool   // the open transaction was begun without READ
@@ -446,10 +460,16 @@
 		return c.fail("MALFORMED"), true
 	}
 	switch word {
-	case "SET", "DEALLOC", "DISCARD":
-		if word == "DISCARD" {
-			clear(c.prepared)
-		}
+	case "SET":
+		name, value, _ := strings.Cut(rest, " ")
+		c.values[name] = value
+		return complete, true
+	case "DEALLOC":
+		delete(c.prepared, rest)
+		return complete, true
+	case "DISCARD":
+		clear(c.prepared)
+		clear(c.values)
 		return complete, true
 	case "PREPARE":
 		name, shape, _ := strings.Cut(rest, " ")
@@ -460,10 +480,10 @@
 		if c.plain && !s.leads {
 			return c.fail("READONLY"), true
 		}
-		c.state, c.pending, c.first = "T", map[string]string{}, true
+		c.state, c.pending, c.first, c.before = "T", map[string]string{}, true, maps.Clone(c.values)
 		return complete, true
 	case "ROLLBACK":
-		c.state, c.pending = "I", nil
+		c.rollBack()
 		return complete, true
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return c.control(word, rest), true
@@ -471,6 +491,23 @@
 	return c.statement(id, word, rest)
 }
 
+// rollBack ends the open transaction. What was set in it is undone, like its writes.
+func (c *dbSession) rollBack() {
+	if c.before != nil {
+		c.values = c.before
+	}
+	c.state, c.pending, c.before = "I", nil, nil
+}
+
+func (c *dbSession) renderedValues() string {
+	var out []string
+	for name, value := range c.values {
+		out = append(out, name+"="+value)
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
 func (c *dbSession) control(word, argument string) string {
 	s := c.s
 	term, _ := strconv.ParseUint(argument, 10, 64)
@@ -506,11 +543,18 @@
 		writes = strings.HasPrefix(shape, "WRITE")
 		rest = value
 	}
-	g.statements = append(g.statements, arrival{id, s.id, c.account, time.Now()})
+	g.statements = append(g.statements, arrival{id, s.id, c.account, c.renderedValues(), time.Now()})
 	if c.state == "I" || c.first {
-		g.arrivals = append(g.arrivals, arrival{id, s.id, c.account, time.Now()})
+		g.arrivals = append(g.arrivals, arrival{id, s.id, c.account, c.renderedValues(), time.Now()})
 		c.first = false
 	}
+	if s.failing > 0 && rand.Float64() < s.failing {
+		if word == "COMMIT" {
+			c.rollBack()
+		}
+		g.out.add("%s %s %s fails at %s", id, word, rest, s.id)
+		return c.fail("FAILED"), true
+	}
 	nothingWritten := word == "COMMIT" && len(c.pending) == 0
 	if !s.leads && !nothingWritten && (writes || c.state == "T" && c.plain) {
 		return c.fail("READONLY"), true
@@ -520,10 +564,11 @@
 	switch {
 	case word == "COMMIT":
 		failed, pending := c.state == "E", c.pending
-		c.state, c.pending = "I", nil
 		if failed {
+			c.rollBack()
 			return "ERROR ABORTED " + s.id + "\r\n", true
 		}
+		c.state, c.pending, c.before = "I", nil, nil
 		if len(pending) > 0 && !s.commit(id, pending) {
 			return "", false
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,11 +19,13 @@
 // cases are the cases by name. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(out *journal, dir string, trouble bool) (broken []string, err error){
 	"late-promote-sync":     latePromoteSync,
+	"late-promote-join":     latePromoteJoin,
 	"late-promote-unfenced": latePromoteUnfenced,
 	"late-promote-drain":    latePromoteDrain,
 	"drain-sync":            drainSync,
 	"evacuation":            evacuation,
 	"tenant":                moveKey,
+	"values":                staleValues,
 }
 
 func main() {
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -146,13 +146,11 @@
 	s.crash()
 }
 
-// drain makes a server report that it is draining, and returns when the store has accepted the report.
-func (c *cloud) drain(s *server) time.Time {
+// drain makes a server report that it is draining. It returns when the store has accepted the report.
+func (c *cloud) drain(s *server) {
 	s.g.mu.Lock()
 	s.draining = true
 	s.g.mu.Unlock()
 	c.register(s)
-	at := time.Now()
 	c.out.add("%s reports draining", s.id)
-	return at
 }
