Review: prepared statements with the same hash run one another's shapes (case 10)

Cause: the name of a prepared statement on a server connection is the 64-bit FNV-1a hash of its shape alone.

--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -171,6 +171,45 @@
 	return true
 }
 
+// runPrepared runs a session that prepares a statement and executes it again and again, and tells what each execution has to run.
+func (c *callers) runPrepared(i int, e *edge, mode, shape string, want func(id, prepared string)) {
+	var s *clientSession
+	defer func() { s.close() }()
+	for c.ctx.Err() == nil {
+		if s == nil {
+			if s = dialEdge(e.callers, "bookings"); s == nil {
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+			id := fmt.Sprintf("%016x", 0x100000*(i+1)+int(c.number.Add(1)))
+			outcome := s.query(id, "PREPARE s1 "+mode+" "+shape)
+			c.d.out.add("%s PREPARE s1 %s %s, session %d: %s", id, mode, shape, i, outcome)
+			if outcome != "ok" {
+				s.close()
+				s = nil
+				continue
+			}
+		}
+		id := fmt.Sprintf("%016x", 0x100000*(i+1)+int(c.number.Add(1)))
+		want(id, mode+" "+shape)
+		a := answered{id: id, text: fmt.Sprintf("EXECUTE s1 item%d", i), sent: time.Now()}
+		if mode == "WRITE" {
+			a.text += " " + id
+		}
+		a.outcome = s.query(id, a.text)
+		a.at = time.Now()
+		c.mu.Lock()
+		c.answers = append(c.answers, a)
+		c.mu.Unlock()
+		c.d.out.add("%s %s, session %d: %s", id, a.text, i, a.outcome)
+		if a.outcome == "closed" {
+			s.close()
+			s = nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // clientSession is one connection to an instance.
 type clientSession struct {
 	conn net.Conn
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -501,3 +501,53 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// shapes: clients of one tenant prepare different shapes under the same name. Rule PINNED: a prepared name runs another shape than its
+// client prepared.
+func shapes(out *journal, dir string, trouble bool) ([]string, error) {
+	// The first two have the same 64-bit FNV-1a hash.
+	first, second := "7mohtcOFVz", "c1E51sSEyx"
+	if !trouble {
+		second = "c1E51sSEyy"
+	}
+	d, err := begin(out, dir, options{fenced: true, promote: time.Second}, addServers(
+		server{id: "i-a", zone: "sask-regina", delay: 10 * time.Millisecond},
+		server{id: "i-b", zone: "sask-saskatoon", delay: 10 * time.Millisecond},
+		server{id: "i-c", zone: "alta-calgary", delay: 10 * time.Millisecond},
+	))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	want := map[string]string{}
+	c := newCallers(d)
+	for i := range 12 {
+		shape, mode := []string{first, second}[i%2], []string{"WRITE", "READ"}[i/2%2]
+		c.running.Go(func() {
+			c.runPrepared(i, d.edges[i/4], mode, shape, func(id, prepared string) {
+				mu.Lock()
+				defer mu.Unlock()
+				want[id] = prepared
+			})
+		})
+	}
+	time.Sleep(5 * time.Second)
+	answers := c.finish()
+	d.copyLogs()
+	ok := map[string]bool{}
+	for _, a := range answers {
+		ok[a.id] = a.outcome == "ok"
+	}
+	var broken []string
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	for _, a := range d.group.statements {
+		if prepared, known := want[a.id]; known && a.prepared != prepared {
+			broken = append(broken, fmt.Sprintf("%s ran %q at %s, and its client had prepared %q; answered with success: %t", a.id, a.prepared, a.server, prepared, ok[a.id]))
+		}
+	}
+	return broken, enough(answers)
+}
--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -59,6 +59,7 @@
 type arrival struct {
 	id, server string
 	values     string // the session values, in the order of their names
+	prepared   string // what an EXECUTE runs: READ or WRITE and the shape
 	at         time.Time
 }
 
@@ -530,19 +531,19 @@
 // statement runs a read, a write or a commit.
 func (c *dbSession) statement(id, word, rest string) (answer string, answered bool) {
 	s, g := c.s, c.s.g
-	writes := word == "WRITE"
+	writes, prepared := word == "WRITE", ""
 	if word == "EXECUTE" {
 		name, value, _ := strings.Cut(rest, " ")
 		shape, known := c.prepared[name]
 		if !known {
 			return c.fail("NOSTMT"), true
 		}
-		writes = strings.HasPrefix(shape, "WRITE")
+		writes, prepared = strings.HasPrefix(shape, "WRITE"), shape
 		rest = value
 	}
-	g.statements = append(g.statements, arrival{id, s.id, c.renderedValues(), time.Now()})
+	g.statements = append(g.statements, arrival{id, s.id, c.renderedValues(), prepared, time.Now()})
 	if c.state == "I" || c.first {
-		g.arrivals = append(g.arrivals, arrival{id, s.id, c.renderedValues(), time.Now()})
+		g.arrivals = append(g.arrivals, arrival{id, s.id, c.renderedValues(), prepared, time.Now()})
 		c.first = false
 	}
 	if s.failing > 0 && rand.Float64() < s.failing {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,7 @@
 	"late-promote-drain":    latePromoteDrain,
 	"drain-sync":            drainSync,
 	"evacuation":            evacuation,
+	"shapes":                shapes,
 	"memory":                memory,
 	"values":                staleValues,
 }
