Review: writers don't keep step; no address is given to two instances

The stand-in could give one instance the address of another, which then couldn't start (exit code 2, once in a clean checkout).

Change: random pauses around the same mean, sixteen writers instead of eight in cases 6 and 7, and no address twice.

--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -53,7 +54,7 @@
 func (c *callers) run(i int, route, word string, gap time.Duration) {
 	var s *clientSession
 	defer func() { s.close() }()
-	for try := i; c.ctx.Err() == nil; time.Sleep(gap) {
+	for try := i; c.ctx.Err() == nil; time.Sleep(gap/2 + rand.N(gap)) { // not in step with each other
 		if s == nil {
 			try++
 			if s = dialEdge(c.d.edges[try%len(c.d.edges)].callers, route); s == nil {
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -115,7 +115,7 @@
 		}
 	}
 	c := newCallers(d)
-	c.start(8, "bookings", "WRITE", 20*time.Millisecond)
+	c.start(16, "bookings", "WRITE", 20*time.Millisecond)
 	time.Sleep(3 * time.Second)
 	p := d.group.server("i-p")
 	if trouble {
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,6 +44,7 @@
 	cloud *cloud
 	group *group
 	edges []*edge
+	taken []string // addresses given to instances
 }
 
 // options is what the cases set.
@@ -148,20 +150,26 @@
 // instance listens on them.
 var instanceHost = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, 1+os.Getpid()/62500%250)
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", instanceHost+":0")
-	if err != nil {
-		return "", err
+// freeAddress returns an address on which nothing listens. It doesn't return one twice.
+func (d *deployment) freeAddress() (string, error) {
+	for {
+		l, err := net.Listen("tcp", instanceHost+":0")
+		if err != nil {
+			return "", err
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !slices.Contains(d.taken, address) {
+			d.taken = append(d.taken, address)
+			return address, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
 }
 
 func (d *deployment) startEdge(i int, o options) error {
 	e := &edge{name: fmt.Sprintf("edge-%s-1", zoneOf[i][0]), zone: zoneOf[i][0], region: zoneOf[i][1]}
 	for _, a := range []*string{&e.callers, &e.ready, &e.peers} {
-		address, err := freeAddress()
+		address, err := d.freeAddress()
 		if err != nil {
 			return err
 		}
@@ -242,6 +250,7 @@
 				}
 			}
 			if time.Now().After(end) {
+				d.copyLogs()
 				return fmt.Errorf("%w: %s is not ready", errCannotRun, e.name)
 			}
 		}
@@ -264,7 +273,7 @@
 	d.cloud.close()
 }
 
-// copyLogs adds what the instances have logged about promotions to the record.
+// copyLogs adds what the instances have logged about promotions, and their warnings, to the record.
 func (d *deployment) copyLogs() {
 	for _, e := range d.edges {
 		data, err := os.ReadFile(e.log)
@@ -272,7 +281,7 @@
 			continue
 		}
 		for _, line := range strings.Split(string(data), "\n") {
-			if strings.Contains(line, "promot") || strings.Contains(line, "primary") || strings.Contains(line, "paused") {
+			if strings.Contains(line, "promot") || strings.Contains(line, "primary") || strings.Contains(line, "paused") || !strings.Contains(line, `"level":"info"`) && line != "" {
 				d.out.add("log of %s: %s", e.name, line)
 			}
 		}
