--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -362,6 +362,12 @@
 		server{id: "i-a", zone: "sask-regina", delay: 10 * time.Millisecond},
 		server{id: "i-b", zone: "sask-saskatoon", delay: 10 * time.Millisecond},
 		server{id: "i-c", zone: "alta-calgary", delay: 10 * time.Millisecond},
+		// One of eight servers fails requests, so that the share is less than the site's.
+		server{id: "i-d", zone: "sask-regina", delay: 10 * time.Millisecond},
+		server{id: "i-e", zone: "sask-saskatoon", delay: 10 * time.Millisecond},
+		server{id: "i-f", zone: "alta-calgary", delay: 10 * time.Millisecond},
+		server{id: "i-g", zone: "sask-regina", delay: 10 * time.Millisecond},
+		server{id: "i-h", zone: "sask-saskatoon", delay: 10 * time.Millisecond},
 	))
 	if d != nil {
 		defer d.close()
