--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -1,4 +1,4 @@
-// Command standin-3 plays the script cases of the third review: it starts the proxy as separate processes, with stand-ins for its
+// Command standin-3 plays the case odd-entry of the second review: it starts the proxy as separate processes, with stand-ins for its
 // clients, servers and platform on loopback addresses, and exits with 1 if a rule was broken, 0 if it held, and 2 if the case could not
 // run.
 package main
@@ -10,16 +10,12 @@
 
 // cases maps the names of the cases to what plays them. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
-	"key-moved":      playKeyMoved,
-	"values":         playValues,
-	"odd-entry":      playOddEntry,
-	"late-order":     playLateOrder,
-	"prepared-names": playPreparedNames,
+	"odd-entry": playOddEntry,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD-FILE")
+		fmt.Fprintln(os.Stderr, "usage: review-standin-3 CASE RECORD-FILE")
 		os.Exit(2)
 	}
 	os.Exit(run(os.Args[1], os.Args[2]))
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -21,9 +21,8 @@
 
 // Figures of the small deployment, as in the site file crowdline-pool.
 const (
-	heartbeat     = 1200 * time.Millisecond
-	configApplyMS = 4000
-	memoryMB      = 284
+	heartbeat = 1200 * time.Millisecond
+	memoryMB  = 284
 )
 
 var zones = []string{"sask-regina", "alta-calgary", "mani-winnipeg"}
@@ -34,9 +33,6 @@
 	folder   string
 	platform *platformtest.Platform
 	groups   map[string]*linedb.Group
-	// promotions is the address of the platform's promotions.
-	promotions string
-	unfenced   bool
 
 	mu       sync.Mutex
 	sequence uint64
@@ -49,8 +45,6 @@
 type entry struct {
 	service, id, address, zone string
 	born                       int64
-	silent                     bool // it writes nothing
-	draining                   bool
 }
 
 // edge is one instance of the proxy.
@@ -71,7 +65,6 @@
 		return nil, err
 	}
 	w.platform.HideEra()
-	w.promotions = w.platform.Address()
 	return w, nil
 }
 
@@ -97,18 +90,15 @@
 	return nil
 }
 
-// writeEntries writes the entries of all servers that are not silent.
+// writeEntries writes the entries of all servers.
 func (w *world) writeEntries() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range w.entries {
-		if e.silent {
-			continue
-		}
 		w.sequence++
 		spec, err := platform.EncodeServer(discovery.Server{
 			Database: e.service, Address: e.address, FailureDomain: e.zone, Slots: 3, Primary: w.groups[e.service].Leads(e.id),
-			Leaving: e.draining, Sequence: w.sequence, Started: e.born,
+			Sequence: w.sequence, Started: e.born,
 		})
 		if err == nil {
 			_ = w.platform.Put(platform.ServersKind, e.id, spec)
@@ -207,7 +197,7 @@
 store: %q
 promotion: %q
 regions: %s
-unfencedPromotions: %t
+unfencedPromotions: false
 firstStart: true
 bounds: {stopSeconds: 6, keyWithdrawalMillis: 5000, evacuationMillis: 0, trustKeysWhenCutOff: false}
 quota: {windowSeconds: 5, overage: 0.1, slackStatements: 20}
@@ -215,7 +205,7 @@
 capacity: {processorShare: 0.4, linkMbps: 1000}
 memoryMiB: %d
 logLevel: info
-`, e.name, regions[zone], zone, e.callers, e.ready, addresses[2], w.platform.Address(), w.promotions, regionsJSON, w.unfenced, memoryMB)
+`, e.name, regions[zone], zone, e.callers, e.ready, addresses[2], w.platform.Address(), w.platform.Address(), regionsJSON, memoryMB)
 	w.edges = append(w.edges, e)
 	return os.WriteFile(e.settings, []byte(text), 0o600)
 }
