Hand over a leaving primary that has no slot free

What callers saw: a leaving primary whose callers send more than it runs was not replaced within the drain time, and was lost when it ended.

Cause: STATUS and STEPDOWN occupy a slot. While statements wait at the server, a slot that becomes free goes to one of them, so that the control calls of the hand-over get BUSY for their whole second; the hand-over is given up and begins anew, with the same result, for as long as the callers are fast enough.

A passing run has one claim, accepted 0.3 s later.

Fix: once the primary has answered BUSY, the instance that hands over holds back new statements for it and tells the other instances to do the same, for half a second, renewed while the answer is BUSY. Waiting statements go to its successor; open transactions go on. Bounds and tests stay as they are. The stand-in can now answer control calls with BUSY until nothing arrives.

--- a/cmd/internal/platformlocal/copies_test.go
+++ b/cmd/internal/platformlocal/copies_test.go
@@ -87,6 +87,21 @@
 	})
 }
 
+// Guards against a planned hand-over that never happens because the leaving primary has no slot free for the order to step down as long
+// as statements arrive, at whatever rate.
+func TestLeavingPrimaryWithoutAFreeSlotHandsOver(t *testing.T) {
+	eachSynchronous(t, func(s *synchronous) {
+		const quiet, drainTime = 50 * time.Millisecond, 7 * time.Second
+		s.group.SetBusyUntilQuiet(s.first.ID, quiet)
+		old, err := s.Drain(s.database)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		await(s.t, drainTime, "handed over", func() bool { return s.group.Primary() != "" && s.group.Primary() != old })
+		s.checkPrimary(s.ahead)
+	})
+}
+
 // Guards against a failover that takes a replica for one without commits because this instance doesn't reach it.
 func TestUnreachableReplicaWithAllCommitsIsWaitedFor(t *testing.T) {
 	eachSynchronous(t, func(s *synchronous) {
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -27,6 +27,9 @@
 	// shows a promotion. It covers the wait for instances that can't be told, the order and the time until the
 	// successor's entry shows its promotion.
 	retirementPeriod = 6 * time.Second
+	// holdPeriod is how long a primary gets nothing new that has no room for the order to step down. It is renewed while that is so,
+	// and short, since nothing else ends it if the instance that orders is lost.
+	holdPeriod = 500 * time.Millisecond
 	// initialLagPeriod is how long a replica that lacked a position is skipped for positions above its own. It doubles with
 	// each further refusal up to maxLagPeriod, until the replica is known to have reached the position that it lacked.
 	initialLagPeriod = 200 * time.Millisecond
@@ -65,6 +68,7 @@
 	deniedAt     time.Duration // when it denied being the leader; 0 if it did not
 	promotedIn   uint64        // revision of the entry that showed its promotion; 0 if another server was promoted since
 	retiredAt    time.Duration // when its replacement was ordered; 0 if it was not
+	heldUntil    time.Duration // until when it gets nothing new
 	ledAt        time.Duration // when it last proved to be the leader; 0 if never
 	position     position.Position
 	answeredAt   time.Duration // 0 if never
@@ -147,7 +151,7 @@
 		}
 	}
 	delete(g.superseded, s.ID)
-	s.deniedAt, s.retiredAt = 0, 0
+	s.deniedAt, s.retiredAt, s.heldUntil = 0, 0, 0
 }
 
 // Expire removes servers whose entries have been missing for missingGracePeriod. It reports whether any was
@@ -280,6 +284,20 @@
 	}
 }
 
+// Hold keeps new statements from a primary that is to step down and has no room for the order, for holdPeriod. Open transactions go on.
+// Load: a leaving primary that gets more statements than it runs, so that a control call never finds a free slot.
+func (g *Group) Hold(now time.Duration, id string) {
+	if s := g.servers[id]; s != nil {
+		s.heldUntil = now + holdPeriod
+	}
+}
+
+// Held reports whether a server gets nothing new now.
+func (g *Group) Held(now time.Duration, id string) bool {
+	s := g.servers[id]
+	return s != nil && s.heldUntil > now
+}
+
 func (s *server) isRetired(now time.Duration) bool {
 	return s.retiredAt != 0 && now-s.retiredAt < retirementPeriod
 }
@@ -346,7 +364,7 @@
 	var best *server
 	promotedIn := g.lastPromotion()
 	for _, s := range g.servers {
-		unusable := s.Evacuated || s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now) || s.isRetired(now) ||
+		unusable := s.Evacuated || s.Leaving && s.ledAt == 0 || s.backoffUntil > now || s.recentlyDenied(now) || s.isRetired(now) || s.heldUntil > now ||
 			s.Primary && s.promotedIn < promotedIn || !g.claim.Allows(s.ID)
 		excluded := slices.Contains(exclude, s.ID)
 		if unusable || excluded && s.ledAt == 0 {
@@ -431,7 +449,7 @@
 	var bestCost time.Duration
 	suitable := 0
 	for _, s := range g.servers {
-		if s.Evacuated || s.Leaving || s.missingSince != 0 || s.backoffUntil > now || slices.Contains(exclude, s.ID) || s.isBehind(now, floor) {
+		if s.Evacuated || s.Leaving || s.missingSince != 0 || s.backoffUntil > now || s.heldUntil > now || slices.Contains(exclude, s.ID) || s.isBehind(now, floor) {
 			continue
 		}
 		suitable++
--- a/proxy/gateway/control.go
+++ b/proxy/gateway/control.go
@@ -183,6 +183,11 @@
 	g.view(database).retire(server)
 }
 
+// Hold keeps new statements from a primary for a short time; see placement.Group.Hold.
+func (g *Gateway) Hold(database, server string) {
+	g.view(database).hold(server)
+}
+
 // markAlive records that a server answered.
 func (g *Gateway) markAlive(s discovery.Server) {
 	g.view(s.Database).withLock(func(now time.Duration, group *placement.Group) {
--- a/proxy/gateway/view.go
+++ b/proxy/gateway/view.go
@@ -122,6 +122,15 @@
 	v.withLock(func(now time.Duration, g *placement.Group) { g.Retire(now, id) })
 }
 
+func (v *view) hold(id string) {
+	v.withLock(func(now time.Duration, g *placement.Group) { g.Hold(now, id) })
+}
+
+func (v *view) held(id string) (held bool) {
+	v.withLock(func(now time.Duration, g *placement.Group) { held = g.Held(now, id) })
+	return held
+}
+
 // lead returns the lead for which a server may be used as the leader, or why it must not be.
 func (v *view) lead(id string) (lead leaderlease.Lead, why placement.Objection) {
 	v.withLock(func(now time.Duration, g *placement.Group) { lead, why = g.Lead(now, id) })
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -101,6 +101,9 @@
 // errLeaderUnknown reports that the replacement of a leader may have been missed while a statement waited.
 var errLeaderUnknown = errors.New("this instance can't know any more whether the primary is being replaced")
 
+// errServerHeld reports that a primary gets nothing new, so that it has room for the order to step down.
+var errServerHeld = errors.New("the primary is being handed over and gets nothing new meanwhile")
+
 // notSentError proves that nothing of the work was sent to a server.
 type notSentError struct {
 	noFreeConnection bool // no connection became free in time; the server may be healthy
@@ -302,6 +305,9 @@
 	}
 	switch g.sendObjection(d) {
 	case "":
+		if g.view(d.server.Database).held(d.server.ID) {
+			return nil, &notSentError{noFreeConnection: true, cause: errServerHeld}
+		}
 		return nil, nil
 	case placement.LeaseExpired:
 		return nil, &notSentError{noFreeConnection: true, cause: errLeaderUnknown} // the server may be healthy
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -280,6 +280,9 @@
 			Lead: leaderlease.Lead(c.GetLead()), HandOverLead: leaderlease.Lead(c.GetHandOverLead()),
 			Former: c.GetFormer(), FormerKnown: c.GetFormerKnown(),
 		}
+		if told.HandOver != "" && told.Version >= p.node.knownClaim(in.GetDatabase()).Version {
+			p.node.gateway.Hold(in.GetDatabase(), told.HandOver)
+		}
 		return &peerpb.JudgeReply{ClaimVersion: p.node.adoptClaim(in.GetDatabase(), told, sourcePeer)}, nil
 	}
 	if in.GetTerm() != 0 {
@@ -356,7 +359,7 @@
 	if !handOver {
 		return p.promote(ctx, successor, own, formerLead{server: old.ID})
 	}
-	err = p.handOver(ctx, old, successor)
+	err = p.handOver(ctx, own, old, successor)
 	switch {
 	case errors.Is(err, errCommitsUnknown), errors.Is(err, errCommitsMissing):
 		return p.promoteAgain(ctx, own, old, successor)
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -9,18 +9,22 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
+// holdRenewal is how often the instances are told to hold back statements for a primary, less than the time for which they do.
+const holdRenewal = 200 * time.Millisecond
+
 // handOver makes a primary that answers step down, and waits until its successor has received all of its writes. A successor that has
 // not in time takes over all the same, except from an evacuated primary. Where commits are acknowledged by replicas, it has to have the
 // acknowledged ones, or the error is errCommitsUnknown or errCommitsMissing.
-func (p *promotionController) handOver(ctx context.Context, old discovery.Server, successor candidate) error {
+func (p *promotionController) handOver(ctx context.Context, own ownClaim, old discovery.Server, successor candidate) error {
 	waitCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	status, err := p.stepDown(waitCtx, old)
+	status, err := p.stepDownHeld(waitCtx, own, old)
 	if err != nil {
 		event(p.log, EventPromotionFailed).WithField("server", old.ID).WithError(err).
 			Warn("failed to make the leaving primary step down; its last commits may be lost")
@@ -37,14 +41,51 @@
 
 // stepDown makes a primary step down. It repeats the call while the server has no room for it.
 func (p *promotionController) stepDown(ctx context.Context, old discovery.Server) (placement.Status, error) {
+	return p.stepDownOnceFree(ctx, old, func() {})
+}
+
+// stepDownHeld is like stepDown for the primary of a hand-over. While the server has no room for the call, all instances hold back what
+// they have for it: more statements than it runs would leave no slot free at any time.
+func (p *promotionController) stepDownHeld(ctx context.Context, own ownClaim, old discovery.Server) (placement.Status, error) {
+	var heldAt time.Duration
+	return p.stepDownOnceFree(ctx, old, func() {
+		if now := boottime.Now(); heldAt == 0 || now-heldAt >= holdRenewal {
+			heldAt = now
+			p.hold(ctx, own, old)
+		}
+	})
+}
+
+// stepDownOnceFree makes a primary step down. It repeats the call while the server has no room for it, and calls busy each time.
+func (p *promotionController) stepDownOnceFree(ctx context.Context, old discovery.Server, busy func()) (placement.Status, error) {
 	for {
 		status, err := p.node.gateway.Probe(ctx, old)
 		if err == nil {
 			status, err = p.stepDownBelow(ctx, old, status.Term+1)
 		}
-		if !errors.Is(err, gateway.ErrBusy) || !wait.For(ctx, stepDownRetryInterval) {
+		if !errors.Is(err, gateway.ErrBusy) {
 			return status, err
 		}
+		busy()
+		if !wait.For(ctx, stepDownRetryInterval) {
+			return status, err
+		}
+	}
+}
+
+// hold makes all instances hold back statements for the primary of a hand-over.
+func (p *promotionController) hold(ctx context.Context, own ownClaim, old discovery.Server) {
+	p.node.gateway.Hold(old.Database, old.ID)
+	request := &peerpb.JudgeRequest{Database: old.Database, Claim: claimToWire(own.Claim)}
+	for _, address := range p.node.peers.Usable() {
+		if address == p.node.settings.Listen.Peers {
+			continue
+		}
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			_, _ = p.surveyor.Client.PeerClient(callCtx, address).Judge(callCtx, request) // told again while the server is busy
+		}()
 	}
 }
 
--- a/proxy/node/homes.go
+++ b/proxy/node/homes.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	caughtUp, err := p.stepDownFor(ctx, old, successor.server)
+	caughtUp, err := p.stepDownFor(ctx, own, old, successor.server)
 	if err != nil {
 		return err
 	}
@@ -122,10 +122,10 @@
 }
 
 // stepDownFor makes a primary step down and reports whether its successor has received all of its writes.
-func (p *promotionController) stepDownFor(ctx context.Context, old, successor discovery.Server) (caughtUp bool, err error) {
+func (p *promotionController) stepDownFor(ctx context.Context, own ownClaim, old, successor discovery.Server) (caughtUp bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	status, err := p.stepDown(ctx, old)
+	status, err := p.stepDownHeld(ctx, own, old)
 	if err != nil {
 		return false, err
 	}
--- a/proxy/node/withdraw.go
+++ b/proxy/node/withdraw.go
@@ -227,13 +227,7 @@
 // tell tells an instance of the claim, until it has acknowledged it or ctx ends.
 func (w *withdrawal) tell(ctx context.Context, address string) {
 	c := w.claim.Claim
-	request := &peerpb.JudgeRequest{
-		Database: w.claim.database,
-		Claim: &peerpb.Claim{
-			Version: c.Version, Server: c.Server, HandOver: c.HandOver, Lead: uint64(c.Lead), HandOverLead: uint64(c.HandOverLead),
-			Former: c.Former, FormerKnown: c.FormerKnown,
-		},
-	}
+	request := &peerpb.JudgeRequest{Database: w.claim.database, Claim: claimToWire(c)}
 	for ctx.Err() == nil {
 		if reply, err := w.call(ctx, address, request); err == nil && reply.GetClaimVersion() >= c.Version {
 			w.update(func(m *leaderlease.Withdrawal) { m.Acknowledge(address) })
@@ -259,6 +253,13 @@
 	}
 }
 
+func claimToWire(c leaderlease.Claim) *peerpb.Claim {
+	return &peerpb.Claim{
+		Version: c.Version, Server: c.Server, HandOver: c.HandOver, Lead: uint64(c.Lead), HandOverLead: uint64(c.HandOverLead),
+		Former: c.Former, FormerKnown: c.FormerKnown,
+	}
+}
+
 func (w *withdrawal) call(ctx context.Context, address string, request *peerpb.JudgeRequest) (*peerpb.JudgeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -89,6 +89,8 @@
 	replacedIn      uint64        // term that began when it was replaced
 	replaced        bool          // it was the primary, and goes on as one although another server was promoted
 	onStepDown      func()        // nil: none
+	busyUntilQuiet  time.Duration // controls get BUSY until nothing has arrived for so long; 0: never
+	arrivedAt       time.Time     // when the last read, write or commit arrived
 	busyControls    int           // number of STATUS and STEPDOWN still to be answered with BUSY
 	serviceTime     time.Duration // of each read, write and commit
 	slots           chan struct{} // nil means no limit
@@ -205,6 +207,14 @@
 	g.servers[id].busyControls = n
 }
 
+// SetBusyUntilQuiet makes a server answer STATUS, STEPDOWN, PAUSE and RESUME with BUSY until no read, write or commit has arrived for a
+// time, as one does whose slots are never free while statements wait for them.
+func (g *Group) SetBusyUntilQuiet(id string, quiet time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].busyUntilQuiet = quiet
+}
+
 // Promote makes a server the primary of the next term, with what it had received and nothing more.
 func (g *Group) Promote(id string) {
 	g.mu.Lock()
@@ -398,6 +408,7 @@
 	g := s.server.group
 	g.mu.Lock()
 	g.arrivals = append(g.arrivals, Arrival{Server: s.server.ID, ID: id, At: time.Now()})
+	s.server.arrivedAt = time.Now()
 	slots, serviceTime := s.server.slots, s.server.serviceTime
 	g.mu.Unlock()
 	if slots == nil {
@@ -578,6 +589,9 @@
 		s.server.busyControls--
 		return s.errorResponse("BUSY")
 	}
+	if time.Since(s.server.arrivedAt) < s.server.busyUntilQuiet {
+		return s.errorResponse("BUSY")
+	}
 	select {
 	case s.server.slots <- struct{}{}:
 		defer func() { <-s.server.slots }()
