Keep commits of a database whose promotion is carried out late

Cause: no part of the code held the state "an order to promote S may still be carried out". The replicas that were listed at the order were paused, for a time by a clock. Evidence: the lost commits were received by a resumed replica (RESUME 11.5 s after the order) and by a server that was not in the list.

Change: where replicas acknowledge commits, instances use primaries under the leases that platforms without fences have already, so that nothing is acknowledged at another server than that of the newest claim. An order without an answer is carried through: its server is ordered again. A claim of another server is unconfirmed, and its server not used, until its own order was accepted, which makes the fences of all earlier ones void, and earlier promotions had the time to take effect. Pauses stay as a second guard and end with the order, not by a clock. The argument is in decision/leaderlease. An instance is ready once it has held leases.

Deployments without sync_replicas are unchanged.

--- a/cmd/internal/platformlocal/copies_test.go
+++ b/cmd/internal/platformlocal/copies_test.go
@@ -27,30 +27,32 @@
 // eachSynchronous runs a test on a platform that fences promotions and on one that doesn't, beside a load of writes.
 func eachSynchronous(t *testing.T, test func(s *synchronous)) {
 	for name, unfenced := range map[string]bool{"fenced": false, "unfenced": true} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			d := startWith(t, Config{
-				Dir: t.TempDir(), Instances: 2,
-				Databases: Databases{Count: 1, Slots: 4, ServiceTime: time.Millisecond, MaxConnections: 40, Unfenced: unfenced, Copies: 1},
-				Accounts:  []Account{{Name: "a", Key: "k", Rate: 1e5, Burst: 1e5}},
-			})
-			database := d.DatabaseNames()[0]
-			servers := d.Servers(database)
-			s := &synchronous{
-				Deployment: d, t: t, database: database, group: d.Group(database), first: servers[0], ahead: servers[1], behind: servers[2],
-			}
-			stop := make(chan struct{})
-			wait := writeUntil(t, d, database+StrictRouteSuffix, stop)
-			defer wait()
-			defer close(stop)
-			awaitWrites(t, d, "")
-			s.group.SetDeaf(s.behind.ID, true)
-			time.Sleep(300 * time.Millisecond) // commits that only one replica receives
-			test(s)
-			if lost := s.group.LostCommits(); lost > 0 {
-				t.Errorf("%d acknowledged commits are not in the log of a promoted server", lost)
-			}
-		})
+		t.Run(name, func(t *testing.T) { runSynchronous(t, unfenced, test) })
+	}
+}
+
+func runSynchronous(t *testing.T, unfenced bool, test func(s *synchronous)) {
+	t.Parallel()
+	d := startWith(t, Config{
+		Dir: t.TempDir(), Instances: 2,
+		Databases: Databases{Count: 1, Slots: 4, ServiceTime: time.Millisecond, MaxConnections: 40, Unfenced: unfenced, Copies: 1},
+		Accounts:  []Account{{Name: "a", Key: "k", Rate: 1e5, Burst: 1e5}},
+	})
+	database := d.DatabaseNames()[0]
+	servers := d.Servers(database)
+	s := &synchronous{
+		Deployment: d, t: t, database: database, group: d.Group(database), first: servers[0], ahead: servers[1], behind: servers[2],
+	}
+	stop := make(chan struct{})
+	wait := writeUntil(t, d, database+StrictRouteSuffix, stop)
+	defer wait()
+	defer close(stop)
+	awaitWrites(t, d, "")
+	s.group.SetDeaf(s.behind.ID, true)
+	time.Sleep(300 * time.Millisecond) // commits that only one replica receives
+	test(s)
+	if lost := s.group.LostCommits(); lost > 0 {
+		t.Errorf("%d acknowledged commits are not in the log of a promoted server", lost)
 	}
 }
 
@@ -159,6 +161,31 @@
 	}
 }
 
+// Guards against commits that are acknowledged while an order without an answer may still promote a server that lacks them: the primary is
+// back, and a paused replica has started again. Each order but the last one is carried out late, some after any wait for it.
+func TestLateOrderPromotesNoServerThatLacksCommits(t *testing.T) {
+	for _, lateBy := range []time.Duration{3 * time.Second, 14 * time.Second} {
+		t.Run(lateBy.String(), func(t *testing.T) {
+			runSynchronous(t, false, func(s *synchronous) {
+				var orders atomic.Int64
+				s.Platform.OnLateOrder(func(string) (time.Duration, bool) { return lateBy, orders.Add(1) <= 2 })
+				old := s.CrashPrimary(s.database)
+				await(t, promotionLimit, "ordered", func() bool { return orders.Load() > 0 })
+				s.group.SetDeaf(s.ahead.ID, true)
+				if err := s.Recover(s.database); err != nil {
+					t.Fatal(err)
+				}
+				if err := s.RestartEmpty(s.database, s.behind); err != nil {
+					t.Fatal(err)
+				}
+				s.group.SetDeaf(s.behind.ID, false)
+				time.Sleep(lateBy)
+				awaitWrites(t, s.Deployment, old)
+			})
+		})
+	}
+}
+
 // Guards against a database without a primary for as long as a replica is gone for good.
 func TestGoneReplicaIsNotWaitedFor(t *testing.T) {
 	eachSynchronous(t, func(s *synchronous) {
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -36,6 +36,9 @@
 }
 
 func (f *faults) loop(ctx context.Context) {
+	if f.run.cfg.Copies > 0 && !f.run.cfg.Unfenced {
+		f.run.deployment.Platform.OnLateOrder(f.lateOrder())
+	}
 	if f.run.cfg.Evacuations {
 		f.async(func() { f.evacuate(ctx) })
 	}
@@ -121,6 +124,23 @@
 	f.afterDelay(ctx, d, func() { group.SetDeaf(s.ID, false) })
 }
 
+// lateOrder returns a function that leaves some orders without an answer until later.
+func (f *faults) lateOrder() func(server string) (time.Duration, bool) {
+	const minDelay, maxDelay = 2 * time.Second, 14 * time.Second
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(f.run.cfg.Seed, 0))
+	return func(server string) (time.Duration, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		after := minDelay + randomDuration(random, maxDelay-minDelay)
+		late := random.IntN(3) == 0
+		if late {
+			f.run.logf("the order to promote %s gets no answer and is carried out after %s", server, after.Round(time.Millisecond))
+		}
+		return after, late
+	}
+}
+
 // restoreStore keeps a copy of the store, loses what is written during a time, and lets the writers write again. While one
 // restore is under way, it does nothing.
 func (f *faults) restoreStore(ctx context.Context, d time.Duration) {
--- a/decision/failover/order.go
+++ b/decision/failover/order.go
@@ -28,6 +28,10 @@
 	return claimAge <= OrderTerm && storeversion.Era(fence) == era
 }
 
+// EffectTerm is how long after it was accepted a promotion takes effect at most; the platform says some hundred milliseconds. It is below
+// ClaimTerm, so that nobody claims before the accepted order of the last claim is in effect.
+const EffectTerm = 1500 * time.Millisecond
+
 // LateOrderPeriod is how long after it was sent a promotion that got no answer may still be carried out.
 const LateOrderPeriod = 10 * time.Second
 
--- a/decision/leaderlease/claim.go
+++ b/decision/leaderlease/claim.go
@@ -16,6 +16,11 @@
 	HandOver string
 	// Lead and HandOverLead identify since when Server and HandOver may be used.
 	Lead, HandOverLead Lead
+	// Unconfirmed: an order of an earlier claim may still be carried out and promote another server. Server may not be used until the
+	// platform has accepted its order, since its commits would be lost then.
+	Unconfirmed bool
+	// Answered: the platform has accepted the order of the claim and checks fences, so that it carries out no earlier order any more.
+	Answered bool
 }
 
 // Lead identifies a time for which claims allow a server without a break: it is the version of the last claim before. A server that is
@@ -34,7 +39,7 @@
 	case c.Version == 0:
 		return 0, true
 	case server == c.Server:
-		return c.Lead, true
+		return c.Lead, !c.Unconfirmed
 	case c.HandOver != "" && server == c.HandOver:
 		return c.HandOverLead, true
 	}
@@ -44,8 +49,8 @@
 // Next returns the claim, without a version, by which successor replaces primary, which is empty if none is known. With handOver
 // primary may be used until it has stepped down, unless c does not allow it.
 func (c Claim) Next(primary, successor string, handOver bool) Claim {
-	if successor == c.Server && c.isWithdrawn() {
-		return Claim{Server: successor, FormerKnown: true, Lead: c.Lead} // its order is repeated
+	if successor == c.Server && c.IsWithdrawn() {
+		return c.Withdrawn() // its order is repeated
 	}
 	next := Claim{Server: successor, FormerKnown: c.formerKnown(primary), Lead: Lead(c.Version)}
 	if successor == c.Server {
@@ -62,6 +67,25 @@
 	return next
 }
 
+// NextFenced is Next on a platform that checks fences. As long as no order of c or of an earlier claim is known to be the last one that is
+// carried out, a server that has stepped down may lead again, so that a hand-over doesn't leave it in use.
+func (c Claim) NextFenced(primary, successor string, handOver bool) Claim {
+	next := c.Next(primary, successor, handOver && !c.hasOutstanding())
+	next.Unconfirmed = c.MayPromoteOther(successor)
+	if len(next.Former) > 0 {
+		next.FormerKnown = next.FormerKnown && !c.hasOutstanding()
+	}
+	return next
+}
+
+// hasOutstanding reports whether the order of c, or of an earlier claim, may still be carried out.
+func (c Claim) hasOutstanding() bool {
+	if c.Ordered() == "" {
+		return c.Unconfirmed || c.Version != 0 && !c.FormerKnown
+	}
+	return !c.Answered
+}
+
 // formerKnown reports whether no other servers may be used than those that the claim names, and primary, and none of them is being
 // promoted. Without a claim no server was promoted yet. The promotion of a claim without former servers may be under way until its
 // server leads: it would lead although it has stepped down before.
@@ -78,11 +102,23 @@
 // Withdrawn returns the claim, without a version, that follows c once no instance uses one of its former servers any more. The
 // promotion is ordered by it.
 func (c Claim) Withdrawn() Claim {
-	return Claim{Server: c.Server, FormerKnown: true, Lead: c.Lead}
+	return Claim{Server: c.Server, FormerKnown: true, Lead: c.Lead, Unconfirmed: c.Unconfirmed}
+}
+
+// Confirmed returns the claim, without a version, that follows c once a platform that checks fences has accepted its order.
+func (c Claim) Confirmed() Claim {
+	return Claim{Server: c.Server, FormerKnown: true, Lead: c.Lead, Answered: true}
+}
+
+// MayPromoteOther reports whether the order of c, or of an earlier claim, may still be carried out and promote another server than the
+// given one. It holds for a platform that checks fences.
+func (c Claim) MayPromoteOther(server string) bool {
+	ordered := c.Ordered()
+	return c.Unconfirmed || !c.Answered && ordered != "" && ordered != server
 }
 
-// isWithdrawn reports whether no instance uses another server than that of the claim.
-func (c Claim) isWithdrawn() bool {
+// IsWithdrawn reports whether no instance uses another server than that of the claim.
+func (c Claim) IsWithdrawn() bool {
 	return c.Version != 0 && c.FormerKnown && len(c.Former) == 0 && c.HandOver == ""
 }
 
--- a/decision/leaderlease/doc.go
+++ b/decision/leaderlease/doc.go
@@ -1,5 +1,6 @@
-// Package leaderlease decides which server an instance may use as the leader of a database where a promotion doesn't end the
-// lead of the former primary: there it commits until it is told to step down.
+// Package leaderlease decides which server an instance may use as the leader of a database where a promotion alone doesn't protect what
+// the former primary answers: it commits until it is told to step down, or its commits are acknowledged by replicas (copies) and have to be
+// in the log of each server that leads later.
 //
 // A claim in the store names the server that is to lead a database. It is written before its promotion is ordered.
 //
@@ -35,7 +36,27 @@
 // The claim is written again without its former servers before the promotion is ordered. A claim that nobody carries out keeps them
 // and leaves them unused; the next claim takes them over, so that their leases are withdrawn before another server is promoted. After
 // an order without an answer the same server is claimed again as long as it answers. An order that the platform carries out after a
-// later one of another server is not covered: leases can't prevent this.
+// later one of another server is covered only where the platform checks fences.
+//
+// Late orders on a platform that checks fences. An order without an answer may be carried out at any later moment. Invariant: every
+// acknowledged commit is in the log of every server that leads later.
+//
+//   - A successor is checked after the withdrawal, see package succession: it has all that was acknowledged before, and of the other servers
+//     nothing is acknowledged from then on. So its order does no harm, however late, until another server is claimed.
+//   - As long as an order has no answer, its server is claimed and ordered again if it has all acknowledged commits. It is the only one
+//     that may be used, so the former primary isn't, although it may be back, and replicas may have started or ended their pause.
+//   - A claim of another server is unconfirmed while an earlier order may be carried out: its server isn't used either. The platform has
+//     seen the fence of that claim once it has accepted its order, and refuses all earlier ones. An order that was accepted before takes effect
+//     within failover.EffectTerm, after which the claim is confirmed. A refusal proves nothing: the platform may not have recorded the fence.
+//   - The order of an unconfirmed claim names a server that doesn't lead, as a promotion of the present primary changes nothing and an
+//     accepted one of another server may be about to take effect.
+//   - A server that has stepped down may lead again by an order without an answer. Its stepping down then is no basis, and a hand-over
+//     doesn't leave it in use.
+//   - Who claims reads the state from the last claim: whether its order was accepted (Answered). A claim of a build without these rules,
+//     or of a store that came back from a copy, counts as not answered.
+//
+// The platform's longest delay is not used. EffectTerm is assumed: the pages say "some hundred milliseconds". Where fences aren't checked no
+// answer makes an earlier order void, and package failover waits for a time that it assumes.
 //
 // A planned hand-over allows the former primary beside its successor, until it has confirmed that it has stepped down; only then
 // the promotion is ordered.
--- a/decision/placement/group.go
+++ b/decision/placement/group.go
@@ -327,8 +327,8 @@
 	g.claim = c
 }
 
-// Lead returns the lead for which a server may be used as the leader, or why it must not be. Where promotions are fenced, a former
-// primary can't act as the leader, so that nothing is to be known of it.
+// Lead returns the lead for which a server may be used as the leader, or why it must not be. Without leases there
+// is no claim, and all are allowed.
 func (g *Group) Lead(now time.Duration, id string) (leaderlease.Lead, Objection) {
 	lead, allowed := g.claim.LeadOf(id)
 	s := g.servers[id]
--- a/decision/succession/doc.go
+++ b/decision/succession/doc.go
@@ -23,13 +23,14 @@
 // When the lead ends is the caller's to know. An answer from before still helps to choose, and must be followed by a check of the chosen
 // server with answers from after it.
 //
-// A promotion that is ordered while the former primary may still lead, as nobody reaches it and the platform ends its lead, needs
-// one thing more: every replica but the successor is paused first, except fewer than copies. What is acknowledged from then on has been
-// received by copies replicas that are not paused, so by the successor; what was acknowledged before is in the log of a paused replica
-// or of the successor, which has to be the longest. A replica stays paused until the promotion, or is resumed if there is none.
-//
-// An order that got no answer may be carried out later. Where the platform doesn't check fences, no other server is promoted until that
-// can't happen any more: it would end a lead in which commits were acknowledged that the server of the late order lacks.
+// The lead ends for callers when no instance acknowledges answers of the former primary any more, see package leaderlease, which also
+// covers orders that are carried out late. A former primary that nobody reaches may answer all the same, to clients that are no instances or
+// to builds without leases. Therefore every replica but the successor is paused before the order as well, except fewer than copies: what is
+// answered from then on has been received by copies replicas that are not paused, so by the successor. This is no guard by itself, as a
+// replica that starts is not paused. A replica stays paused until the promotion, or is resumed once its order can't be carried out.
+//
+// Where the platform doesn't check fences, no other server is promoted while an order without an answer may be carried out: it would end a
+// lead in which commits were acknowledged that the server of the late order lacks.
 //
 // Without copies a failover can lose acknowledged commits. The server that has received the most then is the best one of those that have
 // answered; there is nothing to wait for.
--- a/decision/succession/selection.go
+++ b/decision/succession/selection.go
@@ -19,6 +19,8 @@
 	BasisNoCopies Basis = "no_copies"
 	// BasisReplicas: so many replicas have answered that each acknowledged commit is in one of their logs.
 	BasisReplicas Basis = "replicas"
+	// BasisOrdered: the server had them when its promotion was first to be ordered, and nothing is acknowledged at another one since.
+	BasisOrdered Basis = "ordered"
 	// BasisFormer: the server has received what the former primary had when it stepped down.
 	BasisFormer Basis = "former_primary"
 )
--- a/objectstore/eras.go
+++ b/objectstore/eras.go
@@ -57,6 +57,13 @@
 	return e.tracker.Era()
 }
 
+// Restored reports whether the store has come back from a copy since the process started, as far as it knows.
+func (e *Eras) Restored() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tracker.Restores() > 0
+}
+
 func (e *Eras) latest() (era uint64, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
 	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
+	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
 )
 
 // maxClaimWrites bounds how often a write of a claim is tried whose answer is lost.
@@ -32,6 +34,13 @@
 	Serial uint64 `json:"serial"`
 	// Repeated: the order of an earlier claim for the same server got no answer as far as is known.
 	Repeated bool `json:"repeated,omitempty"`
+	// Unconfirmed and Answered are those of leaderlease.Claim.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	Answered    bool `json:"answered,omitempty"`
+	// Withdraws: the promotion is ordered only once the claim names no former server any more.
+	Withdraws bool `json:"withdraws,omitempty"`
+	// Era is the era of the store that the claimant knew.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // decodeClaim decodes a stored claim. One of an unknown format names no server.
@@ -43,14 +52,18 @@
 	return c
 }
 
-func (c claim) leaderClaim(version uint64) leaderlease.Claim {
+// leaderClaim returns a stored claim of a version. Without leases a promotion is ordered although its claim names former servers.
+func (n *Node) leaderClaim(c claim, version uint64) leaderlease.Claim {
+	if !c.Withdraws && !n.settings.UnfencedPromotions {
+		c.Former, c.FormerKnown, c.HandOver = nil, false, ""
+	}
 	lead := leaderlease.Lead(c.Lead)
 	if c.Order == 0 {
 		lead = leaderlease.Lead(version) // of a build that claims once for each order
 	}
 	return leaderlease.Claim{
 		Version: version, Server: c.Server, Former: c.Former, FormerKnown: c.FormerKnown, HandOver: c.HandOver,
-		Lead: lead, HandOverLead: leaderlease.Lead(c.HandOverLead),
+		Lead: lead, HandOverLead: leaderlease.Lead(c.HandOverLead), Unconfirmed: c.Unconfirmed, Answered: c.Answered,
 	}
 }
 
@@ -89,19 +102,58 @@
 		return ownClaim{}, errRestoredNow
 	}
 	if object.Version != 0 {
-		p.node.adoptClaim(database, current.leaderClaim(object.Version), sourceStore)
+		p.node.adoptClaim(database, p.node.leaderClaim(current, object.Version), sourceStore)
 	}
-	if (current.Server != old || p.node.settings.UnfencedPromotions) && p.claimedElsewhere(database, object.Version) {
+	if (current.Server != old || p.node.usesLeases()) && p.claimedElsewhere(database, object.Version) {
 		return ownClaim{}, errClaimed
 	}
 	if p.mayBeCarriedOutLate(database, current, object.Version, old, server) {
 		return ownClaim{}, errOrderOutstanding
 	}
-	next := current.leaderClaim(object.Version).Next(old, server, handOver)
-	repeated := current.Server == server && (current.Repeated || current.Server != old)
+	current.Answered = current.Answered || p.isSettled(database, object.Version)
+	present := p.node.leaderClaim(current, object.Version)
+	next := p.node.nextClaim(present, old, server, handOver)
+	// A store that came back from a copy since the claim was written may have lost a later one.
+	mayBeLost := server != old && current.Era != p.node.eras.Era() && (current.Era != 0 || p.node.eras.Restored())
+	next.Unconfirmed = next.Unconfirmed || mayBeLost && p.node.fencesLeases()
+	repeated := current.Server == server && !current.Answered && (current.Repeated || current.Server != old)
 	return p.writeClaim(ctx, ownClaim{Claim: next, database: database, order: randomNumber(), repeated: repeated}, object.Version)
 }
 
+// nextClaim returns the claim, without a version, by which a server replaces primary.
+func (n *Node) nextClaim(present leaderlease.Claim, primary, server string, handOver bool) leaderlease.Claim {
+	if n.fencesLeases() {
+		return present.NextFenced(primary, server, handOver)
+	}
+	return present.Next(primary, server, handOver)
+}
+
+// confirmOrder records in the claim of an accepted order that no earlier order can be carried out any more, and tells the other instances
+// if that is what they wait for.
+func (p *promotionController) confirmOrder(ctx context.Context, own ownClaim) {
+	if !p.node.fencesLeases() {
+		return
+	}
+	if own.Unconfirmed && !wait.For(ctx, failover.EffectTerm) { // earlier orders may have been accepted a moment ago
+		return
+	}
+	for {
+		confirmed, err := p.rewriteClaim(ctx, own, own.Confirmed())
+		switch {
+		case err == nil && own.Unconfirmed:
+			p.announce(ctx, confirmed)
+			return
+		case err == nil, errors.Is(err, errClaimed):
+			return
+		}
+		event(p.log, EventClaimNotConfirmed).WithError(err).WithFields(logrus.Fields{"database": own.database, "fence": own.Version}).
+			Warn("the claim of an accepted order isn't confirmed yet")
+		if !own.Unconfirmed || !wait.For(ctx, tellRetryInterval) {
+			return
+		}
+	}
+}
+
 // mayBeCarriedOutLate reports whether the order of a stored claim may still promote its server after the one of a next claim for another
 // server, so that commits which the latter acknowledges meanwhile are lost.
 func (p *promotionController) mayBeCarriedOutLate(database string, current claim, version uint64, old, server string) bool {
@@ -110,7 +162,7 @@
 	}
 	seen := p.recordClaim(database, version, false)
 	order := failover.Order{
-		Server: current.leaderClaim(version).Ordered(), ClaimAge: boottime.Now() - seen.seenAt, Answered: seen.settled, Repeated: current.Repeated,
+		Server: p.node.leaderClaim(current, version).Ordered(), ClaimAge: boottime.Now() - seen.seenAt, Answered: seen.settled, Repeated: current.Repeated,
 	}
 	if !order.MayFollow(old, server) {
 		return false
@@ -119,6 +171,14 @@
 	return err != nil || copies > 0
 }
 
+// isSettled reports whether the order of a claim is known to have been answered.
+func (p *promotionController) isSettled(database string, version uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seen := p.claims[database]
+	return version != 0 && seen.revision == version && seen.settled
+}
+
 // settleClaim records that the order of a claim has been answered, so that it is not carried out later.
 func (p *promotionController) settleClaim(database string, version uint64) {
 	p.mu.Lock()
@@ -148,6 +208,7 @@
 		Instance: p.node.settings.Instance, Server: own.Server, Former: own.Former, FormerKnown: own.FormerKnown, HandOver: own.HandOver,
 		Lead: uint64(own.Lead), HandOverLead: uint64(own.HandOverLead),
 		Order: own.order, Serial: randomNumber(), Repeated: own.repeated,
+		Unconfirmed: own.Unconfirmed, Answered: own.Answered, Withdraws: p.node.usesLeases(), Era: p.node.eras.Era(),
 	}
 	for try := 1; ; try++ {
 		own.sentAt = boottime.Now()
--- a/proxy/node/events.go
+++ b/proxy/node/events.go
@@ -90,6 +90,8 @@
 	EventMovedBack = "CYC-6047"
 	// EventReplicasPaused: replicas are paused for a promotion that was not carried out.
 	EventReplicasPaused = "CYC-6048"
+	// EventClaimNotConfirmed: the claim of an accepted order could not be marked as answered.
+	EventClaimNotConfirmed = "CYC-6049"
 	// EventReplyUndecodable: a reply of a relay can't be decompressed, or a difference does not lead to the announced object.
 	EventReplyUndecodable = "CYC-6050"
 )
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -11,7 +11,6 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
-	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/succession"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
@@ -275,11 +274,7 @@
 // Judge implements peer.JudgeHandler.
 func (p *promotionController) Judge(ctx context.Context, in *peerpb.JudgeRequest) (*peerpb.JudgeReply, error) {
 	if c := in.GetClaim(); c != nil {
-		told := leaderlease.Claim{
-			Version: c.GetVersion(), Server: c.GetServer(), HandOver: c.GetHandOver(),
-			Lead: leaderlease.Lead(c.GetLead()), HandOverLead: leaderlease.Lead(c.GetHandOverLead()),
-			Former: c.GetFormer(), FormerKnown: c.GetFormerKnown(),
-		}
+		told := claimFromWire(c)
 		if told.HandOver != "" && told.Version >= p.node.knownClaim(in.GetDatabase()).Version {
 			p.node.gateway.Hold(in.GetDatabase(), told.HandOver)
 		}
@@ -335,6 +330,9 @@
 }
 
 func (p *promotionController) promoteSuccessor(ctx context.Context, database string, old discovery.Server, handOver bool) error {
+	if c := p.node.knownClaim(database); c.Unconfirmed && c.Server == old.ID {
+		return p.repeatOrder(ctx, old)
+	}
 	successor, err := p.chooseSuccessor(ctx, database, old.ID, !handOver, isFit)
 	if err == nil && handOver {
 		err = p.checkFollows(ctx, successor, old)
@@ -357,7 +355,8 @@
 		"received": successor.status.Received.String(), "basis": string(successor.basis),
 	}).Info("promotion is claimed")
 	if !handOver {
-		return p.promote(ctx, successor, own, formerLead{server: old.ID})
+		isRepeated := successor.basis == succession.BasisOrdered && own.IsWithdrawn()
+		return p.promote(ctx, successor, own, formerLead{server: old.ID, covered: isRepeated})
 	}
 	err = p.handOver(ctx, own, old, successor)
 	switch {
@@ -366,14 +365,26 @@
 	case err != nil && (old.Evacuated || p.node.settings.UnfencedPromotions || successor.basis != succession.BasisNoCopies):
 		return err // the successor may lack commits, and an unfenced primary would go on
 	}
-	return p.promote(ctx, successor, own, formerLead{server: old.ID, steppedDown: old.ID, covered: err == nil})
+	return p.promote(ctx, successor, own, formerLead{server: old.ID, steppedDown: old.ID, covered: err == nil && own.FormerKnown})
+}
+
+// repeatOrder orders the promotion of a primary again that leads although its order was not accepted as far as is known.
+func (p *promotionController) repeatOrder(ctx context.Context, primary discovery.Server) error {
+	if err := p.endFormerLead(ctx, candidate{server: primary}); err != nil {
+		return err
+	}
+	own, err := p.claimPromotion(ctx, primary.Database, primary.ID, primary.ID, false)
+	if err != nil {
+		return err
+	}
+	return p.promote(ctx, candidate{server: primary}, own, formerLead{server: primary.ID, covered: true})
 }
 
 // promoteAgain promotes a primary that has stepped down for a successor which did not receive all of its writes.
 func (p *promotionController) promoteAgain(ctx context.Context, own ownClaim, old discovery.Server, successor candidate) error {
 	event(p.log, EventMovedBack).WithFields(logrus.Fields{"database": old.Database, "server": old.ID, "successor": successor.server.ID}).
 		Warn("the successor did not receive all writes in time; the former primary is promoted again")
-	own, err := p.rewriteClaim(ctx, own, own.Next(old.ID, old.ID, false))
+	own, err := p.rewriteClaim(ctx, own, p.node.nextClaim(own.Claim, old.ID, old.ID, false))
 	if err != nil {
 		return err
 	}
@@ -391,10 +402,10 @@
 }
 
 // promote makes the platform promote the server of a claim, once that server has all acknowledged commits and no other one can have
-// further ones acknowledged: where promotions aren't fenced, as no instance uses another server any more; elsewhere, as the other
-// replicas are paused.
+// further ones acknowledged. Where a former primary that nobody reaches leads until then, the other replicas are paused as well, so that
+// it has nothing to answer to clients that are no instances.
 func (p *promotionController) promote(ctx context.Context, successor candidate, own ownClaim, former formerLead) error {
-	if p.node.settings.UnfencedPromotions {
+	if p.node.usesLeases() {
 		var err error
 		if own, err = p.withdraw(ctx, own, successor, former); err != nil {
 			return err
@@ -431,5 +442,6 @@
 	event(p.log, EventPromoted).WithFields(logrus.Fields{
 		"database": s.Database, "server": s.ID, "fence": fence,
 	}).Info("promotion was accepted")
+	p.confirmOrder(ctx, own)
 	return nil
 }
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -76,15 +76,20 @@
 // hold makes all instances hold back statements for the primary of a hand-over.
 func (p *promotionController) hold(ctx context.Context, own ownClaim, old discovery.Server) {
 	p.node.gateway.Hold(old.Database, old.ID)
-	request := &peerpb.JudgeRequest{Database: old.Database, Claim: claimToWire(own.Claim)}
+	p.announce(ctx, own)
+}
+
+// announce tells all instances of a claim once, without waiting for them.
+func (p *promotionController) announce(ctx context.Context, own ownClaim) {
+	request := &peerpb.JudgeRequest{Database: own.database, Claim: claimToWire(own.Claim)}
 	for _, address := range p.node.peers.Usable() {
 		if address == p.node.settings.Listen.Peers {
 			continue
 		}
 		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, tellTimeout)
+			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
 			defer cancel()
-			_, _ = p.surveyor.Client.PeerClient(callCtx, address).Judge(callCtx, request) // told again while the server is busy
+			_, _ = p.surveyor.Client.PeerClient(callCtx, address).Judge(callCtx, request) // the store tells it, too
 		}()
 	}
 }
--- a/proxy/node/inquiry.go
+++ b/proxy/node/inquiry.go
@@ -45,6 +45,9 @@
 	probe      func(context.Context, discovery.Server) (placement.Status, error)
 	// anyServer: a server that may not lead is better than none, if only such ones have all acknowledged commits.
 	anyServer bool
+	// verified is the server whose promotion was to be ordered by the newest claim, after it was found to have all acknowledged commits and
+	// former servers were withdrawn; empty: none. It still has them unless it has started again.
+	verified string
 
 	mu        sync.Mutex
 	selection *succession.Selection
@@ -178,6 +181,9 @@
 // settled reports whether a successor can be chosen as well as it can be now: every server has answered or had the time to, and, where
 // commits are acknowledged by replicas, one is known to have all acknowledged ones. mu must be held.
 func (q *inquiry) settled() bool {
+	if q.isVerified() {
+		return true
+	}
 	for _, id := range q.selection.Unheard() {
 		if !q.asked[id] {
 			return false
@@ -186,6 +192,12 @@
 	return q.copies == 0 || q.best() != ""
 }
 
+// isVerified reports whether the verified server may still be promoted without the answers of the others. mu must be held.
+func (q *inquiry) isVerified() bool {
+	c, answered := q.answered[q.verified]
+	return answered && q.failures[q.verified] == nil && q.mayLead(c.server)
+}
+
 // best returns the best server that is known to have all acknowledged commits, empty if there is none. mu must be held.
 func (q *inquiry) best() string {
 	homes := q.controller.homesOf(q.database)
@@ -193,14 +205,20 @@
 	return id
 }
 
-// successor returns the server to promote. The one that an earlier order may still promote is preferred, so that no two are promoted.
+// successor returns the server to promote. The one that an earlier order may still promote is preferred, so that no two are promoted,
+// unless it lacks commits that may have been acknowledged.
 func (q *inquiry) successor(ordered string) (candidate, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.isVerified() {
+		c := q.answered[q.verified]
+		c.basis = succession.BasisOrdered
+		return c, nil
+	}
 	id := q.best()
 	_, answered := q.answered[ordered]
 	_, isBusy := q.busy[ordered]
-	if answered || isBusy {
+	if isBusy || answered && !q.selection.IsBehind(ordered) {
 		id = ordered
 	}
 	c, answered := q.answered[id]
--- a/proxy/node/leasepages_test.go
+++ b/proxy/node/leasepages_test.go
@@ -39,9 +39,10 @@
 	var leases leaderlease.Leases
 	leases.ConfirmListed(boottime.Now(), boottime.Now())
 	client := platform.NewStore(store.Listener.Addr().String(), (&net.Dialer{}).DialContext, objectstore.NewEras(boottime.Now, nil))
+	instance := newUnassembled(Settings{Instance: "edge-1", UnfencedPromotions: true}, discardLogger())
 	adopt := func(objects []platform.Object) {
 		for _, o := range objects {
-			leases.Adopt(o.Name, decodeClaim(o.Spec).leaderClaim(o.Revision))
+			leases.Adopt(o.Name, instance.leaderClaim(decodeClaim(o.Spec), o.Revision))
 		}
 	}
 	f := &follower{
--- a/proxy/node/leases.go
+++ b/proxy/node/leases.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
@@ -18,8 +19,11 @@
 	sourcePeer     = "peer"
 )
 
-// leaderLeases holds the leases of this instance on the leaders of all databases.
+// leaderLeases holds the leases of this instance on the leaders of all databases. They are in use where a former primary goes on after
+// its successor was promoted, and where commits are acknowledged by replicas.
 type leaderLeases struct {
+	inUse latch
+
 	mu     sync.Mutex
 	leases leaderlease.Leases
 	// adopted tells of the newest claim of each database when and how it was adopted.
@@ -31,18 +35,57 @@
 	own bool // this instance has written the claim
 }
 
+// latch is a condition that stays true once it is. set must be made before it is tripped.
+type latch struct {
+	once sync.Once
+	set  chan struct{}
+}
+
+func (l *latch) isSet() bool {
+	select {
+	case <-l.set:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *latch) trip() {
+	l.once.Do(func() { close(l.set) })
+}
+
+// usesLeases reports whether leases are in use. They stay in use until the process ends, so that no claim is missed meanwhile.
+func (n *Node) usesLeases() bool {
+	return n.settings.UnfencedPromotions || n.leases.inUse.isSet()
+}
+
+// fencesLeases reports whether leases are in use on a platform that checks fences, where an accepted order makes all earlier ones void.
+func (n *Node) fencesLeases() bool {
+	return n.usesLeases() && !n.settings.UnfencedPromotions
+}
+
+// beginLeases brings leases into use if a configuration has a database whose commits are acknowledged by replicas.
+func (n *Node) beginLeases(s *catalog.Snapshot) {
+	for _, d := range s.Databases() {
+		if d.Copies > 0 {
+			n.leases.inUse.trip()
+		}
+	}
+}
+
 // adoptClaim records a claim and stops the use of the servers that it doesn't allow. It returns the version of the newest claim.
 func (n *Node) adoptClaim(database string, c leaderlease.Claim, source string) (version uint64) {
-	if !n.settings.UnfencedPromotions {
+	if !n.usesLeases() {
 		return 0
 	}
 	before, adopted := n.applyClaim(database, c, source == sourceOwnClaim)
 	if !adopted {
 		return before.Version
 	}
-	if before.Server != c.Server || before.HandOver != c.HandOver {
+	if before.Server != c.Server || before.HandOver != c.HandOver || before.Unconfirmed != c.Unconfirmed {
 		event(n.log, EventClaimAdopted).WithFields(logrus.Fields{
 			"database": database, "server": c.Server, "hand_over": c.HandOver, "former": c.Former, "fence": c.Version, "source": source,
+			"unconfirmed": c.Unconfirmed,
 		}).Info("another server is to be the primary; no other one is used")
 	}
 	return c.Version
@@ -75,11 +118,6 @@
 	return n.leases.adopted[database], true
 }
 
-// orderedServer returns the server whose promotion may have been ordered by the newest claim.
-func (n *Node) orderedServer(database string) string {
-	return n.knownClaim(database).Ordered()
-}
-
 // confirmOwnEntry records whether this instance is in the list of instances, as last read and confirmed as of a time.
 func (n *Node) confirmOwnEntry(asOf time.Duration) {
 	own, listed := n.instances.own(n.settings.Instance, n.settings.Listen.Peers)
@@ -104,10 +142,10 @@
 	n.leases.leases.ConfirmListed(boottime.Now(), sentAt)
 }
 
-// mayUsePrimary reports whether statements may be sent to the primaries that the claims allow, and their answers acknowledged. Where
-// promotions are fenced, they always may.
+// mayUsePrimary reports whether statements may be sent to the primaries that the claims allow, and their answers acknowledged. Without
+// leases they always may.
 func (n *Node) mayUsePrimary() bool {
-	if !n.settings.UnfencedPromotions {
+	if !n.usesLeases() {
 		return true
 	}
 	n.leases.mu.Lock()
@@ -115,6 +153,14 @@
 	return n.leases.leases.Valid(boottime.Now())
 }
 
+// hasHeldLeases reports whether primaries could be used at any time since the start.
+func (n *Node) hasHeldLeases() bool {
+	if !n.leasesHeld.Load() && n.mayUsePrimary() {
+		n.leasesHeld.Store(true)
+	}
+	return n.leasesHeld.Load()
+}
+
 // claimFollower returns the follower of the claims of promotions.
 func (n *Node) claimFollower() *follower {
 	f := n.follower(claimsKind, claimsWatchWait, 0)
@@ -136,7 +182,7 @@
 		if o.Deleted {
 			continue
 		}
-		c := decodeClaim(o.Spec).leaderClaim(o.Revision)
+		c := n.leaderClaim(decodeClaim(o.Spec), o.Revision)
 		if known := n.knownClaim(o.Name); restored && known.Version != 0 {
 			c = known
 			c.Version = o.Revision
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -81,6 +81,7 @@
 
 	stopping      atomic.Bool
 	serversLoaded atomic.Bool
+	leasesHeld    atomic.Bool
 	serversKnown  serverFreshness
 }
 
@@ -103,6 +104,7 @@
 func newUnassembled(settings Settings, log logrus.FieldLogger) *Node {
 	n := &Node{settings: settings, log: log.WithField("instance", settings.Instance), metrics: telemetry.New()}
 	n.leases.adopted = map[string]adoption{}
+	n.leases.inUse.set = make(chan struct{})
 	n.storeMetrics = newStoreMetrics(n.metrics.Scope)
 	n.liveSettings.Store(&settings)
 	return n
@@ -148,6 +150,7 @@
 		known: make(chan struct{}), log: n.log, now: boottime.Now,
 		bounds: func() Bounds { return n.liveSettings.Load().Bounds },
 		onAdopt: func(s *catalog.Snapshot) {
+			n.beginLeases(s)
 			n.quota.SetAccounts(s.Accounts())
 			n.reportUnknownHomes(s)
 		},
@@ -248,6 +251,9 @@
 }
 
 func (n *Node) start(ctx context.Context, tasks *sync.WaitGroup) {
+	if n.settings.UnfencedPromotions {
+		n.leases.inUse.trip()
+	}
 	joined := make(chan struct{})
 	tasks.Go(func() {
 		f := n.instanceFollower(joined)
@@ -255,16 +261,21 @@
 		f.run(ctx)
 	})
 	tasks.Go(func() { n.confirmFirst(ctx) })
-	followers := []*follower{n.configFollower(), n.serverFollower(), n.quotaFollower()}
-	if n.settings.UnfencedPromotions {
-		followers = append(followers, n.claimFollower())
-	}
-	for _, f := range followers {
+	for _, f := range []*follower{n.configFollower(), n.serverFollower(), n.quotaFollower()} {
 		tasks.Go(func() {
 			wait.UntilClosed(ctx, joined, joinTimeout) // so that it can use a relay instead of the store
 			f.run(ctx)
 		})
 	}
+	tasks.Go(func() {
+		select {
+		case <-n.leases.inUse.set:
+		case <-ctx.Done():
+			return
+		}
+		wait.UntilClosed(ctx, joined, joinTimeout)
+		n.claimFollower().run(ctx)
+	})
 	n.startEvacuations(ctx, tasks, joined)
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.quota.Run(ctx) })
@@ -326,6 +337,8 @@
 		return errors.New("the evacuated failure domains are not known; see whether the store answers")
 	case !n.directory.Fresh():
 		return errors.New("the store does not answer, so keys can't be trusted")
+	case !n.hasHeldLeases():
+		return errors.New("the claims of promotions are not known; see whether the store answers")
 	}
 	return n.quota.Ready()
 }
--- a/proxy/node/pause.go
+++ b/proxy/node/pause.go
@@ -56,28 +56,23 @@
 	return status, err
 }
 
-// orderPaused orders a promotion while the replicas other than the successor are paused, and resumes them if it is not carried out.
+// orderPaused orders a promotion while the replicas other than the successor are paused, and resumes them if it can't be carried out. After
+// an order without an answer they stay paused: it is repeated until it has one.
 func (p *promotionController) orderPaused(ctx context.Context, successor candidate, own ownClaim, former string, copies int) error {
 	err := p.pauseOthers(ctx, successor, former, copies)
 	if err == nil {
 		err = p.order(ctx, successor, own)
 	}
-	if err != nil {
-		go p.resumeAfter(err, own)
+	if err != nil && !errors.Is(err, platform.ErrNoAnswer) && !own.repeated && !own.Unconfirmed {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+			defer cancel()
+			p.resume(ctx, own, p.node.gateway.Servers(own.database))
+		}()
 	}
 	return err
 }
 
-// resumeAfter resumes the replicas that were paused for a promotion. One that got no answer may still be carried out for a while.
-func (p *promotionController) resumeAfter(err error, own ownClaim) {
-	ctx, cancel := context.WithTimeout(context.Background(), failover.LateOrderPeriod+orderTimeout)
-	defer cancel()
-	if errors.Is(err, platform.ErrNoAnswer) && !wait.For(ctx, failover.LateOrderPeriod) {
-		return
-	}
-	p.resume(ctx, own, p.node.gateway.Servers(own.database))
-}
-
 // resume ends the pauses of servers while a claim is young enough for a promotion, so that no other instance has paused them for its
 // own since. It claims once more if that is needed, and leaves them to another instance that has.
 func (p *promotionController) resume(ctx context.Context, own ownClaim, servers []discovery.Server) {
@@ -111,22 +106,14 @@
 	return due && slices.Contains(peer.RendezvousTop(database, p.node.peers.Listed(), maxPauseCheckers), p.node.settings.Listen.Peers)
 }
 
-// orderAge returns how long ago this process first saw the newest claim of a database, and false without a claim.
-func (p *promotionController) orderAge(database string) (age time.Duration, claimed bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	seen := p.claims[database]
-	return boottime.Now() - seen.seenAt, seen.revision != 0
-}
-
 // resumeAbandoned resumes replicas that were paused by an instance which has ended. It is called for a primary that answers: some time
-// after each claim, and when it had left a statement unanswered, since commits may wait for those replicas. While an order may still be
-// carried out nothing is resumed, as its server would lack what the replicas receive.
+// after each claim, and when it had left a statement unanswered, since commits may wait for those replicas. Nothing is resumed for a primary
+// that the newest claim excludes: an order to replace it may still be carried out, and its server would lack what the replicas receive.
 func (p *promotionController) resumeAbandoned(ctx context.Context, primary discovery.Server) {
 	if copies, err := p.copiesOf(primary.Database); err != nil || copies == 0 || p.node.settings.UnfencedPromotions {
 		return
 	}
-	if age, claimed := p.orderAge(primary.Database); claimed && age <= failover.MaxOrderAge {
+	if _, excluded := p.node.exclusionOf(primary.Database, primary.ID); excluded {
 		return
 	}
 	var paused []discovery.Server
--- a/proxy/node/successor.go
+++ b/proxy/node/successor.go
@@ -84,7 +84,7 @@
 
 // chooseSuccessor returns the reachable and fit server that has received the most of the log, among equals one at home. Where commits
 // are acknowledged by replicas, it has all acknowledged ones, or the error is errCommitsUnknown or errCommitsMissing. With anyServer it
-// may be an unfit one, if only such ones have them.
+// may be an unfit one, if only such ones have them. An order without an answer is carried through if it can be.
 func (p *promotionController) chooseSuccessor(ctx context.Context, database, old string, anyServer bool, fit func(discovery.Server) bool) (candidate, error) {
 	copies, err := p.copiesOf(database)
 	if err != nil {
@@ -92,8 +92,12 @@
 	}
 	q := newInquiry(p, database, old, copies, fit)
 	q.anyServer = anyServer
+	claim := p.node.knownClaim(database)
+	if copies > 0 && claim.IsWithdrawn() && !claim.Answered && claim.Server != old {
+		q.verified = claim.Server
+	}
 	q.await(ctx, q.settled)
-	return q.successor(p.node.orderedServer(database))
+	return q.successor(claim.Ordered())
 }
 
 // isFit is for promotions for which every server will do that may lead.
--- a/proxy/node/watches.go
+++ b/proxy/node/watches.go
@@ -39,11 +39,7 @@
 
 // relayedKinds returns the kinds of objects that this instance passes on to others.
 func (n *Node) relayedKinds() []string {
-	kinds := []string{platform.ConfigKind, platform.ServersKind, quotaKind, instancesKind}
-	if n.settings.UnfencedPromotions {
-		kinds = append(kinds, claimsKind)
-	}
-	return kinds
+	return []string{platform.ConfigKind, platform.ServersKind, quotaKind, instancesKind, claimsKind}
 }
 
 // follower returns a follower of one kind of objects.
--- a/proxy/node/withdraw.go
+++ b/proxy/node/withdraw.go
@@ -44,11 +44,13 @@
 }
 
 // endFormerLead makes a successor step down that acts as the primary of an earlier term, or may: instances would use it from its claim
-// on, before its promotion.
+// on, before its promotion. The order of an unconfirmed claim makes no earlier one void that has been accepted but is not in effect yet,
+// unless it begins a term.
 func (p *promotionController) endFormerLead(ctx context.Context, successor candidate) error {
 	s := successor.server
 	leads := s.Primary || successor.status.Primary || successor.busy
-	if !p.node.settings.UnfencedPromotions || !leads || s.ID == p.node.orderedServer(s.Database) {
+	claim := p.node.knownClaim(s.Database)
+	if !p.node.usesLeases() || !leads || s.ID == claim.Ordered() && !claim.Unconfirmed {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -256,7 +258,15 @@
 func claimToWire(c leaderlease.Claim) *peerpb.Claim {
 	return &peerpb.Claim{
 		Version: c.Version, Server: c.Server, HandOver: c.HandOver, Lead: uint64(c.Lead), HandOverLead: uint64(c.HandOverLead),
-		Former: c.Former, FormerKnown: c.FormerKnown,
+		Former: c.Former, FormerKnown: c.FormerKnown, Unconfirmed: c.Unconfirmed, Answered: c.Answered,
+	}
+}
+
+func claimFromWire(c *peerpb.Claim) leaderlease.Claim {
+	return leaderlease.Claim{
+		Version: c.GetVersion(), Server: c.GetServer(), HandOver: c.GetHandOver(),
+		Lead: leaderlease.Lead(c.GetLead()), HandOverLead: leaderlease.Lead(c.GetHandOverLead()),
+		Former: c.GetFormer(), FormerKnown: c.GetFormerKnown(), Unconfirmed: c.GetUnconfirmed(), Answered: c.GetAnswered(),
 	}
 }
 
--- a/standin/linedb/linedb.go
+++ b/standin/linedb/linedb.go
@@ -215,10 +215,13 @@
 	g.servers[id].busyUntilQuiet = quiet
 }
 
-// Promote makes a server the primary of the next term, with what it had received and nothing more.
+// Promote makes a server the primary of the next term, with what it had received and nothing more. It changes nothing for the primary.
 func (g *Group) Promote(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if id == g.primary && g.servers[id].leads() {
+		return
+	}
 	received := g.servers[id].logLength()
 	g.lost += max(g.acknowledged-received, 0)
 	g.acknowledged = min(g.acknowledged, received)
