End what a session holds when its key changes hands

Cause: authorize told whether the key gives a right now and set the account of the session anew, while the transaction kept the connection that was opened for the account before. Evidence: the new configuration is in force in the log, no statement is refused, and the server names the former tenant.

Change: a session belongs to one account, with all that it holds. authorize refuses it once its key belongs to another account; statements, COMMIT, retries and work that has waited for a connection ask it before they are sent. The client gets ABORTED, the transaction is rolled back, and the session ends. Each configuration that comes into force is applied to sessions that rest in a transaction, and so is the loss of contact with the store within revoke_ms. The PostgreSQL stack ends sessions by grant already; its test has a row for this now.

--- a/proxy/directory/directory_test.go
+++ b/proxy/directory/directory_test.go
@@ -238,6 +238,10 @@
 		closed map[string]bool // by account and route
 	}{
 		{"key", withoutKeyOfA, map[string]bool{"a orders": true, "a only-a": true}},
+		{"key given to another account", func(m *manifest.Manifest) {
+			m.Accounts[1].Keys = append(m.Accounts[1].Keys, m.Accounts[0].Keys...)
+			m.Accounts[0].Keys = nil
+		}, map[string]bool{"a orders": true, "a only-a": true}},
 		{"right", func(m *manifest.Manifest) { m.Routes[0].Accounts = []string{"a"} }, map[string]bool{"b orders": true}},
 		{"route", func(m *manifest.Manifest) { m.Routes = m.Routes[:2] }, map[string]bool{" public": true}},
 		{"setting", func(m *manifest.Manifest) { m.Routes[0].ReadOnly = true; m.Accounts[0].Weight = 9 }, nil},
--- a/proxy/gateway/evacuation.go
+++ b/proxy/gateway/evacuation.go
@@ -170,6 +170,9 @@
 
 // readDeadline returns the time until which the session waits for the caller's next request. mu must be held.
 func (sess *session) readDeadline() time.Time {
+	if sess.txAtServer && sess.keyObjection() != nil {
+		return pastDeadline
+	}
 	end, ok := sess.gw.evacuated().TransactionEnd(sess.txDomain)
 	if !ok || sess.txDomain == "" {
 		return sess.idleDeadline
@@ -181,11 +184,11 @@
 	return deadline
 }
 
-// limitRead applies a change of the evacuations to a session that waits for its caller in a transaction.
+// limitRead applies a change of the evacuations, or of the session's rights, to a session that waits for its caller in a transaction.
 func (sess *session) limitRead() {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	if sess.awaitingRequest && sess.txDomain != "" && !sess.shouldStop() {
+	if sess.awaitingRequest && sess.txAtServer && !sess.shouldStop() {
 		_ = sess.conn.SetReadDeadline(sess.readDeadline())
 	}
 }
--- a/proxy/gateway/eventlog.go
+++ b/proxy/gateway/eventlog.go
@@ -155,6 +155,14 @@
 	})
 }
 
+// transactionUnauthorized logs that a transaction of an idle session was rolled back because its key doesn't entitle it to go on.
+func (l *EventLog) transactionUnauthorized(sess *session, why *outcome.Error) {
+	l.writeStatementLine(EventTransactionUnauthorized, sess, sessionstate.Statement{}, func(e *logrus.Entry) {
+		e.WithField("server", sess.tx.server.ID).WithField("reason", why.Message).
+			Info("transaction rolled back, since its caller may not go on with it")
+	})
+}
+
 // retried logs why a server did not run a statement, and the state by which it was chosen.
 func (l *EventLog) retried(sess *session, t *tryState, s discovery.Server, code string) {
 	l.writeStatementLine(EventRetried, sess, t.stmt, func(e *logrus.Entry) {
--- a/proxy/gateway/events.go
+++ b/proxy/gateway/events.go
@@ -42,6 +42,9 @@
 	EventNotAtHome = "CYC-7025"
 	// EventTransactionLeftHome: a transaction was rolled back because a new configuration does not allow its region any more.
 	EventTransactionLeftHome = "CYC-7026"
+	// EventTransactionUnauthorized: a transaction of an idle session was rolled back because its key was withdrawn or given to another
+	// account, or this instance can't know.
+	EventTransactionUnauthorized = "CYC-7027"
 	// EventOverloaded: a server has been refusing statements for a second.
 	EventOverloaded = "CYC-7030"
 	// EventOverloadEnded: an overloaded server refuses no statements any more.
--- a/proxy/gateway/gateway.go
+++ b/proxy/gateway/gateway.go
@@ -66,6 +66,7 @@
 		g.dropUnusedQueues()
 		g.observeSchedulers()
 		g.maintainColdServers()
+		g.endStaleTransactions()
 	})
 }
 
--- a/proxy/gateway/home.go
+++ b/proxy/gateway/home.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cyclamenstile/cyclamenstile/decision/catalog"
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/home"
 	"github.com/cyclamenstile/cyclamenstile/decision/outcome"
@@ -35,14 +34,6 @@
 		"the configuration does not allow the region of the transaction any more, and it was rolled back", "repeat the whole transaction")
 )
 
-// updateHomes applies the configuration in force to a statement that has waited, or may be tried again.
-func (sess *session) updateHomes(t *tryState) {
-	grant, refusal := sess.gw.cfg.Directory.Current().Authorize(sess.route, sess.keyHash)
-	if refusal == catalog.Granted {
-		t.grant.Homes = grant.Homes
-	}
-}
-
 func homeError(v home.Verdict) *outcome.Error {
 	switch v {
 	case home.NoCommonRegion:
--- a/proxy/gateway/session.go
+++ b/proxy/gateway/session.go
@@ -62,7 +62,7 @@
 	codec   CallerCodec
 	route   string
 	keyHash manifest.KeyHash
-	// account owned the key when it was last checked.
+	// account owned the key when the session began. All that the session holds belongs to it.
 	account string
 
 	state sessionstate.State
@@ -72,8 +72,10 @@
 	abortError *outcome.Error
 
 	mu              sync.Mutex
+	started         bool // account is known
 	awaitingRequest bool // the session is reading the caller's next request
 	inTx            bool
+	txAtServer      bool // the open transaction has a server connection
 	// txDomain is the failure domain of the server of the open transaction, and idleDeadline the time at which the transaction
 	// has been idle for too long; zero without a limit.
 	txDomain        string
@@ -113,10 +115,14 @@
 	sess.route = route
 	sess.keyHash = manifest.HashKey(key)
 	wait.UntilClosed(sess.gw.ctx, sess.gw.cfg.Directory.Known(), firstConfigurationWait)
-	if _, e := sess.authorize(); e != nil {
+	grant, e := sess.currentGrant()
+	if e != nil {
 		sess.refuseStartup(e)
 		return e
 	}
+	sess.mu.Lock()
+	sess.account, sess.started = grant.Account, true
+	sess.mu.Unlock()
 	sess.codec.Ready(sessionstate.Idle)
 	return sess.codec.Flush()
 }
@@ -128,8 +134,17 @@
 	_ = sess.codec.Flush()
 }
 
-// authorize checks the session's key against the configuration in force.
+// authorize checks the session's key against the configuration in force. A session whose key belongs to another account by now can't go on.
 func (sess *session) authorize() (catalog.Grant, *outcome.Error) {
+	grant, e := sess.currentGrant()
+	if e == nil && grant.Account != sess.account {
+		e = errAccountChanged
+	}
+	return grant, e
+}
+
+// currentGrant returns what the configuration in force allows the session's key.
+func (sess *session) currentGrant() (catalog.Grant, *outcome.Error) {
 	snapshot := sess.gw.cfg.Directory.Current()
 	if snapshot == nil {
 		return catalog.Grant{}, errNoConfiguration
@@ -144,7 +159,6 @@
 	if !grant.Route.Open && !sess.gw.cfg.Directory.Fresh() {
 		return grant, errNotFresh
 	}
-	sess.account = grant.Account
 	return withDefaults(grant), nil
 }
 
@@ -221,7 +235,7 @@
 		if stop {
 			return stmt, errSessionEnded
 		}
-		if !sess.endEvacuatedTransaction() && sess.idleTooLong() {
+		if !sess.endEvacuatedTransaction() && !sess.endUnauthorizedTransaction() && sess.idleTooLong() {
 			sess.endIdleTransaction()
 		}
 	}
@@ -237,6 +251,7 @@
 	}
 	sess.awaitingRequest = true
 	sess.txDomain, sess.idleDeadline = sess.transactionDomain(), time.Time{}
+	sess.txAtServer = sess.tx != nil && sess.tx.conn != nil
 	if sess.shouldStop() {
 		return sess.conn.SetReadDeadline(time.Now().Add(stopLinger))
 	}
@@ -306,7 +321,7 @@
 		if e := sess.beginTransaction(stmt); e != nil {
 			sess.state.TransactionEnded()
 			sess.refuse(stmt, e, began)
-			return endIfDenied(e)
+			return sessionEnd(e)
 		}
 	}
 	sess.codec.Complete("")
@@ -328,7 +343,7 @@
 	}
 	if e != nil {
 		sess.failStatement(stmt, e, began)
-		return endIfDenied(e)
+		return sessionEnd(e)
 	}
 	sess.runSingle(request{stmt: stmt, decision: decision, grant: grant, began: began})
 	return nil
@@ -377,7 +392,7 @@
 		return nil
 	}
 	sess.refuse(stmt, e, sess.gw.cfg.Now())
-	return nil
+	return sessionEnd(e)
 }
 
 func (sess *session) refuse(stmt sessionstate.Statement, e *outcome.Error, began time.Duration) {
@@ -385,9 +400,9 @@
 	sess.codec.Error(e)
 }
 
-// endIfDenied returns errSessionEnded if the caller has no access, so that no further request can succeed.
-func endIfDenied(e *outcome.Error) error {
-	if e.Kind == outcome.Denied {
+// sessionEnd returns errSessionEnded if a refusal means that no further request of the session can succeed.
+func sessionEnd(e *outcome.Error) error {
+	if e.Kind == outcome.Denied || e == errAccountChanged {
 		return errSessionEnded
 	}
 	return nil
--- a/proxy/gateway/single.go
+++ b/proxy/gateway/single.go
@@ -114,10 +114,12 @@
 
 // waitForServer chooses a server. While none is suitable, it waits up to the statement's deadline.
 func (sess *session) waitForServer(t *tryState) (discovery.Server, *outcome.Error) {
-	if t.number > 1 {
-		sess.updateHomes(t)
-	}
-	for {
+	for waited := t.number > 1; ; waited = true {
+		if waited {
+			if e := sess.renewGrant(t); e != nil {
+				return discovery.Server{}, t.finalError(e)
+			}
+		}
 		changed := t.view.changes()
 		if s, ok := sess.chooseServer(t); ok {
 			return s, nil
@@ -145,7 +147,6 @@
 			return discovery.Server{}, t.finalError(errNoServer)
 		}
 		t.excluded = t.excluded[:0]
-		sess.updateHomes(t)
 	}
 }
 
@@ -199,6 +200,7 @@
 // tried again.
 func (sess *session) runOn(t *tryState, s discovery.Server) bool {
 	w := t.workItem(sess.state.Values())
+	w.authorized = sess.isAuthorized
 	w.targetLeft = sess.targetLeft(t.request, s)
 	if t.requiresLeader() && !t.decision.Writes {
 		// Only the leader accepts this transaction. A write doesn't need it: only the leader accepts writes.
--- a/proxy/gateway/transaction.go
+++ b/proxy/gateway/transaction.go
@@ -49,19 +49,10 @@
 		sess.openTransaction(r)
 		return
 	}
-	if e := sess.tx.leaderError(sess.gw); e != nil {
+	if e := sess.objection(sess.tx, r); e != nil {
 		sess.failTransaction(r, e)
 		return
 	}
-	if sess.openTransactionMustEnd() {
-		sess.failTransaction(r, errEvacuatedTransaction)
-		return
-	}
-	if sess.tx.leftHome(r.grant.Homes) {
-		sess.gw.cfg.Log.transactionLeftHome(sess, r.stmt, sess.tx.server)
-		sess.failTransaction(r, errHomeChanged)
-		return
-	}
 	w := sess.transactionWork(r)
 	sent := sess.gw.cfg.Now()
 	res, err := sess.tx.conn.execute(sess.gw.ctx, w)
@@ -73,6 +64,21 @@
 	sess.answerInTransaction(r, res, sent, 1)
 }
 
+// objection returns why an open transaction must end before a statement, or nil.
+func (sess *session) objection(tx *transaction, r request) *outcome.Error {
+	if e := tx.leaderError(sess.gw); e != nil {
+		return e
+	}
+	switch {
+	case sess.gw.mustEndTransaction(tx.server):
+		return errEvacuatedTransaction
+	case tx.leftHome(r.grant.Homes):
+		sess.gw.cfg.Log.transactionLeftHome(sess, r.stmt, tx.server)
+		return errHomeChanged
+	}
+	return nil
+}
+
 // leaderError returns why a transaction that the leader has accepted must end, or nil.
 func (tx *transaction) leaderError(g *Gateway) *outcome.Error {
 	if !tx.acceptedByLeader {
@@ -91,7 +97,8 @@
 	left := r.grant.Route.StatementTimeout - (sess.gw.cfg.Now() - r.began)
 	left = max(left, time.Millisecond)
 	return &workItem{
-		values: sess.state.Values(), stmt: r.stmt, preparedStmt: r.decision.Prepared,
+		authorized: sess.isAuthorized,
+		values:     sess.state.Values(), stmt: r.stmt, preparedStmt: r.decision.Prepared,
 		timeLeft: left, maxQueueWait: left * leaderQueuePercent / 100, serverTimeout: left,
 	}
 }
@@ -160,6 +167,7 @@
 // openOnServer begins the transaction on a server. It reports whether the caller was answered.
 func (sess *session) openOnServer(t *tryState, s discovery.Server) bool {
 	w := t.workItem(sess.state.Values())
+	w.authorized = sess.isAuthorized
 	w.targetLeft = sess.targetLeft(t.request, s)
 	w.opening = openReadOnly
 	if t.requiresLeader() {
@@ -267,22 +275,13 @@
 	grant, e := sess.authorize()
 	if e != nil {
 		sess.refuse(stmt, e, began)
-		return endIfDenied(e)
-	}
-	if e := tx.leaderError(sess.gw); e != nil {
-		sess.refuse(stmt, e, began)
-		return nil
+		return sessionEnd(e)
 	}
-	if sess.gw.mustEndTransaction(tx.server) {
-		sess.refuse(stmt, errEvacuatedTransaction, began)
-		return nil
-	}
-	if tx.leftHome(grant.Homes) {
-		sess.gw.cfg.Log.transactionLeftHome(sess, stmt, tx.server)
-		sess.refuse(stmt, errHomeChanged, began) // the caller of commit rolls it back
+	r := request{stmt: stmt, grant: grant, began: began}
+	if e := sess.objection(tx, r); e != nil {
+		sess.refuse(stmt, e, began) // the caller of commit rolls it back
 		return nil
 	}
-	r := request{stmt: stmt, grant: grant, began: began}
 	sent := sess.gw.cfg.Now()
 	res, err := tx.conn.execute(sess.gw.ctx, sess.transactionWork(r))
 	if err != nil {
--- a/proxy/gateway/work.go
+++ b/proxy/gateway/work.go
@@ -39,6 +39,8 @@
 	timeLeft, maxQueueWait, serverTimeout time.Duration
 	targetLeft                            time.Duration // until the end at the server, for the target latency; 0 for none
 	waited                                time.Duration // in the admission queue
+	// authorized reports whether the caller may still have the statement run for its account; nil at a lender, whose borrower checks it.
+	authorized func() bool
 	// mustNotSend reports whether the server must not get the statement any more after the setup; nil: never.
 	mustNotSend func() bool
 }
@@ -61,6 +63,10 @@
 	return &w.preparedStmt
 }
 
+func (w *workItem) isAuthorized() bool {
+	return w.authorized == nil || w.authorized()
+}
+
 // readsOnly reports whether the work may be repeated although it may have run.
 func (w *workItem) readsOnly() bool {
 	return w.stmt.Kind == sessionstate.Read || w.stmt.Kind == sessionstate.Execute && !w.preparedStmt.Writes
@@ -274,6 +280,9 @@
 	if c.gw.mustEndTransaction(d.server) {
 		return c.rolledBack(errServerEvacuated), nil
 	}
+	if !w.isAuthorized() {
+		return c.rolledBack(errUnauthorized), nil
+	}
 	if c.onLeader {
 		switch c.gw.sendObjection(d) {
 		case "":
@@ -396,7 +405,11 @@
 		full := errors.Is(err, errServerFull) || errors.Is(err, errNoFreeConnection)
 		return nil, result{}, &notSentError{noFreeConnection: full, lenderReaches: machineAnswers(err), cause: err}
 	}
-	if refused, err := g.refuseLeader(d, w); refused != nil || err != nil {
+	refused, err := g.refuseLeader(d, w)
+	if !w.isAuthorized() {
+		err = &notSentError{noFreeConnection: true, cause: errUnauthorized}
+	}
+	if refused != nil || err != nil {
 		g.pool.release(u, true)
 		a.endConnection()
 		return nil, *cmp.Or(refused, &result{}), err
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -153,6 +153,7 @@
 			n.beginLeases(s)
 			n.quota.SetAccounts(s.Accounts())
 			n.reportUnknownHomes(s)
+			n.gateway.ConfigurationChanged()
 		},
 	}
 	return nil
