Keep claims unconfirmed over a refused order

Found by reading the change again, before anybody saw it: a claimant took the refusal of its own order for the end of all earlier ones in a hand-over, although the claim was unconfirmed; and a primary that leads by an unconfirmed claim was ordered again without a check where former servers were not withdrawn yet.

Change: an unconfirmed claim has outstanding orders whatever became of its own; the repeated order is exempt from the check only if the claim is withdrawn.

--- a/decision/leaderlease/claim.go
+++ b/decision/leaderlease/claim.go
@@ -83,7 +83,7 @@
 	if c.Ordered() == "" {
 		return c.Unconfirmed || c.Version != 0 && !c.FormerKnown
 	}
-	return !c.Answered
+	return c.Unconfirmed || !c.Answered
 }
 
 // formerKnown reports whether no other servers may be used than those that the claim names, and primary, and none of them is being
--- a/decision/leaderlease/lateorder_test.go
+++ b/decision/leaderlease/lateorder_test.go
@@ -58,6 +58,8 @@
 	accepted  []promotion // take effect in this order
 	fence     uint64      // the highest one seen
 	ordered   uint64      // the version of the last claim whose promotion was ordered
+	refused   uint64      // the version of the last claim whose only order was refused
+	repeated  bool        // an earlier order for the server of the claim got no answer as far as is known
 	term, ids int
 	answers   []answer
 	kept      []entry // acknowledged
@@ -89,7 +91,10 @@
 	if successor.name != p.claim.Ordered() || p.claim.Unconfirmed {
 		successor.lead = 0
 	}
-	p.write(p.claim.NextFenced(p.primary, successor.name, rapid.Bool().Draw(p.t, "hand-over")))
+	present := p.claim
+	present.Answered = present.Answered || p.refused != 0 && p.refused == present.Version && rapid.Bool().Draw(p.t, "knows the refusal")
+	p.repeated = present.Server == successor.name && !present.Answered && (p.repeated || present.Server != p.primary)
+	p.write(present.NextFenced(p.primary, successor.name, rapid.Bool().Draw(p.t, "hand-over")))
 }
 
 // withdraw ends the use of former servers, as they have stepped down or no instance uses them any more, and confirms that the successor has what all replicas but fewer than copies have.
@@ -126,7 +131,7 @@
 
 // order orders the promotion of a withdrawn claim, once.
 func (p *platformPlay) order() {
-	if !p.claim.IsWithdrawn() || p.claim.Answered || p.claim.Version == p.ordered {
+	if !p.claim.IsWithdrawn() || p.claim.Answered || p.claim.Version == p.refused || p.claim.Version == p.ordered {
 		return
 	}
 	p.ordered = p.claim.Version
@@ -144,6 +149,10 @@
 		}
 	case "not answered":
 		p.accept(o)
+	case "refused":
+		if !p.repeated {
+			p.refused = o.fence
+		}
 	}
 }
 
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -377,7 +377,7 @@
 	if err != nil {
 		return err
 	}
-	return p.promote(ctx, candidate{server: primary}, own, formerLead{server: primary.ID, covered: true})
+	return p.promote(ctx, candidate{server: primary}, own, formerLead{covered: own.IsWithdrawn()})
 }
 
 // promoteAgain promotes a primary that has stepped down for a successor which did not receive all of its writes.
