Repeat an order only of a server whose log is as long as it was

Found by reading the change again: an instance that starts after the server of an outstanding order has started again empty can't know of that, and would have ordered it without comparing its log.

Change: the claim has the end of the successor's log as of its check; a repeated order needs no new proof only with a log that reaches it, and only where fences are checked.

Test: TestShorterLogIsNotVerified.

--- a/decision/leaderlease/claim.go
+++ b/decision/leaderlease/claim.go
@@ -1,6 +1,10 @@
 package leaderlease
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
+)
 
 // Claim names the server that is to lead a database. The zero value is that of a database without promotions, which allows all.
 type Claim struct {
@@ -21,6 +25,8 @@
 	Unconfirmed bool
 	// Answered: the platform has accepted the order of the claim and checks fences, so that it carries out no earlier order any more.
 	Answered bool
+	// Received is the end of Server's log when it was found to have all acknowledged commits after the withdrawal; zero if that isn't known.
+	Received position.Position
 }
 
 // Lead identifies a time for which claims allow a server without a break: it is the version of the last claim before. A server that is
@@ -102,7 +108,7 @@
 // Withdrawn returns the claim, without a version, that follows c once no instance uses one of its former servers any more. The
 // promotion is ordered by it.
 func (c Claim) Withdrawn() Claim {
-	return Claim{Server: c.Server, FormerKnown: true, Lead: c.Lead, Unconfirmed: c.Unconfirmed}
+	return Claim{Server: c.Server, FormerKnown: true, Lead: c.Lead, Unconfirmed: c.Unconfirmed, Received: c.Received}
 }
 
 // Confirmed returns the claim, without a version, that follows c once a platform that checks fences has accepted its order.
@@ -117,6 +123,12 @@
 	return c.Unconfirmed || !c.Answered && ordered != "" && ordered != server
 }
 
+// HasVerified reports whether the server of a claim that has no answer yet still has all acknowledged commits if its log ends at received:
+// since it was found to have them, nothing was acknowledged at another server.
+func (c Claim) HasVerified(received position.Position) bool {
+	return c.IsWithdrawn() && !c.Answered && !c.Received.IsZero() && !received.Less(c.Received)
+}
+
 // IsWithdrawn reports whether no instance uses another server than that of the claim.
 func (c Claim) IsWithdrawn() bool {
 	return c.Version != 0 && c.FormerKnown && len(c.Former) == 0 && c.HandOver == ""
--- a/decision/leaderlease/doc.go
+++ b/decision/leaderlease/doc.go
@@ -43,8 +43,8 @@
 //
 //   - A successor is checked after the withdrawal, see package succession: it has all that was acknowledged before, and of the other servers
 //     nothing is acknowledged from then on. So its order does no harm, however late, until another server is claimed.
-//   - As long as an order has no answer, its server is claimed and ordered again if it has all acknowledged commits. It is the only one
-//     that may be used, so the former primary isn't, although it may be back, and replicas may have started or ended their pause.
+//   - As long as an order has no answer, its server is claimed and ordered again, unless its log is shorter than when it was checked
+//     (Received). It is the only one that may be used, so the former primary isn't, although it may be back, and replicas may have started or ended their pause.
 //   - A claim of another server is unconfirmed while an earlier order may be carried out: its server isn't used either. The platform has
 //     seen the fence of that claim once it has accepted its order, and refuses all earlier ones. An order that was accepted before takes effect
 //     within failover.EffectTerm, after which the claim is confirmed. A refusal proves nothing: the platform may not have recorded the fence.
--- a/decision/leaderlease/leaderlease_test.go
+++ b/decision/leaderlease/leaderlease_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 )
 
 func TestAllows(t *testing.T) {
@@ -170,3 +172,28 @@
 		}
 	}
 }
+
+// Guards against a repeated order of a server that has lost a part of its log since it was checked, at an instance that hasn't seen why.
+func TestShorterLogIsNotVerified(t *testing.T) {
+	checked := position.Position{Term: 2, LSN: 7}
+	withdrawn := Claim{Version: 3, Server: "b", FormerKnown: true, Received: checked}
+	pending, answered, unknown := withdrawn, withdrawn.Confirmed(), withdrawn
+	pending.Former, unknown.Received = []string{"a"}, position.Position{}
+	answered.Version = 4
+	for name, c := range map[string]struct {
+		claim    Claim
+		received position.Position
+		want     bool
+	}{
+		"as long":              {withdrawn, checked, true},
+		"longer":               {withdrawn, position.Position{Term: 3, LSN: 7}, true},
+		"shorter":              {withdrawn, position.Position{Term: 2, LSN: 6}, false},
+		"not withdrawn":        {pending, checked, false},
+		"answered":             {answered, checked, false},
+		"position isn't known": {unknown, checked, false},
+	} {
+		if got := c.claim.HasVerified(c.received); got != c.want {
+			t.Errorf("%s: verified is %t, want %t", name, got, c.want)
+		}
+	}
+}
--- a/proxy/node/claim.go
+++ b/proxy/node/claim.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
 	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/objectstore"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/wait"
@@ -37,6 +38,8 @@
 	// Unconfirmed and Answered are those of leaderlease.Claim.
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	Answered    bool `json:"answered,omitempty"`
+	// Received is that of leaderlease.Claim.
+	Received position.Position `json:"received,omitzero"`
 	// Withdraws: the promotion is ordered only once the claim names no former server any more.
 	Withdraws bool `json:"withdraws,omitempty"`
 	// Era is the era of the store that the claimant knew.
@@ -64,6 +67,7 @@
 	return leaderlease.Claim{
 		Version: version, Server: c.Server, Former: c.Former, FormerKnown: c.FormerKnown, HandOver: c.HandOver,
 		Lead: lead, HandOverLead: leaderlease.Lead(c.HandOverLead), Unconfirmed: c.Unconfirmed, Answered: c.Answered,
+		Received: c.Received,
 	}
 }
 
@@ -208,7 +212,7 @@
 		Instance: p.node.settings.Instance, Server: own.Server, Former: own.Former, FormerKnown: own.FormerKnown, HandOver: own.HandOver,
 		Lead: uint64(own.Lead), HandOverLead: uint64(own.HandOverLead),
 		Order: own.order, Serial: randomNumber(), Repeated: own.repeated,
-		Unconfirmed: own.Unconfirmed, Answered: own.Answered, Withdraws: p.node.usesLeases(), Era: p.node.eras.Era(),
+		Unconfirmed: own.Unconfirmed, Answered: own.Answered, Received: own.Received, Withdraws: p.node.usesLeases(), Era: p.node.eras.Era(),
 	}
 	for try := 1; ; try++ {
 		own.sentAt = boottime.Now()
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/failover"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/decision/succession"
 	"github.com/cyclamenstile/cyclamenstile/platform"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
@@ -356,16 +357,16 @@
 	}).Info("promotion is claimed")
 	if !handOver {
 		isRepeated := successor.basis == succession.BasisOrdered && own.IsWithdrawn()
-		return p.promote(ctx, successor, own, formerLead{server: old.ID, covered: isRepeated})
+		return p.promote(ctx, successor, own, formerLead{server: old.ID, covered: isRepeated, received: own.Received})
 	}
-	err = p.handOver(ctx, own, old, successor)
+	received, err := p.handOver(ctx, own, old, successor)
 	switch {
 	case errors.Is(err, errCommitsUnknown), errors.Is(err, errCommitsMissing):
 		return p.promoteAgain(ctx, own, old, successor)
 	case err != nil && (old.Evacuated || p.node.settings.UnfencedPromotions || successor.basis != succession.BasisNoCopies):
 		return err // the successor may lack commits, and an unfenced primary would go on
 	}
-	return p.promote(ctx, successor, own, formerLead{server: old.ID, steppedDown: old.ID, covered: err == nil && own.FormerKnown})
+	return p.promote(ctx, successor, own, formerLead{server: old.ID, steppedDown: old.ID, covered: err == nil && own.FormerKnown, received: received})
 }
 
 // repeatOrder orders the promotion of a primary again that leads although its order was not accepted as far as is known.
@@ -377,7 +378,7 @@
 	if err != nil {
 		return err
 	}
-	return p.promote(ctx, candidate{server: primary}, own, formerLead{covered: own.IsWithdrawn()})
+	return p.promote(ctx, candidate{server: primary}, own, formerLead{covered: own.IsWithdrawn(), received: own.Received})
 }
 
 // promoteAgain promotes a primary that has stepped down for a successor which did not receive all of its writes.
@@ -399,6 +400,8 @@
 	server      string // empty if none is known
 	steppedDown string // has confirmed that it does not lead since the claim was written; empty if none has
 	covered     bool   // the successor is known to have all commits that were acknowledged in it
+	// received is where the successor's log ended at least when that was known; zero if covered is not set.
+	received position.Position
 }
 
 // promote makes the platform promote the server of a claim, once that server has all acknowledged commits and no other one can have
--- a/proxy/node/handover.go
+++ b/proxy/node/handover.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
+	"github.com/cyclamenstile/cyclamenstile/decision/position"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
 	"github.com/cyclamenstile/cyclamenstile/proxy/gateway"
 	"github.com/cyclamenstile/cyclamenstile/proxy/peer/peerpb"
@@ -18,23 +19,24 @@
 // holdRenewal is how often the instances are told to hold back statements for a primary, less than the time for which they do.
 const holdRenewal = 200 * time.Millisecond
 
-// handOver makes a primary that answers step down, and waits until its successor has received all of its writes. A successor that has
+// handOver makes a primary that answers step down, and waits until its successor has received all of its writes. It returns where the
+// successor's log ends at least. A successor that has
 // not in time takes over all the same, except from an evacuated primary. Where commits are acknowledged by replicas, it has to have the
 // acknowledged ones, or the error is errCommitsUnknown or errCommitsMissing.
-func (p *promotionController) handOver(ctx context.Context, own ownClaim, old discovery.Server, successor candidate) error {
+func (p *promotionController) handOver(ctx context.Context, own ownClaim, old discovery.Server, successor candidate) (received position.Position, err error) {
 	waitCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	status, err := p.stepDownHeld(waitCtx, own, old)
 	if err != nil {
 		event(p.log, EventPromotionFailed).WithField("server", old.ID).WithError(err).
 			Warn("failed to make the leaving primary step down; its last commits may be lost")
-		return err
+		return received, err
 	}
 	if p.awaitCaughtUp(waitCtx, successor.server, status, catchUpPollInterval) {
-		return nil
+		return status.Received, nil
 	}
 	if old.Evacuated {
-		return errLagsBehind
+		return received, errLagsBehind
 	}
 	return p.confirmSuccessor(ctx, old.ID, successor.server, &status.Received)
 }
--- a/proxy/node/inquiry.go
+++ b/proxy/node/inquiry.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenstile/cyclamenstile/decision/discovery"
+	"github.com/cyclamenstile/cyclamenstile/decision/leaderlease"
 	"github.com/cyclamenstile/cyclamenstile/decision/placement"
 	"github.com/cyclamenstile/cyclamenstile/decision/succession"
 	"github.com/cyclamenstile/cyclamenstile/proxy/boottime"
@@ -45,9 +46,8 @@
 	probe      func(context.Context, discovery.Server) (placement.Status, error)
 	// anyServer: a server that may not lead is better than none, if only such ones have all acknowledged commits.
 	anyServer bool
-	// verified is the server whose promotion was to be ordered by the newest claim, after it was found to have all acknowledged commits and
-	// former servers were withdrawn; empty: none. It still has them unless it has started again.
-	verified string
+	// claim is the newest one. Its server may be promoted without the answers of the others, see leaderlease.Claim.HasVerified.
+	claim leaderlease.Claim
 
 	mu        sync.Mutex
 	selection *succession.Selection
@@ -192,10 +192,10 @@
 	return q.copies == 0 || q.best() != ""
 }
 
-// isVerified reports whether the verified server may still be promoted without the answers of the others. mu must be held.
+// isVerified reports whether the server of the newest claim may be promoted without the answers of the others. mu must be held.
 func (q *inquiry) isVerified() bool {
-	c, answered := q.answered[q.verified]
-	return answered && q.failures[q.verified] == nil && q.mayLead(c.server)
+	c, answered := q.answered[q.claim.Server]
+	return q.controller.node.fencesLeases() && answered && q.failures[q.claim.Server] == nil && q.mayLead(c.server) && q.claim.HasVerified(c.status.Received)
 }
 
 // best returns the best server that is known to have all acknowledged commits, empty if there is none. mu must be held.
@@ -207,15 +207,15 @@
 
 // successor returns the server to promote. The one that an earlier order may still promote is preferred, so that no two are promoted,
 // unless it lacks commits that may have been acknowledged.
-func (q *inquiry) successor(ordered string) (candidate, error) {
+func (q *inquiry) successor() (candidate, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.isVerified() {
-		c := q.answered[q.verified]
+		c := q.answered[q.claim.Server]
 		c.basis = succession.BasisOrdered
 		return c, nil
 	}
-	id := q.best()
+	id, ordered := q.best(), q.claim.Ordered()
 	_, answered := q.answered[ordered]
 	_, isBusy := q.busy[ordered]
 	if isBusy || answered && !q.selection.IsBehind(ordered) {
--- a/proxy/node/successor.go
+++ b/proxy/node/successor.go
@@ -92,23 +92,20 @@
 	}
 	q := newInquiry(p, database, old, copies, fit)
 	q.anyServer = anyServer
-	claim := p.node.knownClaim(database)
-	if copies > 0 && claim.IsWithdrawn() && !claim.Answered && claim.Server != old {
-		q.verified = claim.Server
-	}
+	q.claim = p.node.knownClaim(database)
 	q.await(ctx, q.settled)
-	return q.successor(claim.Ordered())
+	return q.successor()
 }
 
 // isFit is for promotions for which every server will do that may lead.
 func isFit(discovery.Server) bool { return true }
 
-// confirmSuccessor returns nil once a chosen server is known to have all commits that were acknowledged so far. final is what the former
-// primary had when it stepped down, nil if it has not told.
-func (p *promotionController) confirmSuccessor(ctx context.Context, old string, successor discovery.Server, final *position.Position) error {
+// confirmSuccessor returns the end of a chosen server's log once it is known to have all commits that were acknowledged so far; zero without
+// copies. final is what the former primary had when it stepped down, nil if it has not told.
+func (p *promotionController) confirmSuccessor(ctx context.Context, old string, successor discovery.Server, final *position.Position) (position.Position, error) {
 	copies, err := p.copiesOf(successor.Database)
 	if err != nil || copies == 0 {
-		return err
+		return position.Position{}, err
 	}
 	q := newInquiry(p, successor.Database, old, copies, isFit)
 	if final != nil {
@@ -120,9 +117,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.selection.Proof(successor.ID) == succession.BasisNone {
-		return q.unproven()
+		return position.Position{}, q.unproven()
 	}
-	return nil
+	return q.answered[successor.ID].status.Received, nil
 }
 
 // checkFollows returns errPrimarySilent if a primary that is to hand over does not answer, and errLagsBehind if its successor does not
--- a/proxy/node/withdraw.go
+++ b/proxy/node/withdraw.go
@@ -77,10 +77,12 @@
 		basis = w.basis()
 	}
 	stop()
+	received := former.received
 	if err == nil && !former.covered {
-		err = p.confirmSuccessor(ctx, former.server, successor.server, nil)
+		received, err = p.confirmSuccessor(ctx, former.server, successor.server, nil)
 	}
 	if err == nil {
+		own.Received = received
 		own, err = p.rewriteClaim(ctx, own, own.Withdrawn())
 	}
 	w.logOutcome(basis, own.Version, err)
