--- a/decision/leaderlease/lateorder_test.go
+++ b/decision/leaderlease/lateorder_test.go
@@ -46,7 +46,8 @@
 	entry    entry
 }
 
-// platformPlay is a group on a platform that checks fences. An order without an answer is carried out at any later moment, or never.
+// platformPlay is a group on a platform that checks fences. An order without an answer is carried out at any later moment, or never. Instances
+// have valid leases by the claim that they know until the claimant withdraws them.
 type platformPlay struct {
 	t         *rapid.T
 	copies    int
@@ -196,7 +197,7 @@
 	p.check()
 }
 
-// check checks that each primary has what was acknowledged, apart from a former one that is being asked to step down.
+// check checks that the primary has what was acknowledged in earlier terms.
 func (p *platformPlay) check() {
 	for _, leader := range p.replicas {
 		for _, e := range p.kept {
@@ -248,7 +249,7 @@
 	p.replica("steps down").lead = 0
 }
 
-// restart makes an instance start again or learn of the claim, without which it uses no server.
+// learnClaim makes an instance learn of the claim in the store.
 func (p *platformPlay) learnClaim() {
 	p.views[rapid.IntRange(0, len(p.views)-1).Draw(p.t, "learns")] = p.claim
 }
