--- a/decision/succession/doc.go
+++ b/decision/succession/doc.go
@@ -24,8 +24,8 @@
 // server with answers from after it.
 //
 // The lead ends for callers when no instance acknowledges answers of the former primary any more, see package leaderlease, which also
-// covers orders that are carried out late. A former primary that nobody reaches may answer all the same, to clients that are no instances or
-// to builds without leases. Therefore every replica but the successor is paused before the order as well, except fewer than copies: what is
+// covers orders that are carried out late. A former primary that nobody reaches may answer all the same, to clients that bypass the
+// instances, or through builds without leases. Therefore every replica but the successor is paused before the order as well, except fewer than copies: what is
 // answered from then on has been received by copies replicas that are not paused, so by the successor. This is no guard by itself, as a
 // replica that starts is not paused. A replica stays paused until the promotion, or is resumed once its order can't be carried out.
 //
--- a/proxy/node/failover.go
+++ b/proxy/node/failover.go
@@ -406,7 +406,7 @@
 
 // promote makes the platform promote the server of a claim, once that server has all acknowledged commits and no other one can have
 // further ones acknowledged. Where a former primary that nobody reaches leads until then, the other replicas are paused as well, so that
-// it has nothing to answer to clients that are no instances.
+// it can't acknowledge anything to clients that bypass the instances.
 func (p *promotionController) promote(ctx context.Context, successor candidate, own ownClaim, former formerLead) error {
 	if p.node.usesLeases() {
 		var err error
