review: stand-in with the cases that stay, and two from entries

Change: two plays from entries take their place; bounded reads run beside the writes; ports lie below those of outgoing connections, since one start of 36 had failed for a port in use.

--- a/review/standin-4/cases.go
+++ b/review/standin-4/cases.go
@@ -1,37 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"time"
 )
 
-// judgeOne looks for writes that a replaced primary committed after the promote of its successor had taken effect, and that were
-// acknowledged to their clients (ONE). It counts only those that their clients sent after that, so none that was held up on the way.
-func judgeOne(r *run, operations []operation) (violations []string) {
-	acknowledged := map[string]operation{}
-	for _, o := range operations {
-		if o.acknowledged() {
-			acknowledged[o.id] = o
-		}
-	}
-	for _, e := range r.group.executed {
-		o, ok := acknowledged[e.id]
-		if !ok {
-			continue
-		}
-		for _, p := range r.group.promotions {
-			if p.term > e.term && p.at.Before(o.sent) {
-				violations = append(violations, fmt.Sprintf("%s committed %s in term %d, %.0f ms after %s was promoted in term %d, and the client of %s got %q",
-					e.server, e.id, e.term, e.at.Sub(p.at).Seconds()*1000, p.server, p.term, o.edge, o.answer))
-				break
-			}
-		}
-	}
-	return violations
-}
-
 // judgeLost looks for commits that were acknowledged to their clients before a promote took effect and that aren't in the log of the
 // promoted server (LOST).
 func judgeLost(r *run, operations []operation) (violations []string) {
@@ -55,34 +28,6 @@
 	return violations
 }
 
-// playLateOrder replaces the three servers of a service one after the other. The first call to promote gets no answer and is carried out
-// later, after newer calls.
-func playLateOrder(r *run) error {
-	const lateBy = 9 * time.Second
-	if r.trouble {
-		r.promoter.mu.Lock()
-		r.promoter.late = func(number int) (time.Duration, bool) { return lateBy, number == 1 }
-		r.promoter.mu.Unlock()
-	}
-	old := r.group.primary()
-	for i := range 2 {
-		if _, err := r.group.add(fmt.Sprintf("i-%d", 10+i), old.zone, 20*time.Millisecond); err != nil {
-			return err
-		}
-		time.Sleep(500 * time.Millisecond)
-		r.note("%s is to be replaced", old.id)
-		old.drain()
-		next, err := r.awaitPrimary(old, 20*time.Second)
-		if err != nil {
-			return err
-		}
-		old = next
-		time.Sleep(1500 * time.Millisecond)
-	}
-	time.Sleep(lateBy)
-	return nil
-}
-
 // playRebornReplica cuts the replica that is ahead off from the store, crashes it and the primary at once, and starts the replica again,
 // which then holds nothing. The primary comes back with its log.
 func playRebornReplica(r *run) error {
@@ -170,54 +115,106 @@
 	return nil
 }
 
-// Two shapes with the same 64-bit FNV-1a hash, and two with different ones.
-var (
-	equalHashes = [2]string{"8yn0iYCKYHlIj4-BwPqk", "GReLUrM4wMqfg9yzV3KQ"}
-	otherHashes = [2]string{"8yn0iYCKYHlIj4-BwPqk", "GReLUrM4wMqfg9yzV3KR"}
-)
+// playEmptySuccessor crashes the primary. The first call to promote gets no answer and is carried out later; meanwhile the server that it
+// names crashes and starts again, and holds nothing. The primary comes back with its log.
+func playEmptySuccessor(r *run) error {
+	const lateBy, down, limit = 3 * time.Second, 7 * time.Second, 5 * time.Second
+	primary := r.group.primary()
+	if !r.trouble {
+		time.Sleep(down + limit)
+		return nil
+	}
+	named := make(chan string, 1)
+	r.promoter.setLate(func(number int, id string) (time.Duration, bool) {
+		if number == 1 {
+			named <- id
+		}
+		return lateBy, number == 1
+	})
+	r.note("%s crashes", primary.id)
+	primary.crash()
+	crashed := time.Now()
+	select {
+	case id := <-named:
+		s := r.group.server(id)
+		r.note("%s crashes", id)
+		s.crash()
+		time.Sleep(300 * time.Millisecond)
+		if err := s.restart(); err != nil {
+			return err
+		}
+		r.note("%s has started again and holds nothing", id)
+	case <-time.After(limit):
+		return fmt.Errorf("no promotion is ordered in %s", limit)
+	}
+	time.Sleep(time.Until(crashed.Add(down)))
+	if err := primary.restart(); err != nil {
+		return err
+	}
+	r.note("%s is back with its log", primary.id)
+	time.Sleep(3 * time.Second)
+	return nil
+}
 
-// playPreparedNames makes two clients of one tenant prepare statements of different shapes under the same name, and execute them in turn.
-func playPreparedNames(r *run) error {
-	shapes := otherHashes
-	if r.trouble {
-		shapes = equalHashes
+// playWithdrawnKey withdraws the key of a second tenant, and kills all processes while the store is away, which comes back from a copy from
+// before that. The operator writes the config again.
+func playWithdrawnKey(r *run) error {
+	const (
+		copyAge   = revokeTime + 500*time.Millisecond
+		away      = 300 * time.Millisecond
+		rewritten = 2 * time.Second // after the store is back
+		startTime = 200 * time.Millisecond
+	)
+	if err := r.putConfig(1, tenantKey, secondKey); err != nil {
+		return err
 	}
-	type client struct {
-		conn net.Conn
-		in   *bufio.Reader
+	time.Sleep(time.Second)
+	r.platform.KeepCopy()
+	r.note("a copy of the store is taken")
+	if err := r.putConfig(2, tenantKey); err != nil {
+		return err
 	}
-	var clients [2]client
-	for i, shape := range shapes {
-		c := &clients[i]
-		if c.conn, c.in = openSession(r.edges[0].callers, strictRoute, tenantKey); c.conn == nil {
-			return fmt.Errorf("client %d gets no session", i)
+	r.withdrawnAt = time.Now()
+	r.note("the store has confirmed a config without the key of %s", secondTenant)
+	second := startLoad(r.edges, 2, strictRoute, secondKey, "s", write)
+	time.Sleep(copyAge)
+	if r.trouble {
+		r.note("the store is away, and all processes are killed")
+		for _, e := range r.edges {
+			e.kill()
 		}
-		defer func() { _ = c.conn.Close() }()
-		answer, _ := query(c.conn, c.in, fmt.Sprintf("p%d", i), "PREPARE s1 WRITE "+shape)
-		r.note("client %d prepares s1 as a WRITE of the shape %s: %s", i, shape, answer)
-	}
-	const rounds = 50
-	for round := range rounds {
-		for i, c := range clients {
-			id := fmt.Sprintf("x%d-%02d", i, round)
-			answer, ok := query(c.conn, c.in, id, fmt.Sprintf("EXECUTE s1 item%d data%d", i, round))
-			if !ok {
-				return fmt.Errorf("client %d has lost its session", i)
+		time.AfterFunc(startTime, func() {
+			for _, e := range r.edges {
+				if err := e.start(false); err != nil {
+					r.note("start %s: %v", e.name, err)
+				}
 			}
-			r.note("client %d sends %s EXECUTE s1: %s", i, id, answer)
-			r.prepared = append(r.prepared, preparedRun{id, shapes[i], answer})
+		})
+		r.platform.Restore(away)
+		r.note("the store is back from the copy")
+		r.group.reportAll()
+		time.Sleep(rewritten)
+		if err := r.putConfig(2, tenantKey); err != nil {
+			return err
 		}
+		r.note("the operator has written the config again")
 	}
+	time.Sleep(4 * time.Second)
+	r.second = second.end()
 	return nil
 }
 
-// judgePinned looks for prepared statements that a server ran in another shape than their client had prepared (PINNED).
-func judgePinned(r *run, _ []operation) (violations []string) {
-	for _, p := range r.prepared {
-		ran, ok := r.group.shapes[p.id]
-		r.note("%s was run with the shape %s", p.id, ran)
-		if ok && ran != p.shape {
-			violations = append(violations, fmt.Sprintf("a server ran %s with the shape %s, its client had prepared %s and got %q", p.id, ran, p.shape, p.answer))
+// judgeWithdrawn looks for requests with a withdrawn key that were sent later than revoke_ms after the confirmation of the config that took
+// the key away, and that a server ran (CONFIG).
+func judgeWithdrawn(r *run, _ []operation) (violations []string) {
+	ran := map[string]execution{}
+	for _, e := range r.group.executed {
+		ran[e.id] = e
+	}
+	for _, o := range r.second {
+		if e, ok := ran[o.id]; ok && o.sent.Sub(r.withdrawnAt) > revokeTime {
+			violations = append(violations, fmt.Sprintf("%s, sent with the withdrawn key %.1f s after the confirmation to %s, was run by %s, and its client got %q",
+				o.id, o.sent.Sub(r.withdrawnAt).Seconds(), o.edge, e.server, o.answer))
 		}
 	}
 	return violations
--- a/review/standin-4/client.go
+++ b/review/standin-4/client.go
@@ -23,19 +23,21 @@
 
 func (o operation) acknowledged() bool { return strings.HasPrefix(o.answer, "COMPLETE ") }
 
-// load is a number of clients that write until it is stopped.
+// load is a number of clients that send statements until it is stopped.
 type load struct {
-	stop    chan struct{}
-	running sync.WaitGroup
+	statement func(id string) string
+	stop      chan struct{}
+	running   sync.WaitGroup
 
 	mu         sync.Mutex
 	operations []operation
+	prefix     string // of the ids
 	next       int
 }
 
 // startLoad starts clients at each instance.
-func startLoad(edges []*edge, perEdge int, route, key string) *load {
-	l := &load{stop: make(chan struct{})}
+func startLoad(edges []*edge, perEdge int, route, key, prefix string, statement func(id string) string) *load {
+	l := &load{statement: statement, stop: make(chan struct{}), prefix: prefix}
 	for _, e := range edges {
 		for range perEdge {
 			l.running.Go(func() { l.client(e, route, key) })
@@ -44,6 +46,10 @@
 	return l
 }
 
+func write(id string) string { return "WRITE item" + id + " data" }
+
+func read(string) string { return "READ item" }
+
 // end stops the clients and returns what they did.
 func (l *load) end() []operation {
 	close(l.stop)
@@ -70,10 +76,10 @@
 		}
 		l.mu.Lock()
 		l.next++
-		o := operation{id: fmt.Sprintf("w%06d", l.next), edge: e.name, sent: time.Now()}
+		o := operation{id: fmt.Sprintf("%s%06d", l.prefix, l.next), edge: e.name, sent: time.Now()}
 		l.mu.Unlock()
 		ok := false
-		o.answer, ok = query(conn, in, o.id, "WRITE item"+o.id+" data")
+		o.answer, ok = query(conn, in, o.id, l.statement(o.id))
 		o.ended = time.Now()
 		l.mu.Lock()
 		l.operations = append(l.operations, o)
--- a/review/standin-4/edge.go
+++ b/review/standin-4/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,7 +17,7 @@
 // settings are those of deploy/settings.yaml, filled in for one instance.
 const settings = `instance: "%[1]s"
 place:
-  region: "%[2]s"
+  region: "one"
   failureDomain: "%[2]s"
 listen:
   callers: "%[3]s"
@@ -24,7 +25,7 @@
   peers: "%[5]s"
 store: "%[6]s"
 promotion: "%[7]s"
-regions: {"north": "north", "south": "south", "west": "west"}
+regions: {"north": "one", "south": "one", "west": "one"}
 unfencedPromotions: %[8]t
 firstStart: %[9]t
 bounds:
@@ -54,15 +55,37 @@
 	cmd *exec.Cmd
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// Ports are taken below those that the system gives to outgoing connections, so that none is in use when a process starts again.
+const firstPort, lastPort = 15000, 32000
+
+var portsTaken = map[int]bool{}
+
+// listen listens on a free loopback port that no earlier call has returned.
+func listen() (net.Listener, error) {
+	var err error
+	for range 1000 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if portsTaken[port] {
+			continue
+		}
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			portsTaken[port] = true
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
+// freeAddresses returns loopback addresses that are free now.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listen()
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
+		_ = l.Close()
 		out = append(out, l.Addr().String())
 	}
 	return out, nil
--- a/review/standin-4/group.go
+++ b/review/standin-4/group.go
@@ -54,8 +54,7 @@
 	servers       []*server
 	promotions    []promotion
 	executed      []execution
-	shapes        map[string]string // of the prepared statements that were run, by the client's id
-	newest        *server           // leads the newest term, or has led it last
+	newest        *server // leads the newest term, or has led it last
 	stopped       chan struct{}
 	recordComment func(format string, args ...any)
 }
@@ -83,12 +82,12 @@
 }
 
 func newGroup(name string, syncReplicas int, fenced bool) *group {
-	return &group{name: name, syncReplicas: syncReplicas, fenced: fenced, promoteTime: 300 * time.Millisecond, term: 1, stopped: make(chan struct{}), shapes: map[string]string{}}
+	return &group{name: name, syncReplicas: syncReplicas, fenced: fenced, promoteTime: 300 * time.Millisecond, term: 1, stopped: make(chan struct{})}
 }
 
 // add starts a server. The first one is the primary.
 func (g *group) add(id, zone string, lag time.Duration) (*server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
@@ -182,14 +181,6 @@
 	s.reportLocked()
 }
 
-// drain makes the server report that it is draining.
-func (s *server) drain() {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	s.draining = true
-	s.reportLocked()
-}
-
 // reportLocked writes the entry of the server, if it reaches the store.
 func (s *server) reportLocked() {
 	if s.up && !s.cutFromCtl {
@@ -238,6 +229,27 @@
 	return g.primaryLocked()
 }
 
+// server returns the server with an id.
+func (g *group) server(id string) *server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// reportAll makes all servers write their entries again.
+func (g *group) reportAll() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		s.reportLocked()
+	}
+}
+
 // replicate makes the server receive the log of the primary.
 func (s *server) replicate() {
 	for {
@@ -335,13 +347,6 @@
 	}
 }
 
-// recordShape records which shape a server runs for an EXECUTE.
-func (g *group) recordShape(id, shape string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.shapes[id] = shape
-}
-
 // commitLocked appends a commit to the log of a server that leads, and waits for the replicas that have to have received it. It reports
 // false if the commit can't be acknowledged.
 func (s *server) commitLocked(id string) bool {
--- a/review/standin-4/main.go
+++ b/review/standin-4/main.go
@@ -23,9 +23,14 @@
 
 const (
 	serviceName = "db0"
-	tenantName  = "tenant-a"
 	tenantKey   = "key-a"
-	strictRoute = serviceName + "-strict" // of kind "primary"
+	// secondTenant and secondKey are of a tenant whose key is withdrawn.
+	secondTenant = "tenant-b"
+	secondKey    = "key-b"
+	strictRoute  = serviceName + "-strict"  // of kind "primary"
+	boundedRoute = serviceName + "-bounded" // of kind "bounded_staleness"
+	// revokeTime is revoke_ms.
+	revokeTime = 5 * time.Second
 	// trafficStart is when traffic starts after the machines.
 	trafficStart = 10 * time.Second
 	// timeLimit ends a run that doesn't end by itself. The instances end with it.
@@ -41,11 +46,11 @@
 }
 
 var scenarios = map[string]scenario{
-	"late-order":     {unfenced: true, play: playLateOrder, judge: judgeOne},
-	"reborn-replica": {syncReplicas: 1, play: playRebornReplica, judge: judgeLost},
-	"new-instance":   {syncReplicas: 1, play: playNewInstance, judge: judgeLost},
-	"primary-late":   {syncReplicas: 1, play: playPrimaryLate, judge: judgeLost},
-	"prepared-names": {play: playPreparedNames, judge: judgePinned},
+	"reborn-replica":  {syncReplicas: 1, play: playRebornReplica, judge: judgeLost},
+	"new-instance":    {syncReplicas: 1, play: playNewInstance, judge: judgeLost},
+	"primary-late":    {syncReplicas: 1, play: playPrimaryLate, judge: judgeLost},
+	"empty-successor": {syncReplicas: 1, play: playEmptySuccessor, judge: judgeLost},
+	"withdrawn-key":   {play: playWithdrawnKey, judge: judgeWithdrawn},
 }
 
 // run is a run of a scenario.
@@ -57,16 +62,16 @@
 	group    *group
 	edges    []*edge
 
+	syncReplicas int
+
 	mu         sync.Mutex
 	record     []string
 	sequence   int
 	promotedBy []promotedLog
-	prepared   []preparedRun
-}
 
-// preparedRun is an EXECUTE, with the shape that its client had prepared.
-type preparedRun struct {
-	id, shape, answer string
+	// withdrawnAt is when the store confirmed a config without the key of the second tenant, and second what that one's clients did.
+	withdrawnAt time.Time
+	second      []operation
 }
 
 // promotedLog is the log of a server when it was promoted.
@@ -151,11 +156,13 @@
 	if err := r.startEdges(s, binary, dir); err != nil {
 		return nil, err
 	}
-	l := startLoad(r.edges, 4, strictRoute, tenantKey)
+	l := startLoad(r.edges, 4, strictRoute, tenantKey, "w", write)
+	readers := startLoad(r.edges, 3, boundedRoute, tenantKey, "r", read)
 	if err = r.awaitWrites(l); err == nil {
 		err = s.play(r)
 	}
 	operations := l.end()
+	readers.end()
 	if err != nil {
 		return nil, err
 	}
@@ -187,10 +194,18 @@
 			return err
 		}
 	}
-	return r.platform.PutConfig(platformtest.Config{
-		Version: 1, Databases: []string{serviceName}, MaxConnections: 60, Copies: s.syncReplicas,
-		Tenants: []platformtest.Tenant{{Name: tenantName, Keys: []string{tenantKey}, Rate: 2000, Burst: 2000}},
-	})
+	r.syncReplicas = s.syncReplicas
+	return r.putConfig(0, tenantKey)
+}
+
+// putConfig writes a config with the tenants that hold the given keys. later distinguishes later versions.
+func (r *run) putConfig(later uint64, keys ...string) error {
+	names := map[string]string{tenantKey: "tenant-a", secondKey: secondTenant}
+	c := platformtest.Config{Version: 1 + later, Databases: []string{serviceName}, MaxConnections: 60, Copies: r.syncReplicas}
+	for _, key := range keys {
+		c.Tenants = append(c.Tenants, platformtest.Tenant{Name: names[key], Keys: []string{key}, Rate: 2000, Burst: 2000})
+	}
+	return r.platform.PutConfig(c)
 }
 
 var (
@@ -286,7 +301,7 @@
 // recordAll adds to the record what the clients and the servers have seen, and what the instances have logged of promotions.
 func (r *run) recordAll(operations []operation) {
 	at := func(t time.Time) string { return fmt.Sprintf("%8.3f", t.Sub(r.began).Seconds()) }
-	for _, o := range operations {
+	for _, o := range append(operations, r.second...) {
 		r.record = append(r.record, fmt.Sprintf("%s  client of %s sends %s WRITE; %s  answer: %s", at(o.sent), o.edge, o.id, at(o.ended), o.answer))
 	}
 	for _, e := range r.group.executed {
--- a/review/standin-4/promoter.go
+++ b/review/standin-4/promoter.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -13,8 +12,8 @@
 type promoter struct {
 	fenced bool
 	carry  func(id string) (running bool)
-	// late tells, by the number of the call from 1 on, whether it gets no answer and is carried out later.
-	late func(number int) (after time.Duration, late bool)
+	// late tells, by the number of the call from 1 on and the server that it names, whether it gets no answer and is carried out later.
+	late func(number int, id string) (after time.Duration, late bool)
 	note func(format string, args ...any)
 
 	server  *http.Server
@@ -26,7 +25,7 @@
 }
 
 func (p *promoter) start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return err
 	}
@@ -38,6 +37,12 @@
 	return nil
 }
 
+func (p *promoter) setLate(late func(number int, id string) (after time.Duration, late bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late = late
+}
+
 func (p *promoter) serve(w http.ResponseWriter, req *http.Request) {
 	var in struct {
 		ID string `json:"id"`
@@ -53,7 +58,7 @@
 	p.mu.Unlock()
 	p.note("call %d to promote %s arrives from %s with the token %d", number, in.ID, req.Header.Get("X-Cyclamenstile-Lease-Holder"), token)
 	if late != nil {
-		if after, isLate := late(number); isLate {
+		if after, isLate := late(number, in.ID); isLate {
 			p.note("call %d gets no answer, and is carried out %s later", number, after)
 			time.AfterFunc(after, func() { p.carryOut(number, in.ID, token) })
 			panic(http.ErrAbortHandler) // closes the connection
--- a/review/standin-4/session.go
+++ b/review/standin-4/session.go
@@ -17,15 +17,14 @@
 	server  *server
 	conn    net.Conn
 	in      *bufio.Reader
-	state   string            // I, T or E
-	plain   bool              // the transaction is not read-only
-	pending int               // writes of the transaction
-	names   map[string]string // mode and shape of the prepared statements
+	state   string // I, T or E
+	plain   bool   // the transaction is not read-only
+	pending int    // writes of the transaction
 	receipt int
 }
 
 func newServerSession(s *server, conn net.Conn) *serverSession {
-	return &serverSession{server: s, conn: conn, in: bufio.NewReader(conn), state: "I", names: map[string]string{}}
+	return &serverSession{server: s, conn: conn, in: bufio.NewReader(conn), state: "I"}
 }
 
 func readLine(in *bufio.Reader) (string, error) {
@@ -108,17 +107,7 @@
 		return s.fail("MALFORMED")
 	}
 	switch word {
-	case "SET":
-		return done
-	case "DEALLOC":
-		delete(s.names, rest)
-		return done
-	case "DISCARD":
-		clear(s.names)
-		return done
-	case "PREPARE":
-		name, shape, _ := strings.Cut(rest, " ")
-		s.names[name] = shape
+	case "SET", "PREPARE", "DEALLOC", "DISCARD":
 		return done
 	case "ROLLBACK":
 		s.state, s.pending = "I", 0
@@ -127,16 +116,6 @@
 		return s.begin(rest != "READ")
 	case "STATUS", "STEPDOWN", "PAUSE", "RESUME":
 		return s.control(word, rest)
-	case "EXECUTE":
-		name, _, _ := strings.Cut(rest, " ")
-		prepared, ok := s.names[name]
-		if !ok {
-			return s.fail("NOSTMT")
-		}
-		mode, shape, _ := strings.Cut(prepared, " ")
-		s.server.group.recordShape(id, shape)
-		word = mode
-		fallthrough
 	case "READ", "WRITE", "COMMIT":
 		time.Sleep(workTime)
 		return s.runStatement(word, id)
